--- /dev/null
+++ b/sapphireseam/agent/__init__.py
@@ -0,0 +1,1 @@
+"""Run the process beside an upstream: the last queue before the engine."""
--- /dev/null
+++ b/sapphireseam/control/__init__.py
@@ -0,0 +1,1 @@
+"""Run a control VM: the state machine, its services and its watchers."""
--- /dev/null
+++ b/sapphireseam/core/error.py
@@ -0,0 +1,187 @@
+"""List every kind of error once, with the answer a caller gets for it.
+
+The kinds are a closed list so that an operator can look each one up and so
+that two programs never invent two answers for one cause. Exceptions form a
+small tree over the kinds: code raises a branch, the edge of the program looks
+the kind up in `ANSWERS` and writes the answer.
+"""
+
+from enum import StrEnum
+from typing import NamedTuple
+
+
+class Kind(StrEnum):
+    """Name each cause of a failed request, job or command."""
+
+    BAD_REQUEST = "bad_request"
+    BAD_SETTINGS = "bad_settings"
+    BAD_CONFIGURATION = "bad_configuration"
+    BODY_TOO_LARGE = "body_too_large"
+    KEY_MISSING = "key_missing"
+    KEY_INVALID = "key_invalid"
+    FORBIDDEN = "forbidden"
+    ROUTE_UNKNOWN = "route_unknown"
+    MODEL_UNKNOWN = "model_unknown"
+    OBJECT_UNKNOWN = "object_unknown"
+    CONFLICT = "conflict"
+    RATE_LIMITED = "rate_limited"
+    OVERLOADED = "overloaded"
+    NO_UPSTREAM = "no_upstream"
+    CONTROL_UNREACHABLE = "control_unreachable"
+    NOT_LEADER = "not_leader"
+    SHUTTING_DOWN = "shutting_down"
+    DEADLINE_EXCEEDED = "deadline_exceeded"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    UPSTREAM_FAILED = "upstream_failed"
+    REQUEST_QUARANTINED = "request_quarantined"
+    CANCELLED = "cancelled"
+    STORAGE_FAILED = "storage_failed"
+    INTERNAL = "internal"
+
+
+class Answer(NamedTuple):
+    """Say what a caller is told about one kind.
+
+    `not_run` is a promise: the request provably never reached an upstream.
+    `retry_after` is in seconds; zero means that a retry is of no use.
+    """
+
+    status: int
+    type: str
+    not_run: bool
+    retry_after: int = 0
+
+
+_INVALID = "invalid_request_error"
+_SERVER = "server_error"
+
+ANSWERS: dict[Kind, Answer] = {
+    Kind.BAD_REQUEST: Answer(400, _INVALID, True),
+    Kind.BAD_SETTINGS: Answer(500, _SERVER, True),
+    Kind.BAD_CONFIGURATION: Answer(422, _INVALID, True),
+    Kind.BODY_TOO_LARGE: Answer(413, _INVALID, True),
+    Kind.KEY_MISSING: Answer(401, "authentication_error", True),
+    Kind.KEY_INVALID: Answer(401, "authentication_error", True),
+    Kind.FORBIDDEN: Answer(403, "permission_error", True),
+    Kind.ROUTE_UNKNOWN: Answer(404, _INVALID, True),
+    Kind.MODEL_UNKNOWN: Answer(404, _INVALID, True),
+    Kind.OBJECT_UNKNOWN: Answer(404, _INVALID, True),
+    Kind.CONFLICT: Answer(409, _INVALID, True),
+    Kind.RATE_LIMITED: Answer(429, "rate_limit_error", True, 1),
+    Kind.OVERLOADED: Answer(503, _SERVER, True, 1),
+    Kind.NO_UPSTREAM: Answer(503, _SERVER, True, 2),
+    Kind.CONTROL_UNREACHABLE: Answer(503, _SERVER, True, 3),
+    Kind.NOT_LEADER: Answer(503, _SERVER, True, 1),
+    Kind.SHUTTING_DOWN: Answer(503, _SERVER, True, 1),
+    Kind.DEADLINE_EXCEEDED: Answer(504, _SERVER, False),
+    Kind.OUTCOME_UNKNOWN: Answer(502, _SERVER, False),
+    Kind.UPSTREAM_FAILED: Answer(502, _SERVER, False, 1),
+    Kind.REQUEST_QUARANTINED: Answer(422, _INVALID, True),
+    Kind.CANCELLED: Answer(499, _INVALID, False),
+    Kind.STORAGE_FAILED: Answer(503, _SERVER, False, 5),
+    Kind.INTERNAL: Answer(500, _SERVER, False),
+}
+
+
+class SeamError(Exception):
+    """Carry a kind and a message from where it failed to the program's edge.
+
+    `retry_after` overrides the table's time to come back, in seconds.
+    `not_run` overrides the table's promise where the raiser knows better.
+    """
+
+    kind = Kind.INTERNAL
+
+    def __init__(
+        self,
+        message: str,
+        kind: Kind | None = None,
+        retry_after: float | None = None,
+        not_run: bool | None = None,
+    ):
+        super().__init__(message)
+        self.message = message
+        self.kind = kind or type(self).kind
+        answer = ANSWERS[self.kind]
+        self.retry_after = answer.retry_after if retry_after is None else retry_after
+        self.not_run = answer.not_run if not_run is None else not_run
+
+    @property
+    def answer(self) -> Answer:
+        """Return the table's answer for this error's kind."""
+        return ANSWERS[self.kind]
+
+
+class RequestError(SeamError):
+    """Report that the caller's request can't be served as it stands."""
+
+    kind = Kind.BAD_REQUEST
+
+
+class AccessError(SeamError):
+    """Report that whoever asks may not have what they ask for."""
+
+    kind = Kind.KEY_INVALID
+
+
+class CapacityError(SeamError):
+    """Report that the request is fine but can't be served now."""
+
+    kind = Kind.OVERLOADED
+
+
+class OutcomeError(SeamError):
+    """Report that a request was handed over and its outcome isn't known."""
+
+    kind = Kind.OUTCOME_UNKNOWN
+
+
+class ControlError(SeamError):
+    """Report that the control VMs can't answer now."""
+
+    kind = Kind.CONTROL_UNREACHABLE
+
+
+class NotLeaderError(ControlError):
+    """Report that another member leads; `leader` names it where known."""
+
+    kind = Kind.NOT_LEADER
+
+    def __init__(self, message: str, leader: str = ""):
+        super().__init__(message)
+        self.leader = leader
+
+
+class StorageError(SeamError):
+    """Report that a data folder is damaged, full or can't be synced."""
+
+    kind = Kind.STORAGE_FAILED
+
+
+class SettingsError(SeamError):
+    """Report settings that a program can't start with."""
+
+    kind = Kind.BAD_SETTINGS
+
+
+class ConfigurationError(SeamError):
+    """Report a configuration that can't be published."""
+
+    kind = Kind.BAD_CONFIGURATION
+
+
+def render_body(error: SeamError) -> dict:
+    """Return the OpenAI-shaped body for an error.
+
+    >>> render_body(AccessError("unknown key"))["error"]["code"]
+    'key_invalid'
+    """
+    return {
+        "error": {
+            "message": error.message,
+            "type": error.answer.type,
+            "code": str(error.kind),
+            "param": None,
+            "not_run": error.not_run,
+        }
+    }
--- /dev/null
+++ b/sapphireseam/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Run an entry VM: callers' HTTP, keys, limits and routing."""
--- /dev/null
+++ b/sapphireseam/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Decide limits, fairness, routing and retries."""
--- /dev/null
+++ b/sapphireseam/scripts/__init__.py
@@ -0,0 +1,1 @@
+"""Start each program: thin command lines over library calls."""
--- /dev/null
+++ b/sapphireseam/state/__init__.py
@@ -0,0 +1,1 @@
+"""Keep the replicated log, its snapshots, elections and membership."""
--- /dev/null
+++ b/sapphireseam/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Build, check and measure the project."""
--- /dev/null
+++ b/sapphireseam/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Serve every program alike: timers, settings, logs, life cycle, transport."""
--- /dev/null
+++ b/sapphireseam/utils/timer.py
@@ -0,0 +1,148 @@
+"""Give every part its time from one service that parts subscribe to.
+
+Nothing else in the project reads a clock or sleeps. A test swaps `SystemTimer`
+for `FakeTimer` and moves time by hand, so timeouts, leases and elections run
+without waiting and the same way every time.
+"""
+
+import asyncio
+import heapq
+import itertools
+import time
+from collections.abc import Awaitable, Callable
+from typing import Protocol, TypeVar
+
+T = TypeVar("T")
+
+
+class Subscription:
+    """Hold one subscriber's place; `cancel` ends it."""
+
+    def __init__(self, task: asyncio.Task):
+        self._task = task
+
+    def cancel(self) -> None:
+        """Stop calling the subscriber."""
+        self._task.cancel()
+
+
+class TimerService(Protocol):
+    """Tell the time and wake subscribers. All times are in seconds."""
+
+    def read_clock(self) -> float:
+        """Return a monotonic time; it means nothing to another process."""
+
+    def read_wall_clock(self) -> float:
+        """Return the time since the Unix epoch; it may jump."""
+
+    async def sleep(self, seconds: float) -> None:
+        """Return after so many seconds."""
+
+    def subscribe(
+        self, period: float, callback: Callable[[], Awaitable[None]]
+    ) -> Subscription:
+        """Call back every `period` seconds until cancelled."""
+
+
+async def run_periodically(
+    timer: TimerService, period: float, callback: Callable[[], Awaitable[None]]
+) -> None:
+    """Call back once a period, forever, on the caller's task."""
+    while True:
+        await timer.sleep(period)
+        await callback()
+
+
+async def wait_for(timer: TimerService, awaitable: Awaitable[T], seconds: float) -> T:
+    """Return the awaitable's result, or raise `TimeoutError` in timer time."""
+    work = asyncio.ensure_future(awaitable)
+    alarm = asyncio.ensure_future(timer.sleep(seconds))
+    try:
+        await asyncio.wait({work, alarm}, return_when=asyncio.FIRST_COMPLETED)
+        if work.done():
+            return work.result()
+        raise TimeoutError
+    finally:
+        alarm.cancel()
+        work.cancel()
+
+
+class SystemTimer:
+    """Read the machine's monotonic clock and the event loop's timers."""
+
+    def read_clock(self) -> float:
+        """Return the machine's monotonic time."""
+        return time.monotonic()
+
+    def read_wall_clock(self) -> float:
+        """Return the machine's wall time."""
+        return time.time()
+
+    async def sleep(self, seconds: float) -> None:
+        """Return after so many seconds."""
+        await asyncio.sleep(seconds)
+
+    def subscribe(
+        self, period: float, callback: Callable[[], Awaitable[None]]
+    ) -> Subscription:
+        """Call back every `period` seconds until cancelled."""
+        return Subscription(
+            asyncio.create_task(run_periodically(self, period, callback))
+        )
+
+
+class FakeTimer:
+    """Move time only when a test says so.
+
+    `advance` wakes sleepers in the order of their time and lets the event loop
+    run dry between them.
+    """
+
+    # Enough turns of the loop for a chain of woken tasks to settle.
+    SETTLE_TURNS = 50
+
+    def __init__(self, start: float = 1000.0):
+        self._now = start
+        self._order = itertools.count()
+        self._sleepers: list[tuple[float, int, asyncio.Future]] = []
+
+    def read_clock(self) -> float:
+        """Return the fake monotonic time."""
+        return self._now
+
+    def read_wall_clock(self) -> float:
+        """Return the fake wall time, which runs with the monotonic one."""
+        return self._now
+
+    async def sleep(self, seconds: float) -> None:
+        """Return once a test has advanced past the time."""
+        future = asyncio.get_running_loop().create_future()
+        entry = (self._now + max(seconds, 0.0), next(self._order), future)
+        heapq.heappush(self._sleepers, entry)
+        await future
+
+    def subscribe(
+        self, period: float, callback: Callable[[], Awaitable[None]]
+    ) -> Subscription:
+        """Call back every `period` fake seconds until cancelled."""
+        return Subscription(
+            asyncio.create_task(run_periodically(self, period, callback))
+        )
+
+    async def settle(self) -> None:
+        """Let every task that can run do so."""
+        for _ in range(self.SETTLE_TURNS):
+            await asyncio.sleep(0)
+
+    async def advance(self, seconds: float) -> None:
+        """Move time forward, waking each sleeper at its own moment."""
+        target = self._now + seconds
+        await self.settle()
+        while self._sleepers and self._sleepers[0][0] <= target:
+            due, _, future = heapq.heappop(self._sleepers)
+            self._now = max(self._now, due)
+            if not future.done():
+                future.set_result(None)
+                await self.settle()
+        self._now = target
+        await self.settle()
