--- /dev/null
+++ b/sapphireseam/policy/limit.py
@@ -0,0 +1,274 @@
+"""Hold every customer to its rate and burst over all entries together.
+
+One owner, the leader of the control VMs, keeps a bucket of tokens for each
+customer in memory and replicates nothing per grant. Two rules make the sum
+over the fleet exact. Tokens leased to an entry stay counted until the entry
+says what it used or the lease expires, and bucket plus leased tokens never
+exceed the burst. A new owner starts with every bucket empty, at a moment by
+which the old owner grants no more and what it leased has expired. So for any
+window: admitted <= burst + rate * window, whatever is lost or late.
+
+Time is a monotonic reading in seconds; a reading below an earlier one counts
+as no time passed.
+"""
+
+import math
+from collections import OrderedDict
+from typing import NamedTuple, Protocol
+
+# How long an allowance may be spent, and counts at the owner.
+ALLOWANCE_SECONDS = 1.0
+
+# The share of a burst that all allowances of a customer may hold together.
+# What is leased to one entry can't serve another, so it is kept small.
+LEASED_SHARE = 0.25
+
+# An owner leases only while this share of the burst is in the bucket.
+RESERVE_SHARE = 0.5
+
+# Sums of floating point numbers may miss the exact figure by this much.
+ROUNDING_TOKENS = 1e-9
+
+
+class Grant(NamedTuple):
+    """Answer a debit or lease.
+
+    `granted` is in tokens, usable now; `retry_after` is the time in seconds
+    until the wanted amount would be there, infinite if it never will.
+    """
+
+    granted: float
+    retry_after: float
+
+
+class Limiter(Protocol):
+    """Grant tokens to all customers; amounts are in tokens."""
+
+    def configure(self, customer: str, rate: float, burst: float, now: float) -> None:
+        """Set a customer's rate (tokens a second) and burst (tokens)."""
+
+    def remove(self, customer: str) -> None:
+        """Grant this customer nothing more."""
+
+    def debit(self, customer: str, amount: float, now: float) -> Grant:
+        """Take the whole amount or nothing."""
+
+    def lease(self, customer: str, holder: str, wanted: float, now: float) -> Grant:
+        """Lease up to `wanted` tokens for `ALLOWANCE_SECONDS`.
+
+        `holder` names this one lease: the entry, its start and a serial
+        number, never used again. The same name again gets the same answer.
+        """
+
+    def release(self, customer: str, holder: str, amount: float, now: float) -> None:
+        """End a lease and give back `amount` unused tokens.
+
+        The holder spends nothing of it after sending this. A release that
+        comes late, twice, or at another owner than the lease does nothing.
+        """
+
+
+class _Lease(NamedTuple):
+    """Count tokens that an entry may spend until `expires`."""
+
+    amount: float
+    expires: float
+
+
+class Bucket:
+    """Keep one customer's tokens and leases.
+
+    The sum of `level` and `leased` never exceeds `burst`, but for leases made
+    before the burst was lowered: these run out, and nothing refills until
+    then.
+    """
+
+    def __init__(self, rate: float, burst: float, level: float, now: float):
+        self.rate = rate
+        self.burst = burst
+        self.level = level
+        self.leased = 0.0
+        self._updated = now
+        self._leases: OrderedDict[str, _Lease] = OrderedDict()
+
+    def refill(self, now: float) -> None:
+        """Add what the time since the last call brings, ending due leases.
+
+        Leases end one by one in the order of their time, since each end
+        raises what the bucket may hold.
+        """
+        while self._leases:
+            name, lease = next(iter(self._leases.items()))
+            if lease.expires > now:
+                break
+            self._advance(lease.expires)
+            self._drop(name)
+        self._advance(now)
+
+    def _advance(self, now: float) -> None:
+        elapsed = max(now - self._updated, 0.0)
+        self._updated = max(now, self._updated)
+        self.level = self._cap(self.level + self.rate * elapsed)
+
+    def _cap(self, level: float) -> float:
+        return min(level, max(self.burst - self.leased, 0.0))
+
+    def _drop(self, name: str) -> _Lease | None:
+        lease = self._leases.pop(name, None)
+        if not self._leases:
+            self.leased = 0.0
+        elif lease is not None:
+            self.leased = max(self.leased - lease.amount, 0.0)
+        return lease
+
+    def change(self, rate: float, burst: float, now: float) -> None:
+        """Go on with another rate and burst; a higher burst fills at the rate."""
+        self.refill(now)
+        self.rate = rate
+        self.burst = burst
+        self.level = self._cap(self.level)
+
+    def wait_for(self, amount: float, now: float) -> float:
+        """Return in how many seconds the bucket can hold `amount`."""
+        if amount > self.burst or self.rate <= 0.0:
+            return math.inf
+        missing = max(amount - self.level, 0.0)
+        return max(self._updated - now, 0.0) + missing / self.rate
+
+    def debit(self, amount: float, now: float) -> Grant:
+        """Take the whole amount or nothing."""
+        self.refill(now)
+        if amount > self.level + ROUNDING_TOKENS:
+            return Grant(0.0, self.wait_for(amount, now))
+        self.level = max(self.level - amount, 0.0)
+        return Grant(amount, 0.0)
+
+    def lease(self, name: str, wanted: float, now: float) -> Grant:
+        """Lease what can be spared; little left gives zero."""
+        self.refill(now)
+        if name in self._leases:
+            return Grant(self._leases[name].amount, 0.0)
+        room = LEASED_SHARE * self.burst - self.leased
+        spare = self.level - RESERVE_SHARE * self.burst
+        amount = min(wanted, room, spare)
+        if amount <= 0.0:
+            return Grant(0.0, ALLOWANCE_SECONDS)
+        self.level -= amount
+        self.leased += amount
+        # A reading below an earlier one must not end the lease early.
+        start = max(now, self._updated)
+        self._leases[name] = _Lease(amount, start + ALLOWANCE_SECONDS)
+        return Grant(amount, 0.0)
+
+    def release(self, name: str, amount: float, now: float) -> None:
+        """End a lease; only what it held can come back."""
+        self.refill(now)
+        lease = self._drop(name)
+        if lease is None:
+            return
+        unused = min(max(amount, 0.0), lease.amount)
+        self.level = self._cap(self.level + unused)
+
+
+class OwnerLimiter:
+    """Grant for the whole fleet from one place.
+
+    `opens_at` is the moment from which this owner may grant: by then the old
+    owner grants no more and `ALLOWANCE_SECONDS` have passed since. Buckets
+    neither grant nor refill before it. Only the first owner of a fleet that
+    never granted anything may have `start_empty` false.
+
+    When a publish changes a customer's rate or burst, a window gets at most
+    the largest burst in force in it or `ALLOWANCE_SECONDS` before it, plus the
+    rate in force at each moment of it.
+    """
+
+    def __init__(self, start_empty: bool = True, opens_at: float = -math.inf):
+        self._start_empty = start_empty
+        self._opens_at = opens_at
+        self._latest = -math.inf
+        self._buckets: dict[str, Bucket] = {}
+
+    def _read(self, now: float) -> float:
+        """Return the highest time seen, so that no reading goes back."""
+        self._latest = max(self._latest, now)
+        return self._latest
+
+    def configure(self, customer: str, rate: float, burst: float, now: float) -> None:
+        """Set a customer's rate and burst; a new customer's bucket is empty."""
+        now = self._read(now)
+        bucket = self._buckets.get(customer)
+        if bucket is not None:
+            bucket.change(rate, burst, now)
+            return
+        level = 0.0 if self._start_empty else burst
+        start = max(now, self._opens_at)
+        self._buckets[customer] = Bucket(rate, burst, level, start)
+
+    def remove(self, customer: str) -> None:
+        """Grant nothing more; the bucket stays, since its leases may be out.
+
+        Were it forgotten, the same customer added again would start anew
+        beside allowances that are still being spent.
+        """
+        bucket = self._buckets.get(customer)
+        if bucket is not None:
+            bucket.change(0.0, 0.0, self._latest)
+
+    def debit(self, customer: str, amount: float, now: float) -> Grant:
+        """Take the whole amount or nothing; an unknown customer gets nothing."""
+        now = self._read(now)
+        bucket = self._buckets.get(customer)
+        if bucket is None:
+            return Grant(0.0, math.inf)
+        if now < self._opens_at:
+            return Grant(0.0, bucket.wait_for(amount, now))
+        return bucket.debit(amount, now)
+
+    def lease(self, customer: str, holder: str, wanted: float, now: float) -> Grant:
+        """Lease up to `wanted` tokens under the name `holder`."""
+        now = self._read(now)
+        bucket = self._buckets.get(customer)
+        if bucket is None or now < self._opens_at:
+            return Grant(0.0, ALLOWANCE_SECONDS)
+        return bucket.lease(holder, wanted, now)
+
+    def release(self, customer: str, holder: str, amount: float, now: float) -> None:
+        """End a lease and take back what it didn't use."""
+        now = self._read(now)
+        bucket = self._buckets.get(customer)
+        if bucket is not None:
+            bucket.release(holder, amount, now)
+
+
+class StaticSplitLimiter:
+    """Give each entry its fixed part of every rate and burst (the baseline).
+
+    Each entry holds one of its own and debits it without any message. The
+    parts are of one size, so a customer whose requests reach one entry only
+    is refused at a fraction of its rate.
+    """
+
+    def __init__(self, entries: int, start_empty: bool = True):
+        self._entries = entries
+        self._owner = OwnerLimiter(start_empty)
+
+    def configure(self, customer: str, rate: float, burst: float, now: float) -> None:
+        """Set this entry's part of a customer's rate and burst."""
+        part = self._entries
+        self._owner.configure(customer, rate / part, burst / part, now)
+
+    def remove(self, customer: str) -> None:
+        """Grant this customer nothing more."""
+        self._owner.remove(customer)
+
+    def debit(self, customer: str, amount: float, now: float) -> Grant:
+        """Take the whole amount from this entry's part, or nothing."""
+        return self._owner.debit(customer, amount, now)
+
+    def lease(self, customer: str, holder: str, wanted: float, now: float) -> Grant:
+        """Lease nothing: the entry already holds its part."""
+        return Grant(0.0, ALLOWANCE_SECONDS)
+
+    def release(self, customer: str, holder: str, amount: float, now: float) -> None:
+        """Do nothing, since nothing is ever leased."""
--- /dev/null
+++ b/sapphireseam/policy/router.py
@@ -0,0 +1,274 @@
+"""Choose a replica for each request at an entry.
+
+Reports of load come late, so a replica's load is its last report plus what
+this entry has sent it since. A prefix that a replica is thought to hold draws
+a request there, only while its load is within a bound of the others', since
+the cache events behind that thought are late and have gaps. Without such a
+replica the less loaded of two random ones in the nearest failure domain with
+room is taken: many entries that read one stale report then don't all choose
+one replica.
+"""
+
+import hashlib
+import random
+from collections import OrderedDict, deque
+from collections.abc import Iterable, Sequence
+from typing import NamedTuple, Protocol
+
+# How far above the mean load a replica may be and still draw its prefixes.
+LOAD_BOUND = 1.25
+
+# A failure domain further away is used once the nearer ones are this full.
+SPILL_LOAD = 0.9
+
+# A replica this many times slower than the median gets no work by choice.
+SLOW_FACTOR = 2.0
+
+# Blocks remembered for all replicas together.
+HINT_BLOCKS = 65536
+
+# Choices remembered a replica, for reports older than they are.
+RECENT_CHOICES = 1024
+
+
+class Candidate(NamedTuple):
+    """Describe one replica as its last report and this entry see it.
+
+    `distance` and `latency` are in seconds, `reported_at` is on this entry's
+    clock. `running`, `queued` and `limit` count streams in the report,
+    `in_flight_here` those of this entry now.
+    """
+
+    name: str
+    failure_domain: str
+    distance: float
+    running: int
+    queued: int
+    limit: int
+    in_flight_here: int
+    reported_at: float
+    latency: float
+    leaving: bool
+    suspect: bool
+
+
+class Query(NamedTuple):
+    """Describe one request.
+
+    `prefix` holds hashes of prompt blocks, each over all before it, the
+    longest last. Replicas in `exclude` are never chosen. A request with
+    `isolate` goes where it can harm the fewest others.
+    """
+
+    customer: str
+    prefix: tuple[int, ...]
+    exclude: frozenset[str]
+    isolate: bool
+
+
+class Router(Protocol):
+    """Choose among replicas; leaving and excluded ones are never chosen."""
+
+    def choose(
+        self, query: Query, candidates: Sequence[Candidate], now: float
+    ) -> str | None:
+        """Return a replica's name, or nothing if none may be used."""
+
+    def record(self, query: Query, name: str, now: float) -> None:
+        """Note that the request was sent to this replica."""
+
+    def learn(
+        self, name: str, added: Iterable[int], removed: Iterable[int], now: float
+    ) -> None:
+        """Take in a replica's cache events, a hint that may be wrong."""
+
+
+def keep_usable(query: Query, candidates: Sequence[Candidate]) -> list[Candidate]:
+    """Return the replicas that may be chosen; suspect ones only if no other."""
+    usable = [
+        each
+        for each in candidates
+        if not each.leaving and each.name not in query.exclude
+    ]
+    trusted = [each for each in usable if not each.suspect]
+    return trusted or usable
+
+
+class RoundRobinRouter:
+    """Take the replicas in turn (a baseline)."""
+
+    def __init__(self, rng: random.Random):
+        self._turn = rng.randrange(1 << 16)
+
+    def choose(
+        self, query: Query, candidates: Sequence[Candidate], now: float
+    ) -> str | None:
+        """Return the next replica in the order of names."""
+        usable = sorted(keep_usable(query, candidates))
+        if not usable:
+            return None
+        self._turn += 1
+        return usable[self._turn % len(usable)].name
+
+    def record(self, query: Query, name: str, now: float) -> None:
+        """Learn nothing."""
+
+    def learn(
+        self, name: str, added: Iterable[int], removed: Iterable[int], now: float
+    ) -> None:
+        """Learn nothing."""
+
+
+class LeastLoadedRouter:
+    """Take the replica with the lowest reported load (a baseline)."""
+
+    def __init__(self, rng: random.Random):
+        self._rng = rng
+
+    def choose(
+        self, query: Query, candidates: Sequence[Candidate], now: float
+    ) -> str | None:
+        """Return the replica that its last report calls least loaded."""
+        usable = keep_usable(query, candidates)
+        if not usable:
+            return None
+        return min(usable, key=lambda each: each.running + each.queued).name
+
+    def record(self, query: Query, name: str, now: float) -> None:
+        """Learn nothing."""
+
+    def learn(
+        self, name: str, added: Iterable[int], removed: Iterable[int], now: float
+    ) -> None:
+        """Learn nothing."""
+
+
+def rank(block: int, name: str) -> bytes:
+    """Return a replica's place for a block, the same at every entry."""
+    return hashlib.blake2b(f"{block}/{name}".encode(), digest_size=8).digest()
+
+
+class _Hints:
+    """Remember which replicas are thought to hold which blocks."""
+
+    def __init__(self):
+        self._holders: OrderedDict[int, set[str]] = OrderedDict()
+
+    def add(self, name: str, blocks: Iterable[int]) -> None:
+        for block in blocks:
+            self._holders.setdefault(block, set()).add(name)
+            self._holders.move_to_end(block)
+        while len(self._holders) > HINT_BLOCKS:
+            self._holders.popitem(last=False)
+
+    def remove(self, name: str, blocks: Iterable[int]) -> None:
+        for block in blocks:
+            holders = self._holders.get(block)
+            if holders is None:
+                continue
+            holders.discard(name)
+            if not holders:
+                del self._holders[block]
+
+    def find(self, prefix: Sequence[int]) -> set[str]:
+        """Return the holders of the longest block that has any."""
+        for block in reversed(prefix):
+            holders = self._holders.get(block)
+            if holders:
+                return holders
+        return set()
+
+
+class PrefixRouter:
+    """Keep prefixes together as far as the load allows."""
+
+    def __init__(self, rng: random.Random):
+        self._rng = rng
+        self._hints = _Hints()
+        self._recent: dict[str, deque[float]] = {}
+
+    def record(self, query: Query, name: str, now: float) -> None:
+        """Note the choice: it adds load, and the prefix will be there."""
+        recent = self._recent.get(name)
+        if recent is None:
+            recent = self._recent[name] = deque(maxlen=RECENT_CHOICES)
+        recent.append(now)
+        self._hints.add(name, query.prefix)
+
+    def learn(
+        self, name: str, added: Iterable[int], removed: Iterable[int], now: float
+    ) -> None:
+        """Take in a replica's cache events."""
+        self._hints.add(name, added)
+        self._hints.remove(name, removed)
+
+    def estimate_load(self, candidate: Candidate) -> float:
+        """Return the load by limit, the report corrected by what came after.
+
+        What this entry has in flight is there whatever the report says.
+        """
+        recent = self._recent.get(candidate.name, ())
+        since = 0
+        for sent in reversed(recent):
+            if sent < candidate.reported_at:
+                break
+            since += 1
+        since = min(since, candidate.in_flight_here)
+        reported = candidate.running + candidate.queued + since
+        return max(reported, candidate.in_flight_here) / max(candidate.limit, 1)
+
+    def choose(
+        self, query: Query, candidates: Sequence[Candidate], now: float
+    ) -> str | None:
+        """Return the replica for this request, or nothing."""
+        usable = self._drop_slow(keep_usable(query, candidates))
+        if not usable:
+            return None
+        loads = {each.name: self.estimate_load(each) for each in usable}
+        if query.isolate:
+            return min(usable, key=lambda each: (loads[each.name], each.name)).name
+        name = self._find_holder(query, loads)
+        return name or self._choose_of_two(usable, loads)
+
+    def _drop_slow(self, usable: list[Candidate]) -> list[Candidate]:
+        """Leave out replicas far slower than the median one."""
+        latencies = sorted(each.latency for each in usable)
+        if not latencies:
+            return usable
+        median = latencies[(len(latencies) - 1) // 2]
+        if median <= 0.0:
+            return usable
+        return [each for each in usable if each.latency <= SLOW_FACTOR * median]
+
+    def _find_holder(self, query: Query, loads: dict[str, float]) -> str | None:
+        """Return the least loaded holder of the prefix within the bound.
+
+        A prefix that nobody is known to hold goes where its first block's
+        hash points, so that entries agree without a message.
+        """
+        if not query.prefix:
+            return None
+        bound = LOAD_BOUND * sum(loads.values()) / len(loads)
+        holders = self._hints.find(query.prefix) & loads.keys()
+        within = [name for name in holders if loads[name] <= bound]
+        if within:
+            return min(within, key=lambda name: (loads[name], name))
+        if holders:
+            return None
+        within = [name for name in loads if loads[name] <= bound]
+        return min(within, key=lambda name: rank(query.prefix[0], name), default=None)
+
+    def _choose_of_two(self, usable: list[Candidate], loads: dict[str, float]) -> str:
+        near = self._find_near(usable, loads)
+        pair = self._rng.sample(near, min(2, len(near)))
+        return min(pair, key=lambda each: loads[each.name]).name
+
+    def _find_near(
+        self, usable: list[Candidate], loads: dict[str, float]
+    ) -> list[Candidate]:
+        """Return the nearest replicas with room, or all if none has any."""
+        room = [each for each in usable if loads[each.name] < SPILL_LOAD]
+        if not room:
+            return usable
+        nearest = min(each.distance for each in room)
+        return [each for each in room if each.distance <= nearest]
