--- /dev/null
+++ b/sapphireseam/tools/listener.py
@@ -0,0 +1,103 @@
+"""Listen for HTTP as an upstream that can die and come back.
+
+A crash drops every connection without an answer and refuses new ones until the
+restart time is over, which is what a process that dies and is restarted looks
+like from outside, its port kept.
+"""
+
+import asyncio
+
+from aiohttp import web
+
+from sapphireseam.utils import application, timer
+
+# How long a stop waits for the requests in flight.
+SHUTDOWN_SECONDS = 30.0
+# The largest body taken, in bytes.
+LARGEST_BODY = 64 * 1024 * 1024
+# How long to wait before trying again for a port that isn't free yet.
+BIND_RETRY_SECONDS = 0.1
+
+
+class Listener:
+    """Serve a set of routes on one port; `crash` kills and restarts it.
+
+    Port 0 takes any free port, which `port` tells after the start.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        routes: list[web.RouteDef],
+        restart_seconds: float,
+        timer_service: timer.TimerService,
+    ):
+        self.host = host
+        self.port = port
+        self.deaths = 0
+        self.down = False
+        self._restart_seconds = restart_seconds
+        self._timer = timer_service
+        self._tasks = application.TaskGroup()
+        app = web.Application(
+            client_max_size=LARGEST_BODY, middlewares=[self._drop_while_down]
+        )
+        app.add_routes(routes)
+        self._runner = web.AppRunner(
+            app,
+            handler_cancellation=True,
+            shutdown_timeout=SHUTDOWN_SECONDS,
+            access_log=None,
+        )
+        self._site: web.TCPSite | None = None
+
+    async def start(self) -> None:
+        """Bind the port and serve."""
+        await self._runner.setup()
+        await self._bind()
+
+    async def stop(self) -> None:
+        """Finish the requests in flight, then close."""
+        await self._tasks.cancel()
+        await self._runner.cleanup()
+
+    async def _bind(self) -> None:
+        self._site = web.TCPSite(self._runner, self.host, self.port, reuse_address=True)
+        await self._site.start()
+        self.port = self._runner.addresses[0][1]
+
+    def crash(self) -> None:
+        """Drop all connections now and refuse new ones for a while."""
+        if self.down:
+            return
+        self.down = True
+        self.deaths += 1
+        for connection in list(self._runner.server.connections):
+            if connection.transport is not None:
+                connection.transport.abort()
+        self._tasks.spawn(self._restart())
+
+    async def _restart(self) -> None:
+        await self._site.stop()
+        await self._timer.sleep(self._restart_seconds)
+        while True:
+            try:
+                await self._bind()
+                break
+            except OSError:
+                await self._timer.sleep(BIND_RETRY_SECONDS)
+        self.down = False
+
+    @web.middleware
+    async def _drop_while_down(self, request, handler) -> web.StreamResponse:
+        if self.down:
+            drop(request)
+        return await handler(request)
+
+
+def drop(request: web.Request) -> None:
+    """Cut the request's connection without an answer."""
+    if request.transport is not None:
+        request.transport.abort()
+    raise asyncio.CancelledError
--- /dev/null
+++ b/sapphireseam/tools/service.py
@@ -0,0 +1,170 @@
+"""Stand in for a plain service behind a route: POST and GET, images as bytes.
+
+Every path is served, so a route may keep its prefix or strip it. A request's
+id is its JSON body's `id`, else its `X-Request-Id`, else its body's digest;
+`GET /_runs` counts how often each ran, which shows doubled work.
+"""
+
+import asyncio
+import json
+import re
+from typing import NamedTuple
+
+from aiohttp import web
+
+from sapphireseam.tools import answer, engine, listener, record
+from sapphireseam.utils import application, timer
+
+_LABEL = re.compile(r"/labels/([^/]+)\.png$")
+
+
+class Hooks(NamedTuple):
+    """Say which requests misbehave; an empty marker is in no request.
+
+    A request whose prompt or body holds `crash_marker` kills the upstream, which
+    is back after `restart_seconds`. `fail_marker` answers 500, always.
+    `late_marker` holds the ready answer back for `late_seconds`.
+    """
+
+    crash_marker: str = ""
+    restart_seconds: engine.Seconds = 1.0
+    fail_marker: str = ""
+    late_marker: str = ""
+    late_seconds: engine.Seconds = 2.0
+
+
+def render_failure(message: str, code: str, kind: str = "server_error") -> dict:
+    """Return an upstream's error body in the OpenAI shape."""
+    return {"error": {"message": message, "type": kind, "code": code, "param": None}}
+
+
+def match_marker(marker: str, text: str) -> bool:
+    """Tell whether a marker is set and stands in the text."""
+    return bool(marker) and marker in text
+
+
+def read_request_id(request: web.Request, body: bytes) -> str:
+    """Return the id under which a request's runs are counted."""
+    try:
+        document = json.loads(body)
+    except ValueError:
+        document = None
+    if isinstance(document, dict) and "id" in document:
+        return str(document["id"])
+    header = request.headers.get("X-Request-Id")
+    return header or answer.compute_digest(body)
+
+
+class ServiceStandIn:
+    """Answer plain requests; each takes `service_seconds`."""
+
+    def __init__(
+        self,
+        name: str,
+        host: str,
+        port: int,
+        service_seconds: float,
+        hooks: Hooks,
+        timer_service: timer.TimerService,
+    ):
+        self.name = name
+        self.seen = record.Seen()
+        self.runs = record.Runs()
+        self._service_seconds = service_seconds
+        self._hooks = hooks
+        self._timer = timer_service
+        self._active = 0
+        self._tasks = application.TaskGroup()
+        self.listener = listener.Listener(
+            host,
+            port,
+            [
+                web.get("/health", self._get_health),
+                web.get("/load", self._get_load),
+                web.get("/_runs", self._get_runs),
+                web.get("/_seen", self._get_seen),
+                web.get("/{path:.*}", self._serve_get),
+                web.post("/{path:.*}", self._serve_post),
+            ],
+            hooks.restart_seconds,
+            timer_service,
+        )
+
+    async def start(self) -> None:
+        """Bind the port and serve."""
+        await self.listener.start()
+
+    async def stop(self) -> None:
+        """Finish the requests in flight, then close."""
+        await self.listener.stop()
+        await self._tasks.cancel()
+
+    async def _get_health(self, request: web.Request) -> web.Response:
+        return web.json_response({"status": "ok", "deaths": self.listener.deaths})
+
+    async def _get_load(self, request: web.Request) -> web.Response:
+        return web.json_response({"running": self._active, "waiting": 0})
+
+    async def _get_runs(self, request: web.Request) -> web.Response:
+        return web.json_response(self.runs.render())
+
+    async def _get_seen(self, request: web.Request) -> web.Response:
+        return web.json_response(self.seen.render())
+
+    async def _serve_get(self, request: web.Request) -> web.Response:
+        body = await self._run(request, b"")
+        if body is not None:
+            return body
+        label = _LABEL.search(request.path)
+        if label:
+            image = answer.render_label(label.group(1))
+            return web.Response(body=image, content_type="image/png")
+        return web.json_response({"path": request.path, "upstream": self.name})
+
+    async def _serve_post(self, request: web.Request) -> web.Response:
+        content = await request.read()
+        body = await self._run(request, content)
+        if body is not None:
+            return body
+        return web.json_response(
+            {
+                "id": read_request_id(request, content),
+                "digest": answer.compute_digest(content),
+                "upstream": self.name,
+            }
+        )
+
+    async def _run(self, request: web.Request, content: bytes) -> web.Response | None:
+        """Do the work and count it; return an answer only if it failed."""
+        self.seen.add(request)
+        text = f"{request.path} {content.decode(errors='replace')}"
+        name = read_request_id(request, content) if content else request.path
+        # Work that has begun goes on when its caller is gone, as it does in a
+        # service that has already told its printer.
+        work = self._tasks.spawn(self._work(name, text))
+        ended = await asyncio.shield(work)
+        if ended == "died":
+            listener.drop(request)
+        if ended == "failed":
+            failure = render_failure("the item always fails", "upstream_failed")
+            return web.json_response(failure, status=500)
+        if match_marker(self._hooks.late_marker, text):
+            await self._timer.sleep(self._hooks.late_seconds)
+        return None
+
+    async def _work(self, name: str, text: str) -> str:
+        """Spend the work's time; count and return how it ended."""
+        self.runs.count(name, "started")
+        self._active += 1
+        deaths = self.listener.deaths
+        await self._timer.sleep(self._service_seconds)
+        self._active -= 1
+        if match_marker(self._hooks.crash_marker, text):
+            self.listener.crash()
+        ended = "completed"
+        if self.listener.deaths != deaths:
+            ended = "died"
+        elif match_marker(self._hooks.fail_marker, text):
+            ended = "failed"
+        self.runs.count(name, ended)
+        return ended
--- /dev/null
+++ b/sapphireseam/tools/standin.py
@@ -0,0 +1,361 @@
+"""Serve the engine model over HTTP in the OpenAI shape.
+
+Besides `/v1/chat/completions`, `/v1/completions` and `/v1/models` there are
+`/health`, `/load` (lagging), `/cache_events?after=N` (late, with gaps) and
+`/orders`; `/_seen` and `/_runs` tell tests what arrived and what ran.
+
+A streamed answer has one event for each token. To resume one, the caller
+repeats the request with `seam_resume_from`, the number of tokens that it
+already has; the answer then begins with the next token, and its `usage` counts
+the whole answer as if it had never been cut. Whole answers resume likewise. A
+client that goes away cancels its sequence at once.
+"""
+
+import asyncio
+from typing import NamedTuple
+
+import msgspec
+from aiohttp import web
+
+from sapphireseam.core import error
+from sapphireseam.tools import answer, engine, listener, record, service
+from sapphireseam.utils import setting, timer
+
+# An answer's fixed creation time, so that answers differ in nothing but text.
+CREATED = 1_700_000_000
+_JSON = "application/json"
+
+
+class Call(NamedTuple):
+    """Hold one checked chat or completion request."""
+
+    chat: bool
+    job: engine.Job
+    stream: bool
+    include_usage: bool
+    fingerprint: str
+    id: str
+
+
+class BadCallError(Exception):
+    """Report a request that the engine can't read."""
+
+
+def _respond(document: dict, status: int = 200, request_id: str = "") -> web.Response:
+    headers = {"X-Request-Id": request_id} if request_id else None
+    return web.Response(
+        body=msgspec.json.encode(document),
+        status=status,
+        content_type=_JSON,
+        headers=headers,
+    )
+
+
+def _refuse(status: int, message: str, code: str) -> web.Response:
+    kind = "server_error" if status >= 500 else "invalid_request_error"
+    return _respond(service.render_failure(message, code, kind), status)
+
+
+def decode_body(data: bytes) -> dict:
+    """Return a request's JSON object, or raise `BadCallError`."""
+    try:
+        body = msgspec.json.decode(data)
+    except msgspec.DecodeError as failure:
+        raise BadCallError(f"broken JSON: {failure}") from None
+    if not isinstance(body, dict):
+        raise BadCallError("the body must be a JSON object")
+    return body
+
+
+def parse_call(body: dict, chat: bool, call_id: str) -> Call:
+    """Return the checked call, or raise `BadCallError`."""
+    field = "messages" if chat else "prompt"
+    if not body.get(field):
+        raise BadCallError(f"{field!r} is missing")
+    try:
+        prompt = answer.render_prompt(body)
+    except (AttributeError, TypeError):
+        raise BadCallError(f"{field!r} has the wrong shape") from None
+    limit = answer.read_limit(body)
+    resume_from = body.get("seam_resume_from", 0)
+    for name, value in (("max_tokens", limit), ("seam_resume_from", resume_from)):
+        if value is not None and (type(value) is not int or value < 0):
+            raise BadCallError(f"{name!r} must be a whole number")
+    model = str(body.get("model", ""))
+    options = body.get("stream_options") or {}
+    return Call(
+        chat=chat,
+        job=engine.Job(model, prompt, limit, resume_from),
+        stream=bool(body.get("stream")),
+        include_usage=bool(options.get("include_usage")),
+        fingerprint=answer.compute_fingerprint(model, prompt),
+        id=call_id,
+    )
+
+
+def render_usage(call: Call, sequence: engine.Sequence) -> dict:
+    """Return the token counts of the whole answer."""
+    prompt_tokens = answer.count_prompt_tokens(call.job.prompt)
+    completion_tokens = len(sequence.answer.tokens)
+    return {
+        "prompt_tokens": prompt_tokens,
+        "completion_tokens": completion_tokens,
+        "total_tokens": prompt_tokens + completion_tokens,
+        "prompt_tokens_details": {"cached_tokens": sequence.cached_tokens},
+    }
+
+
+def render_whole(call: Call, sequence: engine.Sequence, text: str) -> dict:
+    """Return the body of an answer that is not streamed."""
+    choice = {"index": 0, "finish_reason": sequence.answer.finish_reason}
+    if call.chat:
+        choice["message"] = {"role": "assistant", "content": text}
+    else:
+        choice["text"] = text
+    return {
+        "id": call.id,
+        "object": "chat.completion" if call.chat else "text_completion",
+        "created": CREATED,
+        "model": call.job.model,
+        "choices": [choice],
+        "usage": render_usage(call, sequence),
+    }
+
+
+def encode_event(document: dict) -> bytes:
+    """Return one server-sent event."""
+    return b"data: " + msgspec.json.encode(document) + b"\n\n"
+
+
+def render_part(call: Call, text: str, finish_reason: str | None = None) -> dict:
+    """Return the event of one token, or the last one with its reason."""
+    choice = {"index": 0, "finish_reason": finish_reason}
+    if not call.chat:
+        choice["text"] = text
+    elif finish_reason is None:
+        choice["delta"] = {"role": "assistant", "content": text}
+    else:
+        choice["delta"] = {}
+    return {
+        "id": call.id,
+        "object": "chat.completion.chunk" if call.chat else "text_completion",
+        "created": CREATED,
+        "model": call.job.model,
+        "choices": [choice],
+    }
+
+
+class EngineStandIn:
+    """Serve one engine; a crash in it drops all connections for a while."""
+
+    def __init__(
+        self,
+        name: str,
+        host: str,
+        port: int,
+        models: list[str],
+        seed: int,
+        speeds: engine.Speeds,
+        hooks: service.Hooks,
+        checks_fence: bool,
+        timer_service: timer.TimerService,
+    ):
+        self.name = name
+        self.checks_fence = checks_fence
+        self.seen = record.Seen()
+        self.runs = record.Runs()
+        self._hooks = hooks
+        self._timer = timer_service
+        self._calls = 0
+        self.listener = listener.Listener(
+            host,
+            port,
+            [
+                web.post("/v1/chat/completions", self._serve_chat),
+                web.post("/v1/completions", self._serve_completion),
+                web.get("/v1/models", self._get_models),
+                web.get("/health", self._get_health),
+                web.get("/load", self._get_load),
+                web.get("/cache_events", self._get_cache_events),
+                web.get("/orders", self._get_orders),
+                web.post("/orders", self._serve_order),
+                web.get("/_runs", self._get_runs),
+                web.get("/_seen", self._get_seen),
+            ],
+            hooks.restart_seconds,
+            timer_service,
+        )
+        self.engine = engine.Engine(
+            models,
+            speeds,
+            seed,
+            timer_service,
+            hooks.crash_marker,
+            self.listener.crash,
+        )
+
+    async def start(self) -> None:
+        """Start the engine, then serve."""
+        await self.engine.start()
+        await self.listener.start()
+
+    async def stop(self) -> None:
+        """Finish the requests in flight, then stop the engine."""
+        await self.listener.stop()
+        await self.engine.stop()
+
+    async def _serve_chat(self, request: web.Request) -> web.StreamResponse:
+        return await self._serve(request, chat=True)
+
+    async def _serve_completion(self, request: web.Request) -> web.StreamResponse:
+        return await self._serve(request, chat=False)
+
+    async def _serve(self, request: web.Request, chat: bool) -> web.StreamResponse:
+        self.seen.add(request)
+        self._calls += 1
+        prefix = "chatcmpl" if chat else "cmpl"
+        call_id = f"{prefix}-{self.name}-{self._calls}"
+        try:
+            call = parse_call(decode_body(await request.read()), chat, call_id)
+        except BadCallError as failure:
+            return _refuse(400, str(failure), "bad_request")
+        try:
+            sequence = self.engine.submit(call.job)
+        except engine.ModelNotLoadedError as failure:
+            return _refuse(404, str(failure), "model_unknown")
+        return await self._follow(request, call, sequence)
+
+    async def _follow(
+        self, request: web.Request, call: Call, sequence: engine.Sequence
+    ) -> web.StreamResponse:
+        """Answer from a sequence, and count how its run ended."""
+        began = ["started", "resumed"] if call.job.resume_from else ["started"]
+        self.runs.count(call.fingerprint, *began)
+        ended = "cancelled"
+        try:
+            if service.match_marker(self._hooks.fail_marker, call.job.prompt):
+                await sequence.read()
+                ended = "failed"
+                return _refuse(500, "the item always fails", "upstream_failed")
+            if call.stream:
+                response = await self._stream(request, call, sequence)
+            else:
+                response = await self._complete(request, call, sequence)
+            ended = "completed"
+            return response
+        except engine.EngineDeadError:
+            ended = "died"
+            listener.drop(request)
+        finally:
+            self.engine.cancel(sequence)
+            self.runs.count(call.fingerprint, ended)
+
+    async def _hold_back(self, call: Call) -> None:
+        if service.match_marker(self._hooks.late_marker, call.job.prompt):
+            await self._timer.sleep(self._hooks.late_seconds)
+
+    async def _complete(
+        self, request: web.Request, call: Call, sequence: engine.Sequence
+    ) -> web.Response:
+        tokens = await sequence.read_all()
+        await self._hold_back(call)
+        request_id = request.headers.get("X-Request-Id", "")
+        return _respond(
+            render_whole(call, sequence, "".join(tokens)), request_id=request_id
+        )
+
+    async def _stream(
+        self, request: web.Request, call: Call, sequence: engine.Sequence
+    ) -> web.StreamResponse:
+        headers = {"Content-Type": "text/event-stream", "Cache-Control": "no-cache"}
+        if "X-Request-Id" in request.headers:
+            headers["X-Request-Id"] = request.headers["X-Request-Id"]
+        response = web.StreamResponse(headers=headers)
+        await self._hold_back(call)
+        await response.prepare(request)
+        try:
+            while tokens := await sequence.read():
+                parts = [encode_event(render_part(call, text)) for text in tokens]
+                await response.write(b"".join(parts))
+            await response.write(self._render_end(call, sequence))
+            await response.write_eof()
+        except (ConnectionError, asyncio.CancelledError):
+            # The client went away, or the engine's crash cut the connection.
+            if sequence.dead:
+                raise engine.EngineDeadError("the connection was cut") from None
+            raise
+        return response
+
+    def _render_end(self, call: Call, sequence: engine.Sequence) -> bytes:
+        end = encode_event(render_part(call, "", sequence.answer.finish_reason))
+        if call.include_usage:
+            usage = render_part(call, "")
+            usage["choices"] = []
+            usage["usage"] = render_usage(call, sequence)
+            end += encode_event(usage)
+        return end + b"data: [DONE]\n\n"
+
+    async def _get_models(self, request: web.Request) -> web.Response:
+        self.seen.add(request)
+        models = [
+            {"id": name, "object": "model", "created": CREATED, "owned_by": self.name}
+            for name in sorted(self.engine.models)
+        ]
+        return _respond({"object": "list", "data": models})
+
+    async def _get_health(self, request: web.Request) -> web.Response:
+        return _respond({"status": "ok", "deaths": self.listener.deaths})
+
+    async def _get_load(self, request: web.Request) -> web.Response:
+        load = self.engine.report_load()
+        document = load._asdict()
+        document["age"] = self._timer.read_clock() - document.pop("at")
+        document["max_running"] = self.engine.speeds.max_running
+        document["cache_blocks"] = self.engine.speeds.cache_blocks
+        return _respond(document)
+
+    async def _get_cache_events(self, request: web.Request) -> web.Response:
+        try:
+            after = int(request.query.get("after", "0"))
+        except ValueError:
+            return _refuse(400, "'after' must be a whole number", "bad_request")
+        events = self.engine.cache.list_events(after)
+        return _respond(
+            {
+                "events": [
+                    {"number": item.number, "kind": item.kind, "blocks": item.blocks}
+                    for item in events
+                ]
+            }
+        )
+
+    async def _get_orders(self, request: web.Request) -> web.Response:
+        return _respond(
+            {
+                "role": self.engine.role,
+                "models": sorted(self.engine.models),
+                "highest_fence": self.engine.highest_fence,
+                "orders": [order._asdict() for order in self.engine.orders],
+            }
+        )
+
+    async def _serve_order(self, request: web.Request) -> web.Response:
+        self.seen.add(request)
+        try:
+            body = decode_body(await request.read())
+            order = setting.parse(engine.Order, body, "order")
+        except (BadCallError, error.SettingsError) as failure:
+            return _refuse(400, str(failure), "bad_request")
+        try:
+            await self.engine.obey(order, self.checks_fence)
+        except engine.StaleFenceError as failure:
+            return _refuse(409, str(failure), "conflict")
+        return _respond(
+            {"role": self.engine.role, "models": sorted(self.engine.models)}
+        )
+
+    async def _get_runs(self, request: web.Request) -> web.Response:
+        return _respond(self.runs.render())
+
+    async def _get_seen(self, request: web.Request) -> web.Response:
+        return _respond(self.seen.render())
