--- /dev/null
+++ b/sapphireseam/agent/application.py
@@ -0,0 +1,120 @@
+"""Build an agent's program from its settings."""
+
+from typing import NamedTuple
+
+from sapphireseam.agent import engine
+from sapphireseam.agent.item import ItemRunner
+from sapphireseam.agent.runner import Runner
+from sapphireseam.agent.server import EntryServer
+from sapphireseam.control.application import Secret
+from sapphireseam.core import fleet
+from sapphireseam.policy import registry
+from sapphireseam.utils import rpc
+from sapphireseam.utils.application import Application
+from sapphireseam.utils.client import ControlClient
+from sapphireseam.utils.mirror import Mirror
+from sapphireseam.utils.probe import Probe
+from sapphireseam.utils.rpc import Role
+from sapphireseam.utils.timeline import Timeline
+from sapphireseam.utils.timer import SystemTimer, TimerService
+
+
+class Settings(NamedTuple):
+    """Say where one agent is and which upstream of the fleet it stands beside."""
+
+    node: fleet.Name
+    failure_domain: fleet.Name
+    upstream: fleet.Name
+    address: fleet.Address
+    probe: fleet.Address
+    control: tuple[fleet.Address, ...]
+    fleet_secret: Secret
+
+
+class PolicyFollower:
+    """Keep upstream and runner in line with the configuration in force."""
+
+    def __init__(
+        self, name: str, mirror: Mirror, upstream: engine.Upstream, runner: Runner
+    ):
+        self._name = name
+        self._mirror = mirror
+        self._upstream = upstream
+        self._runner = runner
+        self._weights: dict[str, float] = {}
+        self._policy: fleet.Policy | None = None
+        mirror.subscribe(self._follow)
+
+    def _follow(self) -> None:
+        current = self._mirror.fleet
+        target = current.upstreams.get(self._name)
+        if target is None:
+            self._upstream.set_address("")
+            return
+        self._upstream.set_address(target.address)
+        self._runner.slots = target.slots
+        self._runner.queue_limit = current.policy.queue_limit
+        self._follow_weights(current)
+        if self._policy != current.policy:
+            self._policy = current.policy
+            self._rebuild(current.policy, target.slots)
+
+    def _follow_weights(self, current: fleet.Fleet) -> None:
+        self._weights.clear()
+        for name, customer in current.customers.items():
+            self._weights[name] = current.contracts[customer.contract].weight
+
+    def _rebuild(self, policy: fleet.Policy, slots: int) -> None:
+        choices = {"queue": policy.queue, "admission": policy.admission}
+        line = registry.build(choices, "queue", self._weights)
+        bound = registry.build(choices, "admission", slots)
+        self._runner.set_policy(line, bound)
+
+
+def build(settings: Settings, timer: TimerService | None = None) -> Application:
+    """Return the application of one agent."""
+    timer = timer or SystemTimer()
+    credential = (rpc.FLEET_HEADER, settings.fleet_secret)
+    timeline = Timeline(settings.node, timer)
+    client = ControlClient(settings.control, credential, timer)
+    mirror = Mirror(
+        settings.node, "seam-agent", client, settings.control, timeline, timer
+    )
+    upstream = engine.Upstream(settings.upstream, timer)
+    line = registry.build({}, "queue")
+    bound = registry.build({}, "admission")
+    runner = Runner(line, bound, timer)
+    PolicyFollower(settings.upstream, mirror, upstream, runner)
+    entries = EntryServer(upstream, runner, client, timeline, timer)
+    items = ItemRunner(
+        settings.node, upstream, runner, entries, mirror, client, timeline, timer
+    )
+
+    def authorize(metadata: dict[str, str]) -> rpc.Caller:
+        secret = metadata.get(rpc.FLEET_HEADER, "")
+        if rpc.same_secret(secret, settings.fleet_secret):
+            return frozenset({Role.FLEET})
+        return frozenset()
+
+    server = rpc.Server(settings.address, authorize)
+    entries.register(server)
+
+    def describe() -> dict[str, object]:
+        return {
+            "node": settings.node,
+            "upstream": settings.upstream,
+            "upstream_healthy": upstream.healthy,
+            "revision": mirror.revision,
+            "running": runner.count_running(),
+        }
+
+    application = Application("seam-agent")
+    application.add(Probe(settings.probe, describe, mirror.is_confirmed))
+    application.add(client)
+    application.add(upstream)
+    application.add(mirror)
+    application.add(runner)
+    application.add(server)
+    application.add(items)
+    application.add(entries)
+    return application
--- /dev/null
+++ b/sapphireseam/control/application.py
@@ -0,0 +1,252 @@
+"""Build a control VM's program from its settings."""
+
+import logging
+import random
+from pathlib import Path
+from typing import Annotated, NamedTuple
+
+from pydantic import Field
+
+from sapphireseam.control import blob, guard
+from sapphireseam.control.dispatch import Dispatcher
+from sapphireseam.control.machine import StateMachine
+from sapphireseam.control.owner import LimitOwner
+from sapphireseam.control.service import ControlService
+from sapphireseam.control.watch import WatchHub
+from sapphireseam.core import command, error, fleet, key, message, outcome
+from sapphireseam.state import disk, link, message as log_message, option
+from sapphireseam.state.replica import Replica
+from sapphireseam.utils import rpc
+from sapphireseam.utils.application import Application, TaskGroup
+from sapphireseam.utils.probe import Probe
+from sapphireseam.utils.rpc import Role
+from sapphireseam.utils.timeline import Timeline
+from sapphireseam.utils.timer import SystemTimer, TimerService
+
+logger = logging.getLogger(__name__)
+
+# Longest time for one call to another member, in seconds.
+MEMBER_CALL_SECONDS = 10.0
+OPERATOR_KEY_FILE = "operator-key"
+OPERATOR_PREFIX = "seamop"
+
+Secret = Annotated[str, Field(min_length=16, max_length=512)]
+
+
+class Peer(NamedTuple):
+    """Name a control VM and where it listens."""
+
+    name: fleet.Name
+    address: fleet.Address
+
+
+class Settings(NamedTuple):
+    """Say where one control VM is.
+
+    `address` takes calls of the system's processes and of operators, `probe`
+    answers health checks and metrics. `peers` lists all first members, this
+    one included; a control VM added later lists those it is to join.
+    """
+
+    node: fleet.Name
+    failure_domain: fleet.Name
+    address: fleet.Address
+    probe: fleet.Address
+    data_folder: Path
+    fleet_secret: Secret
+    peers: tuple[Peer, ...]
+
+
+_REGISTRY = message.REGISTRY.extend(log_message.MESSAGES)
+
+
+class MemberLink:
+    """Carry the replicated log's messages to one other control VM."""
+
+    def __init__(self, node: str, channel: rpc.Channel):
+        self._node = node
+        self._channel = channel
+
+    async def call(self, request: NamedTuple) -> NamedTuple:
+        """Return the peer's reply or raise `LinkError`."""
+        packed = message.MemberCall(self._node, _REGISTRY.encode(request))
+        try:
+            reply = await self._channel.call(packed, MEMBER_CALL_SECONDS)
+        except error.SeamError as failure:
+            raise link.LinkError(failure.message) from None
+        return _REGISTRY.decode(reply.body)
+
+
+class Members:
+    """Keep the channels to the other control VMs."""
+
+    def __init__(self, settings: Settings):
+        self._node = settings.node
+        self._credential = (rpc.FLEET_HEADER, settings.fleet_secret)
+        self._addresses = {peer.name: peer.address for peer in settings.peers}
+        self._channels: dict[str, rpc.Channel] = {}
+        self.replica: Replica | None = None
+
+    async def start(self) -> None:
+        """Do nothing; channels open when they are first used."""
+
+    async def stop(self) -> None:
+        """Close every channel."""
+        for channel in self._channels.values():
+            await channel.close()
+
+    def find_address(self, name: str) -> str:
+        """Return a member's address, by the membership before the settings."""
+        members = self.replica.members if self.replica else ()
+        for member in members:
+            if member.name == name and member.address:
+                return member.address
+        return self._addresses.get(name, "")
+
+    def reach(self, name: str) -> rpc.Channel:
+        """Return the channel to a member."""
+        address = self.find_address(name)
+        if address not in self._channels:
+            self._channels[address] = rpc.Channel(address, self._credential)
+        return self._channels[address]
+
+    def link(self, name: str) -> MemberLink:
+        """Return the link to a member."""
+        return MemberLink(self._node, self.reach(name))
+
+    async def fetch(
+        self, name: str, request: message.ReadBlob, timeout: float
+    ) -> message.Piece:
+        """Read a piece of a blob from a member."""
+        return await self.reach(name).call(request, timeout)
+
+
+class OperatorKeeper:
+    """Issue the operator key once, when the fleet first has a leader.
+
+    The leader writes the key into a file of its data folder, readable by its
+    owner only, then has the digest committed. Whoever commits first wins.
+    """
+
+    PERIOD_SECONDS = 0.3
+
+    def __init__(
+        self,
+        folder: Path,
+        replica: Replica,
+        machine: StateMachine,
+        timer: TimerService,
+    ):
+        self._path = folder / OPERATOR_KEY_FILE
+        self._replica = replica
+        self._machine = machine
+        self._timer = timer
+        self._tasks = TaskGroup()
+
+    async def start(self) -> None:
+        """Begin to look whether a key must be issued."""
+        self._tasks.spawn(self._issue_once())
+
+    async def stop(self) -> None:
+        """Stop looking."""
+        await self._tasks.cancel()
+
+    async def _issue_once(self) -> None:
+        while "operator" not in self._machine.state.texts:
+            await self._timer.sleep(self.PERIOD_SECONDS)
+            if self._replica.is_leader:
+                await self._try_issue()
+
+    async def _try_issue(self) -> None:
+        text = self._load_or_create()
+        digest = key.digest(text)
+        request = f"operator-{digest[:16]}"
+        item = command.SetOperator(request, digest)
+        try:
+            answer = await self._replica.propose(command.REGISTRY.encode(item))
+        except error.SeamError as failure:
+            logger.info("operator key put off", extra={"cause": failure.message})
+            return
+        if isinstance(answer, outcome.Refused):
+            self._path.unlink(missing_ok=True)
+            return
+        logger.info("operator key issued", extra={"file": str(self._path)})
+
+    def _load_or_create(self) -> str:
+        if self._path.exists():
+            return self._path.read_text().strip()
+        text = key.generate(OPERATOR_PREFIX).text
+        self._path.touch(mode=0o600)
+        self._path.write_text(text + "\n")
+        return text
+
+
+def build(settings: Settings, timer: TimerService | None = None) -> Application:
+    """Return the application of one control VM."""
+    timer = timer or SystemTimer()
+    timeline = Timeline(settings.node, timer)
+    machine = StateMachine()
+    members = Members(settings)
+    store = blob.BlobStore(settings.data_folder / "blobs")
+    options = option.Options(
+        bootstrap=tuple(
+            log_message.Member(peer.name, peer.address) for peer in settings.peers
+        )
+    )
+    replica = Replica(
+        settings.node,
+        members.link,
+        disk.FileDisk(settings.data_folder / "log"),
+        timer,
+        machine,
+        guard.BlobGuard(store, members.fetch),
+        options,
+        random.Random(),
+    )
+    members.replica = replica
+    dispatcher = Dispatcher(replica, machine, store, timeline, timer)
+    owner = LimitOwner(replica, machine, timer)
+    hub = WatchHub(replica, machine, timeline, timer)
+    service = ControlService(
+        settings.node, replica, machine, store, dispatcher, owner, hub, timeline
+    )
+
+    def authorize(metadata: dict[str, str]) -> rpc.Caller:
+        roles = set()
+        secret = metadata.get(rpc.FLEET_HEADER, "")
+        if rpc.same_secret(secret, settings.fleet_secret):
+            roles.add(Role.FLEET)
+        expected = machine.state.texts.get("operator", "")
+        given = metadata.get(rpc.OPERATOR_HEADER, "")
+        if expected and key.matches(given, expected):
+            roles.add(Role.OPERATOR)
+        return frozenset(roles)
+
+    async def answer_member(
+        request: message.MemberCall, caller: rpc.Caller
+    ) -> message.MemberCall:
+        reply = await replica.answer(_REGISTRY.decode(request.body))
+        return message.MemberCall(settings.node, _REGISTRY.encode(reply))
+
+    server = rpc.Server(settings.address, authorize)
+    server.find_address = members.find_address
+    server.add_call(message.MemberCall, frozenset({Role.FLEET}), answer_member)
+    service.register(server)
+
+    def describe() -> dict[str, object]:
+        return {
+            "node": settings.node,
+            "leader": replica.leader,
+            "applied": replica.applied,
+            "fatal": str(replica.fatal or ""),
+        }
+
+    application = Application("seam-control")
+    application.add(Probe(settings.probe, describe, lambda: replica.fatal is None))
+    application.add(store)
+    application.add(members)
+    application.add(server)
+    application.add(replica)
+    application.add(dispatcher)
+    application.add(OperatorKeeper(settings.data_folder, replica, machine, timer))
+    return application
--- /dev/null
+++ b/sapphireseam/control/blob.py
@@ -0,0 +1,94 @@
+"""Store the bytes of files and results beside the log, by their digest.
+
+The log holds only references. A member acknowledges an append only once every
+blob that it names is synced on the member's own disk, so a committed reference
+is as durable as the log: its bytes are on a quorum. Blobs never change.
+"""
+
+import asyncio
+import hashlib
+import os
+from pathlib import Path
+
+from sapphireseam.core import error
+
+PIECE_BYTES = 1024 * 1024
+
+
+class BlobStore:
+    """Keep blobs in one folder, each in a file named by its digest."""
+
+    def __init__(self, folder: Path):
+        self._folder = folder
+        self._uploads: dict[str, bytearray] = {}
+
+    async def start(self) -> None:
+        """Make the folder and drop writes that a crash cut short."""
+        self._folder.mkdir(parents=True, exist_ok=True)
+        for leftover in self._folder.glob("*.part"):
+            leftover.unlink()
+
+    async def stop(self) -> None:
+        """Forget unfinished uploads."""
+        self._uploads.clear()
+
+    def has(self, blob: str) -> bool:
+        """Tell whether a blob is here."""
+        return self._path(blob).exists()
+
+    def _path(self, blob: str) -> Path:
+        if not blob.isalnum():
+            raise error.RequestError(f"{blob[:80]!r} is no blob's digest")
+        return self._folder / blob
+
+    async def write(self, data: bytes) -> str:
+        """Sync a blob to disk and return its digest."""
+        blob = hashlib.sha256(data).hexdigest()
+        if not self.has(blob):
+            await asyncio.to_thread(self._write_file, blob, data)
+        return blob
+
+    def _write_file(self, blob: str, data: bytes) -> None:
+        part = self._folder / f"{blob}.{os.urandom(4).hex()}.part"
+        try:
+            with part.open("wb") as file:
+                file.write(data)
+                file.flush()
+                os.fsync(file.fileno())
+            part.replace(self._path(blob))
+            folder = os.open(self._folder, os.O_RDONLY)
+            try:
+                os.fsync(folder)
+            finally:
+                os.close(folder)
+        except OSError as failure:
+            raise error.StorageError(f"can't store a blob: {failure}") from None
+
+    async def write_piece(
+        self, upload: str, offset: int, data: bytes, last: bool
+    ) -> str:
+        """Take one piece of an upload; return the digest after the last."""
+        pieces = self._uploads.setdefault(upload, bytearray())
+        if offset > len(pieces):
+            raise error.RequestError("the upload's pieces don't follow each other")
+        pieces[offset:] = data
+        if not last:
+            return ""
+        del self._uploads[upload]
+        return await self.write(bytes(pieces))
+
+    def read(self, blob: str) -> bytes:
+        """Return a blob; raise `StorageError` if it is missing or damaged."""
+        try:
+            data = self._path(blob).read_bytes()
+        except OSError as failure:
+            raise error.StorageError(f"can't read a blob: {failure}") from None
+        if hashlib.sha256(data).hexdigest() != blob:
+            raise error.StorageError(f"blob {blob} is damaged")
+        return data
+
+    def read_piece(self, blob: str, offset: int) -> tuple[bytes, bool]:
+        """Return a piece of a blob and whether the blob ends with it."""
+        data = self.read(blob)
+        piece = data[offset : offset + PIECE_BYTES]
+        return piece, offset + len(piece) >= len(data)
--- /dev/null
+++ b/sapphireseam/control/job.py
@@ -0,0 +1,270 @@
+"""Apply commands on files, jobs, items and leases.
+
+Each item of a job has one mark. Whoever moves it off "pending" first has
+completed it; later completions find the mark and are dropped, so an item has
+one result however often it ran. A lease only says who may run an item now.
+"""
+
+import json
+
+from sapphireseam.control import record
+from sapphireseam.core import command, error, fleet, outcome
+
+# Tries that may be blamed on an item before it ends as failed.
+TRY_LIMIT = 3
+
+
+def create_file(state: record.State, item: command.CreateFile) -> outcome.Done:
+    """Name a stored blob."""
+    state.files[item.file] = record.File(
+        item.file,
+        item.customer,
+        item.name,
+        item.purpose,
+        item.blob,
+        item.size,
+        item.lines,
+        item.url,
+        item.model,
+        item.at,
+    )
+    return outcome.Done(item.file)
+
+
+def remove_file(
+    state: record.State, item: command.RemoveFile
+) -> outcome.Done | outcome.Refused:
+    """Drop a file, unless a job still reads it."""
+    found = state.files.get(item.file)
+    if found is None or found.customer != item.customer:
+        return outcome.Refused(error.Kind.OBJECT_UNKNOWN, f"no file {item.file!r}")
+    users = [j.id for j in state.jobs.values() if j.file == item.file and not j.ended]
+    if users:
+        return outcome.Refused(error.Kind.CONFLICT, f"job {users[0]} reads the file")
+    del state.files[item.file]
+    return outcome.Done(item.file)
+
+
+def submit(
+    state: record.State, item: command.SubmitJob
+) -> outcome.Done | outcome.Refused:
+    """Accept a job over a file; its items wait for agents."""
+    if item.job in state.jobs:
+        message = "the Idempotency-Key was used for another job"
+        return outcome.Refused(error.Kind.CONFLICT, message)
+    file = state.files.get(item.file)
+    if file is None or file.customer != item.customer:
+        return outcome.Refused(error.Kind.OBJECT_UNKNOWN, f"no file {item.file!r}")
+    if file.purpose != "batch":
+        message = f"file {item.file} has the purpose {file.purpose!r}, not 'batch'"
+        return outcome.Refused(error.Kind.BAD_REQUEST, message)
+    if file.url != item.endpoint:
+        message = f"the file's lines are for {file.url}, not {item.endpoint}"
+        return outcome.Refused(error.Kind.BAD_REQUEST, message)
+    route = find_route(state, item.endpoint)
+    if route is None:
+        message = f"no route {item.endpoint!r}"
+        return outcome.Refused(error.Kind.ROUTE_UNKNOWN, message)
+    state.jobs[item.job] = record.Job(
+        item.job,
+        item.customer,
+        item.key,
+        item.file,
+        file.blob,
+        item.endpoint,
+        file.model,
+        route.service,
+        route.idempotent,
+        file.lines,
+        record.IN_PROGRESS,
+        item.at,
+        item.due,
+        metadata=item.metadata,
+    )
+    state.marks[item.job] = bytearray(file.lines)
+    state.returned[item.job] = []
+    state.tries[item.job] = {}
+    state.chunks[item.job] = []
+    return outcome.Done(item.job)
+
+
+def find_route(state: record.State, path: str) -> fleet.Route | None:
+    """Return the route in force whose path begins this one, longest first."""
+    routes = json.loads(record.read_document(state)).get("routes", {}).values()
+    fitting = [r for r in routes if fleet.path_matches(r["path"], path)]
+    if not fitting:
+        return None
+    return fleet.Route(**max(fitting, key=lambda route: len(route["path"])))
+
+
+def lease(
+    state: record.State, item: command.LeaseItems, index: int
+) -> outcome.Leased | outcome.Refused:
+    """Lease pending items: untried ones, or else one that was blamed before.
+
+    A blamed item runs alone, so that it can't take others down with it, and
+    last, so that it holds up nothing.
+    """
+    job = state.jobs.get(item.job)
+    if job is None or job.status != record.IN_PROGRESS:
+        return outcome.Refused(error.Kind.OBJECT_UNKNOWN, f"no open job {item.job!r}")
+    returned = state.returned[item.job]
+    tries = state.tries[item.job]
+    items = [number for number in returned if number not in tries][: item.count]
+    fresh = min(item.count - len(items), job.count - job.next_item)
+    items.extend(range(job.next_item, job.next_item + fresh))
+    if not items:
+        items = returned[:1]
+    taken = set(items)
+    state.returned[item.job] = [n for n in returned if n not in taken]
+    if not items:
+        return outcome.Leased(0, ())
+    state.jobs[item.job] = job._replace(next_item=job.next_item + fresh)
+    state.leases[index] = record.Lease(item.job, item.agent, tuple(items))
+    return outcome.Leased(index, tuple(items))
+
+
+def start(
+    state: record.State, item: command.StartItems
+) -> outcome.Done | outcome.Refused:
+    """Mark non-idempotent items as handed over while their lease stands."""
+    found = state.leases.get(item.lease)
+    if found is None or not set(item.items) <= set(found.items):
+        return outcome.Refused(error.Kind.CONFLICT, f"lease {item.lease} is over")
+    job = state.jobs[found.job]
+    if job.status != record.IN_PROGRESS:
+        return outcome.Refused(error.Kind.CONFLICT, f"job {job.id} is {job.status}")
+    marks = state.marks[found.job]
+    if any(marks[number] != record.PENDING for number in item.items):
+        return outcome.Refused(error.Kind.CONFLICT, "an item was started before")
+    for number in item.items:
+        marks[number] = record.STARTED
+    return outcome.Done()
+
+
+def complete(
+    state: record.State, item: command.CompleteItems
+) -> outcome.Done | outcome.Refused:
+    """Record the first result of each item; drop the others.
+
+    The number in the answer counts the results that were recorded.
+    """
+    found = state.leases.get(item.lease)
+    if found is None:
+        return outcome.Refused(error.Kind.CONFLICT, f"lease {item.lease} is over")
+    job = state.jobs[found.job]
+    if job.status != record.IN_PROGRESS:
+        return outcome.Refused(error.Kind.CONFLICT, f"job {job.id} is {job.status}")
+    held = set(found.items)
+    valid = [result for result in item.results if result.item in held]
+    won = _record_results(state, job.id, item.blob, valid, item.at)
+    _shrink_lease(state, item.lease, {result.item for result in valid})
+    return outcome.Done(job.id, won)
+
+
+def give_back(
+    state: record.State, item: command.ReturnItems
+) -> outcome.Done | outcome.Refused:
+    """Take leased items back; those blamed too often end as failed."""
+    found = state.leases.get(item.lease)
+    if found is None:
+        return outcome.Refused(error.Kind.CONFLICT, f"lease {item.lease} is over")
+    numbers = set(item.items) & set(found.items)
+    _shrink_lease(state, item.lease, numbers)
+    _requeue(state, found.job, sorted(numbers), set(item.blamed), item.at)
+    return outcome.Done(found.job, len(numbers))
+
+
+def expire(
+    state: record.State, item: command.ExpireLease
+) -> outcome.Done | outcome.Refused:
+    """End a lease and take back what it still held."""
+    found = state.leases.pop(item.lease, None)
+    if found is None:
+        return outcome.Refused(error.Kind.CONFLICT, f"lease {item.lease} is over")
+    _requeue(state, found.job, list(found.items), set(found.items), item.at)
+    return outcome.Done(found.job, len(found.items))
+
+
+def cancel(
+    state: record.State, item: command.CancelJob
+) -> outcome.Done | outcome.Refused:
+    """Stop a job; an ended one stays as it ended."""
+    job = state.jobs.get(item.job)
+    if job is None or job.customer != item.customer:
+        return outcome.Refused(error.Kind.OBJECT_UNKNOWN, f"no batch {item.job!r}")
+    if job.status == record.IN_PROGRESS:
+        state.jobs[item.job] = job._replace(status=record.CANCELLING)
+    return outcome.Done(item.job)
+
+
+def finish_cancel(
+    state: record.State, item: command.FinishCancel
+) -> outcome.Done | outcome.Refused:
+    """Close a cancelled job once its last lease is gone."""
+    job = state.jobs.get(item.job)
+    if job is None or job.status != record.CANCELLING:
+        return outcome.Refused(error.Kind.CONFLICT, f"{item.job!r} isn't cancelling")
+    if any(found.job == item.job for found in state.leases.values()):
+        return outcome.Refused(error.Kind.CONFLICT, f"{item.job!r} has leases")
+    state.jobs[item.job] = job._replace(status=record.CANCELLED, ended=item.at)
+    return outcome.Done(item.job)
+
+
+def _record_results(
+    state: record.State,
+    job_id: str,
+    blob: str,
+    results: list[command.ItemResult],
+    at: float,
+) -> int:
+    """Move open items to their end and close the job with its last one."""
+    marks = state.marks[job_id]
+    first = [r for r in results if marks[r.item] in (record.PENDING, record.STARTED)]
+    for result in first:
+        marks[result.item] = record.FAILED if result.failed else record.DONE
+    if first:
+        state.chunks[job_id].append(record.Chunk(blob, tuple(map(tuple, first))))
+    failed = sum(result.failed for result in first)
+    job = state.jobs[job_id]
+    job = job._replace(done=job.done + len(first) - failed, failed=job.failed + failed)
+    if job.status == record.IN_PROGRESS and job.done + job.failed == job.count:
+        job = job._replace(status=record.COMPLETED, ended=at)
+    state.jobs[job_id] = job
+    return len(first)
+
+
+def _shrink_lease(state: record.State, number: int, ended: set[int]) -> None:
+    found = state.leases[number]
+    rest = tuple(item for item in found.items if item not in ended)
+    if rest:
+        state.leases[number] = found._replace(items=rest)
+    else:
+        del state.leases[number]
+
+
+def _requeue(
+    state: record.State, job_id: str, items: list[int], blamed: set[int], at: float
+) -> None:
+    """Queue items again, or end those that may not run again."""
+    marks = state.marks[job_id]
+    tries = state.tries[job_id]
+    ended = []
+    for number in items:
+        if marks[number] == record.STARTED:
+            ended.append(_fail(number, error.Kind.OUTCOME_UNKNOWN))
+            continue
+        if marks[number] != record.PENDING:
+            continue
+        if number in blamed:
+            tries[number] = tries.get(number, 0) + 1
+        if tries.get(number, 0) >= TRY_LIMIT:
+            ended.append(_fail(number, error.Kind.UPSTREAM_FAILED))
+        else:
+            state.returned[job_id].append(number)
+    if ended:
+        _record_results(state, job_id, "", ended, at)
+
+
+def _fail(item: int, kind: error.Kind) -> command.ItemResult:
+    return command.ItemResult(item, -1, True, str(kind))
--- /dev/null
+++ b/sapphireseam/control/machine.py
@@ -0,0 +1,133 @@
+"""Apply committed commands to the replicated state, on every member alike.
+
+The machine is deterministic: it reads no clock, no settings and no files. A
+command that can't take effect gets a `Refused` answer and changes nothing.
+"""
+
+import logging
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from sapphireseam.control import claim, job, keyring, publish, record
+from sapphireseam.core import command, error, outcome
+
+logger = logging.getLogger(__name__)
+
+# Answers kept for resends, oldest dropped first.
+ANSWER_LIMIT = 20_000
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(record.State)
+
+_HANDLERS: dict[type, Callable[[record.State, Any], Any]] = {
+    command.SetOperator: keyring.set_operator,
+    command.Publish: publish.apply,
+    command.IssueKey: keyring.issue,
+    command.WithdrawKey: keyring.withdraw,
+    command.CreateFile: job.create_file,
+    command.RemoveFile: job.remove_file,
+    command.SubmitJob: job.submit,
+    command.CancelJob: job.cancel,
+    command.StartItems: job.start,
+    command.CompleteItems: job.complete,
+    command.ReturnItems: job.give_back,
+    command.ExpireLease: job.expire,
+    command.FinishCancel: job.finish_cancel,
+    command.ClaimRequest: claim.take,
+    command.SettleClaim: claim.settle,
+    command.ReportDeath: claim.count_death,
+}
+
+
+def mark_leaving(state: record.State, item: command.MarkLeaving) -> outcome.Done:
+    """Put an upstream on the list of leaving ones, or take it off."""
+    if item.leaving:
+        state.leaving[item.upstream] = item.at
+    else:
+        state.leaving.pop(item.upstream, None)
+    return outcome.Done(item.upstream)
+
+
+def issue_order(
+    state: record.State, item: command.IssueOrder, index: int
+) -> outcome.Done:
+    """Number an order by its place in the log."""
+    state.orders[index] = record.Order(
+        item.upstream, item.action, item.argument, item.at
+    )
+    return outcome.Done(item.upstream, index)
+
+
+def finish_order(
+    state: record.State, item: command.FinishOrder
+) -> outcome.Done | outcome.Refused:
+    """Record how an order ended; the first word counts."""
+    found = state.orders.get(item.fence)
+    if found is None or found.finished:
+        return outcome.Refused(error.Kind.CONFLICT, f"order {item.fence} isn't open")
+    state.orders[item.fence] = found._replace(finished=item.at, failure=item.failure)
+    return outcome.Done(found.upstream, item.fence)
+
+
+_HANDLERS[command.MarkLeaving] = mark_leaving
+_HANDLERS[command.FinishOrder] = finish_order
+# These number what they make by their index in the log.
+_INDEXED: dict[type, Callable[[record.State, Any, int], Any]] = {
+    command.LeaseItems: job.lease,
+    command.IssueOrder: issue_order,
+}
+
+
+class StateMachine:
+    """Keep the state and apply commands to it."""
+
+    def __init__(self):
+        self.state = record.create()
+        self._listeners: list[Callable[[Any, Any], None]] = []
+
+    def subscribe(self, listener: Callable[[Any, Any], None]) -> None:
+        """Call back with each command that took effect and its answer.
+
+        After a restore the listener is called with None for both.
+        """
+        self._listeners.append(listener)
+
+    def _notify(self, item: Any, answer: Any) -> None:
+        for listener in self._listeners:
+            listener(item, answer)
+
+    def apply(self, index: int, data: bytes) -> Any:
+        """Apply one command and return its answer."""
+        item = command.REGISTRY.decode(data)
+        request = getattr(item, "request", "")
+        if request and request in self.state.answers:
+            return outcome.REGISTRY.decode(self.state.answers[request].answer)
+        answer = self._dispatch(index, item)
+        if request:
+            self._store(request, answer)
+        if not isinstance(answer, outcome.Refused):
+            self._notify(item, answer)
+        return answer
+
+    def _dispatch(self, index: int, item: Any) -> Any:
+        indexed = _INDEXED.get(type(item))
+        if indexed is not None:
+            return indexed(self.state, item, index)
+        return _HANDLERS[type(item)](self.state, item)
+
+    def _store(self, request: str, answer: Any) -> None:
+        answers = self.state.answers
+        answers[request] = record.Stored(outcome.REGISTRY.encode(answer))
+        while len(answers) > ANSWER_LIMIT:
+            del answers[next(iter(answers))]
+
+    def encode(self) -> bytes:
+        """Return the whole state for a snapshot."""
+        return _encoder.encode(self.state)
+
+    def restore(self, data: bytes) -> None:
+        """Replace the whole state by a snapshot's."""
+        self.state = _decoder.decode(data)
+        self._notify(None, None)
--- /dev/null
+++ b/sapphireseam/control/publish.py
@@ -0,0 +1,55 @@
+"""Apply publishes: a whole configuration, by base revision, or nothing."""
+
+import json
+
+from sapphireseam.control import record
+from sapphireseam.core import command, error, fleet, outcome
+
+# Revisions kept for history and rollback.
+HISTORY_LIMIT = 200
+
+
+def check(state: record.State, document: bytes) -> list[fleet.Finding]:
+    """Return everything wrong with a configuration against the state."""
+    try:
+        parsed = json.loads(document)
+    except ValueError as failure:
+        return [fleet.Finding("(whole)", f"isn't JSON: {failure}", "")]
+    result, findings = fleet.parse(parsed)
+    if result is None:
+        return findings
+    return findings + check_keys(state, result)
+
+
+def check_keys(state: record.State, result: fleet.Fleet) -> list[fleet.Finding]:
+    """Return a finding for each live key whose customer would be gone."""
+    return [
+        fleet.Finding(
+            f"keys.{key.id}", "is a live key of a customer not in the set", key.customer
+        )
+        for key in state.keys.values()
+        if not key.withdrawn and key.customer not in result.customers
+    ]
+
+
+def apply(state: record.State, item: command.Publish) -> outcome.Done | outcome.Refused:
+    """Put a configuration in force if its base is the revision in force."""
+    current = record.read_revision(state)
+    if item.base != current:
+        message = (
+            f"revision {current} is in force, not {item.base}:"
+            " fetch it, redo the change and publish again"
+        )
+        return outcome.Refused(error.Kind.CONFLICT, message, current)
+    findings = check(state, item.document)
+    if findings:
+        message = fleet.render_findings(findings)
+        return outcome.Refused(error.Kind.BAD_CONFIGURATION, message, current)
+    number = current + 1
+    state.history[number] = record.Revision(
+        number, item.document, item.at, item.note, item.request
+    )
+    state.numbers["revision"] = number
+    while len(state.history) > HISTORY_LIMIT:
+        del state.history[next(iter(state.history))]
+    return outcome.Done(str(number), number)
--- /dev/null
+++ b/sapphireseam/control/record.py
@@ -0,0 +1,158 @@
+"""Hold the replicated state as plain data.
+
+Everything here is the result of applying the log; nothing else writes to it.
+The whole is one tuple of dictionaries, which the snapshot codec packs as it
+stands. Dictionaries keep insertion order, on every member the same.
+"""
+
+import json
+from typing import Any, NamedTuple
+
+from sapphireseam.core.key import Key
+
+# An item's mark in its job's byte string.
+PENDING = 0
+DONE = 1
+FAILED = 2
+STARTED = 3
+
+IN_PROGRESS = "in_progress"
+COMPLETED = "completed"
+CANCELLING = "cancelling"
+CANCELLED = "cancelled"
+
+
+class Revision(NamedTuple):
+    """Record one published configuration for the history."""
+
+    number: int
+    document: bytes
+    at: float
+    note: str
+    request: str
+
+
+class File(NamedTuple):
+    """Record a customer's file: a blob with a name."""
+
+    id: str
+    customer: str
+    name: str
+    purpose: str
+    blob: str
+    size: int
+    lines: int
+    url: str
+    model: str
+    created: float
+
+
+class Job(NamedTuple):
+    """Record a batch job and how far it has come."""
+
+    id: str
+    customer: str
+    key: str
+    file: str
+    blob: str
+    endpoint: str
+    model: str
+    service: str
+    idempotent: bool
+    count: int
+    status: str
+    created: float
+    due: float
+    next_item: int = 0
+    done: int = 0
+    failed: int = 0
+    ended: float = 0.0
+    metadata: dict[str, str] = {}
+
+
+class Chunk(NamedTuple):
+    """Record a blob of output lines and the items that they answer.
+
+    A chunk without a blob holds items that ended without an answer.
+    """
+
+    blob: str
+    results: tuple[tuple[int, int, bool, str], ...]
+
+
+class Lease(NamedTuple):
+    """Record which items an agent holds; the key in the state is the fence."""
+
+    job: str
+    agent: str
+    items: tuple[int, ...]
+
+
+class Claim(NamedTuple):
+    """Record the claim of a caller's idempotency key, and its answer."""
+
+    fingerprint: str
+    holder: str
+    at: float
+    settled: bool = False
+    status: int = 0
+    blob: str = ""
+
+
+class Order(NamedTuple):
+    """Record an order to an upstream; the key in the state is the fence."""
+
+    upstream: str
+    action: str
+    argument: str
+    at: float
+    finished: float = 0.0
+    failure: str = ""
+
+
+class Stored(NamedTuple):
+    """Keep the answer that a request id got."""
+
+    answer: bytes
+
+
+class State(NamedTuple):
+    """Hold all replicated state."""
+
+    numbers: dict[str, int]
+    texts: dict[str, str]
+    history: dict[int, Revision]
+    keys: dict[str, Key]
+    files: dict[str, File]
+    jobs: dict[str, Job]
+    marks: dict[str, bytearray]
+    returned: dict[str, list[int]]
+    tries: dict[str, dict[int, int]]
+    chunks: dict[str, list[Chunk]]
+    leases: dict[int, Lease]
+    claims: dict[str, Claim]
+    deaths: dict[str, int]
+    leaving: dict[str, float]
+    orders: dict[int, Order]
+    answers: dict[str, Stored]
+
+
+def create() -> State:
+    """Return the state before the first command."""
+    return State({"revision": 0}, {}, *({} for _ in range(14)))
+
+
+def read_revision(state: State) -> int:
+    """Return the revision in force; 0 before the first publish."""
+    return state.numbers["revision"]
+
+
+def read_document(state: State) -> bytes:
+    """Return the configuration in force as JSON."""
+    revision = state.history.get(read_revision(state))
+    return revision.document if revision else b"{}"
+
+
+def decode_document(document: bytes) -> dict[str, Any]:
+    """Return a published configuration as JSON objects."""
+    return json.loads(document)
--- /dev/null
+++ b/sapphireseam/control/service.py
@@ -0,0 +1,316 @@
+"""Answer the calls of processes and operators to a control VM.
+
+Every read that decides anything is confirmed by a quorum first, so a control
+VM that is cut off answers none.
+"""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from sapphireseam.control import blob, publish, record
+from sapphireseam.control.dispatch import Dispatcher
+from sapphireseam.control.machine import StateMachine
+from sapphireseam.control.owner import LimitOwner
+from sapphireseam.control.watch import WatchHub
+from sapphireseam.core import command, error, message, outcome
+from sapphireseam.state.replica import Replica
+from sapphireseam.utils import rpc
+from sapphireseam.utils.rpc import Role
+from sapphireseam.utils.timeline import Timeline
+
+_FLEET = frozenset({Role.FLEET})
+_OPERATOR = frozenset({Role.OPERATOR})
+_BOTH = _FLEET | _OPERATOR
+
+# Who may have which command committed.
+_COMMAND_ROLES: dict[type, frozenset[Role]] = {
+    command.Publish: _OPERATOR,
+    command.IssueKey: _OPERATOR,
+    command.WithdrawKey: _OPERATOR,
+    command.IssueOrder: _OPERATOR,
+    command.MarkLeaving: _BOTH,
+    command.CancelJob: _BOTH,
+    command.CreateFile: _FLEET,
+    command.RemoveFile: _FLEET,
+    command.SubmitJob: _FLEET,
+    command.StartItems: _FLEET,
+    command.ReturnItems: _FLEET,
+    command.ClaimRequest: _FLEET,
+    command.SettleClaim: _FLEET,
+    command.ReportDeath: _FLEET,
+    command.FinishOrder: _FLEET,
+}
+
+
+class ControlService:
+    """Register and answer all calls of one control VM."""
+
+    def __init__(
+        self,
+        node: str,
+        replica: Replica,
+        machine: StateMachine,
+        store: blob.BlobStore,
+        dispatcher: Dispatcher,
+        owner: LimitOwner,
+        hub: WatchHub,
+        timeline: Timeline,
+    ):
+        self._node = node
+        self._replica = replica
+        self._machine = machine
+        self._store = store
+        self._dispatcher = dispatcher
+        self._owner = owner
+        self._hub = hub
+        self._timeline = timeline
+
+    def register(self, server: rpc.Server) -> None:
+        """Have the server answer every call with this service."""
+        table: list[tuple[type, frozenset[Role], Callable[..., Awaitable[Any]]]] = [
+            (message.Propose, _BOTH, self._propose),
+            (message.WriteBlob, _FLEET, self._write_blob),
+            (message.ReadBlob, _FLEET, self._read_blob),
+            (message.ReadOutput, _BOTH, self._read_output),
+            (message.ListJobs, _BOTH, self._list_jobs),
+            (message.ListFiles, _FLEET, self._list_files),
+            (message.Debit, _FLEET, self._debit),
+            (message.Pull, _FLEET, self._pull),
+            (message.Heartbeat, _FLEET, self._heartbeat),
+            (message.CompleteChunk, _FLEET, self._complete),
+            (message.ReadFleet, _BOTH, self._read_fleet),
+            (message.CheckFleet, _OPERATOR, self._check_fleet),
+            (message.ListHistory, _OPERATOR, self._list_history),
+            (message.ListKeys, _OPERATOR, self._list_keys),
+            (message.ReadStatus, _BOTH, self._read_status),
+            (message.ReadEvents, _OPERATOR, self._read_events),
+            (message.AddMember, _OPERATOR, self._add_member),
+            (message.RemoveMember, _OPERATOR, self._remove_member),
+        ]
+        for kind, roles, handler in table:
+            server.add_call(kind, roles, handler)
+        server.add_stream(message.Watch, _FLEET, self._hub.serve)
+
+    async def _propose(
+        self, request: message.Propose, caller: rpc.Caller
+    ) -> message.Proposed:
+        item = command.REGISTRY.decode(request.command)
+        if not caller & _COMMAND_ROLES.get(type(item), frozenset()):
+            name = type(item).__name__
+            raise error.AccessError(f"{name} isn't yours to ask", error.Kind.FORBIDDEN)
+        answer = await self._replica.propose(request.command)
+        self._record(item, answer)
+        if isinstance(item, command.CancelJob) and isinstance(answer, outcome.Done):
+            await self._dispatcher.wait_cancelled(item.job)
+        return message.Proposed(outcome.REGISTRY.encode(answer))
+
+    def _record(self, item: Any, answer: Any) -> None:
+        """Put what an accepted command did on the time line."""
+        if isinstance(answer, outcome.Refused):
+            return
+        match item:
+            case command.Publish():
+                self._timeline.record("published", revision=answer.number)
+            case command.IssueKey():
+                self._timeline.record("key_issued", key=item.id, customer=item.customer)
+            case command.WithdrawKey():
+                self._timeline.record("key_withdrawn", key=item.id)
+            case command.SubmitJob():
+                self._timeline.record("job_accepted", item.job, item.customer, item.key)
+            case command.CancelJob():
+                self._timeline.record("job_cancelling", item.job, item.customer)
+            case command.ReportDeath():
+                self._timeline.record("upstream_died", item.upstream)
+            case command.MarkLeaving():
+                name = "upstream_leaving" if item.leaving else "upstream_back"
+                self._timeline.record(name, item.upstream)
+
+    async def _write_blob(
+        self, request: message.WriteBlob, caller: rpc.Caller
+    ) -> message.Written:
+        if not self._replica.is_leader:
+            raise error.NotLeaderError("blobs are written to the leader")
+        name = await self._store.write_piece(
+            request.upload, request.offset, request.data, request.last
+        )
+        return message.Written(name)
+
+    async def _read_blob(
+        self, request: message.ReadBlob, caller: rpc.Caller
+    ) -> message.Piece:
+        return message.Piece(*self._store.read_piece(request.blob, request.offset))
+
+    async def _read_output(
+        self, request: message.ReadOutput, caller: rpc.Caller
+    ) -> message.Piece:
+        await self._replica.read_index()
+        state = self._machine.state
+        job = state.jobs.get(request.job)
+        if job is None or request.customer not in ("", job.customer):
+            raise error.RequestError(
+                f"no batch {request.job!r}", error.Kind.OBJECT_UNKNOWN
+            )
+        chunks = state.chunks[request.job]
+        if request.chunk >= len(chunks):
+            return message.Piece(b"", True)
+        lines = self._render_chunk(job, chunks[request.chunk], request.failed)
+        return message.Piece(lines, request.chunk + 1 >= len(chunks))
+
+    def _render_chunk(
+        self, job: record.Job, chunk: record.Chunk, failed: bool
+    ) -> bytes:
+        wanted = [item for item in chunk.results if item[2] == failed]
+        if not wanted:
+            return b""
+        if not chunk.blob:
+            return self._dispatcher.render_unanswered(job, wanted)
+        lines = self._store.read(chunk.blob).split(b"\n")
+        return b"".join(lines[line] + b"\n" for _, line, _, _ in wanted)
+
+    async def _list_jobs(
+        self, request: message.ListJobs, caller: rpc.Caller
+    ) -> message.Jobs:
+        await self._replica.read_index()
+        jobs = [
+            _view_job(job)
+            for job in reversed(self._machine.state.jobs.values())
+            if request.customer in ("", job.customer) and request.job in ("", job.id)
+        ]
+        return message.Jobs(tuple(jobs))
+
+    async def _list_files(
+        self, request: message.ListFiles, caller: rpc.Caller
+    ) -> message.Files:
+        await self._replica.read_index()
+        files = [
+            _view_file(file)
+            for file in reversed(self._machine.state.files.values())
+            if file.customer == request.customer and request.file in ("", file.id)
+        ]
+        return message.Files(tuple(files))
+
+    async def _debit(
+        self, request: message.Debit, caller: rpc.Caller
+    ) -> message.Debited:
+        return await self._owner.debit(request)
+
+    async def _pull(self, request: message.Pull, caller: rpc.Caller) -> message.Work:
+        return await self._dispatcher.pull(request)
+
+    async def _heartbeat(
+        self, request: message.Heartbeat, caller: rpc.Caller
+    ) -> message.HeartbeatReply:
+        return await self._dispatcher.heartbeat(request)
+
+    async def _complete(
+        self, request: message.CompleteChunk, caller: rpc.Caller
+    ) -> message.Empty:
+        return await self._dispatcher.complete(request)
+
+    async def _read_fleet(
+        self, request: message.ReadFleet, caller: rpc.Caller
+    ) -> message.FleetView:
+        await self._replica.read_index()
+        state = self._machine.state
+        number = request.revision or record.read_revision(state)
+        if number == 0:
+            return message.FleetView(0, b"{}")
+        revision = state.history.get(number)
+        if revision is None:
+            raise error.RequestError(
+                f"no revision {number} is kept", error.Kind.OBJECT_UNKNOWN
+            )
+        return message.FleetView(number, revision.document)
+
+    async def _check_fleet(
+        self, request: message.CheckFleet, caller: rpc.Caller
+    ) -> message.Findings:
+        await self._replica.read_index()
+        findings = publish.check(self._machine.state, request.document)
+        return message.Findings(
+            tuple((item.source, item.message, str(item.entry)) for item in findings)
+        )
+
+    async def _list_history(
+        self, request: message.ListHistory, caller: rpc.Caller
+    ) -> message.HistoryView:
+        await self._replica.read_index()
+        revisions = reversed(self._machine.state.history.values())
+        return message.HistoryView(
+            tuple((item.number, item.at, item.note) for item in revisions)
+        )
+
+    async def _list_keys(
+        self, request: message.ListKeys, caller: rpc.Caller
+    ) -> message.Keys:
+        await self._replica.read_index()
+        keys = self._machine.state.keys.values()
+        return message.Keys(tuple(item._replace(digest="") for item in keys))
+
+    async def _read_status(
+        self, request: message.ReadStatus, caller: rpc.Caller
+    ) -> message.Status:
+        state = self._machine.state
+        leader = self._replica.leader
+        members = tuple(
+            message.MemberView(m.name, m.address, m.voter, m.name == leader)
+            for m in self._replica.members
+        )
+        return message.Status(
+            self._node,
+            leader,
+            self._replica.term,
+            self._replica.applied,
+            record.read_revision(state),
+            members,
+            self._hub.list_watchers(),
+            tuple(state.leaving),
+        )
+
+    async def _read_events(
+        self, request: message.ReadEvents, caller: rpc.Caller
+    ) -> message.Events:
+        return message.Events(self._timeline.read(request.since))
+
+    async def _add_member(
+        self, request: message.AddMember, caller: rpc.Caller
+    ) -> message.Empty:
+        await self._replica.add_member(request.name, request.address)
+        return message.Empty()
+
+    async def _remove_member(
+        self, request: message.RemoveMember, caller: rpc.Caller
+    ) -> message.Empty:
+        await self._replica.remove_member(request.name)
+        return message.Empty()
+
+
+def _view_job(job: record.Job) -> message.JobView:
+    return message.JobView(
+        job.id,
+        job.customer,
+        job.file,
+        job.endpoint,
+        job.status,
+        job.count,
+        job.done,
+        job.failed,
+        job.created,
+        job.due,
+        job.ended,
+        job.metadata,
+    )
+
+
+def _view_file(file: record.File) -> message.FileView:
+    return message.FileView(
+        file.id,
+        file.name,
+        file.purpose,
+        file.blob,
+        file.size,
+        file.lines,
+        file.url,
+        file.model,
+        file.created,
+    )
--- /dev/null
+++ b/sapphireseam/control/watch.py
@@ -0,0 +1,152 @@
+"""Send every process what it must know, and renew its lease on that.
+
+A process opens one watch to any control VM. It gets the whole once, then the
+changes as they are applied. Its lease is renewed only by a read index, that is
+by a round of the leader to a quorum that began after the process asked; all
+that was committed by then has been sent before the renewal. So while a
+process's lease lasts, counted from when it asked, it has missed nothing that
+was acknowledged before it asked, however clocks differ.
+"""
+
+import json
+from typing import Any, NamedTuple
+
+from sapphireseam.control import claim, record
+from sapphireseam.control.machine import StateMachine
+from sapphireseam.core import command, error, fleet, message
+from sapphireseam.state.replica import Replica
+from sapphireseam.utils import rpc
+from sapphireseam.utils.timeline import Timeline
+from sapphireseam.utils.timer import TimerService
+
+
+class _Watcher(NamedTuple):
+    """Remember one open watch."""
+
+    node: str
+    program: str
+    stream: rpc.Stream
+
+
+class _Heard(NamedTuple):
+    revision: int
+    at: float
+
+
+class WatchHub:
+    """Serve all watches of one control VM."""
+
+    def __init__(
+        self,
+        replica: Replica,
+        machine: StateMachine,
+        timeline: Timeline,
+        timer: TimerService,
+    ):
+        self._replica = replica
+        self._machine = machine
+        self._timeline = timeline
+        self._timer = timer
+        self._watchers: dict[int, _Watcher] = {}
+        self._heard: dict[tuple[str, str], _Heard] = {}
+        self._next = 0
+        self._document: dict[str, Any] = {}
+        machine.subscribe(self._follow)
+
+    async def serve(self, first: message.Watch, stream: rpc.Stream) -> None:
+        """Serve one watch until either end breaks it."""
+        await self._replica.read_index()
+        number = self._next
+        self._next += 1
+        stream.post(self._describe_whole())
+        self._watchers[number] = _Watcher(first.node, first.program, stream)
+        self._note(first, first.revision)
+        try:
+            while True:
+                await self._answer(first, stream, await stream.receive())
+        finally:
+            del self._watchers[number]
+
+    async def _answer(
+        self, first: message.Watch, stream: rpc.Stream, item: Any
+    ) -> None:
+        if isinstance(item, message.SendEvents):
+            self._timeline.keep(item.events)
+        if not isinstance(item, message.Ping):
+            return
+        self._note(first, item.revision)
+        try:
+            await self._replica.read_index()
+        except error.SeamError:
+            return  # Without a quorum the lease isn't renewed.
+        revision = record.read_revision(self._machine.state)
+        clock = self._timeline.clock.last
+        stream.post(message.Renewal(item.nonce, revision, clock))
+
+    def _note(self, first: message.Watch, revision: int) -> None:
+        now = self._timer.read_clock()
+        self._heard[first.node, first.program] = _Heard(revision, now)
+
+    def list_watchers(self) -> tuple[message.WatcherView, ...]:
+        """Return the processes that were heard here, the silent ones too."""
+        now = self._timer.read_clock()
+        return tuple(
+            message.WatcherView(node, program, heard.revision, now - heard.at)
+            for (node, program), heard in sorted(self._heard.items())
+        )
+
+    def _describe_whole(self) -> message.Whole:
+        state = self._machine.state
+        return message.Whole(
+            record.read_revision(state),
+            record.read_document(state),
+            tuple(state.keys.values()),
+            tuple(state.leaving),
+            tuple(
+                name
+                for name, count in state.deaths.items()
+                if count >= claim.QUARANTINE_DEATHS
+            ),
+        )
+
+    def _follow(self, item: Any, answer: Any) -> None:
+        """Send each watcher what a command changed."""
+        change = self._describe_change(item)
+        if change is None:
+            return
+        for watcher in self._watchers.values():
+            watcher.stream.post(change)
+
+    def _describe_change(self, item: Any) -> Any:
+        state = self._machine.state
+        match item:
+            case None:
+                self._document = record.decode_document(record.read_document(state))
+                return self._describe_whole()
+            case command.Publish():
+                return self._describe_publish()
+            case command.IssueKey() | command.WithdrawKey():
+                return message.KeyChange(state.keys[item.id])
+            case command.MarkLeaving():
+                return message.LeavingChange(item.upstream, item.leaving)
+            case command.ReportDeath():
+                return self._describe_deaths(item)
+        return None
+
+    def _describe_publish(self) -> message.FleetChange:
+        state = self._machine.state
+        document = record.decode_document(record.read_document(state))
+        changes = fleet.diff(self._document, document)
+        self._document = document
+        packed = json.dumps(changes).encode()
+        return message.FleetChange(record.read_revision(state), packed)
+
+    def _describe_deaths(
+        self, item: command.ReportDeath
+    ) -> message.QuarantineChange | None:
+        guilty = tuple(
+            name
+            for name in item.fingerprints
+            if self._machine.state.deaths.get(name, 0) >= claim.QUARANTINE_DEATHS
+        )
+        return message.QuarantineChange(guilty) if guilty else None
--- /dev/null
+++ b/sapphireseam/core/command.py
@@ -0,0 +1,244 @@
+"""List the commands that change the replicated state.
+
+A command says all that its effect depends on, times and random ids included,
+so that every member applies it to the same result. `request` makes a command
+idempotent: the same id again gets the first answer again.
+"""
+
+from typing import NamedTuple
+
+from sapphireseam.core import codec
+
+
+class SetOperator(NamedTuple):
+    """Set the operator key's digest, once."""
+
+    request: str
+    digest: str
+
+
+class Publish(NamedTuple):
+    """Replace the configuration, if `base` is the revision in force.
+
+    `document` is the whole set as JSON; `note` says why, for the history.
+    """
+
+    request: str
+    base: int
+    document: bytes
+    at: float
+    note: str = ""
+
+
+class IssueKey(NamedTuple):
+    """Add a caller's key by its digest."""
+
+    request: str
+    id: str
+    customer: str
+    digest: str
+    at: float
+
+
+class WithdrawKey(NamedTuple):
+    """End a caller's key for good."""
+
+    request: str
+    id: str
+    at: float
+
+
+class CreateFile(NamedTuple):
+    """Name a stored blob as a customer's file.
+
+    `url` and `model` are those of every line of a batch input file.
+    """
+
+    request: str
+    file: str
+    customer: str
+    name: str
+    purpose: str
+    blob: str
+    size: int
+    lines: int
+    url: str
+    model: str
+    at: float
+
+
+class RemoveFile(NamedTuple):
+    """Drop a customer's file that no job needs."""
+
+    customer: str
+    file: str
+
+
+class SubmitJob(NamedTuple):
+    """Accept a batch job over an input file; `due` is in epoch seconds."""
+
+    request: str
+    job: str
+    customer: str
+    key: str
+    file: str
+    endpoint: str
+    due: float
+    at: float
+    metadata: dict[str, str] = {}
+
+
+class CancelJob(NamedTuple):
+    """Stop a customer's job: no new leases, no new results."""
+
+    customer: str
+    job: str
+    at: float
+
+
+class LeaseItems(NamedTuple):
+    """Lease some of a job's items to an agent.
+
+    The command's index in the log is the lease's fencing number. How long the
+    lease lasts isn't logged: the leader counts it from what it hears.
+    """
+
+    job: str
+    count: int
+    agent: str
+
+
+class StartItems(NamedTuple):
+    """Mark non-idempotent items as handed over, before they are."""
+
+    lease: int
+    items: tuple[int, ...]
+
+
+class ItemResult(NamedTuple):
+    """Say how one item ended; `line` is its place among the blob's lines."""
+
+    item: int
+    line: int
+    failed: bool
+    kind: str = ""
+
+
+class CompleteItems(NamedTuple):
+    """Record results, whose output lines stand in `blob`."""
+
+    lease: int
+    blob: str
+    results: tuple[ItemResult, ...]
+    at: float
+
+
+class ReturnItems(NamedTuple):
+    """Give leased items back; `blamed` ones count as a failed try."""
+
+    lease: int
+    items: tuple[int, ...]
+    blamed: tuple[int, ...]
+    at: float
+
+
+class ExpireLease(NamedTuple):
+    """End a lease whose agent fell silent or no longer holds it."""
+
+    lease: int
+    at: float
+
+
+class FinishCancel(NamedTuple):
+    """Close a cancelled job once no agent holds any of its items."""
+
+    job: str
+    at: float
+
+
+class ClaimRequest(NamedTuple):
+    """Claim a caller's idempotency key before its request is handed over."""
+
+    customer: str
+    idempotency_key: str
+    fingerprint: str
+    holder: str
+    at: float
+
+
+class SettleClaim(NamedTuple):
+    """Store the answer to a claimed request, or free the claim if not run."""
+
+    customer: str
+    idempotency_key: str
+    holder: str
+    not_run: bool
+    status: int
+    blob: str
+    at: float
+
+
+class ReportDeath(NamedTuple):
+    """Count a death of an upstream against what it was running.
+
+    `alone` marks a request that ran by itself, which proves it guilty.
+    """
+
+    request: str
+    upstream: str
+    fingerprints: tuple[str, ...]
+    alone: bool
+    at: float
+
+
+class MarkLeaving(NamedTuple):
+    """Put an upstream on the list of leaving ones, or take it off."""
+
+    request: str
+    upstream: str
+    leaving: bool
+    at: float
+
+
+class IssueOrder(NamedTuple):
+    """Number an order to an upstream: the log's index is its fence."""
+
+    request: str
+    upstream: str
+    action: str
+    argument: str
+    at: float
+
+
+class FinishOrder(NamedTuple):
+    """Record that an upstream has carried an order out, or failed to."""
+
+    fence: int
+    failure: str
+    at: float
+
+
+COMMANDS = (
+    SetOperator,
+    Publish,
+    IssueKey,
+    WithdrawKey,
+    CreateFile,
+    RemoveFile,
+    SubmitJob,
+    CancelJob,
+    LeaseItems,
+    StartItems,
+    CompleteItems,
+    ReturnItems,
+    ExpireLease,
+    FinishCancel,
+    ClaimRequest,
+    SettleClaim,
+    ReportDeath,
+    MarkLeaving,
+    IssueOrder,
+    FinishOrder,
+)
+
+REGISTRY = codec.Registry(COMMANDS)
--- /dev/null
+++ b/sapphireseam/core/message.py
@@ -0,0 +1,531 @@
+"""List the messages between the system's own processes.
+
+Calls are answered by one message; streams carry many both ways, several to a
+flush. Between an entry and an agent every message names the attempt that it
+belongs to, so an answer that matches no open attempt can be dropped.
+"""
+
+from typing import NamedTuple
+
+from sapphireseam.core import codec
+from sapphireseam.core.event import Event
+from sapphireseam.core.key import Key
+
+
+class Failure(NamedTuple):
+    """Carry an error over the wire; `leader` is an address where known."""
+
+    kind: str
+    message: str
+    retry_after: float = 0.0
+    not_run: bool = False
+    leader: str = ""
+
+
+class Empty(NamedTuple):
+    """Answer a call that returns nothing."""
+
+
+# Calls to a control VM.
+
+
+class Propose(NamedTuple):
+    """Ask for a command, packed by its registry, to be committed."""
+
+    command: bytes
+
+
+class Proposed(NamedTuple):
+    """Return the state machine's answer, packed by its registry."""
+
+    outcome: bytes
+
+
+class WriteBlob(NamedTuple):
+    """Send one piece of a blob; the last piece makes it durable here."""
+
+    upload: str
+    offset: int
+    data: bytes
+    last: bool
+
+
+class Written(NamedTuple):
+    """Return the digest of a finished blob, empty before the last piece."""
+
+    blob: str
+
+
+class ReadBlob(NamedTuple):
+    """Ask for a piece of a blob."""
+
+    blob: str
+    offset: int
+
+
+class Piece(NamedTuple):
+    """Return a piece of a blob or an output; `last` says that it ends here."""
+
+    data: bytes
+    last: bool
+
+
+class ReadOutput(NamedTuple):
+    """Ask for a piece of a job's output or error lines.
+
+    `chunk` counts the job's result chunks; a piece holds one chunk's lines.
+    """
+
+    customer: str
+    job: str
+    failed: bool
+    chunk: int
+
+
+class ListJobs(NamedTuple):
+    """Ask for a customer's jobs, or for all with an empty customer."""
+
+    customer: str
+    job: str = ""
+
+
+class JobView(NamedTuple):
+    """Show a job as callers and operators see it; times in epoch seconds."""
+
+    id: str
+    customer: str
+    file: str
+    endpoint: str
+    status: str
+    count: int
+    done: int
+    failed: int
+    created: float
+    due: float
+    ended: float
+    metadata: dict[str, str]
+
+
+class Jobs(NamedTuple):
+    """Return jobs, newest first."""
+
+    jobs: tuple[JobView, ...]
+
+
+class ListFiles(NamedTuple):
+    """Ask for a customer's files, or for one of them."""
+
+    customer: str
+    file: str = ""
+
+
+class FileView(NamedTuple):
+    """Show a file as its customer sees it."""
+
+    id: str
+    name: str
+    purpose: str
+    blob: str
+    size: int
+    lines: int
+    url: str
+    model: str
+    created: float
+
+
+class Files(NamedTuple):
+    """Return files, newest first."""
+
+    files: tuple[FileView, ...]
+
+
+class Debit(NamedTuple):
+    """Ask the limits' owner for requests of several customers at once."""
+
+    holder: str
+    wanted: tuple[tuple[str, float], ...]
+
+
+class Debited(NamedTuple):
+    """Return, in the order asked, what was granted and when to come back."""
+
+    grants: tuple[tuple[float, float], ...]
+
+
+class Pull(NamedTuple):
+    """Ask for items that an idle agent may run."""
+
+    agent: str
+    upstream: str
+    model: str
+    service: str
+    count: int
+
+
+class Work(NamedTuple):
+    """Hand leased items to an agent: each item's number and its line."""
+
+    lease: int
+    job: str
+    customer: str
+    endpoint: str
+    idempotent: bool
+    due: float
+    items: tuple[tuple[int, bytes], ...]
+
+
+class Heartbeat(NamedTuple):
+    """Tell the leader which leases an agent holds."""
+
+    agent: str
+    leases: tuple[int, ...]
+
+
+class HeartbeatReply(NamedTuple):
+    """Name the leases that the agent must drop at once."""
+
+    dropped: tuple[int, ...]
+
+
+class CompleteChunk(NamedTuple):
+    """Return results: output lines, and each item's number, line and failure."""
+
+    lease: int
+    lines: bytes
+    results: tuple[tuple[int, int, bool], ...]
+
+
+class ReadFleet(NamedTuple):
+    """Ask for the configuration of a revision; 0 is the one in force."""
+
+    revision: int = 0
+
+
+class FleetView(NamedTuple):
+    """Return a configuration and its revision."""
+
+    revision: int
+    document: bytes
+
+
+class CheckFleet(NamedTuple):
+    """Ask for every finding about a configuration, publishing nothing."""
+
+    document: bytes
+
+
+class Findings(NamedTuple):
+    """Return findings: source, message and the value found."""
+
+    findings: tuple[tuple[str, str, str], ...]
+
+
+class ListHistory(NamedTuple):
+    """Ask for the published revisions."""
+
+
+class HistoryView(NamedTuple):
+    """Return revisions, newest first: number, time and note."""
+
+    revisions: tuple[tuple[int, float, str], ...]
+
+
+class ListKeys(NamedTuple):
+    """Ask for all issued keys."""
+
+
+class Keys(NamedTuple):
+    """Return keys; their digests are left out."""
+
+    keys: tuple[Key, ...]
+
+
+class ReadStatus(NamedTuple):
+    """Ask a control VM about itself and all that it hears of."""
+
+
+class WatcherView(NamedTuple):
+    """Show a process that watches: its revision, and seconds since heard."""
+
+    node: str
+    program: str
+    revision: int
+    silent: float
+
+
+class MemberView(NamedTuple):
+    """Show a control VM as the one asked sees it."""
+
+    name: str
+    address: str
+    voter: bool
+    leader: bool
+
+
+class Status(NamedTuple):
+    """Return a control VM's view of the fleet."""
+
+    node: str
+    leader: str
+    term: int
+    applied: int
+    revision: int
+    members: tuple[MemberView, ...]
+    watchers: tuple[WatcherView, ...]
+    leaving: tuple[str, ...]
+
+
+class MemberCall(NamedTuple):
+    """Carry a message of the replicated log between control VMs."""
+
+    sender: str
+    body: bytes
+
+
+class AddMember(NamedTuple):
+    """Ask for a control VM to be added, first as a learner."""
+
+    name: str
+    address: str
+
+
+class RemoveMember(NamedTuple):
+    """Ask for a control VM to be removed."""
+
+    name: str
+
+
+class ReadEvents(NamedTuple):
+    """Ask for the events kept here since a clock value."""
+
+    since: float = 0.0
+
+
+class SendEvents(NamedTuple):
+    """Bring a process's events to a control VM."""
+
+    node: str
+    events: tuple[Event, ...]
+
+
+class Events(NamedTuple):
+    """Return events in the order of their clocks."""
+
+    events: tuple[Event, ...]
+
+
+# The watch stream: from a process to a control VM and back.
+
+
+class Watch(NamedTuple):
+    """Open a watch; `revision` is the highest that the process has seen."""
+
+    node: str
+    program: str
+    revision: int
+
+
+class Ping(NamedTuple):
+    """Ask for the lease to be renewed; `nonce` comes back with it."""
+
+    nonce: int
+    revision: int
+
+
+class Renewal(NamedTuple):
+    """Confirm that a quorum stood behind all that was sent before this."""
+
+    nonce: int
+    revision: int
+    clock: float = 0.0
+
+
+class Whole(NamedTuple):
+    """Send the whole of what a process watches."""
+
+    revision: int
+    document: bytes
+    keys: tuple[Key, ...]
+    leaving: tuple[str, ...]
+    quarantined: tuple[str, ...]
+
+
+class FleetChange(NamedTuple):
+    """Send what changed between two revisions, as JSON sections."""
+
+    revision: int
+    changes: bytes
+
+
+class KeyChange(NamedTuple):
+    """Send a key that was issued or withdrawn."""
+
+    key: Key
+
+
+class LeavingChange(NamedTuple):
+    """Send that an upstream leaves or is back."""
+
+    upstream: str
+    leaving: bool
+
+
+class QuarantineChange(NamedTuple):
+    """Send fingerprints that every entry now refuses."""
+
+    fingerprints: tuple[str, ...]
+
+
+# The stream between an entry and an agent.
+
+
+class Connect(NamedTuple):
+    """Open an entry's stream to an agent."""
+
+    entry: str
+
+
+class Offer(NamedTuple):
+    """Bring a request to an agent's queue.
+
+    `remaining` is the time to the caller's deadline in seconds. With `ask` the
+    agent hands the request over only after a `Go`; with `alone` it runs beside
+    no other. `clock` is the entry's event clock.
+    """
+
+    attempt: int
+    customer: str
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    remaining: float
+    cost: float
+    ask: bool
+    alone: bool
+    fingerprint: str
+    clock: float = 0.0
+
+
+class Ready(NamedTuple):
+    """Ask whether a request may be handed over now."""
+
+    attempt: int
+
+
+class Go(NamedTuple):
+    """Allow the hand-over, once."""
+
+    attempt: int
+
+
+class Revoke(NamedTuple):
+    """End an attempt: drop it from the queue or cancel it upstream."""
+
+    attempt: int
+
+
+class Head(NamedTuple):
+    """Begin an answer."""
+
+    attempt: int
+    status: int
+    headers: tuple[tuple[str, str], ...]
+
+
+class Data(NamedTuple):
+    """Continue an answer."""
+
+    attempt: int
+    body: bytes
+
+
+class End(NamedTuple):
+    """End an answer that is whole."""
+
+    attempt: int
+
+
+class Fail(NamedTuple):
+    """End an attempt without a whole answer.
+
+    `died` says that the upstream died while it ran the request.
+    """
+
+    attempt: int
+    kind: str
+    message: str
+    not_run: bool
+    retry_after: float = 0.0
+    died: bool = False
+
+
+class Load(NamedTuple):
+    """Tell entries how busy an agent is; also its sign of life."""
+
+    upstream: str
+    running: int
+    queued: int
+    limit: int
+    leaving: bool
+    healthy: bool
+
+
+MESSAGES = (
+    Failure,
+    Empty,
+    Propose,
+    Proposed,
+    WriteBlob,
+    Written,
+    ReadBlob,
+    Piece,
+    ReadOutput,
+    ListJobs,
+    Jobs,
+    ListFiles,
+    Files,
+    Debit,
+    Debited,
+    Pull,
+    Work,
+    Heartbeat,
+    HeartbeatReply,
+    CompleteChunk,
+    ReadFleet,
+    FleetView,
+    CheckFleet,
+    Findings,
+    ListHistory,
+    HistoryView,
+    ListKeys,
+    Keys,
+    ReadStatus,
+    Status,
+    MemberCall,
+    AddMember,
+    RemoveMember,
+    ReadEvents,
+    SendEvents,
+    Events,
+    Watch,
+    Ping,
+    Renewal,
+    Whole,
+    FleetChange,
+    KeyChange,
+    LeavingChange,
+    QuarantineChange,
+    Connect,
+    Offer,
+    Ready,
+    Go,
+    Revoke,
+    Head,
+    Data,
+    End,
+    Fail,
+    Load,
+)
+
+REGISTRY = codec.Registry(MESSAGES)
--- /dev/null
+++ b/sapphireseam/entry/access.py
@@ -0,0 +1,117 @@
+"""Find out whose request it is, and take the key out of it.
+
+Keys are looked for in the usual headers, the query and cookies. Whatever
+could hold one is removed before anything goes upstream, whether it was used
+or not. A key counts only while the mirror is confirmed; see `Mirror`.
+"""
+
+from typing import NamedTuple
+from urllib.parse import parse_qsl, urlencode
+
+from multidict import CIMultiDictProxy
+
+from sapphireseam.core import error, key
+from sapphireseam.utils.mirror import Mirror
+
+BEARER = "bearer "
+
+# Headers that concern one connection only (RFC 9110, section 7.6.1), and those
+# that the next hop sets itself.
+_HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "host",
+        "content-length",
+        "expect",
+        "accept-encoding",
+    }
+)
+# A caller's cookies are for the entry's name and may hold a key.
+_PRIVATE_HEADERS = key.HEADERS | {"cookie", "set-cookie", "idempotency-key"}
+
+
+class Caller(NamedTuple):
+    """Name the customer and the key id behind a request; both empty if open."""
+
+    customer: str
+    key: str
+
+
+def find_key(headers: CIMultiDictProxy[str], query: str) -> str:
+    """Return the key that a request carries, or an empty string."""
+    authorization = headers.get("Authorization", "")
+    if authorization.lower().startswith(BEARER):
+        return authorization[len(BEARER) :].strip()
+    for name in ("X-Api-Key", "Api-Key"):
+        if headers.get(name):
+            return headers[name].strip()
+    for name, value in parse_qsl(query):
+        if name.lower() in key.PARAMETERS:
+            return value
+    return ""
+
+
+def identify(mirror: Mirror, text: str) -> Caller:
+    """Return who a key belongs to.
+
+    Raises `AccessError` for no key, an unknown, wrong or withdrawn one, and
+    `ControlError` while nobody can say whether the key still holds.
+    """
+    if not text:
+        text = "send your key as 'Authorization: Bearer <key>'"
+        raise error.AccessError(text, error.Kind.KEY_MISSING)
+    if not mirror.is_confirmed():
+        text = "this entry is cut off from the control VMs and can't check keys"
+        raise error.ControlError(text)
+    found = mirror.keys.get(key.read_id(text))
+    if found is None or not key.matches(text, found.digest) or found.withdrawn:
+        raise error.AccessError("the key is unknown or withdrawn")
+    if found.customer not in mirror.fleet.customers:
+        raise error.AccessError("the key's customer is not served any more")
+    return Caller(found.customer, found.id)
+
+
+def is_valid(mirror: Mirror, caller: Caller) -> bool:
+    """Tell whether a caller's key still holds, now."""
+    if not caller.key:
+        return True
+    found = mirror.keys.get(caller.key)
+    return mirror.is_confirmed() and found is not None and not found.withdrawn
+
+
+def strip_headers(
+    headers: CIMultiDictProxy[str], text: str = ""
+) -> tuple[tuple[str, str], ...]:
+    """Return the headers that may go upstream.
+
+    `text` is the caller's key; a header of any name that holds it is dropped.
+    """
+    named = {name.strip().lower() for name in headers.get("Connection", "").split(",")}
+    dropped = _HOP_HEADERS | _PRIVATE_HEADERS | named
+    return tuple(
+        (name, value)
+        for name, value in headers.items()
+        if name.lower() not in dropped and not (text and text in value)
+    )
+
+
+def strip_query(query: str, text: str = "") -> str:
+    """Return the query without parameters that may hold a key.
+
+    >>> strip_query("size=2&api_key=seam-1-x")
+    'size=2'
+    """
+    pairs = parse_qsl(query, keep_blank_values=True)
+    kept = [
+        (name, value)
+        for name, value in pairs
+        if name.lower() not in key.PARAMETERS and not (text and text in value)
+    ]
+    return urlencode(kept)
--- /dev/null
+++ b/sapphireseam/entry/application.py
@@ -0,0 +1,125 @@
+"""Build an entry VM's program from its settings."""
+
+import asyncio
+import random
+from typing import NamedTuple
+
+from sapphireseam.control.application import Secret
+from sapphireseam.core import fleet
+from sapphireseam.entry.allowance import LimitClient
+from sapphireseam.entry.claim import ClaimKeeper
+from sapphireseam.entry.forward import Forwarder
+from sapphireseam.entry.gateway import Gateway
+from sapphireseam.entry.link import AgentLink
+from sapphireseam.entry.store import FileStore
+from sapphireseam.policy import registry, router
+from sapphireseam.utils import rpc
+from sapphireseam.utils.application import Application, TaskGroup
+from sapphireseam.utils.client import ControlClient
+from sapphireseam.utils.mirror import Mirror
+from sapphireseam.utils.probe import Probe
+from sapphireseam.utils.timeline import Timeline
+from sapphireseam.utils.timer import SystemTimer, TimerService
+
+
+class Settings(NamedTuple):
+    """Say where one entry VM is and which control VMs it may ask."""
+
+    node: fleet.Name
+    failure_domain: fleet.Name
+    address: fleet.Address
+    probe: fleet.Address
+    control: tuple[fleet.Address, ...]
+    fleet_secret: Secret
+
+
+class LinkKeeper:
+    """Keep one link to the agent of each upstream in the configuration."""
+
+    def __init__(
+        self,
+        node: str,
+        mirror: Mirror,
+        credential: tuple[str, str],
+        timer: TimerService,
+    ):
+        self.links: dict[str, AgentLink] = {}
+        self._node = node
+        self._mirror = mirror
+        self._credential = credential
+        self._timer = timer
+        self._tasks = TaskGroup()
+        self._changed = asyncio.Event()
+        mirror.subscribe(self._changed.set)
+
+    async def start(self) -> None:
+        """Begin to follow the configuration."""
+        self._tasks.spawn(self._follow())
+
+    async def stop(self) -> None:
+        """Close every link."""
+        await self._tasks.cancel()
+        for link in self.links.values():
+            await link.stop()
+
+    async def _follow(self) -> None:
+        while True:
+            await self._changed.wait()
+            self._changed.clear()
+            wanted = dict(self._mirror.fleet.upstreams)
+            for name, link in list(self.links.items()):
+                if name not in wanted or wanted[name].agent != link.address:
+                    del self.links[name]
+                    await link.stop()
+            for name, upstream in wanted.items():
+                if name not in self.links:
+                    await self._open(name, upstream.agent)
+
+    async def _open(self, name: str, address: str) -> None:
+        link = AgentLink(self._node, name, address, self._credential, self._timer)
+        self.links[name] = link
+        await link.start()
+
+
+def build(settings: Settings, timer: TimerService | None = None) -> Application:
+    """Return the application of one entry VM."""
+    timer = timer or SystemTimer()
+    credential = (rpc.FLEET_HEADER, settings.fleet_secret)
+    timeline = Timeline(settings.node, timer)
+    client = ControlClient(settings.control, credential, timer)
+    mirror = Mirror(
+        settings.node, "seam-entry", client, settings.control, timeline, timer
+    )
+    keeper = LinkKeeper(settings.node, mirror, credential, timer)
+    limits = LimitClient(settings.node, client, timer)
+    rng = random.Random()
+
+    def build_router(name: str) -> router.Router:
+        return registry.build({"router": name}, "router", rng)
+
+    forwarder = Forwarder(
+        settings.failure_domain,
+        mirror,
+        keeper.links,
+        timeline,
+        timer,
+        rng,
+        build_router,
+    )
+    claims = ClaimKeeper(client, timer)
+    store = FileStore(client, mirror, timer)
+    gateway = Gateway(
+        settings.address, mirror, limits, claims, forwarder, store, timeline, timer
+    )
+
+    def describe() -> dict[str, object]:
+        return {"node": settings.node, "revision": mirror.revision}
+
+    application = Application("seam-entry")
+    application.add(Probe(settings.probe, describe, mirror.is_confirmed))
+    application.add(client)
+    application.add(mirror)
+    application.add(keeper)
+    application.add(limits)
+    application.add(gateway)
+    return application
--- /dev/null
+++ b/sapphireseam/entry/ask.py
@@ -0,0 +1,98 @@
+"""Describe one caller's request inside an entry, and read it from HTTP."""
+
+import hashlib
+import json
+from typing import Any, NamedTuple
+
+from aiohttp import web
+
+from sapphireseam.core import error, fleet
+from sapphireseam.entry import access
+
+# Characters that are taken for one token when a cost is estimated.
+CHARACTERS_PER_TOKEN = 4
+# Tokens that an answer without a limit is taken to have.
+ASSUMED_TOKENS = 128
+
+
+class Ask(NamedTuple):
+    """Hold a request that is ready to be routed.
+
+    `deadline` is on the entry's monotonic clock, `cost` in tokens.
+    """
+
+    id: str
+    caller: access.Caller
+    route: fleet.Route
+    route_name: str
+    model: str
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    streamed: bool
+    deadline: float
+    cost: float
+    fingerprint: str
+    idempotency_key: str
+
+
+def find_route(current: fleet.Fleet, path: str) -> tuple[str, fleet.Route]:
+    """Return the name and route with the longest path that covers this one."""
+    fitting = [
+        (name, route)
+        for name, route in current.routes.items()
+        if fleet.path_matches(route.path, path)
+    ]
+    if not fitting:
+        raise error.RequestError(f"no route for {path}", error.Kind.ROUTE_UNKNOWN)
+    return max(fitting, key=lambda pair: len(pair[1].path))
+
+
+def parse_body(body: bytes) -> dict[str, Any]:
+    """Return a JSON object, or raise with the place of the fault."""
+    try:
+        document = json.loads(body)
+    except ValueError as failure:
+        raise error.RequestError(f"the body isn't JSON: {failure}") from None
+    if not isinstance(document, dict):
+        raise error.RequestError("the body must be a JSON object")
+    return document
+
+
+def check_model(current: fleet.Fleet, name: Any, customer: str) -> str:
+    """Return a model's name if this customer may use it."""
+    if not isinstance(name, str) or not name:
+        raise error.RequestError("'model' must name a model")
+    model = current.models.get(name)
+    if model is None or (model.customers and customer not in model.customers):
+        raise error.RequestError(
+            f"no model {name[:80]!r} for you", error.Kind.MODEL_UNKNOWN
+        )
+    return name
+
+
+def estimate_cost(document: dict[str, Any], size: int) -> float:
+    """Return a request's cost in tokens from its body."""
+    limit = document.get("max_completion_tokens") or document.get("max_tokens")
+    answer = limit if isinstance(limit, int) and limit > 0 else ASSUMED_TOKENS
+    return size / CHARACTERS_PER_TOKEN + answer
+
+
+def compute_fingerprint(customer: str, method: str, path: str, body: bytes) -> str:
+    """Return what is the same for every resend of one request."""
+    head = f"{customer}\n{method}\n{path}\n".encode()
+    return hashlib.sha256(head + body).hexdigest()[:32]
+
+
+async def read_body(request: web.Request, limit: int) -> bytes:
+    """Return a request's body, or raise if it is larger than the limit."""
+    text = f"the body may have {limit} bytes"
+    if (request.content_length or 0) > limit:
+        raise error.RequestError(text, error.Kind.BODY_TOO_LARGE)
+    body = bytearray()
+    async for data in request.content.iter_chunked(64 * 1024):
+        body += data
+        if len(body) > limit:
+            raise error.RequestError(text, error.Kind.BODY_TOO_LARGE)
+    return bytes(body)
--- /dev/null
+++ b/sapphireseam/entry/link.py
@@ -0,0 +1,169 @@
+"""Hold an entry's stream to one agent and the attempts under way on it.
+
+One task a peer: connect, read, hand each message to its attempt, and connect
+again when the stream breaks. A message for an attempt that isn't open is
+dropped, so a late or crossed answer reaches nobody.
+"""
+
+import asyncio
+import itertools
+import logging
+import secrets
+from typing import Any, NamedTuple
+
+from sapphireseam.core import error, message
+from sapphireseam.utils import rpc
+from sapphireseam.utils.application import TaskGroup
+from sapphireseam.utils.timer import TimerService, wait_for
+
+logger = logging.getLogger(__name__)
+
+# An agent sends its load this often at least, see the agent's server.
+SILENCE_SECONDS = 2.0
+RECONNECT_SECONDS = 0.2
+
+
+class Lost(NamedTuple):
+    """Say that the link broke while the attempt was open."""
+
+    attempt: int
+
+
+class Stopped(NamedTuple):
+    """Say that the entry itself ends the attempt, and why."""
+
+    attempt: int
+    failure: error.SeamError
+
+
+class Attempt:
+    """Receive what an agent says of one attempt."""
+
+    def __init__(self, number: int, owner: "AgentLink"):
+        self.number = number
+        self._owner = owner
+        self._inbox: asyncio.Queue[Any] = asyncio.Queue()
+
+    def post(self, item: Any) -> None:
+        """Hand over a message from the agent."""
+        self._inbox.put_nowait(item)
+
+    async def receive(self) -> Any:
+        """Return the next message about this attempt."""
+        return await self._inbox.get()
+
+    def send(self, item: Any) -> None:
+        """Send the agent a message about this attempt."""
+        self._owner.post(item)
+
+    def close(self, revoke: bool) -> None:
+        """Close the attempt; with `revoke` the agent is told to end it."""
+        self._owner.close_attempt(self.number, revoke)
+
+
+class AgentLink:
+    """Keep the stream to one upstream's agent."""
+
+    def __init__(
+        self,
+        entry: str,
+        upstream: str,
+        address: str,
+        credential: tuple[str, str],
+        timer: TimerService,
+    ):
+        self.upstream = upstream
+        self.address = address
+        self.load: message.Load | None = None
+        self.load_at = 0.0
+        self.latency = 0.0
+        self._entry = entry
+        self._timer = timer
+        self._channel = rpc.Channel(address, credential)
+        self._stream: rpc.Stream | None = None
+        self._attempts: dict[int, Attempt] = {}
+        # A fresh start for each process, so that no old number comes again.
+        self._numbers = itertools.count(secrets.randbits(48))
+        self._tasks = TaskGroup()
+
+    @property
+    def in_flight(self) -> int:
+        """Return how many attempts are open."""
+        return len(self._attempts)
+
+    def is_up(self) -> bool:
+        """Tell whether the agent is connected and was heard lately."""
+        if self._stream is None or self.load is None:
+            return False
+        return self._timer.read_clock() - self.load_at < SILENCE_SECONDS
+
+    async def start(self) -> None:
+        """Begin to connect."""
+        self._tasks.spawn(self._connect_forever())
+
+    async def stop(self) -> None:
+        """Break the link; open attempts are lost."""
+        await self._tasks.cancel()
+        self._lose_attempts()
+        await self._channel.close()
+
+    def open_attempt(self) -> Attempt:
+        """Return a new attempt; raise `CapacityError` if the link is down."""
+        if not self.is_up():
+            text = f"upstream {self.upstream} can't be reached"
+            raise error.CapacityError(text, error.Kind.NO_UPSTREAM)
+        attempt = Attempt(next(self._numbers), self)
+        self._attempts[attempt.number] = attempt
+        return attempt
+
+    def close_attempt(self, number: int, revoke: bool) -> None:
+        """Forget an attempt; what comes for it later is dropped."""
+        if self._attempts.pop(number, None) is not None and revoke:
+            self.post(message.Revoke(number))
+
+    def post(self, item: Any) -> None:
+        """Send the agent a message, if the link is up."""
+        if self._stream is not None:
+            self._stream.post(item)
+
+    def stop_attempts(self) -> list[Attempt]:
+        """Return the open attempts."""
+        return list(self._attempts.values())
+
+    def _lose_attempts(self) -> None:
+        self._stream = None
+        self.load = None
+        for number, attempt in list(self._attempts.items()):
+            attempt.post(Lost(number))
+
+    async def _connect_forever(self) -> None:
+        while True:
+            try:
+                await self._follow()
+            except (error.SeamError, TimeoutError) as failure:
+                detail = {"upstream": self.upstream, "cause": str(failure)}
+                logger.debug("agent link ended", extra=detail)
+            finally:
+                self._lose_attempts()
+            await self._timer.sleep(RECONNECT_SECONDS)
+
+    async def _follow(self) -> None:
+        stream = await self._channel.open(message.Connect(self._entry))
+        self._stream = stream
+        try:
+            while True:
+                item = await wait_for(self._timer, stream.receive(), SILENCE_SECONDS)
+                self._dispatch(item)
+        finally:
+            await stream.close()
+
+    def _dispatch(self, item: Any) -> None:
+        if isinstance(item, message.Load):
+            self.load = item
+            self.load_at = self._timer.read_clock()
+            return
+        if isinstance(item, message.Failure):
+            raise rpc.unpack_failure(item)
+        attempt = self._attempts.get(item.attempt)
+        if attempt is not None:
+            attempt.post(item)
--- /dev/null
+++ b/sapphireseam/entry/store.py
@@ -0,0 +1,372 @@
+"""Serve `/v1/files` and `/v1/batches` in the OpenAI shape.
+
+A batch input file is checked line by line before anything is stored; one bad
+line refuses the whole file and the answer names the line. A job is accepted
+once it is committed; a resend with the same `Idempotency-Key` gets the job
+that the first one made.
+"""
+
+import asyncio
+import hashlib
+import json
+import secrets
+from collections.abc import Awaitable, Callable
+from typing import Any, NamedTuple
+
+from aiohttp import BodyPartReader, web
+
+from sapphireseam.core import command, error, fleet, message
+from sapphireseam.entry import ask as asks
+from sapphireseam.entry.access import Caller
+from sapphireseam.utils import upload
+from sapphireseam.utils.client import ControlClient
+from sapphireseam.utils.mirror import Mirror
+from sapphireseam.utils.timer import TimerService
+
+FILE_BYTES = 200 * 1024 * 1024
+LINE_LIMIT = 130_000
+FINDING_LIMIT = 20
+HOUR_SECONDS = 3600.0
+DEFAULT_WINDOW = "24h"
+PURPOSE = "batch"
+OUTPUT_PREFIX = "file-out-"
+ERRORS_PREFIX = "file-err-"
+
+Handler = Callable[[web.Request, Caller], Awaitable[web.StreamResponse]]
+
+
+class Lines(NamedTuple):
+    """Sum up a batch input file that was found whole."""
+
+    count: int
+    url: str
+    model: str
+
+
+def check_lines(data: bytes, current: fleet.Fleet, customer: str) -> Lines:
+    """Return what a batch file asks for, or raise with every bad line named."""
+    findings: list[str] = []
+    seen: set[str] = set()
+    targets: set[tuple[str, str]] = set()
+    count = 0
+    for number, line in enumerate(data.split(b"\n"), 1):
+        if not line.strip():
+            continue
+        count += 1
+        try:
+            targets.add(_check_line(line, seen, current, customer))
+        except error.SeamError as failure:
+            findings.append(f"line {number}: {failure.message}")
+    if not count:
+        findings.append("the file has no lines")
+    if count > LINE_LIMIT:
+        findings.append(f"the file has {count} lines, {LINE_LIMIT} are allowed")
+    if len(targets) > 1:
+        findings.append("all lines must have the same url and model")
+    if findings:
+        raise error.RequestError("; ".join(findings[:FINDING_LIMIT]))
+    url, model = next(iter(targets))
+    return Lines(count, url, model)
+
+
+def _check_line(
+    line: bytes, seen: set[str], current: fleet.Fleet, customer: str
+) -> tuple[str, str]:
+    """Return one line's url and model."""
+    document = asks.parse_body(line)
+    custom_id = document.get("custom_id")
+    if not isinstance(custom_id, str) or not custom_id:
+        raise error.RequestError("'custom_id' must be a text")
+    if custom_id in seen:
+        raise error.RequestError(f"custom_id {custom_id[:80]!r} stands twice")
+    seen.add(custom_id)
+    if document.get("method") != "POST":
+        raise error.RequestError("'method' must be 'POST'")
+    url = document.get("url")
+    if not isinstance(url, str):
+        raise error.RequestError("'url' must be a path")
+    _, route = asks.find_route(current, url)
+    body = document.get("body")
+    if not isinstance(body, dict):
+        raise error.RequestError("'body' must be an object")
+    if route.service:
+        return url, ""
+    if body.get("stream"):
+        raise error.RequestError("items can't be streamed")
+    return url, asks.check_model(current, body.get("model"), customer)
+
+
+class FileStore:
+    """Answer requests about files and batches."""
+
+    def __init__(self, client: ControlClient, mirror: Mirror, timer: TimerService):
+        self._client = client
+        self._mirror = mirror
+        self._timer = timer
+
+    def list_handlers(self) -> list[tuple[str, str, Handler]]:
+        """Return method, path and handler of each resource."""
+        return [
+            ("POST", "/v1/files", self._create_file),
+            ("GET", "/v1/files", self._list_files),
+            ("GET", "/v1/files/{file}", self._get_file),
+            ("DELETE", "/v1/files/{file}", self._delete_file),
+            ("GET", "/v1/files/{file}/content", self._get_content),
+            ("POST", "/v1/batches", self._create_batch),
+            ("GET", "/v1/batches", self._list_batches),
+            ("GET", "/v1/batches/{batch}", self._get_batch),
+            ("POST", "/v1/batches/{batch}/cancel", self._cancel_batch),
+        ]
+
+    async def _create_file(self, request: web.Request, caller: Caller) -> web.Response:
+        name, purpose, data = await self._read_form(request)
+        lines = Lines(0, "", "")
+        if purpose == PURPOSE:
+            lines = await asyncio.to_thread(
+                check_lines, data, self._mirror.fleet, caller.customer
+            )
+        blob = await upload.write(self._client, data)
+        file = f"file-{secrets.token_hex(12)}"
+        now = self._timer.read_wall_clock()
+        await self._client.propose(
+            command.CreateFile(
+                file,
+                file,
+                caller.customer,
+                name,
+                purpose,
+                blob,
+                len(data),
+                lines.count,
+                lines.url,
+                lines.model,
+                now,
+            )
+        )
+        return web.json_response(_render_file(file, name, purpose, len(data), now))
+
+    async def _read_form(self, request: web.Request) -> tuple[str, str, bytes]:
+        """Return file name, purpose and bytes of a multipart upload."""
+        if not request.content_type.startswith("multipart/"):
+            raise error.RequestError("send the file as multipart/form-data")
+        name, purpose, data = "", "", None
+        reader = await request.multipart()
+        while (part := await reader.next()) is not None:
+            if not isinstance(part, BodyPartReader):
+                raise error.RequestError("nested multipart bodies aren't taken")
+            if part.name == "purpose":
+                purpose = (await part.text()).strip()
+            elif part.name == "file":
+                name = part.filename or "file"
+                data = await self._read_part(part)
+        if data is None or not purpose:
+            raise error.RequestError("the form needs the fields 'file' and 'purpose'")
+        return name, purpose, data
+
+    async def _read_part(self, part: BodyPartReader) -> bytes:
+        data = bytearray()
+        while chunk := await part.read_chunk(256 * 1024):
+            data += chunk
+            if len(data) > FILE_BYTES:
+                text = f"a file may have {FILE_BYTES} bytes"
+                raise error.RequestError(text, error.Kind.BODY_TOO_LARGE)
+        return bytes(data)
+
+    async def _find_file(self, request: web.Request, caller: Caller) -> Any:
+        file = request.match_info["file"]
+        reply = await self._client.call(message.ListFiles(caller.customer, file))
+        if not reply.files:
+            raise error.RequestError(f"no file {file!r}", error.Kind.OBJECT_UNKNOWN)
+        return reply.files[0]
+
+    async def _list_files(self, request: web.Request, caller: Caller) -> web.Response:
+        reply = await self._client.call(message.ListFiles(caller.customer))
+        files = [_render_file_view(item) for item in reply.files]
+        return web.json_response({"object": "list", "data": files, "has_more": False})
+
+    async def _get_file(self, request: web.Request, caller: Caller) -> web.Response:
+        file = request.match_info["file"]
+        job = read_job_name(file)
+        if job:
+            view = await self._find_job(job, caller)
+            return web.json_response(
+                _render_file(file, f"{job}.jsonl", "batch_output", 0, view.created)
+            )
+        return web.json_response(
+            _render_file_view(await self._find_file(request, caller))
+        )
+
+    async def _delete_file(self, request: web.Request, caller: Caller) -> web.Response:
+        file = request.match_info["file"]
+        await self._client.propose(command.RemoveFile(caller.customer, file))
+        return web.json_response({"id": file, "object": "file", "deleted": True})
+
+    async def _get_content(
+        self, request: web.Request, caller: Caller
+    ) -> web.StreamResponse:
+        file = request.match_info["file"]
+        job = read_job_name(file)
+        if not job:
+            found = await self._find_file(request, caller)
+            body = await upload.read(self._client, found.blob)
+            return web.Response(body=body, content_type="application/octet-stream")
+        await self._find_job(job, caller)
+        return await self._send_output(request, caller, file, job)
+
+    async def _send_output(
+        self, request: web.Request, caller: Caller, file: str, job: str
+    ) -> web.StreamResponse:
+        """Stream a job's lines, one result chunk after the other."""
+        failed = file.startswith(ERRORS_PREFIX)
+        chunk = 0
+        piece = await self._client.call(
+            message.ReadOutput(caller.customer, job, failed, chunk)
+        )
+        response = web.StreamResponse()
+        response.content_type = "application/octet-stream"
+        await response.prepare(request)
+        while True:
+            await response.write(piece.data)
+            if piece.last:
+                break
+            chunk += 1
+            piece = await self._client.call(
+                message.ReadOutput(caller.customer, job, failed, chunk)
+            )
+        await response.write_eof()
+        return response
+
+    async def _create_batch(self, request: web.Request, caller: Caller) -> web.Response:
+        document = asks.parse_body(await asks.read_body(request, fleet.MEBIBYTE))
+        file = document.get("input_file_id")
+        endpoint = document.get("endpoint")
+        if not isinstance(file, str) or not isinstance(endpoint, str):
+            raise error.RequestError("'input_file_id' and 'endpoint' must be texts")
+        now = self._timer.read_wall_clock()
+        due = now + read_window(document.get("completion_window", DEFAULT_WINDOW))
+        request_id, job = name_job(
+            caller.customer, request.headers.get("Idempotency-Key", ""), document
+        )
+        answer = await self._client.propose(
+            command.SubmitJob(
+                request_id,
+                job,
+                caller.customer,
+                caller.key,
+                file,
+                endpoint,
+                due,
+                now,
+                read_metadata(document.get("metadata")),
+            )
+        )
+        return web.json_response(
+            render_job(await self._find_job(answer.subject, caller))
+        )
+
+    async def _find_job(self, job: str, caller: Caller) -> message.JobView:
+        reply = await self._client.call(message.ListJobs(caller.customer, job))
+        if not reply.jobs:
+            raise error.RequestError(f"no batch {job!r}", error.Kind.OBJECT_UNKNOWN)
+        return reply.jobs[0]
+
+    async def _list_batches(self, request: web.Request, caller: Caller) -> web.Response:
+        reply = await self._client.call(message.ListJobs(caller.customer))
+        jobs = [render_job(item) for item in reply.jobs]
+        return web.json_response({"object": "list", "data": jobs, "has_more": False})
+
+    async def _get_batch(self, request: web.Request, caller: Caller) -> web.Response:
+        job = await self._find_job(request.match_info["batch"], caller)
+        return web.json_response(render_job(job))
+
+    async def _cancel_batch(self, request: web.Request, caller: Caller) -> web.Response:
+        job = request.match_info["batch"]
+        now = self._timer.read_wall_clock()
+        await self._client.propose(command.CancelJob(caller.customer, job, now))
+        return web.json_response(render_job(await self._find_job(job, caller)))
+
+
+def name_job(
+    customer: str, idempotency_key: str, document: dict[str, Any]
+) -> tuple[str, str]:
+    """Return a request id and a job's name; a resend gets the same ones.
+
+    The request id covers the body too, so one key for two different jobs is a
+    conflict and not a silent replay of the first.
+    """
+    if not idempotency_key:
+        job = f"batch_{secrets.token_hex(12)}"
+        return job, job
+    name = hashlib.sha256(f"{customer}\n{idempotency_key}".encode()).hexdigest()[:24]
+    body = json.dumps(document, sort_keys=True).encode()
+    return f"batch_{name}-{hashlib.sha256(body).hexdigest()[:16]}", f"batch_{name}"
+
+
+def read_window(text: Any) -> float:
+    """Return a completion window such as `24h` or `30m` in seconds."""
+    units = {"h": HOUR_SECONDS, "m": 60.0, "s": 1.0}
+    if isinstance(text, str) and text[:-1].isdigit() and text[-1:] in units:
+        return int(text[:-1]) * units[text[-1]]
+    raise error.RequestError("'completion_window' must look like '24h' or '30m'")
+
+
+def read_metadata(value: Any) -> dict[str, str]:
+    """Return a job's metadata, checked."""
+    if value is None:
+        return {}
+    if not isinstance(value, dict) or len(value) > 16:
+        raise error.RequestError("'metadata' must be an object of up to 16 texts")
+    for name, text in value.items():
+        if not isinstance(text, str) or len(name) > 64 or len(text) > 512:
+            raise error.RequestError("'metadata' holds texts of up to 512 characters")
+    return value
+
+
+def read_job_name(file: str) -> str:
+    """Return the job behind an output file's id, or an empty string."""
+    for prefix in (OUTPUT_PREFIX, ERRORS_PREFIX):
+        if file.startswith(prefix):
+            return file[len(prefix) :]
+    return ""
+
+
+def _render_file(
+    file: str, name: str, purpose: str, size: int, created: float
+) -> dict[str, Any]:
+    return {
+        "id": file,
+        "object": "file",
+        "bytes": size,
+        "created_at": int(created),
+        "filename": name,
+        "purpose": purpose,
+        "status": "processed",
+    }
+
+
+def _render_file_view(item: message.FileView) -> dict[str, Any]:
+    return _render_file(item.id, item.name, item.purpose, item.size, item.created)
+
+
+def render_job(job: message.JobView) -> dict[str, Any]:
+    """Return a job as an OpenAI batch object."""
+    ended = int(job.ended) if job.ended else None
+    counts = {"total": job.count, "completed": job.done, "failed": job.failed}
+    return {
+        "id": job.id,
+        "object": "batch",
+        "endpoint": job.endpoint,
+        "errors": None,
+        "input_file_id": job.file,
+        "completion_window": f"{max(1, round((job.due - job.created) / 3600))}h",
+        "status": job.status,
+        "output_file_id": OUTPUT_PREFIX + job.id if job.done else None,
+        "error_file_id": ERRORS_PREFIX + job.id if job.failed else None,
+        "created_at": int(job.created),
+        "in_progress_at": int(job.created),
+        "expires_at": int(job.due),
+        "completed_at": ended if job.status == "completed" else None,
+        "cancelled_at": ended if job.status == "cancelled" else None,
+        "request_counts": counts,
+        "metadata": job.metadata or None,
+    }
--- /dev/null
+++ b/sapphireseam/scripts/agent.py
@@ -0,0 +1,24 @@
+"""Run the process beside one upstream."""
+
+import typer
+
+from sapphireseam.agent import application
+from sapphireseam.utils import program
+
+app = typer.Typer(add_completion=False)
+
+
+@app.command()
+def agent(
+    settings: program.SettingsOption, version: program.VersionOption = False
+) -> None:
+    """Run the process beside one upstream.
+
+    Example: seam-agent --settings agent-a.json
+    """
+    program.run_daemon("seam-agent", application.Settings, application.build, settings)
+
+
+def main() -> None:
+    """Start the command line."""
+    app()
--- /dev/null
+++ b/sapphireseam/scripts/control.py
@@ -0,0 +1,26 @@
+"""Run a control VM: it keeps the replicated state."""
+
+import typer
+
+from sapphireseam.control import application
+from sapphireseam.utils import program
+
+app = typer.Typer(add_completion=False)
+
+
+@app.command()
+def control(
+    settings: program.SettingsOption, version: program.VersionOption = False
+) -> None:
+    """Run a control VM: it keeps the replicated state.
+
+    Example: seam-control --settings control-a.json
+    """
+    program.run_daemon(
+        "seam-control", application.Settings, application.build, settings
+    )
+
+
+def main() -> None:
+    """Start the command line."""
+    app()
--- /dev/null
+++ b/sapphireseam/scripts/entry.py
@@ -0,0 +1,24 @@
+"""Run an entry VM: it takes callers' requests."""
+
+import typer
+
+from sapphireseam.entry import application
+from sapphireseam.utils import program
+
+app = typer.Typer(add_completion=False)
+
+
+@app.command()
+def entry(
+    settings: program.SettingsOption, version: program.VersionOption = False
+) -> None:
+    """Run an entry VM: it takes callers' requests.
+
+    Example: seam-entry --settings entry-a.json
+    """
+    program.run_daemon("seam-entry", application.Settings, application.build, settings)
+
+
+def main() -> None:
+    """Start the command line."""
+    app()
--- /dev/null
+++ b/sapphireseam/tools/layout.py
@@ -0,0 +1,274 @@
+"""Write the settings and the configuration of a small fleet on one machine.
+
+The demo, tests and measurements run real processes on loopback; this module
+gives each its settings file and the fleet its first configuration, in the
+sizes of a deployment.
+"""
+
+import json
+import socket
+from pathlib import Path
+from typing import Any, NamedTuple
+
+HOST = "127.0.0.1"
+FLEET_SECRET = "loopback-only-fleet-secret"
+
+
+class Replicas(NamedTuple):
+    """Ask for so many upstreams of a model, or of a plain service."""
+
+    name: str
+    count: int
+    service: bool = False
+    slots: int = 8
+
+
+class Shape(NamedTuple):
+    """Describe the fleet to lay out."""
+
+    region: str
+    replicas: tuple[Replicas, ...]
+    customers: tuple[str, ...]
+    controls: int = 3
+    entries: int = 2
+    rate: float = 100.0
+    burst: float = 200.0
+
+
+class Process(NamedTuple):
+    """Name one program, its settings file and where it answers health checks."""
+
+    program: str
+    node: str
+    settings: Path
+    health: str
+
+
+class Layout(NamedTuple):
+    """Hold all that a fleet on one machine needs to start."""
+
+    folder: Path
+    processes: tuple[Process, ...]
+    controls: tuple[str, ...]
+    entries: tuple[str, ...]
+    configuration: dict[str, Any]
+    operator_files: tuple[Path, ...]
+
+
+SHANNONSIDE = Shape(
+    "ie-south",
+    (Replicas("wording-llm", 5), Replicas("label-store", 3, True, 16)),
+    tuple(f"grower-{number}" for number in range(1, 9)),
+)
+BUREAU = Shape(
+    "be-central",
+    (Replicas("beits-lm", 9), Replicas("post-app", 3, True, 16)),
+    tuple(f"workshop-{number}" for number in range(1, 9)),
+)
+# The demo's fleet: two replicas, so that two agents run.
+SMALL = Shape(
+    "ie-south",
+    (Replicas("wording-llm", 1), Replicas("label-store", 1, True)),
+    ("grower-1", "grower-2"),
+)
+
+
+def find_ports(count: int) -> list[int]:
+    """Return ports of loopback that were free a moment ago."""
+    sockets = [socket.socket() for _ in range(count)]
+    for item in sockets:
+        item.bind((HOST, 0))
+    ports = [item.getsockname()[1] for item in sockets]
+    for item in sockets:
+        item.close()
+    return ports
+
+
+class _Ports:
+    """Give out addresses one after the other."""
+
+    def __init__(self, count: int):
+        self._ports = iter(find_ports(count))
+
+    def take(self) -> str:
+        return f"{HOST}:{next(self._ports)}"
+
+
+def lay_out(folder: Path, shape: Shape, speeds: dict[str, Any] | None = None) -> Layout:
+    """Write every settings file below a folder and return the layout.
+
+    `speeds` goes into the settings of the stand-in engines.
+    """
+    folder.mkdir(parents=True, exist_ok=True)
+    upstreams = sum(item.count for item in shape.replicas)
+    ports = _Ports(2 * shape.controls + 2 * shape.entries + 3 * upstreams)
+    domains = [f"{shape.region}-{letter}" for letter in "abc"]
+    processes: list[Process] = []
+    controls = [ports.take() for _ in range(shape.controls)]
+    for number, address in enumerate(controls):
+        processes.append(
+            _write_control(folder, number, address, controls, domains, ports)
+        )
+    entries = [ports.take() for _ in range(shape.entries)]
+    for number, address in enumerate(entries):
+        processes.append(
+            _write_entry(folder, number, address, controls, domains, ports)
+        )
+    configuration = _describe_base(shape, domains)
+    for replicas in shape.replicas:
+        for number in range(replicas.count):
+            processes += _write_upstream(
+                folder,
+                replicas,
+                number,
+                controls,
+                domains,
+                ports,
+                configuration,
+                speeds,
+            )
+    path = folder / "configuration.json"
+    path.write_text(json.dumps(configuration, indent=2) + "\n")
+    keys = tuple(
+        folder / f"control-{number + 1}" / "operator-key"
+        for number in range(shape.controls)
+    )
+    return Layout(
+        folder, tuple(processes), tuple(controls), tuple(entries), configuration, keys
+    )
+
+
+def _write(
+    folder: Path, program: str, node: str, health: str, settings: dict[str, Any]
+) -> Process:
+    path = folder / f"{node}.json"
+    path.write_text(json.dumps(settings, indent=2) + "\n")
+    return Process(program, node, path, f"http://{health}/health")
+
+
+def _write_control(
+    folder: Path,
+    number: int,
+    address: str,
+    controls: list[str],
+    domains: list[str],
+    ports: _Ports,
+) -> Process:
+    node = f"control-{number + 1}"
+    probe = ports.take()
+    peers = [
+        {"name": f"control-{place + 1}", "address": peer}
+        for place, peer in enumerate(controls)
+    ]
+    settings = {
+        "node": node,
+        "failure_domain": domains[number % len(domains)],
+        "address": address,
+        "probe": probe,
+        "data_folder": str(folder / node),
+        "fleet_secret": FLEET_SECRET,
+        "peers": peers,
+    }
+    return _write(folder, "seam-control", node, probe, settings)
+
+
+def _write_entry(
+    folder: Path,
+    number: int,
+    address: str,
+    controls: list[str],
+    domains: list[str],
+    ports: _Ports,
+) -> Process:
+    node = f"entry-{number + 1}"
+    probe = ports.take()
+    settings = {
+        "node": node,
+        "failure_domain": domains[number % len(domains)],
+        "address": address,
+        "probe": probe,
+        "control": controls,
+        "fleet_secret": FLEET_SECRET,
+    }
+    return _write(folder, "seam-entry", node, probe, settings)
+
+
+def _write_upstream(
+    folder: Path,
+    replicas: Replicas,
+    number: int,
+    controls: list[str],
+    domains: list[str],
+    ports: _Ports,
+    configuration: dict[str, Any],
+    speeds: dict[str, Any] | None,
+) -> list[Process]:
+    """Write a stand-in upstream and its agent; add it to the configuration."""
+    name = f"{replicas.name}-{number + 1}"
+    domain = domains[number % len(domains)]
+    address, agent, probe = ports.take(), ports.take(), ports.take()
+    host, port = address.rsplit(":", 1)
+    standin: dict[str, Any] = {"name": name, "host": host, "port": int(port)}
+    if replicas.service:
+        standin["kind"] = "service"
+    else:
+        standin |= {"kind": "engine", "models": [replicas.name]}
+        if speeds:
+            standin["speeds"] = speeds
+    settings = {
+        "node": f"agent-{name}",
+        "failure_domain": domain,
+        "upstream": name,
+        "address": agent,
+        "probe": probe,
+        "control": controls,
+        "fleet_secret": FLEET_SECRET,
+    }
+    target = "service" if replicas.service else "version"
+    configuration["upstreams"][name] = {
+        "failure_domain": domain,
+        "address": address,
+        "agent": agent,
+        "slots": replicas.slots,
+        target: replicas.name if replicas.service else f"{replicas.name}-1",
+    }
+    return [
+        _write(folder, "seam-upstream", name, address, standin),
+        _write(folder, "seam-agent", f"agent-{name}", probe, settings),
+    ]
+
+
+def _describe_base(shape: Shape, domains: list[str]) -> dict[str, Any]:
+    """Return a configuration without upstreams."""
+    others = {name: 1.0 for name in domains}
+    configuration: dict[str, Any] = {
+        "failure_domains": {
+            name: {
+                "region": shape.region,
+                "distances": {n: d for n, d in others.items() if n != name},
+            }
+            for name in domains
+        },
+        "contracts": {"standard": {"rate": shape.rate, "burst": shape.burst}},
+        "customers": {name: {"contract": "standard"} for name in shape.customers},
+        "models": {},
+        "versions": {},
+        "routes": {
+            "chat": {"path": "/v1/chat/completions", "methods": ["POST"]},
+            "completions": {"path": "/v1/completions", "methods": ["POST"]},
+        },
+        "upstreams": {},
+    }
+    for item in shape.replicas:
+        if item.service:
+            configuration["routes"][item.name] = {
+                "path": f"/{item.name}",
+                "service": item.name,
+                "idempotent": item.name != "post-app",
+            }
+            continue
+        version = f"{item.name}-1"
+        configuration["models"][item.name] = {"version": version}
+        weights = f"{item.name}.safetensors"
+        configuration["versions"][version] = {"model": item.name, "weights": weights}
+    return configuration
--- /dev/null
+++ b/sapphireseam/utils/client.py
@@ -0,0 +1,102 @@
+"""Reach the control VMs as one: find the leader, resend, stop at a deadline.
+
+A command may be resent because each is idempotent, by a request id or by its
+nature. The client keeps to the leader that it found until that one fails.
+"""
+
+from typing import Any
+
+from sapphireseam.core import command, error, message, outcome
+from sapphireseam.utils import rpc
+from sapphireseam.utils.timer import TimerService
+
+# One try's time, and the pause before the next, in seconds.
+TRY_SECONDS = 2.0
+PAUSE_SECONDS = 0.1
+# How long a call goes on trying by default, in seconds.
+DEADLINE_SECONDS = 10.0
+
+_RETRIED = frozenset(
+    {
+        error.Kind.NOT_LEADER,
+        error.Kind.CONTROL_UNREACHABLE,
+        error.Kind.OUTCOME_UNKNOWN,
+        error.Kind.STORAGE_FAILED,
+    }
+)
+
+
+class ControlClient:
+    """Call whichever control VM leads."""
+
+    def __init__(
+        self,
+        addresses: tuple[str, ...],
+        credential: tuple[str, str],
+        timer: TimerService,
+    ):
+        self._addresses = list(addresses)
+        self._credential = credential
+        self._timer = timer
+        self._channels: dict[str, rpc.Channel] = {}
+        self._next = 0
+        self._leader = ""
+
+    async def start(self) -> None:
+        """Do nothing; channels open when they are first used."""
+
+    async def stop(self) -> None:
+        """Close every channel."""
+        for channel in self._channels.values():
+            await channel.close()
+        self._channels.clear()
+
+    def reach(self, address: str) -> rpc.Channel:
+        """Return the channel to one control VM."""
+        if address not in self._channels:
+            self._channels[address] = rpc.Channel(address, self._credential)
+        return self._channels[address]
+
+    def pick(self) -> str:
+        """Return the leader's address if known, or the next one to try."""
+        if self._leader:
+            return self._leader
+        address = self._addresses[self._next % len(self._addresses)]
+        self._next += 1
+        return address
+
+    async def call(self, request: Any, deadline: float = DEADLINE_SECONDS) -> Any:
+        """Return the leader's answer, trying for `deadline` seconds.
+
+        Raises `ControlError` when no leader answered in time, and any error
+        that the leader answered with.
+        """
+        end = self._timer.read_clock() + deadline
+        last: error.SeamError = error.ControlError("no control VM answered")
+        while (left := end - self._timer.read_clock()) > 0:
+            address = self.pick()
+            try:
+                channel = self.reach(address)
+                answer = await channel.call(request, min(TRY_SECONDS, left))
+                self._leader = address
+                return answer
+            except error.SeamError as failure:
+                if failure.kind not in _RETRIED:
+                    raise
+                last = failure
+                self._leader = getattr(failure, "leader", "")
+                if self._leader and self._leader != address:
+                    continue
+                self._leader = ""
+            await self._timer.sleep(PAUSE_SECONDS)
+        raise error.ControlError(f"no control VM took the call: {last.message}")
+
+    async def propose(self, item: Any, deadline: float = DEADLINE_SECONDS) -> Any:
+        """Commit a command and return its outcome, or raise its refusal."""
+        packed = command.REGISTRY.encode(item)
+        reply = await self.call(message.Propose(packed), deadline)
+        answer = outcome.REGISTRY.decode(reply.outcome)
+        if isinstance(answer, outcome.Refused):
+            kind = error.Kind(answer.kind)
+            raise error.SeamError(answer.message, kind)
+        return answer
--- /dev/null
+++ b/sapphireseam/utils/probe.py
@@ -0,0 +1,66 @@
+"""Answer health checks and metric scrapes of one program over HTTP."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from aiohttp import web
+from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+
+from sapphireseam.core import error
+
+HEALTH_PATH = "/health"
+METRICS_PATH = "/metrics"
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return the host and the port in an address."""
+    host, port = address.rsplit(":", 1)
+    return host.strip("[]"), int(port)
+
+
+async def listen(runner: web.AppRunner, address: str) -> None:
+    """Serve a set-up application; raise `SettingsError` if it can't listen."""
+    host, port = split_address(address)
+    try:
+        await web.TCPSite(runner, host, port).start()
+    except OSError as failure:
+        raise error.SettingsError(f"can't listen on {address}: {failure}") from None
+
+
+class Probe:
+    """Serve `/health` (200 or 503, with details) and `/metrics`."""
+
+    def __init__(
+        self,
+        address: str,
+        describe: Callable[[], dict[str, Any]],
+        is_healthy: Callable[[], bool],
+    ):
+        self._address = address
+        self._describe = describe
+        self._is_healthy = is_healthy
+        self._runner: web.AppRunner | None = None
+
+    async def start(self) -> None:
+        """Begin to answer."""
+        app = web.Application()
+        app.router.add_get(HEALTH_PATH, self._answer_health)
+        app.router.add_get(METRICS_PATH, self._answer_metrics)
+        self._runner = web.AppRunner(app, access_log=None)
+        await self._runner.setup()
+        await listen(self._runner, self._address)
+
+    async def stop(self) -> None:
+        """Stop answering."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _answer_health(self, request: web.Request) -> web.Response:
+        healthy = self._is_healthy()
+        body = {"healthy": healthy, **self._describe()}
+        return web.json_response(body, status=200 if healthy else 503)
+
+    async def _answer_metrics(self, request: web.Request) -> web.Response:
+        body = await asyncio.to_thread(generate_latest)
+        return web.Response(body=body, headers={"Content-Type": CONTENT_TYPE_LATEST})
--- /dev/null
+++ b/sapphireseam/utils/rpc.py
@@ -0,0 +1,309 @@
+"""Carry typed messages over gRPC: calls and coalescing streams.
+
+Two generic methods are enough: `Call` for a message and its answer, `Stream`
+for many messages both ways. The message's type picks the handler, so no
+generated code is needed. A stream packs whatever waits into one gRPC message
+per flush, since the cost is per message and hardly per byte.
+
+Every caller proves its role with a credential in the call's metadata: the
+fleet secret for processes of the system, the operator key for operators.
+"""
+
+import asyncio
+import hashlib
+import hmac
+import logging
+from collections import deque
+from collections.abc import Awaitable, Callable
+from enum import StrEnum
+from typing import Any
+
+import grpc
+import msgspec
+
+from sapphireseam.core import error, message
+
+logger = logging.getLogger(__name__)
+
+SERVICE = "seam.Node"
+FLEET_HEADER = "seam-fleet-secret"
+OPERATOR_HEADER = "seam-operator-key"
+
+# Bytes that may wait on a stream before its sender has to wait.
+BUFFER_BYTES = 4 * 1024 * 1024
+# Bytes at which a reader that doesn't keep up is cut off.
+OVERFLOW_BYTES = 64 * 1024 * 1024
+MESSAGE_BYTES = 96 * 1024 * 1024
+# Time that calls in progress get at a stop, in seconds.
+GRACE_SECONDS = 0.5
+
+_OPTIONS = (
+    ("grpc.enable_http_proxy", 0),
+    ("grpc.max_send_message_length", MESSAGE_BYTES),
+    ("grpc.max_receive_message_length", MESSAGE_BYTES),
+    ("grpc.so_reuseport", 0),
+    ("grpc.initial_reconnect_backoff_ms", 100),
+    ("grpc.min_reconnect_backoff_ms", 100),
+    ("grpc.max_reconnect_backoff_ms", 1000),
+)
+
+_encoder = msgspec.msgpack.Encoder()
+_batch_decoder = msgspec.msgpack.Decoder(list[bytes])
+
+
+class Role(StrEnum):
+    """Say on whose behalf a caller acts."""
+
+    FLEET = "fleet"
+    OPERATOR = "operator"
+
+
+class LinkError(error.ControlError):
+    """Report that the other end can't be reached or went away."""
+
+
+def same_secret(given: str, expected: str) -> bool:
+    """Compare two secrets in constant time, whatever their lengths."""
+    return hmac.compare_digest(
+        hashlib.sha256(given.encode()).digest(),
+        hashlib.sha256(expected.encode()).digest(),
+    )
+
+
+def pack_failure(failure: error.SeamError) -> message.Failure:
+    """Return an error as a message."""
+    leader = getattr(failure, "leader", "")
+    return message.Failure(
+        str(failure.kind),
+        failure.message,
+        failure.retry_after,
+        failure.not_run,
+        leader,
+    )
+
+
+def unpack_failure(failure: message.Failure) -> error.SeamError:
+    """Return a message as the error that it carries."""
+    kind = error.Kind(failure.kind)
+    if kind is error.Kind.NOT_LEADER:
+        return error.NotLeaderError(failure.message, failure.leader)
+    return error.SeamError(failure.message, kind, failure.retry_after, failure.not_run)
+
+
+class Stream:
+    """Send and receive messages on one stream; either end looks the same."""
+
+    def __init__(
+        self,
+        read: Callable[[], Awaitable[Any]],
+        write: Callable[[bytes], Awaitable[None]],
+        close: Callable[[], None],
+    ):
+        self._read = read
+        self._write = write
+        self._close = close
+        self._outgoing: list[bytes] = []
+        self._outgoing_bytes = 0
+        self._incoming: deque[bytes] = deque()
+        self._wake = asyncio.Event()
+        self._room = asyncio.Event()
+        self._room.set()
+        self._broken = False
+        self._writing = asyncio.Lock()
+        self._writer = asyncio.create_task(self._flush_forever())
+
+    def post(self, item: Any) -> None:
+        """Queue a message for the next flush; lost if the stream breaks."""
+        data = message.REGISTRY.encode(item)
+        self._outgoing.append(data)
+        self._outgoing_bytes += len(data)
+        if self._outgoing_bytes > BUFFER_BYTES:
+            self._room.clear()
+        if self._outgoing_bytes > OVERFLOW_BYTES:
+            self.break_off()
+        self._wake.set()
+
+    async def send(self, item: Any) -> None:
+        """Queue a message, waiting while too much waits already."""
+        await self._room.wait()
+        if self._broken:
+            raise LinkError("the stream is closed")
+        self.post(item)
+
+    async def receive(self) -> Any:
+        """Return the next message, or raise `LinkError` at the stream's end."""
+        while not self._incoming:
+            try:
+                data = await self._read()
+            except (grpc.RpcError, grpc.aio.BaseError, asyncio.InvalidStateError) as e:
+                raise LinkError(f"the stream broke: {type(e).__name__}") from None
+            if data is grpc.aio.EOF or not data:
+                raise LinkError("the other end closed the stream")
+            self._incoming.extend(_batch_decoder.decode(data))
+        return message.REGISTRY.decode(self._incoming.popleft())
+
+    async def _flush_forever(self) -> None:
+        while not self._broken:
+            await self._wake.wait()
+            await self.flush()
+
+    async def flush(self) -> None:
+        """Write all that was queued; returns once the other side has room."""
+        async with self._writing:
+            self._wake.clear()
+            batch = self._outgoing
+            self._outgoing = []
+            self._outgoing_bytes = 0
+            self._room.set()
+            if not batch:
+                return
+            try:
+                await self._write(_encoder.encode(batch))
+            except (grpc.RpcError, grpc.aio.BaseError, asyncio.InvalidStateError):
+                self.break_off()
+
+    def break_off(self) -> None:
+        """End the stream at once; both ends see it broken."""
+        if not self._broken:
+            self._broken = True
+            self._room.set()
+            self._close()
+
+    async def close(self) -> None:
+        """End the stream and its writer."""
+        self.break_off()
+        self._writer.cancel()
+        await asyncio.gather(self._writer, return_exceptions=True)
+
+
+Caller = frozenset[Role]
+CallHandler = Callable[[Any, Caller], Awaitable[Any]]
+StreamHandler = Callable[[Any, Stream], Awaitable[None]]
+
+
+class Server:
+    """Answer calls and streams by the type of their first message."""
+
+    def __init__(self, address: str, authorize: Callable[[dict[str, str]], Caller]):
+        self.address = address
+        self._authorize = authorize
+        self._calls: dict[type, tuple[Caller, CallHandler]] = {}
+        self._streams: dict[type, tuple[Caller, StreamHandler]] = {}
+        self._server: grpc.aio.Server | None = None
+        # Turns a leader's name into the address that callers are sent to.
+        self.find_address: Callable[[str], str] = lambda name: name
+
+    def _pack_failure(self, failure: error.SeamError) -> message.Failure:
+        packed = pack_failure(failure)
+        if not packed.leader:
+            return packed
+        return packed._replace(leader=self.find_address(packed.leader))
+
+    def add_call(self, kind: type, roles: Caller, handler: CallHandler) -> None:
+        """Answer calls of this type from callers with one of the roles."""
+        self._calls[kind] = (roles, handler)
+
+    def add_stream(self, kind: type, roles: Caller, handler: StreamHandler) -> None:
+        """Serve streams that begin with this type of message."""
+        self._streams[kind] = (roles, handler)
+
+    async def start(self) -> None:
+        """Listen; raise `SettingsError` if the address can't be had."""
+        self._server = grpc.aio.server(options=_OPTIONS)
+        methods = {
+            "Call": grpc.unary_unary_rpc_method_handler(self._answer_call),
+            "Stream": grpc.stream_stream_rpc_method_handler(self._serve_stream),
+        }
+        generic = grpc.method_handlers_generic_handler(SERVICE, methods)
+        self._server.add_generic_rpc_handlers((generic,))
+        try:
+            self._server.add_insecure_port(self.address)
+        except RuntimeError:
+            text = f"can't listen on {self.address}: is it in use?"
+            raise error.SettingsError(text) from None
+        await self._server.start()
+
+    async def stop(self) -> None:
+        """Stop listening; calls in progress get a short grace."""
+        if self._server is not None:
+            await self._server.stop(GRACE_SECONDS)
+
+    def _identify(self, context: Any, roles: Caller) -> Caller:
+        metadata = {name: value for name, value in context.invocation_metadata()}
+        caller = self._authorize(metadata)
+        if not caller & roles:
+            raise error.AccessError("this needs a valid fleet secret or operator key")
+        return caller
+
+    async def _answer_call(self, data: bytes, context: Any) -> bytes:
+        try:
+            request = message.REGISTRY.decode(data)
+            if type(request) not in self._calls:
+                raise error.RequestError(f"no {type(request).__name__} is served here")
+            roles, handler = self._calls[type(request)]
+            caller = self._identify(context, roles)
+            reply = await handler(request, caller)
+        except error.SeamError as failure:
+            reply = self._pack_failure(failure)
+        except (ValueError, msgspec.DecodeError) as failure:
+            reply = pack_failure(error.RequestError(f"malformed message: {failure}"))
+        except Exception:
+            logger.exception("a call failed")
+            reply = pack_failure(error.SeamError("internal error, see the log"))
+        return message.REGISTRY.encode(reply)
+
+    async def _serve_stream(self, requests: Any, context: Any) -> None:
+        stream = Stream(context.read, context.write, lambda: None)
+        try:
+            first = await stream.receive()
+            if type(first) not in self._streams:
+                return
+            roles, handler = self._streams[type(first)]
+            self._identify(context, roles)
+            await handler(first, stream)
+        except LinkError:
+            pass
+        except error.AccessError as failure:
+            stream.post(pack_failure(failure))
+            await stream.flush()
+        finally:
+            await stream.close()
+
+
+class Channel:
+    """Reach one other process."""
+
+    def __init__(self, address: str, credential: tuple[str, str]):
+        self.address = address
+        self._metadata = (credential,)
+        self._channel = grpc.aio.insecure_channel(address, options=_OPTIONS)
+        self._call = self._channel.unary_unary(f"/{SERVICE}/Call")
+        self._stream = self._channel.stream_stream(f"/{SERVICE}/Stream")
+
+    async def call(self, request: Any, timeout: float) -> Any:
+        """Return the answer to a message.
+
+        Raises the error that the other end answered with, or `LinkError` if
+        no answer came within `timeout` seconds; then the outcome is unknown.
+        """
+        data = message.REGISTRY.encode(request)
+        try:
+            reply = await self._call(data, timeout=timeout, metadata=self._metadata)
+        except grpc.RpcError as failure:
+            text = f"{self.address}: {failure.code().name.lower()}"
+            raise LinkError(text) from None
+        answer = message.REGISTRY.decode(reply)
+        if isinstance(answer, message.Failure):
+            raise unpack_failure(answer)
+        return answer
+
+    async def open(self, first: Any) -> Stream:
+        """Open a stream that begins with a message."""
+        call = self._stream(metadata=self._metadata)
+        stream = Stream(call.read, call.write, call.cancel)
+        await stream.send(first)
+        return stream
+
+    async def close(self) -> None:
+        """Close every connection of the channel."""
+        await self._channel.close()
--- /dev/null
+++ b/sapphireseam/utils/upload.py
@@ -0,0 +1,35 @@
+"""Write blobs to the control VMs and read them back, piece by piece."""
+
+import secrets
+
+from sapphireseam.core import message
+from sapphireseam.utils.client import ControlClient
+
+PIECE_BYTES = 1024 * 1024
+
+
+async def write(client: ControlClient, data: bytes) -> str:
+    """Store bytes on the leader's disk and return their digest.
+
+    The blob becomes durable on a quorum with the command that refers to it.
+    """
+    name = secrets.token_hex(16)
+    offset = 0
+    while True:
+        piece = data[offset : offset + PIECE_BYTES]
+        last = offset + len(piece) >= len(data)
+        request = message.WriteBlob(name, offset, piece, last)
+        reply = await client.call(request)
+        if last:
+            return reply.blob
+        offset += len(piece)
+
+
+async def read(client: ControlClient, blob: str) -> bytes:
+    """Return a stored blob."""
+    data = bytearray()
+    while True:
+        piece = await client.call(message.ReadBlob(blob, len(data)))
+        data += piece.data
+        if piece.last:
+            return bytes(data)
