--- /dev/null
+++ b/sapphireseam/state/broadcast.py
@@ -0,0 +1,77 @@
+"""Wake tasks that wait for a change, and share one call among many callers."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from sapphireseam.utils import application
+
+
+class Broadcast:
+    """Wake every waiting task; a task that comes later waits for the next."""
+
+    def __init__(self):
+        self._future: asyncio.Future | None = None
+
+    def notify(self) -> None:
+        """Wake all that wait now."""
+        if self._future is not None and not self._future.done():
+            self._future.set_result(None)
+        self._future = None
+
+    async def wait(self) -> None:
+        """Return after the next `notify`."""
+        if self._future is None:
+            self._future = asyncio.get_running_loop().create_future()
+        await asyncio.shield(self._future)
+
+    async def wait_until(self, predicate: Callable[[], bool]) -> None:
+        """Return once the predicate holds; what it raises is passed on."""
+        while not predicate():
+            await self.wait()
+
+
+class Coalescer:
+    """Answer all callers that arrive during one call by the next one.
+
+    A caller never shares a call that began before it came, so an answer is
+    never older than the question.
+    """
+
+    def __init__(
+        self, call: Callable[[], Awaitable[Any]], tasks: application.TaskGroup
+    ):
+        self._call = call
+        self._tasks = tasks
+        self._next: asyncio.Future | None = None
+        self._busy = False
+
+    async def run(self) -> Any:
+        """Return the result of a call begun after this one."""
+        if self._next is None:
+            self._next = asyncio.get_running_loop().create_future()
+            if not self._busy:
+                self._busy = True
+                self._tasks.spawn(self._run_calls())
+        return await asyncio.shield(self._next)
+
+    async def _run_calls(self) -> None:
+        try:
+            while self._next is not None:
+                future, self._next = self._next, None
+                await self._run_call(future)
+        finally:
+            self._busy = False
+
+    async def _run_call(self, future: asyncio.Future) -> None:
+        try:
+            result = await self._call()
+        except Exception as failure:
+            future.set_exception(failure)
+            # Every caller may have gone; then nobody else fetches the error.
+            future.exception()
+        except asyncio.CancelledError:
+            future.cancel()
+            raise
+        else:
+            future.set_result(result)
--- /dev/null
+++ b/sapphireseam/state/node.py
@@ -0,0 +1,457 @@
+"""Hold one member's Raft state and the few verbs that change it.
+
+The tasks around it (election, peers, receiver, applier) share this object and
+run on one event loop, so a verb without `await` is atomic. Each verb keeps the
+rules of the paper that bear on it: terms only rise, a term has one vote, only
+entries of the leader's own term are committed by counting.
+"""
+
+import asyncio
+import enum
+import logging
+import math
+import random
+from collections.abc import Awaitable, Callable, Mapping, Sequence
+from typing import Protocol, TypeVar
+
+import msgspec
+
+from sapphireseam.core import error
+from sapphireseam.state import (
+    broadcast,
+    disk as disks,
+    link,
+    log as logs,
+    message,
+    option,
+    store as stores,
+)
+from sapphireseam.utils import application, timer as timers
+
+logger = logging.getLogger(__name__)
+
+T = TypeVar("T")
+Members = tuple[message.Member, ...]
+
+
+class Machine(Protocol):
+    """Turn commands into state, the same way on every member."""
+
+    def apply(self, index: int, command: bytes) -> object:
+        """Apply one command and return its result; it never raises."""
+
+    def encode(self) -> bytes:
+        """Return the whole state for a snapshot."""
+
+    def restore(self, data: bytes) -> None:
+        """Replace the whole state by a snapshot's."""
+
+
+class Guard(Protocol):
+    """Make files that commands refer to durable before they are acknowledged."""
+
+    async def prepare(self, commands: Sequence[bytes], source: str) -> None:
+        """Fetch what the commands name from member `source`, or raise."""
+
+    async def prepare_snapshot(self, data: bytes, source: str) -> None:
+        """Fetch what the snapshot names from member `source`, or raise."""
+
+
+class Role(enum.Enum):
+    """Say what a member does in its current term."""
+
+    FOLLOWER = enum.auto()
+    CANDIDATE = enum.auto()
+    LEADER = enum.auto()
+
+
+class Progress(Protocol):
+    """Tell the leader how far one peer has come."""
+
+    member: message.Member
+    match: int
+    acked_at: float
+    acked_round: int
+
+    def poke(self) -> None:
+        """Look again whether there is something to send."""
+
+
+def count_quorum(voters: int) -> int:
+    """Return how many of so many voters make a quorum."""
+    return voters // 2 + 1
+
+
+class Node:
+    """Share one member's state among its tasks; times are of the local clock."""
+
+    def __init__(
+        self,
+        name: str,
+        links: Callable[[str], link.Link] | Mapping[str, link.Link],
+        disk: disks.Disk,
+        timer: timers.TimerService,
+        machine: Machine,
+        guard: Guard,
+        options: option.Options,
+        rng: random.Random,
+    ):
+        self.name = name
+        self.links = links
+        self.disk = disk
+        self.timer = timer
+        self.machine = machine
+        self.guard = guard
+        self.options = options
+        self.rng = rng
+        self.store = stores.Store(disk)
+        self.log = logs.Log(disk, options)
+        self.tasks = application.TaskGroup()
+        self.identity = stores.Identity("")
+        self.snapshot = stores.Mark()
+        # One snapshot at a time is written or installed.
+        self.snapshot_lock = asyncio.Lock()
+        self.term = 0
+        self.vote = ""
+        self.role = Role.FOLLOWER
+        self.leader = ""
+        self.heard_at = -math.inf
+        # This member stands for election only some time after this moment.
+        self.quiet_from = -math.inf
+        self.commit = 0
+        self.applied = 0
+        # Up to here the log agrees with the leader of this term.
+        self.matched = 0
+        self.term_start = 0
+        self.lead_since = -math.inf
+        self.round = 0
+        self.is_transferring = False
+        self.fatal: error.StorageError | None = None
+        self.is_stopped = False
+        self.peers: dict[str, Progress] = {}
+        self.log_grew = broadcast.Broadcast()
+        self.commit_grew = broadcast.Broadcast()
+        self.changed = broadcast.Broadcast()
+        self.on_lead: Callable[[], None] = lambda: None
+        self.on_members: Callable[[], None] = lambda: None
+        self._configs: list[tuple[int, Members]] = [(0, ())]
+        self._waiters: dict[int, asyncio.Future] = {}
+        self._saved = stores.Vote()
+        self._save_lock = asyncio.Lock()
+
+    # Membership.
+
+    @property
+    def members(self) -> Members:
+        """Return the newest members in the log, committed or not."""
+        return self._configs[-1][1]
+
+    @property
+    def members_index(self) -> int:
+        """Return the index of the entry that holds the newest members."""
+        return self._configs[-1][0]
+
+    @property
+    def voters(self) -> list[message.Member]:
+        """Return the members that count for a quorum."""
+        return [member for member in self.members if member.voter]
+
+    def find_member(self, name: str) -> message.Member | None:
+        """Return the member of that name."""
+        return next((item for item in self.members if item.name == name), None)
+
+    @property
+    def is_voter(self) -> bool:
+        """Say whether this very folder counts for a quorum."""
+        member = self.find_member(self.name)
+        return (
+            member is not None
+            and member.voter
+            and member.folder == self.identity.folder
+        )
+
+    def read_members(self, index: int) -> Members:
+        """Return the members as of an index that isn't behind the snapshot."""
+        return next(held for at, held in reversed(self._configs) if at <= index)
+
+    def load_members(self, index: int, members: Members) -> None:
+        """Begin with the members as of an index and follow the log from there."""
+        self._configs = [(index, members)]
+        start = max(index, self.log.base_index) + 1
+        for position in range(start, self.log.last_index + 1):
+            self._take_members(self.log.get(position))
+        self.on_members()
+
+    def _take_members(self, entry: message.Entry) -> None:
+        if entry.kind == message.MEMBERS:
+            members = msgspec.msgpack.decode(entry.data, type=Members)
+            self._configs.append((entry.index, members))
+
+    # Terms and votes.
+
+    async def load(self) -> None:
+        """Read the folder and take up where the last process left off."""
+        await self.disk.open()
+        self.identity = await self.store.load_identity(self.rng)
+        self._saved = await self.store.load_vote()
+        self.term, self.vote = self._saved
+        self.snapshot, state = await self.store.load_snapshot()
+        members = self.snapshot.members if state else self.identity.genesis
+        await self.log.load(self.snapshot.index, self.snapshot.term)
+        self.load_members(self.snapshot.index, members)
+        if state is not None:
+            self.machine.restore(state)
+        self.commit = self.applied = self.snapshot.index
+        if self.identity.cluster:
+            # The process before this one may have promised a leader its lease.
+            self.heard_at = self.timer.read_clock()
+
+    async def save(self) -> None:
+        """Return once the current term and vote are durable."""
+        while self._saved != (self.term, self.vote):
+            async with self._save_lock:
+                vote = stores.Vote(self.term, self.vote)
+                if self._saved != vote:
+                    await self.keep(self.store.save_vote(vote))
+                    self._saved = vote
+
+    async def join(self, cluster: str, genesis: Members = ()) -> None:
+        """Make a fresh folder part of a cluster, durably and once for all."""
+        async with self._save_lock:
+            if self.identity.cluster:
+                return
+            identity = self.identity._replace(cluster=cluster, genesis=genesis)
+            await self.keep(self.store.save_identity(identity))
+            self.identity = identity
+            self.load_members(0, genesis)
+            self.quiet_from = self.timer.read_clock()
+
+    async def keep(self, work: Awaitable[T]) -> T:
+        """Wait for disk work; its failure stops this member for ever."""
+        try:
+            return await work
+        except error.StorageError as failure:
+            self.fail(failure)
+            raise
+
+    def adopt_term(self, term: int) -> None:
+        """Move to a higher term, as a follower without a vote."""
+        if term > self.term:
+            self.term = term
+            self.vote = ""
+            self.matched = 0
+            self.step_down()
+
+    def hear_leader(self, name: str, term: int) -> None:
+        """Follow the leader of this term, heard just now."""
+        if self.role is not Role.FOLLOWER:
+            self.step_down()
+        if self.leader != name:
+            self.leader = name
+            self.changed.notify()
+        self.heard_at = self.timer.read_clock()
+
+    # Leading.
+
+    def lead(self) -> None:
+        """Take up leadership of the current term."""
+        self.role = Role.LEADER
+        self.leader = self.name
+        self.lead_since = self.timer.read_clock()
+        self.is_transferring = False
+        self.peers = {}
+        self.term_start = self.log.last_index + 1
+        logger.info("leads", extra={"member": self.name, "term": self.term})
+        if self.log.last_index == 0:
+            # The first entry records the members with their folders.
+            self.append(message.MEMBERS, msgspec.msgpack.encode(self.members))
+        else:
+            self.append(message.NOOP, b"")
+        self.on_lead()
+        self.changed.notify()
+
+    def step_down(self) -> None:
+        """Follow, without a known leader; unfinished proposals are in doubt."""
+        if self.role is Role.LEADER:
+            logger.info("leads no more", extra={"member": self.name, "term": self.term})
+            self.quiet_from = self.timer.read_clock()
+        self.role = Role.FOLLOWER
+        self.leader = ""
+        self.is_transferring = False
+        for peer in self.peers.values():
+            peer.poke()
+        self.peers = {}
+        self._fail_waiters(error.OutcomeError("the leader changed meanwhile"))
+        self.changed.notify()
+
+    def _fail_waiters(self, failure: Exception) -> None:
+        waiters, self._waiters = self._waiters, {}
+        for waiter in waiters.values():
+            if not waiter.done():
+                waiter.set_exception(failure)
+                # The caller may have gone.
+                waiter.exception()
+
+    @property
+    def acked_at(self) -> float:
+        """Return when the newest round was sent that a quorum has answered."""
+        now = self.timer.read_clock()
+        return self._count_progress(lambda peer: peer.acked_at, now, -math.inf)
+
+    @property
+    def lease_start(self) -> float:
+        """Return from when the lease runs; minus infinity where there is none."""
+        if self.role is not Role.LEADER or self.is_transferring:
+            return -math.inf
+        return self.acked_at
+
+    @property
+    def confirmed_round(self) -> int:
+        """Return the newest round that a quorum has answered."""
+        return self._count_progress(lambda peer: peer.acked_round, self.round, 0)
+
+    def _count_progress(self, read, own, nothing):
+        """Return the highest value that a quorum of voters has reached."""
+        values = []
+        for member in self.voters:
+            peer = self.peers.get(member.name)
+            if member.name == self.name:
+                values.append(own)
+            elif peer is not None and peer.member.folder == member.folder:
+                values.append(read(peer))
+            else:
+                values.append(nothing)
+        values.sort(reverse=True)
+        return values[count_quorum(len(values)) - 1] if values else nothing
+
+    @property
+    def has_lease(self) -> bool:
+        """Say whether no other member can have become leader yet."""
+        now = self.timer.read_clock()
+        return now - self.lease_start < self.options.lease
+
+    @property
+    def is_lapsed(self) -> bool:
+        """Say whether a leader has gone without a quorum for too long."""
+        heard = max(self.acked_at, self.lead_since)
+        return self.timer.read_clock() - heard >= self.options.election_min
+
+    def check_leading(self) -> None:
+        """Raise unless this member leads and may take proposals."""
+        self.check_running()
+        if self.role is Role.LEADER and self.is_lapsed:
+            self.step_down()
+        if self.role is not Role.LEADER or self.is_transferring:
+            known = "" if self.leader == self.name else self.leader
+            raise error.NotLeaderError("this member doesn't lead", known)
+
+    def check_running(self) -> None:
+        """Raise when this member's disk has failed or it was stopped."""
+        if self.fatal is not None:
+            raise self.fatal
+        if self.is_stopped:
+            raise error.ControlError("the member stops", error.Kind.SHUTTING_DOWN)
+
+    def fail(self, failure: error.StorageError) -> None:
+        """Stop taking part for ever; nothing is acknowledged after this."""
+        if self.fatal is None:
+            logger.error("stops: %s", failure.message, extra={"member": self.name})
+            self.fatal = failure
+            self.step_down()
+            self.log_grew.notify()
+            self.commit_grew.notify()
+
+    # The log.
+
+    def append(self, kind: int, data: bytes) -> asyncio.Future:
+        """Add the leader's next entry; the future holds its result."""
+        entry = message.Entry(self.log.last_index + 1, self.term, kind, data)
+        self.log.append(entry)
+        future = asyncio.get_running_loop().create_future()
+        self._waiters[entry.index] = future
+        if kind == message.MEMBERS:
+            self._take_members(entry)
+            self.on_members()
+        self.log_grew.notify()
+        for peer in self.peers.values():
+            peer.poke()
+        return future
+
+    def merge(self, entries: Sequence[message.Entry]) -> None:
+        """Add a leader's entries; the first that disagrees drops the rest."""
+        for entry in entries:
+            if entry.index <= self.log.base_index:
+                continue
+            held = self.log.read_term(entry.index)
+            if held == entry.term:
+                continue
+            if held is not None:
+                self._truncate(entry.index)
+            self.log.append(entry)
+            self._take_members(entry)
+        self.log_grew.notify()
+
+    def _truncate(self, index: int) -> None:
+        if index <= self.commit:
+            raise AssertionError(f"entry {index} is committed and can't be replaced")
+        self.log.truncate(index)
+        self._configs = [item for item in self._configs if item[0] < index]
+
+    async def wait_synced(self, index: int) -> None:
+        """Return once the log is durable up to the index."""
+
+        def is_synced() -> bool:
+            self.check_running()
+            return self.log.synced >= index
+
+        await self.changed.wait_until(is_synced)
+
+    def count_commit(self) -> None:
+        """Commit what a quorum has synced, if it is of the leader's term."""
+        if self.role is not Role.LEADER:
+            return
+        index = self._count_progress(lambda peer: peer.match, self.log.synced, 0)
+        if index > self.commit and self.log.read_term(index) == self.term:
+            self.set_commit(index)
+            for peer in self.peers.values():
+                peer.poke()
+
+    def set_commit(self, index: int) -> None:
+        """Let entries up to the index be applied."""
+        if index <= self.commit:
+            return
+        self.commit = index
+        self.commit_grew.notify()
+        is_removed = self.find_member(self.name) is None
+        if self.role is Role.LEADER and is_removed and self.members_index <= index:
+            self._finish_removal()
+
+    def _finish_removal(self) -> None:
+        waiter = self._waiters.pop(self.members_index, None)
+        if waiter is not None and not waiter.done():
+            waiter.set_result(None)
+        self.step_down()
+
+    def resolve(self, index: int, result: object) -> None:
+        """Hand a proposal its result."""
+        waiter = self._waiters.pop(index, None)
+        if waiter is not None and not waiter.done():
+            waiter.set_result(result)
+
+    @property
+    def pending(self) -> int:
+        """Return how many proposals wait for their result."""
+        return len(self._waiters)
+
+    async def call(self, name: str, request, seconds: float):
+        """Return a peer's reply, or None when none came in time."""
+        try:
+            peer = self._find_link(name)
+            return await timers.wait_for(self.timer, peer.call(request), seconds)
+        except (TimeoutError, KeyError, error.SeamError):
+            return None
+
+    def _find_link(self, name: str) -> link.Link:
+        if isinstance(self.links, Mapping):
+            return self.links[name]
+        return self.links(name)
--- /dev/null
+++ b/sapphireseam/state/option.py
@@ -0,0 +1,28 @@
+"""Hold the replica's settings, each with its unit."""
+
+from typing import NamedTuple
+
+from sapphireseam.state import message
+
+
+class Options(NamedTuple):
+    """Set the replica's times in seconds, its sizes in bytes and entries.
+
+    `lease` is shorter than `election_min` by the margin that the members'
+    clock rates may differ. `bootstrap` lists the first members by name and
+    address; it is read only while every one of their folders is fresh.
+    """
+
+    bootstrap: tuple[message.Member, ...] = ()
+    heartbeat: float = 0.1
+    election_min: float = 1.0
+    election_max: float = 1.5
+    lease: float = 0.8
+    call_timeout: float = 0.4
+    append_timeout: float = 5.0
+    snapshot_entries: int = 1000
+    trailing_entries: int = 200
+    batch_bytes: int = 1 << 20
+    segment_bytes: int = 8 << 20
+    chunk_bytes: int = 256 << 10
+    max_pending: int = 10_000
--- /dev/null
+++ b/sapphireseam/state/peer.py
@@ -0,0 +1,209 @@
+"""Lead one peer: one task keeps it in step, another keeps it from electing.
+
+Heartbeats go apart from entries, since a follower acknowledges entries only
+once their files are fetched and synced, and that may take longer than an
+election timeout. Both kinds of answer come from the same folder or don't count.
+"""
+
+import asyncio
+import math
+
+from sapphireseam.state import broadcast, message, node as nodes
+from sapphireseam.utils import timer as timers
+
+
+class Peer:
+    """Track and serve one peer for as long as this member leads one term."""
+
+    def __init__(self, node: nodes.Node, member: message.Member):
+        self.member = member
+        self.match = 0
+        self.acked_at = -math.inf
+        self.acked_round = 0
+        # The folder that answered, where it isn't the one on record.
+        self.found_folder = ""
+        self._node = node
+        self._term = node.term
+        self._next = max(node.log.last_index, 1)
+        self._sent_round = 0
+        self._sent_commit = 0
+        self._heartbeat_due = broadcast.Broadcast()
+        self._entries_due = broadcast.Broadcast()
+        self._inflight: asyncio.Task | None = None
+
+    def start(self) -> None:
+        """Begin the peer's two tasks; they end with the leadership."""
+        self._node.tasks.spawn(self._run_heartbeats())
+        self._node.tasks.spawn(self._run_entries())
+
+    def poke(self) -> None:
+        """Look again whether there is something to send."""
+        self._heartbeat_due.notify()
+        self._entries_due.notify()
+
+    @property
+    def is_live(self) -> bool:
+        """Say whether this member still leads the term and serves the peer."""
+        node = self._node
+        is_leading = node.role is nodes.Role.LEADER and node.term == self._term
+        return is_leading and node.peers.get(self.member.name) is self
+
+    async def _run_heartbeats(self) -> None:
+        missed = False
+        while self.is_live:
+            is_answered = await self._send_heartbeat()
+            if is_answered and missed and self._inflight is not None:
+                # What was sent into a cut link isn't worth waiting for.
+                self._inflight.cancel()
+            missed = not is_answered
+            await self._wait_for_heartbeat(missed)
+
+    async def _send_heartbeat(self) -> bool:
+        node = self._node
+        self._sent_round, self._sent_commit = node.round, node.commit
+        request = message.HeartbeatRequest(
+            node.identity.cluster,
+            node.name,
+            self.member.folder,
+            self._term,
+            node.commit,
+        )
+        sent_at = node.timer.read_clock()
+        sent_round = node.round
+        reply = await node.call(self.member.name, request, node.options.call_timeout)
+        return reply is not None and self._take(reply, sent_at, sent_round)
+
+    async def _wait_for_heartbeat(self, missed: bool) -> None:
+        node = self._node
+
+        def is_due() -> bool:
+            is_behind = self._sent_round < node.round or self._sent_commit < node.commit
+            return not self.is_live or is_behind
+
+        if missed:
+            await node.timer.sleep(node.options.heartbeat)
+            return
+        try:
+            due = self._heartbeat_due.wait_until(is_due)
+            await timers.wait_for(node.timer, due, node.options.heartbeat)
+        except TimeoutError:
+            pass
+
+    def _take(self, reply, sent_at: float, sent_round: int) -> bool:
+        """Note a reply's term and folder; return whether it accepts us."""
+        node = self._node
+        if reply.term > node.term:
+            node.adopt_term(reply.term)
+        if not self.is_live:
+            return False
+        if reply.folder != self.member.folder:
+            self.found_folder = reply.folder
+            return False
+        if not reply.accepted or reply.term != self._term:
+            return False
+        self.acked_at = max(self.acked_at, sent_at)
+        self.acked_round = max(self.acked_round, sent_round)
+        node.changed.notify()
+        return True
+
+    async def _run_entries(self) -> None:
+        node = self._node
+        while self.is_live:
+            if not self.member.folder:
+                await node.timer.sleep(node.options.heartbeat)
+                continue
+            await self._entries_due.wait_until(
+                lambda: not self.is_live or self._next <= node.log.last_index
+            )
+            if self.is_live and not await self._send_due():
+                await node.timer.sleep(node.options.heartbeat)
+
+    async def _send_due(self) -> bool:
+        if self._next <= self._node.log.base_index:
+            return await self._send_snapshot()
+        return await self._send_entries()
+
+    async def _call(self, request):
+        """Call with a long timeout that a returning heartbeat cuts short."""
+        node = self._node
+        work = node.call(self.member.name, request, node.options.append_timeout)
+        self._inflight = asyncio.ensure_future(work)
+        try:
+            await asyncio.wait({self._inflight})
+            return None if self._inflight.cancelled() else self._inflight.result()
+        finally:
+            self._inflight.cancel()
+            self._inflight = None
+
+    async def _send_entries(self) -> bool:
+        node = self._node
+        entries = tuple(node.log.take(self._next, node.options.batch_bytes))
+        previous = self._next - 1
+        request = message.AppendRequest(
+            node.identity.cluster,
+            node.name,
+            self.member.folder,
+            self._term,
+            previous,
+            node.log.read_term(previous),
+            node.commit,
+            entries,
+        )
+        sent_at = node.timer.read_clock()
+        reply = await self._call(request)
+        if reply is None:
+            return False
+        if self._take(reply, sent_at, 0):
+            self._advance(reply.match)
+            return True
+        is_refusal = reply.folder == self.member.folder and reply.next_index > 0
+        return is_refusal and self.is_live and self._go_back(reply.next_index)
+
+    def _go_back(self, index: int) -> bool:
+        """Send from a lower index next; return whether that is possible."""
+        lowered = max(self.match + 1, min(self._next - 1, index))
+        is_lower = lowered < self._next
+        self._next = lowered
+        return is_lower
+
+    def _advance(self, match: int) -> None:
+        if match > self.match:
+            self.match = match
+            self._node.count_commit()
+        self._next = self.match + 1
+
+    async def _send_snapshot(self) -> bool:
+        node = self._node
+        mark, data = await node.keep(node.store.load_snapshot())
+        if data is None:
+            return False
+        offset = 0
+        while self.is_live:
+            reply = await self._send_chunk(mark, data, offset)
+            if reply is None:
+                return False
+            if reply.match:
+                self._advance(reply.match)
+                return True
+            offset = min(reply.offset, len(data))
+        return False
+
+    async def _send_chunk(self, mark, data: bytes, offset: int):
+        node = self._node
+        request = message.SnapshotRequest(
+            node.identity.cluster,
+            node.name,
+            self.member.folder,
+            self._term,
+            mark.index,
+            mark.term,
+            mark.members,
+            offset,
+            len(data),
+            data[offset : offset + node.options.chunk_bytes],
+        )
+        sent_at = node.timer.read_clock()
+        reply = await self._call(request)
+        if reply is None or not self._take(reply, sent_at, 0):
+            return None
+        return reply
--- /dev/null
+++ b/sapphireseam/state/receiver.py
@@ -0,0 +1,249 @@
+"""Answer what peers ask: votes, heartbeats, entries, snapshots.
+
+Every answer waits until the term and vote that it speaks for are durable, and
+an acknowledgement until the entries are. Each request runs on a task of its
+own, so that a caller who gives up never stops one between memory and disk.
+"""
+
+import asyncio
+from typing import NamedTuple
+
+from sapphireseam.state import link, message, node as nodes, store as stores
+
+
+class _Incoming:
+    """Collect a snapshot's chunks, all from one leader."""
+
+    def __init__(self, request: message.SnapshotRequest):
+        self.key = (request.sender, request.term, request.index, request.total)
+        self.data = bytearray()
+
+
+class Receiver:
+    """Serve the requests that reach one member."""
+
+    def __init__(self, node: nodes.Node):
+        self._node = node
+        # Entries and snapshots change the log, one request at a time.
+        self._log_lock = asyncio.Lock()
+        self._incoming: _Incoming | None = None
+        self._answers = {
+            message.IdentifyRequest: self._answer_identify,
+            message.FormRequest: self._answer_form,
+            message.VoteRequest: self._answer_vote,
+            message.HeartbeatRequest: self._answer_heartbeat,
+            message.AppendRequest: self._answer_append,
+            message.SnapshotRequest: self._answer_snapshot,
+        }
+
+    async def answer(self, request: NamedTuple) -> NamedTuple:
+        """Return the reply, or raise `LinkError` for another cluster's request."""
+        self._node.check_running()
+        reply = await self._answers[type(request)](request)
+        self._node.check_running()
+        return reply
+
+    # Forming the cluster.
+
+    async def _answer_identify(self, request) -> message.IdentifyReply:
+        node = self._node
+        names = tuple(sorted(item.name for item in node.options.bootstrap))
+        return message.IdentifyReply(node.identity.folder, node.identity.cluster, names)
+
+    async def _answer_form(self, request: message.FormRequest) -> message.FormReply:
+        node = self._node
+        is_meant = any(
+            item.name == node.name and item.folder == node.identity.folder
+            for item in request.members
+        )
+        if is_meant:
+            await node.join(request.cluster, request.members)
+        return message.FormReply(node.identity.folder, node.identity.cluster)
+
+    def _check_cluster(self, request) -> None:
+        own = self._node.identity.cluster
+        if own and own != request.cluster:
+            raise link.LinkError(f"{self._node.name} belongs to another cluster")
+
+    async def _join(self, request) -> bool:
+        """Say whether the request is meant for this folder; join if it is new.
+
+        A leader that names this very folder has it in its membership, so a
+        fresh folder takes its word for the cluster.
+        """
+        node = self._node
+        self._check_cluster(request)
+        if request.target != node.identity.folder:
+            return False
+        await node.join(request.cluster)
+        self._check_cluster(request)
+        return True
+
+    # Elections.
+
+    async def _answer_vote(self, request: message.VoteRequest) -> message.VoteReply:
+        node = self._node
+        self._check_cluster(request)
+        granted = False
+        # A fresh folder may have voted before it was lost, so it doesn't vote.
+        if node.identity.cluster and request.target == node.identity.folder:
+            granted = self._judge_vote(request)
+        await node.save()
+        return message.VoteReply(node.identity.folder, node.term, granted)
+
+    def _judge_vote(self, request: message.VoteRequest) -> bool:
+        node = self._node
+        if not request.transfer and self._hears_leader():
+            return False
+        if request.pre:
+            return request.term > node.term and self._is_current(request)
+        node.adopt_term(request.term)
+        if request.term < node.term or node.vote not in ("", request.sender):
+            return False
+        if not self._is_current(request):
+            return False
+        node.vote = request.sender
+        return True
+
+    def _hears_leader(self) -> bool:
+        """Say whether a leader may count on not being replaced yet."""
+        node = self._node
+        if node.role is nodes.Role.LEADER:
+            return not node.is_lapsed
+        silence = node.timer.read_clock() - node.heard_at
+        return silence < node.options.election_min
+
+    def _is_current(self, request: message.VoteRequest) -> bool:
+        log = self._node.log
+        asked = (request.last_term, request.last_index)
+        return asked >= (log.last_term, log.last_index)
+
+    # Following a leader.
+
+    def _follow(self, request) -> bool:
+        """Take the sender as leader unless its term is over."""
+        node = self._node
+        node.adopt_term(request.term)
+        if request.term < node.term:
+            return False
+        node.hear_leader(request.sender, request.term)
+        return True
+
+    async def _answer_heartbeat(self, request: message.HeartbeatRequest):
+        node = self._node
+        accepted = await self._join(request) and self._follow(request)
+        if accepted:
+            node.set_commit(min(request.commit, node.matched))
+        await node.save()
+        return message.HeartbeatReply(node.identity.folder, node.term, accepted)
+
+    async def _answer_append(self, request: message.AppendRequest):
+        node = self._node
+        match, next_index = 0, 0
+        if await self._join(request) and self._follow(request):
+            async with self._log_lock:
+                match, next_index = await self._append(request)
+        await node.save()
+        return message.AppendReply(
+            node.identity.folder, node.term, match > 0, match, next_index
+        )
+
+    async def _append(self, request: message.AppendRequest) -> tuple[int, int]:
+        """Return the index synced up to, or zero and where to go on."""
+        node = self._node
+        if request.term != node.term:
+            return 0, 0
+        if not self._agrees(request):
+            return 0, self._find_next(request.prev_index)
+        await self._prepare(request)
+        if request.term != node.term:
+            return 0, 0
+        node.merge(request.entries)
+        last = request.prev_index + len(request.entries)
+        await node.wait_synced(last)
+        await node.save()
+        if request.term != node.term:
+            return 0, 0
+        node.matched = max(node.matched, last)
+        node.set_commit(min(request.commit, node.matched))
+        return last, 0
+
+    def _agrees(self, request: message.AppendRequest) -> bool:
+        log = self._node.log
+        if request.prev_index < log.base_index:
+            # What a snapshot holds is committed, so every leader has it.
+            return True
+        return log.read_term(request.prev_index) == request.prev_term
+
+    def _find_next(self, previous: int) -> int:
+        log = self._node.log
+        if previous > log.last_index:
+            return log.last_index + 1
+        return max(log.find_conflict_start(previous), self._node.commit + 1)
+
+    async def _prepare(self, request: message.AppendRequest) -> None:
+        log = self._node.log
+        commands = [
+            entry.data
+            for entry in request.entries
+            if entry.kind == message.COMMAND
+            and entry.index > log.base_index
+            and log.read_term(entry.index) != entry.term
+        ]
+        if commands:
+            await self._node.guard.prepare(commands, request.sender)
+
+    # Snapshots.
+
+    async def _answer_snapshot(self, request: message.SnapshotRequest):
+        node = self._node
+        offset, match = 0, 0
+        accepted = await self._join(request) and self._follow(request)
+        if accepted:
+            async with self._log_lock:
+                offset, match = await self._collect(request)
+        await node.save()
+        accepted = accepted and request.term == node.term
+        return message.SnapshotReply(
+            node.identity.folder, node.term, accepted, offset, match
+        )
+
+    async def _collect(self, request: message.SnapshotRequest) -> tuple[int, int]:
+        """Return the next offset due and, once all is in place, the index."""
+        node = self._node
+        if request.term != node.term:
+            return 0, 0
+        if request.index <= node.commit:
+            return request.total, request.index
+        incoming = _Incoming(request)
+        if self._incoming is None or self._incoming.key != incoming.key:
+            self._incoming = incoming
+        held = self._incoming.data
+        if request.offset == len(held):
+            held += request.data
+        if len(held) < request.total:
+            return len(held), 0
+        data, self._incoming = bytes(held), None
+        await node.guard.prepare_snapshot(data, request.sender)
+        if request.term != node.term:
+            return 0, 0
+        await self._install(request, data)
+        return request.total, request.index
+
+    async def _install(self, request: message.SnapshotRequest, data: bytes) -> None:
+        node = self._node
+        mark = stores.Mark(request.index, request.index_term, request.members)
+        async with node.snapshot_lock:
+            if mark.index <= node.applied:
+                return
+            await node.keep(node.store.save_snapshot(mark, data))
+            if mark.index > node.applied:
+                node.machine.restore(data)
+                node.applied = mark.index
+                node.set_commit(mark.index)
+            node.snapshot = mark
+            if node.log.read_term(mark.index) != mark.term:
+                await node.keep(node.log.reset(mark.index, mark.term))
+            node.load_members(mark.index, mark.members)
+            node.matched = max(node.matched, mark.index)
+        node.changed.notify()
