--- /dev/null
+++ b/sapphireseam/scripts/load.py
@@ -0,0 +1,139 @@
+"""Drive load through the system and measure it, or compare it with a direct call.
+
+Exits 0 if no answer was cut, doubled, crossed or wrong and no job broke a
+promise, 1 if one was, 2 for settings that can't be used.
+"""
+
+import json
+import sys
+from importlib import metadata
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from sapphireseam.core import error
+from sapphireseam.tools import load, plan, table
+from sapphireseam.utils import log, loop, setting, timer
+
+FAULTY_EXIT = 1
+BAD_SETTINGS_EXIT = 2
+
+app = typer.Typer(add_completion=False)
+
+
+def read_profile(path: Path) -> plan.Profile:
+    """Return the checked profile, or raise `SettingsError` with all findings."""
+    profile = setting.read(plan.Profile, path)
+    faults = plan.find_faults(profile)
+    if faults:
+        raise error.SettingsError("\n".join(f"{path}: {fault}" for fault in faults))
+    return profile
+
+
+def read_keys(path: Path | None, profile: plan.Profile) -> dict[str, str]:
+    """Return the customers' keys: the file's, else the profile's."""
+    keys = {item.name: item.key for item in profile.customers if item.key}
+    if path is not None:
+        keys |= setting.read(dict[str, str], path)
+    return keys
+
+
+def parse_pids(options: list[str]) -> dict[str, int]:
+    """Return the pids by name from `name=pid` options."""
+    pids = {}
+    for option in options:
+        name, _, number = option.rpartition("=")
+        if not name or not number.isdigit():
+            raise error.SettingsError(f"pid option {option!r}: expected name=pid")
+        pids[name] = int(number)
+    return pids
+
+
+def _show_version(wanted: bool) -> None:
+    if wanted:
+        typer.echo(metadata.version("sapphireseam"))
+        raise typer.Exit
+
+
+@app.command()
+def run(
+    profile: Annotated[Path, typer.Option(help="The JSON file of the run.")],
+    entry: Annotated[
+        list[str], typer.Option(help="Base URL of an entry; repeat for more.")
+    ] = [],  # noqa: B006
+    direct: Annotated[
+        list[str], typer.Option(help="Compare: base URL of the upstream itself.")
+    ] = [],  # noqa: B006
+    through: Annotated[
+        list[str], typer.Option(help="Compare: base URL of an entry.")
+    ] = [],  # noqa: B006
+    keys: Annotated[
+        Path | None, typer.Option(help="JSON object from customer to key.")
+    ] = None,
+    upstream: Annotated[
+        list[str], typer.Option(help="Stand-in to ask for its counts of runs.")
+    ] = [],  # noqa: B006
+    upstream_pid: Annotated[
+        list[str], typer.Option(help="name=pid of a stand-in, for its CPU.")
+    ] = [],  # noqa: B006
+    system_pid: Annotated[
+        list[str], typer.Option(help="name=pid of an entry, agent or control VM.")
+    ] = [],  # noqa: B006
+    rounds: Annotated[int, typer.Option(help="Compare: rounds a side.", min=1)] = 6,
+    seconds: Annotated[
+        float | None, typer.Option(help="Instead of the profile's seconds.")
+    ] = None,
+    seed: Annotated[
+        int | None, typer.Option(help="Instead of the profile's seed.")
+    ] = None,
+    output: Annotated[
+        Path | None, typer.Option(help="Where to write the JSON report.")
+    ] = None,
+    version: Annotated[
+        bool,
+        typer.Option(
+            "--version", callback=_show_version, is_eager=True, help="Show and exit."
+        ),
+    ] = False,
+) -> None:
+    """Drive a profile at --entry, or compare --direct with --through."""
+    log.configure("seam-load", "load", "WARNING")
+    try:
+        if bool(entry) == bool(direct and through):
+            raise error.SettingsError("give --entry, or --direct and --through")
+        checked = read_profile(profile)
+        if seconds is not None:
+            checked = checked._replace(seconds=seconds)
+        if seed is not None:
+            checked = checked._replace(seed=seed)
+        target = load.Target(
+            entry or through,
+            read_keys(keys, checked),
+            upstream,
+            parse_pids(upstream_pid),
+            parse_pids(system_pid),
+        )
+    except error.SettingsError as failure:
+        typer.echo(failure.message, err=True)
+        sys.exit(BAD_SETTINGS_EXIT)
+    service = timer.SystemTimer()
+    if entry:
+        report = loop.run(load.run_load(checked, target, service))
+        text = table.render_load(report)
+    else:
+        direct_target = load.Target(direct)
+        comparison = load.run_comparison(
+            checked, direct_target, target, rounds, service
+        )
+        report = loop.run(comparison)
+        text = table.render_comparison(report)
+    typer.echo(text)
+    if output is not None:
+        output.write_text(json.dumps(report, indent=1) + "\n")
+    sys.exit(FAULTY_EXIT if report["faults"] else 0)
+
+
+def main() -> None:
+    """Start the command line."""
+    app()
--- /dev/null
+++ b/sapphireseam/tools/load.py
@@ -0,0 +1,355 @@
+"""Drive load through the system, or past it, and measure what comes back.
+
+`run_load` drives a whole profile against the entries. `run_comparison` drives
+the same requests in turn directly at an upstream and through the system, so
+that what else the machine does weighs on both sides alike; its figures are
+the ratios between them.
+"""
+
+import asyncio
+import collections
+import time
+from typing import NamedTuple
+
+import aiohttp
+import msgspec
+
+from sapphireseam.tools import check, client, job, measure, plan
+from sapphireseam.utils import timer
+
+# How long the connections and caches warm up before a comparison, in seconds.
+WARM_UP_SECONDS = 1.0
+# Pause between the two sides of a comparison, for stragglers, in seconds.
+PAUSE_SECONDS = 0.3
+
+
+class Target(NamedTuple):
+    """Say where to send, with whose keys and which processes to watch.
+
+    `upstreams` are the stand-ins' base URLs, asked for their counts of runs;
+    the pids are by name.
+    """
+
+    bases: list[str]
+    keys: dict[str, str] = {}
+    upstreams: list[str] = []
+    upstream_pids: dict[str, int] = {}
+    system_pids: dict[str, int] = {}
+
+
+class Driver:
+    """Send planned requests at their times to one list of base URLs."""
+
+    def __init__(
+        self,
+        bases: list[str],
+        keys: dict[str, str],
+        profile: plan.Profile,
+        timer_service: timer.TimerService,
+    ):
+        self.client = client.Client(bases, keys, profile.request_timeout, timer_service)
+        self.lag = measure.Latency()
+        self._timer = timer_service
+
+    async def start(self) -> None:
+        """Open the connection pool."""
+        await self.client.start()
+
+    async def stop(self) -> None:
+        """Close the connection pool."""
+        await self.client.stop()
+
+    async def drive(self, requests: list[plan.Request]) -> list[check.Outcome]:
+        """Send every request at its time and return all outcomes."""
+        index = check.Index(requests)
+        start = self._timer.read_clock()
+        tasks = []
+        for request in requests:
+            wait = start + request.due - self._timer.read_clock()
+            if wait > 0:
+                await self._timer.sleep(wait)
+            self.lag.add(max(0.0, self._timer.read_clock() - start - request.due))
+            tasks.append(asyncio.create_task(self._send(request, index)))
+        return list(await asyncio.gather(*tasks))
+
+    async def _send(self, request: plan.Request, index: check.Index) -> check.Outcome:
+        reply = await self.client.send(request)
+        return check.Outcome(request, reply, check.judge(request, reply, index))
+
+
+async def fetch_runs(
+    session: aiohttp.ClientSession, upstreams: list[str]
+) -> list[dict[str, dict[str, int]]]:
+    """Return each stand-in's counts of runs."""
+    runs = []
+    for base in upstreams:
+        async with session.get(f"{base.rstrip('/')}/_runs") as response:
+            runs.append(msgspec.json.decode(await response.read()))
+    return runs
+
+
+async def _start_job(
+    jobs: job.JobClient, planned: plan.Job, timer_service: timer.TimerService
+) -> job.JobResult:
+    await timer_service.sleep(planned.plan.start)
+    return await jobs.run(planned)
+
+
+async def run_load(
+    profile: plan.Profile, target: Target, timer_service: timer.TimerService
+) -> dict:
+    """Drive a profile's requests and jobs; return the report."""
+    planner = plan.Planner(profile)
+    requests = planner.plan_requests(profile.seconds)
+    planned_jobs = planner.plan_jobs()
+    driver = Driver(target.bases, target.keys, profile, timer_service)
+    pids = target.upstream_pids | target.system_pids
+    await driver.start()
+    try:
+        before = measure.read_cpus(pids)
+        jobs = job.JobClient(
+            driver.client, target.bases, profile.job_timeout, timer_service
+        )
+        waiting = [
+            asyncio.create_task(_start_job(jobs, planned, timer_service))
+            for planned in planned_jobs
+        ]
+        start = timer_service.read_clock()
+        outcomes = await driver.drive(requests)
+        online_seconds = timer_service.read_clock() - start
+        results = list(await asyncio.gather(*waiting))
+        cpu = measure.subtract(measure.read_cpus(pids), before)
+        runs = await fetch_runs(driver.client.session, target.upstreams)
+    finally:
+        await driver.stop()
+    report = summarize(profile, outcomes, online_seconds)
+    report["lag"] = driver.lag.render()
+    report["cpu_seconds"] = cpu
+    report["cpu_ms_per_request"] = round(
+        sum(cpu.values()) * 1000 / max(len(outcomes), 1), 3
+    )
+    report["runs"] = summarize_runs(outcomes, results, planned_jobs, runs)
+    report["jobs"] = [result._asdict() for result in results]
+    report["faults"] = count_faults(report, results)
+    return report
+
+
+def describe(outcome: check.Outcome) -> str:
+    """Return one line about an answer that was not right."""
+    reply = outcome.reply
+    cause = reply.code or reply.trouble
+    return f"{outcome.request.id}: {outcome.verdict} (status {reply.status}, {cause})"
+
+
+def summarize(
+    profile: plan.Profile, outcomes: list[check.Outcome], seconds: float
+) -> dict:
+    """Return the online part of a report."""
+    latencies = measure.Latencies()
+    by_customer = collections.defaultdict(list)
+    for outcome in outcomes:
+        by_customer[outcome.request.customer].append(outcome)
+        latencies.add_outcome(outcome, "all")
+        latencies.add_outcome(outcome, f"kind {outcome.request.kind}")
+        latencies.add_outcome(outcome, f"customer {outcome.request.customer}")
+    customers = {
+        customer.name: measure.summarize_customer(
+            customer, by_customer[customer.name], profile.seconds
+        )
+        for customer in profile.customers
+    }
+    worst = measure.add_shares(customers)
+    verdicts = collections.Counter(str(outcome.verdict) for outcome in outcomes)
+    troubled = [
+        describe(outcome)
+        for outcome in outcomes
+        if outcome.verdict not in (check.Verdict.RIGHT, check.Verdict.REFUSED)
+    ]
+    return {
+        "profile": profile.name,
+        "seed": profile.seed,
+        "seconds": round(seconds, 3),
+        "verdicts": dict(verdicts),
+        "worst_of_fair_share": worst,
+        "customers": customers,
+        "latencies": latencies.render(),
+        "troubled": troubled,
+    }
+
+
+def summarize_runs(
+    outcomes: list[check.Outcome],
+    results: list[job.JobResult],
+    planned: list[plan.Job],
+    runs: list[dict[str, dict[str, int]]],
+) -> dict:
+    """Return what the upstreams' counts show; empty if none was asked."""
+    if not runs:
+        return {}
+    findings = check.check_runs(outcomes, runs)
+    repeated = 0
+    for run_counts in _sum_runs(runs).values():
+        repeated += max(0, run_counts["completed"] - 1)
+    accepted = {result.id for result in results if result.accepted}
+    for planned_job in planned:
+        if planned_job.id in accepted:
+            continue
+        findings += check.check_unaccepted(planned_job, runs)
+    return {
+        "completed_more_than_once": repeated,
+        "findings": [f"{item.request}: {item.message}" for item in findings],
+    }
+
+
+def _sum_runs(runs: list[dict[str, dict[str, int]]]) -> dict[str, dict[str, int]]:
+    total: dict = collections.defaultdict(collections.Counter)
+    for counts in runs:
+        for name, run in counts.items():
+            # A path may be asked for often; only named requests run once.
+            if not name.startswith("/"):
+                total[name].update(run)
+    return total
+
+
+def count_faults(report: dict, results: list[job.JobResult]) -> int:
+    """Return how many things the run showed that no run may show."""
+    faults = sum(report["verdicts"].get(str(verdict), 0) for verdict in check.FAULTS)
+    faults += len(report["runs"].get("findings", []))
+    return faults + sum(result.faults for result in results)
+
+
+class Side:
+    """Collect one side of a comparison over all its rounds."""
+
+    def __init__(self, name: str, driver: Driver):
+        self.name = name
+        self.driver = driver
+        self.latencies = measure.Latencies()
+        self.outcomes: list[check.Outcome] = []
+        self.upstream_cpu = 0.0
+        self.system_cpu = 0.0
+        self.client_cpu = 0.0
+
+    async def run_round(
+        self, requests: list[plan.Request], target: Target, keep: bool
+    ) -> None:
+        """Drive one round; without `keep` it only warms up."""
+        upstream = measure.read_cpus(target.upstream_pids)
+        system = measure.read_cpus(target.system_pids)
+        own = time.process_time()
+        outcomes = await self.driver.drive(requests)
+        if not keep:
+            return
+        self.client_cpu += time.process_time() - own
+        after = measure.read_cpus(target.upstream_pids)
+        self.upstream_cpu += sum(measure.subtract(after, upstream).values())
+        after = measure.read_cpus(target.system_pids)
+        self.system_cpu += sum(measure.subtract(after, system).values())
+        for outcome in outcomes:
+            self.latencies.add_outcome(outcome, "all")
+        self.outcomes += outcomes
+
+    def compute_cpu(self) -> float:
+        """Return the servers' processor milliseconds for each request."""
+        count = max(len(self.outcomes), 1)
+        return (self.upstream_cpu + self.system_cpu) * 1000 / count
+
+    def compute_client_cpu(self) -> float:
+        """Return this tool's own processor milliseconds for each request."""
+        return self.client_cpu * 1000 / max(len(self.outcomes), 1)
+
+    def render(self) -> dict:
+        """Return this side's figures."""
+        verdicts = collections.Counter(str(item.verdict) for item in self.outcomes)
+        return {
+            "requests": len(self.outcomes),
+            "verdicts": dict(verdicts),
+            "latencies": self.latencies.render(),
+            "lag": self.driver.lag.render(),
+            "upstream_cpu_seconds": round(self.upstream_cpu, 3),
+            "system_cpu_seconds": round(self.system_cpu, 3),
+            "cpu_ms_per_request": round(self.compute_cpu(), 3),
+            "client_cpu_ms_per_request": round(self.compute_client_cpu(), 3),
+        }
+
+
+async def run_comparison(
+    profile: plan.Profile,
+    direct: Target,
+    through: Target,
+    rounds: int,
+    timer_service: timer.TimerService,
+) -> dict:
+    """Drive the same requests directly and through; return both and ratios.
+
+    Each round lasts the profile's `seconds` on each side, and the side that
+    goes first changes from round to round. Each round's requests differ from
+    the others' by their ids only, so no answer comes from a cache for the
+    other side's sake.
+    """
+    sides = [
+        Side("direct", Driver(direct.bases, {}, profile, timer_service)),
+        Side("through", Driver(through.bases, through.keys, profile, timer_service)),
+    ]
+    for side in sides:
+        await side.driver.start()
+    try:
+        for turn in range(-1, rounds):
+            seconds = profile.seconds if turn >= 0 else WARM_UP_SECONDS
+            ordered = sides if turn % 2 == 0 else sides[::-1]
+            for side in ordered:
+                planner = plan.Planner(profile, f"{side.name}{turn}", turn)
+                requests = planner.plan_requests(seconds)
+                await side.run_round(requests, through, keep=turn >= 0)
+                await timer_service.sleep(PAUSE_SECONDS)
+        runs = await fetch_runs(sides[0].driver.client.session, through.upstreams)
+    finally:
+        for side in sides:
+            await side.driver.stop()
+    return summarize_comparison(profile, sides[0], sides[1], rounds, runs)
+
+
+def _divide(over: float, under: float) -> float | None:
+    return round(over / under, 3) if under else None
+
+
+def summarize_comparison(
+    profile: plan.Profile,
+    direct: Side,
+    through: Side,
+    rounds: int,
+    runs: list[dict[str, dict[str, int]]],
+) -> dict:
+    """Return both sides' figures, the ratios and what the system adds."""
+    ratios = {}
+    added = {}
+    for name in ("all first token", "all between tokens", "all whole"):
+        for label, percentile in (("p50", 50), ("p99", 99)):
+            before = direct.latencies.get(name).compute_percentile(percentile)
+            after = through.latencies.get(name).compute_percentile(percentile)
+            ratios[f"{name} {label}"] = _divide(after, before)
+            added[f"{name} {label} ms"] = round((after - before) * 1000, 3)
+    ratios["cpu"] = _divide(through.compute_cpu(), direct.compute_cpu())
+    ratios["cpu with client"] = _divide(
+        through.compute_cpu() + through.compute_client_cpu(),
+        direct.compute_cpu() + direct.compute_client_cpu(),
+    )
+    findings = (
+        check.check_runs(direct.outcomes + through.outcomes, runs) if runs else []
+    )
+    report = {
+        "profile": profile.name,
+        "seed": profile.seed,
+        "rounds": rounds,
+        "round_seconds": profile.seconds,
+        "direct": direct.render(),
+        "through": through.render(),
+        "ratios": ratios,
+        "added": added,
+        "findings": [f"{item.request}: {item.message}" for item in findings],
+    }
+    verdicts = [item.verdict for item in direct.outcomes + through.outcomes]
+    report["faults"] = len(findings) + sum(
+        1 for verdict in verdicts if verdict in check.FAULTS
+    )
+    return report
