Wait for deadlines with one loop timer in place of two tasks

Cause: wait_for made two tasks for each message an entry received. Ruled out: dropping the deadline check per message, which a stuck upstream needs.

--- a/sapphireseam/scripts/demo.py
+++ b/sapphireseam/scripts/demo.py
@@ -7,9 +7,6 @@
 
 import asyncio
 import json
-import os
-import signal
-import sys
 import tempfile
 from pathlib import Path
 from typing import Any
@@ -17,16 +14,12 @@
 import aiohttp
 import typer
 
-from sapphireseam.core import error, message
-from sapphireseam.tools import layout, session
+from sapphireseam.core import message
+from sapphireseam.tools import fleet, layout, session
 from sapphireseam.utils import loop, program
 from sapphireseam.utils.client import ControlClient
 from sapphireseam.utils.timer import SystemTimer
 
-# Longest wait for a step, in seconds; a step that takes longer has failed.
-STEP_SECONDS = 60.0
-POLL_SECONDS = 0.1
-
 SPEC_SHEETS = (
     "Origin wording for strawberries, county Wexford, class I",
     "Allergen line for celeriac remoulade with egg and mustard",
@@ -39,94 +32,6 @@
 app = typer.Typer(add_completion=False)
 
 
-class Processes:
-    """Start programs, wait until they are healthy, end them by their ids."""
-
-    def __init__(self, log_folder: Path):
-        self._log_folder = log_folder
-        self.running: dict[str, asyncio.subprocess.Process] = {}
-
-    async def start(self, item: layout.Process) -> None:
-        """Start one program with its settings file."""
-        binary = Path(sys.executable).parent / item.program
-        with (self._log_folder / f"{item.node}.log").open("ab") as log:
-            self.running[item.node] = await asyncio.create_subprocess_exec(
-                binary, "--settings", item.settings, stdout=log, stderr=log
-            )
-
-    def signal(self, node: str, number: int) -> None:
-        """Send a process a signal."""
-        process = self.running[node]
-        if process.returncode is None:
-            os.kill(process.pid, number)
-
-    async def stop(self) -> None:
-        """Ask every process to stop, and kill those that don't."""
-        for node in self.running:
-            self.signal(node, signal.SIGTERM)
-        waits = [process.wait() for process in self.running.values()]
-        try:
-            await asyncio.wait_for(asyncio.gather(*waits), STEP_SECONDS / 4)
-        except TimeoutError:
-            for node in self.running:
-                self.signal(node, signal.SIGKILL)
-
-
-async def wait_healthy(http: aiohttp.ClientSession, url: str) -> None:
-    """Return once a health check answers 200."""
-    async with asyncio.timeout(STEP_SECONDS):
-        while True:
-            try:
-                async with http.get(url) as response:
-                    if response.status == 200:
-                        return
-            except aiohttp.ClientError:
-                pass
-            await asyncio.sleep(POLL_SECONDS)
-
-
-async def read_operator_key(files: tuple[Path, ...]) -> str:
-    """Return the operator key once a control VM has written it."""
-    async with asyncio.timeout(STEP_SECONDS):
-        while True:
-            for file in files:
-                if file.exists() and (text := file.read_text().strip()):
-                    return text
-            await asyncio.sleep(POLL_SECONDS)
-
-
-async def publish_first(files: tuple[Path, ...], plan: layout.Layout) -> ControlClient:
-    """Publish the layout's configuration; return an operator's client."""
-    text = await read_operator_key(files)
-    timer = SystemTimer()
-    client = session.connect(plan.controls, text, timer)
-    async with asyncio.timeout(STEP_SECONDS):
-        while True:
-            try:
-                now = timer.read_wall_clock()
-                await session.publish(client, plan.configuration, 0, now, "first")
-                return client
-            except error.SeamError as failure:
-                # The key is only in force once it is committed.
-                if failure.kind is not error.Kind.KEY_INVALID:
-                    raise
-            await asyncio.sleep(POLL_SECONDS)
-
-
-async def start_fleet(
-    processes: Processes, plan: layout.Layout, http: aiohttp.ClientSession
-) -> ControlClient:
-    """Start every process, publish, and wait until the entries are ready."""
-    for item in plan.processes:
-        await processes.start(item)
-    client = await publish_first(plan.operator_files, plan)
-    for item in plan.processes:
-        await wait_healthy(http, item.health)
-    for address in plan.entries:
-        await wait_healthy(http, f"http://{address}/health")
-    return client
-
-
 class Caller:
     """Make a customer's calls to one entry."""
 
@@ -137,7 +42,7 @@
 
     async def call(self, method: str, path: str, **options: Any) -> bytes:
         """Return an answer's body, coming back when told to."""
-        async with asyncio.timeout(STEP_SECONDS):
+        async with asyncio.timeout(fleet.STEP_SECONDS):
             while True:
                 async with self._http.request(
                     method, self._base + path, headers=self._headers, **options
@@ -203,9 +108,9 @@
         "completion_window": "24h",
     }
     job = json.loads(await caller.call("POST", "/v1/batches", json=document))
-    async with asyncio.timeout(STEP_SECONDS):
+    async with asyncio.timeout(fleet.STEP_SECONDS):
         while job["status"] != "completed":
-            await asyncio.sleep(POLL_SECONDS)
+            await asyncio.sleep(fleet.POLL_SECONDS)
             job = json.loads(await caller.call("GET", f"/v1/batches/{job['id']}"))
     path = f"/v1/files/{job['output_file_id']}/content"
     lines = (await caller.call("GET", path)).splitlines()
@@ -245,10 +150,10 @@
 async def run_demo(folder: Path) -> None:
     """Lay a small fleet out, run it, use it and stop it."""
     plan = layout.lay_out(folder, layout.SMALL)
-    processes = Processes(folder)
+    processes = fleet.Processes(folder)
     async with aiohttp.ClientSession() as http:
         try:
-            client = await start_fleet(processes, plan, http)
+            client = await fleet.start_fleet(processes, plan, http)
             now = SystemTimer().read_wall_clock()
             secret = await session.issue_key(client, "grower-1", now)
             typer.echo(f"{len(plan.processes)} processes run, key {secret.id} issued")
--- /dev/null
+++ b/sapphireseam/tools/fleet.py
@@ -0,0 +1,121 @@
+"""Run a laid-out fleet as real processes, for the demo, tests and measurements.
+
+Programs of the system never start one another; this module stands in for the
+operator who does. Waits end with an event or fail after a generous ceiling.
+"""
+
+import asyncio
+import os
+import signal
+import sys
+from pathlib import Path
+
+import aiohttp
+
+from sapphireseam.core import error
+from sapphireseam.tools import layout, session
+from sapphireseam.utils.client import ControlClient
+from sapphireseam.utils.timer import SystemTimer
+
+# Longest wait for a step, in seconds; a step that takes longer has failed.
+STEP_SECONDS = 60.0
+POLL_SECONDS = 0.1
+
+
+class Processes:
+    """Start programs, wait until they are healthy, end them by their ids."""
+
+    def __init__(self, log_folder: Path):
+        self._log_folder = log_folder
+        self.running: dict[str, asyncio.subprocess.Process] = {}
+
+    async def start(self, item: layout.Process) -> None:
+        """Start one program with its settings file."""
+        binary = Path(sys.executable).parent / item.program
+        with (self._log_folder / f"{item.node}.log").open("ab") as log:
+            self.running[item.node] = await asyncio.create_subprocess_exec(
+                binary, "--settings", item.settings, stdout=log, stderr=log
+            )
+
+    def read_pid(self, node: str) -> int:
+        """Return a process's id."""
+        return self.running[node].pid
+
+    def signal(self, node: str, number: int) -> None:
+        """Send a process a signal."""
+        process = self.running[node]
+        if process.returncode is None:
+            os.kill(process.pid, number)
+
+    async def stop(self) -> None:
+        """Ask every process to stop, and kill those that don't."""
+        for node in self.running:
+            self.signal(node, signal.SIGTERM)
+        waits = [process.wait() for process in self.running.values()]
+        try:
+            await asyncio.wait_for(asyncio.gather(*waits), STEP_SECONDS / 4)
+        except TimeoutError:
+            for node in self.running:
+                self.signal(node, signal.SIGKILL)
+
+
+async def wait_healthy(http: aiohttp.ClientSession, url: str) -> None:
+    """Return once a health check answers 200."""
+    async with asyncio.timeout(STEP_SECONDS):
+        while True:
+            try:
+                async with http.get(url) as response:
+                    if response.status == 200:
+                        return
+            except aiohttp.ClientError:
+                pass
+            await asyncio.sleep(POLL_SECONDS)
+
+
+async def read_operator_key(files: tuple[Path, ...]) -> str:
+    """Return the operator key once a control VM has written it."""
+    async with asyncio.timeout(STEP_SECONDS):
+        while True:
+            for file in files:
+                if file.exists() and (text := file.read_text().strip()):
+                    return text
+            await asyncio.sleep(POLL_SECONDS)
+
+
+async def publish_first(files: tuple[Path, ...], plan: layout.Layout) -> ControlClient:
+    """Publish the layout's configuration; return an operator's client."""
+    text = await read_operator_key(files)
+    timer = SystemTimer()
+    client = session.connect(plan.controls, text, timer)
+    async with asyncio.timeout(STEP_SECONDS):
+        while True:
+            try:
+                now = timer.read_wall_clock()
+                await session.publish(client, plan.configuration, 0, now, "first")
+                return client
+            except error.SeamError as failure:
+                # The key is only in force once it is committed.
+                if failure.kind is not error.Kind.KEY_INVALID:
+                    raise
+            await asyncio.sleep(POLL_SECONDS)
+
+
+async def start_fleet(
+    processes: Processes, plan: layout.Layout, http: aiohttp.ClientSession
+) -> ControlClient:
+    """Start every process, publish, and wait until the entries are ready."""
+    for item in plan.processes:
+        await processes.start(item)
+    return await finish_start(plan, http)
+
+
+async def finish_start(
+    plan: layout.Layout, http: aiohttp.ClientSession
+) -> ControlClient:
+    """Publish for started processes and wait until all are ready."""
+    client = await publish_first(plan.operator_files, plan)
+    for item in plan.processes:
+        await wait_healthy(http, item.health)
+    for address in plan.entries:
+        await wait_healthy(http, f"http://{address}/health")
+    return client
--- a/sapphireseam/utils/timer.py
+++ b/sapphireseam/utils/timer.py
@@ -9,7 +9,8 @@
 import heapq
 import itertools
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import AbstractAsyncContextManager, asynccontextmanager
 from typing import Protocol, TypeVar
 
 T = TypeVar("T")
@@ -38,6 +39,9 @@
     async def sleep(self, seconds: float) -> None:
         """Return after so many seconds."""
 
+    def limit(self, seconds: float) -> AbstractAsyncContextManager:
+        """Return a context whose body raises `TimeoutError` after the time."""
+
     def subscribe(
         self, period: float, callback: Callable[[], Awaitable[None]]
     ) -> Subscription:
@@ -55,16 +59,8 @@
 
 async def wait_for(timer: TimerService, awaitable: Awaitable[T], seconds: float) -> T:
     """Return the awaitable's result, or raise `TimeoutError` in timer time."""
-    work = asyncio.ensure_future(awaitable)
-    alarm = asyncio.ensure_future(timer.sleep(seconds))
-    try:
-        await asyncio.wait({work, alarm}, return_when=asyncio.FIRST_COMPLETED)
-        if work.done():
-            return work.result()
-        raise TimeoutError
-    finally:
-        alarm.cancel()
-        work.cancel()
+    async with timer.limit(seconds):
+        return await awaitable
 
 
 class SystemTimer:
@@ -82,6 +78,10 @@
         """Return after so many seconds."""
         await asyncio.sleep(seconds)
 
+    def limit(self, seconds: float) -> AbstractAsyncContextManager:
+        """Return a context whose body raises `TimeoutError` after the time."""
+        return asyncio.timeout(seconds)
+
     def subscribe(
         self, period: float, callback: Callable[[], Awaitable[None]]
     ) -> Subscription:
@@ -121,6 +121,20 @@
         heapq.heappush(self._sleepers, entry)
         await future
 
+    @asynccontextmanager
+    async def limit(self, seconds: float) -> AsyncIterator[None]:
+        """Raise `TimeoutError` in the body once fake time has passed."""
+        async with asyncio.timeout(None) as timeout:
+            alarm = asyncio.create_task(self._ring(timeout, seconds))
+            try:
+                yield
+            finally:
+                alarm.cancel()
+
+    async def _ring(self, timeout: asyncio.Timeout, seconds: float) -> None:
+        await self.sleep(seconds)
+        timeout.reschedule(asyncio.get_running_loop().time())
+
     def subscribe(
         self, period: float, callback: Callable[[], Awaitable[None]]
     ) -> Subscription:
