--- a/sapphireseam/control/job.py
+++ b/sapphireseam/control/job.py
@@ -5,8 +5,6 @@
 one result however often it ran. A lease only says who may run an item now.
 """
 
-import json
-
 from sapphireseam.control import record
 from sapphireseam.core import command, error, fleet, outcome
 
@@ -90,7 +88,9 @@
 
 def find_route(state: record.State, path: str) -> fleet.Route | None:
     """Return the route in force whose path begins this one, longest first."""
-    routes = json.loads(record.read_document(state)).get("routes", {}).values()
+    routes = (
+        record.decode_document(record.read_document(state)).get("routes", {}).values()
+    )
     fitting = [r for r in routes if fleet.path_matches(r["path"], path)]
     if not fitting:
         return None
--- a/sapphireseam/control/keyring.py
+++ b/sapphireseam/control/keyring.py
@@ -1,7 +1,5 @@
 """Apply changes to keys: the operator's one and the callers' many."""
 
-import json
-
 from sapphireseam.control import record
 from sapphireseam.core import command, error, key, outcome
 
@@ -20,7 +18,7 @@
     state: record.State, item: command.IssueKey
 ) -> outcome.Done | outcome.Refused:
     """Add a key for a customer that the configuration names."""
-    customers = json.loads(record.read_document(state)).get("customers", {})
+    customers = record.decode_document(record.read_document(state)).get("customers", {})
     if item.customer not in customers:
         message = f"no customer {item.customer!r} in the configuration in force"
         return outcome.Refused(error.Kind.OBJECT_UNKNOWN, message)
--- a/sapphireseam/control/publish.py
+++ b/sapphireseam/control/publish.py
@@ -5,8 +5,9 @@
 from sapphireseam.control import record
 from sapphireseam.core import command, error, fleet, outcome
 
-# Revisions kept for history and rollback.
+# Revisions kept for history and rollback, and the bytes that they may take.
 HISTORY_LIMIT = 200
+HISTORY_BYTES = 16 * 1024 * 1024
 
 
 def check(state: record.State, document: bytes) -> list[fleet.Finding]:
@@ -50,6 +51,14 @@
         number, item.document, item.at, item.note, item.request
     )
     state.numbers["revision"] = number
-    while len(state.history) > HISTORY_LIMIT:
-        del state.history[next(iter(state.history))]
+    _trim_history(state)
     return outcome.Done(str(number), number)
+
+
+def _trim_history(state: record.State) -> None:
+    """Drop the oldest revisions over the bounds, never the one in force."""
+    history = state.history
+    size = sum(len(revision.document) for revision in history.values())
+    while len(history) > HISTORY_LIMIT or (size > HISTORY_BYTES and len(history) > 1):
+        oldest = history.pop(next(iter(history)))
+        size -= len(oldest.document)
--- a/sapphireseam/control/record.py
+++ b/sapphireseam/control/record.py
@@ -5,6 +5,7 @@
 stands. Dictionaries keep insertion order, on every member the same.
 """
 
+import functools
 import json
 from typing import Any, NamedTuple
 
@@ -153,6 +154,7 @@
     return revision.document if revision else b"{}"
 
 
+@functools.lru_cache(maxsize=4)
 def decode_document(document: bytes) -> dict[str, Any]:
-    """Return a published configuration as JSON objects."""
+    """Return a published configuration as JSON objects, not to be changed."""
     return json.loads(document)
