Test that a process never acts on what was ended, by property

The model runs three control VMs over one log, two entries' mirrors and their links on fake time; it cuts control VMs and links, holds messages up and delivers them late, publishes and withdraws. Ruled out on the way: rules drawn evenly over issue, cut and heal reached 'withdrawn while cut' in 14 of 2,065 states and let every guard go unnoticed; keys are now issued first and links cut in one step. Before: no test.

--- /dev/null
+++ b/sapphireseam/utils/mirror_test.py
@@ -0,0 +1,264 @@
+"""Test that a process never acts on what was ended, through cuts and freezes."""
+
+import asyncio
+import json
+
+from hypothesis import settings, strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from sapphireseam.control import machine, record, watch
+from sapphireseam.core import command, error, key
+from sapphireseam.entry import access
+from sapphireseam.utils import mirror, rpc, timeline, timer
+
+CONTROLS = ("c1", "c2", "c3")
+ENTRIES = ("e1", "e2")
+KEYS = ("k1", "k2", "k3")
+QUORUM = 2
+# Longest time from an acknowledged withdrawal to its effect at every entry.
+WITHDRAWN_SECONDS = 5.0
+
+
+class FakeControl:
+    """Apply a shared log as far as its connection to the others allows."""
+
+    def __init__(self, model):
+        self._model = model
+        self.machine = machine.StateMachine()
+        self.applied = 0
+        self.cut = False
+        line = timeline.Timeline("control", model.timer)
+        self.hub = watch.WatchHub(self, self.machine, line, model.timer)
+
+    def catch_up(self):
+        while self.applied < len(self._model.log):
+            self.applied += 1
+            item = self._model.log[self.applied - 1]
+            self.machine.apply(self.applied, command.REGISTRY.encode(item))
+
+    async def read_index(self):
+        """Confirm by a quorum, or fail as a member that is cut off does."""
+        if self.cut or sum(not c.cut for c in self._model.controls.values()) < QUORUM:
+            raise error.NotLeaderError("cut off")
+        self.catch_up()
+        return self.applied
+
+
+class FakeStream:
+    """Hold messages in order; a cut keeps them until it is healed."""
+
+    def __init__(self, link):
+        self._link = link
+        self.peer = None
+        self.inbox = asyncio.Queue()
+        self.held = []
+        self.broken = False
+
+    def post(self, item):
+        self.peer.held.append(item)
+        self.peer.deliver()
+
+    def deliver(self):
+        if self._link.cut:
+            return
+        while self.held:
+            self.inbox.put_nowait(self.held.pop(0))
+
+    async def receive(self):
+        item = await self.inbox.get()
+        if item is None:
+            raise rpc.LinkError("closed")
+        return item
+
+    async def close(self):
+        for end in (self, self.peer):
+            end.broken = True
+            end.inbox.put_nowait(None)
+
+
+class FakeLink:
+    """Stand for the network between one entry and one control VM."""
+
+    def __init__(self, model, control):
+        self._model = model
+        self._control = control
+        self.cut = False
+        self.streams = []
+
+    async def open(self, first):
+        if self.cut:
+            raise rpc.LinkError("unreachable")
+        near, far = FakeStream(self), FakeStream(self)
+        near.peer, far.peer = far, near
+        self.streams = [s for s in self.streams if not s.broken] + [near, far]
+        self._model.tasks.append(asyncio.create_task(self._serve(first, far)))
+        return near
+
+    async def _serve(self, first, stream):
+        try:
+            await self._control.hub.serve(first, stream)
+        except error.SeamError:
+            await stream.close()
+
+    def heal(self):
+        self.cut = False
+        for stream in self.streams:
+            stream.deliver()
+
+
+class FakeClient:
+    def __init__(self, links):
+        self._links = links
+
+    def reach(self, address):
+        return self._links[address]
+
+
+class MirrorModel(RuleBasedStateMachine):
+    """Publish and withdraw while control VMs and links are cut and healed."""
+
+    def __init__(self):
+        super().__init__()
+        self.loop = asyncio.new_event_loop()
+        self.loop.run_until_complete(self.set_up())
+
+    async def set_up(self):
+        self.timer = timer.FakeTimer()
+        self.log = []
+        self.tasks = []
+        self.withdrawn = {}
+        self.revisions = dict.fromkeys(ENTRIES, 0)
+        self.controls = {name: FakeControl(self) for name in CONTROLS}
+        self.links = {}
+        self.mirrors = {}
+        self.commit(command.Publish("p", 0, self.render(), 0.0))
+        for name in KEYS:
+            issued = command.IssueKey(name, name, "grower", key.digest(name), 0.0)
+            self.commit(issued)
+        for entry in ENTRIES:
+            links = {n: FakeLink(self, c) for n, c in self.controls.items()}
+            line = timeline.Timeline(entry, self.timer)
+            self.links[entry] = links
+            self.mirrors[entry] = mirror.Mirror(
+                entry, "seam-entry", FakeClient(links), CONTROLS, line, self.timer
+            )
+            await self.mirrors[entry].start()
+        await self.timer.advance(1.0)
+
+    def teardown(self):
+        self.loop.run_until_complete(self.tear_down())
+        self.loop.close()
+
+    async def tear_down(self):
+        for item in self.mirrors.values():
+            await item.stop()
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    def render(self):
+        document = {
+            "contracts": {"standard": {"rate": 1 + len(self.log), "burst": 9}},
+            "customers": {"grower": {"contract": "standard"}},
+        }
+        return json.dumps(document).encode()
+
+    def commit(self, item):
+        """Commit a command if a quorum is connected; the others hear later."""
+        live = [c for c in self.controls.values() if not c.cut]
+        if len(live) < QUORUM:
+            return False
+        self.log.append(item)
+        for control in live:
+            control.catch_up()
+        return True
+
+    def run(self, work):
+        self.loop.run_until_complete(work)
+
+    async def do_commit(self, item):
+        if self.commit(item):
+            await self.timer.settle()
+            return True
+        return False
+
+    @rule()
+    def publish(self):
+        live = next(c for c in self.controls.values() if not c.cut)
+        live.catch_up()
+        base = record.read_revision(live.machine.state)
+        item = command.Publish(f"p{len(self.log)}", base, self.render(), 0.0)
+        self.run(self.do_commit(item))
+
+    @rule(name=st.sampled_from(KEYS))
+    def withdraw(self, name):
+        item = command.WithdrawKey(f"w{len(self.log)}", name, 0.0)
+        if self.loop.run_until_complete(self.do_commit(item)):
+            self.withdrawn.setdefault(name, self.timer.read_clock())
+
+    @rule(
+        entry=st.sampled_from(ENTRIES),
+        kept=st.sets(st.sampled_from(CONTROLS), max_size=1),
+    )
+    def cut_links(self, entry, kept):
+        """Leave the entry only some of the control VMs, often none."""
+        for name, link in self.links[entry].items():
+            link.cut = name not in kept
+
+    @rule(entry=st.sampled_from(ENTRIES))
+    def heal_links(self, entry):
+        """Deliver, late, all that was held up."""
+        for link in self.links[entry].values():
+            link.heal()
+        self.run(self.timer.settle())
+
+    @rule(entry=st.sampled_from(ENTRIES), name=st.sampled_from(CONTROLS))
+    def strand(self, entry, name):
+        """Leave the entry alone with a control VM that is cut off."""
+        for control in self.controls.values():
+            control.cut = False
+        self.controls[name].cut = True
+        for other, link in self.links[entry].items():
+            link.cut = other != name
+
+    @rule(seconds=st.sampled_from((0.4, 2.0, WITHDRAWN_SECONDS)))
+    def advance(self, seconds):
+        self.run(self.timer.advance(seconds))
+
+    @rule()
+    def heal_all(self):
+        for control in self.controls.values():
+            control.cut = False
+        for links in self.links.values():
+            for link in links.values():
+                link.heal()
+        self.run(self.timer.advance(WITHDRAWN_SECONDS))
+        published = sum(isinstance(item, command.Publish) for item in self.log)
+        for item in self.mirrors.values():
+            assert item.is_confirmed(), "not confirmed after healing"
+            assert item.revision == published, "an old revision is in force"
+
+    @invariant()
+    def no_withdrawn_key_works(self):
+        now = self.timer.read_clock()
+        for entry, item in self.mirrors.items():
+            for name, at in self.withdrawn.items():
+                late = now - at >= WITHDRAWN_SECONDS
+                works = access.is_valid(item, access.Caller("grower", name))
+                assert not (late and works), f"{entry} still takes {name}"
+
+    @invariant()
+    def no_revision_goes_back(self):
+        for entry, item in self.mirrors.items():
+            assert item.revision >= self.revisions[entry]
+            self.revisions[entry] = item.revision
+
+
+MirrorTest = MirrorModel.TestCase
+MirrorTest.settings = settings(
+    derandomize=True,
+    deadline=None,
+    database=None,
+    max_examples=80,
+    stateful_step_count=25,
+)
--- a/sapphireseam/utils/timer.py
+++ b/sapphireseam/utils/timer.py
@@ -63,6 +63,25 @@
         return await awaitable
 
 
+@asynccontextmanager
+async def limit_by_sleep(timer: TimerService, seconds: float) -> AsyncIterator[None]:
+    """Raise `TimeoutError` in the body once the timer's sleep has ended.
+
+    This is `TimerService.limit` for timers that the event loop knows nothing of.
+    """
+    async with asyncio.timeout(None) as timeout:
+        alarm = asyncio.create_task(_ring(timer, timeout, seconds))
+        try:
+            yield
+        finally:
+            alarm.cancel()
+
+
+async def _ring(timer: TimerService, timeout: asyncio.Timeout, seconds: float) -> None:
+    await timer.sleep(seconds)
+    timeout.reschedule(asyncio.get_running_loop().time())
+
+
 class SystemTimer:
     """Read the machine's monotonic clock and the event loop's timers."""
 
@@ -121,19 +140,9 @@
         heapq.heappush(self._sleepers, entry)
         await future
 
-    @asynccontextmanager
-    async def limit(self, seconds: float) -> AsyncIterator[None]:
-        """Raise `TimeoutError` in the body once fake time has passed."""
-        async with asyncio.timeout(None) as timeout:
-            alarm = asyncio.create_task(self._ring(timeout, seconds))
-            try:
-                yield
-            finally:
-                alarm.cancel()
-
-    async def _ring(self, timeout: asyncio.Timeout, seconds: float) -> None:
-        await self.sleep(seconds)
-        timeout.reschedule(asyncio.get_running_loop().time())
+    def limit(self, seconds: float) -> AbstractAsyncContextManager:
+        """Return a context whose body raises `TimeoutError` after fake time."""
+        return limit_by_sleep(self, seconds)
 
     def subscribe(
         self, period: float, callback: Callable[[], Awaitable[None]]
