Prove the log and the replica under faults; mend a lost entry at restart

Entries written after it then looked, at the next start, as if they disagreed too, and were dropped although synced.

--- /dev/null
+++ b/sapphireseam/state/disk_test.py
@@ -0,0 +1,68 @@
+import asyncio
+import os
+import tempfile
+import unittest
+from unittest import mock
+
+from sapphireseam.core import error
+from sapphireseam.state import disk
+
+
+class FileDiskTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.folder = self.enterContext(tempfile.TemporaryDirectory())
+        self.disk = disk.FileDisk(self.folder)
+        await self.disk.open()
+
+    async def asyncTearDown(self):
+        await self.disk.close()
+
+    async def test_files_survive_a_restart(self):
+        await self.disk.append("log", b"one")
+        await self.disk.sync("log")
+        await self.disk.append("log", b"two")
+        await self.disk.sync("log")
+        await self.disk.replace("vote", b"old")
+        await self.disk.replace("vote", b"new")
+        await self.disk.append("gone", b"")
+        await self.disk.remove("gone")
+        await self.disk.close()
+        self.disk = disk.FileDisk(self.folder)
+        await self.disk.open()
+        self.assertEqual(await self.disk.list(), ["log", "vote"])
+        self.assertEqual(await self.disk.read("log"), b"onetwo")
+        self.assertEqual(await self.disk.read("vote"), b"new")
+
+    async def test_second_process_is_refused(self):
+        second = disk.FileDisk(self.folder)
+        with self.assertRaises(error.StorageError):
+            await second.open()
+        await second.close()
+
+    async def test_nothing_works_after_a_failed_sync(self):
+        await self.disk.append("log", b"one")
+        with mock.patch.object(os, "fdatasync", side_effect=OSError(5, "I/O error")):
+            with self.assertRaisesRegex(error.StorageError, "sync log"):
+                await self.disk.sync("log")
+        for work in (
+            self.disk.sync("log"),
+            self.disk.append("log", b"two"),
+            self.disk.replace("vote", b"new"),
+        ):
+            with self.assertRaises(error.StorageError):
+                await work
+
+    async def test_loop_runs_on_during_a_sync(self):
+        await self.disk.append("log", b"one")
+        loop = asyncio.get_running_loop()
+        entered, going = asyncio.Event(), asyncio.Event()
+
+        def block(handle):
+            loop.call_soon_threadsafe(entered.set)
+            asyncio.run_coroutine_threadsafe(going.wait(), loop).result()
+
+        with mock.patch.object(os, "fdatasync", block):
+            work = asyncio.ensure_future(self.disk.sync("log"))
+            await entered.wait()
+            going.set()
+            await work
--- a/sapphireseam/state/fake.py
+++ b/sapphireseam/state/fake.py
@@ -7,11 +7,16 @@
 
 import asyncio
 import random
-from collections.abc import Sequence
+from collections.abc import Awaitable, Callable, Sequence
 
 from sapphireseam.core import error
 
 
+async def _pause() -> None:
+    """Give other tasks their turn, as a real disk's thread would."""
+    await asyncio.sleep(0)
+
+
 class _File:
     def __init__(self, data: bytes = b""):
         self.data = bytearray(data)
@@ -20,10 +25,18 @@
 
 
 class FakeDisk:
-    """Hold files in memory; `crash` returns what a restart would find."""
+    """Hold files in memory; `crash` returns what a restart would find.
 
-    def __init__(self, files: dict[str, _File] | None = None):
+    `pause` is awaited before each operation takes effect.
+    """
+
+    def __init__(
+        self,
+        pause: Callable[[], Awaitable[None]] = _pause,
+        files: dict[str, _File] | None = None,
+    ):
         self._files = files if files is not None else {}
+        self._pause = pause
         self._failure: error.StorageError | None = None
         self._is_dead = False
         self.is_full = False
@@ -41,7 +54,7 @@
             data = self._cut(file, rng)
             if data or file.durable:
                 survivors[name] = _File(data)
-        return FakeDisk(survivors)
+        return FakeDisk(self._pause, survivors)
 
     @staticmethod
     def _cut(file: _File, rng: random.Random | None) -> bytes:
@@ -56,7 +69,12 @@
     def reopen(self) -> "FakeDisk":
         """Stop this disk and return one with all the page cache still held."""
         self._is_dead = True
-        return FakeDisk(self._files)
+        return FakeDisk(self._pause, self._files)
+
+    @property
+    def has_failed(self) -> bool:
+        """Say whether an operation has failed; all later ones do."""
+        return self._failure is not None
 
     def corrupt(self, name: str, offset: int) -> None:
         """Flip a byte of a file."""
@@ -117,8 +135,7 @@
         del self._files[name]
 
     async def _enter(self) -> None:
-        # Give other tasks their turn, as a real disk's thread would.
-        await asyncio.sleep(0)
+        await self._pause()
         if self._is_dead:
             await asyncio.get_running_loop().create_future()
         if self._failure is not None:
--- a/sapphireseam/state/log.py
+++ b/sapphireseam/state/log.py
@@ -161,9 +161,12 @@
             self.synced = index
             self._floor = index
             self._roll()
-            while self._segments:
-                await self._disk.remove(self._segments[-1].name)
-                del self._segments[-1]
+            await self._remove_all()
+
+    async def _remove_all(self) -> None:
+        while self._segments:
+            await self._disk.remove(self._segments[-1].name)
+            del self._segments[-1]
 
     async def load(self, index: int, term: int) -> None:
         """Read the segments back behind a snapshot at the index, 0 for none."""
@@ -178,6 +181,10 @@
         self.base_index, self.base_term = index, term
         self._entries = _select_behind(entries, index, term)
         self.synced = self.last_index
+        if not self._entries:
+            # Left beside newer entries, these would seem to disagree with the
+            # snapshot at the next start and take the newer ones with them.
+            await self._remove_all()
 
     def _check_number(self, name: str) -> None:
         number = int(name.removeprefix(_PREFIX))
--- /dev/null
+++ b/sapphireseam/state/replica_test.py
@@ -0,0 +1,346 @@
+import asyncio
+import functools
+import logging
+import random
+import unittest
+
+from sapphireseam.core import error
+from sapphireseam.state import cluster, fake, message, node, replica
+from sapphireseam.utils import timer
+
+
+def drive(test):
+    """Run a test on a plain loop; the usual one's debug mode is slow."""
+
+    @functools.wraps(test)
+    def run(self):
+        asyncio.run(test(self))
+
+    return run
+
+
+class ReplicaTest(unittest.TestCase):
+    def setUp(self):
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+
+    def check(self, held):
+        self.assertEqual(held.violations, [])
+        final = held.machines[held.find_leader()].entries
+        for command, index in held.acknowledged.items():
+            self.assertIn((index, command), final)
+
+    async def form(self, names="abc", **options):
+        held = cluster.Cluster(names, **options)
+        await held.start_all()
+        return held
+
+    async def propose(self, held, count=1):
+        leader = await held.wait_leader()
+        start = len(held.acknowledged)
+        work = [
+            held.propose(leader, b"%d" % number)
+            for number in range(start, start + count)
+        ]
+        await held.run(asyncio.gather(*work))
+        return leader
+
+    def pick_followers(self, held):
+        leader = held.find_leader()
+        return [name for name in sorted(held.replicas) if name != leader]
+
+    async def await_error(self, held, work, kind):
+        with self.assertRaises(kind) as caught:
+            await held.run(work, 10.0)
+        return caught.exception
+
+
+class LossTest(ReplicaTest):
+    @drive
+    async def test_second_vm_lost_right_after_a_repair(self):
+        """Only the two that fail, one after the other, had the entries first."""
+        held = await self.form()
+        leader = held.find_leader()
+        lagging, lost = self.pick_followers(held)
+        held.cut(lagging)
+        await self.propose(held, 30)
+        held.cuts.clear()
+        await held.lose_disk(lost)
+        await held.start(lost)
+        limit = held.timer.read_clock() + 60
+        while not held.is_repaired():
+            self.assertLess(held.timer.read_clock(), limit)
+            await held.advance(0.01)
+        await held.lose_disk(leader)
+        await held.wait_leader()
+        await held.advance(2)
+        self.assertEqual(len(held.acknowledged), 30)
+        self.check(held)
+        await self.propose(held, 3)
+        await held.close()
+
+    @drive
+    async def test_empty_folders_form_no_second_cluster(self):
+        """One member never ran, one lost its folder, the third is away."""
+        held = await self.form()
+        leader = held.find_leader()
+        late, lost = self.pick_followers(held)
+        await self.propose(held, 5)
+        for name in (late, lost):
+            await held.lose_disk(name)
+        await held.kill(leader)
+        for name in (late, lost):
+            await held.start(name)
+        await held.advance(30)
+        self.assertEqual(held.find_leader(), "")
+        self.assertEqual(held.leaders, {1: leader})
+        await held.close()
+
+    @drive
+    async def test_forming_survives_a_crash_at_any_moment(self):
+        for moment in range(25):
+            held = cluster.Cluster("abc", seed=moment)
+            for name in "abc":
+                await held.start(name)
+            await held.advance(0.02 * moment)
+            victim = "abc"[moment % 3]
+            await held.kill(victim, power=False)
+            await held.start(victim)
+            await held.wait_leader()
+            await self.propose(held, 2)
+            await held.settle_down()
+            self.check(held)
+            await held.close()
+
+    @drive
+    async def test_learner_counts_only_once_files_are_there(self):
+        """Neither an acknowledgement nor a promotion without the files."""
+        held = await self.form()
+        await self.propose(held, 5)
+        leader = held.find_leader()
+        away, lost = self.pick_followers(held)
+        await held.lose_disk(lost)
+        held.guards[lost].is_failing = True
+        await held.start(lost)
+        await held.advance(20)
+        members = held.replicas[leader].members
+        self.assertEqual([item.name for item in members if not item.voter], [lost])
+        await held.kill(away)
+        work = held.spawn(held.propose(leader, b"late"))
+        await held.advance(0.9)
+        self.assertFalse(work.done())
+        held.guards[lost].is_failing = False
+        await held.start(away)
+        await held.wait_leader()
+        await held.settle_down()
+        self.assertTrue(all(item.voter for item in held.replicas[leader].members))
+        self.check(held)
+        await held.close()
+
+
+class LeaderTest(ReplicaTest):
+    @drive
+    async def test_cut_off_leader_answers_nothing(self):
+        held = await self.form()
+        old = await self.propose(held, 3)
+        held.cut(old)
+        early = held.spawn(held.propose(old, b"in doubt"))
+        reading = held.spawn(held.confirm(old))
+        asked = held.spawn(held.confirm(old, is_local=True))
+        await held.advance(1.2)
+        self.assertFalse(held.replicas[old].is_leader)
+        for work, kind in (
+            (early, error.OutcomeError),
+            (reading, error.NotLeaderError),
+            (asked, error.NotLeaderError),
+            (held.propose(old, b"refused"), error.NotLeaderError),
+            (held.confirm(old), error.NotLeaderError),
+        ):
+            await self.await_error(held, work, kind)
+        await held.wait_leader()
+        await self.propose(held, 3)
+        held.cuts.clear()
+        await held.settle_down()
+        self.check(held)
+        await held.close()
+
+    @drive
+    async def test_frozen_leader_wakes_deposed(self):
+        """It has read its clock before anything that waits for it is read."""
+        held = await self.form()
+        old = await self.propose(held, 3)
+        held.gates[old].freeze()
+        await held.advance(5)
+        await self.propose(held, 3)
+        self.assertFalse(held.replicas[old].is_leader)
+        for ask in (held.confirm(old), held.propose(old, b"refused")):
+            await self.await_error(held, ask, error.NotLeaderError)
+        held.gates[old].thaw()
+        await held.settle_down()
+        self.check(held)
+        await held.close()
+
+    @drive
+    async def test_returning_member_doesnt_depose_the_leader(self):
+        held = await self.form()
+        leader = await self.propose(held)
+        away = self.pick_followers(held)[0]
+        held.cut(away)
+        await held.advance(20)
+        held.cuts.clear()
+        await held.advance(5)
+        self.assertEqual(held.find_leader(), leader)
+        self.assertEqual(held.leaders, {1: leader})
+        await held.close()
+
+    @drive
+    async def test_restarted_voter_keeps_the_lease_it_granted(self):
+        """A voter forgets whom it heard, but not that it may have heard."""
+        held = await self.form()
+        leader = await self.propose(held)
+        member, voter = self.pick_followers(held)
+        # The other member hears nobody, the voter has just heard the leader.
+        held.cuts |= {(leader, member), (member, leader)}
+        await held.advance(3)
+        await held.kill(voter)
+        await held.start(voter)
+        held.cuts |= {(leader, voter), (voter, leader)}
+        for _ in range(40):
+            await held.advance(0.05)
+            held.check_leases()
+        self.check(held)
+        await held.close()
+
+    @drive
+    async def test_transfer_hands_over_without_an_election_timeout(self):
+        held = await self.form()
+        old = await self.propose(held, 3)
+        before = held.timer.read_clock()
+        await held.run(held.replicas[old].transfer())
+        while held.find_leader() in ("", old):
+            await held.advance(0.01)
+            self.assertLess(held.timer.read_clock() - before, 1.0)
+        await self.propose(held, 3)
+        self.check(held)
+        await held.close()
+
+    @drive
+    async def test_members_join_and_leave_the_leader_too(self):
+        held = await self.form()
+        leader = await self.propose(held, 3)
+        member = held.replicas[leader]
+        await held.start("d")
+        await held.run(member.add_member("d", "address"))
+        self.assertFalse(member.members[-1].voter)
+        await held.run(member.promote("d"))
+        with self.assertRaises(error.ControlError):
+            await held.run(member.add_member("d", "address"))
+        await held.run(member.remove_member(leader))
+        await held.kill(leader)
+        await held.wait_leader()
+        await self.propose(held, 3)
+        names = {item.name for item in held.replicas["d"].members}
+        self.assertEqual(names, {"a", "b", "c", "d"} - {leader})
+        await held.settle_down()
+        self.check(held)
+        await held.close()
+
+
+class DiskTest(ReplicaTest):
+    @drive
+    async def test_failed_disk_stops_a_member_for_ever(self):
+        for fault in ("is_full", "fails_sync"):
+            held = await self.form()
+            old = await self.propose(held, 3)
+            setattr(held.disks[old], fault, True)
+            work = held.propose(old, b"in doubt")
+            await self.await_error(held, work, error.OutcomeError)
+            setattr(held.disks[old], fault, False)
+            self.assertIsInstance(held.replicas[old].fatal, error.StorageError)
+            work = held.propose(old, b"refused")
+            await self.await_error(held, work, error.StorageError)
+            with self.assertRaises(error.StorageError):
+                await held.replicas[old].answer(message.IdentifyRequest("x"))
+            await held.wait_leader()
+            await self.propose(held, 3)
+            await held.kill(old, power=False)
+            await held.start(old)
+            await held.settle_down()
+            self.check(held)
+            await held.close()
+
+    @drive
+    async def test_restart_reads_what_snapshots_leave(self):
+        held = await self.form(snapshot_entries=100, trailing_entries=10)
+        for _ in range(100):
+            leader = await self.propose(held, 10)
+        await held.advance(1)
+        before = held.machines[leader].entries
+        self.assertEqual(len(before), 1000)
+        for name in list(held.replicas):
+            await held.kill(name, power=False)
+        for name in "abc":
+            await held.start(name)
+            read = held.replicas[name]._node.log
+            self.assertLess(read.last_index - read.base_index, 2 * 100 + 10)
+        await held.wait_leader()
+        await held.settle_down()
+        self.assertEqual(held.machines[held.find_leader()].entries, before)
+        self.check(held)
+        await held.close()
+
+    @drive
+    async def test_damaged_record_is_found_not_served(self):
+        held = await self.form()
+        for _ in range(10):
+            leader = await self.propose(held, 3)
+        victim = self.pick_followers(held)[0]
+        await held.kill(victim)
+        name = "log-00000001"
+        held.disks[victim].corrupt(name, held.disks[victim].measure(name) // 2)
+        with self.assertRaisesRegex(error.StorageError, rf"{name}.*offset \d+"):
+            await held.start(victim)
+        self.assertEqual(held.find_leader(), leader)
+        await held.close()
+
+
+class StubPeer:
+    """Stand where a peer has synced up to `match`."""
+
+    def __init__(self, member, match):
+        self.member = member
+        self.match = match
+        self.acked_at = 0.0
+        self.acked_round = 0
+
+    def poke(self):
+        """Send nothing."""
+
+
+class CommitTest(unittest.TestCase):
+    @drive
+    async def test_older_terms_entries_wait_for_one_of_this_term(self):
+        """Figure 8 of the paper: a majority of an old term's entry proves nothing."""
+        members = tuple(message.Member(name, folder=name) for name in "abc")
+        held = node.Node(
+            "a",
+            {},
+            fake.FakeDisk(),
+            timer.FakeTimer(),
+            None,
+            None,
+            replica.Options(),
+            random.Random(0),
+        )
+        held.load_members(0, members)
+        held.adopt_term(2)
+        held.log.append(message.Entry(1, 2, message.COMMAND))
+        held.adopt_term(4)
+        held.lead()
+        held.peers = {item.name: StubPeer(item, 1) for item in members[1:]}
+        held.log.synced = 2
+        held.count_commit()
+        self.assertEqual(held.commit, 0)
+        held.peers["b"].match = 2
+        held.count_commit()
+        self.assertEqual(held.commit, 2)
