--- a/sapphireseam/state/cluster_test.py
+++ b/sapphireseam/state/cluster_test.py
@@ -99,6 +99,12 @@
         if name:
             self.do(self.cluster.kill(name, power))
 
+    @rule()
+    def black_out(self):
+        """All lose power at one moment; only what was synced is left."""
+        for name in list(self.cluster.replicas):
+            self.do(self.cluster.kill(name, power=False))
+
     @rule()
     def restart(self):
         for name in sorted(set(self.cluster.gates) - set(self.cluster.replicas)):
--- a/sapphireseam/state/receiver.py
+++ b/sapphireseam/state/receiver.py
@@ -103,6 +103,8 @@
         if not self._is_current(request):
             return False
         node.vote = request.sender
+        # Leave the one just voted for the time to make itself heard.
+        node.quiet_from = node.timer.read_clock()
         return True
 
     def _hears_leader(self) -> bool:
