Tell a restarted follower how far its log agrees; answer nothing unloaded

A follower that restarted while nothing was proposed knew no commit index, so its reads hung until the next proposal: its heartbeat answers now say how far its log is known to agree, and the leader sends an empty append where that is too little. A member that is still reading its folder refuses requests; it would have told an empty folder id to whoever forms the cluster.

--- a/sapphireseam/state/cluster.py
+++ b/sapphireseam/state/cluster.py
@@ -236,24 +236,28 @@
 
     # Life of members.
 
-    async def start(self, name: str) -> None:
-        """Start a member on its disk, a fresh one if it has none."""
+    def make(self, name: str) -> replica.Replica:
+        """Return a member on its disk, a fresh one if it has none."""
         gate = self.gates.setdefault(name, Gate())
         self.guards.setdefault(name, Guard(self))
-        if name not in self.disks:
-            self.disks[name] = fake.FakeDisk(lambda: self._pause(gate))
+        disk = self.disks.setdefault(name, fake.FakeDisk())
+        disk.pause = lambda: self._pause(gate)
         rate = 1 + self.rng.uniform(-CLOCK_RATE_ERROR, CLOCK_RATE_ERROR)
         self.machines[name] = Machine(self, name)
-        member = replica.Replica(
+        return replica.Replica(
             name,
             lambda peer: FakeLink(self, name, peer),
-            self.disks[name],
+            disk,
             MemberTimer(self.timer, gate, rate),
             self.machines[name],
             self.guards[name],
             self.options,
             random.Random(self.rng.getrandbits(32)),
         )
+
+    async def start(self, name: str) -> None:
+        """Start a member."""
+        member = self.make(name)
         await self.run(member.start())
         self.replicas[name] = member
         self.folders[name] = member._node.identity.folder
--- a/sapphireseam/state/cluster_test.py
+++ b/sapphireseam/state/cluster_test.py
@@ -88,6 +88,18 @@
         if both:
             self.cluster.cuts |= {(other, name) for other in others}
 
+    @rule(count=st.integers(1, 15))
+    def depose(self, count):
+        """Let a leader collect entries that only it has, and another follow."""
+        name = self.cluster.find_leader()
+        if not name:
+            return
+        self.cluster.cut(name)
+        for _ in range(3):
+            self.do(self.put_load(count))
+            self.do(self.cluster.advance(0.2))
+        self.do(self.cluster.advance(2.5))
+
     @rule()
     def heal(self):
         self.cluster.cuts.clear()
@@ -104,6 +116,7 @@
         """All lose power at one moment; only what was synced is left."""
         for name in list(self.cluster.replicas):
             self.do(self.cluster.kill(name, power=False))
+        self.restart()
 
     @rule()
     def restart(self):
@@ -239,7 +252,7 @@
 
 FaultsTest = Faults.TestCase
 FaultsTest.settings = settings(
-    max_examples=40,
+    max_examples=60,
     stateful_step_count=40,
     derandomize=True,
     deadline=None,
--- a/sapphireseam/state/fake.py
+++ b/sapphireseam/state/fake.py
@@ -21,6 +21,8 @@
     def __init__(self, data: bytes = b""):
         self.data = bytearray(data)
         self.durable = len(data)
+        # A file that is new and was never synced may be gone as a whole.
+        self.is_listed = True
         self.is_dropped = False
 
 
@@ -36,7 +38,7 @@
         files: dict[str, _File] | None = None,
     ):
         self._files = files if files is not None else {}
-        self._pause = pause
+        self.pause = pause
         self._failure: error.StorageError | None = None
         self._is_dead = False
         self.is_full = False
@@ -52,9 +54,9 @@
         survivors = {}
         for name, file in self._files.items():
             data = self._cut(file, rng)
-            if data or file.durable:
+            if data or file.is_listed:
                 survivors[name] = _File(data)
-        return FakeDisk(self._pause, survivors)
+        return FakeDisk(self.pause, survivors)
 
     @staticmethod
     def _cut(file: _File, rng: random.Random | None) -> bytes:
@@ -69,7 +71,7 @@
     def reopen(self) -> "FakeDisk":
         """Stop this disk and return one with all the page cache still held."""
         self._is_dead = True
-        return FakeDisk(self._pause, self._files)
+        return FakeDisk(self.pause, self._files)
 
     @property
     def has_failed(self) -> bool:
@@ -94,7 +96,10 @@
     async def append(self, name: str, data: bytes) -> None:
         """Write at the end of the file, half of it if the disk is full."""
         await self._enter()
-        file = self._files.setdefault(name, _File())
+        if name not in self._files:
+            self._files[name] = _File()
+            self._files[name].is_listed = False
+        file = self._files[name]
         if self.is_full:
             file.data += data[: len(data) // 2]
             self._fail(f"append {name}: no space left")
@@ -109,6 +114,7 @@
             self._fail(f"sync {name}: input/output error")
         if not file.is_dropped:
             file.durable = len(file.data)
+            file.is_listed = True
         self.syncs += 1
 
     async def read(self, name: str) -> bytes:
@@ -135,7 +141,7 @@
         del self._files[name]
 
     async def _enter(self) -> None:
-        await self._pause()
+        await self.pause()
         if self._is_dead:
             await asyncio.get_running_loop().create_future()
         if self._failure is not None:
--- a/sapphireseam/state/log_test.py
+++ b/sapphireseam/state/log_test.py
@@ -107,7 +107,7 @@
             going = asyncio.Event()
             disk = fake.FakeDisk()
             held = await load(disk)
-            disk._pause = going.wait
+            disk.pause = going.wait
             for index in range(1, 5):
                 held.append(message.Entry(index, 1, 0))
             work = asyncio.ensure_future(held.flush())
--- a/sapphireseam/state/message.py
+++ b/sapphireseam/state/message.py
@@ -101,11 +101,16 @@
 
 
 class HeartbeatReply(NamedTuple):
-    """Accept the sender as leader of `term`, or name a higher term."""
+    """Accept the sender as leader of `term`, or name a higher term.
+
+    Up to `match` the log is known to agree with that leader's; a member that
+    restarted doesn't know until it is sent something.
+    """
 
     folder: str
     term: int
     accepted: bool
+    match: int
 
 
 class AppendRequest(NamedTuple):
--- a/sapphireseam/state/node.py
+++ b/sapphireseam/state/node.py
@@ -127,6 +127,8 @@
         self.round = 0
         self.is_transferring = False
         self.fatal: error.StorageError | None = None
+        # Until its folder is read this member has nothing to say.
+        self.is_loaded = False
         self.is_stopped = False
         self.peers: dict[str, Progress] = {}
         self.log_grew = broadcast.Broadcast()
@@ -205,6 +207,7 @@
         if self.identity.cluster:
             # The process before this one may have promised a leader its lease.
             self.heard_at = self.timer.read_clock()
+        self.is_loaded = True
 
     async def save(self) -> None:
         """Return once the current term and vote are durable."""
@@ -346,11 +349,11 @@
             raise error.NotLeaderError("this member doesn't lead", known)
 
     def check_running(self) -> None:
-        """Raise when this member's disk has failed or it was stopped."""
+        """Raise unless this member is started and its disk works."""
         if self.fatal is not None:
             raise self.fatal
-        if self.is_stopped:
-            raise error.ControlError("the member stops", error.Kind.SHUTTING_DOWN)
+        if self.is_stopped or not self.is_loaded:
+            raise error.ControlError("the member doesn't run", error.Kind.SHUTTING_DOWN)
 
     def fail(self, failure: error.StorageError) -> None:
         """Stop taking part for ever; nothing is acknowledged after this."""
--- a/sapphireseam/state/peer.py
+++ b/sapphireseam/state/peer.py
@@ -27,6 +27,8 @@
         self._next = max(node.log.last_index, 1)
         self._sent_round = 0
         self._sent_commit = 0
+        # The peer restarted and must be told how far its log agrees with ours.
+        self._is_probe_due = False
         self._heartbeat_due = broadcast.Broadcast()
         self._entries_due = broadcast.Broadcast()
         self._inflight: asyncio.Task | None = None
@@ -71,7 +73,12 @@
         sent_at = node.timer.read_clock()
         sent_round = node.round
         reply = await node.call(self.member.name, request, node.options.call_timeout)
-        return reply is not None and self._take(reply, sent_at, sent_round)
+        if reply is None or not self._take(reply, sent_at, sent_round):
+            return False
+        if reply.match < self.match:
+            self._is_probe_due = True
+            self._entries_due.notify()
+        return True
 
     async def _wait_for_heartbeat(self, missed: bool) -> None:
         node = self._node
@@ -112,13 +119,16 @@
             if not self.member.folder:
                 await node.timer.sleep(node.options.heartbeat)
                 continue
-            await self._entries_due.wait_until(
-                lambda: not self.is_live or self._next <= node.log.last_index
-            )
+            await self._entries_due.wait_until(self._has_entries_due)
             if self.is_live and not await self._send_due():
                 await node.timer.sleep(node.options.heartbeat)
 
+    def _has_entries_due(self) -> bool:
+        is_behind = self._next <= self._node.log.last_index
+        return not self.is_live or is_behind or self._is_probe_due
+
     async def _send_due(self) -> bool:
+        self._is_probe_due = False
         if self._next <= self._node.log.base_index:
             return await self._send_snapshot()
         return await self._send_entries()
--- a/sapphireseam/state/receiver.py
+++ b/sapphireseam/state/receiver.py
@@ -137,7 +137,9 @@
         if accepted:
             node.set_commit(min(request.commit, node.matched))
         await node.save()
-        return message.HeartbeatReply(node.identity.folder, node.term, accepted)
+        return message.HeartbeatReply(
+            node.identity.folder, node.term, accepted, node.matched
+        )
 
     async def _answer_append(self, request: message.AppendRequest):
         node = self._node
--- a/sapphireseam/state/replica_test.py
+++ b/sapphireseam/state/replica_test.py
@@ -6,7 +6,7 @@
 import unittest
 
 from sapphireseam.core import error
-from sapphireseam.state import cluster, fake, message, node, replica
+from sapphireseam.state import cluster, fake, link, membership, message, node, replica
 from sapphireseam.utils import timer
 
 
@@ -148,7 +148,7 @@
             leader = await self.propose(held, 3)
             going = asyncio.Event()
             for name in hanging:
-                held.disks[name]._pause = going.wait
+                held.disks[name].pause = going.wait
             work = held.spawn(held.propose(leader, b"new"))
             await held.advance(0.8)
             self.assertEqual(work.done(), len(hanging) == 1, hanging)
@@ -164,17 +164,20 @@
         folder = held.folders["c"]
         members = tuple(message.Member(name, folder=name) for name in "ab")
         members = (*members, message.Member("c", folder=folder))
-        await held.run(
-            held.replicas["c"].answer(message.FormRequest("a", "cluster", members))
-        )
+        form = message.FormRequest("a", "cluster", members)
 
-        async def ask(name):
+        async def ask(name, target=folder):
             request = message.VoteRequest(
-                "cluster", name, folder, 5, 0, 0, pre=False, transfer=False
+                "cluster", name, target, 5, 0, 0, pre=False, transfer=False
             )
             return await held.run(held.replicas["c"].answer(request))
 
+        # Neither a fresh folder votes, nor one for which another was meant.
+        self.assertFalse((await ask("a")).granted)
+        await held.run(held.replicas["c"].answer(form))
+        self.assertFalse((await ask("a", "lost")).granted)
         self.assertTrue((await ask("a")).granted)
+        self.assertFalse((await ask("b")).granted)
         await held.kill("c", power=False)
         await held.start("c")
         await held.advance(1.05)
@@ -269,6 +272,46 @@
         self.check(held)
         await held.close()
 
+    @drive
+    async def test_lease_ends_before_the_heir_stands(self):
+        """The heir's answer is lost, so the old leader goes on for a while."""
+        held = await self.form()
+        old = await self.propose(held, 3)
+        await held.settle_down()
+        for other in self.pick_followers(held):
+            held.cuts.add((other, old))
+        held.spawn(held.replicas[old].transfer())
+        for _ in range(50):
+            await held.advance(0.01)
+            held.check_leases()
+        self.assertNotIn(held.find_leader(), ("", old))
+        self.check(held)
+        await held.close()
+
+    @drive
+    async def test_votes_of_other_folders_elect_nobody(self):
+        asked = []
+
+        class Grant:
+            async def call(self, request):
+                if isinstance(request, message.VoteRequest):
+                    asked.append(request)
+                    return message.VoteReply("other", request.term, True)
+                raise link.LinkError("no answer")
+
+        held = cluster.Cluster("abc")
+        await held.start("a")
+        member = held.replicas["a"]
+        member._node.links = lambda name: Grant()
+        members = [message.Member(name, folder=name) for name in "bc"]
+        members.append(message.Member("a", folder=held.folders["a"]))
+        form = message.FormRequest("b", "cluster", tuple(members))
+        await held.run(member.answer(form))
+        await held.advance(10)
+        self.assertEqual((member.leader, member.is_leader), ("", False))
+        self.assertTrue(asked)
+        await held.close()
+
     @drive
     async def test_members_join_and_leave_the_leader_too(self):
         held = await self.form()
@@ -336,6 +379,77 @@
         self.check(held)
         await held.close()
 
+    @drive
+    async def test_restarted_follower_answers_without_a_new_proposal(self):
+        held = await self.form()
+        await self.propose(held, 3)
+        await held.settle_down()
+        name = self.pick_followers(held)[0]
+        await held.kill(name)
+        await held.start(name)
+        await held.advance(1)
+        await held.run(held.confirm(name, is_local=True))
+        self.check(held)
+        await held.close()
+
+    def stop_after(self, held, name, operations):
+        """Let a member's disk do so many operations more, then none."""
+        left = iter(range(operations))
+
+        async def pause():
+            if next(left, None) is None:
+                await asyncio.get_running_loop().create_future()
+
+        held.disks[name].pause = pause
+
+    @drive
+    async def test_power_lost_at_any_operation_loses_nothing(self):
+        """One member writes entries, snapshots and drops segments."""
+        for operations in range(45):
+            held = await self.form("a", snapshot_entries=4, trailing_entries=0)
+            self.stop_after(held, "a", operations)
+            for number in range(12):
+                held.spawn(held.propose("a", b"%d" % number))
+                await held.advance(0.01)
+            await held.kill("a", power=False)
+            await held.start("a")
+            await held.wait_leader()
+            await held.run(held.confirm("a"))
+            self.check(held)
+            await held.close()
+
+    @drive
+    async def test_power_lost_during_a_snapshot_from_the_leader(self):
+        """What the follower had acknowledged before is still there."""
+        for operations in range(12):
+            held = await self.form(snapshot_entries=5, trailing_entries=0)
+            await self.propose(held, 4)
+            await held.settle_down()
+            victim = self.pick_followers(held)[0]
+            had = held.replicas[victim].applied
+            held.cut(victim)
+            for _ in range(5):
+                await self.propose(held, 4)
+            held.cuts.clear()
+            self.stop_after(held, victim, operations)
+            await held.advance(2)
+            await held.kill(victim, power=False)
+            await held.start(victim)
+            self.assertGreaterEqual(held.replicas[victim]._node.log.last_index, had)
+            await held.settle_down()
+            self.check(held)
+            await held.close()
+
+    @drive
+    async def test_member_that_has_not_read_its_folder_says_nothing(self):
+        held = cluster.Cluster("a")
+        member = held.make("a")
+        held.disks["a"].pause = asyncio.Event().wait
+        held.spawn(member.start())
+        work = member.answer(message.IdentifyRequest("b"))
+        await self.await_error(held, work, error.ControlError)
+        await held.close()
+
     @drive
     async def test_damaged_record_is_found_not_served(self):
         held = await self.form()
@@ -364,10 +478,41 @@
         """Send nothing."""
 
 
-class CommitTest(unittest.TestCase):
+class RuleTest(ReplicaTest):
+    @drive
+    async def test_members_change_once_this_terms_entry_is_committed(self):
+        held = self.lead(4)
+        changes = membership.Membership(held)
+        work = asyncio.ensure_future(changes.add("d", "address"))
+        for _ in range(5):
+            await asyncio.sleep(0)
+        self.assertEqual(held.log.last_index, 2)
+        held.log.synced = held.peers["b"].match = 2
+        held.count_commit()
+        held.changed.notify()
+        for _ in range(5):
+            await asyncio.sleep(0)
+        self.assertEqual(held.members[-1].name, "d")
+        # The next one waits for this one.
+        after = asyncio.ensure_future(changes.remove("b"))
+        await asyncio.sleep(0)
+        self.assertEqual(held.log.last_index, 3)
+        work.cancel()
+        after.cancel()
+
     @drive
     async def test_older_terms_entries_wait_for_one_of_this_term(self):
         """Figure 8 of the paper: a majority of an old term's entry proves nothing."""
+        held = self.lead(4)
+        held.log.synced = 2
+        held.count_commit()
+        self.assertEqual(held.commit, 0)
+        held.peers["b"].match = 2
+        held.count_commit()
+        self.assertEqual(held.commit, 2)
+
+    def lead(self, term):
+        """Return a node that has just begun to lead, with an older entry."""
         members = tuple(message.Member(name, folder=name) for name in "abc")
         held = node.Node(
             "a",
@@ -379,15 +524,11 @@
             replica.Options(),
             random.Random(0),
         )
+        held.is_loaded = True
         held.load_members(0, members)
-        held.adopt_term(2)
-        held.log.append(message.Entry(1, 2, message.COMMAND))
-        held.adopt_term(4)
+        held.adopt_term(term - 2)
+        held.log.append(message.Entry(1, held.term, message.COMMAND))
+        held.adopt_term(term)
         held.lead()
         held.peers = {item.name: StubPeer(item, 1) for item in members[1:]}
-        held.log.synced = 2
-        held.count_commit()
-        self.assertEqual(held.commit, 0)
-        held.peers["b"].match = 2
-        held.count_commit()
-        self.assertEqual(held.commit, 2)
+        return held
--- /dev/null
+++ b/sapphireseam/tools/bench_log.py
@@ -0,0 +1,218 @@
+"""Measure the replicated log on real files: three members in one process.
+
+Proposals per second with group commit against one sync for each record, and the
+time that a restart takes after so many changes, with snapshots and without.
+
+    python -m sapphireseam.tools.bench_log --folder /data/bench
+"""
+
+import asyncio
+import random
+import tempfile
+import time
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Annotated, NamedTuple
+
+import msgspec
+import typer
+
+from sapphireseam.core import error
+from sapphireseam.state import disk, message, replica
+from sapphireseam.utils import loop, timer
+
+NAMES = ("a", "b", "c")
+COMMAND_BYTES = 1000
+# Without snapshots: more entries than any run writes.
+NO_SNAPSHOTS = 1 << 30
+RESTART_SIZES = (1_000, 10_000)
+# A batch holds at least one entry, so this is one sync for each.
+ONE_BY_ONE_BYTES = 1
+DEFAULTS = replica.Options()
+
+
+class Row(NamedTuple):
+    """Hold one measured figure."""
+
+    what: str
+    value: float
+    unit: str
+
+
+class KeyValues:
+    """Keep the newest value of each of a few keys, as configuration does."""
+
+    KEYS = 100
+
+    def __init__(self):
+        self.values: dict[int, bytes] = {}
+
+    def apply(self, index: int, command: bytes) -> object:
+        """Put the command under one of the keys."""
+        self.values[index % self.KEYS] = command
+        return index
+
+    def encode(self) -> bytes:
+        """Return all values."""
+        return msgspec.msgpack.encode(self.values)
+
+    def restore(self, data: bytes) -> None:
+        """Replace all values."""
+        self.values = msgspec.msgpack.decode(data, type=dict[int, bytes])
+
+
+class NoFiles:
+    """Guard nothing: the commands name no files."""
+
+    async def prepare(self, commands: Sequence[bytes], source: str) -> None:
+        """Return at once."""
+
+    async def prepare_snapshot(self, data: bytes, source: str) -> None:
+        """Return at once."""
+
+
+class LocalLink:
+    """Hand requests to another member in this process."""
+
+    def __init__(self, fleet: "Fleet", name: str):
+        self._fleet = fleet
+        self._name = name
+
+    async def call(self, request):
+        """Return the other member's reply."""
+        return await self._fleet.members[self._name].answer(request)
+
+
+class Fleet:
+    """Own three members, each on a folder of its own."""
+
+    def __init__(self, folder: Path, options: replica.Options):
+        self.members: dict[str, replica.Replica] = {}
+        self._folder = folder
+        members = tuple(message.Member(name) for name in NAMES)
+        self._options = options._replace(bootstrap=members)
+
+    async def start(self) -> None:
+        """Start every member."""
+        for name in NAMES:
+            self.members[name] = self.make(name)
+        await asyncio.gather(*(held.start() for held in self.members.values()))
+
+    def make(self, name: str) -> replica.Replica:
+        """Return a member that isn't started yet."""
+        return replica.Replica(
+            name,
+            lambda peer: LocalLink(self, peer),
+            disk.FileDisk(self._folder / name),
+            timer.SystemTimer(),
+            KeyValues(),
+            NoFiles(),
+            self._options,
+            random.Random(name),
+        )
+
+    async def wait_leader(self) -> replica.Replica:
+        """Return the member that leads."""
+        while True:
+            for held in self.members.values():
+                if held.is_leader:
+                    return held
+            await asyncio.sleep(0.01)
+
+    async def stop(self) -> None:
+        """Stop every member."""
+        await asyncio.gather(*(held.stop() for held in self.members.values()))
+
+
+async def propose_many(leader: replica.Replica, count: int, clients: int) -> float:
+    """Propose from so many clients, each one at a time; return seconds."""
+    left = iter(range(count))
+    command = b"#" * COMMAND_BYTES
+
+    async def run_client() -> None:
+        for _ in left:
+            await leader.propose(command)
+
+    began = time.perf_counter()
+    await asyncio.gather(*(run_client() for _ in range(clients)))
+    return time.perf_counter() - began
+
+
+async def measure_rate(folder: Path, count: int, clients: int, size: int) -> Row:
+    """Measure proposals per second with batches of so many bytes."""
+    fleet = Fleet(folder, DEFAULTS._replace(batch_bytes=size))
+    await fleet.start()
+    leader = await fleet.wait_leader()
+    seconds = await propose_many(leader, count, clients)
+    await fleet.stop()
+    kind = "one sync a record" if size == ONE_BY_ONE_BYTES else "group commit"
+    return Row(f"{clients} clients, {kind}", count / seconds, "proposals/s")
+
+
+async def measure_restart(folder: Path, count: int, entries: int) -> list[Row]:
+    """Measure one member of three: its folder read, and level with the leader."""
+    fleet = Fleet(folder, DEFAULTS._replace(snapshot_entries=entries))
+    await fleet.start()
+    leader = await fleet.wait_leader()
+    await propose_many(leader, count, 100)
+    name = next(name for name in NAMES if fleet.members[name] is not leader)
+    await fleet.members[name].wait_applied(await leader.confirm())
+    await fleet.members[name].stop()
+    fleet.members[name] = fleet.make(name)
+    began = time.perf_counter()
+    await fleet.members[name].start()
+    read = time.perf_counter() - began
+    await wait_level(fleet.members[name])
+    level = time.perf_counter() - began
+    await fleet.stop()
+    kind = "without snapshots" if entries == NO_SNAPSHOTS else "snapshots"
+    what = f"restart after {count} changes, {kind}"
+    return [
+        Row(f"{what}: folder read", read * 1000, "ms"),
+        Row(f"{what}: level with the leader", level * 1000, "ms"),
+    ]
+
+
+async def wait_level(member: replica.Replica) -> None:
+    """Return once the member may answer a read."""
+    while True:
+        try:
+            await member.read_index()
+            return
+        except error.SeamError:
+            await asyncio.sleep(0.001)
+
+
+async def measure_all(folder: Path, count: int) -> list[Row]:
+    """Return every figure, in the order of the page."""
+    rows = []
+    for size in (ONE_BY_ONE_BYTES, DEFAULTS.batch_bytes):
+        for clients in (1, 10, 100, 1000):
+            with tempfile.TemporaryDirectory(dir=folder) as place:
+                total = count // 10 if min(clients, size) == 1 else count
+                rows.append(await measure_rate(Path(place), total, clients, size))
+    for changes in RESTART_SIZES:
+        for entries in (DEFAULTS.snapshot_entries, NO_SNAPSHOTS):
+            with tempfile.TemporaryDirectory(dir=folder) as place:
+                rows += await measure_restart(Path(place), changes, entries)
+    return rows
+
+
+def render(rows: list[Row]) -> str:
+    """Return the figures as a Markdown table."""
+    lines = ["| what | figure |", "|---|---|"]
+    lines += [f"| {row.what} | {row.value:,.1f} {row.unit} |" for row in rows]
+    return "\n".join(lines)
+
+
+def main(
+    folder: Annotated[Path, typer.Option(help="Folder on the disk to measure.")],
+    count: Annotated[int, typer.Option(help="Proposals in each run.")] = 10_000,
+) -> None:
+    """Print the table of docs/measure/log.md."""
+    folder.mkdir(parents=True, exist_ok=True)
+    print(render(loop.run(measure_all(folder, count))))
+
+
+if __name__ == "__main__":
+    typer.run(main)
