--- a/sapphireseam/policy/allowance.py
+++ b/sapphireseam/policy/allowance.py
@@ -114,8 +114,11 @@
         self._accounts: dict[str, _Account] = {}
 
     def _read(self, now: float) -> float:
-        self._latest = max(self._latest, now)
-        return self._latest
+        """Forget all allowances if the clock stepped back: their ends are lost."""
+        if now < self._latest:
+            self._accounts.clear()
+        self._latest = now
+        return now
 
     def _account(self, customer: str, now: float) -> _Account:
         account = self._accounts.get(customer)
--- a/sapphireseam/policy/batch.py
+++ b/sapphireseam/policy/batch.py
@@ -2,9 +2,9 @@
 
 Idle capacity lasts seconds, so a chunk is kept to a few seconds of work. The
 customer that has received least for its weight goes first, and within a
-customer the job due first. Items that failed before are given one at a time
-and after fresh ones, so that a job with items that can never be done holds up
-neither other jobs nor the rest of its own.
+customer the job due first. Items that failed before come after the job's fresh
+ones, one in each choice, so that a job with items that can never be done holds
+up neither other jobs nor the rest of its own.
 """
 
 import math
@@ -113,12 +113,12 @@
     failed: dict[str, int],
     received: dict[str, float],
 ) -> Job | None:
-    """Return the next job: least served customer, fresh items, due first."""
+    """Return the next job: least served customer first, then due first."""
     best, best_rank = None, (math.inf,)
     for job in jobs:
         if not fresh[job.name] and not failed[job.name]:
             continue
-        rank = (received[job.customer], not fresh[job.name], job.due, job.name)
+        rank = (received[job.customer], job.due, job.name)
         if best is None or rank < best_rank:
             best, best_rank = job, rank
     return best
--- a/sapphireseam/policy/limit.py
+++ b/sapphireseam/policy/limit.py
@@ -8,8 +8,12 @@
 which the old owner grants no more and what it leased has expired. So for any
 window: admitted <= burst + rate * window, whatever is lost or late.
 
-Time is a monotonic reading in seconds; a reading below an earlier one counts
-as no time passed.
+Time is a monotonic reading in seconds. A clock that steps back is caught and
+brings no tokens, neither by the step nor by its way forward again. A step
+forward can't be told from time; an owner that ticks often can have steps
+longer than a tick bring nothing.
+
+A debit counts at the moment at which the owner makes it.
 """
 
 import math
@@ -155,9 +159,7 @@
             return Grant(0.0, ALLOWANCE_SECONDS)
         self.level -= amount
         self.leased += amount
-        # A reading below an earlier one must not end the lease early.
-        start = max(now, self._updated)
-        self._leases[name] = _Lease(amount, start + ALLOWANCE_SECONDS)
+        self._leases[name] = _Lease(amount, now + ALLOWANCE_SECONDS)
         return Grant(amount, 0.0)
 
     def release(self, name: str, amount: float, now: float) -> None:
@@ -170,29 +172,68 @@
         self.level = self._cap(self.level + unused)
 
 
+class _Clock:
+    """Turn readings into a time that never gains on the true one.
+
+    After a reading below the last one the owner doesn't know how much time
+    has passed until the clock is ahead of that reading again, and counts none.
+    """
+
+    def __init__(self, longest_step: float):
+        self._longest_step = longest_step
+        self._reading = -math.inf
+        self._time = -math.inf
+        self._in_doubt = False
+
+    def read(self, reading: float) -> float:
+        """Return the time at a reading."""
+        if self._reading == -math.inf:
+            self._reading = self._time = reading
+        step = reading - self._reading
+        if step < 0.0:
+            self._in_doubt = True
+            return self._time
+        if not self._in_doubt and step <= self._longest_step:
+            self._time += step
+        self._in_doubt = False
+        self._reading = reading
+        return self._time
+
+
 class OwnerLimiter:
     """Grant for the whole fleet from one place.
 
     `opens_at` is the moment from which this owner may grant: by then the old
     owner grants no more and `ALLOWANCE_SECONDS` have passed since. Buckets
     neither grant nor refill before it. Only the first owner of a fleet that
-    never granted anything may have `start_empty` false.
+    never granted anything may have `start_empty` false. An owner that calls
+    `tick` more often than each `longest_step` seconds may set it: a longer
+    step of the clock then brings no tokens.
 
     When a publish changes a customer's rate or burst, a window gets at most
     the largest burst in force in it or `ALLOWANCE_SECONDS` before it, plus the
     rate in force at each moment of it.
     """
 
-    def __init__(self, start_empty: bool = True, opens_at: float = -math.inf):
+    def __init__(
+        self,
+        start_empty: bool = True,
+        opens_at: float = -math.inf,
+        longest_step: float = math.inf,
+    ):
         self._start_empty = start_empty
         self._opens_at = opens_at
-        self._latest = -math.inf
+        self._clock = _Clock(longest_step)
+        self._time = -math.inf
         self._buckets: dict[str, Bucket] = {}
 
     def _read(self, now: float) -> float:
-        """Return the highest time seen, so that no reading goes back."""
-        self._latest = max(self._latest, now)
-        return self._latest
+        self._time = self._clock.read(now)
+        return self._time
+
+    def tick(self, now: float) -> None:
+        """Read the clock; see `longest_step`."""
+        self._read(now)
 
     def configure(self, customer: str, rate: float, burst: float, now: float) -> None:
         """Set a customer's rate and burst; a new customer's bucket is empty."""
@@ -213,7 +254,7 @@
         """
         bucket = self._buckets.get(customer)
         if bucket is not None:
-            bucket.change(0.0, 0.0, self._latest)
+            bucket.change(0.0, 0.0, self._time)
 
     def debit(self, customer: str, amount: float, now: float) -> Grant:
         """Take the whole amount or nothing; an unknown customer gets nothing."""
--- a/sapphireseam/policy/router.py
+++ b/sapphireseam/policy/router.py
@@ -15,14 +15,18 @@
 from collections.abc import Iterable, Sequence
 from typing import NamedTuple, Protocol
 
-# How far above the mean load a replica may be and still draw its prefixes.
+# How far above the mean load a replica may be and still draw its prefixes,
+# and the load by limit up to which it draws them in any case.
 LOAD_BOUND = 1.25
+FREE_LOAD = 0.5
 
 # A failure domain further away is used once the nearer ones are this full.
 SPILL_LOAD = 0.9
 
-# A replica this many times slower than the median gets no work by choice.
+# A replica this many times slower than the median gets no work by choice, but
+# for a small share of requests that show whether it has become faster.
 SLOW_FACTOR = 2.0
+PROBE_SHARE = 0.02
 
 # Blocks remembered for all replicas together.
 HINT_BLOCKS = 65536
@@ -227,40 +231,48 @@
         loads = {each.name: self.estimate_load(each) for each in usable}
         if query.isolate:
             return min(usable, key=lambda each: (loads[each.name], each.name)).name
-        name = self._find_holder(query, loads)
-        return name or self._choose_of_two(usable, loads)
+        name = self._find_holder(query, usable, loads)
+        return name or self._choose_of_two(query, usable, loads)
 
     def _drop_slow(self, usable: list[Candidate]) -> list[Candidate]:
         """Leave out replicas far slower than the median one."""
         latencies = sorted(each.latency for each in usable)
-        if not latencies:
+        if not latencies or self._rng.random() < PROBE_SHARE:
             return usable
         median = latencies[(len(latencies) - 1) // 2]
         if median <= 0.0:
             return usable
         return [each for each in usable if each.latency <= SLOW_FACTOR * median]
 
-    def _find_holder(self, query: Query, loads: dict[str, float]) -> str | None:
-        """Return the least loaded holder of the prefix within the bound.
-
-        A prefix that nobody is known to hold goes where its first block's
-        hash points, so that entries agree without a message.
-        """
-        if not query.prefix:
-            return None
-        bound = LOAD_BOUND * sum(loads.values()) / len(loads)
-        holders = self._hints.find(query.prefix) & loads.keys()
-        within = [name for name in holders if loads[name] <= bound]
-        if within:
-            return min(within, key=lambda name: (loads[name], name))
-        if holders:
+    def _find_holder(
+        self, query: Query, usable: list[Candidate], loads: dict[str, float]
+    ) -> str | None:
+        """Return a holder of the prefix within the load bound, near ones first."""
+        bound = max(LOAD_BOUND * sum(loads.values()) / len(loads), FREE_LOAD)
+        names = self._hints.find(query.prefix)
+        holders = [
+            each for each in usable if each.name in names and loads[each.name] <= bound
+        ]
+        if not holders:
             return None
-        within = [name for name in loads if loads[name] <= bound]
-        return min(within, key=lambda name: rank(query.prefix[0], name), default=None)
+        return min(
+            holders, key=lambda each: (each.distance, loads[each.name], each.name)
+        ).name
+
+    def _choose_of_two(
+        self, query: Query, usable: list[Candidate], loads: dict[str, float]
+    ) -> str:
+        """Return the less loaded of two replicas with room.
 
-    def _choose_of_two(self, usable: list[Candidate], loads: dict[str, float]) -> str:
+        A prompt's first block names the two by its hash, so that entries
+        agree on where a new prefix goes without a message.
+        """
         near = self._find_near(usable, loads)
-        pair = self._rng.sample(near, min(2, len(near)))
+        if query.prefix:
+            block = query.prefix[0]
+            pair = sorted(near, key=lambda each: rank(block, each.name))[:2]
+        else:
+            pair = self._rng.sample(near, min(2, len(near)))
         return min(pair, key=lambda each: loads[each.name]).name
 
     def _find_near(
--- /dev/null
+++ b/sapphireseam/policy/router_test.py
@@ -0,0 +1,156 @@
+"""Prove that routers keep off replicas they must not use and don't herd."""
+
+import random
+import unittest
+from collections import Counter
+
+from hypothesis import given, settings, strategies as st
+
+from sapphireseam.policy import router
+
+OPTIONS = {"derandomize": True, "deadline": None, "database": None}
+NAMES = ["a", "b", "c", "d"]
+CANDIDATES = st.lists(
+    st.builds(
+        router.Candidate,
+        name=st.sampled_from(NAMES),
+        failure_domain=st.just("east"),
+        distance=st.sampled_from([0.0, 0.001]),
+        running=st.integers(0, 9),
+        queued=st.integers(0, 9),
+        limit=st.integers(1, 9),
+        in_flight_here=st.integers(0, 9),
+        reported_at=st.just(0.0),
+        latency=st.sampled_from([0.0, 0.1, 9.0]),
+        leaving=st.booleans(),
+        suspect=st.booleans(),
+    ),
+    unique_by=lambda each: each.name,
+    max_size=4,
+)
+
+
+def make_query(prefix=(), exclude=(), isolate=False):
+    return router.Query("north", tuple(prefix), frozenset(exclude), isolate)
+
+
+def make_replica(name, **fields):
+    values = {
+        "failure_domain": "east",
+        "distance": 0.0,
+        "running": 0,
+        "queued": 0,
+        "limit": 16,
+        "in_flight_here": 0,
+        "reported_at": 0.0,
+        "latency": 0.1,
+        "leaving": False,
+        "suspect": False,
+    }
+    return router.Candidate(name=name, **{**values, **fields})
+
+
+def send(chooser, replicas, query, flights, now=1.0):
+    """Send one request on the report of time 0 and count it in flight."""
+    seen = [each._replace(in_flight_here=flights[each.name]) for each in replicas]
+    name = chooser.choose(query, seen, now)
+    chooser.record(query, name, now)
+    flights[name] += 1
+    return name
+
+
+class ChoiceTest(unittest.TestCase):
+    @settings(max_examples=300, **OPTIONS)
+    @given(
+        candidates=CANDIDATES,
+        exclude=st.sets(st.sampled_from(NAMES)),
+        held=st.sampled_from(NAMES),
+        isolate=st.booleans(),
+        kind=st.sampled_from(
+            [router.PrefixRouter, router.RoundRobinRouter, router.LeastLoadedRouter]
+        ),
+    )
+    def test_never_a_leaving_or_excluded_one_and_never_none_without_need(
+        self, candidates, exclude, held, isolate, kind
+    ):
+        chooser = kind(random.Random(1))
+        chooser.learn(held, [1, 2], [], 0.0)
+        query = make_query([1, 2], exclude, isolate)
+        name = chooser.choose(query, candidates, 1.0)
+        allowed = {
+            each.name: each
+            for each in candidates
+            if not each.leaving and each.name not in exclude
+        }
+        if name is None:
+            self.assertFalse(allowed)
+            return
+        self.assertIn(name, allowed)
+        trusted = [each for each in allowed.values() if not each.suspect]
+        self.assertFalse(allowed[name].suspect and trusted)
+
+
+class SpreadTest(unittest.TestCase):
+    def spread(self, prefixes, entries=16, requests=20, replicas=8):
+        """Return the busiest replica's share of the mean, on stale reports."""
+        loads = Counter()
+        names = [f"r{each}" for each in range(replicas)]
+        fleet = [
+            make_replica(name, running=each % 2) for each, name in enumerate(names)
+        ]
+        for entry in range(entries):
+            chooser = router.PrefixRouter(random.Random(entry))
+            flights = Counter()
+            for number in range(requests):
+                prefix = prefixes[number % len(prefixes)]
+                loads[send(chooser, fleet, make_query(prefix), flights)] += 1
+        return max(loads.values()) * replicas / (entries * requests)
+
+    def test_no_herd_to_what_a_stale_report_calls_idle(self):
+        self.assertLess(self.spread([()]), 1.5)
+
+    def test_one_hot_prefix_spreads_once_its_holder_is_loaded(self):
+        chooser, flights = router.PrefixRouter(random.Random(1)), Counter()
+        fleet = [make_replica(f"r{each}") for each in range(4)]
+        for _ in range(64):
+            send(chooser, fleet, make_query([7]), flights)
+        self.assertLessEqual(max(flights.values()), 24)
+
+    def test_prefix_goes_to_its_holder_while_that_has_room(self):
+        chooser, flights = router.PrefixRouter(random.Random(1)), Counter()
+        fleet = [make_replica(f"r{each}") for each in range(4)]
+        chooser.learn("r2", [5, 6], [], 0.0)
+        names = {send(chooser, fleet, make_query([5, 6]), flights) for _ in range(8)}
+        self.assertEqual(names, {"r2"})
+
+    def test_entries_agree_on_a_new_prefix(self):
+        fleet = [make_replica(f"r{each}") for each in range(8)]
+        names = {
+            send(
+                router.PrefixRouter(random.Random(seed)),
+                fleet,
+                make_query([9]),
+                Counter(),
+            )
+            for seed in range(8)
+        }
+        self.assertEqual(len(names), 1)
+
+    def test_slow_replica_is_avoided_and_still_probed(self):
+        chooser, counts = router.PrefixRouter(random.Random(1)), Counter()
+        fleet = [
+            make_replica("slow", latency=5.0),
+            make_replica("a"),
+            make_replica("b"),
+        ]
+        for _ in range(2000):
+            counts[chooser.choose(make_query(), fleet, 1.0)] += 1
+        self.assertTrue(0 < counts["slow"] < 100, counts)
+
+    def test_far_domain_serves_once_the_near_one_is_full(self):
+        chooser = router.PrefixRouter(random.Random(1))
+        far = make_replica("far", distance=0.002)
+        near = make_replica("near", distance=0.001)
+        full = near._replace(running=16)
+        self.assertEqual(chooser.choose(make_query(), [far, near], 1.0), "near")
+        self.assertEqual(chooser.choose(make_query(), [far, full], 1.0), "far")
