--- a/sapphireseam/policy/limit_test.py
+++ b/sapphireseam/policy/limit_test.py
@@ -13,7 +13,7 @@
 
 # Each step is a kind, and two numbers that the kind reads as it likes.
 COMMON = ["request"] * 6 + ["deliver"] * 9 + ["advance"] * 5 + ["drain"] * 3
-RARE = ["collect", "drop", "repeat", "lose_entry", "step_back", "change_owner"]
+RARE = ["collect"] * 3 + ["drop", "repeat", "lose_entry", "step_back", "change_owner"]
 KINDS = COMMON + RARE + ["configure", "remove"]
 STEPS = st.lists(
     st.tuples(st.sampled_from(KINDS), st.integers(0, 99), st.integers(0, 99)),
@@ -206,6 +206,18 @@
         owner.configure(CUSTOMER, 10.0, 50.0, 0.0)
         self.assertEqual(owner.debit(CUSTOMER, 51.0, 0.0).retry_after, math.inf)
 
+    def test_release_late_repeated_or_at_another_owner_brings_nothing(self):
+        owner = limit.OwnerLimiter(start_empty=False)
+        owner.configure(CUSTOMER, 1e-9, 100.0, 0.0)
+        for serial, now in enumerate((0.0, 0.5)):
+            owner.lease(CUSTOMER, f"entry.1/{serial}", 10.0, now)
+        owner.release(CUSTOMER, "entry.1/0", 10.0, limit.ALLOWANCE_SECONDS + 0.1)
+        owner.release(CUSTOMER, "entry.2/0", 10.0, limit.ALLOWANCE_SECONDS + 0.1)
+        for _ in range(2):
+            owner.release(CUSTOMER, "entry.1/1", 10.0, limit.ALLOWANCE_SECONDS + 0.1)
+        self.assertEqual(owner.debit(CUSTOMER, 91.0, 2.0).granted, 0.0)
+        self.assertEqual(owner.debit(CUSTOMER, 90.0, 2.0).granted, 90.0)
+
     def test_customer_at_its_rate_is_not_refused_by_a_returned_lease(self):
         owner = limit.OwnerLimiter(start_empty=False)
         owner.configure(CUSTOMER, 1.0, 100.0, 0.0)
