Test the stand-ins and the load tool; judge losses and empty runs

Lost or failed online answers are faults unless the run says that processes are killed, and a run without one right answer is a fault. Before, a run against a closed port reported no fault.

--- a/sapphireseam/scripts/load.py
+++ b/sapphireseam/scripts/load.py
@@ -1,7 +1,7 @@
 """Drive load through the system and measure it, or compare it with a direct call.
 
-Exits 0 if no answer was cut, doubled, crossed or wrong and no job broke a
-promise, 1 if one was, 2 for settings that can't be used.
+Exits 0 if every answer was right or refused and every job kept its promise, 1 if
+not, 2 for settings that can't be used.
 """
 
 import json
@@ -87,6 +87,9 @@
     seed: Annotated[
         int | None, typer.Option(help="Instead of the profile's seed.")
     ] = None,
+    allow_losses: Annotated[
+        bool, typer.Option(help="Processes are killed: errors are no fault.")
+    ] = False,
     output: Annotated[
         Path | None, typer.Option(help="Where to write the JSON report.")
     ] = None,
@@ -98,7 +101,6 @@
     ] = False,
 ) -> None:
     """Drive a profile at --entry, or compare --direct with --through."""
-    log.configure("seam-load", "load", "WARNING")
     try:
         if bool(entry) == bool(direct and through):
             raise error.SettingsError("give --entry, or --direct and --through")
@@ -107,6 +109,8 @@
             checked = checked._replace(seconds=seconds)
         if seed is not None:
             checked = checked._replace(seed=seed)
+        if allow_losses:
+            checked = checked._replace(allow_losses=True)
         target = load.Target(
             entry or through,
             read_keys(keys, checked),
@@ -117,6 +121,7 @@
     except error.SettingsError as failure:
         typer.echo(failure.message, err=True)
         sys.exit(BAD_SETTINGS_EXIT)
+    log.configure("seam-load", "load", "WARNING")
     service = timer.SystemTimer()
     if entry:
         report = loop.run(load.run_load(checked, target, service))
--- a/sapphireseam/tools/check.py
+++ b/sapphireseam/tools/check.py
@@ -37,6 +37,8 @@
 
 # Verdicts that no run may show, whatever fails meanwhile.
 FAULTS = (Verdict.CUT, Verdict.DOUBLED, Verdict.CROSSED, Verdict.WRONG)
+# Verdicts that a run may show only if processes or machines are lost in it.
+LOSSES = (Verdict.LOST, Verdict.FAILED)
 # Statuses of a refusal; other error statuses tell of a failure.
 REFUSAL_STATUSES = frozenset({401, 403, 404, 409, 413, 422, 429, 503})
 
@@ -86,11 +88,11 @@
         return Verdict.CROSSED
     same = count_common(expected, content)
     rest = content[same:]
-    if same and len(rest) > len(expected) - same:
-        # Begins right and then says more than was left: something came twice.
-        repeats = expected.endswith(rest) or rest in expected or not expected[same:]
-        return Verdict.DOUBLED if repeats else Verdict.WRONG
-    if same and expected.endswith(rest):
+    left = len(expected) - same
+    if len(rest) > left and rest in expected:
+        # It said more than was left and has said it before.
+        return Verdict.DOUBLED
+    if len(rest) < left and expected.endswith(rest):
         return Verdict.CUT
     return Verdict.WRONG
 
@@ -125,6 +127,18 @@
     return verdict
 
 
+def count_faults(outcomes: list[Outcome], allow_losses: bool) -> int:
+    """Return how many outcomes no such run may show.
+
+    A run in which nothing was right is at fault, too: it shows nothing.
+    """
+    verdicts = [outcome.verdict for outcome in outcomes]
+    bad = FAULTS if allow_losses else FAULTS + LOSSES
+    faults = sum(1 for verdict in verdicts if verdict in bad)
+    nothing_right = bool(verdicts) and Verdict.RIGHT not in verdicts
+    return faults or int(nothing_right)
+
+
 class RunFinding(NamedTuple):
     """Point at a request whose runs upstream don't fit what it was told."""
 
--- a/sapphireseam/tools/job.py
+++ b/sapphireseam/tools/job.py
@@ -50,7 +50,8 @@
     def faults(self) -> int:
         """Return how many things went as they never may."""
         lists = (self.lost, self.doubled, self.wrong, self.unreadable, self.findings)
-        return sum(len(items) for items in lists)
+        unfinished = self.accepted and self.state != "completed"
+        return sum(len(items) for items in lists) + int(unfinished)
 
 
 class CallError(Exception):
--- a/sapphireseam/tools/listener.py
+++ b/sapphireseam/tools/listener.py
@@ -67,6 +67,10 @@
         await self._site.start()
         self.port = self._runner.addresses[0][1]
 
+    def count_connections(self) -> int:
+        """Return how many connections are open."""
+        return len(self._runner.server.connections)
+
     def crash(self) -> None:
         """Drop all connections now and refuse new ones for a while."""
         if self.down:
--- a/sapphireseam/tools/load.py
+++ b/sapphireseam/tools/load.py
@@ -130,7 +130,11 @@
     )
     report["runs"] = summarize_runs(outcomes, results, planned_jobs, runs)
     report["jobs"] = [result._asdict() for result in results]
-    report["faults"] = count_faults(report, results)
+    report["faults"] = (
+        check.count_faults(outcomes, profile.allow_losses)
+        + len(report["runs"].get("findings", []))
+        + sum(result.faults for result in results)
+    )
     return report
 
 
@@ -211,13 +215,6 @@
     return total
 
 
-def count_faults(report: dict, results: list[job.JobResult]) -> int:
-    """Return how many things the run showed that no run may show."""
-    faults = sum(report["verdicts"].get(str(verdict), 0) for verdict in check.FAULTS)
-    faults += len(report["runs"].get("findings", []))
-    return faults + sum(result.faults for result in results)
-
-
 class Side:
     """Collect one side of a comparison over all its rounds."""
 
@@ -348,8 +345,8 @@
         "added": added,
         "findings": [f"{item.request}: {item.message}" for item in findings],
     }
-    verdicts = [item.verdict for item in direct.outcomes + through.outcomes]
     report["faults"] = len(findings) + sum(
-        1 for verdict in verdicts if verdict in check.FAULTS
+        check.count_faults(side.outcomes, profile.allow_losses)
+        for side in (direct, through)
     )
     return report
--- /dev/null
+++ b/sapphireseam/tools/measure_test.py
@@ -0,0 +1,92 @@
+"""Test what is reckoned from outside: limits, shares and encoded histograms."""
+
+import unittest
+
+from hdrh.histogram import HdrHistogram
+from hypothesis import given, settings, strategies as st
+
+from sapphireseam.tools import check, check_test, client, measure, plan
+
+settings.register_profile("repo", derandomize=True, deadline=None, database=None)
+settings.load_profile("repo")
+
+RATE = 10.0
+BURST = 5.0
+CUSTOMER = plan.Customer("c", RATE, BURST, 1.0, {})
+
+# Gaps between requests and, for each, how late the system decides, in seconds.
+ARRIVALS = st.lists(
+    st.tuples(st.floats(0, 0.3), st.floats(0, measure.LIMIT_SLACK)), max_size=80
+)
+
+
+def limit(arrivals, rate, burst):
+    """Return outcomes as a fleet with that limit would give them."""
+    request = check_test.make_request("oak")
+    sent = 0.0
+    decisions = []
+    for gap, delay in arrivals:
+        sent += gap
+        decisions.append((sent + delay, sent))
+    bucket = measure.Bucket(rate, burst)
+    outcomes = []
+    for decided, sent in sorted(decisions):
+        reply = client.Reply(sent, sent, sent)
+        if bucket.compute_level(decided) >= 1:
+            bucket.debit(decided)
+            outcomes.append(
+                check.Outcome(request, reply._replace(status=200), check.Verdict.RIGHT)
+            )
+        else:
+            refusal = reply._replace(status=429, code="rate_limited")
+            outcomes.append(check.Outcome(request, refusal, check.Verdict.REFUSED))
+    return outcomes
+
+
+class LimitTest(unittest.TestCase):
+    @given(ARRIVALS)
+    def test_exact_limit_is_never_blamed(self, arrivals):
+        found = measure.check_limit(CUSTOMER, limit(arrivals, RATE, BURST))
+        self.assertEqual((found.false_refusals, found.over_admission), (0, 0.0))
+
+    def test_twice_the_rate_is_over(self):
+        arrivals = [(0.02, 0.0)] * 200
+        found = measure.check_limit(CUSTOMER, limit(arrivals, 2 * RATE, BURST))
+        self.assertGreater(found.over_admission, 10)
+
+    def test_twice_the_burst_is_over(self):
+        found = measure.check_limit(CUSTOMER, limit([(0.0, 0.0)] * 20, RATE, 2 * BURST))
+        self.assertGreaterEqual(found.over_admission, BURST - 1)
+
+    def test_half_the_rate_refuses_falsely(self):
+        arrivals = [(0.11, 0.0)] * 200
+        found = measure.check_limit(CUSTOMER, limit(arrivals, RATE / 2, BURST))
+        self.assertGreater(found.false_refusals, 50)
+
+
+class ShareTest(unittest.TestCase):
+    @given(
+        st.dictionaries(st.text(max_size=3), st.floats(0, 100), min_size=1),
+        st.floats(0, 500),
+    )
+    def test_fair_shares(self, demands, capacity):
+        shares = measure.compute_fair_shares(demands, capacity)
+        given_out = sum(shares.values())
+        self.assertAlmostEqual(given_out, min(capacity, sum(demands.values())), 6)
+        most = max(shares.values())
+        for name, share in shares.items():
+            # Whoever gets less than another gets all that it asked for.
+            self.assertTrue(share >= most - 1e-6 or share >= demands[name] - 1e-6)
+
+
+class LatencyTest(unittest.TestCase):
+    def test_encoded_histogram_gives_the_same_percentiles(self):
+        latency = measure.Latency()
+        for place in range(1, 1001):
+            latency.add(place / 1000)
+        document = latency.render()
+        decoded = HdrHistogram.decode(document["hdr"])
+        self.assertEqual(decoded.get_total_count(), 1000)
+        value = decoded.get_value_at_percentile(99) / measure.MICROSECONDS
+        self.assertAlmostEqual(value * 1000, document["p99"], 3)
+        self.assertAlmostEqual(document["p50"], 500, delta=1)
--- a/sapphireseam/tools/plan.py
+++ b/sapphireseam/tools/plan.py
@@ -78,7 +78,11 @@
 
 
 class Profile(NamedTuple):
-    """Describe a whole run, which lasts `seconds` and then waits for the jobs."""
+    """Describe a whole run, which lasts `seconds` and then waits for the jobs.
+
+    `allow_losses` is for runs in which processes or machines are lost: online
+    requests may then get an error or, with their entry, no answer at all.
+    """
 
     name: str
     seed: int
@@ -90,6 +94,7 @@
     fail_marker: str = "ALWAYS-FAILS"
     request_timeout: Rate = 30.0
     job_timeout: Rate = 120.0
+    allow_losses: bool = False
 
 
 class Request(NamedTuple):
--- a/sapphireseam/tools/table.py
+++ b/sapphireseam/tools/table.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Iterable
 
+# Answers that were not right and are listed one by one.
+TROUBLED_SHOWN = 20
 _COLUMNS = ("count", "p50", "p90", "p99", "max")
 
 
@@ -98,12 +100,12 @@
     if report["runs"]:
         repeated = report["runs"]["completed_more_than_once"]
         parts.append(f"requests completed upstream more than once: {repeated}")
-        parts += report["runs"]["findings"]
-    parts += report["troubled"][:20]
+        parts.append("\n".join(report["runs"]["findings"]))
+    parts.append("\n".join(report["troubled"][:TROUBLED_SHOWN]))
     parts.append(f"sent late by at most {report['lag']['max']} ms")
     parts.append(f"worst-served: {report['worst_of_fair_share']} of its fair share")
     parts.append(f"faults: {report['faults']}")
-    return "\n\n".join(parts)
+    return "\n\n".join(part for part in parts if part)
 
 
 def render_comparison(report: dict) -> str:
@@ -132,7 +134,7 @@
         render_table(cpu_heads, cpu),
         render_table(["through / direct", "ratio"], report["ratios"].items()),
         render_table(["through - direct", "added"], report["added"].items()),
-        *report["findings"],
+        "\n".join(report["findings"]),
         f"faults: {report['faults']}",
     ]
-    return "\n\n".join(parts)
+    return "\n\n".join(part for part in parts if part)
