Measure a whole deployment under its load profile

bench_deployment lays out Shannonside or the Bureau with the profile's limits and drives it at both entries.

--- a/sapphireseam/scripts/load.py
+++ b/sapphireseam/scripts/load.py
@@ -87,6 +87,9 @@
     seed: Annotated[
         int | None, typer.Option(help="Instead of the profile's seed.")
     ] = None,
+    no_jobs: Annotated[
+        bool, typer.Option(help="Drive the online requests only.")
+    ] = False,
     allow_losses: Annotated[
         bool, typer.Option(help="Processes are killed: errors are no fault.")
     ] = False,
@@ -109,6 +112,8 @@
             checked = checked._replace(seconds=seconds)
         if seed is not None:
             checked = checked._replace(seed=seed)
+        if no_jobs:
+            checked = checked._replace(jobs=[])
         if allow_losses:
             checked = checked._replace(allow_losses=True)
         target = load.Target(
--- /dev/null
+++ b/sapphireseam/tools/bench_deployment.py
@@ -0,0 +1,181 @@
+"""Measure a whole deployment under its load, with a policy or its baselines.
+
+A fleet in the size of Shannonside or the Bureau runs as real processes on
+loopback, with the customers and limits of a load profile; `seam-load` then
+drives the profile at both entries. Policies are chosen by name, so a policy and
+its baseline get the same requests from the same seed.
+"""
+
+import asyncio
+import json
+import sys
+import tempfile
+from pathlib import Path
+from typing import Annotated, Any
+
+import aiohttp
+import typer
+
+from sapphireseam.core import error
+from sapphireseam.scripts import load as load_script
+from sapphireseam.tools import fleet, layout, plan, session
+from sapphireseam.utils import loop
+from sapphireseam.utils.timer import SystemTimer
+
+SHAPES = {"shannonside": layout.SHANNONSIDE, "bureau": layout.BUREAU}
+BAD_SETTINGS_EXIT = 2
+
+app = typer.Typer(add_completion=False)
+
+
+def describe_configuration(
+    configuration: dict[str, Any], profile: plan.Profile, policy: dict[str, str]
+) -> dict[str, Any]:
+    """Return the configuration with the profile's contracts and routes.
+
+    Each kind of post gets a route of its own that isn't idempotent.
+    """
+    contracts = {
+        item.name: {"rate": item.rate, "burst": item.burst}
+        for item in profile.customers
+    }
+    customers = {item.name: {"contract": item.name} for item in profile.customers}
+    routes = dict(configuration["routes"])
+    for name, kind in profile.kinds.items():
+        if kind.protocol == "post":
+            routes[name] = {
+                "path": kind.target,
+                "service": kind.target.split("/")[1],
+                "methods": ["POST"],
+                "idempotent": False,
+            }
+    return {
+        **configuration,
+        "contracts": contracts,
+        "customers": customers,
+        "routes": routes,
+        "policy": policy,
+    }
+
+
+def parse_policy(options: list[str]) -> dict[str, str]:
+    """Return the behaviours from `behaviour=name` options."""
+    policy = {}
+    for option in options:
+        behaviour, separator, name = option.partition("=")
+        if not separator:
+            raise error.SettingsError(f"policy {option!r}: expected behaviour=name")
+        policy[behaviour] = name
+    return policy
+
+
+async def fill_buckets(entry: str, keys: dict[str, str], profile: plan.Profile) -> None:
+    """Call once for each customer, then wait until every bucket is full.
+
+    The owner of the limits makes a customer's bucket, empty, when the first
+    request asks for it, which is not the steady state that a run is to show.
+    """
+    models = [kind.target for kind in profile.kinds.values() if kind.is_model]
+    body = {"model": models[0], "prompt": "fill", "max_tokens": 1}
+    async with aiohttp.ClientSession() as http:
+        for key in keys.values():
+            headers = {"Authorization": f"Bearer {key}"}
+            url = f"http://{entry}/v1/completions"
+            async with http.post(url, json=body, headers=headers):
+                pass
+    slowest = max(item.burst / item.rate for item in profile.customers)
+    await SystemTimer().sleep(slowest + 1.0)
+
+
+def add_hooks(laid_out: layout.Layout, profile: plan.Profile) -> None:
+    """Make the stand-ins fail what the profile says can never be done."""
+    for item in laid_out.processes:
+        if item.program == "seam-upstream":
+            settings = json.loads(item.settings.read_text())
+            settings["hooks"] = {"fail_marker": profile.fail_marker}
+            item.settings.write_text(json.dumps(settings, indent=2) + "\n")
+
+
+async def measure(
+    folder: Path, path: Path, options: list[str], policy: dict[str, str]
+) -> int:
+    """Run the fleet and the load; return `seam-load`'s exit code."""
+    profile = load_script.read_profile(path)
+    laid_out = layout.lay_out(folder, SHAPES[profile.name])
+    configuration = describe_configuration(laid_out.configuration, profile, policy)
+    laid_out = laid_out._replace(configuration=configuration)
+    add_hooks(laid_out, profile)
+    processes = fleet.Processes(folder)
+    async with aiohttp.ClientSession() as http:
+        try:
+            client = await fleet.start_fleet(processes, laid_out, http)
+            keys = {}
+            for item in profile.customers:
+                now = SystemTimer().read_wall_clock()
+                secret = await session.issue_key(client, item.name, now)
+                keys[item.name] = secret.text
+            await client.stop()
+            file = folder / "keys.json"
+            file.write_text(json.dumps(keys))
+            await fill_buckets(laid_out.entries[0], keys, profile)
+            return await run_load(laid_out, processes, path, file, options)
+        finally:
+            await processes.stop()
+
+
+async def run_load(
+    laid_out: layout.Layout,
+    processes: fleet.Processes,
+    path: Path,
+    keys: Path,
+    options: list[str],
+) -> int:
+    """Run `seam-load` against both entries and return its exit code."""
+    arguments = ["--profile", str(path), "--keys", str(keys), *options]
+    for address in laid_out.entries:
+        arguments += ["--entry", f"http://{address}"]
+    for upstream in laid_out.configuration["upstreams"].values():
+        arguments += ["--upstream", f"http://{upstream['address']}"]
+    for item in laid_out.processes:
+        side = "upstream" if item.program == "seam-upstream" else "system"
+        pid = processes.read_pid(item.node)
+        arguments += [f"--{side}-pid", f"{item.node}={pid}"]
+    binary = Path(sys.executable).parent / "seam-load"
+    process = await asyncio.create_subprocess_exec(binary, *arguments)
+    return await process.wait()
+
+
+@app.command()
+def bench(
+    profile: Annotated[Path, typer.Option(help="The run, for seam-load.")],
+    policy: Annotated[
+        list[str], typer.Option(help="behaviour=name; repeat for more.")
+    ] = [],  # noqa: B006
+    seconds: Annotated[float | None, typer.Option(help="Online seconds.")] = None,
+    seed: Annotated[int | None, typer.Option(help="Instead of the profile's.")] = None,
+    no_jobs: Annotated[bool, typer.Option(help="Online requests only.")] = False,
+    output: Annotated[Path | None, typer.Option(help="The JSON report.")] = None,
+    folder: Annotated[Path | None, typer.Option(help="Where files go.")] = None,
+) -> None:
+    """Drive a deployment's load through a fleet of its size.
+
+    Example: python -m sapphireseam.tools.bench_deployment --profile
+    examples/load/shannonside.json --policy queue=first_come
+    """
+    target = folder or Path(tempfile.mkdtemp(prefix="seam-bench-"))
+    options = []
+    for name, value in (("seconds", seconds), ("seed", seed), ("output", output)):
+        if value is not None:
+            options += [f"--{name}", str(value)]
+    if no_jobs:
+        options.append("--no-jobs")
+    try:
+        choices = parse_policy(policy)
+        sys.exit(loop.run(measure(target, profile, options, choices)))
+    except error.SettingsError as failure:
+        typer.echo(failure.message, err=True)
+        sys.exit(BAD_SETTINGS_EXIT)
+
+
+if __name__ == "__main__":
+    app()
--- a/sapphireseam/tools/measure.py
+++ b/sapphireseam/tools/measure.py
@@ -202,6 +202,17 @@
     return max(1, outcome.request.expected.count(" "))
 
 
+def count_demand(customer: plan.Customer, outcomes: list[check.Outcome]) -> int:
+    """Return the tokens of those requests that an exact limit would admit."""
+    bucket = Bucket(customer.rate, customer.burst)
+    tokens = 0
+    for outcome in sorted(outcomes, key=lambda item: item.reply.sent):
+        if bucket.compute_level(outcome.reply.sent) >= 1:
+            bucket.debit(outcome.reply.sent)
+            tokens += count_tokens(outcome)
+    return tokens
+
+
 def summarize_customer(
     customer: plan.Customer, outcomes: list[check.Outcome], seconds: float
 ) -> dict:
@@ -214,17 +225,15 @@
     )
     asked = sum(count_tokens(outcome) for outcome in outcomes)
     right = [item for item in outcomes if item.verdict is check.Verdict.RIGHT]
-    allowed = customer.burst + customer.rate * seconds
-    within = min(1.0, allowed / max(len(outcomes), 1))
     firsts = sorted(item.reply.first - item.reply.sent for item in right)
     return {
         "sent": len(outcomes),
-        "allowed": round(allowed, 1),
+        "allowed": round(customer.burst + customer.rate * seconds, 1),
         "verdicts": dict(counts),
         "refusals": dict(refusals),
         "limit": check_limit(customer, outcomes)._asdict(),
         "tokens_asked": asked,
-        "tokens_demanded": round(asked * within, 1),
+        "tokens_demanded": count_demand(customer, outcomes),
         "tokens_served": sum(count_tokens(item) for item in right),
         "first_p50_ms": round(statistics.median(firsts) * 1000, 3) if firsts else None,
     }
--- a/sapphireseam/tools/plan.py
+++ b/sapphireseam/tools/plan.py
@@ -38,6 +38,11 @@
     prefix_skew: Annotated[float, Field(ge=0)] = 1.0
     claims: bool = False
 
+    @property
+    def is_model(self) -> bool:
+        """Tell whether a model answers, and not a plain service."""
+        return self.protocol in ("chat", "completion")
+
 
 class Customer(NamedTuple):
     """Describe one customer: its limit and what it sends.
@@ -150,7 +155,7 @@
     for number, job in enumerate(profile.jobs):
         if job.kind not in profile.kinds:
             faults.append(f"jobs.{number}.kind: unknown kind {job.kind!r}")
-        elif profile.kinds[job.kind].protocol not in ("chat", "completion"):
+        elif not profile.kinds[job.kind].is_model:
             faults.append(f"jobs.{number}.kind: {job.kind!r} can't be batched")
         if job.customer not in customers:
             faults.append(f"jobs.{number}.customer: unknown {job.customer!r}")
