--- a/sapphireseam/scripts/load.py
+++ b/sapphireseam/scripts/load.py
@@ -6,7 +6,6 @@
 
 import json
 import sys
-from importlib import metadata
 from pathlib import Path
 from typing import Annotated
 
@@ -14,11 +13,9 @@
 
 from sapphireseam.core import error
 from sapphireseam.tools import load, plan, table
-from sapphireseam.utils import log, loop, setting, timer
+from sapphireseam.utils import log, loop, program, setting, timer
 
 FAULTY_EXIT = 1
-BAD_SETTINGS_EXIT = 2
-
 app = typer.Typer(add_completion=False)
 
 
@@ -50,12 +47,6 @@
     return pids
 
 
-def _show_version(wanted: bool) -> None:
-    if wanted:
-        typer.echo(metadata.version("sapphireseam"))
-        raise typer.Exit
-
-
 @app.command()
 def run(
     profile: Annotated[Path, typer.Option(help="The JSON file of the run.")],
@@ -96,12 +87,7 @@
     output: Annotated[
         Path | None, typer.Option(help="Where to write the JSON report.")
     ] = None,
-    version: Annotated[
-        bool,
-        typer.Option(
-            "--version", callback=_show_version, is_eager=True, help="Show and exit."
-        ),
-    ] = False,
+    version: program.VersionOption = False,
 ) -> None:
     """Drive a profile at --entry, or compare --direct with --through."""
     try:
@@ -125,7 +111,7 @@
         )
     except error.SettingsError as failure:
         typer.echo(failure.message, err=True)
-        sys.exit(BAD_SETTINGS_EXIT)
+        sys.exit(program.BAD_SETTINGS_EXIT)
     log.configure("seam-load", "load", "WARNING")
     service = timer.SystemTimer()
     if entry:
--- a/sapphireseam/scripts/upstream.py
+++ b/sapphireseam/scripts/upstream.py
@@ -5,7 +5,6 @@
 """
 
 import sys
-from importlib import metadata
 from pathlib import Path
 from typing import Annotated, Literal, NamedTuple
 
@@ -14,10 +13,7 @@
 
 from sapphireseam.core import error
 from sapphireseam.tools import engine, service, standin
-from sapphireseam.utils import application, log, loop, setting, timer
-
-# The exit code for settings that the program can't start with.
-BAD_SETTINGS_EXIT = 2
+from sapphireseam.utils import application, log, loop, program, setting, timer
 
 app = typer.Typer(add_completion=False)
 
@@ -69,33 +65,22 @@
 
 async def run_program(settings: Settings) -> None:
     """Serve until told to stop."""
-    program = application.Application("seam-upstream")
-    program.add(build_part(settings, timer.SystemTimer()))
-    await program.run()
-
-
-def _show_version(wanted: bool) -> None:
-    if wanted:
-        typer.echo(metadata.version("sapphireseam"))
-        raise typer.Exit
+    standin_program = application.Application("seam-upstream")
+    standin_program.add(build_part(settings, timer.SystemTimer()))
+    await standin_program.run()
 
 
 @app.command()
 def upstream(
     settings: Annotated[Path, typer.Option(help="The JSON settings file.")],
-    version: Annotated[
-        bool,
-        typer.Option(
-            "--version", callback=_show_version, is_eager=True, help="Show and exit."
-        ),
-    ] = False,
+    version: program.VersionOption = False,
 ) -> None:
     """Run a stand-in model engine or plain service."""
     try:
         checked = setting.read(Settings, settings)
     except error.SettingsError as failure:
         typer.echo(failure.message, err=True)
-        sys.exit(BAD_SETTINGS_EXIT)
+        sys.exit(program.BAD_SETTINGS_EXIT)
     log.configure("seam-upstream", checked.name)
     loop.run(run_program(checked))
 
--- a/sapphireseam/tools/bench_deployment.py
+++ b/sapphireseam/tools/bench_deployment.py
@@ -19,11 +19,10 @@
 from sapphireseam.core import error
 from sapphireseam.scripts import load as load_script
 from sapphireseam.tools import fleet, layout, plan, session
-from sapphireseam.utils import loop
+from sapphireseam.utils import loop, program
 from sapphireseam.utils.timer import SystemTimer
 
 SHAPES = {"shannonside": layout.SHANNONSIDE, "bureau": layout.BUREAU}
-BAD_SETTINGS_EXIT = 2
 
 app = typer.Typer(add_completion=False)
 
@@ -174,7 +173,7 @@
         sys.exit(loop.run(measure(target, profile, options, choices)))
     except error.SettingsError as failure:
         typer.echo(failure.message, err=True)
-        sys.exit(BAD_SETTINGS_EXIT)
+        sys.exit(program.BAD_SETTINGS_EXIT)
 
 
 if __name__ == "__main__":
--- a/sapphireseam/tools/measure.py
+++ b/sapphireseam/tools/measure.py
@@ -252,9 +252,9 @@
     for name, item in customers.items():
         share = shares[name]
         item["fair_tokens"] = round(share, 1)
-        item["of_fair_share"] = (
-            round(item["tokens_served"] / share, 4) if share else 1.0
-        )
+        item["of_fair_share"] = None
         if demands[name]:
+            got = item["tokens_served"] / share if share else 0.0
+            item["of_fair_share"] = round(got, 4)
             worst = min(worst, item["of_fair_share"])
     return worst
--- a/sapphireseam/tools/measure_test.py
+++ b/sapphireseam/tools/measure_test.py
@@ -65,6 +65,26 @@
 
 
 class ShareTest(unittest.TestCase):
+    @given(ARRIVALS)
+    def test_exactly_limited_customer_has_its_whole_demand(self, arrivals):
+        arrivals = [(gap, 0.0) for gap, _ in arrivals]
+        outcomes = limit(arrivals, RATE, BURST)
+        item = measure.summarize_customer(CUSTOMER, outcomes, 10.0)
+        self.assertEqual(item["tokens_demanded"], item["tokens_served"])
+
+    def test_worst_share_is_zero_for_one_who_got_nothing(self):
+        customers = {
+            "served": {"tokens_demanded": 10, "tokens_served": 10},
+            "starved": {"tokens_demanded": 10, "tokens_served": 0},
+            "silent": {"tokens_demanded": 0, "tokens_served": 0},
+        }
+        self.assertEqual(measure.add_shares(customers), 0.0)
+        self.assertEqual(customers["served"]["of_fair_share"], 2.0)
+        self.assertIsNone(customers["silent"]["of_fair_share"])
+        customers["served"]["tokens_served"] = 0
+        self.assertEqual(measure.add_shares(customers), 0.0)
+        self.assertEqual(customers["served"]["of_fair_share"], 0.0)
+
     @given(
         st.dictionaries(st.text(max_size=3), st.floats(0, 100), min_size=1),
         st.floats(0, 500),
