--- a/sapphireseam/tools/plan.py
+++ b/sapphireseam/tools/plan.py
@@ -38,6 +38,11 @@
     prefix_skew: Annotated[float, Field(ge=0)] = 1.0
     claims: bool = False
 
+    @property
+    def is_model(self) -> bool:
+        """Tell whether a model answers, and not a plain service."""
+        return self.protocol in ("chat", "completion")
+
 
 class Customer(NamedTuple):
     """Describe one customer: its limit and what it sends.
@@ -78,7 +83,11 @@
 
 
 class Profile(NamedTuple):
-    """Describe a whole run, which lasts `seconds` and then waits for the jobs."""
+    """Describe a whole run, which lasts `seconds` and then waits for the jobs.
+
+    `allow_losses` is for runs in which processes or machines are lost: online
+    requests may then get an error or, with their entry, no answer at all.
+    """
 
     name: str
     seed: int
@@ -90,6 +99,7 @@
     fail_marker: str = "ALWAYS-FAILS"
     request_timeout: Rate = 30.0
     job_timeout: Rate = 120.0
+    allow_losses: bool = False
 
 
 class Request(NamedTuple):
@@ -145,7 +155,7 @@
     for number, job in enumerate(profile.jobs):
         if job.kind not in profile.kinds:
             faults.append(f"jobs.{number}.kind: unknown kind {job.kind!r}")
-        elif profile.kinds[job.kind].protocol not in ("chat", "completion"):
+        elif not profile.kinds[job.kind].is_model:
             faults.append(f"jobs.{number}.kind: {job.kind!r} can't be batched")
         if job.customer not in customers:
             faults.append(f"jobs.{number}.customer: unknown {job.customer!r}")
