Blame crashes on lone suspects only, and lost leases on nobody beside others

Cause: a death counted one against every request that ran, so an innocent that ran beside two crashes was refused everywhere for good. An expired lease blamed each of its items, so three lost agents ended good items as failed. A claim could be forgotten at the limit while its request ran. A job resent after its first answer was evicted got a conflict.

Now a first death only suspects (count capped), a second one condemns only a suspect that ran alone, an answered lone suspect is cleared, and the end of a leaving upstream says nothing. Items of a lost lease are leased singly and blamed only then. `not_run` takes a started mark back. Suspects go out over the watch like the condemned.

--- /dev/null
+++ b/sapphireseam/control/claim_test.py
@@ -0,0 +1,131 @@
+"""Check claims of idempotency keys, and who is blamed for crashes."""
+
+import unittest
+from unittest import mock
+
+from hypothesis import given, settings, strategies as st
+
+from sapphireseam.control import claim, record
+from sapphireseam.core import command, error, outcome
+
+FAST = settings(derandomize=True, deadline=None, database=None, max_examples=60)
+
+
+def take(state, holder, at=0.0, fingerprint="f", key="key"):
+    return claim.take(state, command.ClaimRequest("c", key, fingerprint, holder, at))
+
+
+def settle(state, holder, not_run=False):
+    item = command.SettleClaim("c", "key", holder, not_run, 200, "blob", 1.0)
+    return claim.settle(state, item)
+
+
+class ClaimTest(unittest.TestCase):
+    @FAST
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from(["take", "run", "settle", "free"]), st.integers(0, 2)
+            ),
+            max_size=30,
+        )
+    )
+    def test_only_one_holder_runs_whatever_is_resent(self, steps):
+        state = record.create()
+        fresh: set[str] = set()
+        runs: list[str] = []
+        for action, number in steps:
+            holder = f"h{number}"
+            if action == "take":
+                answer = take(state, holder)
+                if answer.fresh:
+                    fresh.add(holder)
+            elif action == "run" and holder in fresh:
+                runs.append(holder)
+                fresh.discard(holder)
+            elif action == "settle" and holder in runs:
+                settle(state, holder)
+            elif action == "free" and holder not in runs:
+                fresh.discard(holder)
+                settle(state, holder, not_run=True)
+            self.assertLessEqual(len(set(runs)), 1)
+
+    def test_settled_answer_is_replayed_to_others(self):
+        state = record.create()
+        take(state, "a")
+        settle(state, "a")
+        answer = take(state, "b")
+        self.assertEqual((answer.fresh, answer.settled, answer.blob), (0, 1, "blob"))
+
+    def test_resend_learns_when_the_claim_was_made(self):
+        state = record.create()
+        take(state, "a", 7.0)
+        answer = take(state, "b", 9.0)
+        self.assertEqual((answer.fresh, answer.settled, answer.at), (0, 0, 7.0))
+
+    def test_open_claim_is_kept_at_the_limit(self):
+        state = record.create()
+        with mock.patch.object(claim, "CLAIM_LIMIT", 2):
+            take(state, "a", 0.0)
+            take(state, "b", 0.0, key="other")
+            late = claim.CLAIM_LEAST_SECONDS + 1.0
+            refused = take(state, "c", late, key="third")
+            self.assertEqual(refused.kind, error.Kind.OVERLOADED)
+            settle(state, "a")
+            self.assertTrue(take(state, "c", late, key="third").fresh)
+        self.assertIn("c/other", state.claims)
+
+
+class DeathTest(unittest.TestCase):
+    def report(self, state, names, alone=False, upstream="u"):
+        item = command.ReportDeath("", upstream, tuple(names), alone, 0.0)
+        return claim.count_death(state, item)
+
+    @FAST
+    @given(st.lists(st.sets(st.sampled_from("abc"), min_size=1), max_size=8))
+    def test_innocents_are_served_and_the_guilty_condemned(self, beside):
+        """Run `x` beside others until it is found; nobody else ever is."""
+        state = record.create()
+        for others in [*beside, set()]:
+            if state.deaths.get("x") == claim.GUILTY:
+                break
+            isolated = "x" in state.deaths
+            self.report(state, {"x"} if isolated else others | {"x"}, isolated)
+            for name in others & state.deaths.keys():
+                claim.clear(state, command.ClearSuspects((name,)))
+        self.report(state, {"x"}, True)
+        self.assertEqual(claim.list_fingerprints(state, claim.GUILTY), ("x",))
+
+    def test_many_deaths_beside_others_condemn_nobody(self):
+        state = record.create()
+        for _ in range(9):
+            self.report(state, "ab")
+        self.assertEqual(claim.list_fingerprints(state, claim.GUILTY), ())
+
+    def test_first_death_condemns_nobody_even_alone(self):
+        state = record.create()
+        self.report(state, "a", alone=True)
+        self.assertEqual(claim.list_fingerprints(state, claim.SUSPECT), ("a",))
+
+    def test_guilty_stays_so(self):
+        state = record.create()
+        self.report(state, "a")
+        self.report(state, "a", alone=True)
+        claim.clear(state, command.ClearSuspects(("a",)))
+        self.report(state, "ab")
+        self.assertEqual(claim.list_fingerprints(state, claim.GUILTY), ("a",))
+
+    def test_end_of_a_leaving_upstream_blames_nobody(self):
+        state = record.create()
+        state.leaving["u"] = 0.0
+        self.assertEqual(self.report(state, "a"), outcome.Done("u"))
+        self.assertEqual(state.deaths, {})
+
+    def test_suspects_go_before_the_guilty_at_the_limit(self):
+        state = record.create()
+        self.report(state, "a")
+        self.report(state, "a", alone=True)
+        with mock.patch.object(claim, "DEATH_LIMIT", 2):
+            for name in "bcdef":
+                self.report(state, name)
+        self.assertEqual(claim.list_fingerprints(state, claim.GUILTY), ("a",))
--- a/sapphireseam/control/job.py
+++ b/sapphireseam/control/job.py
@@ -3,6 +3,11 @@
 Each item of a job has one mark. Whoever moves it off "pending" first has
 completed it; later completions find the mark and are dropped, so an item has
 one result however often it ran. A lease only says who may run an item now.
+
+Two things may end an item as failed: answers that fail over and over, and
+agents that vanish over and over while they hold it and nothing else. What
+vanished with others beside it is blamed on none of them, but is leased singly
+from then on, so that an item that takes its VM down is found out.
 """
 
 import json
@@ -48,8 +53,15 @@
 def submit(
     state: record.State, item: command.SubmitJob
 ) -> outcome.Done | outcome.Refused:
-    """Accept a job over a file; its items wait for agents."""
-    if item.job in state.jobs:
+    """Accept a job over a file; its items wait for agents.
+
+    A resend that comes so late that its first answer is forgotten still finds
+    the job that the first one made.
+    """
+    known = state.jobs.get(item.job)
+    if known is not None and known.request == item.request:
+        return outcome.Done(item.job)
+    if known is not None:
         message = "the Idempotency-Key was used for another job"
         return outcome.Refused(error.Kind.CONFLICT, message)
     file = state.files.get(item.file)
@@ -80,6 +92,7 @@
         item.at,
         item.due,
         metadata=item.metadata,
+        request=item.request,
     )
     state.marks[item.job] = bytearray(file.lines)
     state.returned[item.job] = []
@@ -100,10 +113,10 @@
 def lease(
     state: record.State, item: command.LeaseItems, index: int
 ) -> outcome.Leased | outcome.Refused:
-    """Lease pending items: untried ones, or else one that was blamed before.
+    """Lease pending items: untried ones, or else one that was lost or blamed.
 
-    A blamed item runs alone, so that it can't take others down with it, and
-    last, so that it holds up nothing.
+    Such an item is leased singly, so that it can't take others down with it,
+    and last, so that it holds up nothing.
     """
     job = state.jobs.get(item.job)
     if job is None or job.status != record.IN_PROGRESS:
@@ -170,6 +183,10 @@
     if found is None:
         return outcome.Refused(error.Kind.CONFLICT, f"lease {item.lease} is over")
     numbers = set(item.items) & set(found.items)
+    marks = state.marks[found.job]
+    for number in numbers & set(item.not_run):
+        if marks[number] == record.STARTED:
+            marks[number] = record.PENDING
     _shrink_lease(state, item.lease, numbers)
     _requeue(state, found.job, sorted(numbers), set(item.blamed), item.at)
     return outcome.Done(found.job, len(numbers))
@@ -182,7 +199,13 @@
     found = state.leases.pop(item.lease, None)
     if found is None:
         return outcome.Refused(error.Kind.CONFLICT, f"lease {item.lease} is over")
-    _requeue(state, found.job, list(found.items), set(found.items), item.at)
+    # Only an item that was leased singly is blamed for its agent's loss.
+    tries = state.tries[found.job]
+    single = len(found.items) == 1 and found.items[0] in tries
+    for number in found.items:
+        tries.setdefault(number, 0)
+    blamed = set(found.items) if single else set()
+    _requeue(state, found.job, list(found.items), blamed, item.at)
     return outcome.Done(found.job, len(found.items))
 
 
--- a/sapphireseam/control/machine.py
+++ b/sapphireseam/control/machine.py
@@ -38,6 +38,7 @@
     command.ClaimRequest: claim.take,
     command.SettleClaim: claim.settle,
     command.ReportDeath: claim.count_death,
+    command.ClearSuspects: claim.clear,
 }
 
 
--- a/sapphireseam/control/record.py
+++ b/sapphireseam/control/record.py
@@ -68,6 +68,7 @@
     failed: int = 0
     ended: float = 0.0
     metadata: dict[str, str] = {}
+    request: str = ""
 
 
 class Chunk(NamedTuple):
--- a/sapphireseam/control/service.py
+++ b/sapphireseam/control/service.py
@@ -38,6 +38,7 @@
     command.ClaimRequest: _FLEET,
     command.SettleClaim: _FLEET,
     command.ReportDeath: _FLEET,
+    command.ClearSuspects: _FLEET,
     command.FinishOrder: _FLEET,
 }
 
--- a/sapphireseam/control/watch.py
+++ b/sapphireseam/control/watch.py
@@ -102,11 +102,8 @@
             record.read_document(state),
             tuple(state.keys.values()),
             tuple(state.leaving),
-            tuple(
-                name
-                for name, count in state.deaths.items()
-                if count >= claim.QUARANTINE_DEATHS
-            ),
+            claim.list_fingerprints(state, claim.GUILTY),
+            claim.list_fingerprints(state, claim.SUSPECT),
         )
 
     def _follow(self, item: Any, answer: Any) -> None:
@@ -131,6 +128,8 @@
                 return message.LeavingChange(item.upstream, item.leaving)
             case command.ReportDeath():
                 return self._describe_deaths(item)
+            case command.ClearSuspects():
+                return message.VerdictChange((), (), item.fingerprints)
         return None
 
     def _describe_publish(self) -> message.FleetChange:
@@ -141,12 +140,10 @@
         packed = json.dumps(changes).encode()
         return message.FleetChange(record.read_revision(state), packed)
 
-    def _describe_deaths(
-        self, item: command.ReportDeath
-    ) -> message.QuarantineChange | None:
-        guilty = tuple(
-            name
-            for name in item.fingerprints
-            if self._machine.state.deaths.get(name, 0) >= claim.QUARANTINE_DEATHS
+    def _describe_deaths(self, item: command.ReportDeath) -> message.VerdictChange:
+        deaths = self._machine.state.deaths
+        named = [name for name in item.fingerprints if name in deaths]
+        return message.VerdictChange(
+            tuple(name for name in named if deaths[name] == claim.SUSPECT),
+            tuple(name for name in named if deaths[name] == claim.GUILTY),
         )
-        return message.QuarantineChange(guilty) if guilty else None
--- a/sapphireseam/core/command.py
+++ b/sapphireseam/core/command.py
@@ -134,12 +134,17 @@
 
 
 class ReturnItems(NamedTuple):
-    """Give leased items back; `blamed` ones count as a failed try."""
+    """Give leased items back; `blamed` ones count as a failed try.
+
+    Those in `not_run` provably never reached the upstream, so even a started
+    mark on them is taken back.
+    """
 
     lease: int
     items: tuple[int, ...]
     blamed: tuple[int, ...]
     at: float
+    not_run: tuple[int, ...] = ()
 
 
 class ExpireLease(NamedTuple):
@@ -181,7 +186,7 @@
 class ReportDeath(NamedTuple):
     """Count a death of an upstream against what it was running.
 
-    `alone` marks a request that ran by itself, which proves it guilty.
+    `alone` says that a single request ran, and nothing beside it.
     """
 
     request: str
@@ -191,6 +196,12 @@
     at: float
 
 
+class ClearSuspects(NamedTuple):
+    """Clear requests that were answered while they ran alone."""
+
+    fingerprints: tuple[str, ...]
+
+
 class MarkLeaving(NamedTuple):
     """Put an upstream on the list of leaving ones, or take it off."""
 
@@ -236,6 +247,7 @@
     ClaimRequest,
     SettleClaim,
     ReportDeath,
+    ClearSuspects,
     MarkLeaving,
     IssueOrder,
     FinishOrder,
--- a/sapphireseam/core/message.py
+++ b/sapphireseam/core/message.py
@@ -348,6 +348,7 @@
     keys: tuple[Key, ...]
     leaving: tuple[str, ...]
     quarantined: tuple[str, ...]
+    suspects: tuple[str, ...] = ()
 
 
 class FleetChange(NamedTuple):
@@ -370,10 +371,12 @@
     leaving: bool
 
 
-class QuarantineChange(NamedTuple):
-    """Send fingerprints that every entry now refuses."""
+class VerdictChange(NamedTuple):
+    """Send fingerprints that are suspected, refused or cleared from now on."""
 
-    fingerprints: tuple[str, ...]
+    suspects: tuple[str, ...]
+    quarantined: tuple[str, ...]
+    cleared: tuple[str, ...] = ()
 
 
 # The stream between an entry and an agent.
@@ -515,7 +518,7 @@
     FleetChange,
     KeyChange,
     LeavingChange,
-    QuarantineChange,
+    VerdictChange,
     Connect,
     Offer,
     Ready,
--- a/sapphireseam/core/outcome.py
+++ b/sapphireseam/core/outcome.py
@@ -34,7 +34,8 @@
 class Claimed(NamedTuple):
     """Tell the holder of a claim, or the answer to the claimed request.
 
-    `fresh` is true for the one command that made the claim.
+    `fresh` is true for the one command that made the claim, which was at the
+    wall time `at`.
     """
 
     fresh: bool
@@ -42,6 +43,7 @@
     holder: str
     status: int = 0
     blob: str = ""
+    at: float = 0.0
 
 
 OUTCOMES = (Done, Refused, Leased, Claimed)
--- a/sapphireseam/utils/mirror.py
+++ b/sapphireseam/utils/mirror.py
@@ -50,6 +50,7 @@
         self.keys: dict[str, key.Key] = {}
         self.leaving: set[str] = set()
         self.quarantined: set[str] = set()
+        self.suspects: set[str] = set()
         self._document: dict[str, Any] = {}
         self._node = node
         self._program = program
@@ -163,8 +164,8 @@
             case message.LeavingChange():
                 change = self.leaving.add if item.leaving else self.leaving.discard
                 change(item.upstream)
-            case message.QuarantineChange():
-                self.quarantined.update(item.fingerprints)
+            case message.VerdictChange():
+                self._judge(item)
             case message.Failure():
                 raise rpc.unpack_failure(item)
         for listener in self._listeners:
@@ -189,8 +190,15 @@
         self.keys = {entry.id: entry for entry in item.keys}
         self.leaving = set(item.leaving)
         self.quarantined = set(item.quarantined)
+        self.suspects = set(item.suspects)
         self._take(item.revision, json.loads(item.document))
 
+    def _judge(self, item: message.VerdictChange) -> None:
+        """Take in which requests crash upstreams, or may."""
+        self.suspects.update(item.suspects)
+        self.suspects.difference_update(item.cleared, item.quarantined)
+        self.quarantined.update(item.quarantined)
+
     def _take(self, revision: int, document: dict[str, Any]) -> None:
         """Put a configuration in force here."""
         if revision < self.revision:
