--- a/sapphireseam/agent/application.py
+++ b/sapphireseam/agent/application.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from sapphireseam.agent import engine
+from sapphireseam.agent.death import DeathWatch
 from sapphireseam.agent.item import ItemRunner
 from sapphireseam.agent.runner import Runner
 from sapphireseam.agent.server import EntryServer
@@ -31,6 +32,9 @@
     fleet_secret: Secret
 
 
+LEAVING = "the upstream leaves the fleet"
+
+
 class PolicyFollower:
     """Keep upstream and runner in line with the configuration in force."""
 
@@ -43,9 +47,22 @@
         self._runner = runner
         self._weights: dict[str, float] = {}
         self._policy: fleet.Policy | None = None
+        self._leaving = False
         mirror.subscribe(self._follow)
 
+    def _follow_leaving(self) -> None:
+        """Refuse work while the upstream is on the list of leaving ones."""
+        leaving = self._name in self._mirror.leaving
+        if leaving == self._leaving:
+            return
+        self._leaving = leaving
+        if leaving:
+            self._runner.refuse_all(LEAVING)
+        else:
+            self._runner.accept_again()
+
     def _follow(self) -> None:
+        self._follow_leaving()
         current = self._mirror.fleet
         target = current.upstreams.get(self._name)
         if target is None:
@@ -83,11 +100,13 @@
     upstream = engine.Upstream(settings.upstream, timer)
     line = registry.build({}, "queue")
     bound = registry.build({}, "admission")
-    runner = Runner(line, bound, timer)
+    deaths = DeathWatch(settings.upstream, mirror, client, timeline, timer)
+    runner = Runner(line, bound, deaths, timer)
+    deaths.list_running = runner.list_running
     PolicyFollower(settings.upstream, mirror, upstream, runner)
-    entries = EntryServer(upstream, runner, client, timeline, timer)
+    entries = EntryServer(upstream, runner, deaths, timeline, timer)
     items = ItemRunner(
-        settings.node, upstream, runner, entries, mirror, client, timeline, timer
+        settings.node, upstream, runner, deaths, mirror, client, timeline, timer
     )
 
     def authorize(metadata: dict[str, str]) -> rpc.Caller:
@@ -113,6 +132,7 @@
     application.add(client)
     application.add(upstream)
     application.add(mirror)
+    application.add(deaths)
     application.add(runner)
     application.add(server)
     application.add(items)
--- /dev/null
+++ b/sapphireseam/agent/death_test.py
@@ -0,0 +1,107 @@
+"""Check that a death counts once, and that only a death counts."""
+
+import asyncio
+import unittest
+
+from sapphireseam.agent import death
+from sapphireseam.core import command
+from sapphireseam.tools import fake
+from sapphireseam.utils.timeline import Timeline
+from sapphireseam.utils.timer import FakeTimer
+
+
+class DeathWatchTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.timer = FakeTimer()
+        self.control = fake.FakeControl(self.timer)
+        self.mirror = fake.FakeMirror()
+        self.watch = death.DeathWatch(
+            "u", self.mirror, self.control, Timeline("a", self.timer), self.timer
+        )
+        self.running = {"1", "2", "3"}
+        self.watch.list_running = lambda: frozenset(self.running)
+        self.addAsyncCleanup(self.watch.stop)
+
+    def judge(self, name):
+        task = asyncio.create_task(self.watch.judge(name, f"f{name}"))
+        task.add_done_callback(lambda _: self.running.discard(name))
+        return task
+
+    def list_reports(self):
+        asked = self.control.asked
+        return [item for item in asked if isinstance(item, command.ReportDeath)]
+
+    async def test_all_that_break_together_are_one_death(self):
+        tasks = [self.judge(name) for name in "123"]
+        await self.timer.advance(1.0)
+        self.assertEqual([task.result() for task in tasks], [True] * 3)
+        (report,) = self.list_reports()
+        self.assertEqual(report.fingerprints, ("f1", "f2", "f3"))
+        self.assertFalse(report.alone)
+
+    async def test_late_break_joins_the_same_death(self):
+        first = self.judge("1")
+        await self.timer.advance(death.SETTLE_SECONDS / 2)
+        rest = [self.judge(name) for name in "23"]
+        await self.timer.advance(1.0)
+        self.assertTrue(first.result() and rest[0].result() and rest[1].result())
+        self.assertEqual(len(self.list_reports()), 1)
+
+    async def test_break_beside_work_that_goes_on_is_no_death(self):
+        task = self.judge("1")
+        await self.timer.advance(1.0)
+        self.assertFalse(task.result())
+        self.assertEqual(self.list_reports(), [])
+
+    async def test_work_that_was_answered_meanwhile_is_not_suspected(self):
+        task = self.judge("1")
+        await self.timer.settle()
+        self.running -= {"2", "3"}
+        await self.timer.advance(1.0)
+        self.assertTrue(task.result())
+        (report,) = self.list_reports()
+        self.assertEqual((report.fingerprints, report.alone), (("f1",), False))
+
+    async def test_lone_work_is_reported_as_alone(self):
+        self.running = {"1"}
+        self.judge("1")
+        await self.timer.advance(1.0)
+        self.assertTrue(self.list_reports()[0].alone)
+
+    async def test_lone_suspect_is_guilty_here_before_the_watch_says_so(self):
+        for _ in range(2):
+            self.running = {"1"}
+            self.judge("1")
+            await self.timer.advance(1.0)
+        self.assertTrue(self.watch.is_guilty("f1"))
+        self.assertEqual(self.control.machine.state.deaths, {"f1": 2})
+
+    async def test_next_death_counts_again(self):
+        self.running = {"1"}
+        self.judge("1")
+        await self.timer.advance(1.0)
+        self.running = {"2"}
+        self.judge("2")
+        await self.timer.advance(1.0)
+        self.assertEqual(len(self.list_reports()), 2)
+
+    async def test_report_that_is_lost_is_made_until_it_is_taken(self):
+        self.running = {"1"}
+        self.control.lose = lambda request: "question"
+        task = self.judge("1")
+        await self.timer.advance(10.0)
+        self.assertTrue(task.result())
+        self.assertTrue(self.watch.is_suspect("f1"))
+        self.control.lose = lambda request: ""
+        await self.timer.advance(2.0)
+        self.assertEqual(len(self.list_reports()), 1)
+        self.assertEqual(self.control.machine.state.deaths, {"f1": 1})
+
+    async def test_report_whose_answer_is_lost_counts_once(self):
+        self.running = {"1"}
+        lost = ["answer", ""]
+        self.control.lose = lambda request: lost.pop(0)
+        self.judge("1")
+        await self.timer.advance(10.0)
+        self.assertEqual(len(self.list_reports()), 2)
+        self.assertEqual(self.control.machine.state.deaths, {"f1": 1})
--- a/sapphireseam/agent/engine.py
+++ b/sapphireseam/agent/engine.py
@@ -1,9 +1,10 @@
-"""Run requests at the upstream beside this agent, and know when it dies.
+"""Run requests at the upstream beside this agent.
 
-The agent alone can tell whether a request reached the upstream: a refused
-connection means that it did not. Whatever breaks later leaves the outcome
-unknown, and a broken connection under a running request counts as a death of
-the upstream.
+The agent alone can tell whether a request reached the upstream: a connection
+that was never made means that it did not. Whatever breaks later leaves the
+outcome unknown. Each request has a connection of its own: a kept one may be
+found dead, and then one can't tell whether the request was taken, and the
+library sends some requests again by itself.
 """
 
 import logging
@@ -11,6 +12,7 @@
 from typing import Any
 
 import aiohttp
+import yarl
 
 from sapphireseam.core import error, message
 from sapphireseam.utils.application import TaskGroup
@@ -27,14 +29,27 @@
 _HOP_HEADERS = frozenset(
     {"connection", "keep-alive", "transfer-encoding", "content-length", "trailer"}
 )
+# What the connection to an upstream that died raises. A malformed answer
+# raises other errors, and the upstream lives.
+_BROKEN = (
+    aiohttp.ServerDisconnectedError,
+    aiohttp.ClientOSError,
+    aiohttp.ClientPayloadError,
+    ConnectionError,
+)
 
 
 class UpstreamError(Exception):
-    """Report that an exchange with the upstream broke."""
+    """Report that an exchange with the upstream failed.
+
+    `not_run` says that the request provably never reached it, `broken` that
+    the connection broke under the request.
+    """
 
-    def __init__(self, text: str, not_run: bool):
+    def __init__(self, text: str, not_run: bool, broken: bool = False):
         super().__init__(text)
         self.not_run = not_run
+        self.broken = broken
 
 
 class Upstream:
@@ -45,8 +60,7 @@
         self.healthy = False
         self._timer = timer
         self._base = ""
-        self._shared: aiohttp.ClientSession | None = None
-        self._single: aiohttp.ClientSession | None = None
+        self._session: aiohttp.ClientSession | None = None
         self._tasks = TaskGroup()
 
     def set_address(self, address: str) -> None:
@@ -58,18 +72,9 @@
 
     async def start(self) -> None:
         """Begin to look after the upstream's health."""
-        timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_SECONDS)
-        self._shared = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0),
-            timeout=timeout,
-            auto_decompress=False,
-            cookie_jar=aiohttp.DummyCookieJar(),
-        )
-        # A kept connection may be found dead, and then the library sends some
-        # requests again by itself. A fresh one for each rules that out.
-        self._single = aiohttp.ClientSession(
+        self._session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0, force_close=True),
-            timeout=timeout,
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_SECONDS),
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
         )
@@ -78,9 +83,8 @@
     async def stop(self) -> None:
         """Close all connections."""
         await self._tasks.cancel()
-        for session in (self._shared, self._single):
-            if session is not None:
-                await session.close()
+        if self._session is not None:
+            await self._session.close()
 
     async def _check(self) -> None:
         if self._base:
@@ -96,45 +100,50 @@
             return False
 
     async def _get_health(self) -> bool:
-        async with self._shared.get(self._base + HEALTH_PATH) as response:
+        async with self._session.get(self._base + HEALTH_PATH) as response:
             return response.status < 500
 
+    def _locate(self, target: str) -> yarl.URL:
+        """Return the address of a target, its bytes as the caller sent them."""
+        if not self._base:
+            raise UpstreamError(f"upstream {self.name} has no address", True)
+        try:
+            return yarl.URL(self._base + target, encoded=True)
+        except ValueError:
+            raise UpstreamError("the path can't be sent on", True) from None
+
     async def run(
         self,
         method: str,
         target: str,
         headers: tuple[tuple[str, str], ...],
         body: bytes,
-        once: bool,
         attempt: int = 0,
     ) -> AsyncIterator[Any]:
-        """Yield an answer as `Head` and `Data` messages.
+        """Yield an answer as `Head` and `Data` messages; sent once at most.
 
-        With `once` the request is sent once whatever happens. Raises
-        `UpstreamError`; closing the iterator cancels the request upstream.
+        Raises `UpstreamError`; closing the iterator cancels the request
+        upstream.
         """
-        session = self._single if once else self._shared
+        url = self._locate(target)
         started = False
         try:
-            async with session.request(
-                method,
-                self._base + target,
-                headers=headers,
-                data=body or None,
-                allow_redirects=False,
+            async with self._session.request(
+                method, url, headers=headers, data=body or None, allow_redirects=False
             ) as response:
                 started = True
                 yield message.Head(attempt, response.status, _keep(response.headers))
                 async for data in response.content.iter_any():
                     yield message.Data(attempt, data)
-        except aiohttp.ClientConnectorError as failure:
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as e:
             self.healthy = False
-            text = f"upstream {self.name} refused the connection: {failure.strerror}"
+            text = f"upstream {self.name} can't be reached: {type(e).__name__}"
             raise UpstreamError(text, not started) from None
-        except (TimeoutError, aiohttp.ClientError, OSError) as failure:
-            self.healthy = False
-            text = f"upstream {self.name} broke off: {type(failure).__name__}"
-            raise UpstreamError(text, False) from None
+        except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as e:
+            broken = isinstance(e, _BROKEN)
+            self.healthy = self.healthy and not broken
+            text = f"upstream {self.name} broke off: {type(e).__name__}"
+            raise UpstreamError(text, False, broken) from None
 
 
 def _keep(headers: Any) -> tuple[tuple[str, str], ...]:
@@ -145,8 +154,8 @@
     )
 
 
-def explain(failure: UpstreamError, attempt: int) -> message.Fail:
-    """Return what an entry is told about a broken exchange."""
+def explain(failure: UpstreamError, attempt: int, died: bool) -> message.Fail:
+    """Return what an entry is told about a failed exchange."""
     kind = error.Kind.NO_UPSTREAM if failure.not_run else error.Kind.OUTCOME_UNKNOWN
     return message.Fail(
         attempt,
@@ -154,5 +163,5 @@
         str(failure),
         failure.not_run,
         error.ANSWERS[kind].retry_after,
-        died=not failure.not_run,
+        died,
     )
--- /dev/null
+++ b/sapphireseam/agent/item_test.py
@@ -0,0 +1,310 @@
+"""Run items against the real state machine and lose what can be lost."""
+
+import json
+import unittest
+
+from sapphireseam.agent import item as items
+from sapphireseam.agent.death import DeathWatch
+from sapphireseam.agent.fake import FakeUpstream
+from sapphireseam.agent.runner import Runner
+from sapphireseam.control import claim, dispatch, record
+from sapphireseam.core import command, error, message
+from sapphireseam.policy import admission, queue
+from sapphireseam.tools import fake
+from sapphireseam.utils.timeline import Timeline
+from sapphireseam.utils.timer import FakeTimer
+
+COUNT = 4
+DOCUMENT = {
+    "failure_domains": {"d": {"region": "r"}},
+    "models": {"m": {"version": "m-1"}},
+    "versions": {"m-1": {"model": "m", "weights": "w"}},
+    "routes": {
+        "chat": {"path": "/v1/chat/completions"},
+        "post": {"path": "/post", "service": "post", "idempotent": False},
+    },
+    "upstreams": {
+        "u": {
+            "failure_domain": "d",
+            "address": "127.0.0.1:1",
+            "agent": "127.0.0.1:2",
+            "version": "m-1",
+        },
+        "p": {
+            "failure_domain": "d",
+            "address": "127.0.0.1:3",
+            "agent": "127.0.0.1:4",
+            "service": "post",
+        },
+    },
+}
+
+
+class Agent:
+    """Put one agent's parts together around a fake upstream."""
+
+    def __init__(self, control, mirror, timer, node="a", upstream="u"):
+        self.upstream = FakeUpstream(upstream)
+        timeline = Timeline(node, timer)
+        self.deaths = DeathWatch(upstream, mirror, control, timeline, timer)
+        self.runner = Runner(
+            queue.FairQueue(), admission.FixedAdmission(4), self.deaths, timer
+        )
+        self.runner.slots = 4
+        self.runner.queue_limit = 9
+        self.deaths.list_running = self.runner.list_running
+        self.items = items.ItemRunner(
+            node,
+            self.upstream,
+            self.runner,
+            self.deaths,
+            mirror,
+            control,
+            timeline,
+            timer,
+        )
+
+    async def start(self):
+        await self.runner.start()
+        await self.items.start()
+
+    async def stop(self):
+        await self.items._tasks.cancel()
+        await self.runner.stop()
+        await self.deaths.stop()
+
+
+class ItemTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.timer = FakeTimer()
+        self.control = fake.FakeControl(self.timer)
+        self.mirror = fake.FakeMirror(DOCUMENT)
+        self.state = self.control.machine.state
+        document = json.dumps(DOCUMENT).encode()
+        publish = command.Publish("p", 0, document, 0.0)
+        await self.control.propose(publish)
+        await self.control.dispatcher.start()
+        self.addAsyncCleanup(self.control.dispatcher.stop)
+
+    async def submit(self, url="/v1/chat/completions", count=COUNT):
+        lines = [
+            {"custom_id": f"i{n}", "method": "POST", "url": url, "body": {"n": n}}
+            for n in range(count)
+        ]
+        data = b"\n".join(json.dumps(line).encode() for line in lines)
+        blob = await self.control.store.write(data)
+        model = "" if url == "/post" else "m"
+        file = command.CreateFile(
+            "f", "f", "c", "f", "batch", blob, 1, count, url, model, 0.0
+        )
+        await self.control.propose(file)
+        due = self.timer.read_wall_clock() + 3600
+        job = command.SubmitJob("j", "j", "c", "k", "f", url, due, 0.0)
+        await self.control.propose(job)
+
+    async def start(self, node="a", upstream="u"):
+        agent = Agent(self.control, self.mirror, self.timer, node, upstream)
+        await agent.start()
+        self.addAsyncCleanup(agent.stop)
+        return agent
+
+    @property
+    def job(self):
+        return self.state.jobs["j"]
+
+    def list_results(self):
+        return [r for chunk in self.state.chunks["j"] for r in chunk.results]
+
+    async def answer_all(self, agent, rounds=40):
+        for _ in range(rounds):
+            if self.job.ended:
+                break
+            for exchange in agent.upstream.open:
+                exchange.answer(b"{}")
+            await self.timer.advance(0.5)
+
+    async def test_job_completes_with_one_result_an_item(self):
+        await self.submit()
+        agent = await self.start()
+        await self.answer_all(agent)
+        self.assertEqual(self.job.status, record.COMPLETED)
+        self.assertEqual(len(agent.upstream.exchanges), COUNT)
+
+    async def test_results_whose_answer_is_lost_are_recorded_once(self):
+        await self.submit()
+        agent = await self.start()
+        lost = []
+
+        def lose(request):
+            if isinstance(request, message.CompleteChunk) and len(lost) < 3:
+                lost.append(request)
+                return "answer"
+            return ""
+
+        self.control.lose = lose
+        await self.answer_all(agent)
+        self.assertTrue(lost)
+        self.assertEqual(self.job.status, record.COMPLETED)
+        self.assertEqual(len(agent.upstream.exchanges), COUNT)
+
+    async def test_lost_heartbeats_cancel_the_items_before_others_get_them(self):
+        await self.submit()
+        first = await self.start("a")
+        await self.timer.advance(1.0)
+        self.control.lose = lambda request: "question"
+        await self.timer.advance(items.LEASE_SECONDS + 0.5)
+        self.assertEqual(first.upstream.open, [])
+        self.assertEqual(len(self.state.leases), 1)
+        self.control.lose = lambda request: ""
+        await self.answer_all(first)
+        self.assertEqual(self.job.status, record.COMPLETED)
+
+    async def test_result_made_before_the_lease_lapsed_is_still_sent(self):
+        await self.submit()
+        agent = await self.start()
+        await self.timer.advance(0.5)
+        self.control.lose = lambda request: "question"
+        agent.upstream.exchanges[0].answer(b"{}")
+        self.control.dispatcher._heard.clear()
+        await self.timer.advance(items.LEASE_SECONDS + 0.4)
+        self.control.lose = lambda request: ""
+        await self.timer.advance(1.0)
+        self.assertEqual(len(self.list_results()), 1)
+
+    async def test_agent_frozen_past_its_lease_answers_nothing_twice(self):
+        """Stop an agent's parts, let others finish, then let it go on."""
+        await self.submit()
+        frozen = await self.start("a")
+        await self.timer.advance(0.5)
+        old = list(frozen.upstream.exchanges)
+        holdings = frozen.items._holdings
+        await frozen.items._tasks.cancel()
+        other = await self.start("b")
+        await self.answer_all(other)
+        self.assertEqual(self.job.status, record.COMPLETED)
+        before = self.list_results()
+        for exchange in old:
+            exchange.answer(b'{"late": true}')
+        await self.timer.settle()
+        self.assertTrue(any(holding.results for holding in holdings.values()))
+        await frozen.items.flush()
+        self.assertEqual(self.list_results(), before)
+
+    async def test_stop_gives_items_back_at_once_and_unblamed(self):
+        await self.submit()
+        agent = await self.start()
+        await self.timer.advance(0.5)
+        self.assertEqual(len(agent.upstream.open), COUNT)
+        await agent.items.stop()
+        self.assertEqual(self.state.leases, {})
+        self.assertEqual(sorted(self.state.returned["j"]), list(range(COUNT)))
+        self.assertEqual(self.state.tries["j"], {})
+        self.assertEqual(agent.upstream.open, [])
+
+    async def test_death_blames_no_item_and_a_lone_second_one_ends_it(self):
+        await self.submit()
+        agent = await self.start()
+        mirror, state = self.mirror, self.state
+        poison = b'{"n": 2}'
+        for _ in range(200):
+            mirror.suspects = set(claim.list_fingerprints(state, claim.SUSPECT))
+            mirror.quarantined = set(claim.list_fingerprints(state, claim.GUILTY))
+            running = agent.upstream.open
+            if any(exchange.body == poison for exchange in running):
+                for exchange in running:
+                    exchange.fail(broken=True)
+            else:
+                for exchange in running:
+                    exchange.answer(b"{}")
+            await self.timer.advance(0.3)
+            if self.job.ended:
+                break
+        self.assertEqual(self.job.status, record.COMPLETED)
+        failed = [result[0] for result in self.list_results() if result[2]]
+        self.assertEqual(failed, [2])
+        runs = [e for e in agent.upstream.exchanges if e.body == poison]
+        self.assertEqual(len(runs), 2)
+        self.assertEqual(self.state.tries["j"], {})
+
+    async def test_item_that_always_fails_ends_as_failed_once(self):
+        await self.submit()
+        agent = await self.start()
+        for _ in range(60):
+            for exchange in agent.upstream.open:
+                exchange.answer(b"{}", status=500 if b"1" in exchange.body else 200)
+            await self.timer.advance(0.5)
+            if self.job.ended:
+                break
+        self.assertEqual(self.job.status, record.COMPLETED)
+        kinds = [(r[0], r[3]) for r in self.list_results() if r[2]]
+        self.assertEqual(kinds, [(1, error.Kind.UPSTREAM_FAILED)])
+
+    async def test_once_only_item_is_handed_over_once_whatever_breaks(self):
+        await self.submit("/post")
+        agent = await self.start("a", "p")
+        await self.timer.advance(0.5)
+        for exchange in agent.upstream.open:
+            exchange.fail(broken=True)
+        await self.answer_all(agent)
+        bodies = [exchange.body for exchange in agent.upstream.exchanges]
+        self.assertEqual(len(bodies), len(set(bodies)))
+        self.assertEqual(self.job.failed, COUNT)
+        kinds = {result[3] for result in self.list_results()}
+        self.assertEqual(kinds, {error.Kind.OUTCOME_UNKNOWN})
+
+    async def test_once_only_item_that_was_not_run_is_run_later(self):
+        await self.submit("/post")
+        agent = await self.start("a", "p")
+        await self.timer.advance(0.5)
+        for exchange in agent.upstream.open:
+            exchange.fail(not_run=True)
+        await self.answer_all(agent)
+        self.assertEqual((self.job.done, self.job.failed), (COUNT, 0))
+
+    async def test_once_only_item_is_not_run_without_its_mark(self):
+        await self.submit("/post")
+        self.control.lose = lambda request: (
+            "question" if isinstance(request, command.StartItems) else ""
+        )
+        agent = await self.start("a", "p")
+        await self.timer.advance(5.0)
+        self.assertEqual(agent.upstream.exchanges, [])
+
+    async def test_acknowledged_cancel_leaves_nothing_running(self):
+        await self.submit()
+        agent = await self.start()
+        await self.timer.advance(0.5)
+        self.assertEqual(len(agent.upstream.open), COUNT)
+        await self.control.propose(command.CancelJob("c", "j", 0.0))
+        late = agent.upstream.exchanges[0]
+        for _ in range(20):
+            await self.timer.advance(0.1)
+            if self.job.ended:
+                break
+            self.assertEqual(self.list_results(), [])
+        self.assertTrue(self.job.ended)
+        self.assertEqual(agent.upstream.open, [])
+        late.answer(b"{}")
+        await self.timer.advance(5.0)
+        self.assertEqual(self.list_results(), [])
+        self.assertEqual(len(agent.upstream.exchanges), COUNT)
+
+    async def test_heartbeat_that_was_overtaken_ends_no_lease(self):
+        await self.submit()
+        agent = await self.start()
+        await self.timer.advance(1.5)
+        (lease,) = self.state.leases
+        late = message.Heartbeat("a", (), 0)
+        await self.control.call(late)
+        self.assertEqual(list(self.state.leases), [lease])
+        del agent
+
+    async def test_silent_agents_lease_lasts_longer_than_its_own_count(self):
+        await self.submit()
+        agent = await self.start()
+        await self.timer.advance(0.5)
+        await agent.items._tasks.cancel()
+        await self.timer.advance(items.LEASE_SECONDS)
+        self.assertEqual(len(self.state.leases), 1)
+        await self.timer.advance(dispatch.MARGIN_SECONDS + 0.5)
+        self.assertEqual(self.state.leases, {})
--- /dev/null
+++ b/sapphireseam/agent/itemwork.py
@@ -0,0 +1,189 @@
+"""Run one leased batch item at the upstream and render its output line."""
+
+import json
+from typing import Any, NamedTuple, Protocol
+
+from sapphireseam.agent import engine
+from sapphireseam.agent.death import DeathWatch
+from sapphireseam.agent.runner import Ended
+from sapphireseam.core import error, fingerprint, message
+from sapphireseam.policy import queue
+from sapphireseam.utils.timer import TimerService
+
+# Tokens that an item is taken to cost beyond its line.
+ITEM_TOKENS = 128
+# The lowest status of an answer that the item isn't to blame for alone.
+_SERVER_ERROR = 500
+_CLIENT_ERROR = 400
+
+
+class Result(NamedTuple):
+    """Hold one item's output line until it is sent."""
+
+    item: int
+    line: bytes
+    failed: bool
+
+
+class Holding:
+    """Track one lease: its items, their results and until when it holds.
+
+    An item is open until it has a result here or is given back; what comes
+    for it later changes nothing.
+    """
+
+    def __init__(self, work: message.Work, until: float):
+        self.work = work
+        self.until = until
+        self.open = {number for number, _ in work.items}
+        self.results: list[Result] = []
+        self.returned: list[int] = []
+        self.blamed: set[int] = set()
+        self.not_run: set[int] = set()
+
+    def keep(self, result: Result) -> None:
+        """Take an open item's result."""
+        if result.item in self.open:
+            self.open.discard(result.item)
+            self.results.append(result)
+
+    def give_back(self, item: int, blamed: bool = False, not_run: bool = False) -> None:
+        """Return an open item to its job."""
+        if item not in self.open:
+            return
+        self.open.discard(item)
+        self.returned.append(item)
+        if blamed:
+            self.blamed.add(item)
+        if not_run:
+            self.not_run.add(item)
+
+    def is_empty(self) -> bool:
+        """Tell whether nothing is left to run or to send."""
+        return not self.open and not self.results and not self.returned
+
+
+class Owner(Protocol):
+    """Give an item what it needs to run."""
+
+    upstream: engine.Upstream
+    deaths: DeathWatch
+    timer: TimerService
+
+    async def mark_started(self, holding: Holding, item: int) -> bool:
+        """Have a non-idempotent item marked before it is handed over."""
+
+
+class ItemWork:
+    """Run one batch item."""
+
+    def __init__(self, holding: Holding, item: int, line: bytes, owner: Owner):
+        work = holding.work
+        now = owner.timer.read_clock()
+        left = work.due - owner.timer.read_wall_clock()
+        cost = len(line) / 4 + ITEM_TOKENS
+        self.ticket = queue.Ticket(
+            f"item/{work.lease}/{item}", work.customer, True, cost, now, now + left
+        )
+        self.alone = False
+        self._document = json.loads(line)
+        self._body = json.dumps(self._document["body"]).encode()
+        self.fingerprint = fingerprint.compute(
+            work.customer, self._document["method"], self._document["url"], self._body
+        )
+        self._holding = holding
+        self._item = item
+        self._owner = owner
+
+    def may_yield(self) -> bool:
+        """Tell whether the item may run again after a cancel."""
+        return self._holding.work.idempotent
+
+    def refuse(self, failure: error.SeamError) -> None:
+        """Give the item back, not run; a guilty one ends as failed."""
+        if failure.kind is error.Kind.REQUEST_QUARANTINED:
+            self._keep_failure(failure)
+        else:
+            self._holding.give_back(self._item, not_run=True)
+
+    async def run(self) -> Ended:
+        """Run the item at the upstream and keep its output line."""
+        work = self._holding.work
+        cost = self.ticket.cost
+        if not work.idempotent and not await self._owner.mark_started(
+            self._holding, self._item
+        ):
+            self._holding.give_back(self._item, not_run=True)
+            return Ended(0.0, False)
+        try:
+            status, data = await self._exchange()
+        except engine.UpstreamError as failure:
+            await self._note_failure(failure)
+            return Ended(cost, False)
+        if status >= _SERVER_ERROR and work.idempotent:
+            self._holding.give_back(self._item, blamed=True)
+            return Ended(cost, True)
+        line = render_line(work, self._item, self._document, status, data)
+        self._holding.keep(Result(self._item, line, status >= _CLIENT_ERROR))
+        return Ended((len(self._body) + len(data)) / 4, True)
+
+    async def _exchange(self) -> tuple[int, bytes]:
+        """Return the status and the body of the upstream's answer."""
+        document = self._document
+        answer = self._owner.upstream.run(
+            document["method"],
+            document["url"],
+            (("Content-Type", "application/json"),),
+            self._body,
+        )
+        status = 0
+        data = bytearray()
+        try:
+            async for part in answer:
+                if isinstance(part, message.Head):
+                    status = part.status
+                else:
+                    data += part.body
+        finally:
+            await answer.aclose()
+        return status, bytes(data)
+
+    async def _note_failure(self, failure: engine.UpstreamError) -> None:
+        """Give the item back; a death is blamed by what it ran, not here."""
+        died = False
+        if failure.broken:
+            died = await self._owner.deaths.judge(self.ticket.id, self.fingerprint)
+        blamed = not failure.not_run and not died
+        self._holding.give_back(self._item, blamed, failure.not_run)
+
+    def _keep_failure(self, failure: error.SeamError) -> None:
+        line = {
+            "id": f"{self._holding.work.job}-{self._item}",
+            "custom_id": self._document["custom_id"],
+            "response": None,
+            "error": {"code": str(failure.kind), "message": failure.message},
+        }
+        data = json.dumps(line).encode()
+        self._holding.keep(Result(self._item, data, True))
+
+
+def render_line(
+    work: message.Work, item: int, document: dict[str, Any], status: int, data: bytes
+) -> bytes:
+    """Return an item's output line in the OpenAI shape, without line end."""
+    try:
+        body = json.loads(data)
+    except ValueError:
+        body = data.decode("utf-8", "replace")
+    response = {
+        "status_code": status,
+        "request_id": f"{work.job}-{item}",
+        "body": body,
+    }
+    line = {
+        "id": f"{work.job}-{item}",
+        "custom_id": document["custom_id"],
+        "response": response,
+        "error": None,
+    }
+    return json.dumps(line).encode()
--- a/sapphireseam/agent/runner.py
+++ b/sapphireseam/agent/runner.py
@@ -3,13 +3,17 @@
 The engine admits what arrives and knows no priorities, so its own queue is
 kept near empty: work waits here, in the order of the policy's queue, until
 the policy's admission lets it start. Online work goes first, and batch work
-that runs makes room at once. Work that is suspected of crashing upstreams
-runs with nothing beside it.
+that runs makes room at once.
+
+A request that is suspected of crashing upstreams runs with nothing beside it,
+and one found guilty doesn't run. Both are looked up again right before the
+start, since other copies of it may have crashed an upstream while it waited.
+An online suspect holds back what comes after it until the upstream is idle; a
+batch suspect waits until no online work is there, and yields to it.
 """
 
 import asyncio
 import logging
-from collections import deque
 from typing import NamedTuple, Protocol
 
 from sapphireseam.core import error
@@ -21,6 +25,15 @@
 
 # How often waiting work is checked against its deadline.
 EXPIRE_SECONDS = 0.1
+# How often a stop looks whether all has ended.
+IDLE_SECONDS = 0.05
+
+
+class Ended(NamedTuple):
+    """Say what a work cost in tokens and whether its answer came whole."""
+
+    cost: float
+    answered: bool
 
 
 class Work(Protocol):
@@ -30,8 +43,8 @@
     alone: bool
     fingerprint: str
 
-    async def run(self) -> float:
-        """Do the work and return what it cost in tokens."""
+    async def run(self) -> Ended:
+        """Do the work."""
 
     def refuse(self, failure: error.SeamError) -> None:
         """Learn that it won't be run."""
@@ -40,10 +53,24 @@
         """Tell whether the work may be cancelled and run again later."""
 
 
+class Verdicts(Protocol):
+    """Know which requests crash upstreams."""
+
+    def is_suspect(self, fingerprint: str) -> bool:
+        """Tell whether a request must run alone."""
+
+    def is_guilty(self, fingerprint: str) -> bool:
+        """Tell whether a request must not run."""
+
+    def clear(self, fingerprint: str) -> None:
+        """Note that a suspect was answered while it ran alone."""
+
+
 class _Running(NamedTuple):
     work: Work
     task: asyncio.Task
     due: bool
+    alone: bool
     started: float
 
 
@@ -54,19 +81,24 @@
         self,
         line: queue.Queue,
         bound: admission.Admission,
+        verdicts: Verdicts,
         timer: TimerService,
     ):
         self._line = line
         self._bound = bound
+        self._verdicts = verdicts
         self._timer = timer
         self._waiting: dict[str, Work] = {}
-        self._suspects: deque[Work] = deque()
+        self._suspects: list[Work] = []
         self._running: dict[str, _Running] = {}
         self._yielding: set[str] = set()
+        self._removed: set[str] = set()
         self._tasks = TaskGroup()
+        self._refusal = ""
+        self._is_final = False
+        self._stopped = False
         self.slots = 1
         self.queue_limit = 1
-        self.draining = False
 
     async def start(self) -> None:
         """Begin to watch deadlines."""
@@ -74,8 +106,14 @@
 
     async def stop(self) -> None:
         """Cancel whatever still runs."""
+        self._stopped = True
         await self._tasks.cancel()
 
+    @property
+    def draining(self) -> bool:
+        """Tell whether new work is refused."""
+        return bool(self._refusal)
+
     def set_policy(self, line: queue.Queue, bound: admission.Admission) -> None:
         """Go on with another queue and admission, keeping what waits."""
         now = self._timer.read_clock()
@@ -93,18 +131,22 @@
 
     def count_waiting(self, batch: bool) -> int:
         """Return how many works of one kind wait."""
-        suspects = sum(work.ticket.batch == batch for work in self._suspects)
-        return self._line.count(batch) + suspects
+        return self._line.count(batch) + len(self._list_suspects(batch))
+
+    def _list_online(self) -> list[_Running]:
+        return [r for r in self._running.values() if not r.work.ticket.batch]
+
+    def _list_suspects(self, batch: bool) -> list[Work]:
+        return [work for work in self._suspects if work.ticket.batch == batch]
 
-    def list_fingerprints(self) -> tuple[str, ...]:
-        """Return the fingerprints of what runs now."""
-        return tuple(r.work.fingerprint for r in self._running.values())
+    def list_running(self) -> frozenset[str]:
+        """Return the ids of what runs now."""
+        return frozenset(self._running)
 
     def submit(self, work: Work) -> None:
         """Let work wait for its turn, or refuse it at once."""
-        if self.draining:
-            text = "the upstream's agent is shutting down"
-            work.refuse(error.CapacityError(text, error.Kind.SHUTTING_DOWN))
+        if self._refusal:
+            work.refuse(error.CapacityError(self._refusal, error.Kind.SHUTTING_DOWN))
             return
         if not work.ticket.batch and self.count_waiting(False) >= self.queue_limit:
             work.refuse(error.CapacityError("the upstream's queue is full"))
@@ -117,7 +159,7 @@
         self.pump()
 
     def remove(self, work_id: str) -> bool:
-        """Take out work that waits, or cancel work that runs."""
+        """Take out work that waits, or cancel work that runs, for good."""
         if self._line.remove(work_id):
             self._waiting.pop(work_id, None)
             return True
@@ -127,37 +169,90 @@
                 return True
         running = self._running.get(work_id)
         if running is not None:
+            self._removed.add(work_id)
             running.task.cancel()
         return False
 
-    def refuse_waiting(self) -> None:
-        """Refuse all that waits, truthfully, for a graceful stop."""
-        self.draining = True
-        failure = error.CapacityError(
-            "the upstream's agent is shutting down", error.Kind.SHUTTING_DOWN
-        )
-        for work in [*self._waiting.values(), *self._suspects]:
-            self._line.remove(work.ticket.id)
-            work.refuse(failure)
+    def refuse_all(self, text: str, final: bool = False) -> None:
+        """Refuse what waits and what comes, truthfully, until `accept_again`.
+
+        After a `final` refusal nothing is accepted again.
+        """
+        self._refusal = text
+        self._is_final = self._is_final or final
+        failure = error.CapacityError(text, error.Kind.SHUTTING_DOWN)
+        waiting = [*self._waiting.values(), *self._suspects]
         self._waiting.clear()
         self._suspects.clear()
+        for work in waiting:
+            self._line.remove(work.ticket.id)
+            work.refuse(failure)
+
+    def accept_again(self) -> None:
+        """Take new work again."""
+        if not self._is_final:
+            self._refusal = ""
+
+    def yield_batch(self) -> None:
+        """Cancel the batch work that may run again elsewhere."""
+        for name, running in self._running.items():
+            if running.work.may_yield():
+                self._cancel_for_now(name)
+
+    def _cancel_for_now(self, name: str) -> None:
+        if name not in self._yielding:
+            self._yielding.add(name)
+            self._running[name].task.cancel()
 
     def pump(self) -> None:
         """Start whatever may start now and make batch work yield."""
-        if any(running.work.alone for running in self._running.values()):
+        if self._stopped:
             return
-        if self._suspects:
-            if not self._running:
-                self._begin(self._suspects.popleft(), False)
+        if self._is_isolating() or self._start_online_suspect():
             return
         now = self._timer.read_clock()
         while len(self._running) < self.slots:
+            if self._hold_batch():
+                break
             start = dispatch.choose_start(self._line, self._bound, self._tally(), now)
             if start is None:
                 break
-            self._begin(self._waiting.pop(start.ticket.id), start.due)
+            self._try_begin(self._waiting.pop(start.ticket.id), start.due)
+            if self._list_suspects(False):
+                return self.pump()
         self._make_room()
 
+    def _is_isolating(self) -> bool:
+        """Tell whether something runs alone; batch work yields even then."""
+        for name, running in self._running.items():
+            if running.alone:
+                if self.count_waiting(False) and running.work.may_yield():
+                    self._cancel_for_now(name)
+                return True
+        return False
+
+    def _start_online_suspect(self) -> bool:
+        """Hold everything back while an online suspect waits for its turn."""
+        suspects = self._list_suspects(False)
+        if not suspects:
+            return False
+        if self._running:
+            self.yield_batch()
+        else:
+            self._suspects.remove(suspects[0])
+            self._begin(suspects[0], due=False, alone=True)
+        return True
+
+    def _hold_batch(self) -> bool:
+        """Start a batch suspect once nothing runs; hold other batch work back."""
+        suspects = self._list_suspects(True)
+        if not suspects or self._line.count(False):
+            return False
+        if not self._running:
+            self._suspects.remove(suspects[0])
+            self._begin(suspects[0], due=False, alone=True)
+        return True
+
     def _tally(self) -> dispatch.Running:
         online = self.count_running(False)
         due = sum(running.due for running in self._running.values())
@@ -175,39 +270,50 @@
             for name, running in self._running.items()
             if running.work.may_yield()
             and not running.due
-            and name not in self._yielding
+            and name not in self._yielding | self._removed
         ]
         for ticket in dispatch.choose_yield(started, count - len(self._yielding)):
-            self._yielding.add(ticket.id)
-            self._running[ticket.id].task.cancel()
+            self._cancel_for_now(ticket.id)
+
+    def _try_begin(self, work: Work, due: bool) -> None:
+        """Begin a work by what is known of it now."""
+        if self._verdicts.is_suspect(work.fingerprint):
+            self._suspects.append(work)
+        else:
+            self._begin(work, due, alone=False)
 
-    def _begin(self, work: Work, due: bool) -> None:
+    def _begin(self, work: Work, due: bool, alone: bool) -> None:
+        if self._verdicts.is_guilty(work.fingerprint):
+            text = "this request crashed the upstreams that ran it"
+            work.refuse(error.RequestError(text, error.Kind.REQUEST_QUARANTINED))
+            return
         now = self._timer.read_clock()
         name = work.ticket.id
         self._bound.observe_start(name, work.ticket.batch, now)
-        task = self._tasks.spawn(self._run(work))
-        self._running[name] = _Running(work, task, due, now)
-
-    async def _run(self, work: Work) -> None:
-        name = work.ticket.id
-        cost = work.ticket.cost
-        yielded = False
-        try:
-            cost = await work.run()
-        except asyncio.CancelledError:
-            yielded = name in self._yielding
-            if not yielded:
-                raise
-        finally:
-            self._yielding.discard(name)
-            self._running.pop(name, None)
-            now = self._timer.read_clock()
-            self._bound.observe_end(name, now)
-            self._line.settle(work.ticket, cost, now)
-            if not yielded:
-                self.pump()
-        if yielded:
+        task = self._tasks.spawn(work.run())
+        self._running[name] = _Running(work, task, due, alone, now)
+        # A callback runs even if the task is cancelled before its first step.
+        task.add_done_callback(lambda task: self._end(name, task))
+
+    def _end(self, name: str, task: asyncio.Task) -> None:
+        """Settle a work that has ended, and go on with the next."""
+        running = self._running.pop(name)
+        work = running.work
+        is_removed = name in self._removed
+        yielded = name in self._yielding and task.cancelled() and not is_removed
+        self._yielding.discard(name)
+        self._removed.discard(name)
+        ended = Ended(work.ticket.cost, False)
+        if not task.cancelled() and task.exception() is None:
+            ended = task.result()
+        now = self._timer.read_clock()
+        self._bound.observe_end(name, now)
+        self._line.settle(work.ticket, ended.cost, now)
+        if running.alone and ended.answered:
+            self._verdicts.clear(work.fingerprint)
+        if yielded and not self._stopped:
             self.submit(work)
+        self.pump()
 
     def observe_first_token(self, work: Work) -> None:
         """Tell the admission that a request's answer has begun."""
@@ -216,16 +322,23 @@
     async def _expire(self) -> None:
         """Give work that can't make its deadline its final answer at once."""
         now = self._timer.read_clock()
-        for ticket in self._line.expire(now):
-            work = self._waiting.pop(ticket.id)
+        late = [self._waiting.pop(ticket.id) for ticket in self._line.expire(now)]
+        for work in self._list_suspects(False):
+            if work.ticket.deadline <= now:
+                self._suspects.remove(work)
+                late.append(work)
+        for work in late:
             text = "the deadline would pass before the request's turn"
-            work.refuse(
-                error.CapacityError(text, error.Kind.DEADLINE_EXCEEDED, not_run=True)
-            )
+            kind = error.Kind.DEADLINE_EXCEEDED
+            work.refuse(error.CapacityError(text, kind, not_run=True))
         self.pump()
 
     async def wait_idle(self, seconds: float) -> None:
-        """Return once nothing runs, or after so many seconds."""
-        end = self._timer.read_clock() + seconds
+        """Return once nothing runs, or after so many seconds.
+
+        Online work that runs has until its own deadline in any case.
+        """
+        ends = [r.work.ticket.deadline for r in self._list_online()]
+        end = max([self._timer.read_clock() + seconds, *ends])
         while self._running and self._timer.read_clock() < end:
-            await self._timer.sleep(0.05)
+            await self._timer.sleep(IDLE_SECONDS)
--- /dev/null
+++ b/sapphireseam/agent/runner_test.py
@@ -0,0 +1,193 @@
+"""Check who runs beside whom, and that what is stopped stays stopped."""
+
+import asyncio
+import unittest
+
+from sapphireseam.agent.runner import Ended, Runner
+from sapphireseam.core import error
+from sapphireseam.policy import admission, queue
+from sapphireseam.utils.timer import FakeTimer
+
+
+class FakeVerdicts:
+    def __init__(self):
+        self.suspects: set[str] = set()
+        self.guilty: set[str] = set()
+        self.cleared: list[str] = []
+
+    def is_suspect(self, fingerprint):
+        return fingerprint in self.suspects
+
+    def is_guilty(self, fingerprint):
+        return fingerprint in self.guilty
+
+    def clear(self, fingerprint):
+        self.cleared.append(fingerprint)
+
+
+class FakeWork:
+    def __init__(self, name, batch=False, alone=False, deadline=2000.0):
+        self.ticket = queue.Ticket(name, "c", batch, 1.0, 1000.0, deadline)
+        self.alone = alone
+        self.fingerprint = name.split("#")[0]
+        self.refused: list[error.SeamError] = []
+        self.running = 0
+        self.runs = 0
+        self.done = asyncio.Event()
+        self.answered = True
+
+    async def run(self):
+        self.running += 1
+        self.runs += 1
+        try:
+            await self.done.wait()
+            return Ended(1.0, self.answered)
+        finally:
+            self.running -= 1
+
+    def refuse(self, failure):
+        self.refused.append(failure)
+
+    def may_yield(self):
+        return self.ticket.batch
+
+
+class RunnerTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.timer = FakeTimer()
+        self.verdicts = FakeVerdicts()
+        self.runner = Runner(
+            queue.FairQueue(),
+            admission.AdaptiveAdmission(4),
+            self.verdicts,
+            self.timer,
+        )
+        self.runner.slots = 4
+        self.runner.queue_limit = 9
+        await self.runner.start()
+        self.addAsyncCleanup(self.runner.stop)
+
+    async def submit(self, *works):
+        for work in works:
+            self.runner.submit(work)
+        await self.timer.settle()
+
+    async def finish(self, work):
+        work.done.set()
+        await self.timer.settle()
+
+    async def test_suspect_runs_with_nothing_beside_it_and_is_cleared(self):
+        first, suspect, last = FakeWork("a"), FakeWork("x", alone=True), FakeWork("b")
+        await self.submit(first, suspect, last)
+        self.assertEqual((first.running, suspect.running, last.running), (1, 0, 0))
+        await self.finish(first)
+        self.assertEqual((suspect.running, last.running), (1, 0))
+        await self.finish(suspect)
+        self.assertEqual(last.running, 1)
+        self.assertEqual(self.verdicts.cleared, ["x"])
+
+    async def test_suspect_that_failed_is_not_cleared(self):
+        suspect = FakeWork("x", alone=True)
+        suspect.answered = False
+        await self.submit(suspect)
+        await self.finish(suspect)
+        self.assertEqual(self.verdicts.cleared, [])
+
+    async def test_copy_that_waited_is_isolated_once_suspected(self):
+        """Fill the slots, suspect a request that waits, and free a slot."""
+        fill = [FakeWork(f"f{number}") for number in range(4)]
+        copy = FakeWork("x")
+        await self.submit(*fill, copy)
+        self.verdicts.suspects.add("x")
+        await self.finish(fill[0])
+        self.assertEqual(copy.running, 0)
+        for work in fill[1:]:
+            await self.finish(work)
+        self.assertEqual(copy.running, 1)
+
+    async def test_guilty_copy_that_waited_is_refused_as_not_run(self):
+        fill = [FakeWork(f"f{number}") for number in range(4)]
+        copy = FakeWork("x")
+        await self.submit(*fill, copy)
+        self.verdicts.guilty.add("x")
+        await self.finish(fill[0])
+        self.assertEqual(copy.refused[0].kind, error.Kind.REQUEST_QUARANTINED)
+        self.assertTrue(copy.refused[0].not_run)
+        self.assertEqual(copy.runs, 0)
+
+    async def test_online_never_waits_behind_a_batch_suspect(self):
+        self.verdicts.suspects.add("item")
+        item, online = FakeWork("item", batch=True), FakeWork("a")
+        await self.submit(item)
+        self.assertEqual(item.running, 1)
+        await self.submit(online)
+        self.assertEqual((item.running, online.running), (0, 1))
+        await self.finish(online)
+        self.assertEqual((item.running, item.runs), (1, 2))
+
+    async def test_waiting_batch_suspect_holds_back_batch_only(self):
+        online = FakeWork("a")
+        await self.submit(online)
+        self.verdicts.suspects.add("item")
+        item, other = FakeWork("item", batch=True), FakeWork("other", batch=True)
+        more = FakeWork("b")
+        await self.submit(item, other, more)
+        self.assertEqual((item.running, other.running, more.running), (0, 0, 1))
+
+    async def test_batch_yields_to_an_online_suspect(self):
+        item, suspect = FakeWork("item", batch=True), FakeWork("x", alone=True)
+        await self.submit(item)
+        await self.submit(suspect)
+        self.assertEqual((item.running, suspect.running), (0, 1))
+
+    async def test_work_cancelled_before_its_first_step_frees_its_slot(self):
+        work, suspect = FakeWork("a"), FakeWork("x", alone=True)
+        self.runner.submit(work)
+        self.runner.remove("a")
+        await self.submit(suspect)
+        self.assertEqual(self.runner.list_running(), {"x"})
+        self.assertEqual(suspect.running, 1)
+
+    async def test_item_dropped_while_it_yields_does_not_come_back(self):
+        items = [FakeWork(f"item{number}", batch=True) for number in range(4)]
+        await self.submit(*items)
+        online = [FakeWork(f"o{number}") for number in range(4)]
+        for work in online:
+            self.runner.submit(work)
+        for item in items:
+            self.runner.remove(item.ticket.id)
+        await self.timer.settle()
+        for work in online:
+            await self.finish(work)
+        self.assertEqual([item.running for item in items], [0] * 4)
+        self.assertEqual([item.runs for item in items], [1] * 4)
+
+    async def test_suspect_past_its_deadline_is_refused_as_not_run(self):
+        first = FakeWork("a")
+        suspect = FakeWork("x", alone=True, deadline=1005.0)
+        await self.submit(first, suspect)
+        await self.timer.advance(6.0)
+        self.assertEqual(suspect.refused[0].kind, error.Kind.DEADLINE_EXCEEDED)
+        self.assertTrue(suspect.refused[0].not_run)
+
+    async def test_refusal_reaches_all_that_waits_and_a_final_one_stays(self):
+        first, suspect = FakeWork("a"), FakeWork("x", alone=True)
+        await self.submit(first, suspect)
+        self.runner.refuse_all("leaving")
+        late = FakeWork("b")
+        await self.submit(late)
+        self.assertTrue(suspect.refused[0].not_run and late.refused[0].not_run)
+        self.assertEqual(first.running, 1)
+        self.runner.refuse_all("stopping", final=True)
+        self.runner.accept_again()
+        again = FakeWork("c")
+        await self.submit(again)
+        self.assertEqual(again.runs, 0)
+
+    async def test_nothing_begins_during_a_stop(self):
+        fill = [FakeWork(f"f{number}") for number in range(4)]
+        waiting = FakeWork("w")
+        await self.submit(*fill, waiting)
+        await self.runner.stop()
+        await self.timer.settle()
+        self.assertEqual(waiting.runs, 0)
--- a/sapphireseam/agent/server.py
+++ b/sapphireseam/agent/server.py
@@ -4,6 +4,9 @@
 answers go back under the entry's attempt numbers. When the stream ends,
 whatever it brought is dropped from the queue or cancelled, so an entry that
 died leaves nothing behind.
+
+Of each answer only so much is under way as the entry gave credit for, so a
+caller that reads slowly holds up its own answer and no other.
 """
 
 import asyncio
@@ -11,12 +14,12 @@
 from typing import Any
 
 from sapphireseam.agent import engine
-from sapphireseam.agent.runner import Runner
-from sapphireseam.core import command, error, message
+from sapphireseam.agent.death import DeathWatch
+from sapphireseam.agent.runner import Ended, Runner
+from sapphireseam.core import error, message
 from sapphireseam.policy import queue
 from sapphireseam.utils import rpc
 from sapphireseam.utils.application import TaskGroup
-from sapphireseam.utils.client import ControlClient
 from sapphireseam.utils.rpc import Role
 from sapphireseam.utils.timeline import Timeline
 from sapphireseam.utils.timer import TimerService, run_periodically, wait_for
@@ -29,6 +32,12 @@
 GO_SECONDS = 2.0
 # How long a graceful stop waits for running work, in seconds.
 DRAIN_SECONDS = 60.0
+# How long it waits for an entry to take the last messages, in seconds.
+FLUSH_SECONDS = 2.0
+# Bytes of one answer that may be on their way to the entry.
+WINDOW_BYTES = 256 * 1024
+
+STOPPING = "the upstream's agent is shutting down"
 
 
 class OnlineWork:
@@ -47,11 +56,18 @@
         self._stream = stream
         self._owner = owner
         self._go = asyncio.Event()
+        self._credit = WINDOW_BYTES
+        self._credited = asyncio.Event()
 
     def allow(self) -> None:
         """Take the entry's word that the request may be handed over."""
         self._go.set()
 
+    def add_credit(self, size: int) -> None:
+        """Take the entry's word that so many bytes more may be sent."""
+        self._credit += size
+        self._credited.set()
+
     def may_yield(self) -> bool:
         """Return false: online work is never cancelled for other work."""
         return False
@@ -69,55 +85,81 @@
         )
         self._owner.forget(self.ticket.id)
 
-    async def run(self) -> float:
+    async def run(self) -> Ended:
         """Hand the request over and pass its answer on."""
+        handed_over = False
         try:
             if self._offer.ask and not await self._ask():
                 text = "the entry didn't allow the hand-over in time"
                 self.refuse(error.CapacityError(text))
-                return 0.0
+                return Ended(0.0, False)
+            handed_over = True
             return await self._exchange()
+        except Exception:
+            logger.exception("a request failed here")
+            text = "internal error in the upstream's agent"
+            self._stream.post(
+                message.Fail(
+                    self._offer.attempt,
+                    str(error.Kind.INTERNAL),
+                    text,
+                    not handed_over,
+                )
+            )
+            return Ended(self._offer.cost, False)
         finally:
             self._owner.forget(self.ticket.id)
 
     async def _ask(self) -> bool:
+        """Return whether the entry allows the hand-over, before the deadline."""
+        timer = self._owner.timer
         self._stream.post(message.Ready(self._offer.attempt))
         try:
-            await wait_for(self._owner.timer, self._go.wait(), GO_SECONDS)
+            await wait_for(timer, self._go.wait(), GO_SECONDS)
         except TimeoutError:
             return False
-        return True
+        # This process may have been frozen since.
+        return timer.read_clock() < self.ticket.deadline
 
-    async def _exchange(self) -> float:
+    async def _exchange(self) -> Ended:
         offer = self._offer
         first = True
         size = 0
         answer = self._owner.upstream.run(
-            offer.method,
-            offer.target,
-            offer.headers,
-            offer.body,
-            offer.ask,
-            offer.attempt,
+            offer.method, offer.target, offer.headers, offer.body, offer.attempt
         )
         try:
             async for item in answer:
-                if first and isinstance(item, message.Data):
-                    first = False
-                    self._owner.runner.observe_first_token(self)
-                size += len(getattr(item, "body", b""))
+                if isinstance(item, message.Data):
+                    if first:
+                        first = False
+                        self._owner.runner.observe_first_token(self)
+                    size += len(item.body)
+                    await self._take_credit(len(item.body))
                 await self._stream.send(item)
         except engine.UpstreamError as failure:
-            if not failure.not_run:
-                await self._owner.report_death(self)
-            self._stream.post(engine.explain(failure, offer.attempt))
-            return offer.cost
+            await self._report(failure)
+            return Ended(offer.cost, False)
         except rpc.LinkError:
-            return offer.cost
+            return Ended(offer.cost, False)
         finally:
             await answer.aclose()
         self._stream.post(message.End(offer.attempt))
-        return len(offer.body) / 4 + size / 4
+        return Ended(len(offer.body) / 4 + size / 4, True)
+
+    async def _take_credit(self, size: int) -> None:
+        """Wait until the entry has room for more of this answer."""
+        while self._credit <= 0:
+            self._credited.clear()
+            await self._credited.wait()
+        self._credit -= size
+
+    async def _report(self, failure: engine.UpstreamError) -> None:
+        """Tell the entry that the exchange failed, and whether by a death."""
+        died = False
+        if failure.broken:
+            died = await self._owner.deaths.judge(self.ticket.id, self.fingerprint)
+        self._stream.post(engine.explain(failure, self._offer.attempt, died))
 
 
 class EntryServer:
@@ -127,14 +169,14 @@
         self,
         upstream: engine.Upstream,
         runner: Runner,
-        client: ControlClient,
+        deaths: DeathWatch,
         timeline: Timeline,
         timer: TimerService,
     ):
         self.upstream = upstream
         self.runner = runner
+        self.deaths = deaths
         self.timer = timer
-        self._client = client
         self._timeline = timeline
         self._works: dict[str, OnlineWork] = {}
         self._streams: set[rpc.Stream] = set()
@@ -143,21 +185,31 @@
 
     def register(self, server: rpc.Server) -> None:
         """Have the server pass entries' streams to this one."""
-        server.add_stream(message.Connect, frozenset({Role.FLEET}), self._serve)
+        server.add_stream(message.Connect, frozenset({Role.FLEET}), self.serve)
 
     async def start(self) -> None:
         """Begin to tell entries the load."""
         self._tasks.spawn(run_periodically(self.timer, LOAD_SECONDS, self._tell_load))
 
     async def stop(self) -> None:
-        """Refuse what waits, finish what runs, and say so to every entry."""
-        self.runner.refuse_waiting()
-        await self._tell_load()
+        """Refuse what waits, finish what runs, and say so to every entry.
+
+        Batch work that may run elsewhere is cancelled; its items go back.
+        """
+        self.runner.refuse_all(STOPPING, final=True)
+        self.tell_load()
+        self.runner.yield_batch()
         await self.runner.wait_idle(DRAIN_SECONDS)
-        for stream in list(self._streams):
-            await stream.flush()
+        flushes = [self._flush(stream) for stream in self._streams]
+        await asyncio.gather(*flushes)
         await self._tasks.cancel()
 
+    async def _flush(self, stream: rpc.Stream) -> None:
+        try:
+            await wait_for(self.timer, stream.flush(), FLUSH_SECONDS)
+        except TimeoutError:
+            logger.info("an entry didn't take the last messages")
+
     def forget(self, work_id: str) -> None:
         """Drop a request that has ended."""
         self._works.pop(work_id, None)
@@ -174,11 +226,16 @@
         )
 
     async def _tell_load(self) -> None:
+        self.tell_load()
+
+    def tell_load(self) -> None:
+        """Tell every entry the load now."""
         load = self._describe_load()
         for stream in self._streams:
             stream.post(load)
 
-    async def _serve(self, first: message.Connect, stream: rpc.Stream) -> None:
+    async def serve(self, first: message.Connect, stream: rpc.Stream) -> None:
+        """Serve one entry's stream until it ends."""
         prefix = f"{first.entry}/{self._next}"
         self._next += 1
         stream.post(self._describe_load())
@@ -193,16 +250,17 @@
 
     def _take(self, item: Any, stream: rpc.Stream, prefix: str) -> None:
         name = f"{prefix}/{item.attempt}"
+        work = self._works.get(name)
         match item:
             case message.Offer():
                 self._timeline.clock.hear(item.clock)
                 work = OnlineWork(item, stream, self, name)
                 self._works[name] = work
                 self.runner.submit(work)
-            case message.Go():
-                work = self._works.get(name)
-                if work is not None:
-                    work.allow()
+            case message.Go() if work is not None:
+                work.allow()
+            case message.Credit() if work is not None:
+                work.add_credit(item.size)
             case message.Revoke():
                 self._drop(name)
 
@@ -210,18 +268,3 @@
         """Take a request out of the queue or cancel it upstream."""
         self._works.pop(name, None)
         self.runner.remove(name)
-
-    async def report_death(self, work: Any) -> None:
-        """Count the upstream's death against all that it was running."""
-        fingerprints = self.runner.list_fingerprints()
-        alone = len(fingerprints) == 1
-        now = self.timer.read_wall_clock()
-        request = f"death-{self.upstream.name}-{work.ticket.id}-{now}"
-        item = command.ReportDeath(
-            request, self.upstream.name, fingerprints, alone, now
-        )
-        self._timeline.record("upstream_died", self.upstream.name)
-        try:
-            await self._client.propose(item, GO_SECONDS)
-        except error.SeamError as failure:
-            logger.warning("death not reported", extra={"cause": failure.message})
--- /dev/null
+++ b/sapphireseam/agent/server_test.py
@@ -0,0 +1,200 @@
+"""Check what an agent tells an entry of a request, on each way it can end."""
+
+import asyncio
+import unittest
+
+from sapphireseam.agent import server
+from sapphireseam.agent.death import DeathWatch
+from sapphireseam.agent.fake import FakeStream, FakeUpstream
+from sapphireseam.agent.runner import Runner
+from sapphireseam.core import error, message
+from sapphireseam.policy import admission, queue
+from sapphireseam.tools import fake
+from sapphireseam.utils import rpc
+from sapphireseam.utils.timeline import Timeline
+from sapphireseam.utils.timer import FakeTimer
+
+
+def make_offer(attempt=1, ask=False, remaining=30.0, alone=False, name=""):
+    return message.Offer(
+        attempt,
+        "c",
+        "POST",
+        "/x",
+        (),
+        b"body",
+        remaining,
+        1.0,
+        ask,
+        alone,
+        name or f"f{attempt}",
+    )
+
+
+class EntryServerTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.timer = FakeTimer()
+        self.control = fake.FakeControl(self.timer)
+        timeline = Timeline("a", self.timer)
+        self.deaths = DeathWatch(
+            "u", fake.FakeMirror(), self.control, timeline, self.timer
+        )
+        self.runner = Runner(
+            queue.FairQueue(), admission.FixedAdmission(4), self.deaths, self.timer
+        )
+        self.runner.slots = 4
+        self.runner.queue_limit = 9
+        self.deaths.list_running = self.runner.list_running
+        self.upstream = FakeUpstream()
+        self.server = server.EntryServer(
+            self.upstream, self.runner, self.deaths, timeline, self.timer
+        )
+        await self.runner.start()
+        self.stream = self.connect()
+        self.addAsyncCleanup(self.runner.stop)
+        self.addAsyncCleanup(self.deaths.stop)
+
+    def connect(self):
+        stream = FakeStream()
+        task = asyncio.create_task(self.server.serve(message.Connect("e"), stream))
+
+        async def end():
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+
+        self.addAsyncCleanup(end)
+        return stream
+
+    async def send(self, *items, stream=None):
+        for item in items:
+            (stream or self.stream).inbox.put_nowait(item)
+        await self.timer.settle()
+
+    def list_fails(self):
+        return self.stream.list_sent(message.Fail)
+
+    async def test_answer_comes_whole_under_its_attempt(self):
+        await self.send(make_offer(7))
+        self.upstream.exchanges[0].answer(b"a", b"b")
+        await self.timer.settle()
+        kinds = [type(item).__name__ for item in self.stream.sent if item]
+        self.assertEqual(kinds[-4:], ["Head", "Data", "Data", "End"])
+        self.assertEqual({item.attempt for item in self.stream.sent[1:]}, {7})
+
+    async def test_nothing_is_handed_over_without_the_entrys_word(self):
+        await self.send(make_offer(ask=True))
+        self.assertEqual(len(self.stream.list_sent(message.Ready)), 1)
+        await self.timer.advance(server.GO_SECONDS + 1.0)
+        await self.send(message.Go(1))
+        (failed,) = self.list_fails()
+        self.assertTrue(failed.not_run)
+        self.assertEqual(self.upstream.exchanges, [])
+
+    async def test_word_that_comes_after_the_deadline_hands_nothing_over(self):
+        """Freeze the agent between the entry's word and its reading."""
+        await self.send(make_offer(ask=True, remaining=1.0))
+        self.stream.inbox.put_nowait(message.Go(1))
+        self.timer._now += 1.5
+        await self.timer.settle()
+        (failed,) = self.list_fails()
+        self.assertTrue(failed.not_run)
+        self.assertEqual(self.upstream.exchanges, [])
+
+    async def test_word_allows_one_hand_over(self):
+        await self.send(make_offer(ask=True), message.Go(1), message.Go(1))
+        self.assertEqual(len(self.upstream.exchanges), 1)
+
+    async def test_broken_exchange_is_never_called_not_run(self):
+        await self.send(make_offer(ask=True), message.Go(1))
+        self.upstream.exchanges[0].fail(broken=True)
+        await self.timer.advance(1.0)
+        (failed,) = self.list_fails()
+        self.assertEqual(
+            (failed.not_run, failed.died, failed.kind),
+            (False, True, error.Kind.OUTCOME_UNKNOWN),
+        )
+
+    async def test_refused_connection_is_not_run_and_no_death(self):
+        await self.send(make_offer())
+        self.upstream.exchanges[0].fail(not_run=True)
+        await self.timer.advance(1.0)
+        (failed,) = self.list_fails()
+        self.assertEqual((failed.not_run, failed.died), (True, False))
+        self.assertEqual(self.control.machine.state.deaths, {})
+
+    async def test_one_death_under_many_requests_is_reported_once(self):
+        await self.send(*[make_offer(number) for number in range(3)])
+        for exchange in self.upstream.exchanges:
+            exchange.fail(broken=True)
+        await self.timer.advance(1.0)
+        self.assertEqual([failed.died for failed in self.list_fails()], [True] * 3)
+        self.assertEqual(self.control.machine.state.deaths, {f"f{n}": 1 for n in "012"})
+
+    async def test_revoked_request_leaves_queue_or_upstream(self):
+        await self.send(*[make_offer(number) for number in range(5)])
+        await self.send(message.Revoke(0), message.Revoke(4))
+        self.assertTrue(self.upstream.exchanges[0].cancelled)
+        self.assertEqual(len(self.upstream.exchanges), 4)
+        self.assertEqual(self.runner.count_waiting(False), 0)
+
+    async def test_end_of_an_entrys_stream_ends_only_what_it_brought(self):
+        other = self.connect()
+        await self.send(make_offer(1))
+        await self.send(make_offer(1), stream=other)
+        await self.send(rpc.LinkError("gone"))
+        self.assertEqual(
+            [item.cancelled for item in self.upstream.exchanges], [True, False]
+        )
+
+    async def test_slow_caller_holds_up_its_own_answer_only(self):
+        await self.send(make_offer(1), make_offer(2))
+        slow, quick = self.upstream.exchanges
+        piece = bytes(64 * 1024)
+        slow.begin()
+        quick.begin()
+        for _ in range(64):
+            slow.send(piece)
+        quick.answer(b"quick")
+        await self.timer.settle()
+        self.assertEqual(self.stream.list_sent(message.End), [message.End(2)])
+        sent = sum(
+            len(item.body)
+            for item in self.stream.list_sent(message.Data)
+            if item.attempt == 1
+        )
+        self.assertLessEqual(sent, server.WINDOW_BYTES)
+        await self.send(message.Credit(1, server.WINDOW_BYTES))
+        more = [d for d in self.stream.list_sent(message.Data) if d.attempt == 1]
+        self.assertEqual(len(more) * len(piece), 2 * server.WINDOW_BYTES)
+
+    async def test_fault_of_the_agent_itself_still_ends_the_attempt(self):
+        def run(*_):
+            raise KeyError("a fault")
+
+        self.upstream.run = run
+        with self.assertLogs("sapphireseam.agent.server", "ERROR"):
+            await self.send(make_offer())
+        (failed,) = self.list_fails()
+        self.assertFalse(failed.not_run)
+
+    async def test_stop_refuses_what_waits_and_finishes_what_runs(self):
+        await self.send(*[make_offer(number) for number in range(5)])
+        stopping = asyncio.create_task(self.server.stop())
+        await self.timer.advance(5.0)
+        await self.send(make_offer(9))
+        self.assertEqual([f.attempt for f in self.list_fails()], [4, 9])
+        self.assertTrue(all(f.not_run for f in self.list_fails()))
+        self.assertTrue(self.stream.list_sent(message.Load)[-1].leaving)
+        self.assertFalse(stopping.done())
+        for exchange in self.upstream.exchanges:
+            exchange.answer(b"whole")
+        await self.timer.advance(1.0)
+        self.assertEqual(len(self.stream.list_sent(message.End)), 4)
+        self.assertTrue(stopping.done())
+
+    async def test_stop_does_not_wait_for_a_frozen_entry(self):
+        self.stream.is_stuck = True
+        await self.timer.settle()
+        stopping = asyncio.create_task(self.server.stop())
+        await self.timer.advance(server.FLUSH_SECONDS + 1.0)
+        self.assertTrue(stopping.done())
--- a/sapphireseam/control/dispatch.py
+++ b/sapphireseam/control/dispatch.py
@@ -64,6 +64,7 @@
         self._tasks = TaskGroup()
         self._term = -1
         self._heard: dict[int, Heard] = {}
+        self._beats: dict[str, int] = {}
         self._received: dict[str, float] = {}
         self._lines: dict[str, list[bytes]] = {}
 
@@ -85,6 +86,7 @@
         if self._replica.term != self._term:
             self._term = self._replica.term
             self._heard.clear()
+            self._beats.clear()
 
     async def pull(self, request: message.Pull) -> message.Work:
         """Lease items that fit an idle agent; an empty lease if there are none."""
@@ -189,11 +191,21 @@
             self._heard[number] = Heard(now, True)
             if state.jobs[lease.job].status != record.IN_PROGRESS:
                 dropped.append(number)
-        await self._drop_unlisted(request.agent, set(request.leases))
+        if self._is_newest(request):
+            await self._drop_unlisted(request.agent, set(request.leases))
         # Only a quorum can say that these are the leases in force.
         await self._replica.confirm()
         return message.HeartbeatReply(tuple(dropped))
 
+    def _is_newest(self, request: message.Heartbeat) -> bool:
+        """Tell whether no later heartbeat of the agent has come before.
+
+        An agent that was restarted counts anew; its old leases end by silence.
+        """
+        newest = request.number >= self._beats.get(request.agent, 0)
+        self._beats[request.agent] = request.number
+        return newest
+
     async def _drop_unlisted(self, agent: str, listed: set[int]) -> None:
         """End the leases that an agent held and doesn't hold any more."""
         for number, lease in list(self._machine.state.leases.items()):
--- a/sapphireseam/core/message.py
+++ b/sapphireseam/core/message.py
@@ -175,10 +175,15 @@
 
 
 class Heartbeat(NamedTuple):
-    """Tell the leader which leases an agent holds."""
+    """Tell the leader which leases an agent holds.
+
+    `number` only rises within an agent's run, so that one which was overtaken
+    on its way is known for it.
+    """
 
     agent: str
     leases: tuple[int, ...]
+    number: int = 0
 
 
 class HeartbeatReply(NamedTuple):
@@ -422,6 +427,13 @@
     attempt: int
 
 
+class Credit(NamedTuple):
+    """Let the agent send so many more bytes of an answer."""
+
+    attempt: int
+    size: int
+
+
 class Revoke(NamedTuple):
     """End an attempt: drop it from the queue or cancel it upstream."""
 
@@ -523,6 +535,7 @@
     Offer,
     Ready,
     Go,
+    Credit,
     Revoke,
     Head,
     Data,
--- a/sapphireseam/entry/access.py
+++ b/sapphireseam/entry/access.py
@@ -1,12 +1,16 @@
 """Find out whose request it is, and take the key out of it.
 
-Keys are looked for in the usual headers, the query and cookies. Whatever
-could hold one is removed before anything goes upstream, whether it was used
-or not. A key counts only while the mirror is confirmed; see `Mirror`.
+Keys are looked for in the usual headers and the query. Whatever could hold
+one is removed before anything goes upstream, whether it was used or not: the
+headers and parameters for keys, all cookies, and any other header or parameter
+with a key's text in it, percent-encoded or not. A path or a body can't be cut
+like that, so a request with a key in it is refused. Trailers never go on. A
+key counts only while the mirror is confirmed; see `Mirror`.
 """
 
+import json
 from typing import NamedTuple
-from urllib.parse import parse_qsl, urlencode
+from urllib.parse import parse_qsl, unquote_plus
 
 from multidict import CIMultiDictProxy
 
@@ -81,6 +85,14 @@
     return Caller(found.customer, found.id)
 
 
+def explain_invalid(mirror: Mirror) -> error.SeamError:
+    """Return why a key that held before doesn't count now."""
+    if mirror.is_confirmed():
+        return error.AccessError("the key was withdrawn")
+    text = "this entry lost the control VMs and can't confirm the key"
+    return error.ControlError(text)
+
+
 def is_valid(mirror: Mirror, caller: Caller) -> bool:
     """Tell whether a caller's key still holds, now."""
     if not caller.key:
@@ -89,32 +101,49 @@
     return mirror.is_confirmed() and found is not None and not found.withdrawn
 
 
+def check_place(path: str, body: bytes) -> None:
+    """Raise if a key stands where it can't be taken out: path or body."""
+    if key.is_in(path):
+        raise error.RequestError("the path holds a key; send it as a header")
+    # A JSON text may spell any character by its number.
+    spelled = b"\\u" in body and is_in_json(body)
+    if spelled or key.is_in(body.decode("latin-1")):
+        raise error.RequestError("the body holds a key; send it as a header")
+
+
+def is_in_json(body: bytes) -> bool:
+    """Tell whether a JSON text holds a key once it is read."""
+    try:
+        document = json.loads(body)
+    except ValueError:
+        return False
+    text = json.dumps(document, ensure_ascii=False)
+    return key.redact(text) != text
+
+
 def strip_headers(
-    headers: CIMultiDictProxy[str], text: str = ""
+    headers: CIMultiDictProxy[str],
 ) -> tuple[tuple[str, str], ...]:
-    """Return the headers that may go upstream.
-
-    `text` is the caller's key; a header of any name that holds it is dropped.
-    """
+    """Return the headers that may go upstream."""
     named = {name.strip().lower() for name in headers.get("Connection", "").split(",")}
     dropped = _HOP_HEADERS | _PRIVATE_HEADERS | named
     return tuple(
         (str(name), value)
         for name, value in headers.items()
-        if name.lower() not in dropped and not (text and text in value)
+        if name.lower() not in dropped and not key.is_in(f"{name}: {value}")
     )
 
 
-def strip_query(query: str, text: str = "") -> str:
-    """Return the query without parameters that may hold a key.
+def strip_query(query: str) -> str:
+    """Return the raw query without parameters that may hold a key.
 
-    >>> strip_query("size=2&api_key=seam-1-x")
-    'size=2'
+    >>> strip_query("size=2&%61pi_key=seam-1-x&flag")
+    'size=2&flag'
     """
-    pairs = parse_qsl(query, keep_blank_values=True)
     kept = [
-        (name, value)
-        for name, value in pairs
-        if name.lower() not in key.PARAMETERS and not (text and text in value)
+        part
+        for part in query.split("&")
+        if unquote_plus(part.split("=", 1)[0]).lower() not in key.PARAMETERS
+        and not key.is_in(part)
     ]
-    return urlencode(kept)
+    return "&".join(kept)
--- a/sapphireseam/entry/application.py
+++ b/sapphireseam/entry/application.py
@@ -33,8 +33,16 @@
     fleet_secret: Secret
 
 
+# How often a link that is no longer in the configuration is looked after.
+RETIRE_SECONDS = 0.5
+
+
 class LinkKeeper:
-    """Keep one link to the agent of each upstream in the configuration."""
+    """Keep one link to the agent of each upstream in the configuration.
+
+    The link of an upstream that was taken out gets nothing new, but what runs
+    on it may end.
+    """
 
     def __init__(
         self,
@@ -44,6 +52,7 @@
         timer: TimerService,
     ):
         self.links: dict[str, AgentLink] = {}
+        self._retired: set[AgentLink] = set()
         self._node = node
         self._mirror = mirror
         self._credential = credential
@@ -59,7 +68,7 @@
     async def stop(self) -> None:
         """Close every link."""
         await self._tasks.cancel()
-        for link in self.links.values():
+        for link in [*self.links.values(), *self._retired]:
             await link.stop()
 
     async def _follow(self) -> None:
@@ -70,11 +79,19 @@
             for name, link in list(self.links.items()):
                 if name not in wanted or wanted[name].agent != link.address:
                     del self.links[name]
-                    await link.stop()
+                    self._retired.add(link)
+                    self._tasks.spawn(self._retire(link))
             for name, upstream in wanted.items():
                 if name not in self.links:
                     await self._open(name, upstream.agent)
 
+    async def _retire(self, link: AgentLink) -> None:
+        """Stop a link once nothing runs on it."""
+        while link.in_flight:
+            await self._timer.sleep(RETIRE_SECONDS)
+        self._retired.discard(link)
+        await link.stop()
+
     async def _open(self, name: str, address: str) -> None:
         link = AgentLink(self._node, name, address, self._credential, self._timer)
         self.links[name] = link
--- a/sapphireseam/entry/ask.py
+++ b/sapphireseam/entry/ask.py
@@ -1,6 +1,5 @@
 """Describe one caller's request inside an entry, and read it from HTTP."""
 
-import hashlib
 import json
 from typing import Any, NamedTuple
 
@@ -79,12 +78,6 @@
     return size / CHARACTERS_PER_TOKEN + answer
 
 
-def compute_fingerprint(customer: str, method: str, path: str, body: bytes) -> str:
-    """Return what is the same for every resend of one request."""
-    head = f"{customer}\n{method}\n{path}\n".encode()
-    return hashlib.sha256(head + body).hexdigest()[:32]
-
-
 async def read_body(request: web.Request, limit: int) -> bytes:
     """Return a request's body, or raise if it is larger than the limit."""
     text = f"the body may have {limit} bytes"
--- a/sapphireseam/entry/claim.py
+++ b/sapphireseam/entry/claim.py
@@ -2,23 +2,40 @@
 
 The claim is committed before the request is handed over, so a resend through
 any entry finds it, whichever VM was lost. The answer is committed before the
-caller gets it, and a resend gets the same answer.
+caller gets it, and a resend gets the same answer. The run goes on when its
+caller goes away, since the caller will ask again.
+
+A claim whose holder was lost is never run again. While its request may still
+run, a resend is told when to come back; after that, that the outcome isn't
+known.
 """
 
 import asyncio
+import logging
 from typing import Any
 
 import msgspec
 
 from sapphireseam.core import command, error, outcome
 from sapphireseam.entry.ask import Ask
-from sapphireseam.entry.forward import Forwarder, Sink
+from sapphireseam.entry.delivery import Sink
+from sapphireseam.entry.forward import Forwarder, Stop
 from sapphireseam.utils import upload
+from sapphireseam.utils.application import TaskGroup
 from sapphireseam.utils.client import ControlClient
-from sapphireseam.utils.timer import TimerService
+from sapphireseam.utils.timer import TimerService, wait_for
+
+logger = logging.getLogger(__name__)
 
 # A resend of a request that may still run is told to come back after this.
 BUSY_RETRY_SECONDS = 2.0
+# How much longer than its route's timeout a claimed request may be under way,
+# the differences between the wall clocks of two entries included.
+MARGIN_SECONDS = 5.0
+# How long a caller waits for its answer to be committed.
+STORE_SECONDS = 5.0
+# The largest answer that is kept for resends, in bytes.
+ANSWER_BYTES = 16 * 1024 * 1024
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(tuple[int, tuple[tuple[str, str], ...], bytes])
@@ -40,6 +57,8 @@
     async def write(self, data: bytes) -> None:
         """Keep a piece of the body."""
         self.body += data
+        if len(self.body) > ANSWER_BYTES:
+            raise error.OutcomeError(f"the answer has more than {ANSWER_BYTES} bytes")
 
     async def finish(self) -> None:
         """Do nothing: the answer is whole now."""
@@ -51,13 +70,11 @@
     def __init__(self, client: ControlClient, timer: TimerService):
         self._client = client
         self._timer = timer
+        self._tasks = TaskGroup()
+        self.open = 0
 
     async def serve(
-        self,
-        ask: Ask,
-        sink: Sink,
-        stopped: asyncio.Future[error.SeamError],
-        forwarder: Forwarder,
+        self, ask: Ask, sink: Sink, stopped: Stop, forwarder: Forwarder
     ) -> None:
         """Deliver the first answer, whether this resend makes it or not."""
         claimed = await self._claim(ask)
@@ -65,21 +82,13 @@
             await self._replay(claimed, sink)
             return
         if not claimed.fresh:
-            text = "a request with this Idempotency-Key may still run"
-            raise error.SeamError(
-                text, error.Kind.CONFLICT, BUSY_RETRY_SECONDS, not_run=False
-            )
-        kept = KeepingSink()
-        try:
-            await forwarder.serve(ask, kept, stopped)
-        except error.SeamError as failure:
-            if failure.not_run:
-                await self._settle(ask, True, 0, "")
-            raise
-        packed = _encoder.encode((kept.status, kept.headers, bytes(kept.body)))
-        blob = await upload.write(self._client, packed)
-        await self._settle(ask, False, kept.status, blob)
-        await deliver(sink, kept.status, kept.headers, bytes(kept.body))
+            raise self._explain_open(claimed, ask)
+        self.open += 1
+        task = self._tasks.spawn(self._run(ask, stopped, forwarder))
+        result = await asyncio.shield(task)
+        if isinstance(result, error.SeamError):
+            raise result
+        await deliver(sink, result.status, result.headers, bytes(result.body))
 
     async def _claim(self, ask: Ask) -> outcome.Claimed:
         item = command.ClaimRequest(
@@ -91,7 +100,57 @@
         )
         return await self._client.propose(item)
 
-    async def _settle(self, ask: Ask, not_run: bool, status: int, blob: str) -> None:
+    def _explain_open(self, claimed: outcome.Claimed, ask: Ask) -> error.SeamError:
+        """Return what a resend is told about a claim that isn't settled."""
+        end = claimed.at + ask.route.timeout + MARGIN_SECONDS
+        left = end - self._timer.read_wall_clock()
+        if left <= 0:
+            text = "a request with this Idempotency-Key was begun and its answer lost"
+            return error.OutcomeError(text)
+        text = "a request with this Idempotency-Key may still run"
+        retry_after = min(left, BUSY_RETRY_SECONDS)
+        return error.SeamError(text, error.Kind.CONFLICT, retry_after, not_run=False)
+
+    async def _run(
+        self, ask: Ask, stopped: Stop, forwarder: Forwarder
+    ) -> KeepingSink | error.SeamError:
+        """Run the request to its end, whether its caller waits or not."""
+        kept = KeepingSink()
+        try:
+            await forwarder.serve(ask, kept, stopped)
+            await self._store(ask, kept)
+            return kept
+        except error.SeamError as failure:
+            if failure.not_run:
+                await self._try_settle(ask, True, 0, "")
+            return failure
+        finally:
+            self.open -= 1
+
+    async def _store(self, ask: Ask, kept: KeepingSink) -> None:
+        """Commit the answer; after a while the caller gets it all the same.
+
+        It is the caller's own answer, and a resend is told at worst that the
+        outcome isn't known; nothing of that makes the request run twice.
+        """
+        task = self._tasks.spawn(self._commit(ask, kept))
+        try:
+            await wait_for(self._timer, asyncio.shield(task), STORE_SECONDS)
+        except TimeoutError:
+            logger.warning("an answer isn't committed yet", extra={"request": ask.id})
+
+    async def _commit(self, ask: Ask, kept: KeepingSink) -> None:
+        packed = _encoder.encode((kept.status, kept.headers, bytes(kept.body)))
+        try:
+            blob = await upload.write(self._client, packed)
+        except error.SeamError as failure:
+            logger.warning("answer not kept", extra={"cause": failure.message})
+            return
+        await self._try_settle(ask, False, kept.status, blob)
+
+    async def _try_settle(
+        self, ask: Ask, not_run: bool, status: int, blob: str
+    ) -> None:
         item = command.SettleClaim(
             ask.caller.customer,
             ask.idempotency_key,
@@ -101,10 +160,18 @@
             blob,
             self._timer.read_wall_clock(),
         )
-        await self._client.propose(item)
+        try:
+            await self._client.propose(item)
+        except error.SeamError as failure:
+            logger.warning("claim not settled", extra={"cause": failure.message})
 
     async def _replay(self, claimed: outcome.Claimed, sink: Sink) -> None:
-        packed = await upload.read(self._client, claimed.blob)
+        try:
+            packed = await upload.read(self._client, claimed.blob)
+        except error.SeamError as failure:
+            # The request has run, whatever kept its answer from being read.
+            failure.not_run = False
+            raise
         status, headers, body = _decoder.decode(packed)
         await deliver(sink, status, headers, body)
 
--- a/sapphireseam/entry/forward.py
+++ b/sapphireseam/entry/forward.py
@@ -4,47 +4,53 @@
 another replica; one that may have run goes only if its route is idempotent
 and its caller has seen nothing, or if it is a stream that can be resumed. On
 a route that isn't idempotent the agent asks before it hands the request over,
-and the entry says yes at most once.
+and the entry says yes at most once: a second yes would need an agent's word
+that the first was not used.
+
+"Not run" is said of a request only if no attempt of it may have run.
 """
 
 import asyncio
 import logging
 import random
 from collections.abc import Callable
-from typing import Protocol
 
 from sapphireseam.core import error, fleet, message
-from sapphireseam.entry import resume
+from sapphireseam.entry import access
 from sapphireseam.entry.ask import Ask
+from sapphireseam.entry.delivery import Delivery, Sink
 from sapphireseam.entry.link import AgentLink, Attempt, Lost, Stopped
 from sapphireseam.policy import retry, router
 from sapphireseam.utils.mirror import Mirror
 from sapphireseam.utils.timeline import Timeline
-from sapphireseam.utils.timer import TimerService, wait_for
+from sapphireseam.utils.timer import TimerService
 
 logger = logging.getLogger(__name__)
 
-# A whole answer up to this size is kept back until it is whole.
-WHOLE_BYTES = 8 * 1024 * 1024
 # Answers of an upstream that say it didn't take the request.
 _BUSY_STATUS = 503
-
-
-class Sink(Protocol):
-    """Take an answer for the caller."""
-
-    async def begin(self, status: int, headers: tuple[tuple[str, str], ...]) -> None:
-        """Begin the answer."""
-
-    async def write(self, data: bytes) -> None:
-        """Continue the answer."""
-
-    async def finish(self) -> None:
-        """End the answer, which is whole."""
+# Bytes that the caller took for which the agent gets credit in one message.
+CREDIT_BYTES = 64 * 1024
+# When to come back after an idempotent request failed for good, in seconds.
+FAILED_RETRY_SECONDS = 1.0
+# Refusals that another replica would only repeat.
+_FINAL = frozenset(
+    {
+        error.Kind.REQUEST_QUARANTINED,
+        error.Kind.DEADLINE_EXCEEDED,
+        error.Kind.KEY_INVALID,
+        error.Kind.CONTROL_UNREACHABLE,
+    }
+)
+
+Stop = asyncio.Future[error.SeamError]
 
 
 class AttemptFailed(Exception):  # noqa: N818
-    """Report why one attempt ended without a whole answer."""
+    """Report why one attempt ended without a whole answer.
+
+    `not_run` is about this attempt only.
+    """
 
     def __init__(self, failure: error.SeamError, not_run: bool, died: bool = False):
         super().__init__(failure.message)
@@ -53,67 +59,6 @@
         self.died = died
 
 
-class Delivery:
-    """Track one request's answer over all of its attempts."""
-
-    def __init__(self, ask: Ask, sink: Sink):
-        self.ask = ask
-        self.sink = sink
-        self.follower = resume.EventFollower() if ask.streamed else None
-        self.handed_over = False
-        self.begun = False
-        self._head: message.Head | None = None
-        self._kept = bytearray()
-
-    def take_head(self, head: message.Head) -> None:
-        """Keep an answer's head until its first bytes go out."""
-        self._head = head
-        self._kept.clear()
-
-    async def take_data(self, data: bytes) -> None:
-        """Pass bytes on, or keep them while the answer can still be replaced."""
-        if self.follower is not None and self._head.status < 400:
-            data = self.follower.feed(data)
-            if data:
-                await self._pass_on(data)
-            return
-        self._kept += data
-        if self.begun or len(self._kept) > WHOLE_BYTES:
-            await self._flush()
-
-    async def take_end(self) -> None:
-        """End the answer."""
-        await self._flush()
-        await self._begin()
-        await self.sink.finish()
-
-    async def _flush(self) -> None:
-        if self._kept:
-            data = bytes(self._kept)
-            self._kept.clear()
-            await self._pass_on(data)
-
-    async def _begin(self) -> None:
-        if not self.begun:
-            self.begun = True
-            await self.sink.begin(self._head.status, self._head.headers)
-
-    async def _pass_on(self, data: bytes) -> None:
-        await self._begin()
-        await self.sink.write(data)
-
-    def may_resume(self) -> bool:
-        """Tell whether a cut stream can go on elsewhere."""
-        return self.follower is not None and bool(self.ask.model)
-
-    def render_body(self) -> bytes:
-        """Return the body for the next attempt."""
-        if self.follower is None or not self.follower.tokens:
-            return self.ask.body
-        self.follower.resume()
-        return resume.render_resumed_body(self.ask.body, self.follower.tokens)
-
-
 class Forwarder:
     """Route requests over all agent links of one entry."""
 
@@ -136,31 +81,37 @@
         self._router_name = ""
         self._router: router.Router | None = None
         self._planner = retry.Planner(rng)
-        self._budgets: dict[str, retry.RetryBudget] = {}
+        self._budgets: dict[tuple[str, float], retry.RetryBudget] = {}
 
-    async def serve(
-        self, ask: Ask, sink: Sink, stopped: asyncio.Future[error.SeamError]
-    ) -> None:
+    async def serve(self, ask: Ask, sink: Sink, stopped: Stop) -> None:
         """Deliver the answer, or raise the final error at once.
 
         `stopped` ends the request when it gets its result.
         """
         delivery = Delivery(ask, sink)
-        budget = self._budgets.setdefault(
-            ask.route_name, retry.RetryBudget(ask.route.retry_ratio)
-        )
+        budget = self._find_budget(ask)
         budget.record(self._timer.read_clock())
         tried: set[str] = set()
         alone = False
         made = 0
         while True:
             made += 1
+            alone = alone or ask.fingerprint in self._mirror.suspects
             try:
                 await self._attempt(delivery, tried, alone, stopped)
                 return
             except AttemptFailed as failed:
+                delivery.possibly_run = delivery.possibly_run or not failed.not_run
+                if failed.died and alone:
+                    failed = AttemptFailed(_condemn(), False)
                 alone = alone or failed.died
-                await self._plan_retry(delivery, failed, made, budget)
+                await self._plan_retry(delivery, failed, made, budget, stopped)
+
+    def _find_budget(self, ask: Ask) -> retry.RetryBudget:
+        name = ask.route_name, ask.route.retry_ratio
+        if name not in self._budgets:
+            self._budgets[name] = retry.RetryBudget(ask.route.retry_ratio)
+        return self._budgets[name]
 
     async def _plan_retry(
         self,
@@ -168,35 +119,52 @@
         failed: AttemptFailed,
         made: int,
         budget: retry.RetryBudget,
+        stopped: Stop,
     ) -> None:
         """Wait for the next attempt's time, or raise the final error."""
         ask = delivery.ask
         if not self._may_retry(delivery, failed):
-            raise failed.failure
+            raise self._finish(delivery, failed.failure)
         now = self._timer.read_clock()
         delay = self._planner.plan(made, now, ask.deadline, budget)
         if delay is None:
-            raise failed.failure
+            raise self._finish(delivery, failed.failure)
         self._timeline.record(
             "retry", ask.id, ask.caller.customer, detail=failed.failure.kind
         )
-        await self._timer.sleep(delay)
+        await self._pause(delivery, delay, stopped)
+
+    async def _pause(self, delivery: Delivery, delay: float, stopped: Stop) -> None:
+        alarm = asyncio.ensure_future(self._timer.sleep(delay))
+        try:
+            await asyncio.wait({alarm, stopped}, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            alarm.cancel()
+        if stopped.done():
+            raise self._finish(delivery, stopped.result())
 
     def _may_retry(self, delivery: Delivery, failed: AttemptFailed) -> bool:
-        if failed.not_run and not delivery.begun:
-            return True
-        if not delivery.ask.route.idempotent:
+        if failed.failure.kind in _FINAL:
+            return False
+        if not delivery.ask.route.idempotent and delivery.possibly_run:
             return False
-        return not delivery.begun or delivery.may_resume()
+        return delivery.may_continue()
+
+    def _finish(self, delivery: Delivery, failure: error.SeamError) -> error.SeamError:
+        """Return the final error, truthful about all attempts."""
+        failure.not_run = not delivery.possibly_run
+        unknown = failure.kind is error.Kind.OUTCOME_UNKNOWN
+        if unknown and delivery.ask.route.idempotent:
+            kind = error.Kind.UPSTREAM_FAILED
+            text = failure.message
+            return error.OutcomeError(text, kind, FAILED_RETRY_SECONDS, False)
+        return failure
 
     async def _attempt(
-        self,
-        delivery: Delivery,
-        tried: set[str],
-        alone: bool,
-        stopped: asyncio.Future[error.SeamError],
+        self, delivery: Delivery, tried: set[str], alone: bool, stopped: Stop
     ) -> None:
         ask = delivery.ask
+        self._check_caller(ask, stopped)
         link = self._choose(ask, tried, alone)
         try:
             attempt = link.open_attempt()
@@ -204,23 +172,47 @@
             raise AttemptFailed(failure, True) from None
         tried.add(link.upstream)
 
-        def stop(future: asyncio.Future[error.SeamError]) -> None:
+        def stop(future: Stop) -> None:
             if not future.cancelled():
                 attempt.post(Stopped(attempt.number, future.result()))
 
         stopped.add_done_callback(stop)
+        alarm = asyncio.ensure_future(self._post_deadline(ask, attempt))
         whole = False
         try:
             attempt.send(self._render_offer(delivery, attempt, alone))
             self._timeline.record(
                 "attempt", ask.id, ask.caller.customer, detail=link.upstream
             )
-            await self._follow(delivery, attempt)
+            await self._follow(delivery, attempt, stopped)
             whole = True
         finally:
+            alarm.cancel()
             stopped.remove_done_callback(stop)
             attempt.close(revoke=not whole)
 
+    async def _post_deadline(self, ask: Ask, attempt: Attempt) -> None:
+        await self._timer.sleep(ask.deadline - self._timer.read_clock())
+        attempt.post(Stopped(attempt.number, _miss_deadline()))
+
+    def _check_caller(self, ask: Ask, stopped: Stop) -> None:
+        """Raise `AttemptFailed` if the request must not run any more.
+
+        This process may have been frozen for a while, so the deadline and the
+        key are looked at again before each hand-over.
+        """
+        failure = None
+        if stopped.done():
+            failure = stopped.result()
+        elif self._timer.read_clock() >= ask.deadline:
+            failure = _miss_deadline()
+        elif not access.is_valid(self._mirror, ask.caller):
+            failure = access.explain_invalid(self._mirror)
+        elif ask.fingerprint in self._mirror.quarantined:
+            failure = _condemn()
+        if failure is not None:
+            raise AttemptFailed(failure, True)
+
     def _render_offer(
         self, delivery: Delivery, attempt: Attempt, alone: bool
     ) -> message.Offer:
@@ -240,48 +232,53 @@
             self._timeline.clock.last,
         )
 
-    async def _follow(self, delivery: Delivery, attempt: Attempt) -> None:
+    async def _follow(
+        self, delivery: Delivery, attempt: Attempt, stopped: Stop
+    ) -> None:
         """Read an attempt's messages until its answer is whole."""
-        ask = delivery.ask
-        possibly_run = ask.route.idempotent
+        possibly_run = delivery.ask.route.idempotent
+        taken = 0
         while True:
-            left = ask.deadline - self._timer.read_clock()
-            try:
-                item = await wait_for(self._timer, attempt.receive(), max(left, 0.0))
-            except TimeoutError:
-                text = "the request's deadline has passed"
-                failure = error.CapacityError(text, error.Kind.DEADLINE_EXCEEDED)
-                raise AttemptFailed(failure, False) from None
+            item = await attempt.receive()
             match item:
                 case message.Ready():
+                    self._check_caller(delivery.ask, stopped)
                     possibly_run = True
-                    delivery.handed_over = True
                     attempt.send(message.Go(attempt.number))
                 case message.Head():
-                    self._check_busy(delivery, item)
-                    delivery.take_head(item)
+                    self._take_head(delivery, item)
                 case message.Data():
                     await delivery.take_data(item.body)
+                    taken += len(item.body)
+                    if taken >= CREDIT_BYTES:
+                        attempt.send(message.Credit(attempt.number, taken))
+                        taken = 0
                 case message.End():
                     await self._end(delivery)
                     return
+                case message.Fail() | Lost() if delivery.is_whole():
+                    await delivery.take_end()
+                    return
                 case message.Fail():
                     raise self._explain_fail(item)
                 case Lost():
                     raise self._explain_loss(possibly_run)
                 case Stopped():
-                    item.failure.not_run = not possibly_run
-                    raise item.failure
+                    delivery.possibly_run = delivery.possibly_run or possibly_run
+                    raise self._finish(delivery, item.failure)
 
-    def _check_busy(self, delivery: Delivery, head: message.Head) -> None:
-        """Turn an engine's own refusal into a failed attempt."""
+    def _take_head(self, delivery: Delivery, head: message.Head) -> None:
+        """Take the head, or turn an engine's own refusal into a failed attempt."""
         if head.status == _BUSY_STATUS and delivery.ask.route.idempotent:
             text = "the upstream is overloaded"
             raise AttemptFailed(error.CapacityError(text), False)
+        if not delivery.take_head(head):
+            text = f"the answer couldn't be resumed: {head.status}"
+            failure = error.OutcomeError(text, error.Kind.UPSTREAM_FAILED)
+            raise AttemptFailed(failure, False)
 
     async def _end(self, delivery: Delivery) -> None:
-        follower = delivery.follower
-        if follower is not None and delivery.begun and not follower.done:
+        if delivery.ended_early():
             text = "the upstream ended the stream early"
             failure = error.OutcomeError(text, error.Kind.UPSTREAM_FAILED)
             raise AttemptFailed(failure, False)
@@ -349,3 +346,14 @@
             load.leaving,
             False,
         )
+
+
+def _miss_deadline() -> error.SeamError:
+    text = "the request's deadline has passed"
+    kind = error.Kind.DEADLINE_EXCEEDED
+    return error.CapacityError(text, kind, FAILED_RETRY_SECONDS)
+
+
+def _condemn() -> error.SeamError:
+    text = "this request crashed the upstreams that ran it"
+    return error.RequestError(text, error.Kind.REQUEST_QUARANTINED)
--- a/sapphireseam/entry/gateway.py
+++ b/sapphireseam/entry/gateway.py
@@ -9,21 +9,24 @@
 import logging
 import math
 import secrets
+from collections.abc import Iterator
+from contextlib import contextmanager
 from typing import Any
 
 from aiohttp import web
 
-from sapphireseam.core import error
+from sapphireseam.core import error, fingerprint, key
 from sapphireseam.entry import access, ask as asks
 from sapphireseam.entry.allowance import LimitClient
 from sapphireseam.entry.claim import ClaimKeeper
+from sapphireseam.entry.delivery import EVENT_STREAM
 from sapphireseam.entry.forward import Forwarder
 from sapphireseam.entry.store import FileStore
 from sapphireseam.utils import probe
 from sapphireseam.utils.application import TaskGroup
 from sapphireseam.utils.mirror import Mirror
 from sapphireseam.utils.timeline import Timeline
-from sapphireseam.utils.timer import TimerService, run_periodically
+from sapphireseam.utils.timer import TimerService, run_periodically, wait_for
 
 logger = logging.getLogger(__name__)
 
@@ -31,8 +34,17 @@
 REQUEST_HEADER = "X-Request-Id"
 # How often open requests are checked for keys that ended.
 CHECK_SECONDS = 0.25
-# How long a graceful stop waits for open requests, in seconds.
+# How often a stop looks whether all requests have ended.
+IDLE_SECONDS = 0.05
+# How long a stop still serves, so that the balancer sees the health check.
+NOTICE_SECONDS = 2.0
+# How long a graceful stop waits for open requests after their deadlines, and
+# for calls about files and batches, in seconds.
 DRAIN_SECONDS = 60.0
+# Bytes that may wait for a caller before its reading is watched, and how long
+# it may then read nothing, in seconds.
+SLOW_BYTES = 64 * 1024
+STALL_SECONDS = 30.0
 
 # Headers of an upstream's answer that the entry sets itself.
 _OWN_HEADERS = frozenset({"content-length", "transfer-encoding", "connection"})
@@ -46,10 +58,17 @@
     if failure.not_run:
         headers[NOT_RUN_HEADER] = "true"
     return web.json_response(
-        error.render_body(failure), status=failure.answer.status, headers=headers
+        render_body(failure), status=failure.answer.status, headers=headers
     )
 
 
+def render_body(failure: error.SeamError) -> dict[str, Any]:
+    """Return an error's body; a key that got into its text is taken out."""
+    body = error.render_body(failure)
+    body["error"]["message"] = key.redact(failure.message)
+    return body
+
+
 def as_known(failure: Exception) -> error.SeamError:
     """Return an error of the closed list; log one that was not expected."""
     if isinstance(failure, error.SeamError):
@@ -63,27 +82,57 @@
 class ResponseSink:
     """Write an answer to a caller whose key still holds."""
 
-    def __init__(self, request: web.Request, request_id: str):
+    def __init__(
+        self,
+        request: web.Request,
+        request_id: str,
+        item: "OpenRequest",
+        owner: "Gateway",
+    ):
         self._request = request
         self._request_id = request_id
+        self._item = item
+        self._owner = owner
         self.response: web.StreamResponse | None = None
 
     async def begin(self, status: int, headers: tuple[tuple[str, str], ...]) -> None:
         """Send the answer's head."""
+        self._check()
         response = web.StreamResponse(status=status)
         for name, value in headers:
             if name.lower() not in _OWN_HEADERS:
                 response.headers.add(name, value)
         response.headers[REQUEST_HEADER] = self._request_id
+        if self._owner.closing:
+            response.force_close()
         self.response = response
         await response.prepare(self._request)
 
+    def _check(self) -> None:
+        """Raise once the caller may get nothing more."""
+        if self._item.stopped.done():
+            raise self._item.stopped.result()
+        if not access.is_valid(self._owner.mirror, self._item.caller):
+            failure = access.explain_invalid(self._owner.mirror)
+            failure.not_run = False
+            raise failure
+
     async def write(self, data: bytes) -> None:
         """Send a piece of the body."""
-        await self.response.write(data)
+        self._check()
+        transport = self._request.transport
+        if transport is None or transport.get_write_buffer_size() < SLOW_BYTES:
+            await self.response.write(data)
+            return
+        try:
+            await wait_for(self._owner.timer, self.response.write(data), STALL_SECONDS)
+        except TimeoutError:
+            text = "the caller stopped reading"
+            raise error.SeamError(text, error.Kind.CANCELLED) from None
 
     async def finish(self) -> None:
         """End the body."""
+        self._check()
         await self.response.write_eof()
 
     async def break_off(self, failure: error.SeamError) -> None:
@@ -92,19 +141,25 @@
         An event stream gets an error event; in any case the connection is cut
         without the body's proper end.
         """
+        transport = self._request.transport
+        if transport is None:
+            return
         kind = self.response.headers.get("Content-Type", "")
-        if kind.startswith("text/event-stream"):
-            body = web.json_response(error.render_body(failure)).body
-            await self.response.write(b"data: " + body + b"\n\n")
-        if self._request.transport is not None:
-            self._request.transport.close()
+        if not kind.startswith(EVENT_STREAM) or transport.get_write_buffer_size():
+            transport.abort()
+            return
+        body = web.json_response(render_body(failure)).body
+        await self.response.write(b"data: " + body + b"\n\n")
+        transport.close()
 
 
 class OpenRequest:
     """Track a request under way, so that it can be ended from outside."""
 
-    def __init__(self, caller: access.Caller):
-        self.caller = caller
+    def __init__(self, end: float):
+        self.caller = access.Caller("", "")
+        # The latest time, on the entry's clock, at which it may still be open.
+        self.end = end
         self.stopped: asyncio.Future[error.SeamError] = (
             asyncio.get_running_loop().create_future()
         )
@@ -130,16 +185,16 @@
         timer: TimerService,
     ):
         self._address = address
-        self._mirror = mirror
+        self.mirror = mirror
+        self.timer = timer
+        # From the first moment of a stop on connections aren't kept.
+        self.closing = False
         self._limits = limits
         self._claims = claims
         self._forwarder = forwarder
         self._store = store
         self._timeline = timeline
-        self._timer = timer
         self._open: set[OpenRequest] = set()
-        self._idle = asyncio.Event()
-        self._idle.set()
         self._draining = False
         self._tasks = TaskGroup()
         self._runner: web.AppRunner | None = None
@@ -162,30 +217,43 @@
         )
         await self._runner.setup()
         await probe.listen(self._runner, self._address)
-        self._tasks.spawn(
-            run_periodically(self._timer, CHECK_SECONDS, self._check_open)
-        )
-        self._mirror.subscribe(self._stop_withdrawn)
+        self._tasks.spawn(run_periodically(self.timer, CHECK_SECONDS, self._check_open))
+        self.mirror.subscribe(self._stop_withdrawn)
 
     async def stop(self) -> None:
-        """Refuse what is new, finish what is open, then close."""
+        """Tell the balancer, refuse what is new, finish what is open, close."""
+        self.closing = True
+        await self.timer.sleep(NOTICE_SECONDS)
         self._draining = True
-        timeout = self._timer.sleep(DRAIN_SECONDS)
-        waiters = [asyncio.ensure_future(w) for w in (self._idle.wait(), timeout)]
-        await asyncio.wait(waiters, return_when=asyncio.FIRST_COMPLETED)
-        for waiter in waiters:
-            waiter.cancel()
+        while self._must_wait():
+            await self.timer.sleep(IDLE_SECONDS)
         await self._tasks.cancel()
         if self._runner is not None:
             await self._runner.cleanup()
 
+    def _must_wait(self) -> bool:
+        now = self.timer.read_clock()
+        return self._claims.open > 0 or any(
+            now < item.end + DRAIN_SECONDS for item in self._open
+        )
+
+    @contextmanager
+    def _track(self) -> Iterator[OpenRequest]:
+        """Count a request as open from its first byte to its answer's last."""
+        item = OpenRequest(self.timer.read_clock())
+        self._open.add(item)
+        try:
+            yield item
+        finally:
+            self._open.discard(item)
+
     async def _answer_health(self, request: web.Request) -> web.Response:
         """Tell the balancer whether to send callers here."""
-        ready = not self._draining and self._mirror.is_confirmed()
+        ready = not self.closing and self.mirror.is_confirmed()
         body = {
             "healthy": ready,
-            "draining": self._draining,
-            "revision": self._mirror.revision,
+            "draining": self.closing,
+            "revision": self.mirror.revision,
         }
         return web.json_response(body, status=200 if ready else 503)
 
@@ -195,26 +263,25 @@
     def _stop_withdrawn(self) -> None:
         """End open requests whose key holds no more, or can't be confirmed."""
         for item in self._open:
-            if access.is_valid(self._mirror, item.caller):
-                continue
-            if self._mirror.is_confirmed():
-                item.stop(error.AccessError("the key was withdrawn"))
-            else:
-                text = "this entry lost the control VMs and can't confirm the key"
-                item.stop(error.ControlError(text))
+            if not access.is_valid(self.mirror, item.caller):
+                item.stop(access.explain_invalid(self.mirror))
 
     def _guard(self, handler: Any) -> Any:
         """Wrap a handler of the entry's own resources with key and errors."""
 
         async def answer(request: web.Request) -> web.StreamResponse:
             request_id = f"req-{secrets.token_hex(8)}"
-            try:
-                self._check_draining()
-                text = access.find_key(request.headers, request.query_string)
-                caller = await access.identify(self._mirror, text)
-                return await handler(request, caller)
-            except Exception as failure:
-                return self._refuse(as_known(failure), request_id, request)
+            with self._track():
+                try:
+                    self._check_draining()
+                    text = access.find_key(request.headers, request.query_string)
+                    caller = await access.identify(self.mirror, text)
+                    response = await handler(request, caller)
+                except Exception as failure:
+                    return self._refuse(as_known(failure), request_id, request)
+            if self.closing and not response.prepared:
+                response.force_close()
+            return response
 
         return answer
 
@@ -229,7 +296,7 @@
     ) -> web.Response:
         self._timeline.record("refused", request_id, detail=failure.kind)
         response = render_error(failure, request_id)
-        if self._draining or not request.content.is_eof():
+        if self.closing or not request.content.is_eof():
             response.force_close()
         return response
 
@@ -250,7 +317,7 @@
     def _usable_models(self, caller: access.Caller) -> list[str]:
         return [
             name
-            for name, model in self._mirror.fleet.models.items()
+            for name, model in self.mirror.fleet.models.items()
             if not model.customers or caller.customer in model.customers
         ]
 
@@ -260,37 +327,27 @@
     async def _serve(self, request: web.Request) -> web.StreamResponse:
         """Serve one request on a route of the configuration."""
         request_id = f"req-{secrets.token_hex(8)}"
-        sink = ResponseSink(request, request_id)
-        try:
-            self._check_draining()
-            ask = await self._read_ask(request, request_id)
-        except Exception as failure:
-            return self._refuse(as_known(failure), request_id, request)
-        item = OpenRequest(ask.caller)
-        self._open.add(item)
-        self._idle.clear()
-        try:
-            await self._carry(ask, sink, item)
-            return sink.response
-        except Exception as caught:
-            failure = as_known(caught)
-            if sink.response is None:
-                return self._refuse(failure, request_id, request)
-            self._timeline.record("cut", request_id, detail=failure.kind)
-            await sink.break_off(failure)
-            return sink.response
-        finally:
-            self._open.discard(item)
-            if not self._open:
-                self._idle.set()
+        with self._track() as item:
+            sink = ResponseSink(request, request_id, item, self)
+            try:
+                self._check_draining()
+                ask = await self._read_ask(request, request_id)
+                item.caller = ask.caller
+                item.end = ask.deadline
+                await self._carry(ask, sink, item)
+                return sink.response
+            except Exception as caught:
+                failure = as_known(caught)
+                if sink.response is None:
+                    return self._refuse(failure, request_id, request)
+                self._timeline.record("cut", request_id, detail=failure.kind)
+                await sink.break_off(failure)
+                return sink.response
 
     async def _carry(
         self, ask: asks.Ask, sink: ResponseSink, item: OpenRequest
     ) -> None:
         """Pass the limits, then forward, then note how it ended."""
-        if ask.fingerprint in self._mirror.quarantined:
-            text = "this request crashed the upstreams that ran it"
-            raise error.RequestError(text, error.Kind.REQUEST_QUARANTINED)
         if ask.caller.customer:
             await self._limits.spend(ask.caller.customer)
         self._timeline.record("accepted", ask.id, ask.caller.customer, ask.caller.key)
@@ -301,7 +358,9 @@
         self._timeline.record("answered", ask.id, ask.caller.customer)
 
     async def _read_ask(self, request: web.Request, request_id: str) -> asks.Ask:
-        current = self._mirror.fleet
+        current = self.mirror.fleet
+        path = request.rel_url.raw_path
+        access.check_place(path, b"")
         name, route = asks.find_route(current, request.path)
         if request.method not in route.methods:
             text = f"route {name} takes {', '.join(route.methods)}"
@@ -309,15 +368,15 @@
         text = access.find_key(request.headers, request.query_string)
         caller = access.Caller("", "")
         if not route.open:
-            caller = await access.identify(self._mirror, text)
+            caller = await access.identify(self.mirror, text)
         body = await asks.read_body(request, route.body_limit)
+        access.check_place(path, body)
         document: dict[str, Any] = {}
         model = ""
         if not route.service:
             document = asks.parse_body(body)
             model = asks.check_model(current, document.get("model"), caller.customer)
-        query = access.strip_query(request.query_string, text)
-        path = request.rel_url.raw_path
+        query = access.strip_query(request.rel_url.raw_query_string)
         target = f"{path}?{query}" if query else path
         return asks.Ask(
             request_id,
@@ -327,11 +386,11 @@
             model,
             request.method,
             target,
-            access.strip_headers(request.headers, text),
+            access.strip_headers(request.headers),
             body,
             bool(document.get("stream")),
-            self._timer.read_clock() + route.timeout,
+            self.timer.read_clock() + route.timeout,
             asks.estimate_cost(document, len(body)),
-            asks.compute_fingerprint(caller.customer, request.method, target, body),
+            fingerprint.compute(caller.customer, request.method, target, body),
             request.headers.get("Idempotency-Key", ""),
         )
--- a/sapphireseam/entry/resume.py
+++ b/sapphireseam/entry/resume.py
@@ -2,17 +2,25 @@
 
 Only whole events go on to the caller. If the upstream is lost midway, another
 replica is asked to go on from the number of tokens that the caller has, with
-`seam_resume_from`; its events continue the same answer under the first id.
+`seam_resume_from`; its events continue the same answer under the first id. An
+event that carries no token, such as the one with the finish reason or the
+usage, goes on once however often the answer is resumed.
+
+An answer can only be resumed while its tokens can be counted: one choice, and
+nothing but text in it.
 """
 
 import json
+import re
 from typing import Any
 
-_EVENT_END = b"\n\n"
+_EVENT_END = re.compile(rb"\r?\n\r?\n")
 _DATA = b"data: "
 _DONE = b"data: [DONE]"
 
 RESUME_FIELD = "seam_resume_from"
+# The parts of a choice's delta that need no counting.
+_COUNTED = frozenset({"role", "content", "refusal"})
 
 
 class EventFollower:
@@ -21,14 +29,17 @@
     def __init__(self):
         self.tokens = 0
         self.done = False
+        self.countable = True
         self._rest = b""
         self._id: str | None = None
         self._resumed = False
+        self._passed: set[str] = set()
 
     def feed(self, data: bytes) -> bytes:
         """Take bytes from upstream; return the whole events for the caller."""
-        *events, self._rest = (self._rest + data).split(_EVENT_END)
-        return b"".join(self._follow(event) + _EVENT_END for event in events)
+        *events, self._rest = _EVENT_END.split(self._rest + data)
+        followed = [self._follow(event) for event in events]
+        return b"".join(event + b"\n\n" for event in followed if event)
 
     def resume(self) -> None:
         """Drop a cut event; what comes next is another replica's."""
@@ -36,6 +47,7 @@
         self._resumed = True
 
     def _follow(self, event: bytes) -> bytes:
+        """Return the event as it goes on, empty if it doesn't."""
         if event.startswith(_DONE):
             self.done = True
             return event
@@ -45,10 +57,19 @@
             document = json.loads(event[len(_DATA) :])
         except ValueError:
             return event
-        self.tokens += count_tokens(document)
+        if not isinstance(document, dict):
+            return event
+        if not is_countable(document):
+            self.countable = False
+        tokens = count_tokens(document)
+        self.tokens += tokens
+        kind = describe(document)
+        if not tokens and self._resumed and kind in self._passed:
+            return b""
+        self._passed.add(kind)
         return self._keep_id(event, document)
 
-    def _keep_id(self, event: bytes, document: Any) -> bytes:
+    def _keep_id(self, event: bytes, document: dict[str, Any]) -> bytes:
         if self._id is None:
             self._id = document.get("id")
         if not self._resumed or document.get("id") == self._id:
@@ -57,10 +78,16 @@
         return _DATA + json.dumps(document).encode()
 
 
-def count_tokens(document: Any) -> int:
+def describe(document: dict[str, Any]) -> str:
+    """Return what an event ends: the text, the usage, or nothing yet."""
+    choices = document.get("choices") or []
+    if any(choice.get("finish_reason") for choice in choices):
+        return "finish"
+    return "part" if choices else "usage"
+
+
+def count_tokens(document: dict[str, Any]) -> int:
     """Return how many tokens an event carries: one for each choice with text."""
-    if not isinstance(document, dict):
-        return 0
     choices = document.get("choices") or []
     return sum(
         1
@@ -69,6 +96,23 @@
     )
 
 
+def is_countable(document: dict[str, Any]) -> bool:
+    """Tell whether an event carries only one choice's text."""
+    choices = document.get("choices") or []
+    for choice in choices:
+        delta = choice.get("delta") or {}
+        extra = [name for name in delta if name not in _COUNTED and delta[name]]
+        if choice.get("index") or extra:
+            return False
+    return len(choices) <= 1
+
+
+def may_resume(body: bytes) -> bool:
+    """Tell whether a request asks for an answer that can be resumed."""
+    document = json.loads(body)
+    return document.get("n") in (None, 1) and not document.get("echo")
+
+
 def render_resumed_body(body: bytes, tokens: int) -> bytes:
     """Return a request's body that asks for the answer after some tokens."""
     document = json.loads(body)
--- a/sapphireseam/entry/store.py
+++ b/sapphireseam/entry/store.py
@@ -15,7 +15,7 @@
 
 from aiohttp import BodyPartReader, web
 
-from sapphireseam.core import command, error, fleet, message
+from sapphireseam.core import command, error, fleet, key, message
 from sapphireseam.entry import ask as asks
 from sapphireseam.entry.access import Caller
 from sapphireseam.utils import upload
@@ -74,6 +74,9 @@
 ) -> tuple[str, str]:
     """Return one line's url and model."""
     document = asks.parse_body(line)
+    text = json.dumps(document, ensure_ascii=False)
+    if key.is_in(text):
+        raise error.RequestError("the line holds a key, which no upstream may see")
     custom_id = document.get("custom_id")
     if not isinstance(custom_id, str) or not custom_id:
         raise error.RequestError("'custom_id' must be a text")
