--- a/sapphireseam/control/job.py
+++ b/sapphireseam/control/job.py
@@ -10,8 +10,6 @@
 from then on, so that an item that takes its VM down is found out.
 """
 
-import json
-
 from sapphireseam.control import record
 from sapphireseam.core import command, error, fleet, outcome
 
@@ -103,7 +101,9 @@
 
 def find_route(state: record.State, path: str) -> fleet.Route | None:
     """Return the route in force whose path begins this one, longest first."""
-    routes = json.loads(record.read_document(state)).get("routes", {}).values()
+    routes = (
+        record.decode_document(record.read_document(state)).get("routes", {}).values()
+    )
     fitting = [r for r in routes if fleet.path_matches(r["path"], path)]
     if not fitting:
         return None
