Test what an entry tells callers, and mend what the tests found

Found on the way and mended: a write larger than the socket's buffer wasn't bounded for a caller that doesn't read; a key spelled both in JSON escapes and percent-encoded got through.

--- a/sapphireseam/entry/access.py
+++ b/sapphireseam/entry/access.py
@@ -117,8 +117,7 @@
         document = json.loads(body)
     except ValueError:
         return False
-    text = json.dumps(document, ensure_ascii=False)
-    return key.redact(text) != text
+    return key.is_in(json.dumps(document, ensure_ascii=False))
 
 
 def strip_headers(
--- /dev/null
+++ b/sapphireseam/entry/access_test.py
@@ -0,0 +1,109 @@
+"""Check that no way of sending a key leads it upstream."""
+
+import json
+import unittest
+from urllib.parse import quote
+
+from hypothesis import given, settings, strategies as st
+from multidict import CIMultiDict, CIMultiDictProxy
+
+from sapphireseam.core import error, key
+from sapphireseam.entry import access, store
+from sapphireseam.tools import fake
+
+FAST = settings(derandomize=True, deadline=None, database=None, max_examples=150)
+KEY = "seam-0123456789ab-" + "Ae_-" * 11
+
+
+def encode_all(text):
+    return "".join(f"%{ord(letter):02x}" for letter in text)
+
+
+def encode_some(text):
+    return text.replace("e", "%65").replace("-", "%2D")
+
+
+FORMS = st.sampled_from(
+    [
+        KEY,
+        encode_all(KEY),
+        encode_some(KEY),
+        quote(encode_all(KEY)),
+        f"Bearer {KEY}",
+        f"a={KEY}; b=c",
+        f"x{KEY}",
+    ]
+)
+NAMES = st.sampled_from(
+    ["Authorization", "X-Api-Key", "X-Anything", "Cookie", "Api-Key", "Referer", "Via"]
+)
+
+
+class AccessTest(unittest.TestCase):
+    @FAST
+    @given(st.lists(st.tuples(NAMES, FORMS), min_size=1, max_size=3))
+    def test_no_header_leads_a_key_upstream(self, pairs):
+        headers = CIMultiDict([("X-Kept", "yes"), *pairs])
+        kept = access.strip_headers(CIMultiDictProxy(headers))
+        self.assertEqual(kept, (("X-Kept", "yes"),))
+
+    @FAST
+    @given(st.lists(st.tuples(st.sampled_from("abk"), FORMS), max_size=3))
+    def test_no_query_leads_a_key_upstream(self, pairs):
+        parts = ["size=2%20a", *[f"{name}={text}" for name, text in pairs], "flag"]
+        self.assertEqual(access.strip_query("&".join(parts)), "size=2%20a&flag")
+
+    def test_parameters_for_keys_go_whatever_they_hold(self):
+        for name in [*key.PARAMETERS, "API_KEY", "%61pi_key"]:
+            self.assertEqual(access.strip_query(f"{name}=other&x=1"), "x=1")
+
+    def test_cookies_and_named_hops_never_go(self):
+        headers = CIMultiDict(
+            [("Cookie", "a=b"), ("Connection", "X-Hop"), ("X-Hop", "1"), ("TE", "t")]
+        )
+        self.assertEqual(access.strip_headers(CIMultiDictProxy(headers)), ())
+
+    @FAST
+    @given(FORMS)
+    def test_key_in_path_or_body_is_refused(self, text):
+        body = json.dumps({"prompt": text}).encode()
+        spelled = body.replace(b"e", b"\\u0065")
+        for path, data in ((f"/x/{text}", b""), ("/x", body), ("/x", spelled)):
+            with self.assertRaises(error.RequestError) as caught:
+                access.check_place(path, data)
+            self.assertTrue(caught.exception.not_run)
+            self.assertNotIn(KEY, caught.exception.message)
+
+    @FAST
+    @given(FORMS, st.sampled_from(["url", "body", "custom_id"]))
+    def test_batch_line_with_a_key_is_refused(self, text, field):
+        line = {
+            "custom_id": "a",
+            "method": "POST",
+            "url": "/post/x",
+            "body": {"id": "a"},
+        }
+        line[field] = {"k": [text]} if field == "body" else f"/post/x?q={text}"
+        document = {
+            "failure_domains": {"d": {"region": "r"}},
+            "routes": {"post": {"path": "/post", "service": "s"}},
+            "upstreams": {
+                "u": {
+                    "failure_domain": "d",
+                    "address": "127.0.0.1:1",
+                    "agent": "127.0.0.1:2",
+                    "service": "s",
+                }
+            },
+        }
+        current = fake.FakeMirror(document).fleet
+        with self.assertRaisesRegex(error.RequestError, "holds a key"):
+            store.check_lines(json.dumps(line).encode(), current, "c")
+
+    def test_message_with_a_key_is_redacted(self):
+        self.assertNotIn(KEY, key.redact(f"no file {KEY!r} or {KEY}"))
+
+    def test_other_text_stays(self):
+        access.check_place("/labels/seam-1.png", b'{"prompt": "100% seam-free+"}')
+        headers = CIMultiDict([("X-Note", "seam-1-x 50% off")])
+        self.assertEqual(len(access.strip_headers(CIMultiDictProxy(headers))), 1)
--- /dev/null
+++ b/sapphireseam/entry/fake.py
@@ -0,0 +1,128 @@
+"""Stand in for agents' links and callers in the entry's tests."""
+
+import asyncio
+import itertools
+from collections.abc import Callable
+from typing import Any
+
+from sapphireseam.core import fleet, message
+from sapphireseam.entry import access, link
+from sapphireseam.entry.ask import Ask
+
+
+class FakeLink:
+    """Be the link to an agent whose behaviour a test writes.
+
+    `react` gets each message that the entry sends about an attempt, and a
+    function that brings messages back; a message is given its attempt.
+    """
+
+    def __init__(
+        self,
+        upstream: str,
+        react: Callable[[Any, Callable[[Any], None]], None],
+        numbers: itertools.count,
+    ):
+        self.upstream = upstream
+        self.load: message.Load | None = message.Load(upstream, 0, 0, 8, False, True)
+        self.load_at = 0.0
+        self.latency = 0.0
+        self.sent: list[Any] = []
+        self.attempts: dict[int, link.Attempt] = {}
+        self._react = react
+        self._numbers = numbers
+
+    @property
+    def in_flight(self) -> int:
+        """Return how many attempts are open."""
+        return len(self.attempts)
+
+    def is_up(self) -> bool:
+        """Tell whether the agent can be reached."""
+        return self.load is not None
+
+    def open_attempt(self) -> link.Attempt:
+        """Return a new attempt."""
+        attempt = link.Attempt(next(self._numbers), self)
+        self.attempts[attempt.number] = attempt
+        return attempt
+
+    def close_attempt(self, number: int, revoke: bool) -> None:
+        """Forget an attempt."""
+        if self.attempts.pop(number, None) is not None and revoke:
+            self.sent.append(message.Revoke(number))
+
+    def post(self, item: Any) -> None:
+        """Take what the entry sends, and react."""
+        self.sent.append(item)
+        attempt = self.attempts[item.attempt]
+
+        def bring(answer: Any) -> None:
+            attempt.post(answer._replace(attempt=item.attempt))
+
+        self._react(item, bring)
+
+    def list_sent(self, kind: type) -> list[Any]:
+        """Return the messages of one type."""
+        return [item for item in self.sent if isinstance(item, kind)]
+
+
+class FakeSink:
+    """Keep what a caller gets."""
+
+    def __init__(self):
+        self.status = 0
+        self.headers: tuple[tuple[str, str], ...] = ()
+        self.body = b""
+        self.whole = False
+
+    async def begin(self, status: int, headers: tuple[tuple[str, str], ...]) -> None:
+        """Keep the head; a second one is a fault."""
+        if self.status:
+            raise AssertionError("the answer began twice")
+        self.status = status
+        self.headers = headers
+
+    async def write(self, data: bytes) -> None:
+        """Keep a piece."""
+        if self.whole:
+            raise AssertionError("the answer went on after its end")
+        self.body += data
+
+    async def finish(self) -> None:
+        """Note the end."""
+        self.whole = True
+
+
+def make_ask(
+    now: float,
+    idempotent: bool = True,
+    streamed: bool = False,
+    body: bytes = b"{}",
+    key: str = "",
+    timeout: float = 30.0,
+) -> Ask:
+    """Return a request on a route for a model, or for a service."""
+    service = "" if idempotent else "post"
+    route = fleet.Route("/x", service, idempotent=idempotent, timeout=timeout)
+    return Ask(
+        "req-1",
+        access.Caller("c", ""),
+        route,
+        "x",
+        "m" if idempotent else "",
+        "POST",
+        "/x",
+        (),
+        body,
+        streamed,
+        now + timeout,
+        1.0,
+        "f",
+        key,
+    )
+
+
+def make_future() -> asyncio.Future:
+    """Return a future of the running loop."""
+    return asyncio.get_running_loop().create_future()
--- a/sapphireseam/entry/gateway.py
+++ b/sapphireseam/entry/gateway.py
@@ -121,7 +121,8 @@
         """Send a piece of the body."""
         self._check()
         transport = self._request.transport
-        if transport is None or transport.get_write_buffer_size() < SLOW_BYTES:
+        waiting = transport.get_write_buffer_size() if transport is not None else 0
+        if waiting + len(data) < SLOW_BYTES:
             await self.response.write(data)
             return
         try:
--- /dev/null
+++ b/sapphireseam/entry/gateway_test.py
@@ -0,0 +1,282 @@
+"""Check the entry's HTTP side with real sockets on loopback and fake time."""
+
+import asyncio
+import unittest
+
+import aiohttp
+from aiohttp import web
+
+from sapphireseam.core import error, key
+from sapphireseam.entry import claim, gateway
+from sapphireseam.tools import fake, layout
+from sapphireseam.utils.timeline import Timeline
+from sapphireseam.utils.timer import FakeTimer
+
+# Longest wait for an event, in seconds; what takes longer has failed.
+CEILING_SECONDS = 20.0
+DOCUMENT = {
+    "failure_domains": {"d": {"region": "r"}},
+    "contracts": {"s": {"rate": 1, "burst": 1}},
+    "customers": {"c": {"contract": "s"}},
+    "routes": {"post": {"path": "/post", "service": "s"}},
+    "upstreams": {
+        "u": {
+            "failure_domain": "d",
+            "address": "127.0.0.1:1",
+            "agent": "127.0.0.1:2",
+            "service": "s",
+        }
+    },
+}
+
+
+class FakeLimits:
+    async def spend(self, customer):
+        pass
+
+
+class FakeStore:
+    """Serve one call of the entry's own, which takes until the test says."""
+
+    def __init__(self):
+        self.go = asyncio.Event()
+        self.begun = asyncio.Event()
+
+    def list_handlers(self):
+        return [("POST", "/v1/files", self.serve)]
+
+    async def serve(self, request, caller):
+        self.begun.set()
+        await self.go.wait()
+        return web.json_response({"id": "file"})
+
+
+class FakeForwarder:
+    """Hand each request to the test, which answers through the sink."""
+
+    def __init__(self):
+        self.asks = []
+        self.begun = asyncio.Event()
+
+    async def serve(self, ask, sink, stopped):
+        self.asks.append(ask)
+        self.begun.set()
+        await self.answer(ask, sink, stopped)
+
+    async def answer(self, ask, sink, stopped):
+        await sink.begin(200, ())
+        await sink.write(b"whole")
+        await sink.finish()
+
+
+class GatewayTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.timer = FakeTimer()
+        self.mirror = fake.FakeMirror(DOCUMENT)
+        self.secret = key.generate()
+        self.mirror.keys[self.secret.id] = key.Key(
+            self.secret.id, "c", key.digest(self.secret.text), 0.0
+        )
+        self.forwarder = FakeForwarder()
+        self.store = FakeStore()
+        (port,) = layout.find_ports(1)
+        self.port = port
+        control = fake.FakeControl(self.timer)
+        self.gateway = gateway.Gateway(
+            f"127.0.0.1:{port}",
+            self.mirror,
+            FakeLimits(),
+            claim.ClaimKeeper(control, self.timer),
+            self.forwarder,
+            self.store,
+            Timeline("e", self.timer),
+            self.timer,
+        )
+        await self.gateway.start()
+        self.stopping = None
+        self.addAsyncCleanup(self.end)
+        self.base = f"http://127.0.0.1:{port}"
+        self.headers = {"Authorization": f"Bearer {self.secret.text}"}
+        self.http = aiohttp.ClientSession(headers=self.headers)
+        self.addAsyncCleanup(self.http.close)
+
+    async def end(self):
+        if self.stopping is None:
+            self.stop()
+        await self.wait(self.stopping.done)
+
+    def stop(self):
+        self.stopping = asyncio.create_task(self.gateway.stop())
+
+    async def wait(self, condition):
+        """Move fake time until something is so."""
+        async with asyncio.timeout(CEILING_SECONDS):
+            while not condition():
+                await self.timer.advance(0.1)
+                await asyncio.sleep(0.005)
+
+    async def post(self, path="/post/x", **options):
+        async with self.http.post(self.base + path, **options) as response:
+            return response, await response.read()
+
+    async def send_raw(self, data):
+        """Return all that comes back on a connection of one's own."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        writer.write(data)
+        try:
+            async with asyncio.timeout(CEILING_SECONDS):
+                return await reader.read()
+        finally:
+            writer.close()
+
+    async def test_keys_in_trailers_and_elsewhere_do_not_go_on(self):
+        text = self.secret.text
+        request = (
+            f"POST /post/x?api_key={text}&a=1 HTTP/1.1\r\nHost: h\r\n"
+            f"Authorization: Bearer {text}\r\nX-Other: {text}\r\n"
+            "Connection: close\r\nTrailer: X-Late\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n"
+            f"X-Late: {text}\r\n\r\n"
+        )
+        answer = await self.send_raw(request.encode())
+        self.assertIn(b"whole", answer)
+        (ask,) = self.forwarder.asks
+        self.assertEqual((ask.target, ask.body), ("/post/x?a=1", b"hi"))
+        self.assertNotIn(text, str(ask.headers))
+
+    async def test_errors_show_no_key(self):
+        text = self.secret.text
+        for path in (f"/nowhere/{text}", f"/post/{text}", f"/nowhere?q={text}"):
+            _, body = await self.post(path)
+            self.assertNotIn(text.encode(), body)
+
+        async def fail(ask, sink, stopped):
+            raise error.OutcomeError(f"upstream said {text}")
+
+        self.forwarder.answer = fail
+        _, body = await self.post()
+        self.assertIn(b"upstream said", body)
+        self.assertNotIn(text.encode(), body)
+
+    async def test_withdrawn_key_gets_nothing_more_at_once(self):
+        """No check runs between the withdrawal and the next piece."""
+        go = asyncio.Event()
+
+        async def answer(ask, sink, stopped):
+            await sink.begin(200, ())
+            await sink.write(b"first")
+            await go.wait()
+            await sink.write(b"second")
+            await sink.finish()
+
+        self.forwarder.answer = answer
+        async with self.http.post(self.base + "/post/x") as response:
+            self.assertEqual(await response.content.readany(), b"first")
+            found = self.mirror.keys[self.secret.id]
+            self.mirror.keys[self.secret.id] = found._replace(withdrawn=True)
+            go.set()
+            with self.assertRaises(aiohttp.ClientError):
+                await response.read()
+
+    async def test_cut_event_stream_ends_with_an_error_event(self):
+        async def answer(ask, sink, stopped):
+            await sink.begin(200, (("Content-Type", "text/event-stream"),))
+            await sink.write(b"data: 1\n\n")
+            raise error.OutcomeError("lost")
+
+        self.forwarder.answer = answer
+        got = b""
+        with self.assertRaises(aiohttp.ClientError):
+            async with self.http.post(self.base + "/post/x") as response:
+                async for piece in response.content.iter_any():
+                    got += piece
+        self.assertIn(b"outcome_unknown", got)
+        self.assertNotIn(b"[DONE]", got)
+
+    async def test_stop_finishes_open_requests_and_closes_connections(self):
+        go = asyncio.Event()
+
+        async def answer(ask, sink, stopped):
+            await sink.begin(200, ())
+            await sink.write(b"first ")
+            await go.wait()
+            await sink.write(b"last")
+            await sink.finish()
+
+        self.forwarder.answer = answer
+        task = asyncio.create_task(self.post())
+        await self.wait(self.forwarder.begun.is_set)
+        self.stop()
+        await self.wait(lambda: self.gateway._draining)
+        # A connection that was kept is told to close, and the refusal is true.
+        response, _ = await self.post()
+        self.assertEqual(response.status, 503)
+        self.assertEqual(response.headers["X-Seam-Not-Run"], "true")
+        self.assertEqual(response.headers["Connection"], "close")
+        await self.timer.advance(5.0)
+        self.assertFalse(self.stopping.done())
+        go.set()
+        _, body = await task
+        self.assertEqual(body, b"first last")
+        await self.wait(self.stopping.done)
+
+    async def test_stop_serves_on_until_the_balancer_knows(self):
+        self.stop()
+        await self.timer.settle()
+        async with self.http.get(self.base + "/health") as response:
+            self.assertEqual(response.status, 503)
+        response, body = await self.post()
+        self.assertEqual((response.status, body), (200, b"whole"))
+        self.assertEqual(response.headers["Connection"], "close")
+
+    async def test_stop_waits_for_a_body_that_is_still_coming(self):
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        head = (
+            f"POST /post/x HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer "
+            f"{self.secret.text}\r\nContent-Length: 4\r\n\r\nab"
+        )
+        writer.write(head.encode())
+        await self.wait(lambda: self.gateway._open)
+        self.stop()
+        await self.wait(lambda: self.gateway._draining)
+        await self.timer.advance(5.0)
+        self.assertFalse(self.stopping.done())
+        writer.write(b"cd")
+        async with asyncio.timeout(CEILING_SECONDS):
+            answer = await reader.read()
+        self.assertIn(b"whole", answer)
+        writer.close()
+
+    async def test_stop_waits_for_the_entrys_own_calls(self):
+        task = asyncio.create_task(self.post("/v1/files"))
+        await self.wait(self.store.begun.is_set)
+        self.stop()
+        await self.wait(lambda: self.gateway._draining)
+        await self.timer.advance(5.0)
+        # It still listens, so it hasn't begun to close connections.
+        async with self.http.get(self.base + "/health") as response:
+            self.assertEqual(response.status, 503)
+        self.store.go.set()
+        _, body = await task
+        self.assertIn(b"file", body)
+
+    async def test_caller_that_stops_reading_is_cut_after_a_while(self):
+        ended = asyncio.Event()
+
+        async def answer(ask, sink, stopped):
+            try:
+                await sink.begin(200, ())
+                while True:
+                    await sink.write(bytes(256 * 1024))
+            finally:
+                ended.set()
+
+        self.forwarder.answer = answer
+        _, writer = await asyncio.open_connection("127.0.0.1", self.port, limit=1024)
+        head = (
+            f"POST /post/x HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer "
+            f"{self.secret.text}\r\nContent-Length: 0\r\n\r\n"
+        )
+        writer.write(head.encode())
+        await self.wait(ended.is_set)
+        writer.close()
