--- a/sapphireseam/entry/forward.py
+++ b/sapphireseam/entry/forward.py
@@ -31,6 +31,9 @@
 _BUSY_STATUS = 503
 # Bytes that the caller took for which the agent gets credit in one message.
 CREDIT_BYTES = 64 * 1024
+# Retries that a quiet route may make all the same, enough for the requests of
+# one upstream that died.
+LEAST_RETRIES = 10.0
 # When to come back after an idempotent request failed for good, in seconds.
 FAILED_RETRY_SECONDS = 1.0
 # Refusals that another replica would only repeat.
@@ -110,7 +113,8 @@
     def _find_budget(self, ask: Ask) -> retry.RetryBudget:
         name = ask.route_name, ask.route.retry_ratio
         if name not in self._budgets:
-            self._budgets[name] = retry.RetryBudget(ask.route.retry_ratio)
+            ratio = ask.route.retry_ratio
+            self._budgets[name] = retry.RetryBudget(ratio, LEAST_RETRIES)
         return self._budgets[name]
 
     async def _plan_retry(
@@ -125,6 +129,10 @@
         ask = delivery.ask
         if not self._may_retry(delivery, failed):
             raise self._finish(delivery, failed.failure)
+        if delivery.begun:
+            # What is resumed isn't run again, so it multiplies no load; the
+            # number of attempts bounds it.
+            budget = retry.RetryBudget(0.0, retry.MOST_ATTEMPTS)
         now = self._timer.read_clock()
         delay = self._planner.plan(made, now, ask.deadline, budget)
         if delay is None:
