Add seam-ctl and seam-local

Operators had library calls only. seam-ctl covers configuration (check, diff, publish, history, show, rollback), keys, jobs, drains, members, status and the time line; seam-local runs the same applications in one event loop.

Cause: a publish needs the revision that its file was edited from, or a stale edit undoes somebody else's. Ruled out: a request id derived from the document, since a refused one would stay refused after the operator mended its cause.

Add the Promote call that member promote needs.

--- a/sapphireseam/control/service.py
+++ b/sapphireseam/control/service.py
@@ -85,6 +85,7 @@
             (message.ReadStatus, _BOTH, self._read_status),
             (message.ReadEvents, _OPERATOR, self._read_events),
             (message.AddMember, _OPERATOR, self._add_member),
+            (message.Promote, _OPERATOR, self._promote),
             (message.RemoveMember, _OPERATOR, self._remove_member),
         ]
         for kind, roles, handler in table:
@@ -278,6 +279,12 @@
         await self._replica.add_member(request.name, request.address)
         return message.Empty()
 
+    async def _promote(
+        self, request: message.Promote, caller: rpc.Caller
+    ) -> message.Empty:
+        await self._replica.promote(request.name)
+        return message.Empty()
+
     async def _remove_member(
         self, request: message.RemoveMember, caller: rpc.Caller
     ) -> message.Empty:
--- a/sapphireseam/core/message.py
+++ b/sapphireseam/core/message.py
@@ -289,6 +289,12 @@
     address: str
 
 
+class Promote(NamedTuple):
+    """Ask for a learner to become a voter once it has caught up."""
+
+    name: str
+
+
 class RemoveMember(NamedTuple):
     """Ask for a control VM to be removed."""
 
@@ -504,6 +510,7 @@
     Status,
     MemberCall,
     AddMember,
+    Promote,
     RemoveMember,
     ReadEvents,
     SendEvents,
--- /dev/null
+++ b/sapphireseam/ops/__init__.py
@@ -0,0 +1,1 @@
+"""Act as an operator: the library behind `seam-ctl`."""
--- /dev/null
+++ b/sapphireseam/scripts/ctl.py
@@ -0,0 +1,76 @@
+"""Operate a fleet: the command line over `sapphireseam.ops`.
+
+This module holds the options that all commands share; each group of commands
+has a module of its own.
+"""
+
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from sapphireseam.ops import setting
+from sapphireseam.scripts import ctl_configuration, ctl_fleet, ctl_job, ctl_key
+from sapphireseam.utils import program
+
+app = typer.Typer(
+    add_completion=False,
+    no_args_is_help=True,
+    pretty_exceptions_enable=False,
+    rich_markup_mode=None,
+    context_settings={"help_option_names": ["-h", "--help"]},
+)
+ctl_fleet.register(app)
+ctl_configuration.register(app)
+app.add_typer(ctl_key.app, name="key")
+app.add_typer(ctl_job.app, name="job")
+
+
+@app.callback()
+def ctl(
+    context: typer.Context,
+    settings: Annotated[
+        Path | None,
+        typer.Option(
+            envvar="SEAM_SETTINGS",
+            help="JSON file with the fields control and operator_key_file.",
+        ),
+    ] = None,
+    control: Annotated[
+        list[str] | None,
+        typer.Option(
+            envvar="SEAM_CONTROL",
+            help="Address host:port of a control VM; repeat for each.",
+        ),
+    ] = None,
+    operator_key_file: Annotated[
+        Path | None,
+        typer.Option(
+            envvar="SEAM_OPERATOR_KEY_FILE", help="File that holds the operator key."
+        ),
+    ] = None,
+    version: program.VersionOption = False,
+) -> None:
+    """Operate a fleet: configuration, keys, jobs, drains, members, time line.
+
+    Say which fleet by options before the command, by environment variables, or
+    by a settings file; options go first:
+
+    \b
+      seam-ctl --control 10.0.0.1:7000 --operator-key-file key status
+      SEAM_SETTINGS=operator.json seam-ctl status
+
+    \b
+    Exit codes:
+      0  done
+      1  refused, failed, or something needs you (status)
+      2  bad usage, or settings that can't be used
+      3  a configuration with findings; nothing was published
+      4  no quorum of control VMs could be reached; the outcome may be unknown
+    """
+    context.obj = setting.Choice(settings, tuple(control or ()), operator_key_file)
+
+
+def main() -> None:
+    """Start the command line."""
+    app()
--- /dev/null
+++ b/sapphireseam/scripts/local.py
@@ -0,0 +1,218 @@
+"""Run a whole fleet in one process, for the first five minutes.
+
+The same applications that run as programs of their own on many VMs run here in
+one event loop, on loopback, with stand-in upstreams.
+"""
+
+import asyncio
+import logging
+import signal
+import sys
+import tempfile
+from enum import StrEnum
+from pathlib import Path
+from typing import Annotated, Any
+
+import typer
+
+from sapphireseam.agent import application as agents
+from sapphireseam.control import application as controls
+from sapphireseam.core import error, key
+from sapphireseam.entry import application as entries
+from sapphireseam.scripts import upstream as standins
+from sapphireseam.tools import layout, session
+from sapphireseam.utils import log, loop, program, setting
+from sapphireseam.utils.application import Application
+from sapphireseam.utils.client import ControlClient
+from sapphireseam.utils.timer import SystemTimer
+
+POLL_SECONDS = 0.1
+# Longest time for the fleet to be ready, in seconds.
+READY_SECONDS = 60.0
+LOG_FILE = "local.log"
+
+app = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
+
+
+class Size(StrEnum):
+    """Name the fleets that can be laid out."""
+
+    SMALL = "small"
+    SHANNONSIDE = "shannonside"
+    BUREAU = "bureau"
+
+
+_SHAPES = {
+    Size.SMALL: layout.SMALL,
+    Size.SHANNONSIDE: layout.SHANNONSIDE,
+    Size.BUREAU: layout.BUREAU,
+}
+
+
+def build_standin(settings: standins.Settings) -> Application:
+    """Return a stand-in upstream's application."""
+    application = Application("seam-upstream")
+    application.add(standins.build_part(settings, SystemTimer()))
+    return application
+
+
+_PROGRAMS: dict[str, tuple[type[Any], Any]] = {
+    "seam-control": (controls.Settings, controls.build),
+    "seam-entry": (entries.Settings, entries.build),
+    "seam-agent": (agents.Settings, agents.build),
+    "seam-upstream": (standins.Settings, build_standin),
+}
+
+
+class LocalFleet:
+    """Own the applications of a layout and the operator's client."""
+
+    def __init__(self, plan: layout.Layout):
+        self.plan = plan
+        self.client: ControlClient | None = None
+        self._applications: list[Application] = []
+
+    async def start(self) -> key.Secret:
+        """Start all, publish the configuration and return a customer's key."""
+        for item in self.plan.processes:
+            kind, build = _PROGRAMS[item.program]
+            application = build(setting.read(kind, item.settings))
+            await application.start()
+            self._applications.append(application)
+        async with asyncio.timeout(READY_SECONDS):
+            return await self._publish()
+
+    async def _publish(self) -> key.Secret:
+        """Use the operator key as soon as it is in force."""
+        timer = SystemTimer()
+        customer = next(iter(self.plan.configuration["customers"]))
+        while True:
+            text = find_operator_key(self.plan.operator_files)
+            if text:
+                client = session.connect(self.plan.controls, text, timer)
+                try:
+                    now = timer.read_wall_clock()
+                    await session.publish(
+                        client, self.plan.configuration, 0, now, "first"
+                    )
+                    self.client = client
+                    return await session.issue_key(client, customer, now)
+                except error.AccessError:
+                    await client.stop()
+                except error.SeamError as failure:
+                    if failure.kind is not error.Kind.KEY_INVALID:
+                        raise
+                    await client.stop()
+            await timer.sleep(POLL_SECONDS)
+
+    async def stop(self) -> None:
+        """Stop all, entries before what they need."""
+        if self.client is not None:
+            await self.client.stop()
+        order = ("seam-entry", "seam-agent", "seam-upstream", "seam-control")
+        for name in order:
+            group = [item for item in self._applications if item.name == name]
+            await asyncio.gather(*(item.stop() for item in group))
+
+
+def find_operator_key(files: tuple[Path, ...]) -> str:
+    """Return the operator key if a control VM has written it."""
+    for file in files:
+        if file.exists() and (text := file.read_text().strip()):
+            return text
+    return ""
+
+
+def write_operator_settings(plan: layout.Layout) -> Path:
+    """Write the settings file for `seam-ctl` and return its path."""
+    file = next(path for path in plan.operator_files if path.exists())
+    document = {"control": list(plan.controls), "operator_key_file": str(file)}
+    path = plan.folder / "operator.json"
+    setting.write(path, document)
+    return path
+
+
+def explain(plan: layout.Layout, secret: key.Secret) -> str:
+    """Return what a newcomer may do with the fleet."""
+    operator = write_operator_settings(plan)
+    model = next(iter(plan.configuration["models"]))
+    body = (
+        f'{{"model": "{model}", "messages": [{{"role": "user", "content": "hello"}}]}}'
+    )
+    return "\n".join(
+        (
+            f"entries:   {', '.join(f'http://{item}' for item in plan.entries)}",
+            f"key:       {secret.text}",
+            f"folder:    {plan.folder}",
+            "",
+            f"curl http://{plan.entries[0]}/v1/chat/completions \\",
+            f"  -H 'Authorization: Bearer {secret.text}' \\",
+            f"  -d '{body}'",
+            "",
+            f"seam-ctl --settings {operator} status",
+            "",
+            "Ctrl-C stops the fleet.",
+        )
+    )
+
+
+async def run_fleet(plan: layout.Layout) -> None:
+    """Run a fleet until told to stop."""
+    stopping = asyncio.Event()
+    running = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        running.add_signal_handler(number, stopping.set)
+    fleet = LocalFleet(plan)
+    try:
+        secret = await fleet.start()
+        typer.echo(explain(plan, secret))
+        await stopping.wait()
+    finally:
+        await fleet.stop()
+
+
+def send_logs(folder: Path) -> None:
+    """Write the log into the fleet's folder, so that the terminal stays clear."""
+    log.configure("seam-local", "local")
+    handler = logging.getLogger().handlers[0]
+    handler.setStream((folder / LOG_FILE).open("a"))
+
+
+@app.command()
+def local(
+    folder: Annotated[
+        Path | None, typer.Option(help="A new folder for settings, data and log.")
+    ] = None,
+    size: Annotated[Size, typer.Option(help="Which fleet to run.")] = Size.SMALL,
+    version: program.VersionOption = False,
+) -> None:
+    """Run a whole fleet in one process, with stand-in upstreams.
+
+    Prints where to call, a key, a curl line and a seam-ctl line.
+
+    \b
+    Examples:
+      seam-local
+      seam-local --size bureau --folder /tmp/bureau
+    """
+    target = folder or Path(tempfile.mkdtemp(prefix="seam-local-"))
+    if target.exists() and (not target.is_dir() or any(target.iterdir())):
+        text = f"--folder: {target} holds something; expected a new or empty folder"
+        typer.echo(text, err=True)
+        sys.exit(program.BAD_SETTINGS_EXIT)
+    try:
+        plan = layout.lay_out(target, _SHAPES[size])
+        send_logs(target)
+        loop.run(run_fleet(plan))
+    except (error.SeamError, TimeoutError) as failure:
+        cause = str(failure) or "the fleet wasn't ready in time"
+        typer.echo(f"{cause}; see {target / LOG_FILE}", err=True)
+        sys.exit(program.FAILED_EXIT)
+    except OSError as failure:
+        typer.echo(f"{failure.filename}: {failure.strerror}", err=True)
+        sys.exit(program.BAD_SETTINGS_EXIT)
+
+
+def main() -> None:
+    """Start the command line."""
+    app()
--- a/sapphireseam/utils/setting.py
+++ b/sapphireseam/utils/setting.py
@@ -63,3 +63,8 @@
     except ValueError as failure:
         raise error.SettingsError(f"{path}: not JSON: {failure}") from None
     return parse(kind, document, str(path))
+
+
+def write(path: Path, document: Any) -> None:
+    """Write a settings file, laid out for people."""
+    path.write_text(json.dumps(document, indent=2) + "\n")
