Begin the limits owner's term when it leads, not at the first question

Cause: the owner began its term, with empty buckets, at the first debit. A publish within the wait for the old owner's grants also filled buckets from the publish on, not from the end of the wait.

Ruled out: full buckets at the start, which could grant a burst twice.

--- a/sapphireseam/control/application.py
+++ b/sapphireseam/control/application.py
@@ -248,5 +248,6 @@
     application.add(server)
     application.add(replica)
     application.add(dispatcher)
+    application.add(owner)
     application.add(OperatorKeeper(settings.data_folder, replica, machine, timer))
     return application
--- a/sapphireseam/control/owner.py
+++ b/sapphireseam/control/owner.py
@@ -11,13 +11,16 @@
 from sapphireseam.core import command, error, fleet, message
 from sapphireseam.policy import limit
 from sapphireseam.state.replica import Replica
-from sapphireseam.utils.timer import TimerService
+from sapphireseam.utils.application import TaskGroup
+from sapphireseam.utils.timer import TimerService, run_periodically
 
 # How long an entry may use a grant, from when it asked. A new owner waits for
 # this long before its buckets begin to fill.
 GRANT_SECONDS = 1.0
 # What the clocks of two VMs may differ by in rate over that time, in seconds.
 MARGIN_SECONDS = 0.1
+# How often a control VM looks whether it has become the owner.
+LOOK_SECONDS = 0.1
 
 
 class LimitOwner:
@@ -31,8 +34,22 @@
         self._ready_at = 0.0
         self._limiter: limit.Limiter = limit.OwnerLimiter()
         self._contracts: dict[str, fleet.Contract] = {}
+        self._tasks = TaskGroup()
         machine.subscribe(self._follow)
 
+    async def start(self) -> None:
+        """Begin to look whether this control VM has become the owner."""
+        self._tasks.spawn(run_periodically(self._timer, LOOK_SECONDS, self._look))
+
+    async def stop(self) -> None:
+        """Stop looking."""
+        await self._tasks.cancel()
+
+    async def _look(self) -> None:
+        """Begin a new term at once, so that buckets fill before they are asked."""
+        if self._replica.is_leader and self._replica.term != self._term:
+            self._begin_term()
+
     def _follow(self, item: object, answer: object) -> None:
         if item is None or isinstance(item, command.Publish):
             self._configure()
@@ -41,8 +58,10 @@
         self._term = self._replica.term
         now = self._timer.read_clock()
         self._ready_at = now + GRANT_SECONDS + MARGIN_SECONDS
-        self._limiter = limit.OwnerLimiter()
+        # Buckets begin to fill when the old owner's grants have run out.
+        self._limiter = limit.OwnerLimiter(opens_at=self._ready_at)
         self._contracts = {}
+        self._configure()
 
     def _configure(self) -> None:
         """Bring the buckets in line with the contracts in force."""
--- a/sapphireseam/control/service.py
+++ b/sapphireseam/control/service.py
@@ -253,6 +253,8 @@
     ) -> message.Status:
         state = self._machine.state
         leader = self._replica.leader
+        if leader == self._node and not self._replica.is_leader:
+            leader = ""  # Its lease is over, so it leads no more.
         members = tuple(
             message.MemberView(m.name, m.address, m.voter, m.name == leader)
             for m in self._replica.members
--- a/sapphireseam/ops/setting.py
+++ b/sapphireseam/ops/setting.py
@@ -5,9 +5,7 @@
 """
 
 from pathlib import Path
-from typing import Annotated, Any, NamedTuple
-
-from pydantic import Field
+from typing import Any, NamedTuple
 
 from sapphireseam.core import error, fleet
 from sapphireseam.utils import setting
@@ -16,7 +14,7 @@
 class Settings(NamedTuple):
     """Name the control VMs to ask and the file that holds the operator key."""
 
-    control: Annotated[tuple[fleet.Address, ...], Field(min_length=1)]
+    control: tuple[fleet.Address, ...]
     operator_key_file: Path
 
 
@@ -42,7 +40,11 @@
     missing = [name for name in Settings._fields if name not in document]
     if missing:
         raise error.SettingsError("\n".join(explain_missing(n) for n in missing))
-    return setting.parse(Settings, document, source)
+    settings = setting.parse(Settings, document, source)
+    if not settings.control:
+        text = f"{source}: control: expected at least one address (found [])"
+        raise error.SettingsError(text)
+    return settings
 
 
 def explain_missing(name: str) -> str:
--- a/sapphireseam/ops/status.py
+++ b/sapphireseam/ops/status.py
@@ -8,7 +8,7 @@
 
 import asyncio
 from collections import Counter
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from sapphireseam.core import error, event, message
 from sapphireseam.ops import job as jobs
@@ -123,7 +123,7 @@
     wanted = set(operator.addresses)
     while wanted:
         batch = sorted(wanted)
-        replies = await asyncio.gather(*(_ask(operator, item) for item in batch))
+        replies = await asyncio.gather(*(_ask(operator, item, message.ReadStatus()) for item in batch))
         answers.update(zip(batch, replies, strict=True))
         wanted = {
             member.address
@@ -134,10 +134,10 @@
     return answers
 
 
-async def _ask(operator: Operator, address: str) -> message.Status | error.SeamError:
+async def _ask(operator: Operator, address: str, request: Any) -> Any:
+    """Return a control VM's answer, or the error."""
     try:
-        channel = operator.client.reach(address)
-        return await channel.call(message.ReadStatus(), CALL_SECONDS)
+        return await operator.client.reach(address).call(request, CALL_SECONDS)
     except error.SeamError as failure:
         return failure
 
@@ -224,16 +224,16 @@
     operator: Operator, views: list[message.Status], unknown: list[str]
 ) -> list[Limited]:
     since = operator.read_time() - LIMIT_WINDOW_SECONDS
-    addresses = {m.address for view in views for m in view.members}
+    addresses = sorted({m.address for view in views for m in view.members})
+    replies = await asyncio.gather(
+        *(_ask(operator, address, message.ReadEvents(since)) for address in addresses)
+    )
     found: set[event.Event] = set()
-    for address in sorted(addresses):
-        try:
-            channel = operator.client.reach(address)
-            reply = await channel.call(message.ReadEvents(since), CALL_SECONDS)
-        except error.SeamError as failure:
-            unknown.append(f"customers at their limit: {failure.message}")
-            continue
-        found.update(reply.events)
+    for reply in replies:
+        if isinstance(reply, message.Events):
+            found.update(reply.events)
+        else:
+            unknown.append(f"part of the customers at their limit: {reply.message}")
     return list_limited(found)
 
 
