Test the operators' commands against a whole local fleet

Properties for what needs no fleet (merged time line, changes between documents, forecast, status from partial answers); the command line itself runs as processes against seam-local, SIGINT and open descriptors included.

Refused requests name their customer on the time line, so that status can tell who is at its limit; before, the event had no customer.

--- a/sapphireseam/entry/gateway.py
+++ b/sapphireseam/entry/gateway.py
@@ -225,9 +225,13 @@
             )
 
     def _refuse(
-        self, failure: error.SeamError, request_id: str, request: web.Request
+        self,
+        failure: error.SeamError,
+        request_id: str,
+        request: web.Request,
+        customer: str = "",
     ) -> web.Response:
-        self._timeline.record("refused", request_id, detail=failure.kind)
+        self._timeline.record("refused", request_id, customer, detail=failure.kind)
         response = render_error(failure, request_id)
         if self._draining or not request.content.is_eof():
             response.force_close()
@@ -275,7 +279,8 @@
         except Exception as caught:
             failure = as_known(caught)
             if sink.response is None:
-                return self._refuse(failure, request_id, request)
+                customer = ask.caller.customer
+                return self._refuse(failure, request_id, request, customer)
             self._timeline.record("cut", request_id, detail=failure.kind)
             await sink.break_off(failure)
             return sink.response
--- /dev/null
+++ b/sapphireseam/ops/ops_test.py
@@ -0,0 +1,180 @@
+import json
+import pathlib
+import tempfile
+import unittest
+
+from hypothesis import given, settings, strategies as st
+
+from sapphireseam.core import error, event, fleet, message
+from sapphireseam.ops import configuration, job, setting, status, timeline
+
+CHECKED = settings(derandomize=True, deadline=None, database=None)
+
+names = st.sampled_from(["a", "b", "c"])
+events = st.builds(
+    event.Event,
+    st.floats(0, 1e9),
+    names,
+    names,
+    st.sampled_from(["", "req-1", "batch-1"]),
+    st.sampled_from(["", "grower"]),
+    st.sampled_from(["", "k1"]),
+    st.integers(0, 3),
+)
+documents = st.recursive(
+    st.integers(0, 3), lambda inner: st.dictionaries(names, inner, max_size=3)
+)
+
+
+def flatten(value, path=""):
+    """Return the document's leaves by their place."""
+    if not isinstance(value, dict):
+        return {path: value}
+    leaves = {}
+    for name, item in value.items():
+        leaves |= flatten(item, f"{path}.{name}" if path else name)
+    return leaves
+
+
+class TimelineTest(unittest.TestCase):
+    @CHECKED
+    @given(st.lists(st.lists(events, max_size=8).map(tuple), max_size=4))
+    def test_merged_events_are_all_once_in_order(self, parts):
+        merged = timeline.merge(parts, timeline.Filter())
+        self.assertEqual(merged, sorted(merged))
+        self.assertEqual(len(merged), len(set(merged)))
+        self.assertEqual(set(merged), {item for part in parts for item in part})
+
+    @CHECKED
+    @given(st.lists(events).map(tuple))
+    def test_filter_keeps_exactly_what_fits(self, items):
+        wanted = timeline.Filter("req-1", "grower")
+        kept = timeline.merge([items], wanted)
+        expected = {i for i in items if (i.subject, i.customer) == ("req-1", "grower")}
+        self.assertEqual(set(kept), expected)
+
+    def test_span_of_no_unit_is_refused(self):
+        with self.assertRaises(error.SettingsError):
+            timeline.parse_span("10")
+
+
+class ChangeTest(unittest.TestCase):
+    @CHECKED
+    @given(documents, documents)
+    def test_no_change_exactly_for_equal_documents(self, old, new):
+        self.assertEqual(configuration.list_changes(old, new) == [], old == new)
+
+    @CHECKED
+    @given(documents, documents)
+    def test_every_leaf_that_differs_lies_below_a_change(self, old, new):
+        places = [item.path for item in configuration.list_changes(old, new)]
+        before, after = flatten(old), flatten(new)
+        for place in before.keys() | after.keys():
+            if before.get(place) != after.get(place):
+                covered = any(
+                    place == p or place.startswith(f"{p}.") or not p for p in places
+                )
+                self.assertTrue(covered, (place, places))
+
+    def test_default_spelled_out_is_no_change(self):
+        short = {"contracts": {"c": {"rate": 1, "burst": 1}}}
+        full = fleet.render(fleet.require(short))
+        self.assertEqual(configuration.compare(short, full), [])
+
+
+class BaseTest(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.file = pathlib.Path(folder.name) / "fleet.json"
+
+    def test_base_is_what_was_fetched_not_what_is_in_force(self):
+        configuration.write_file(self.file, message.FleetView(4, b"{}"))
+        self.assertEqual(configuration.read_base(self.file, 9), 4)
+
+    def test_file_of_unknown_base_is_refused_once_a_revision_exists(self):
+        self.assertEqual(configuration.read_base(self.file, 0), 0)
+        with self.assertRaisesRegex(error.SettingsError, "--base"):
+            configuration.read_base(self.file, 1)
+
+
+def view_job(**fields):
+    base = message.JobView(
+        "j", "c", "f", "/v1", "in_progress", 100, 0, 0, 1000.0, 2000.0, 0.0, {}
+    )
+    return base._replace(**fields)
+
+
+class ForecastTest(unittest.TestCase):
+    def test_pace_decides_the_end(self):
+        found = job.forecast(view_job(done=10), 1100.0)
+        self.assertEqual(found, job.Forecast(2000.0, False))
+        self.assertTrue(job.forecast(view_job(done=9), 1100.0).at_risk)
+
+    def test_idle_job_is_at_risk_after_a_tenth_of_its_time(self):
+        self.assertFalse(job.forecast(view_job(), 1050.0).at_risk)
+        self.assertTrue(job.forecast(view_job(), 1100.0).at_risk)
+
+    def test_ended_job_is_never_at_risk(self):
+        ended = view_job(status="cancelled", ended=1500.0)
+        self.assertFalse(job.forecast(ended, 9000.0).at_risk)
+
+
+def view_status(node, leader, watchers=(), revision=3):
+    members = tuple(
+        message.MemberView(name, f"{name}:1", True, name == leader) for name in "abc"
+    )
+    return message.Status(node, leader, 2, 9, revision, members, watchers, ())
+
+
+def watcher(silent, revision=3):
+    return message.WatcherView("entry-1", "seam-entry", revision, silent)
+
+
+class StatusTest(unittest.TestCase):
+    def list_states(self, **answers):
+        replies = {f"{name}:1": reply for name, reply in answers.items()}
+        views = [item for item in replies.values() if isinstance(item, message.Status)]
+        newest = status.find_newest(views)
+        return [m.state for m in status.list_members(newest, replies)]
+
+    def test_silent_member_and_one_without_leader_are_told_apart(self):
+        down = error.ControlError("down")
+        states = self.list_states(
+            a=view_status("a", "a"), b=view_status("b", ""), c=down
+        )
+        self.assertEqual(states, ["leader", "no leader", "unreachable"])
+
+    def test_process_is_as_it_was_heard_last(self):
+        views = [
+            view_status("a", "a", (watcher(40.0, 1),)),
+            view_status("b", "a", (watcher(0.2),)),
+        ]
+        rows = status.list_processes(views, 3)
+        self.assertEqual([row.state for row in rows], ["in force"])
+
+    def test_old_revision_lags_and_long_silence_is_cut_off(self):
+        for seen, state in ((watcher(0.1, 2), "lagging"), (watcher(9.0), "cut off")):
+            rows = status.list_processes([view_status("a", "a", (seen,))], 3)
+            self.assertEqual([row.state for row in rows], [state])
+
+
+class SettingsTest(unittest.TestCase):
+    def test_option_goes_before_file(self):
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "operator.json"
+            document = {"control": ["10.0.0.1:7"], "operator_key_file": "/k"}
+            path.write_text(json.dumps(document))
+            found = setting.resolve(setting.Choice(path, ("10.0.0.2:8",)))
+        self.assertEqual(found.control, ("10.0.0.2:8",))
+        self.assertEqual(found.operator_key_file, pathlib.Path("/k"))
+
+    def test_every_missing_setting_is_named(self):
+        with self.assertRaises(error.SettingsError) as caught:
+            setting.resolve(setting.Choice())
+        for option in ("--control", "--operator-key-file"):
+            self.assertIn(option, caught.exception.message)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/sapphireseam/ops/status.py
+++ b/sapphireseam/ops/status.py
@@ -123,7 +123,9 @@
     wanted = set(operator.addresses)
     while wanted:
         batch = sorted(wanted)
-        replies = await asyncio.gather(*(_ask(operator, item, message.ReadStatus()) for item in batch))
+        replies = await asyncio.gather(
+            *(_ask(operator, item, message.ReadStatus()) for item in batch)
+        )
         answers.update(zip(batch, replies, strict=True))
         wanted = {
             member.address
--- /dev/null
+++ b/sapphireseam/scripts/local_test.py
@@ -0,0 +1,145 @@
+"""Run the operators' commands as processes against a whole local fleet."""
+
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import unittest
+
+BINARIES = pathlib.Path(sys.executable).parent
+# A ceiling for one command; it only ends a test that hangs.
+CEILING_SECONDS = 120
+
+
+class CommandLineTest(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        folder = tempfile.TemporaryDirectory()
+        cls.addClassCleanup(folder.cleanup)
+        cls.folder = pathlib.Path(folder.name)
+        cls.fleet = subprocess.Popen(
+            [BINARIES / "seam-local", "--folder", cls.folder / "fleet"],
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        cls.addClassCleanup(cls.stop_fleet)
+        cls.said = ""
+        for line in cls.fleet.stdout:
+            cls.said += line
+            if line.startswith("Ctrl-C"):
+                break
+
+    @classmethod
+    def stop_fleet(cls):
+        cls.fleet.send_signal(signal.SIGINT)
+        code = cls.fleet.wait(CEILING_SECONDS)
+        cls.fleet.stdout.close()
+        assert code == 0, f"seam-local ended with {code}"
+
+    def run_ctl(self, *arguments, code=0, typed=""):
+        settings = self.folder / "fleet" / "operator.json"
+        environment = {**os.environ, "SEAM_SETTINGS": str(settings)}
+        done = subprocess.run(
+            [BINARIES / "seam-ctl", *arguments],
+            env=environment,
+            input=typed,
+            capture_output=True,
+            text=True,
+            timeout=CEILING_SECONDS,
+        )
+        self.assertEqual(done.returncode, code, done.stdout + done.stderr)
+        self.assertNotIn("Traceback", done.stderr)
+        return done
+
+    def test_newcomer_is_told_where_to_call_and_how(self):
+        for part in ("curl http://", "Authorization: Bearer seam-", "seam-ctl"):
+            self.assertIn(part, self.said)
+
+    def test_no_io_uring_is_open(self):
+        folder = pathlib.Path(f"/proc/{self.fleet.pid}/fd")
+        targets = [os.readlink(item) for item in folder.iterdir()]
+        self.assertFalse([item for item in targets if "io_uring" in item])
+
+    def test_stale_edit_is_refused_and_changes_nothing(self):
+        first, second = self.folder / "first.json", self.folder / "second.json"
+        for path in (first, second):
+            self.run_ctl("show", "--output", path)
+        for path, rate in ((first, 70.0), (second, 80.0)):
+            document = json.loads(path.read_text())
+            document["contracts"]["standard"]["rate"] = rate
+            path.write_text(json.dumps(document))
+        asked = self.run_ctl("publish", first, typed="n\n", code=1)
+        self.assertIn("contracts.standard.rate", asked.stdout)
+        self.run_ctl("publish", first, typed="y\n")
+        refused = self.run_ctl("publish", second, "--yes", code=1)
+        self.assertIn("seam-ctl diff", refused.stderr)
+        in_force = json.loads(self.run_ctl("show").stdout)
+        self.assertEqual(in_force["contracts"]["standard"]["rate"], 70.0)
+        self.run_ctl("rollback", "1", "--yes")
+        in_force = json.loads(self.run_ctl("show").stdout)
+        self.assertEqual(in_force["contracts"]["standard"]["rate"], 100.0)
+
+    def test_same_request_id_publishes_once(self):
+        path = self.folder / "again.json"
+        self.run_ctl("show", "--output", path)
+        document = json.loads(path.read_text())
+        document["policy"] = {"queue_limit": 99}
+        path.write_text(json.dumps(document))
+        base = path.with_name("again.json.base").read_text().strip()
+        command = ("publish", path, "--base", base, "--request-id", "p-1", "--yes")
+        said = [self.run_ctl(*command).stdout for _ in range(2)]
+        self.assertEqual(said[0], said[1])
+
+    def test_findings_are_all_listed_and_exit_with_three(self):
+        path = self.folder / "bad.json"
+        self.run_ctl("show", "--output", path)
+        document = json.loads(path.read_text())
+        document["models"]["wording-llm"]["version"] = "gone"
+        document["customers"]["grower-1"]["contract"] = "gone"
+        path.write_text(json.dumps(document))
+        for command in ("check", "publish"):
+            done = self.run_ctl(command, path, code=3)
+            self.assertIn("models.wording-llm.version", done.stdout)
+            self.assertIn("customers.grower-1.contract", done.stdout)
+
+    def test_key_text_is_shown_once_on_standard_output_only(self):
+        issued = self.run_ctl("key", "issue", "grower-2")
+        text = issued.stdout.strip()
+        secret = text.split("-", 2)[2]
+        self.assertNotIn(secret, issued.stderr)
+        listed = self.run_ctl("key", "list", "--json").stdout
+        events = self.run_ctl("timeline", "--json").stdout
+        log = (self.folder / "fleet" / "local.log").read_text()
+        for place in (listed, events, log):
+            self.assertNotIn(secret, place)
+        key_id = text.split("-", 2)[1]
+        self.run_ctl("key", "withdraw", key_id, "--yes")
+        rows = json.loads(self.run_ctl("key", "list", "--json").stdout)
+        self.assertTrue(next(r["withdrawn"] for r in rows if r["id"] == key_id))
+
+    def test_drained_upstream_is_in_status_until_undrained(self):
+        self.run_ctl("drain", "upstream", "nowhere", "--yes", code=1)
+        self.run_ctl("drain", "upstream", "label-store-1", "--yes")
+        found = json.loads(self.run_ctl("status", "--json").stdout)
+        self.assertEqual(found["leaving"], ["label-store-1"])
+        self.run_ctl("undrain", "upstream", "label-store-1")
+        found = json.loads(self.run_ctl("status", "--json").stdout)
+        self.assertEqual(found["leaving"], [])
+        self.assertTrue(found["leader"])
+
+    def test_wrong_operator_key_is_refused_with_advice(self):
+        path = self.folder / "wrong-key"
+        path.write_text("wrong\n")
+        done = self.run_ctl("--operator-key-file", path, "history", code=1)
+        self.assertIn("operator key", done.stderr)
+
+    def test_unreachable_control_exits_with_four(self):
+        done = self.run_ctl("--control", "127.0.0.1:9", "status", code=4)
+        self.assertIn("--control", done.stderr)
+
+
+if __name__ == "__main__":
+    unittest.main()
