--- a/sapphireseam/scripts/ctl_configuration.py
+++ b/sapphireseam/scripts/ctl_configuration.py
@@ -147,6 +147,13 @@
 def _require_current(review: configuration.Review, file: Path) -> None:
     if review.base == review.in_force:
         return
+    if review.base > review.in_force:
+        text = (
+            f"{file} was edited from revision {review.base}, but only"
+            f" {review.in_force} is in force here: is it another fleet's? If it is"
+            f" meant for this one, say so with --base {review.in_force}"
+        )
+        raise error.SeamError(text, error.Kind.CONFLICT)
     text = (
         f"{file} was edited from revision {review.base}, and {review.in_force} is in"
         f" force. See `seam-ctl diff --from {review.base}`, fetch the new one with"
