--- a/sapphireseam/ops/status.py
+++ b/sapphireseam/ops/status.py
@@ -124,7 +124,7 @@
     while wanted:
         batch = sorted(wanted)
         replies = await asyncio.gather(
-            *(_ask(operator, item, message.ReadStatus()) for item in batch)
+            *(ask(operator, item, message.ReadStatus()) for item in batch)
         )
         answers.update(zip(batch, replies, strict=True))
         wanted = {
@@ -136,7 +136,16 @@
     return answers
 
 
-async def _ask(operator: Operator, address: str, request: Any) -> Any:
+async def list_addresses(operator: Operator) -> list[str]:
+    """Return the members' addresses, or the settings' if none tells them."""
+    answers = await ask_all(operator)
+    views = [item for item in answers.values() if isinstance(item, message.Status)]
+    if not views:
+        return list(operator.addresses)
+    return [member.address for member in find_newest(views).members]
+
+
+async def ask(operator: Operator, address: str, request: Any) -> Any:
     """Return a control VM's answer, or the error."""
     try:
         return await operator.client.reach(address).call(request, CALL_SECONDS)
@@ -228,7 +237,7 @@
     since = operator.read_time() - LIMIT_WINDOW_SECONDS
     addresses = sorted({m.address for view in views for m in view.members})
     replies = await asyncio.gather(
-        *(_ask(operator, address, message.ReadEvents(since)) for address in addresses)
+        *(ask(operator, address, message.ReadEvents(since)) for address in addresses)
     )
     found: set[event.Event] = set()
     for reply in replies:
--- a/sapphireseam/ops/timeline.py
+++ b/sapphireseam/ops/timeline.py
@@ -9,10 +9,9 @@
 from typing import NamedTuple
 
 from sapphireseam.core import error, event, message
+from sapphireseam.ops import status
 from sapphireseam.ops.operator import Operator
 
-CALL_SECONDS = 5.0
-
 _UNITS = {"s": 1, "m": 60, "h": 3600, "d": 86400}
 
 
@@ -61,19 +60,14 @@
 
 async def read(operator: Operator, since: float, wanted: Filter) -> Merged:
     """Return the events since a clock value; raise if no control VM answers."""
-
-    async def ask(address: str) -> tuple[event.Event, ...] | error.SeamError:
-        channel = operator.client.reach(address)
-        try:
-            return (await channel.call(message.ReadEvents(since), CALL_SECONDS)).events
-        except error.SeamError as failure:
-            return failure
-
-    answers = await asyncio.gather(*map(ask, operator.addresses))
-    failures = [item for item in answers if isinstance(item, error.SeamError)]
-    if len(failures) == len(answers):
-        raise failures[0]
-    pairs = zip(operator.addresses, answers, strict=True)
-    silent = [a for a, item in pairs if isinstance(item, error.SeamError)]
-    parts = [item for item in answers if not isinstance(item, error.SeamError)]
+    addresses = await status.list_addresses(operator)
+    request = message.ReadEvents(since)
+    replies = await asyncio.gather(
+        *(status.ask(operator, address, request) for address in addresses)
+    )
+    pairs = list(zip(addresses, replies, strict=True))
+    parts = [reply.events for reply in replies if isinstance(reply, message.Events)]
+    silent = [a for a, reply in pairs if not isinstance(reply, message.Events)]
+    if not parts:
+        raise replies[0]
     return Merged(merge(parts, wanted), silent)
