--- a/sapphireseam/control/service.py
+++ b/sapphireseam/control/service.py
@@ -86,6 +86,7 @@
             (message.ReadStatus, _BOTH, self._read_status),
             (message.ReadEvents, _OPERATOR, self._read_events),
             (message.AddMember, _OPERATOR, self._add_member),
+            (message.Promote, _OPERATOR, self._promote),
             (message.RemoveMember, _OPERATOR, self._remove_member),
         ]
         for kind, roles, handler in table:
@@ -253,6 +254,8 @@
     ) -> message.Status:
         state = self._machine.state
         leader = self._replica.leader
+        if leader == self._node and not self._replica.is_leader:
+            leader = ""  # Its lease is over, so it leads no more.
         members = tuple(
             message.MemberView(m.name, m.address, m.voter, m.name == leader)
             for m in self._replica.members
@@ -279,6 +282,12 @@
         await self._replica.add_member(request.name, request.address)
         return message.Empty()
 
+    async def _promote(
+        self, request: message.Promote, caller: rpc.Caller
+    ) -> message.Empty:
+        await self._replica.promote(request.name)
+        return message.Empty()
+
     async def _remove_member(
         self, request: message.RemoveMember, caller: rpc.Caller
     ) -> message.Empty:
