--- /dev/null
+++ b/sapphireseam/tools/bench_control.py
@@ -0,0 +1,310 @@
+"""Measure what the control VMs cost: watchers, publishes, sizes, leader loss.
+
+Three control VMs run as processes on loopback; the watchers are mirrors inside
+this process, each with a connection of its own. The figures are the points
+from which docs/CAPACITY.md works out its slopes.
+"""
+
+import asyncio
+import os
+import signal
+import statistics
+import tempfile
+import time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Annotated, Any, NamedTuple
+
+import aiohttp
+import typer
+
+from sapphireseam.core import message
+from sapphireseam.tools import fleet, layout, session
+from sapphireseam.utils import loop, rpc
+from sapphireseam.utils.client import ControlClient
+from sapphireseam.utils.mirror import Mirror
+from sapphireseam.utils.timeline import Timeline
+from sapphireseam.utils.timer import SystemTimer
+
+WINDOW_SECONDS = 6.0
+PUBLISHES = 30
+POLL_SECONDS = 0.002
+_TICKS = os.sysconf("SC_CLK_TCK")
+
+app = typer.Typer(add_completion=False)
+timer = SystemTimer()
+
+
+class Usage(NamedTuple):
+    """Hold what a process has used: CPU seconds and resident bytes."""
+
+    cpu: float
+    memory: int
+
+
+def read_usage(pid: int) -> Usage:
+    """Return a process's use of processor and memory."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
+    cpu = (int(fields[11]) + int(fields[12])) / _TICKS
+    return Usage(cpu, int(fields[21]) * os.sysconf("SC_PAGE_SIZE"))
+
+
+def describe_customers(count: int) -> dict[str, Any]:
+    """Return a configuration with so many customers of two contracts."""
+    contracts = {
+        "standard": {"rate": 5, "burst": 20},
+        "large": {"rate": 50, "burst": 100, "weight": 4},
+    }
+    customers = {
+        f"customer-{number:05}": {
+            "contract": "large" if number % 9 == 0 else "standard"
+        }
+        for number in range(count)
+    }
+    return {"contracts": contracts, "customers": customers}
+
+
+class Relay:
+    """Pass bytes between watchers and one control VM, and count them."""
+
+    def __init__(self, target: str):
+        self._target = target
+        self.count = 0
+        self.address = ""
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        self._server = await asyncio.start_server(self._serve, layout.HOST, 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f"{layout.HOST}:{port}"
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        self._server.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        host, port = self._target.rsplit(":", 1)
+        far_reader, far_writer = await asyncio.open_connection(host, int(port))
+        await asyncio.gather(
+            self._pump(reader, far_writer), self._pump(far_reader, writer)
+        )
+
+    async def _pump(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while data := await reader.read(65536):
+            self.count += len(data)
+            writer.write(data)
+        writer.close()
+
+
+class Watchers:
+    """Run mirrors that watch the control VMs, each from one to begin with."""
+
+    def __init__(self, addresses: tuple[str, ...]):
+        self._addresses = addresses
+        self._clients: list[ControlClient] = []
+        self.mirrors: list[Mirror] = []
+
+    async def start(self, count: int) -> None:
+        """Start mirrors up to a count and wait until all are confirmed."""
+        credential = (rpc.FLEET_HEADER, layout.FLEET_SECRET)
+        while len(self.mirrors) < count:
+            number = len(self.mirrors)
+            turn = number % len(self._addresses)
+            addresses = self._addresses[turn:] + self._addresses[:turn]
+            client = ControlClient(addresses, credential, timer)
+            name = f"watcher-{number}"
+            line = Timeline(name, timer)
+            item = Mirror(name, "bench", client, addresses, line, timer)
+            self._clients.append(client)
+            self.mirrors.append(item)
+            await item.start()
+        await wait_until(lambda: all(m.is_confirmed() for m in self.mirrors))
+
+    async def stop(self) -> None:
+        """Stop all mirrors."""
+        for item in self.mirrors:
+            await item.stop()
+        for client in self._clients:
+            await client.stop()
+
+
+async def wait_until(condition: Callable[[], bool]) -> None:
+    """Return once the condition holds, or fail after a generous ceiling."""
+    async with asyncio.timeout(fleet.STEP_SECONDS):
+        while not condition():  # noqa: ASYNC110
+            await asyncio.sleep(POLL_SECONDS)
+
+
+def find_controls(plan: layout.Layout) -> list[str]:
+    """Return the names of the control VMs."""
+    return [p.node for p in plan.processes if p.program == "seam-control"]
+
+
+async def measure_controls(processes: fleet.Processes, plan: layout.Layout) -> float:
+    """Return the cores that all control VMs use over a window."""
+    pids = [processes.read_pid(node) for node in find_controls(plan)]
+    before = sum(read_usage(pid).cpu for pid in pids)
+    start = time.monotonic()
+    await asyncio.sleep(WINDOW_SECONDS)
+    used = sum(read_usage(pid).cpu for pid in pids) - before
+    return used / (time.monotonic() - start)
+
+
+async def publish_once(
+    client: ControlClient,
+    document: dict[str, Any],
+    revision: int,
+    mirrors: list[Mirror],
+) -> tuple[float, float]:
+    """Return the seconds until a publish was accepted, and in force everywhere."""
+    document["contracts"]["standard"]["rate"] = 5 + revision % 2
+    start = time.monotonic()
+    now = timer.read_wall_clock()
+    await session.publish(client, document, revision, now)
+    accepted = time.monotonic() - start
+    await wait_until(lambda: all(m.revision > revision for m in mirrors))
+    return accepted, time.monotonic() - start
+
+
+async def publish_many(
+    client: ControlClient, document: dict[str, Any], mirrors: list[Mirror]
+) -> str:
+    """Publish one after the other; return the times as a table's cells."""
+    view = await session.read_fleet(client)
+    revision = view.revision
+    times = []
+    for number in range(PUBLISHES):
+        times.append(await publish_once(client, document, revision + number, mirrors))
+    accepted = sorted(pair[0] * 1000 for pair in times)
+    in_force = sorted(pair[1] * 1000 for pair in times)
+    return (
+        f"{statistics.median(accepted):.1f} | {statistics.median(in_force):.1f}"
+        f" | {in_force[-1]:.1f}"
+    )
+
+
+async def bench_watchers(
+    processes: fleet.Processes, plan: layout.Layout, client: ControlClient
+) -> None:
+    """Print cores and bytes by the number of watchers, and publish times."""
+    relays = [Relay(address) for address in plan.controls]
+    for relay in relays:
+        await relay.start()
+    watchers = Watchers(tuple(relay.address for relay in relays))
+    typer.echo(
+        "| watchers | cores of 3 control VMs | bytes/s a watcher"
+        " | accepted p50 ms | in force p50 ms | in force max ms |"
+    )
+    typer.echo("|---|---|---|---|---|---|")
+    idle = await measure_controls(processes, plan)
+    typer.echo(f"| 0 | {idle:.3f} | | | | |")
+    document = describe_customers(50)
+    for count in (6, 60, 180, 350):
+        await watchers.start(count)
+        before = sum(relay.count for relay in relays)
+        cores = await measure_controls(processes, plan)
+        carried = sum(relay.count for relay in relays) - before
+        rate = carried / WINDOW_SECONDS / count
+        cells = await publish_many(client, document, watchers.mirrors)
+        typer.echo(f"| {count} | {cores:.3f} | {rate:.0f} | {cells} |")
+    await watchers.stop()
+    for relay in relays:
+        await relay.stop()
+
+
+async def bench_sizes(
+    processes: fleet.Processes, plan: layout.Layout, client: ControlClient
+) -> None:
+    """Print memory and publish times by the number of customers."""
+    watchers = Watchers(plan.controls)
+    await watchers.start(6)
+    typer.echo(
+        "| customers | resident MB of a control VM"
+        " | accepted p50 ms | in force p50 ms | in force max ms |"
+    )
+    typer.echo("|---|---|---|---|---|")
+    for count in (50, 500, 1500, 4600):
+        cells = await publish_many(client, describe_customers(count), watchers.mirrors)
+        pid = processes.read_pid(find_controls(plan)[0])
+        megabytes = read_usage(pid).memory / 1e6
+        typer.echo(f"| {count} | {megabytes:.0f} | {cells} |")
+    await watchers.stop()
+
+
+async def find_leader(client: ControlClient, plan: layout.Layout) -> str:
+    """Return the name of the control VM that leads."""
+    for address in plan.controls:
+        try:
+            status = await client.reach(address).call(message.ReadStatus(), 1.0)
+        except rpc.LinkError:
+            continue
+        if status.leader:
+            return status.leader
+    return ""
+
+
+async def bench_leader_loss(
+    processes: fleet.Processes, plan: layout.Layout, client: ControlClient
+) -> None:
+    """Print the seconds from a leader's SIGKILL to the next accepted publish."""
+    document = describe_customers(50)
+    settings = {item.node: item for item in plan.processes}
+    times = []
+    for _ in range(5):
+        leader = await find_leader(client, plan)
+        view = await session.read_fleet(client)
+        start = time.monotonic()
+        processes.signal(leader, signal.SIGKILL)
+        await publish_once(client, document, view.revision, [])
+        times.append(time.monotonic() - start)
+        await processes.running[leader].wait()
+        await processes.start(settings[leader])
+        await asyncio.sleep(2.0)
+    shown = ", ".join(f"{seconds:.2f}" for seconds in times)
+    typer.echo(f"leader killed, seconds to the next accepted publish: {shown}")
+
+
+Bench = Callable[[fleet.Processes, layout.Layout, ControlClient], Awaitable[None]]
+BENCHES: dict[str, Bench] = {
+    "watchers": bench_watchers,
+    "sizes": bench_sizes,
+    "leader": bench_leader_loss,
+}
+
+
+async def run_bench(folder: Path, name: str) -> None:
+    """Run three control VMs and one bench on them."""
+    shape = layout.Shape("ie-south", (), ("grower-1",), entries=0)
+    plan = layout.lay_out(folder, shape)
+    processes = fleet.Processes(folder)
+    async with aiohttp.ClientSession() as http:
+        try:
+            client = await fleet.start_fleet(processes, plan, http)
+            await BENCHES[name](processes, plan, client)
+            await client.stop()
+        finally:
+            await processes.stop()
+
+
+@app.command()
+def bench(
+    name: Annotated[str, typer.Argument(help="watchers, sizes or leader.")],
+    folder: Annotated[Path | None, typer.Option(help="Where files go.")] = None,
+) -> None:
+    """Measure the control VMs.
+
+    Example: python -m sapphireseam.tools.bench_control leader
+    """
+    if name not in BENCHES:
+        raise typer.BadParameter(f"one of {', '.join(BENCHES)}")
+    target = folder or Path(tempfile.mkdtemp(prefix="seam-bench-"))
+    loop.run(run_bench(target, name))
+
+
+if __name__ == "__main__":
+    app()
