--- a/sapphireseam/agent/application.py
+++ b/sapphireseam/agent/application.py
@@ -113,7 +113,7 @@
         settings.node, upstream, runner, deaths, mirror, client, timeline, timer
     )
 
-    def authorize(metadata: dict[str, str]) -> rpc.Caller:
+    async def authorize(metadata: dict[str, str]) -> rpc.Caller:
         secret = metadata.get(rpc.FLEET_HEADER, "")
         if rpc.same_secret(secret, settings.fleet_secret):
             return frozenset({Role.FLEET})
--- a/sapphireseam/control/application.py
+++ b/sapphireseam/control/application.py
@@ -211,14 +211,20 @@
         settings.node, replica, machine, store, dispatcher, owner, hub, timeline
     )
 
-    def authorize(metadata: dict[str, str]) -> rpc.Caller:
+    def is_operator(given: str) -> bool:
+        expected = machine.state.texts.get("operator", "")
+        return bool(expected) and key.matches(given, expected)
+
+    async def authorize(metadata: dict[str, str]) -> rpc.Caller:
         roles = set()
         secret = metadata.get(rpc.FLEET_HEADER, "")
         if rpc.same_secret(secret, settings.fleet_secret):
             roles.add(Role.FLEET)
-        expected = machine.state.texts.get("operator", "")
         given = metadata.get(rpc.OPERATOR_HEADER, "")
-        if expected and key.matches(given, expected):
+        if given and not is_operator(given):
+            # A member that has just started may not know the key yet.
+            await replica.read_index()
+        if given and is_operator(given):
             roles.add(Role.OPERATOR)
         return frozenset(roles)
 
--- a/sapphireseam/utils/rpc.py
+++ b/sapphireseam/utils/rpc.py
@@ -184,7 +184,9 @@
 class Server:
     """Answer calls and streams by the type of their first message."""
 
-    def __init__(self, address: str, authorize: Callable[[dict[str, str]], Caller]):
+    def __init__(
+        self, address: str, authorize: Callable[[dict[str, str]], Awaitable[Caller]]
+    ):
         self.address = address
         self._authorize = authorize
         self._calls: dict[type, tuple[Caller, CallHandler]] = {}
@@ -228,9 +230,9 @@
         if self._server is not None:
             await self._server.stop(GRACE_SECONDS)
 
-    def _identify(self, context: Any, roles: Caller) -> Caller:
+    async def _identify(self, context: Any, roles: Caller) -> Caller:
         metadata = {name: value for name, value in context.invocation_metadata()}
-        caller = self._authorize(metadata)
+        caller = await self._authorize(metadata)
         if not caller & roles:
             raise error.AccessError("this needs a valid fleet secret or operator key")
         return caller
@@ -241,7 +243,7 @@
             if type(request) not in self._calls:
                 raise error.RequestError(f"no {type(request).__name__} is served here")
             roles, handler = self._calls[type(request)]
-            caller = self._identify(context, roles)
+            caller = await self._identify(context, roles)
             reply = await handler(request, caller)
         except error.SeamError as failure:
             reply = self._pack_failure(failure)
@@ -259,7 +261,7 @@
             if type(first) not in self._streams:
                 return
             roles, handler = self._streams[type(first)]
-            self._identify(context, roles)
+            await self._identify(context, roles)
             await handler(first, stream)
         except LinkError:
             pass
