--- a/sapphireseam/state/cluster.py
+++ b/sapphireseam/state/cluster.py
@@ -372,7 +372,7 @@
         if not leader:
             return False
         held = self.replicas[leader]._node
-        return held.commit >= held.members_index and all(
+        return held.commit >= held.roster.index and all(
             item.folder == self.folders.get(item.name) and not item.returning
             for item in held.members
         )
--- a/sapphireseam/state/membership.py
+++ b/sapphireseam/state/membership.py
@@ -10,10 +10,8 @@
 import asyncio
 from collections.abc import Callable
 
-import msgspec
-
 from sapphireseam.core import error
-from sapphireseam.state import message, node as nodes, peer as peers
+from sapphireseam.state import message, node as nodes, peer as peers, roster
 
 Edit = Callable[[nodes.Members], nodes.Members]
 
@@ -58,13 +56,13 @@
             await node.changed.wait_until(self._is_settled)
             members = edit(node.members)
             if members != node.members:
-                data = msgspec.msgpack.encode(members)
+                data = roster.encode(members)
                 await node.append(message.MEMBERS, data)
 
     def _is_settled(self) -> bool:
         node = self._node
         node.check_leading()
-        return node.commit >= max(node.term_start, node.members_index)
+        return node.commit >= max(node.term_start, node.roster.index)
 
     async def add(self, name: str, address: str) -> None:
         """Add a learner; its folder is recorded when it is first reached."""
--- a/sapphireseam/state/node.py
+++ b/sapphireseam/state/node.py
@@ -14,8 +14,6 @@
 from collections.abc import Awaitable, Callable, Mapping, Sequence
 from typing import Protocol, TypeVar
 
-import msgspec
-
 from sapphireseam.core import error
 from sapphireseam.state import (
     broadcast,
@@ -24,6 +22,7 @@
     log as logs,
     message,
     option,
+    roster as rosters,
     store as stores,
 )
 from sapphireseam.utils import application, timer as timers
@@ -31,7 +30,7 @@
 logger = logging.getLogger(__name__)
 
 T = TypeVar("T")
-Members = tuple[message.Member, ...]
+Members = rosters.Members
 
 
 class Machine(Protocol):
@@ -136,7 +135,7 @@
         self.changed = broadcast.Broadcast()
         self.on_lead: Callable[[], None] = lambda: None
         self.on_members: Callable[[], None] = lambda: None
-        self._configs: list[tuple[int, Members]] = [(0, ())]
+        self.roster = rosters.Roster()
         self._waiters: dict[int, asyncio.Future] = {}
         self._saved = stores.Vote()
         self._save_lock = asyncio.Lock()
@@ -146,12 +145,7 @@
     @property
     def members(self) -> Members:
         """Return the newest members in the log, committed or not."""
-        return self._configs[-1][1]
-
-    @property
-    def members_index(self) -> int:
-        """Return the index of the entry that holds the newest members."""
-        return self._configs[-1][0]
+        return self.roster.members
 
     @property
     def voters(self) -> list[message.Member]:
@@ -172,23 +166,11 @@
             and member.folder == self.identity.folder
         )
 
-    def read_members(self, index: int) -> Members:
-        """Return the members as of an index that isn't behind the snapshot."""
-        return next(held for at, held in reversed(self._configs) if at <= index)
-
     def load_members(self, index: int, members: Members) -> None:
         """Begin with the members as of an index and follow the log from there."""
-        self._configs = [(index, members)]
-        start = max(index, self.log.base_index) + 1
-        for position in range(start, self.log.last_index + 1):
-            self._take_members(self.log.get(position))
+        self.roster.load(index, members, self.log)
         self.on_members()
 
-    def _take_members(self, entry: message.Entry) -> None:
-        if entry.kind == message.MEMBERS:
-            members = msgspec.msgpack.decode(entry.data, type=Members)
-            self._configs.append((entry.index, members))
-
     # Terms and votes.
 
     async def load(self) -> None:
@@ -267,7 +249,7 @@
         logger.info("leads", extra={"member": self.name, "term": self.term})
         if self.log.last_index == 0:
             # The first entry records the members with their folders.
-            self.append(message.MEMBERS, msgspec.msgpack.encode(self.members))
+            self.append(message.MEMBERS, rosters.encode(self.members))
         else:
             self.append(message.NOOP, b"")
         self.on_lead()
@@ -373,7 +355,7 @@
         future = asyncio.get_running_loop().create_future()
         self._waiters[entry.index] = future
         if kind == message.MEMBERS:
-            self._take_members(entry)
+            self.roster.take(entry)
             self.on_members()
         self.log_grew.notify()
         for peer in self.peers.values():
@@ -391,14 +373,14 @@
             if held is not None:
                 self._truncate(entry.index)
             self.log.append(entry)
-            self._take_members(entry)
+            self.roster.take(entry)
         self.log_grew.notify()
 
     def _truncate(self, index: int) -> None:
         if index <= self.commit:
             raise AssertionError(f"entry {index} is committed and can't be replaced")
         self.log.truncate(index)
-        self._configs = [item for item in self._configs if item[0] < index]
+        self.roster.truncate(index)
 
     async def wait_synced(self, index: int) -> None:
         """Return once the log is durable up to the index."""
@@ -426,11 +408,11 @@
         self.commit = index
         self.commit_grew.notify()
         is_removed = self.find_member(self.name) is None
-        if self.role is Role.LEADER and is_removed and self.members_index <= index:
+        if self.role is Role.LEADER and is_removed and self.roster.index <= index:
             self._finish_removal()
 
     def _finish_removal(self) -> None:
-        waiter = self._waiters.pop(self.members_index, None)
+        waiter = self._waiters.pop(self.roster.index, None)
         if waiter is not None and not waiter.done():
             waiter.set_result(None)
         self.step_down()
@@ -453,6 +435,10 @@
             return await timers.wait_for(self.timer, peer.call(request), seconds)
         except (TimeoutError, KeyError, error.SeamError):
             return None
+        except Exception:
+            # A transport's fault must not end the task that serves the peer.
+            logger.exception("a call failed", extra={"peer": name})
+            return None
 
     def _find_link(self, name: str) -> link.Link:
         if isinstance(self.links, Mapping):
--- a/sapphireseam/state/replica.py
+++ b/sapphireseam/state/replica.py
@@ -3,9 +3,9 @@
 One `Replica` runs on each control VM. Its parts are tasks that share one
 `Node`: the election (election.py), two tasks for each peer on the leader
 (peer.py), the answering side (receiver.py), changes of members
-(membership.py) and the cluster's forming (formation.py). This module starts
-them, writes and applies the log, takes snapshots and is what other modules
-call.
+(membership.py), the cluster's forming (formation.py), and writing, applying and
+compacting the log (applier.py). This module starts them and is what other
+modules call.
 
     replica = Replica(name, links, disk, timer, machine, guard, options, rng)
     await replica.start()
@@ -21,6 +21,7 @@
 
 from sapphireseam.core import error
 from sapphireseam.state import (
+    applier,
     broadcast,
     disk as disks,
     election,
@@ -31,7 +32,6 @@
     node as nodes,
     option,
     receiver,
-    store as stores,
 )
 from sapphireseam.utils import timer as timers
 
@@ -42,11 +42,6 @@
 Member = message.Member
 Options = option.Options
 
-# How many entries are applied before other tasks get their turn.
-_APPLY_BATCH = 64
-
-Subscriber = Callable[[int, object], None]
-
 
 class Replica:
     """Keep one member of the replicated log."""
@@ -65,12 +60,12 @@
         self._node = nodes.Node(
             member, peers, disk, timer, machine, guard, options, rng
         )
+        self._applier = applier.Applier(self._node)
         self._elector = election.Elector(self._node)
         self._former = formation.Former(self._node)
         self._membership = membership.Membership(self._node)
         self._receiver = receiver.Receiver(self._node)
         self._reads = broadcast.Coalescer(self._fetch_read_index, self._node.tasks)
-        self._subscribers: list[Subscriber] = []
         self._node.on_lead = self._membership.refresh_peers
         self._node.on_members = self._membership.refresh_peers
 
@@ -84,9 +79,9 @@
             await node.disk.close()
             raise
         for work in (
-            self._run_writer(),
-            self._run_applier(),
-            self._run_snapshots(),
+            self._applier.run_writes(),
+            self._applier.run_applies(),
+            self._applier.run_snapshots(),
             self._elector.run(),
             self._former.run(),
             self._membership.run(),
@@ -211,12 +206,12 @@
 
         await node.changed.wait_until(is_applied)
 
-    def subscribe(self, callback: Subscriber) -> None:
+    def subscribe(self, callback: applier.Subscriber) -> None:
         """Call back after each applied command, with its index and result.
 
         Commands that a snapshot brought are not called for.
         """
-        self._subscribers.append(callback)
+        self._applier.subscribers.append(callback)
 
     @property
     def leader(self) -> str:
@@ -321,80 +316,3 @@
         if is_meant and node.is_voter:
             node.tasks.spawn(self._elector.stand(transfer=True))
         return message.CampaignReply(node.identity.folder, is_meant)
-
-    # The log's tasks.
-
-    async def _run_writer(self) -> None:
-        """Sync what joined the log, many entries at once."""
-        node = self._node
-        while node.fatal is None:
-            await node.log_grew.wait_until(
-                lambda: node.fatal or node.log.synced < node.log.last_index
-            )
-            try:
-                await node.keep(node.log.flush())
-            except error.StorageError:
-                return
-            node.count_commit()
-            node.changed.notify()
-
-    async def _run_applier(self) -> None:
-        """Apply what is committed, in order."""
-        node = self._node
-        while node.fatal is None:
-            await node.commit_grew.wait_until(
-                lambda: node.fatal or node.commit > node.applied
-            )
-            last = min(node.commit, node.applied + _APPLY_BATCH)
-            while node.fatal is None and node.applied < last:
-                self._apply(node.log.get(node.applied + 1))
-            node.changed.notify()
-            await asyncio.sleep(0)
-
-    def _apply(self, entry: message.Entry) -> None:
-        node = self._node
-        result = None
-        if entry.kind == message.COMMAND:
-            result = node.machine.apply(entry.index, entry.data)
-        node.applied = entry.index
-        node.resolve(entry.index, result)
-        if entry.kind == message.COMMAND:
-            self._call_subscribers(entry.index, result)
-
-    def _call_subscribers(self, index: int, result: object) -> None:
-        for subscriber in self._subscribers:
-            try:
-                subscriber(index, result)
-            except Exception:
-                logger.exception("a subscriber failed")
-
-    async def _run_snapshots(self) -> None:
-        """Write a snapshot whenever enough entries were applied."""
-        node = self._node
-        while node.fatal is None:
-            await node.changed.wait_until(self._is_snapshot_due)
-            try:
-                await self._write_snapshot()
-            except error.SeamError:
-                return
-
-    def _is_snapshot_due(self) -> bool:
-        node = self._node
-        newer = node.applied - node.snapshot.index
-        return node.fatal is not None or newer >= node.options.snapshot_entries
-
-    async def _write_snapshot(self) -> None:
-        node = self._node
-        async with node.snapshot_lock:
-            if not self._is_snapshot_due():
-                return
-            node.check_running()
-            index = node.applied
-            members = node.read_members(index)
-            mark = stores.Mark(index, node.log.read_term(index), members)
-            data = node.machine.encode()
-            await node.wait_synced(index)
-            await node.keep(node.store.save_snapshot(mark, data))
-            node.snapshot = mark
-            await node.keep(node.log.compact(index))
-            node.load_members(index, members)
