--- a/sapphireseam/state/broadcast.py
+++ b/sapphireseam/state/broadcast.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+from sapphireseam.core import error
 from sapphireseam.utils import application
 
 
@@ -62,16 +63,28 @@
                 await self._run_call(future)
         finally:
             self._busy = False
+            if self._next is not None:
+                _refuse(self._next)
 
     async def _run_call(self, future: asyncio.Future) -> None:
         try:
             result = await self._call()
         except Exception as failure:
-            future.set_exception(failure)
-            # Every caller may have gone; then nobody else fetches the error.
-            future.exception()
+            _set_exception(future, failure)
         except asyncio.CancelledError:
-            future.cancel()
+            _refuse(future)
             raise
         else:
             future.set_result(result)
+
+
+def _set_exception(future: asyncio.Future, failure: Exception) -> None:
+    future.set_exception(failure)
+    # Every caller may have gone; then nobody else fetches the error.
+    future.exception()
+
+
+def _refuse(future: asyncio.Future) -> None:
+    """End callers whose call was cancelled with its tasks."""
+    text = "the member doesn't run"
+    _set_exception(future, error.ControlError(text, error.Kind.SHUTTING_DOWN))
--- a/sapphireseam/state/disk.py
+++ b/sapphireseam/state/disk.py
@@ -59,13 +59,17 @@
         self._unlisted: set[str] = set()
         self._failure: error.StorageError | None = None
         self._lock = -1
+        self._is_closed = False
 
     async def open(self) -> None:
         """Make the folder if it is missing and lock it."""
         await self._run(self._open)
 
     async def close(self) -> None:
-        """Close every file and free the lock."""
+        """Close every file and free the lock; a second call does nothing."""
+        if self._is_closed:
+            return
+        self._is_closed = True
         loop = asyncio.get_running_loop()
         await loop.run_in_executor(self._thread, self._close)
         self._thread.shutdown(wait=True)
--- a/sapphireseam/state/formation.py
+++ b/sapphireseam/state/formation.py
@@ -37,6 +37,7 @@
 
     def __init__(self, node: nodes.Node):
         self._node = node
+        self._warned: set[tuple[str, ...]] = set()
 
     async def run(self) -> None:
         """Try until the cluster is formed and every first member knows."""
@@ -88,7 +89,8 @@
     def _is_ready(self, reply, names: tuple[str, ...]) -> bool:
         if reply is None:
             return False
-        if reply.names != names:
+        if reply.names != names and reply.names not in self._warned:
+            self._warned.add(reply.names)
             logger.warning("bootstrap lists differ: %s and %s", names, reply.names)
         return not reply.cluster and reply.names == names
 
--- a/sapphireseam/state/peer.py
+++ b/sapphireseam/state/peer.py
@@ -18,6 +18,8 @@
     def __init__(self, node: nodes.Node, member: message.Member):
         self.member = member
         self.match = 0
+        # Whether the newest answer covered all that was committed at its request.
+        self.is_level = False
         self.acked_at = -math.inf
         self.acked_round = 0
         # The folder that answered, where it isn't the one on record.
@@ -164,7 +166,7 @@
         if reply is None:
             return False
         if self._take(reply, sent_at, 0):
-            self._advance(reply.match)
+            self._advance(reply.match, request.commit)
             return True
         is_refusal = reply.folder == self.member.folder and reply.next_index > 0
         return is_refusal and self.is_live and self._go_back(reply.next_index)
@@ -176,11 +178,13 @@
         self._next = lowered
         return is_lower
 
-    def _advance(self, match: int) -> None:
-        if match > self.match:
-            self.match = match
-            self._node.count_commit()
+    def _advance(self, match: int, commit: int) -> None:
+        """Note what is synced there; `commit` is what the request told."""
+        self.match = max(self.match, match)
+        self.is_level = self.match >= commit
         self._next = self.match + 1
+        self._node.count_commit()
+        self._node.changed.notify()
 
     async def _send_snapshot(self) -> bool:
         node = self._node
@@ -189,11 +193,12 @@
             return False
         offset = 0
         while self.is_live:
+            commit = node.commit
             reply = await self._send_chunk(mark, data, offset)
             if reply is None:
                 return False
             if reply.match:
-                self._advance(reply.match)
+                self._advance(reply.match, commit)
                 return True
             offset = min(reply.offset, len(data))
         return False
--- a/sapphireseam/state/replica.py
+++ b/sapphireseam/state/replica.py
@@ -130,7 +130,8 @@
     async def propose(self, command: bytes) -> object:
         """Return the machine's result once the command is committed and applied.
 
-        Raises `NotLeaderError` (not appended), `OutcomeError` (appended, but
+        Files that the command names must be durable here before. Raises
+        `NotLeaderError` (not appended), `OutcomeError` (appended, but
         leadership went: it may yet be applied or never) or `StorageError`.
         """
         node = self._node
--- a/sapphireseam/state/replica_test.py
+++ b/sapphireseam/state/replica_test.py
@@ -4,6 +4,7 @@
 import logging
 import random
 import unittest
+from unittest import mock
 
 from sapphireseam.core import error
 from sapphireseam.state import cluster, fake, link, membership, message, node, replica
@@ -335,6 +336,31 @@
         await held.close()
 
 
+class StopTest(ReplicaTest):
+    @drive
+    async def test_stop_ends_everything_that_waits(self):
+        held = await self.form()
+        leader = await self.propose(held)
+        follower = self.pick_followers(held)[0]
+        held.cut(leader)
+        work = []
+        for name in (leader, follower):
+            member = held.replicas[name]
+            asks = [member.wait_applied(1000), member.read_index(), member.read_index()]
+            work += [held.spawn(ask) for ask in asks]
+            await held.advance(0)
+            work.append(held.spawn(member.read_index()))
+        work.append(held.spawn(held.replicas[leader].confirm()))
+        work.append(held.spawn(held.replicas[leader].propose(b"in doubt")))
+        await held.advance(0.1)
+        for name in (leader, follower):
+            await held.replicas[name].stop()
+            await held.replicas[name].stop()
+        for ask in work:
+            await self.await_error(held, ask, error.SeamError)
+        await held.close()
+
+
 class DiskTest(ReplicaTest):
     @drive
     async def test_failed_disk_stops_a_member_for_ever(self):
@@ -393,6 +419,21 @@
         self.check(held)
         await held.close()
 
+    @drive
+    async def test_entry_that_cant_be_applied_stops_the_member(self):
+        held = await self.form()
+        old = await self.propose(held, 3)
+        with mock.patch.object(held.machines[old], "apply", side_effect=KeyError):
+            work = held.propose(old, b"in doubt")
+            await self.await_error(held, work, error.OutcomeError)
+        self.assertIsInstance(held.replicas[old].fatal, error.StorageError)
+        await held.kill(old)
+        await self.propose(held, 3)
+        await held.start(old)
+        await held.settle_down()
+        self.check(held)
+        await held.close()
+
     def stop_after(self, held, name, operations):
         """Let a member's disk do so many operations more, then none."""
         left = iter(range(operations))
