--- a/sapphireseam/state/membership.py
+++ b/sapphireseam/state/membership.py
@@ -10,10 +10,8 @@
 import asyncio
 from collections.abc import Callable
 
-import msgspec
-
 from sapphireseam.core import error
-from sapphireseam.state import message, node as nodes, peer as peers
+from sapphireseam.state import message, node as nodes, peer as peers, roster
 
 Edit = Callable[[nodes.Members], nodes.Members]
 
@@ -58,13 +56,13 @@
             await node.changed.wait_until(self._is_settled)
             members = edit(node.members)
             if members != node.members:
-                data = msgspec.msgpack.encode(members)
+                data = roster.encode(members)
                 await node.append(message.MEMBERS, data)
 
     def _is_settled(self) -> bool:
         node = self._node
         node.check_leading()
-        return node.commit >= max(node.term_start, node.members_index)
+        return node.commit >= max(node.term_start, node.roster.index)
 
     async def add(self, name: str, address: str) -> None:
         """Add a learner; its folder is recorded when it is first reached."""
@@ -112,8 +110,7 @@
         if member is None or member.voter:
             return member is not None
         peer = node.peers.get(name)
-        needed = max(node.commit, node.term_start)
-        return peer is not None and bool(member.folder) and peer.match >= needed
+        return peer is not None and peer.is_level and peer.match >= node.term_start
 
     async def record_folder(self, name: str, folder: str) -> None:
         """Put a member's new folder on record, as a learner's."""
