--- a/sapphireseam/tools/job.py
+++ b/sapphireseam/tools/job.py
@@ -25,7 +25,8 @@
 class JobResult(NamedTuple):
     """Tell how a job went; the lists hold item ids.
 
-    `seconds` run from the acceptance to the final state. `failed` items were
+    `seconds` run from the acceptance, at `began` on the client's clock, to the
+    final state. `failed` items were
     completed as failed, which is right only for those that must fail;
     `unreadable` tells that a result could not be read from some entry.
     """
@@ -35,6 +36,7 @@
     accepted: bool
     state: str = ""
     items: int = 0
+    began: float = 0.0
     seconds: float = 0.0
     due_met: bool = False
     right: int = 0
@@ -100,7 +102,7 @@
             return result._replace(state=f"not accepted: {failure}")
         accepted = self._timer.read_clock()
         findings = await self._check_resend(job, file_id, batch["id"])
-        result = result._replace(accepted=True, findings=findings)
+        result = result._replace(accepted=True, began=accepted, findings=findings)
         batch = await self._wait(job, batch)
         seconds = self._timer.read_clock() - accepted
         result = result._replace(
--- a/sapphireseam/tools/load.py
+++ b/sapphireseam/tools/load.py
@@ -130,6 +130,7 @@
     )
     report["runs"] = summarize_runs(outcomes, results, planned_jobs, runs)
     report["jobs"] = [result._asdict() for result in results]
+    report["batch"] = summarize_batch(outcomes, results)
     report["faults"] = (
         check.count_faults(outcomes, profile.allow_losses)
         + len(report["runs"].get("findings", []))
@@ -138,6 +139,39 @@
     return report
 
 
+def summarize_batch(
+    outcomes: list[check.Outcome], results: list[job.JobResult]
+) -> dict:
+    """Return how many tokens were made while any job was unfinished.
+
+    The window runs from the first acceptance to the last job's end. Its
+    `tokens_per_second`, online and batch together, over what the engines can
+    make, is the share of the capacity that was used while there was work.
+    """
+    accepted = [result for result in results if result.accepted]
+    if not accepted:
+        return {}
+    began = min(result.began for result in accepted)
+    ended = max(result.began + result.seconds for result in accepted)
+    online = sum(
+        measure.count_tokens(outcome)
+        for outcome in outcomes
+        if outcome.request.model
+        and outcome.verdict is check.Verdict.RIGHT
+        and began <= outcome.reply.last <= ended
+    )
+    batch = sum(result.tokens for result in accepted)
+    seconds = max(ended - began, measure.SHORTEST_WINDOW)
+    return {
+        "window_seconds": round(seconds, 3),
+        "batch_tokens": batch,
+        "online_tokens": online,
+        "tokens_per_second": round((batch + online) / seconds, 1),
+        "batch_tokens_per_second": round(batch / seconds, 1),
+        "jobs_late": sum(1 for result in accepted if not result.due_met),
+    }
+
+
 def describe(outcome: check.Outcome) -> str:
     """Return one line about an answer that was not right."""
     reply = outcome.reply
--- a/sapphireseam/tools/load_test.py
+++ b/sapphireseam/tools/load_test.py
@@ -235,6 +235,29 @@
         self.assertEqual(check.check_unaccepted(self.job, [{}]), [])
 
 
+class BatchWindowTest(unittest.TestCase):
+    def test_counts_only_what_was_made_while_jobs_ran(self):
+        profile = make_profile("whole")
+        request, *_ = plan.Planner(profile).plan_requests(1.0)
+        outcomes = [
+            check.Outcome(request, load.client.Reply(0.0, 0.0, last), verdict)
+            for last, verdict in (
+                (9.0, check.Verdict.RIGHT),
+                (11.0, check.Verdict.RIGHT),
+                (13.0, check.Verdict.CUT),
+                (21.0, check.Verdict.RIGHT),
+            )
+        ]
+        first = job.JobResult("a", "c", True, began=10.0, seconds=4.0, tokens=60)
+        last = job.JobResult("b", "c", True, began=12.0, seconds=8.0, tokens=32)
+        refused = job.JobResult("d", "c", False, tokens=1000)
+        found = load.summarize_batch(outcomes, [first, last, refused])
+        self.assertEqual(found["window_seconds"], 10.0)
+        self.assertEqual((found["batch_tokens"], found["online_tokens"]), (92, 8))
+        self.assertEqual(found["tokens_per_second"], 10.0)
+        self.assertEqual(load.summarize_batch(outcomes, [refused]), {})
+
+
 class JobClientTest(unittest.IsolatedAsyncioTestCase):
     """Run a job against a small batch server that can break its promises."""
 
--- a/sapphireseam/tools/measure.py
+++ b/sapphireseam/tools/measure.py
@@ -22,6 +22,8 @@
 # which the client sent the request, in seconds. Refusals are judged in the
 # system's favour within it.
 LIMIT_SLACK = 0.05
+# The shortest time over which a throughput is reckoned, in seconds.
+SHORTEST_WINDOW = 0.001
 
 
 class Latency:
--- a/sapphireseam/tools/table.py
+++ b/sapphireseam/tools/table.py
@@ -92,6 +92,8 @@
     ]
     if report["jobs"]:
         parts.append(_render_jobs(report["jobs"]))
+    if report["batch"]:
+        parts.append(f"while jobs ran: {_render_counts(report['batch'])}")
     if report["cpu_seconds"]:
         parts.append(
             f"processor seconds: {_render_counts(report['cpu_seconds'])}; "
