--- a/sapphireseam/policy/admission.py
+++ b/sapphireseam/policy/admission.py
@@ -9,7 +9,10 @@
 prompt lengths out.
 
 Batch streams start one at a time: the next only once the last has its first
-token. So an online prompt finds at most one batch prompt being prefilled.
+token. So an online prompt finds at most one batch prompt being prefilled. And
+each online stream takes the room of more than one batch stream. A stream's
+speed falls with the number beside it, so filling each last slot while online
+work runs would slow it by more than what it leaves idle.
 """
 
 import math
@@ -40,6 +43,9 @@
 # A minimum is forgotten after so long, so that a changed engine is seen.
 MINIMUM_SECONDS = 300.0
 
+# Batch streams that make room for one online stream.
+HEADROOM = 1.5
+
 # Batch streams that may wait for their first token in the engine.
 BATCH_PREFILLS = 1
 
@@ -76,15 +82,6 @@
         """
 
 
-def count_yield(
-    limit: int, waiting_online: int, running_online: int, running_batch: int
-) -> int:
-    """Return how many batch streams stand in the way of waiting online ones."""
-    wanted = min(running_online + waiting_online, limit)
-    excess = wanted + running_batch - limit
-    return max(min(excess, running_batch), 0)
-
-
 class FixedAdmission:
     """Admit up to a fixed number of streams of either kind (the baseline).
 
@@ -161,7 +158,8 @@
     streams. Batch streams fill up to the same limit as long as no online
     stream waits; `must_yield` clears them away when one does. A service that
     answers without steps gives each answer as a first token; `batch_prefills`
-    then bounds its batch calls.
+    then bounds its batch calls. A lower `headroom`, down to 1, gives batch work
+    more and online work a longer tail.
     """
 
     def __init__(
@@ -170,11 +168,13 @@
         least: int = 1,
         most: int = 256,
         batch_prefills: int = BATCH_PREFILLS,
+        headroom: float = HEADROOM,
     ):
         self.limit = float(initial)
         self._least = float(least)
         self._most = float(most)
         self._batch_prefills = batch_prefills
+        self._headroom = headroom
         self._started: dict[str, float] = {}
         self._prefilling: set[str] = set()
         self._first_token = _Signal()
@@ -186,8 +186,10 @@
 
     def may_admit(self, batch: bool, running_online: int, running_batch: int) -> bool:
         """Tell whether one more stream may start now."""
-        if batch and len(self._prefilling) >= self._batch_prefills:
-            return False
+        if batch:
+            if len(self._prefilling) >= self._batch_prefills:
+                return False
+            return running_batch < self._count_room(running_online)
         return running_online + running_batch < int(self.limit)
 
     def may_admit_due(self, running_due: int) -> bool:
@@ -250,6 +252,16 @@
     def must_yield(
         self, waiting_online: int, running_online: int, running_batch: int
     ) -> int:
-        """Return how many batch streams to cancel or pause at once."""
-        limit = int(self.limit)
-        return count_yield(limit, waiting_online, running_online, running_batch)
+        """Return how many batch streams to cancel or pause at once.
+
+        Only a waiting online stream makes any yield; what has started beside
+        online work otherwise runs to its end.
+        """
+        if not waiting_online:
+            return 0
+        online = min(running_online + waiting_online, int(self.limit))
+        return max(running_batch - self._count_room(online), 0)
+
+    def _count_room(self, online: int) -> int:
+        """Return how many batch streams may run beside so many online ones."""
+        return max(int(self.limit - self._headroom * online), 0)
