Find a bound for batch streams from their own first tokens; measure policies

Cause: one bound for both kinds overshot the engine's slots, so online work waited in the engine behind queued batch work. Batch now has a bound of its own. Ruled out in trials: capping it by the online bound (it stayed at its start while online was quiet), lowering both on a slow batch window (both collapsed).

--- a/sapphireseam/policy/admission.py
+++ b/sapphireseam/policy/admission.py
@@ -8,7 +8,10 @@
 keeps the two causes apart, and comparing medians of windows keeps the mix of
 prompt lengths out.
 
-Batch streams start one at a time: the next only once the last has its first
+Batch streams have a bound of their own, found in the same way from their own
+first tokens but more strictly: online work that arrives should find a slot
+that is free or that a batch stream leaves, never the engine's queue. They start
+one at a time: the next only once the last has its first
 token. So an online prompt finds at most one batch prompt being prefilled. And
 each online stream takes the room of more than one batch stream. A stream's
 speed falls with the number beside it, so filling each last slot while online
@@ -24,8 +27,13 @@
 
 # First tokens tell of a queue inside the engine when they take this many times
 # the steps of the best window, and at least so many steps.
-FIRST_TOKEN_TOLERANCE = 4.0
-FIRST_TOKEN_STEPS = 6.0
+ONLINE_TOLERANCE = 4.0
+ONLINE_STEPS = 6.0
+BATCH_TOLERANCE = 1.5
+BATCH_STEPS = 3.0
+
+# The same for a fleet whose online tail matters more than batch throughput.
+TAIL_BATCH_STEPS = 1.5
 
 # The step time, against its unloaded minimum, beyond which more streams
 # bring little but longer steps.
@@ -35,7 +43,7 @@
 STEP_WEIGHT = 0.05
 
 # The limit grows by this factor until it first proves too high.
-RAMP_FACTOR = 1.5
+RAMP_FACTOR = 2.0
 
 # The share of the limit that is kept after a window that was too slow.
 DECREASE_FACTOR = 0.85
@@ -151,15 +159,67 @@
         return median, self._minimum.value
 
 
+class _Bound:
+    """Find one bound by additive increase, multiplicative decrease.
+
+    It grows only after a window in which it held something back.
+    """
+
+    def __init__(self, value: float, least: float, most: float):
+        self.value = value
+        self._least = least
+        self._most = most
+        self.is_ramping = True
+        self.is_reached = False
+
+    def decrease(self) -> None:
+        self.value = max(self.value * DECREASE_FACTOR, self._least)
+        self.is_ramping = False
+
+    def increase(self) -> None:
+        grown = self.value * RAMP_FACTOR if self.is_ramping else self.value
+        self.value = min(max(grown, self.value + 1.0), self._most)
+
+
+class _Window:
+    """Collect first tokens of one kind until they allow a decision.
+
+    Streams from before the window met an earlier bound and aren't counted.
+    """
+
+    def __init__(self, tolerance: float, least_steps: float):
+        self._tolerance = tolerance
+        self._least_steps = least_steps
+        self._signal = _Signal()
+        self._start = -math.inf
+
+    def add(self, started: float, now: float, step: float) -> None:
+        if started >= self._start:
+            self._signal.add((now - started) / (step or 1.0))
+
+    def is_full(self, now: float, is_ramping: bool) -> bool:
+        long_enough = is_ramping or now - self._start >= WINDOW_SECONDS
+        return long_enough and len(self._signal) >= WINDOW_FIRST_TOKENS
+
+    def close(self, now: float, has_steps: bool) -> bool:
+        """Begin the next window; tell whether streams waited in this one."""
+        self._start = now
+        steps, best = self._signal.close(now)
+        if has_steps and steps <= self._least_steps:
+            return False
+        return steps > self._tolerance * best
+
+
 class AdaptiveAdmission:
-    """Find the engine's limit by additive increase, multiplicative decrease.
-
-    `initial` is where the limit starts; it stays within `least` and `most`
-    streams. Batch streams fill up to the same limit as long as no online
-    stream waits; `must_yield` clears them away when one does. A service that
-    answers without steps gives each answer as a first token; `batch_prefills`
-    then bounds its batch calls. A lower `headroom`, down to 1, gives batch work
-    more and online work a longer tail.
+    """Find the engine's limits by additive increase, multiplicative decrease.
+
+    `initial` is where they start; they stay within `least` and `most` streams.
+    `limit` is that of online streams, `batch_limit` that of all streams beside
+    which a batch stream may start; `must_yield` clears batch streams away when
+    an online one waits. A service that answers without steps gives each answer
+    as a first token; `batch_prefills` then bounds its batch calls. A lower
+    `headroom`, down to 1, and more `batch_steps` give batch work more and online
+    work a longer tail.
     """
 
     def __init__(
@@ -169,28 +229,44 @@
         most: int = 256,
         batch_prefills: int = BATCH_PREFILLS,
         headroom: float = HEADROOM,
+        batch_steps: float = BATCH_STEPS,
     ):
-        self.limit = float(initial)
-        self._least = float(least)
-        self._most = float(most)
+        self._online_bound = _Bound(float(initial), float(least), float(most))
+        self._batch_bound = _Bound(float(initial), float(least), float(most))
+        self._online_window = _Window(ONLINE_TOLERANCE, ONLINE_STEPS)
+        self._batch_window = _Window(BATCH_TOLERANCE, batch_steps)
         self._batch_prefills = batch_prefills
         self._headroom = headroom
         self._started: dict[str, float] = {}
+        self._batch: set[str] = set()
         self._prefilling: set[str] = set()
-        self._first_token = _Signal()
         self._step = _Signal()
         self._mean_step = 0.0
-        self._window_start = -math.inf
-        self._peak = 0
-        self._is_ramping = True
+
+    @property
+    def limit(self) -> float:
+        """Return the streams up to which online ones may start.
+
+        What batch streams have proved possible is possible for online ones.
+        """
+        return max(self._online_bound.value, self._batch_bound.value)
+
+    @property
+    def batch_limit(self) -> float:
+        """Return the streams up to which batch ones may start."""
+        return self._batch_bound.value
 
     def may_admit(self, batch: bool, running_online: int, running_batch: int) -> bool:
         """Tell whether one more stream may start now."""
         if batch:
             if len(self._prefilling) >= self._batch_prefills:
                 return False
-            return running_batch < self._count_room(running_online)
-        return running_online + running_batch < int(self.limit)
+            has_room = running_batch < self._count_room(running_online)
+            self._batch_bound.is_reached |= not has_room
+            return has_room
+        has_room = running_online + running_batch < int(self.limit)
+        self._online_bound.is_reached |= not has_room
+        return has_room
 
     def may_admit_due(self, running_due: int) -> bool:
         """Keep one slot beyond the limit for due batch work."""
@@ -200,54 +276,50 @@
         """Note that a stream was handed to the engine."""
         self._started[id] = now
         if batch:
+            self._batch.add(id)
             self._prefilling.add(id)
-        self._peak = max(self._peak, len(self._started))
 
     def observe_first_token(self, id: str, now: float) -> None:
-        """Note a stream's first token, or the answer of a plain service.
-
-        Streams from before this window met the limit of an earlier one.
-        """
+        """Note a stream's first token, or the answer of a plain service."""
         self._prefilling.discard(id)
         started = self._started.get(id)
-        if started is None or started < self._window_start:
+        if started is None:
             return
-        self._first_token.add((now - started) / (self._mean_step or 1.0))
-        self._decide(now)
+        window = self._batch_window if id in self._batch else self._online_window
+        window.add(started, now, self._mean_step)
+        bound = self._batch_bound if id in self._batch else self._online_bound
+        if window.is_full(now, bound.is_ramping):
+            self._decide(window, bound, now)
 
     def observe_step(self, seconds: float, now: float) -> None:
         """Note the time between two tokens of one stream."""
         weight = STEP_WEIGHT if self._mean_step else 1.0
         self._mean_step += weight * (seconds - self._mean_step)
         self._step.add(seconds)
-        self._decide(now)
 
     def observe_end(self, id: str, now: float) -> None:
         """Note that a stream has ended, however it did."""
         self._started.pop(id, None)
+        self._batch.discard(id)
         self._prefilling.discard(id)
 
-    def _decide(self, now: float) -> None:
-        if now - self._window_start < WINDOW_SECONDS:
-            return
-        if len(self._first_token) < WINDOW_FIRST_TOKENS:
-            return
-        if self._is_slow(now):
-            self.limit = max(self.limit * DECREASE_FACTOR, self._least)
-            self._is_ramping = False
-        elif self._peak >= int(self.limit):
-            grown = self.limit * RAMP_FACTOR if self._is_ramping else self.limit
-            self.limit = min(max(grown, self.limit + 1.0), self._most)
-        self._window_start = now
-        self._peak = len(self._started)
-
-    def _is_slow(self, now: float) -> bool:
-        steps, best = self._first_token.close(now)
+    def _decide(self, window: _Window, bound: _Bound, now: float) -> None:
+        """Move the bound that the window is for, by its waits and the steps.
+
+        What is too much for online streams is too much for batch ones.
+        """
+        is_queued = window.close(now, self._mean_step > 0.0)
         seconds, unloaded = self._step.close(now)
-        is_queued = steps > FIRST_TOKEN_TOLERANCE * best
-        if self._mean_step:
-            is_queued = is_queued and steps > FIRST_TOKEN_STEPS
-        return is_queued or seconds > STEP_TOLERANCE * unloaded
+        is_slow = is_queued or seconds > STEP_TOLERANCE * unloaded
+        if is_slow and bound is self._batch_bound:
+            bound.decrease()
+        elif is_slow:
+            bound.value = self.limit
+            bound.decrease()
+            self._batch_bound.value = min(self._batch_bound.value, bound.value)
+        elif bound.is_reached:
+            bound.increase()
+        bound.is_reached = False
 
     def must_yield(
         self, waiting_online: int, running_online: int, running_batch: int
@@ -264,4 +336,9 @@
 
     def _count_room(self, online: int) -> int:
         """Return how many batch streams may run beside so many online ones."""
-        return max(int(self.limit - self._headroom * online), 0)
+        return max(int(self.batch_limit - self._headroom * online), 0)
+
+
+def make_tail_admission(initial: int = 8) -> AdaptiveAdmission:
+    """Return adaptive admission that favours the online tail over batch work."""
+    return AdaptiveAdmission(initial, batch_steps=TAIL_BATCH_STEPS)
--- a/sapphireseam/policy/allowance.py
+++ b/sapphireseam/policy/allowance.py
@@ -24,8 +24,8 @@
 DEMAND_SECONDS = 2.0
 
 # Below this many requests expected in a lease's cover, exact debits are as
-# cheap in messages as leasing.
-LEASE_WORTH_REQUESTS = 2.0
+# cheap in messages as a lease and its release.
+LEASE_WORTH_REQUESTS = 6.0
 
 # Unused tokens go back this long before the allowance ends, so that the
 # release reaches the owner while the lease still counts there.
--- a/sapphireseam/policy/limit_test.py
+++ b/sapphireseam/policy/limit_test.py
@@ -71,7 +71,7 @@
     def request(self, first, second):
         """Have an entry serve a few small requests, enough to ask for a lease."""
         entry = self.entries[first % self.ENTRIES]
-        for _ in range(12):
+        for _ in range(32):
             if entry.spend(CUSTOMER, 0.25, self.clock(entry)):
                 self.admit(0.25)
         self.messages.append(("debit", entry, 1.0))
--- a/sapphireseam/policy/registry.py
+++ b/sapphireseam/policy/registry.py
@@ -21,6 +21,7 @@
     },
     "admission": {
         "adaptive": admission.AdaptiveAdmission,
+        "adaptive_tail": admission.make_tail_admission,
         "fixed": admission.FixedAdmission,
     },
     "router": {
--- a/sapphireseam/tools/bench_engine.py
+++ b/sapphireseam/tools/bench_engine.py
@@ -151,6 +151,7 @@
     def run(self, arrivals: list[Request], batch: bool, seconds: float) -> Result:
         """Run for so many seconds; `batch` keeps batch work waiting."""
         now, place, last = 0.0, 0, {}
+        latest = seconds - ONLINE_DEADLINE_SECONDS
         waits, tokens = [], {True: 0.0, False: 0.0}
         served: dict[str, float] = {}
         while now < seconds:
@@ -185,7 +186,7 @@
                 ticket = stream.request.ticket
                 self.finish(stream, now)
                 del last[ticket.id]
-                if ticket.arrived >= WARM_UP_SECONDS:
+                if WARM_UP_SECONDS <= ticket.arrived < latest:
                     cost = stream.request.prompt + stream.request.output
                     name = ticket.customer
                     served[name] = served.get(name, 0.0) + cost
@@ -193,7 +194,7 @@
                 del last[id]
         offered: dict[str, float] = {}
         for each in arrivals[:place]:
-            if each.ticket.arrived < WARM_UP_SECONDS:
+            if not WARM_UP_SECONDS <= each.ticket.arrived < latest:
                 continue
             name = each.ticket.customer
             offered[name] = offered.get(name, 0.0) + each.prompt + each.output
