--- a/sapphireseam/tools/bench_policy.py
+++ b/sapphireseam/tools/bench_policy.py
@@ -1,163 +1,191 @@
-"""Compare the policies with their baselines on one deployment, over seeds.
+"""Measure policies against their baselines and print tables.
 
-Each seed's load runs four times, each on a fresh fleet: with the policies and
-with their baselines, with the batch jobs and without. The four measures that
-the users named come out as one table: batch throughput, harm of batch to the
-online tail, how the worst-served customer fares, and false refusals.
+Example: `python -m sapphireseam.tools.bench_policy --seeds 5`. It runs in
+simulated time, so a busy machine changes no figure.
 """
 
-import json
 import statistics
-import sys
-import tempfile
-from pathlib import Path
-from typing import Annotated, NamedTuple
+from collections.abc import Callable, Sequence
+from random import Random
+from typing import NamedTuple
 
 import typer
 
-from sapphireseam.core import error
-from sapphireseam.scripts import load as load_script
-from sapphireseam.tools import bench_deployment, engine, layout, table
-from sapphireseam.utils import loop, program
-
-POLICIES = {
-    "policy": {},
-    "baseline": {
-        "queue": "first_come",
-        "admission": "fixed",
-        "router": "round_robin",
-    },
+from sapphireseam.policy import admission, queue
+from sapphireseam.tools import bench_engine, bench_limit
+
+LOADS = {
+    "Shannonside": bench_engine.Load(8, 300, 60, 6.0, 3.0, 0.2),
+    "Shannonside, bursts at capacity": bench_engine.Load(8, 300, 60, 6.0, 4.0, 0.2),
+    "Bureau": bench_engine.Load(8, 200, 40, 9.0, 3.0, 0.2),
+    "Bureau, bursts at capacity": bench_engine.Load(8, 200, 40, 9.0, 4.0, 0.2),
 }
-SEEDS = [1, 2, 3]
-FIRST_TOKEN = "all first token"
-
-app = typer.Typer(add_completion=False)
-
-
-class Row(NamedTuple):
-    """Hold one seed's measures under one choice of policies.
-
-    `used` is the share of the engines' tokens a second that was used while
-    jobs were unfinished, `harm` the online first token's p99 with jobs over
-    that without, `worst` the worst-served customer's part of its fair share.
-    """
-
-    policy: str
-    seed: int
-    used: float
-    batch_rate: float
-    jobs_late: int
-    p99_without: float
-    p99_with: float
-    harm: float
-    worst: float
-    false_refusals: int
-    over_admission: float
-    faults: int
-
-
-def compute_capacity(shape: layout.Shape, speeds: engine.Speeds) -> float:
-    """Return the tokens a second of all engines, every place taken.
-
-    Prefill is left out, so the figure is a bound that no run reaches.
-    """
-    step = speeds.step_base + speeds.step_per_sequence * speeds.max_running
-    one = speeds.max_running / (step * speeds.slow_factor)
-    return one * sum(item.count for item in shape.replicas if not item.service)
-
-
-def make_row(
-    policy: str, seed: int, capacity: float, without: dict, with_jobs: dict
-) -> Row:
-    """Return one seed's measures from the reports of its two runs."""
-    calm = without["latencies"][FIRST_TOKEN]["p99"]
-    busy = with_jobs["latencies"][FIRST_TOKEN]["p99"]
-    limits = [item["limit"] for item in with_jobs["customers"].values()]
-    return Row(
-        policy=policy,
-        seed=seed,
-        used=round(with_jobs["batch"]["tokens_per_second"] / capacity, 3),
-        batch_rate=with_jobs["batch"]["batch_tokens_per_second"],
-        jobs_late=with_jobs["batch"]["jobs_late"],
-        p99_without=calm,
-        p99_with=busy,
-        harm=round(busy / calm, 3),
-        worst=with_jobs["worst_of_fair_share"],
-        false_refusals=sum(item["false_refusals"] for item in limits),
-        over_admission=max(item["over_admission"] for item in limits),
-        faults=without["faults"] + with_jobs["faults"],
+# A few customers are large.
+SHARES = [5.0, 4.0, 3.0, 1.0, 1.0, 1.0, 1.0, 1.0]
+GREEDY_DEMAND = 10.0
+STEADY_DEMAND = 0.9
+
+# Demands in multiples of the rate, each with its mean tokens a request.
+LIMIT_CASES = [(0.5, 16.0), (0.9, 16.0), (1.0, 16.0), (10.0, 360.0), (0.9, 360.0)]
+
+
+class Policy(NamedTuple):
+    """Name a pair of queue and admission."""
+
+    name: str
+    make_queue: Callable[[], queue.Queue]
+    make_admission: Callable[[], admission.Admission]
+
+
+def make_fixed() -> admission.Admission:
+    """Return admission up to the engine's true slots."""
+    return admission.FixedAdmission(bench_engine.SLOTS)
+
+
+POLICIES = [
+    Policy("first_come, fixed", queue.FirstComeQueue, make_fixed),
+    Policy("fair, fixed", queue.FairQueue, make_fixed),
+    Policy("fair, adaptive", queue.FairQueue, admission.AdaptiveAdmission),
+    Policy("fair, adaptive_tail", queue.FairQueue, admission.make_tail_admission),
+]
+
+
+def find_quantile(values: Sequence[float], share: float) -> float:
+    """Return the value below which a share of the values lies."""
+    ordered = sorted(values)
+    return ordered[min(int(len(ordered) * share), len(ordered) - 1)]
+
+
+def show(values: Sequence[float], digits: int = 2) -> str:
+    """Return the median of several seeds with the lowest and highest."""
+    middle = statistics.median(values)
+    low, high = min(values), max(values)
+    return f"{middle:.{digits}f} ({low:.{digits}f} to {high:.{digits}f})"
+
+
+def run_engine(
+    policy: Policy, load: bench_engine.Load, seed: int, arrivals, batch: bool, seconds
+) -> bench_engine.Result:
+    """Run one policy over one list of arrivals."""
+    server = bench_engine.Server(
+        policy.make_queue(), policy.make_admission(), load, seed
     )
+    return server.run(arrivals, batch, seconds)
+
 
+def find_capacity(load: bench_engine.Load, seed: int, seconds: float) -> float:
+    """Return the tokens a second of an engine that runs nothing but batch."""
+    first = bench_engine.make_request(Random(seed), load, "first", "c0", False, 0.0)
+    result = run_engine(POLICIES[1], load, seed, [first], True, seconds)
+    return result.batch_tokens / result.seconds
 
-def summarize(rows: list[Row]) -> list[list]:
-    """Return each policy's median and spread of every measure as table rows."""
-    lines = []
-    for policy in dict.fromkeys(row.policy for row in rows):
-        mine = [row for row in rows if row.policy == policy]
-        for field in Row._fields[2:]:
-            values = [getattr(row, field) for row in mine]
-            median = round(statistics.median(values), 3)
-            lines.append([f"{policy} {field}", median, min(values), max(values)])
-    return lines
-
-
-async def run_one(
-    folder: Path, profile: Path, policy: str, seed: int, jobs: bool, seconds: float
-) -> dict:
-    """Run one load on a fresh fleet and return its report."""
-    name = f"{policy}-{seed}-{'with' if jobs else 'without'}"
-    report = folder / f"{name}.json"
-    options = ["--seed", str(seed), "--seconds", str(seconds), "--output", str(report)]
-    if not jobs:
-        options.append("--no-jobs")
-    typer.echo(f"running {name}", err=True)
-    await bench_deployment.measure(folder / name, profile, options, POLICIES[policy])
-    return json.loads(report.read_text())
-
-
-async def run_all(
-    folder: Path, profile: Path, seeds: list[int], seconds: float
-) -> list[Row]:
-    """Run every policy with every seed; return the rows."""
-    shape = bench_deployment.SHAPES[load_script.read_profile(profile).name]
-    capacity = compute_capacity(shape, engine.Speeds())
-    rows = []
-    for seed in seeds:
+
+def print_batch(seeds: int, seconds: float) -> None:
+    """Print batch throughput and what it does to online waits."""
+    print("| deployment | policy | batch by idle | p50 ms without | with", end="")
+    print(" | p99 ms without | with | p99 ratio |\n|---|---|---|---|---|---|---|---|")
+    for name, load in LOADS.items():
+        for policy in POLICIES:
+            row = measure_batch(policy, load, seeds, seconds)
+            print(f"| {name} | {policy.name} | {row} |")
+
+
+def measure_batch(
+    policy: Policy, load: bench_engine.Load, seeds: int, seconds: float
+) -> str:
+    """Return one row: batch share, online waits without and with batch."""
+    columns: list[list[float]] = [[], [], [], [], [], []]
+    shares = {f"c{each}": share for each, share in enumerate(SHARES)}
+    for seed in range(seeds):
+        capacity = find_capacity(load, seed, seconds)
+        arrivals = bench_engine.make_arrivals(Random(seed), load, shares, seconds)
+        without = run_engine(policy, load, seed, arrivals, False, seconds)
+        beside = run_engine(policy, load, seed, arrivals, True, seconds)
+        idle = capacity * beside.seconds - beside.online_tokens
+        waits = [without.first_token_waits, beside.first_token_waits]
+        medians = [find_quantile(each, 0.5) for each in waits]
+        tails = [find_quantile(each, 0.99) for each in waits]
+        row = [beside.batch_tokens / idle]
+        row += [1e3 * each for each in medians + tails] + [tails[1] / tails[0]]
+        for column, value in zip(columns, row, strict=True):
+            column.append(value)
+    digits = [2, 0, 0, 0, 0, 2]
+    cells = zip(columns, digits, strict=True)
+    return " | ".join(show(column, places) for column, places in cells)
+
+
+def print_fairness(seeds: int, seconds: float) -> None:
+    """Print how the worst-served customer fares beside a greedy one."""
+    print("| deployment | policy | worst-served by its demand |\n|---|---|---|")
+    for name, load in list(LOADS.items())[::2]:
         for policy in POLICIES:
-            without = await run_one(folder, profile, policy, seed, False, seconds)
-            with_jobs = await run_one(folder, profile, policy, seed, True, seconds)
-            rows.append(make_row(policy, seed, capacity, without, with_jobs))
-            text = table.render_table(Row._fields, rows)
-            (folder / "rows.txt").write_text(text + "\n")
-    return rows
-
-
-@app.command()
-def bench(
-    profile: Annotated[Path, typer.Option(help="The run, for seam-load.")],
-    seed: Annotated[
-        list[int] | None, typer.Option(help="A seed; repeat for more.")
-    ] = None,
-    seconds: Annotated[float, typer.Option(help="Online seconds a run.")] = 20.0,
-    folder: Annotated[Path | None, typer.Option(help="Where files go.")] = None,
+            worst = [
+                measure_fairness(policy, load, seed, seconds) for seed in range(seeds)
+            ]
+            print(f"| {name} | {policy.name} | {show(worst)} |")
+
+
+def measure_fairness(
+    policy: Policy, load: bench_engine.Load, seed: int, seconds: float
+) -> float:
+    """Return the least share of its demand that a steady customer got."""
+    steady = {f"c{each}": STEADY_DEMAND for each in range(1, load.customers)}
+    shares = {"c0": GREEDY_DEMAND, **steady}
+    capacity = find_capacity(load, seed, seconds)
+    tokens = load.prompt_tokens + load.output_tokens
+    rate = capacity / load.customers * sum(shares.values()) / tokens
+    load = load._replace(requests_a_second=rate, burst_factor=1.0)
+    arrivals = bench_engine.make_arrivals(Random(seed), load, shares, seconds)
+    result = run_engine(policy, load, seed, arrivals, False, seconds)
+    return min(result.served.get(each, 0.0) / result.offered[each] for each in steady)
+
+
+def print_limits(seeds: int, seconds: float) -> None:
+    """Print false refusals, over-admission and messages of the limiters."""
+    print("| mode | entries | demand | tokens a request | case", end="")
+    print(" | false refusals % | refused, s of rate | over | messages a request |")
+    print("|---|---|---|---|---|---|---|---|---|")
+    for mode in ("static_split", "exact", "allowance"):
+        for entries in (2, 8, 64):
+            for demand, mean in LIMIT_CASES:
+                case = bench_limit.Case(
+                    mode, entries, demand, mean, False, False, False
+                )
+                print_limit(case, "even", seeds, seconds)
+            steady = bench_limit.Case(mode, entries, 0.9, 16.0, False, False, False)
+            print_limit(steady._replace(skewed=True), "skewed", seeds, seconds)
+            if mode != "static_split":
+                lost = steady._replace(loses_entries=True)
+                print_limit(lost, "entry lost each 10 s", seeds, seconds)
+                changed = steady._replace(changes_owner=True)
+                print_limit(changed, "owner change", seeds, seconds)
+
+
+def print_limit(case: bench_limit.Case, kind: str, seeds: int, seconds: float) -> None:
+    """Print one row of the limiters' table."""
+    runs = [bench_limit.Fleet(case, seed, seconds).run() for seed in range(seeds)]
+    refusals = [100.0 * each.false_refusals / each.requests for each in runs]
+    lost = [each.refused_tokens / bench_limit.RATE for each in runs]
+    over = max(each.over for each in runs)
+    messages = [each.messages / each.requests for each in runs]
+    print(
+        f"| {case.mode} | {case.entries} | {case.demand} | {case.mean_cost:.0f}"
+        f" | {kind} | {show(refusals)} | {show(lost)} | {over:.0f}"
+        f" | {show(messages)} |"
+    )
+
+
+def main(
+    seeds: int = typer.Option(5, help="Number of seeds, counted from 0."),
+    seconds: float = typer.Option(120.0, help="Simulated seconds a run."),
 ) -> None:
-    """Compare the policies with their baselines on one deployment.
-
-    Example: python -m sapphireseam.tools.bench_policy --profile
-    examples/load/bureau.json --seed 1 --seed 2
-    """
-    target = folder or Path(tempfile.mkdtemp(prefix="seam-bench-"))
-    target.mkdir(parents=True, exist_ok=True)
-    try:
-        rows = loop.run(run_all(target, profile, seed or SEEDS, seconds))
-    except error.SettingsError as failure:
-        typer.echo(failure.message, err=True)
-        sys.exit(program.BAD_SETTINGS_EXIT)
-    typer.echo(table.render_table(Row._fields, rows))
-    typer.echo()
-    heads = ["measure", "median", "lowest", "highest"]
-    typer.echo(table.render_table(heads, summarize(rows)))
+    """Measure queue, admission and limiters in simulated time."""
+    print_batch(seeds, seconds)
+    print()
+    print_fairness(seeds, seconds)
+    print()
+    print_limits(seeds, seconds / 2.0)
 
 
 if __name__ == "__main__":
-    app()
+    typer.run(main)
--- a/sapphireseam/tools/bench_policy_test.py
+++ b/sapphireseam/tools/bench_policy_test.py
@@ -1,36 +1,61 @@
-"""Test how the measures are made from reports."""
+"""Hold the policies to bounds in the model that measures them.
+
+The model runs in simulated time from a seed, so the figures never vary.
+"""
 
 import unittest
+from random import Random
+
+from sapphireseam.tools import bench_engine, bench_limit, bench_policy
+
+SECONDS = 60.0
+FIRST_COME, FAIR_FIXED, ADAPTIVE, TAIL = bench_policy.POLICIES
+
+
+class EngineTest(unittest.TestCase):
+    def run_both(self, policy, load):
+        shares = {f"c{each}": 1.0 for each in range(load.customers)}
+        arrivals = bench_engine.make_arrivals(Random(1), load, shares, SECONDS)
+        runs = [
+            bench_policy.run_engine(policy, load, 1, arrivals, batch, SECONDS)
+            for batch in (False, True)
+        ]
+        idle = bench_policy.find_capacity(load, 1, SECONDS) * runs[1].seconds
+        idle -= runs[1].online_tokens
+        waits = bench_policy.find_quantile(runs[1].first_token_waits, 0.99)
+        return runs[1].batch_tokens / idle, waits
+
+    def test_batch_fills_what_is_idle_and_online_waits_less_than_by_baselines(self):
+        for name, load in bench_policy.LOADS.items():
+            with self.subTest(load=name):
+                _, first_come = self.run_both(FIRST_COME, load)
+                _, fixed = self.run_both(FAIR_FIXED, load)
+                share, adaptive = self.run_both(ADAPTIVE, load)
+                self.assertGreater(share, 0.85)
+                self.assertLess(adaptive, fixed)
+                self.assertLess(adaptive, first_come / 2.0)
+
+    def test_worst_served_customer_gets_its_share_beside_a_greedy_one(self):
+        for name in ("Shannonside", "Bureau"):
+            load = bench_policy.LOADS[name]
+            with self.subTest(load=name):
+                served = bench_policy.measure_fairness(ADAPTIVE, load, 1, SECONDS)
+                self.assertGreaterEqual(served, 0.95)
+
+
+class LimitTest(unittest.TestCase):
+    def test_steady_customer_is_neither_refused_falsely_nor_over(self):
+        for entries in (2, 8):
+            for demand in (0.5, 0.9):
+                case = bench_limit.Case(
+                    "allowance", entries, demand, 16.0, True, False, False
+                )
+                with self.subTest(case=case):
+                    outcome = bench_limit.Fleet(case, 1, 30.0).run()
+                    self.assertEqual(outcome.false_refusals, 0)
+                    self.assertEqual(outcome.over, 0.0)
+                    self.assertLess(outcome.messages, outcome.requests / 2.0)
 
-from sapphireseam.tools import bench_policy, engine, layout
-
-
-def make_report(p99: float, worst: float = 1.0, false_refusals: int = 0) -> dict:
-    limit = {"false_refusals": false_refusals, "over_admission": 0.0}
-    return {
-        "latencies": {bench_policy.FIRST_TOKEN: {"p99": p99}},
-        "customers": {"a": {"limit": limit}, "b": {"limit": limit}},
-        "batch": {
-            "tokens_per_second": 50.0,
-            "batch_tokens_per_second": 30.0,
-            "jobs_late": 1,
-        },
-        "worst_of_fair_share": worst,
-        "faults": 2,
-    }
-
-
-class MeasureTest(unittest.TestCase):
-    def test_row_and_summary(self):
-        reports = (make_report(100.0), make_report(150.0, 0.9, 3))
-        row = bench_policy.make_row("policy", 1, 100.0, *reports)
-        self.assertEqual((row.used, row.harm, row.worst), (0.5, 1.5, 0.9))
-        self.assertEqual((row.false_refusals, row.faults), (6, 4))
-        other = row._replace(seed=2, harm=1.1)
-        lines = {line[0]: line[1:] for line in bench_policy.summarize([row, other])}
-        self.assertEqual(lines["policy harm"], [1.3, 1.1, 1.5])
-
-    def test_capacity_counts_engines_only(self):
-        speeds = engine.Speeds(max_running=10, step_base=0.05, step_per_sequence=0.005)
-        shape = layout.SHANNONSIDE
-        self.assertAlmostEqual(bench_policy.compute_capacity(shape, speeds), 500.0)
+    def test_nothing_is_over_after_a_change_of_owner_and_lost_entries(self):
+        case = bench_limit.Case("allowance", 4, 10.0, 16.0, True, True, True)
+        self.assertEqual(bench_limit.Fleet(case, 1, 40.0).run().over, 0.0)
