Carry out orders to upstreams with fencing numbers

An order's number is its place in the log. BeginOrder gives it to one run of an agent: one at a time for an upstream, none after a newer one began, and no more loads than policy.parallel_loads over the fleet. Grants last from when the agent asked and are renewed by commits; a silent agent's order is ended later than its own count. So an agent needs no memory of its own for upstreams that ignore numbers, and a restarted or frozen one gives nothing old. Weighed and left out: the highest number in the agent's memory alone (lost in a restart).

Not proved: with real processes; an upstream that goes on with an order whose connection was closed.

--- a/sapphireseam/agent/application.py
+++ b/sapphireseam/agent/application.py
@@ -5,6 +5,7 @@
 from sapphireseam.agent import engine
 from sapphireseam.agent.death import DeathWatch
 from sapphireseam.agent.item import ItemRunner
+from sapphireseam.agent.order import OrderRunner
 from sapphireseam.agent.runner import Runner
 from sapphireseam.agent.server import EntryServer
 from sapphireseam.control.application import Secret
@@ -109,6 +110,8 @@
         settings.node, upstream, runner, deaths, mirror, client, timeline, timer
     )
 
+    orders = OrderRunner(settings.node, upstream, client, timeline, timer)
+
     def authorize(metadata: dict[str, str]) -> rpc.Caller:
         secret = metadata.get(rpc.FLEET_HEADER, "")
         if rpc.same_secret(secret, settings.fleet_secret):
@@ -136,5 +139,6 @@
     application.add(runner)
     application.add(server)
     application.add(items)
+    application.add(orders)
     application.add(entries)
     return application
--- a/sapphireseam/agent/engine.py
+++ b/sapphireseam/agent/engine.py
@@ -21,6 +21,7 @@
 logger = logging.getLogger(__name__)
 
 HEALTH_PATH = "/health"
+ORDER_PATH = "/orders"
 HEALTH_SECONDS = 0.5
 HEALTH_TIMEOUT_SECONDS = 2.0
 CONNECT_SECONDS = 2.0
@@ -103,6 +104,22 @@
         async with self._session.get(self._base + HEALTH_PATH) as response:
             return response.status < 500
 
+    async def order(self, action: str, argument: str, fence: int) -> str:
+        """Give the upstream an order; return why it failed, or nothing.
+
+        An order whose answer is lost counts as failed, though it may have been
+        carried out; it is safe to give again.
+        """
+        document = {"kind": action, "target": argument, "fence": fence}
+        try:
+            url = self._locate(ORDER_PATH)
+            async with self._session.post(url, json=document) as response:
+                if response.status < 300:
+                    return ""
+                return f"the upstream answered {response.status}"
+        except (UpstreamError, aiohttp.ClientError, OSError, TimeoutError) as failure:
+            return f"the upstream didn't answer: {type(failure).__name__}"
+
     def _locate(self, target: str) -> yarl.URL:
         """Return the address of a target, its bytes as the caller sent them."""
         if not self._base:
--- a/sapphireseam/agent/item_test.py
+++ b/sapphireseam/agent/item_test.py
@@ -308,3 +308,18 @@
         self.assertEqual(len(self.state.leases), 1)
         await self.timer.advance(dispatch.MARGIN_SECONDS + 0.5)
         self.assertEqual(self.state.leases, {})
+
+    async def test_new_leader_gives_each_lease_a_whole_term(self):
+        """Lead, lose the lead for a while to one that renews, and lead again."""
+        await self.submit()
+        agent = await self.start()
+        await self.timer.advance(1.0)
+        await agent.items._tasks.cancel()
+        self.control.replica.is_leader = False
+        await self.timer.advance(10.0)
+        self.control.replica.is_leader = True
+        self.control.replica.term += 1
+        await self.timer.advance(items.LEASE_SECONDS)
+        self.assertEqual(len(self.state.leases), 1)
+        await self.timer.advance(dispatch.MARGIN_SECONDS + 0.5)
+        self.assertEqual(self.state.leases, {})
--- a/sapphireseam/control/application.py
+++ b/sapphireseam/control/application.py
@@ -10,6 +10,7 @@
 from sapphireseam.control import blob, guard
 from sapphireseam.control.dispatch import Dispatcher
 from sapphireseam.control.machine import StateMachine
+from sapphireseam.control.orderkeeper import OrderKeeper
 from sapphireseam.control.owner import LimitOwner
 from sapphireseam.control.service import ControlService
 from sapphireseam.control.watch import WatchHub
@@ -205,10 +206,19 @@
     )
     members.replica = replica
     dispatcher = Dispatcher(replica, machine, store, timeline, timer)
+    orders = OrderKeeper(replica, machine, timeline, timer)
     owner = LimitOwner(replica, machine, timer)
     hub = WatchHub(replica, machine, timeline, timer)
     service = ControlService(
-        settings.node, replica, machine, store, dispatcher, owner, hub, timeline
+        settings.node,
+        replica,
+        machine,
+        store,
+        dispatcher,
+        orders,
+        owner,
+        hub,
+        timeline,
     )
 
     def authorize(metadata: dict[str, str]) -> rpc.Caller:
@@ -248,5 +258,6 @@
     application.add(server)
     application.add(replica)
     application.add(dispatcher)
+    application.add(orders)
     application.add(OperatorKeeper(settings.data_folder, replica, machine, timer))
     return application
--- a/sapphireseam/control/machine.py
+++ b/sapphireseam/control/machine.py
@@ -10,8 +10,8 @@
 
 import msgspec
 
-from sapphireseam.control import claim, job, keyring, publish, record
-from sapphireseam.core import command, error, outcome
+from sapphireseam.control import claim, job, keyring, order, publish, record
+from sapphireseam.core import command, outcome
 
 logger = logging.getLogger(__name__)
 
@@ -39,6 +39,8 @@
     command.SettleClaim: claim.settle,
     command.ReportDeath: claim.count_death,
     command.ClearSuspects: claim.clear,
+    command.BeginOrder: order.begin,
+    command.FinishOrder: order.finish,
 }
 
 
@@ -51,33 +53,11 @@
     return outcome.Done(item.upstream)
 
 
-def issue_order(
-    state: record.State, item: command.IssueOrder, index: int
-) -> outcome.Done:
-    """Number an order by its place in the log."""
-    state.orders[index] = record.Order(
-        item.upstream, item.action, item.argument, item.at
-    )
-    return outcome.Done(item.upstream, index)
-
-
-def finish_order(
-    state: record.State, item: command.FinishOrder
-) -> outcome.Done | outcome.Refused:
-    """Record how an order ended; the first word counts."""
-    found = state.orders.get(item.fence)
-    if found is None or found.finished:
-        return outcome.Refused(error.Kind.CONFLICT, f"order {item.fence} isn't open")
-    state.orders[item.fence] = found._replace(finished=item.at, failure=item.failure)
-    return outcome.Done(found.upstream, item.fence)
-
-
 _HANDLERS[command.MarkLeaving] = mark_leaving
-_HANDLERS[command.FinishOrder] = finish_order
 # These number what they make by their index in the log.
 _INDEXED: dict[type, Callable[[record.State, Any, int], Any]] = {
     command.LeaseItems: job.lease,
-    command.IssueOrder: issue_order,
+    command.IssueOrder: order.issue,
 }
 
 
--- a/sapphireseam/control/record.py
+++ b/sapphireseam/control/record.py
@@ -110,6 +110,8 @@
     at: float
     finished: float = 0.0
     failure: str = ""
+    begun: float = 0.0
+    agent: str = ""
 
 
 class Stored(NamedTuple):
--- a/sapphireseam/control/service.py
+++ b/sapphireseam/control/service.py
@@ -10,6 +10,7 @@
 from sapphireseam.control import blob, publish, record
 from sapphireseam.control.dispatch import Dispatcher
 from sapphireseam.control.machine import StateMachine
+from sapphireseam.control.orderkeeper import OrderKeeper
 from sapphireseam.control.owner import LimitOwner
 from sapphireseam.control.watch import WatchHub
 from sapphireseam.core import command, error, message, outcome
@@ -53,6 +54,7 @@
         machine: StateMachine,
         store: blob.BlobStore,
         dispatcher: Dispatcher,
+        orders: OrderKeeper,
         owner: LimitOwner,
         hub: WatchHub,
         timeline: Timeline,
@@ -62,6 +64,7 @@
         self._machine = machine
         self._store = store
         self._dispatcher = dispatcher
+        self._orders = orders
         self._owner = owner
         self._hub = hub
         self._timeline = timeline
@@ -79,6 +82,7 @@
             (message.Pull, _FLEET, self._pull),
             (message.Heartbeat, _FLEET, self._heartbeat),
             (message.CompleteChunk, _FLEET, self._complete),
+            (message.PullOrder, _FLEET, self._pull_order),
             (message.ReadFleet, _BOTH, self._read_fleet),
             (message.CheckFleet, _OPERATOR, self._check_fleet),
             (message.ListHistory, _OPERATOR, self._list_history),
@@ -208,6 +212,11 @@
     ) -> message.Empty:
         return await self._dispatcher.complete(request)
 
+    async def _pull_order(
+        self, request: message.PullOrder, caller: rpc.Caller
+    ) -> message.OrderGrant:
+        return await self._orders.pull(request)
+
     async def _read_fleet(
         self, request: message.ReadFleet, caller: rpc.Caller
     ) -> message.FleetView:
--- a/sapphireseam/core/command.py
+++ b/sapphireseam/core/command.py
@@ -221,6 +221,14 @@
     at: float
 
 
+class BeginOrder(NamedTuple):
+    """Give an order to one run of the agent beside its upstream."""
+
+    fence: int
+    agent: str
+    at: float
+
+
 class FinishOrder(NamedTuple):
     """Record that an upstream has carried an order out, or failed to."""
 
@@ -250,6 +258,7 @@
     ClearSuspects,
     MarkLeaving,
     IssueOrder,
+    BeginOrder,
     FinishOrder,
 )
 
--- a/sapphireseam/core/message.py
+++ b/sapphireseam/core/message.py
@@ -200,6 +200,25 @@
     results: tuple[tuple[int, int, bool], ...]
 
 
+class PullOrder(NamedTuple):
+    """Ask for an upstream's next order, or go on with the one in `holding`.
+
+    `agent` names one run of an agent, another one after each restart.
+    """
+
+    agent: str
+    upstream: str
+    holding: int = 0
+
+
+class OrderGrant(NamedTuple):
+    """Grant an order for a while; a fence of 0 grants none."""
+
+    fence: int
+    action: str = ""
+    argument: str = ""
+
+
 class ReadFleet(NamedTuple):
     """Ask for the configuration of a revision; 0 is the one in force."""
 
@@ -507,6 +526,8 @@
     Heartbeat,
     HeartbeatReply,
     CompleteChunk,
+    PullOrder,
+    OrderGrant,
     ReadFleet,
     FleetView,
     CheckFleet,
--- a/sapphireseam/tools/fake.py
+++ b/sapphireseam/tools/fake.py
@@ -11,6 +11,7 @@
 from sapphireseam.control import blob as blobs
 from sapphireseam.control.dispatch import Dispatcher
 from sapphireseam.control.machine import StateMachine
+from sapphireseam.control.orderkeeper import OrderKeeper
 from sapphireseam.core import command, error, fleet, key, message, outcome
 from sapphireseam.utils import rpc
 from sapphireseam.utils.timeline import Timeline
@@ -82,6 +83,7 @@
         self.dispatcher = Dispatcher(
             self.replica, self.machine, self.store, self.timeline, timer
         )
+        self.orders = OrderKeeper(self.replica, self.machine, self.timeline, timer)
         self.lose: Callable[[Any], str] = lambda request: ""
         self.asked: list[Any] = []
 
@@ -104,6 +106,8 @@
                 return await self.dispatcher.heartbeat(request)
             case message.CompleteChunk():
                 return await self.dispatcher.complete(request)
+            case message.PullOrder():
+                return await self.orders.pull(request)
             case message.WriteBlob():
                 name = await self.store.write_piece(
                     request.upload, request.offset, request.data, request.last
