--- a/sapphireseam/agent/item_test.py
+++ b/sapphireseam/agent/item_test.py
@@ -2,8 +2,9 @@
 
 import json
 import unittest
+from unittest import mock
 
-from sapphireseam.agent import item as items
+from sapphireseam.agent import item as items, itemwork
 from sapphireseam.agent.death import DeathWatch
 from sapphireseam.agent.fake import FakeUpstream
 from sapphireseam.agent.runner import Runner
@@ -239,6 +240,19 @@
         kinds = [(r[0], r[3]) for r in self.list_results() if r[2]]
         self.assertEqual(kinds, [(1, error.Kind.UPSTREAM_FAILED)])
 
+    async def test_item_that_hangs_its_upstream_ends_as_failed(self):
+        await self.submit(count=2)
+        with mock.patch.object(itemwork, "ITEM_SECONDS", 2.0):
+            agent = await self.start()
+            for _ in range(60):
+                for exchange in agent.upstream.open:
+                    if b"1" not in exchange.body:
+                        exchange.answer(b"{}")
+                await self.timer.advance(0.5)
+                if self.job.ended:
+                    break
+        self.assertEqual((self.job.done, self.job.failed), (1, 1))
+
     async def test_once_only_item_is_handed_over_once_whatever_breaks(self):
         await self.submit("/post")
         agent = await self.start("a", "p")
--- a/sapphireseam/agent/itemwork.py
+++ b/sapphireseam/agent/itemwork.py
@@ -8,10 +8,12 @@
 from sapphireseam.agent.runner import Ended
 from sapphireseam.core import error, fingerprint, message
 from sapphireseam.policy import queue
-from sapphireseam.utils.timer import TimerService
+from sapphireseam.utils.timer import TimerService, wait_for
 
 # Tokens that an item is taken to cost beyond its line.
 ITEM_TOKENS = 128
+# How long an upstream may take over one item; then it counts as failed.
+ITEM_SECONDS = 900.0
 # The lowest status of an answer that the item isn't to blame for alone.
 _SERVER_ERROR = 500
 _CLIENT_ERROR = 400
@@ -116,10 +118,15 @@
             self._holding.give_back(self._item, not_run=True)
             return Ended(0.0, False)
         try:
-            status, data = await self._exchange()
+            status, data = await wait_for(
+                self._owner.timer, self._exchange(), ITEM_SECONDS
+            )
         except engine.UpstreamError as failure:
             await self._note_failure(failure)
             return Ended(cost, False)
+        except TimeoutError:
+            self._holding.give_back(self._item, blamed=True)
+            return Ended(cost, False)
         if status >= _SERVER_ERROR and work.idempotent:
             self._holding.give_back(self._item, blamed=True)
             return Ended(cost, True)
