Say "not run" of a call to the control VMs only if each try was refused

Found by reading: a job whose acceptance was committed and whose answer was lost was refused as not run, so was a request that had run when its key was withdrawn before its answer began. Both seen red by tests, with the guards out.

--- a/sapphireseam/entry/claim.py
+++ b/sapphireseam/entry/claim.py
@@ -98,7 +98,12 @@
             ask.id,
             self._timer.read_wall_clock(),
         )
-        return await self._client.propose(item)
+        try:
+            return await self._client.propose(item)
+        except error.SeamError as failure:
+            # Claimed or not, the request itself was not handed over.
+            failure.not_run = True
+            raise
 
     def _explain_open(self, claimed: outcome.Claimed, ask: Ask) -> error.SeamError:
         """Return what a resend is told about a claim that isn't settled."""
--- a/sapphireseam/entry/gateway.py
+++ b/sapphireseam/entry/gateway.py
@@ -110,10 +110,13 @@
 
     def _check(self) -> None:
         """Raise once the caller may get nothing more."""
+        failure = None
         if self._item.stopped.done():
-            raise self._item.stopped.result()
-        if not access.is_valid(self._owner.mirror, self._item.caller):
+            failure = self._item.stopped.result()
+        elif not access.is_valid(self._owner.mirror, self._item.caller):
             failure = access.explain_invalid(self._owner.mirror)
+        if failure is not None:
+            # There is an answer, so the request has run.
             failure.not_run = False
             raise failure
 
@@ -350,7 +353,7 @@
     ) -> None:
         """Pass the limits, then forward, then note how it ended."""
         if ask.caller.customer:
-            await self._limits.spend(ask.caller.customer)
+            await self._spend(ask.caller.customer)
         self._timeline.record("accepted", ask.id, ask.caller.customer, ask.caller.key)
         if ask.idempotency_key and not ask.route.idempotent:
             await self._claims.serve(ask, sink, item.stopped, self._forwarder)
@@ -358,6 +361,14 @@
             await self._forwarder.serve(ask, sink, item.stopped)
         self._timeline.record("answered", ask.id, ask.caller.customer)
 
+    async def _spend(self, customer: str) -> None:
+        """Pass the customer's limit; a refusal here is before any hand-over."""
+        try:
+            await self._limits.spend(customer)
+        except error.SeamError as failure:
+            failure.not_run = True
+            raise
+
     async def _read_ask(self, request: web.Request, request_id: str) -> asks.Ask:
         current = self.mirror.fleet
         path = request.rel_url.raw_path
--- a/sapphireseam/entry/gateway_test.py
+++ b/sapphireseam/entry/gateway_test.py
@@ -178,6 +178,18 @@
             with self.assertRaises(aiohttp.ClientError):
                 await response.read()
 
+    async def test_key_withdrawn_under_a_run_is_not_called_not_run(self):
+        async def answer(ask, sink, stopped):
+            found = self.mirror.keys[self.secret.id]
+            self.mirror.keys[self.secret.id] = found._replace(withdrawn=True)
+            self.mirror.notify()
+            await sink.begin(200, ())
+
+        self.forwarder.answer = answer
+        response, _ = await self.post()
+        self.assertEqual(response.status, 401)
+        self.assertNotIn("X-Seam-Not-Run", response.headers)
+
     async def test_cut_event_stream_ends_with_an_error_event(self):
         async def answer(ask, sink, stopped):
             await sink.begin(200, (("Content-Type", "text/event-stream"),))
--- a/sapphireseam/entry/store.py
+++ b/sapphireseam/entry/store.py
@@ -263,9 +263,16 @@
                 read_metadata(document.get("metadata")),
             )
         )
-        return web.json_response(
-            render_job(await self._find_job(answer.subject, caller))
-        )
+        return await self._answer_accepted(answer.subject, caller)
+
+    async def _answer_accepted(self, job: str, caller: Caller) -> web.Response:
+        """Show a job whose change is committed, whatever the reading meets."""
+        try:
+            found = await self._find_job(job, caller)
+        except error.SeamError as failure:
+            failure.not_run = False
+            raise
+        return web.json_response(render_job(found))
 
     async def _find_job(self, job: str, caller: Caller) -> message.JobView:
         reply = await self._client.call(message.ListJobs(caller.customer, job))
@@ -286,7 +293,7 @@
         job = request.match_info["batch"]
         now = self._timer.read_wall_clock()
         await self._client.propose(command.CancelJob(caller.customer, job, now))
-        return web.json_response(render_job(await self._find_job(job, caller)))
+        return await self._answer_accepted(job, caller)
 
 
 def name_job(
--- a/sapphireseam/utils/client.py
+++ b/sapphireseam/utils/client.py
@@ -69,10 +69,12 @@
         """Return the leader's answer, trying for `deadline` seconds.
 
         Raises `ControlError` when no leader answered in time, and any error
-        that the leader answered with.
+        that the leader answered with. Only if each try was refused does the
+        error say "not run": a try without an answer may have been carried out.
         """
         end = self._timer.read_clock() + deadline
         last: error.SeamError = error.ControlError("no control VM answered")
+        refused = True
         while (left := end - self._timer.read_clock()) > 0:
             address = self.pick()
             try:
@@ -84,12 +86,14 @@
                 if failure.kind not in _RETRIED:
                     raise
                 last = failure
+                refused = refused and failure.kind is error.Kind.NOT_LEADER
                 self._leader = getattr(failure, "leader", "")
                 if self._leader and self._leader != address:
                     continue
                 self._leader = ""
             await self._timer.sleep(PAUSE_SECONDS)
-        raise error.ControlError(f"no control VM took the call: {last.message}")
+        text = f"no control VM took the call: {last.message}"
+        raise error.ControlError(text, not_run=refused)
 
     async def propose(self, item: Any, deadline: float = DEADLINE_SECONDS) -> Any:
         """Commit a command and return its outcome, or raise its refusal."""
