--- a/sapphireseam/control/application.py
+++ b/sapphireseam/control/application.py
@@ -259,5 +259,6 @@
     application.add(replica)
     application.add(dispatcher)
     application.add(orders)
+    application.add(owner)
     application.add(OperatorKeeper(settings.data_folder, replica, machine, timer))
     return application
--- a/sapphireseam/state/receiver.py
+++ b/sapphireseam/state/receiver.py
@@ -103,6 +103,8 @@
         if not self._is_current(request):
             return False
         node.vote = request.sender
+        # Leave the one just voted for the time to make itself heard.
+        node.quiet_from = node.timer.read_clock()
         return True
 
     def _hears_leader(self) -> bool:
@@ -135,7 +137,9 @@
         if accepted:
             node.set_commit(min(request.commit, node.matched))
         await node.save()
-        return message.HeartbeatReply(node.identity.folder, node.term, accepted)
+        return message.HeartbeatReply(
+            node.identity.folder, node.term, accepted, node.matched
+        )
 
     async def _answer_append(self, request: message.AppendRequest):
         node = self._node
