Measure every program by OpenTelemetry, scraped at the probe

One list of instruments holds name, unit, labels and what to do when a value is off; METRICS.md is written from it, and a test scrapes a running fleet and compares names, labels and programs both ways.

Requests are measured by a middleware at the entry's edge; events of the time line are counted in a dictionary and gauges read only at a scrape, on the loop's own thread, since the values change there.

Ruled out: labels by customer (4,600 of them at the target size, times nodes) and a counter call for each event (several a request).

--- a/sapphireseam/agent/application.py
+++ b/sapphireseam/agent/application.py
@@ -1,5 +1,6 @@
 """Build an agent's program from its settings."""
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 from sapphireseam.agent import engine
@@ -9,7 +10,7 @@
 from sapphireseam.control.application import Secret
 from sapphireseam.core import fleet
 from sapphireseam.policy import registry
-from sapphireseam.utils import rpc
+from sapphireseam.utils import metric, rpc
 from sapphireseam.utils.application import Application
 from sapphireseam.utils.client import ControlClient
 from sapphireseam.utils.mirror import Mirror
@@ -71,6 +72,21 @@
         self._runner.set_policy(line, bound)
 
 
+def report_work(meter: metric.Meter, runner: Runner, upstream: engine.Upstream) -> None:
+    """Let collectors read what runs and waits at the upstream."""
+
+    def split(count: Callable[[bool], int]) -> list[metric.Value]:
+        return [
+            (count(False), {"work": "online"}),
+            (count(True), {"work": "batch"}),
+        ]
+
+    meter.read_many(metric.RUNNING, lambda: split(runner.count_running))
+    meter.read_many(metric.WAITING, lambda: split(runner.count_waiting))
+    meter.read(metric.SLOTS, lambda: runner.slots)
+    meter.read(metric.HEALTHY, lambda: upstream.healthy)
+
+
 def build(settings: Settings, timer: TimerService | None = None) -> Application:
     """Return the application of one agent."""
     timer = timer or SystemTimer()
@@ -108,7 +124,13 @@
             "running": runner.count_running(),
         }
 
+    meter = metric.Meter(settings.node)
+    mirror.report(meter)
+    timeline.report(meter)
+    report_work(meter, runner, upstream)
+
     application = Application("seam-agent")
+    application.add(meter)
     application.add(Probe(settings.probe, describe, mirror.is_confirmed))
     application.add(client)
     application.add(upstream)
--- a/sapphireseam/control/application.py
+++ b/sapphireseam/control/application.py
@@ -10,13 +10,14 @@
 from sapphireseam.control import blob, guard
 from sapphireseam.control.dispatch import Dispatcher
 from sapphireseam.control.machine import StateMachine
+from sapphireseam.control.meter import TimedDisk, report_state
 from sapphireseam.control.owner import LimitOwner
 from sapphireseam.control.service import ControlService
 from sapphireseam.control.watch import WatchHub
 from sapphireseam.core import codec, command, error, fleet, key, message, outcome
-from sapphireseam.state import disk, link, message as log_message, option
+from sapphireseam.state import link, message as log_message, option
 from sapphireseam.state.replica import Replica
-from sapphireseam.utils import rpc
+from sapphireseam.utils import metric, rpc
 from sapphireseam.utils.application import Application, TaskGroup
 from sapphireseam.utils.probe import Probe
 from sapphireseam.utils.rpc import Role
@@ -184,7 +185,9 @@
 def build(settings: Settings, timer: TimerService | None = None) -> Application:
     """Return the application of one control VM."""
     timer = timer or SystemTimer()
+    meter = metric.Meter(settings.node)
     timeline = Timeline(settings.node, timer)
+    timeline.report(meter)
     machine = StateMachine()
     members = Members(settings)
     store = blob.BlobStore(settings.data_folder / "blobs")
@@ -196,7 +199,7 @@
     replica = Replica(
         settings.node,
         members.link,
-        disk.FileDisk(settings.data_folder / "log"),
+        TimedDisk(settings.data_folder / "log", meter, timer),
         timer,
         machine,
         guard.BlobGuard(store, members.fetch),
@@ -207,6 +210,7 @@
     dispatcher = Dispatcher(replica, machine, store, timeline, timer)
     owner = LimitOwner(replica, machine, timer)
     hub = WatchHub(replica, machine, timeline, timer)
+    report_state(meter, replica, machine, hub)
     service = ControlService(
         settings.node, replica, machine, store, dispatcher, owner, hub, timeline
     )
@@ -242,6 +246,7 @@
         }
 
     application = Application("seam-control")
+    application.add(meter)
     application.add(Probe(settings.probe, describe, lambda: replica.fatal is None))
     application.add(store)
     application.add(members)
--- a/sapphireseam/entry/application.py
+++ b/sapphireseam/entry/application.py
@@ -11,9 +11,10 @@
 from sapphireseam.entry.forward import Forwarder
 from sapphireseam.entry.gateway import Gateway
 from sapphireseam.entry.link import AgentLink
+from sapphireseam.entry.meter import RequestMeter
 from sapphireseam.entry.store import FileStore
 from sapphireseam.policy import registry, router
-from sapphireseam.utils import rpc
+from sapphireseam.utils import metric, rpc
 from sapphireseam.utils.application import Application, TaskGroup
 from sapphireseam.utils.client import ControlClient
 from sapphireseam.utils.mirror import Mirror
@@ -115,7 +116,13 @@
     def describe() -> dict[str, object]:
         return {"node": settings.node, "revision": mirror.revision}
 
+    meter = metric.Meter(settings.node)
+    mirror.report(meter)
+    timeline.report(meter)
+    gateway.prepare = RequestMeter(meter, mirror, timer).install
+
     application = Application("seam-entry")
+    application.add(meter)
     application.add(Probe(settings.probe, describe, mirror.is_confirmed))
     application.add(client)
     application.add(mirror)
--- a/sapphireseam/entry/gateway.py
+++ b/sapphireseam/entry/gateway.py
@@ -9,6 +9,7 @@
 import logging
 import math
 import secrets
+from collections.abc import Callable
 from typing import Any
 
 from aiohttp import web
@@ -143,10 +144,13 @@
         self._draining = False
         self._tasks = TaskGroup()
         self._runner: web.AppRunner | None = None
+        # Prepares the HTTP application before it serves.
+        self.prepare: Callable[[web.Application], None] = lambda app: None
 
     async def start(self) -> None:
         """Begin to serve."""
         app = web.Application(client_max_size=64 * 1024 * 1024)
+        self.prepare(app)
         app.router.add_get(probe.HEALTH_PATH, self._answer_health)
         app.router.add_get("/v1/models", self._guard(self._list_models))
         app.router.add_get("/v1/models/{model}", self._guard(self._get_model))
--- /dev/null
+++ b/sapphireseam/entry/meter.py
@@ -0,0 +1,73 @@
+"""Measure every request at the entry's edge, one record for each.
+
+This is a middleware, so that what serves requests needs to know nothing of it.
+"""
+
+from collections.abc import Awaitable, Callable
+
+from aiohttp import web
+
+from sapphireseam.core import error
+from sapphireseam.entry import ask as asks
+from sapphireseam.utils import metric
+from sapphireseam.utils.mirror import Mirror
+from sapphireseam.utils.timer import TimerService
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+# Stands for the entry's own resources and for paths that no route covers.
+NO_ROUTE = "none"
+EVENT_STREAM = "text/event-stream"
+_ARRIVED = web.RequestKey("arrived", float)
+
+
+class RequestMeter:
+    """Time requests by route and status, and count those under way."""
+
+    def __init__(self, meter: metric.Meter, mirror: Mirror, timer: TimerService):
+        self._meter = meter
+        self._mirror = mirror
+        self._timer = timer
+        self._open = 0
+        meter.read(metric.OPEN, lambda: self._open)
+
+    def install(self, app: web.Application) -> None:
+        """Measure all requests of an HTTP application."""
+        app.middlewares.append(self._measure)
+        app.on_response_prepare.append(self._observe_head)
+
+    def _name_route(self, path: str) -> str:
+        try:
+            return asks.find_route(self._mirror.fleet, path)[0]
+        except error.SeamError:
+            return NO_ROUTE
+
+    @web.middleware
+    async def _measure(
+        self, request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
+        begin = self._timer.read_clock()
+        request[_ARRIVED] = begin
+        self._open += 1
+        # A caller that goes away cancels the handler.
+        status = error.ANSWERS[error.Kind.CANCELLED].status
+        try:
+            response = await handler(request)
+            status = response.status
+            return response
+        finally:
+            self._open -= 1
+            spent = self._timer.read_clock() - begin
+            route = self._name_route(request.path)
+            labels = {"route": route, "status": str(status)}
+            self._meter.observe(metric.REQUEST, spent, **labels)
+
+    # The head of a stream goes out with its first token.
+    async def _observe_head(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        kind = response.headers.get("Content-Type", "")
+        if kind.startswith(EVENT_STREAM) and _ARRIVED in request:
+            spent = self._timer.read_clock() - request[_ARRIVED]
+            route = self._name_route(request.path)
+            self._meter.observe(metric.FIRST_TOKEN, spent, route=route)
--- a/sapphireseam/scripts/local_test.py
+++ b/sapphireseam/scripts/local_test.py
@@ -3,11 +3,15 @@
 import json
 import os
 import pathlib
+import re
 import signal
 import subprocess
 import sys
 import tempfile
 import unittest
+import urllib.request
+
+from sapphireseam.utils import metric
 
 BINARIES = pathlib.Path(sys.executable).parent
 # A ceiling for one command; it only ends a test that hangs.
@@ -58,6 +62,56 @@
         for part in ("curl http://", "Authorization: Bearer seam-", "seam-ctl"):
             self.assertIn(part, self.said)
 
+    def call_streamed(self):
+        """Make a caller's streamed request and read it to its end."""
+        url = re.search(r"curl (\S+)", self.said)[1]
+        key = re.search(r"Bearer ([^']+)", self.said)[1]
+        body = {
+            "model": "wording-llm",
+            "messages": [{"role": "user", "content": "oats"}],
+            "max_tokens": 2,
+            "stream": True,
+        }
+        headers = {"Authorization": f"Bearer {key}"}
+        request = urllib.request.Request(url, json.dumps(body).encode(), headers)
+        with urllib.request.urlopen(request, timeout=CEILING_SECONDS) as answer:
+            self.assertTrue(answer.read().strip().endswith(b"[DONE]"))
+
+    def scrape(self):
+        """Return the labels of each sample by metric name."""
+        settings = json.loads((self.folder / "fleet" / "entry-1.json").read_text())
+        url = f"http://{settings['probe']}/metrics"
+        with urllib.request.urlopen(url, timeout=CEILING_SECONDS) as answer:
+            lines = answer.read().decode().splitlines()
+        found = {}
+        for line in lines:
+            sample = re.fullmatch(r"(\w+)\{(.*)\} \S+", line)
+            if sample:
+                labels = dict(re.findall(r'(\w+)="([^"]*)"', sample[2]))
+                found.setdefault(sample[1], []).append(labels)
+        return found
+
+    def test_every_listed_metric_is_scraped_with_its_labels(self):
+        self.call_streamed()
+        found = self.scrape()
+        kinds = {
+            "control": "seam-control",
+            "entry": "seam-entry",
+            "agent": "seam-agent",
+        }
+        for item in metric.METRICS:
+            with self.subTest(item.name):
+                name = item.expose()
+                if item.form is metric.Form.HISTOGRAM:
+                    name += "_count"
+                samples = found[name]
+                self.assertEqual(set(samples[0]), {"node", *item.labels})
+                programs = {kinds[s["node"].split("-")[0]] for s in samples}
+                self.assertEqual(programs, set(item.programs))
+        listed = {item.expose() for item in metric.METRICS}
+        ours = {re.sub(r"_(count|sum|bucket)$", "", n) for n in found if "seam_" in n}
+        self.assertEqual(ours, listed)
+
     def test_no_io_uring_is_open(self):
         folder = pathlib.Path(f"/proc/{self.fleet.pid}/fd")
         targets = [os.readlink(item) for item in folder.iterdir()]
--- a/sapphireseam/tools/page.py
+++ b/sapphireseam/tools/page.py
@@ -12,6 +12,7 @@
 from pathlib import Path
 
 from sapphireseam.core import error
+from sapphireseam.utils import metric
 
 ROOT = Path(__file__).parents[2]
 DOCS = ROOT / "docs"
@@ -134,7 +135,24 @@
     return "\n".join(rows)
 
 
-PARTS: dict[str, Callable[[], str]] = {"errors": render_errors}
+def render_metrics() -> str:
+    """Return the table of all metrics."""
+    rows = [
+        "| metric | form | labels | from | means | when it is off |",
+        "|---|---|---|---|---|---|",
+    ]
+    for item in metric.METRICS:
+        labels = ", ".join(f"`{name}`" for name in item.labels) or "-"
+        programs = ", ".join(f"`{name}`" for name in item.programs)
+        cells = (f"`{item.expose()}`", item.form, labels, programs)
+        rows.append(f"| {' | '.join(cells)} | {item.text} | {item.advice} |")
+    return "\n".join(rows)
+
+
+PARTS: dict[str, Callable[[], str]] = {
+    "errors": render_errors,
+    "metrics": render_metrics,
+}
 
 
 def fill(text: str) -> str:
--- /dev/null
+++ b/sapphireseam/utils/metric.py
@@ -0,0 +1,339 @@
+"""Measure what each program does, in the form that usual collectors scrape.
+
+All instruments are listed here once, with what an operator should do when one
+is off; docs/METRICS.md shows the same list. A hot path records at most one
+histogram a request; everything else is read only when somebody scrapes.
+
+Several programs may share a process, as in `seam-local`, so every value
+carries its program's node.
+"""
+
+from collections.abc import Callable, Iterable
+from enum import StrEnum
+from typing import NamedTuple
+
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.metrics import CallbackOptions, Histogram, Observation
+from opentelemetry.sdk.metrics import MeterProvider
+
+# Upper ends of the histograms' buckets, in seconds.
+SYNC_BUCKETS = (0.0001, 0.0003, 0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1.0)
+REQUEST_BUCKETS = (0.003, 0.01, 0.03, 0.1, 0.2, 0.34, 0.6, 1.0, 3.0, 10.0, 30.0, 60.0)
+
+
+class Form(StrEnum):
+    """Name the forms of an instrument."""
+
+    COUNTER = "counter"
+    GAUGE = "gauge"
+    HISTOGRAM = "histogram"
+
+
+class Metric(NamedTuple):
+    """Describe one instrument; `programs` are those that have it."""
+
+    name: str
+    form: Form
+    unit: str
+    labels: tuple[str, ...]
+    programs: tuple[str, ...]
+    text: str
+    advice: str
+
+    def expose(self) -> str:
+        """Return the name under which it is scraped.
+
+        >>> REQUEST.expose(), EVENTS.expose()
+        ('seam_request_duration_seconds', 'seam_events_total')
+        """
+        name = self.name.replace(".", "_")
+        if self.unit == "s":
+            name += "_seconds"
+        return f"{name}_total" if self.form is Form.COUNTER else name
+
+
+_CONTROL = ("seam-control",)
+_ENTRY = ("seam-entry",)
+_AGENT = ("seam-agent",)
+_ALL = _CONTROL + _ENTRY + _AGENT
+
+REQUEST = Metric(
+    "seam.request.duration",
+    Form.HISTOGRAM,
+    "s",
+    ("route", "status"),
+    _ENTRY,
+    "Time from a request's arrival to the end of its answer; its count gives"
+    " requests by route and status.",
+    "Many 429: a customer is over its contract, see `seam-ctl status`. Many 503:"
+    " look at `seam_waiting`, `seam_upstream_healthy` and `seam_confirmed`. Many"
+    " 502 or 504: look at the upstreams.",
+)
+FIRST_TOKEN = Metric(
+    "seam.first_token.duration",
+    Form.HISTOGRAM,
+    "s",
+    ("route",),
+    _ENTRY,
+    "Time from a streamed request's arrival to its first token.",
+    "High with high `seam_waiting`: too few replicas, or one customer's burst."
+    " High without: the engine itself is slow.",
+)
+OPEN = Metric(
+    "seam.open_requests",
+    Form.GAUGE,
+    "",
+    (),
+    _ENTRY,
+    "Requests under way.",
+    "Rises without end: upstreams don't answer; look at their agents.",
+)
+CONFIRMED = Metric(
+    "seam.confirmed",
+    Form.GAUGE,
+    "",
+    (),
+    _ENTRY + _AGENT,
+    "1 while a quorum stands behind what this process knows, else 0.",
+    "0: the process is cut off from the control VMs and refuses keyed requests;"
+    " look at the network and at `seam_leader`.",
+)
+REVISION = Metric(
+    "seam.revision",
+    Form.GAUGE,
+    "",
+    (),
+    _ALL,
+    "Revision in force at this process.",
+    "Differs between processes for more than seconds: the lower ones lag; look at"
+    " `seam_confirmed`.",
+)
+EVENTS = Metric(
+    "seam.events",
+    Form.COUNTER,
+    "",
+    ("event", "kind"),
+    _ALL,
+    "Events of the time line by name; refusals, cuts and retries by error kind.",
+    "`retry`, `cut` or `upstream_died` rise: an upstream is failing, find it with"
+    " `seam-ctl timeline`. `refused` by kind: see [ERRORS](ERRORS.md).",
+)
+RUNNING = Metric(
+    "seam.running",
+    Form.GAUGE,
+    "",
+    ("work",),
+    _AGENT,
+    "Requests or items at the upstream, by `online` and `batch`.",
+    "0 while `seam_waiting` isn't: the upstream is unhealthy.",
+)
+WAITING = Metric(
+    "seam.waiting",
+    Form.GAUGE,
+    "",
+    ("work",),
+    _AGENT,
+    "Requests or items that wait for the upstream, by `online` and `batch`.",
+    "Online stays above 0: too little capacity; add replicas or slots.",
+)
+SLOTS = Metric(
+    "seam.slots",
+    Form.GAUGE,
+    "",
+    (),
+    _AGENT,
+    "Most requests that may run at once, from the configuration.",
+    "Not what you published: the agent lags, look at `seam_revision`.",
+)
+HEALTHY = Metric(
+    "seam.upstream_healthy",
+    Form.GAUGE,
+    "",
+    (),
+    _AGENT,
+    "1 if the upstream answers its health check, else 0.",
+    "0: start the upstream again, or drain it and take it out.",
+)
+LEADER = Metric(
+    "seam.leader",
+    Form.GAUGE,
+    "",
+    (),
+    _CONTROL,
+    "1 on the control VM that leads under a valid lease, else 0.",
+    "Sum is 0 for more than seconds: no quorum; nothing can be changed. Look which"
+    " control VMs run.",
+)
+TERM = Metric(
+    "seam.term",
+    Form.GAUGE,
+    "",
+    (),
+    _CONTROL,
+    "Raft term; rises with each election.",
+    "Rises often: leaders are lost; look at processor, disk and network of the"
+    " control VMs.",
+)
+APPLIED = Metric(
+    "seam.applied",
+    Form.GAUGE,
+    "",
+    (),
+    _CONTROL,
+    "Index of the newest log entry applied; its rate is commits a second.",
+    "Behind the leader's: this control VM lags; don't stop another one.",
+)
+SYNC = Metric(
+    "seam.sync.duration",
+    Form.HISTOGRAM,
+    "s",
+    (),
+    _CONTROL,
+    "Time of one sync of the log to disk.",
+    "Tail above 30 ms: the disk is slow or shared; every change waits for it.",
+)
+WATCHERS = Metric(
+    "seam.watchers",
+    Form.GAUGE,
+    "",
+    ("state",),
+    _CONTROL,
+    "Processes heard here, by `heard` and `silent` (for more than 3 s).",
+    "`silent` rises: processes stopped, moved to another control VM, or are cut"
+    " off; `seam-ctl status` tells which.",
+)
+JOBS = Metric(
+    "seam.jobs",
+    Form.GAUGE,
+    "",
+    ("status",),
+    _CONTROL,
+    "Batch jobs by status.",
+    "`in_progress` only grows: too little idle capacity; `seam-ctl job list`.",
+)
+ITEMS = Metric(
+    "seam.items",
+    Form.GAUGE,
+    "",
+    ("state",),
+    _CONTROL,
+    "Items of all jobs by `done`, `failed` and `open`; the rate of `done` is the"
+    " batch throughput.",
+    "`failed` rises: look at `seam-ctl job results --failed`.",
+)
+LEASES = Metric(
+    "seam.leases",
+    Form.GAUGE,
+    "",
+    (),
+    _CONTROL,
+    "Leases of items that agents hold.",
+    "0 while items are open: no agent pulls; look at `seam_running`.",
+)
+
+METRICS = (
+    REQUEST,
+    FIRST_TOKEN,
+    OPEN,
+    CONFIRMED,
+    REVISION,
+    EVENTS,
+    RUNNING,
+    WAITING,
+    SLOTS,
+    HEALTHY,
+    LEADER,
+    TERM,
+    APPLIED,
+    SYNC,
+    WATCHERS,
+    JOBS,
+    ITEMS,
+    LEASES,
+)
+_BUCKETS = {
+    REQUEST.name: REQUEST_BUCKETS,
+    FIRST_TOKEN.name: REQUEST_BUCKETS,
+    SYNC.name: SYNC_BUCKETS,
+}
+
+# A value with the labels that go with it.
+Value = tuple[float, dict[str, str]]
+Reader = Callable[[], Iterable[Value]]
+
+
+class _Registry:
+    """Hold the process's instruments and who is read for each gauge."""
+
+    def __init__(self):
+        provider = MeterProvider(
+            metric_readers=[PrometheusMetricReader(scope_info_enabled=False)]
+        )
+        self._meter = provider.get_meter("sapphireseam")
+        self.readers: dict[str, dict[str, Reader]] = {}
+        self.histograms: dict[str, Histogram] = {}
+        for item in METRICS:
+            self._create(item)
+
+    def _create(self, item: Metric) -> None:
+        if item.form is Form.HISTOGRAM:
+            self.histograms[item.name] = self._meter.create_histogram(
+                item.name,
+                item.unit,
+                item.text,
+                explicit_bucket_boundaries_advisory=_BUCKETS[item.name],
+            )
+            return
+        readers = self.readers[item.name] = {}
+
+        def observe(options: CallbackOptions) -> Iterable[Observation]:
+            for node, reader in list(readers.items()):
+                for value, labels in reader():
+                    yield Observation(value, {"node": node, **labels})
+
+        create = self._meter.create_observable_gauge
+        if item.form is Form.COUNTER:
+            create = self._meter.create_observable_counter
+        create(item.name, [observe], item.unit, item.text)
+
+
+_registry: _Registry | None = None
+
+
+def _load_registry() -> _Registry:
+    """Return the process's one registry, made at first use."""
+    global _registry
+    if _registry is None:
+        _registry = _Registry()
+    return _registry
+
+
+class Meter:
+    """Record and report the values of one program; a part of its application."""
+
+    def __init__(self, node: str):
+        self._node = node
+        self._registry = _load_registry()
+        self._read: list[Metric] = []
+
+    async def start(self) -> None:
+        """Do nothing; values are read when somebody scrapes."""
+
+    async def stop(self) -> None:
+        """Report this program's values no more."""
+        for item in self._read:
+            self._registry.readers[item.name].pop(self._node, None)
+
+    def observe(self, item: Metric, seconds: float, **labels: str) -> None:
+        """Add one measurement to a histogram."""
+        labels["node"] = self._node
+        self._registry.histograms[item.name].record(seconds, labels)
+
+    def read_many(self, item: Metric, reader: Reader) -> None:
+        """Read values with labels at each scrape."""
+        self._read.append(item)
+        self._registry.readers[item.name][self._node] = reader
+
+    def read(self, item: Metric, reader: Callable[[], float]) -> None:
+        """Read one value at each scrape."""
+        self.read_many(item, lambda: [(float(reader()), {})])
--- a/sapphireseam/utils/mirror.py
+++ b/sapphireseam/utils/mirror.py
@@ -16,7 +16,7 @@
 
 from sapphireseam.core import error, fleet, key, message
 from sapphireseam.state import broadcast
-from sapphireseam.utils import rpc
+from sapphireseam.utils import metric, rpc
 from sapphireseam.utils.application import TaskGroup
 from sapphireseam.utils.client import ControlClient
 from sapphireseam.utils.timeline import Timeline
@@ -71,6 +71,11 @@
         """Call back after every change."""
         self._listeners.append(listener)
 
+    def report(self, meter: metric.Meter) -> None:
+        """Let collectors read what is in force here and whether it holds."""
+        meter.read(metric.CONFIRMED, self.is_confirmed)
+        meter.read(metric.REVISION, lambda: self.revision)
+
     def is_confirmed(self) -> bool:
         """Tell whether a quorum stands behind what is mirrored."""
         return self._timer.read_clock() < self._lease_end
--- a/sapphireseam/utils/probe.py
+++ b/sapphireseam/utils/probe.py
@@ -1,6 +1,5 @@
 """Answer health checks and metric scrapes of one program over HTTP."""
 
-import asyncio
 from collections.abc import Callable
 from typing import Any
 
@@ -62,5 +61,6 @@
         return web.json_response(body, status=200 if healthy else 503)
 
     async def _answer_metrics(self, request: web.Request) -> web.Response:
-        body = await asyncio.to_thread(generate_latest)
+        # Values are read on the loop's own thread, where they change.
+        body = generate_latest()
         return web.Response(body=body, headers={"Content-Type": CONTENT_TYPE_LATEST})
