--- a/sapphireseam/core/message.py
+++ b/sapphireseam/core/message.py
@@ -175,10 +175,15 @@
 
 
 class Heartbeat(NamedTuple):
-    """Tell the leader which leases an agent holds."""
+    """Tell the leader which leases an agent holds.
+
+    `number` only rises within an agent's run, so that one which was overtaken
+    on its way is known for it.
+    """
 
     agent: str
     leases: tuple[int, ...]
+    number: int = 0
 
 
 class HeartbeatReply(NamedTuple):
@@ -354,6 +359,7 @@
     keys: tuple[Key, ...]
     leaving: tuple[str, ...]
     quarantined: tuple[str, ...]
+    suspects: tuple[str, ...] = ()
 
 
 class FleetChange(NamedTuple):
@@ -376,10 +382,12 @@
     leaving: bool
 
 
-class QuarantineChange(NamedTuple):
-    """Send fingerprints that every entry now refuses."""
+class VerdictChange(NamedTuple):
+    """Send fingerprints that are suspected, refused or cleared from now on."""
 
-    fingerprints: tuple[str, ...]
+    suspects: tuple[str, ...]
+    quarantined: tuple[str, ...]
+    cleared: tuple[str, ...] = ()
 
 
 # The stream between an entry and an agent.
@@ -425,6 +433,13 @@
     attempt: int
 
 
+class Credit(NamedTuple):
+    """Let the agent send so many more bytes of an answer."""
+
+    attempt: int
+    size: int
+
+
 class Revoke(NamedTuple):
     """End an attempt: drop it from the queue or cancel it upstream."""
 
@@ -522,11 +537,12 @@
     FleetChange,
     KeyChange,
     LeavingChange,
-    QuarantineChange,
+    VerdictChange,
     Connect,
     Offer,
     Ready,
     Go,
+    Credit,
     Revoke,
     Head,
     Data,
--- a/sapphireseam/scripts/load.py
+++ b/sapphireseam/scripts/load.py
@@ -1,12 +1,11 @@
 """Drive load through the system and measure it, or compare it with a direct call.
 
-Exits 0 if no answer was cut, doubled, crossed or wrong and no job broke a
-promise, 1 if one was, 2 for settings that can't be used.
+Exits 0 if every answer was right or refused and every job kept its promise, 1 if
+not, 2 for settings that can't be used.
 """
 
 import json
 import sys
-from importlib import metadata
 from pathlib import Path
 from typing import Annotated
 
@@ -14,11 +13,9 @@
 
 from sapphireseam.core import error
 from sapphireseam.tools import load, plan, table
-from sapphireseam.utils import log, loop, setting, timer
+from sapphireseam.utils import log, loop, program, setting, timer
 
 FAULTY_EXIT = 1
-BAD_SETTINGS_EXIT = 2
-
 app = typer.Typer(add_completion=False)
 
 
@@ -50,12 +47,6 @@
     return pids
 
 
-def _show_version(wanted: bool) -> None:
-    if wanted:
-        typer.echo(metadata.version("sapphireseam"))
-        raise typer.Exit
-
-
 @app.command()
 def run(
     profile: Annotated[Path, typer.Option(help="The JSON file of the run.")],
@@ -87,18 +78,18 @@
     seed: Annotated[
         int | None, typer.Option(help="Instead of the profile's seed.")
     ] = None,
+    no_jobs: Annotated[
+        bool, typer.Option(help="Drive the online requests only.")
+    ] = False,
+    allow_losses: Annotated[
+        bool, typer.Option(help="Processes are killed: errors are no fault.")
+    ] = False,
     output: Annotated[
         Path | None, typer.Option(help="Where to write the JSON report.")
     ] = None,
-    version: Annotated[
-        bool,
-        typer.Option(
-            "--version", callback=_show_version, is_eager=True, help="Show and exit."
-        ),
-    ] = False,
+    version: program.VersionOption = False,
 ) -> None:
     """Drive a profile at --entry, or compare --direct with --through."""
-    log.configure("seam-load", "load", "WARNING")
     try:
         if bool(entry) == bool(direct and through):
             raise error.SettingsError("give --entry, or --direct and --through")
@@ -107,6 +98,10 @@
             checked = checked._replace(seconds=seconds)
         if seed is not None:
             checked = checked._replace(seed=seed)
+        if no_jobs:
+            checked = checked._replace(jobs=[])
+        if allow_losses:
+            checked = checked._replace(allow_losses=True)
         target = load.Target(
             entry or through,
             read_keys(keys, checked),
@@ -116,7 +111,8 @@
         )
     except error.SettingsError as failure:
         typer.echo(failure.message, err=True)
-        sys.exit(BAD_SETTINGS_EXIT)
+        sys.exit(program.BAD_SETTINGS_EXIT)
+    log.configure("seam-load", "load", "WARNING")
     service = timer.SystemTimer()
     if entry:
         report = loop.run(load.run_load(checked, target, service))
