--- a/sapphireseam/ops/operator.py
+++ b/sapphireseam/ops/operator.py
@@ -77,6 +77,8 @@
         return loop.run(connect_and_run(setting.resolve(choice), work))
     except error.SeamError as failure:
         raise typer.Exit(report(failure)) from None
+    except BrokenPipeError:
+        raise  # The command line ends quietly when its reader has gone.
     except OSError as failure:
         path = f"{failure.filename}: " if failure.filename else ""
         typer.echo(f"error: {path}{failure.strerror}", err=True)
--- a/sapphireseam/ops/ops_test.py
+++ b/sapphireseam/ops/ops_test.py
@@ -6,7 +6,16 @@
 from hypothesis import given, settings, strategies as st
 
 from sapphireseam.core import error, event, fleet, message
-from sapphireseam.ops import configuration, job, setting, status, timeline
+from sapphireseam.ops import (
+    configuration,
+    job,
+    key,
+    operator,
+    setting,
+    status,
+    timeline,
+)
+from sapphireseam.utils.timer import FakeTimer
 
 CHECKED = settings(derandomize=True, deadline=None, database=None)
 
@@ -105,6 +114,29 @@
     return base._replace(**fields)
 
 
+class SilentControl:
+    """Take a command and never answer."""
+
+    async def propose(self, item, deadline=0.0):
+        raise error.ControlError("no control VM took the call")
+
+
+class LostAnswerTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.operator = operator.Operator(SilentControl(), (), FakeTimer())
+
+    async def test_publish_says_how_to_repeat_it_under_the_same_request_id(self):
+        with self.assertRaises(error.ControlError) as caught:
+            await configuration.publish(self.operator, {}, 4, "", "publish-7")
+        self.assertIn("--base 4 --request-id publish-7", caught.exception.message)
+
+    async def test_key_of_unknown_fate_is_named_and_its_text_is_not(self):
+        with self.assertRaises(error.ControlError) as caught:
+            await key.issue(self.operator, "grower")
+        self.assertRegex(caught.exception.message, "key [0-9a-f]{12} ")
+        self.assertNotRegex(caught.exception.message, "seam-[0-9a-f]{12}-")
+
+
 class ForecastTest(unittest.TestCase):
     def test_pace_decides_the_end(self):
         found = job.forecast(view_job(done=10), 1100.0)
