Forget processes that were silent for an hour; count upstreams without an agent

Cause: a control VM remembered every process that it ever heard. And an upstream whose agent never started showed nowhere.

The test is red without the pruning: entry-1 is still listed after the hour.

--- a/sapphireseam/control/watch.py
+++ b/sapphireseam/control/watch.py
@@ -19,6 +19,9 @@
 from sapphireseam.utils.timeline import Timeline
 from sapphireseam.utils.timer import TimerService
 
+# A process that was silent for so long is taken for gone, not for cut off.
+FORGET_SECONDS = 3600.0
+
 
 class _Watcher(NamedTuple):
     """Remember one open watch."""
@@ -88,8 +91,15 @@
         self._heard[first.node, first.program] = _Heard(revision, now)
 
     def list_watchers(self) -> tuple[message.WatcherView, ...]:
-        """Return the processes that were heard here, the silent ones too."""
+        """Return the processes that were heard here, the silent ones too.
+
+        One that was replaced under another name is forgotten after a while, so
+        that the list doesn't grow with every VM that ever was.
+        """
         now = self._timer.read_clock()
+        for name, heard in list(self._heard.items()):
+            if now - heard.at > FORGET_SECONDS:
+                del self._heard[name]
         return tuple(
             message.WatcherView(node, program, heard.revision, now - heard.at)
             for (node, program), heard in sorted(self._heard.items())
--- /dev/null
+++ b/sapphireseam/control/watch_test.py
@@ -0,0 +1,40 @@
+import asyncio
+import unittest
+
+from sapphireseam.control import watch
+from sapphireseam.control.machine import StateMachine
+from sapphireseam.core import message
+from sapphireseam.tools.fake import FakeReplica
+from sapphireseam.utils.timeline import Timeline
+from sapphireseam.utils.timer import FakeTimer
+
+
+class SilentStream:
+    """Open a watch and say nothing more."""
+
+    def post(self, item):
+        pass
+
+    async def receive(self):
+        await asyncio.get_running_loop().create_future()
+
+
+class ListWatchersTest(unittest.IsolatedAsyncioTestCase):
+    async def test_silent_process_is_listed_for_an_hour_then_forgotten(self):
+        timer = FakeTimer()
+        machine = StateMachine()
+        replica = FakeReplica(machine)
+        replica.read_index = replica.confirm
+        hub = watch.WatchHub(replica, machine, Timeline("control", timer), timer)
+        first = message.Watch("entry-1", "seam-entry", 0)
+        serving = asyncio.create_task(hub.serve(first, SilentStream()))
+        self.addCleanup(serving.cancel)
+        await timer.advance(watch.FORGET_SECONDS)
+        listed = [(view.node, view.silent) for view in hub.list_watchers()]
+        self.assertEqual(listed, [("entry-1", watch.FORGET_SECONDS)])
+        await timer.advance(1.0)
+        self.assertEqual(hub.list_watchers(), ())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/sapphireseam/ops/status.py
+++ b/sapphireseam/ops/status.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import json
 from collections import Counter
 from typing import Any, NamedTuple
 
@@ -70,6 +71,8 @@
 class Status(NamedTuple):
     """Hold the fleet's state at a glance.
 
+    `upstreams` counts those in the configuration, `agents` the agents that are
+    not cut off; fewer of these means upstreams that nobody speaks for.
     `unknown` lists what couldn't be read, each with its cause.
     """
 
@@ -77,6 +80,8 @@
     revision: int
     members: list[Member]
     processes: list[Process]
+    upstreams: int
+    agents: int
     leaving: list[str]
     jobs: list[Job]
     limited: list[Limited]
@@ -98,13 +103,17 @@
     newest = find_newest(views)
     revision = max(view.revision for view in views)
     unknown: list[str] = []
+    processes = list_processes(views, revision)
+    upstreams = await _count_upstreams(operator, unknown)
     at_risk = await _read_jobs(operator, unknown)
     limited = await _read_limited(operator, views, unknown)
     return Status(
         newest.leader,
         revision,
         list_members(newest, answers),
-        list_processes(views, revision),
+        processes,
+        upstreams,
+        count_agents(processes),
         list(newest.leaving),
         at_risk,
         limited,
@@ -210,6 +219,22 @@
     return rows
 
 
+def count_agents(processes: list[Process]) -> int:
+    """Return how many agents were heard lately."""
+    return sum(
+        row.program == "seam-agent" and row.state != "cut off" for row in processes
+    )
+
+
+async def _count_upstreams(operator: Operator, unknown: list[str]) -> int:
+    try:
+        view = await operator.client.call(message.ReadFleet(), CALL_SECONDS)
+    except error.SeamError as failure:
+        unknown.append(f"upstreams in the configuration: {failure.message}")
+        return 0
+    return len(json.loads(view.document).get("upstreams", {}))
+
+
 async def _read_jobs(operator: Operator, unknown: list[str]) -> list[Job]:
     try:
         found = await operator.client.call(message.ListJobs(""), CALL_SECONDS)
@@ -262,4 +287,6 @@
     """Tell whether nothing in the status needs an operator."""
     states = {row.state for row in [*status.members, *status.processes]}
     bad = states & {"unreachable", "no leader", "not a member", "lagging", "cut off"}
-    return bool(status.leader) and not bad and not status.jobs and not status.unknown
+    silent = status.agents < status.upstreams
+    trouble = bad or silent or status.jobs or status.unknown
+    return bool(status.leader) and not trouble
--- a/sapphireseam/scripts/ctl_fleet.py
+++ b/sapphireseam/scripts/ctl_fleet.py
@@ -69,6 +69,9 @@
     rows = [(*row[:3], f"{row.silent:.1f} s", row.state) for row in found.processes]
     columns = ("node", "program", "revision", "last heard", "state")
     table.write("Processes", columns, rows, "none heard")
+    missing = max(found.upstreams - found.agents, 0)
+    note = f", {missing} WITHOUT AN AGENT" if missing else ""
+    typer.echo(f"Upstreams in the configuration: {found.upstreams}{note}")
     typer.echo(f"Leaving upstreams: {', '.join(found.leaving) or 'none'}")
     rows = [
         (
--- a/sapphireseam/scripts/local_test.py
+++ b/sapphireseam/scripts/local_test.py
@@ -183,6 +183,7 @@
         found = json.loads(self.run_ctl("status", "--json").stdout)
         self.assertEqual(found["leaving"], [])
         self.assertTrue(found["leader"])
+        self.assertEqual((found["upstreams"], found["agents"]), (2, 2))
 
     def test_wrong_operator_key_is_refused_with_advice(self):
         path = self.folder / "wrong-key"
