--- a/sapphireseam/ops/key.py
+++ b/sapphireseam/ops/key.py
@@ -1,19 +1,16 @@
 """Issue, withdraw and list callers' keys."""
 
-import secrets
-
-from sapphireseam.core import command, error, key, message
+from sapphireseam.core import error, key, message
 from sapphireseam.ops.operator import Operator
+from sapphireseam.tools import session
 
 
 async def issue(operator: Operator, customer: str) -> key.Secret:
     """Issue a key; its text exists nowhere but in the answer."""
     secret = key.generate()
-    request = f"issue-{secret.id}"
-    digest = key.digest(secret.text)
-    item = command.IssueKey(request, secret.id, customer, digest, operator.read_time())
+    at = operator.read_time()
     try:
-        await operator.client.propose(item)
+        await session.issue_key(operator.client, customer, at, secret)
     except error.ControlError as failure:
         text = (
             f"{failure.message}. If key {secret.id} shows up in `seam-ctl key list`,"
@@ -26,9 +23,7 @@
 async def withdraw(operator: Operator, key_id: str) -> str:
     """Withdraw a key by its id or by its whole text; return the id."""
     key_id = key.read_id(key_id) or key_id
-    request = f"withdraw-{key_id}-{secrets.token_hex(8)}"
-    item = command.WithdrawKey(request, key_id, operator.read_time())
-    await operator.client.propose(item)
+    await session.withdraw_key(operator.client, key_id, operator.read_time())
     return key_id
 
 
--- a/sapphireseam/tools/session.py
+++ b/sapphireseam/tools/session.py
@@ -40,9 +40,11 @@
     return await client.call(message.ReadFleet(revision))
 
 
-async def issue_key(client: ControlClient, customer: str, at: float) -> key.Secret:
-    """Issue a key; its text exists nowhere but in the answer."""
-    secret = key.generate()
+async def issue_key(
+    client: ControlClient, customer: str, at: float, secret: key.Secret | None = None
+) -> key.Secret:
+    """Issue a key, a new one by default; its text exists nowhere else."""
+    secret = secret or key.generate()
     item = command.IssueKey(
         f"issue-{secret.id}", secret.id, customer, key.digest(secret.text), at
     )
