Keep one way to start a fleet, and a module for drains

seam-local published and waited in its own copy of what tools.fleet does; now it uses that, and prints its lines only once every process is healthy. A first leader that loses its place takes back the operator key that it wrote, so the key is read again for each try.

--- a/sapphireseam/ops/configuration.py
+++ b/sapphireseam/ops/configuration.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
-from sapphireseam.core import command, error, fleet, message, outcome
+from sapphireseam.core import error, fleet, message, outcome
 from sapphireseam.ops.operator import Operator
 from sapphireseam.tools import session
 
@@ -181,15 +181,3 @@
 async def list_history(operator: Operator) -> tuple[tuple[int, float, str], ...]:
     """Return the published revisions, newest first: number, time and note."""
     return (await operator.client.call(message.ListHistory())).revisions
-
-
-async def mark_leaving(operator: Operator, upstream: str, leaving: bool) -> None:
-    """Put an upstream on the list of leaving ones, or take it off."""
-    view = await read(operator)
-    known = json.loads(view.document).get("upstreams", {})
-    if leaving and upstream not in known:
-        text = f"no upstream {upstream!r}; there are: {', '.join(known) or 'none'}"
-        raise error.RequestError(text, error.Kind.OBJECT_UNKNOWN)
-    request = f"leaving-{upstream}-{secrets.token_hex(8)}"
-    item = command.MarkLeaving(request, upstream, leaving, operator.read_time())
-    await operator.client.propose(item)
--- a/sapphireseam/scripts/ctl_fleet.py
+++ b/sapphireseam/scripts/ctl_fleet.py
@@ -6,12 +6,12 @@
 
 from sapphireseam.core import event
 from sapphireseam.ops import (
-    configuration,
     member as members,
     operator,
     status as statuses,
     table,
     timeline as timelines,
+    upstream as upstreams,
 )
 from sapphireseam.scripts.ctl_configuration import JsonOption, YesOption
 
@@ -135,7 +135,9 @@
 
 
 @drain_app.command("upstream")
-def drain(context: typer.Context, name: UpstreamArgument, yes: YesOption = False):
+def drain(
+    context: typer.Context, name: UpstreamArgument, yes: YesOption = False
+) -> None:
     """Give an upstream no new work; what runs there finishes.
 
     Example: seam-ctl drain upstream wording-llm-3
@@ -147,7 +149,7 @@
 
 
 @undrain_app.command("upstream")
-def undrain(context: typer.Context, name: UpstreamArgument):
+def undrain(context: typer.Context, name: UpstreamArgument) -> None:
     """Give an upstream work again.
 
     Example: seam-ctl undrain upstream wording-llm-3
@@ -158,7 +160,7 @@
 
 def _mark(context: typer.Context, name: str, leaving: bool) -> None:
     async def work(connection: operator.Operator):
-        await configuration.mark_leaving(connection, name, leaving)
+        await upstreams.mark_leaving(connection, name, leaving)
 
     operator.run(context.obj, work)
 
--- a/sapphireseam/scripts/local.py
+++ b/sapphireseam/scripts/local.py
@@ -13,6 +13,7 @@
 from pathlib import Path
 from typing import Annotated, Any
 
+import aiohttp
 import typer
 
 from sapphireseam.agent import application as agents
@@ -20,15 +21,12 @@
 from sapphireseam.core import error, key
 from sapphireseam.entry import application as entries
 from sapphireseam.scripts import upstream as standins
-from sapphireseam.tools import layout, session
+from sapphireseam.tools import fleet, layout, session
 from sapphireseam.utils import log, loop, program, setting
 from sapphireseam.utils.application import Application
 from sapphireseam.utils.client import ControlClient
 from sapphireseam.utils.timer import SystemTimer
 
-POLL_SECONDS = 0.1
-# Longest time for the fleet to be ready, in seconds.
-READY_SECONDS = 60.0
 LOG_FILE = "local.log"
 
 app = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
@@ -79,31 +77,11 @@
             application = build(setting.read(kind, item.settings))
             await application.start()
             self._applications.append(application)
-        async with asyncio.timeout(READY_SECONDS):
-            return await self._publish()
-
-    async def _publish(self) -> key.Secret:
-        """Use the operator key as soon as it is in force."""
-        timer = SystemTimer()
+        async with aiohttp.ClientSession() as http:
+            self.client = await fleet.finish_start(self.plan, http)
         customer = next(iter(self.plan.configuration["customers"]))
-        while True:
-            text = find_operator_key(self.plan.operator_files)
-            if text:
-                client = session.connect(self.plan.controls, text, timer)
-                try:
-                    now = timer.read_wall_clock()
-                    await session.publish(
-                        client, self.plan.configuration, 0, now, "first"
-                    )
-                    self.client = client
-                    return await session.issue_key(client, customer, now)
-                except error.AccessError:
-                    await client.stop()
-                except error.SeamError as failure:
-                    if failure.kind is not error.Kind.KEY_INVALID:
-                        raise
-                    await client.stop()
-            await timer.sleep(POLL_SECONDS)
+        now = SystemTimer().read_wall_clock()
+        return await session.issue_key(self.client, customer, now)
 
     async def stop(self) -> None:
         """Stop all, entries before what they need."""
@@ -115,14 +93,6 @@
             await asyncio.gather(*(item.stop() for item in group))
 
 
-def find_operator_key(files: tuple[Path, ...]) -> str:
-    """Return the operator key if a control VM has written it."""
-    for file in files:
-        if file.exists() and (text := file.read_text().strip()):
-            return text
-    return ""
-
-
 def write_operator_settings(plan: layout.Layout) -> Path:
     """Write the settings file for `seam-ctl` and return its path."""
     file = next(path for path in plan.operator_files if path.exists())
@@ -162,13 +132,13 @@
     running = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         running.add_signal_handler(number, stopping.set)
-    fleet = LocalFleet(plan)
+    local_fleet = LocalFleet(plan)
     try:
-        secret = await fleet.start()
+        secret = await local_fleet.start()
         typer.echo(explain(plan, secret))
         await stopping.wait()
     finally:
-        await fleet.stop()
+        await local_fleet.stop()
 
 
 def send_logs(folder: Path) -> None:
--- a/sapphireseam/tools/fleet.py
+++ b/sapphireseam/tools/fleet.py
@@ -84,17 +84,19 @@
 
 async def publish_first(files: tuple[Path, ...], plan: layout.Layout) -> ControlClient:
     """Publish the layout's configuration; return an operator's client."""
-    text = await read_operator_key(files)
     timer = SystemTimer()
-    client = session.connect(plan.controls, text, timer)
     async with asyncio.timeout(STEP_SECONDS):
         while True:
+            # A leader that lost its place takes the key back that it wrote.
+            text = await read_operator_key(files)
+            client = session.connect(plan.controls, text, timer)
             try:
                 now = timer.read_wall_clock()
                 await session.publish(client, plan.configuration, 0, now, "first")
                 return client
             except error.SeamError as failure:
                 # The key is only in force once it is committed.
+                await client.stop()
                 if failure.kind is not error.Kind.KEY_INVALID:
                     raise
             await asyncio.sleep(POLL_SECONDS)
