--- a/sapphireseam/tools/bench_log.py
+++ b/sapphireseam/tools/bench_log.py
@@ -1,13 +1,15 @@
 """Measure the replicated log on real files: three members in one process.
 
 Proposals per second with group commit against one sync for each record, and the
-time that a restart takes after so many changes, with snapshots and without.
+time that a restart takes after so many changes, with snapshots and without, and
+how long the members take to go on without their leader.
 
     python -m sapphireseam.tools.bench_log --folder /data/bench
 """
 
 import asyncio
 import random
+import statistics
 import tempfile
 import time
 from collections.abc import Sequence
@@ -26,6 +28,7 @@
 # Without snapshots: more entries than any run writes.
 NO_SNAPSHOTS = 1 << 30
 RESTART_SIZES = (1_000, 10_000)
+LOSS_RUNS = 15
 # A batch holds at least one entry, so this is one sync for each.
 ONE_BY_ONE_BYTES = 1
 DEFAULTS = replica.Options()
@@ -37,6 +40,7 @@
     what: str
     value: float
     unit: str
+    digits: int = 1
 
 
 class KeyValues:
@@ -86,9 +90,10 @@
 class Fleet:
     """Own three members, each on a folder of its own."""
 
-    def __init__(self, folder: Path, options: replica.Options):
+    def __init__(self, folder: Path, options: replica.Options, seed: int = 0):
         self.members: dict[str, replica.Replica] = {}
         self._folder = folder
+        self._seed = seed
         members = tuple(message.Member(name) for name in NAMES)
         self._options = options._replace(bootstrap=members)
 
@@ -108,7 +113,7 @@
             KeyValues(),
             NoFiles(),
             self._options,
-            random.Random(name),
+            random.Random(f"{name} {self._seed}"),
         )
 
     async def wait_leader(self) -> replica.Replica:
@@ -173,6 +178,27 @@
     ]
 
 
+async def measure_loss(folder: Path, runs: int) -> Row:
+    """Measure from losing the leader to the first proposal accepted after it."""
+    times = []
+    for run in range(runs):
+        fleet = Fleet(Path(tempfile.mkdtemp(dir=folder)), DEFAULTS, run)
+        await fleet.start()
+        lost = await fleet.wait_leader()
+        await lost.propose(b"before")
+        name = next(name for name in NAMES if fleet.members[name] is lost)
+        began = time.perf_counter()
+        # No call reaches it any more, so it can't hand over.
+        del fleet.members[name]
+        await lost.stop()
+        await (await fleet.wait_leader()).propose(b"after")
+        times.append(time.perf_counter() - began)
+        await fleet.stop()
+    what = f"leader lost to first proposal accepted, median of {runs} runs"
+    spread = f"{min(times):.2f} to {max(times):.2f}"
+    return Row(f"{what} ({spread} s)", statistics.median(times), "s", 2)
+
+
 async def wait_level(member: replica.Replica) -> None:
     """Return once the member may answer a read."""
     while True:
@@ -195,13 +221,17 @@
         for entries in (DEFAULTS.snapshot_entries, NO_SNAPSHOTS):
             with tempfile.TemporaryDirectory(dir=folder) as place:
                 rows += await measure_restart(Path(place), changes, entries)
+    with tempfile.TemporaryDirectory(dir=folder) as place:
+        rows.append(await measure_loss(Path(place), LOSS_RUNS))
     return rows
 
 
 def render(rows: list[Row]) -> str:
     """Return the figures as a Markdown table."""
     lines = ["| what | figure |", "|---|---|"]
-    lines += [f"| {row.what} | {row.value:,.1f} {row.unit} |" for row in rows]
+    lines += [
+        f"| {row.what} | {row.value:,.{row.digits}f} {row.unit} |" for row in rows
+    ]
     return "\n".join(lines)
 
 
