--- a/sapphireseam/state/replica_test.py
+++ b/sapphireseam/state/replica_test.py
@@ -419,6 +419,28 @@
         self.check(held)
         await held.close()
 
+    @drive
+    async def test_folder_that_lost_some_of_its_files_is_refused(self):
+        """Files that aren't the log's don't count."""
+        for gone, is_refused in (("identity", True), ("vote", True), ("x", False)):
+            held = await self.form("a")
+            await self.propose(held, 3)
+            await held.run(held.disks["a"].append("x", b"beside"))
+            await held.kill("a")
+            del held.disks["a"]._files[gone]
+            if is_refused:
+                with self.assertRaisesRegex(error.StorageError, f"{gone}: missing"):
+                    await held.start("a")
+            else:
+                await held.start("a")
+            await held.close()
+        held = cluster.Cluster("a")
+        held.make("a")
+        await held.run(held.disks["a"].append("x", b"beside"))
+        await held.start("a")
+        await held.wait_leader()
+        await held.close()
+
     @drive
     async def test_entry_that_cant_be_applied_stops_the_member(self):
         held = await self.form()
--- a/sapphireseam/state/store.py
+++ b/sapphireseam/state/store.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from sapphireseam.core import error
-from sapphireseam.state import disk as disks, message, record
+from sapphireseam.state import disk as disks, log as logs, message, record
 
 _IDENTITY = "identity"
 _VOTE = "vote"
@@ -53,7 +53,7 @@
 
     async def load_identity(self, rng: random.Random) -> Identity:
         """Return the folder's identity, making one in an empty folder."""
-        names = await self._disk.list()
+        names = await self._list_own()
         if _IDENTITY in names:
             return await self._read_one(_IDENTITY, Identity)
         if names:
@@ -68,7 +68,7 @@
 
     async def load_vote(self) -> Vote:
         """Return term and vote, written again in case their sync had failed."""
-        names = await self._disk.list()
+        names = await self._list_own()
         vote = Vote()
         if _VOTE in names:
             vote = await self._read_one(_VOTE, Vote)
@@ -94,6 +94,12 @@
         head = record.encode(msgspec.msgpack.encode(mark))
         await self._disk.replace(_SNAPSHOT, head + record.encode(state))
 
+    async def _list_own(self) -> list[str]:
+        """Return this log's files; others may lie beside them."""
+        names = await self._disk.list()
+        small = (_IDENTITY, _VOTE, _SNAPSHOT)
+        return [name for name in names if name in small or name.startswith(logs.PREFIX)]
+
     async def _read_one(self, name: str, kind: type) -> NamedTuple:
         bodies = record.decode_only(name, await self._disk.read(name), 1)
         return msgspec.msgpack.decode(bodies[0], type=kind)
--- a/sapphireseam/tools/bench_log.py
+++ b/sapphireseam/tools/bench_log.py
@@ -2,7 +2,7 @@
 
 Proposals per second with group commit against one sync for each record, and the
 time that a restart takes after so many changes, with snapshots and without, and
-how long the members take to go on without their leader.
+how long the members take to go on without their leader, and what they use idle.
 
     python -m sapphireseam.tools.bench_log --folder /data/bench
 """
@@ -29,6 +29,7 @@
 NO_SNAPSHOTS = 1 << 30
 RESTART_SIZES = (1_000, 10_000)
 LOSS_RUNS = 15
+IDLE_SECONDS = 10.0
 # A batch holds at least one entry, so this is one sync for each.
 ONE_BY_ONE_BYTES = 1
 DEFAULTS = replica.Options()
@@ -199,6 +200,18 @@
     return Row(f"{what} ({spread} s)", statistics.median(times), "s", 2)
 
 
+async def measure_idle(folder: Path) -> Row:
+    """Measure what three members use while nothing is proposed."""
+    fleet = Fleet(folder, DEFAULTS)
+    await fleet.start()
+    await fleet.wait_leader()
+    began = time.process_time()
+    await asyncio.sleep(IDLE_SECONDS)
+    used = time.process_time() - began
+    await fleet.stop()
+    return Row("idle, three members together", used / IDLE_SECONDS * 100, "% of a core")
+
+
 async def wait_level(member: replica.Replica) -> None:
     """Return once the member may answer a read."""
     while True:
@@ -223,6 +236,8 @@
                 rows += await measure_restart(Path(place), changes, entries)
     with tempfile.TemporaryDirectory(dir=folder) as place:
         rows.append(await measure_loss(Path(place), LOSS_RUNS))
+    with tempfile.TemporaryDirectory(dir=folder) as place:
+        rows.append(await measure_idle(Path(place)))
     return rows
 
 
