--- a/sapphireseam/policy/admission.py
+++ b/sapphireseam/policy/admission.py
@@ -11,14 +11,16 @@
 Batch streams have a bound of their own, found in the same way from their own
 first tokens but more strictly: online work that arrives should find a slot
 that is free or that a batch stream leaves, never the engine's queue. They start
-one at a time: the next only once the last has its first
-token. So an online prompt finds at most one batch prompt being prefilled. And
-each online stream takes the room of more than one batch stream. A stream's
-speed falls with the number beside it, so filling each last slot while online
-work runs would slow it by more than what it leaves idle.
+one at a time, the next only once the last has its first token, and the one
+that has none yet yields to any online request that comes. So no online prompt
+waits for a batch prompt. And each online stream takes the room of more than
+one batch stream. A stream's speed falls with the number beside it, so filling
+each last slot while online work runs would slow it by more than what it
+leaves idle.
 """
 
 import math
+from collections import deque
 from typing import NamedTuple, Protocol
 
 # A window of observations that one decision rests on.
@@ -48,6 +50,9 @@
 # The share of the limit that is kept after a window that was too slow.
 DECREASE_FACTOR = 0.85
 
+# Values that one window keeps, the newest.
+WINDOW_VALUES = 2048
+
 # A minimum is forgotten after so long, so that a changed engine is seen.
 MINIMUM_SECONDS = 300.0
 
@@ -138,7 +143,7 @@
 
     def __init__(self):
         self._minimum = _Minimum(math.inf, -math.inf)
-        self._window: list[float] = []
+        self._window: deque[float] = deque(maxlen=WINDOW_VALUES)
 
     def add(self, value: float) -> None:
         self._window.append(value)
@@ -332,7 +337,8 @@
         if not waiting_online:
             return 0
         online = min(running_online + waiting_online, int(self.limit))
-        return max(running_batch - self._count_room(online), 0)
+        excess = running_batch - self._count_room(online)
+        return min(max(excess, len(self._prefilling)), running_batch)
 
     def _count_room(self, online: int) -> int:
         """Return how many batch streams may run beside so many online ones."""
