--- a/sapphireseam/policy/limit_test.py
+++ b/sapphireseam/policy/limit_test.py
@@ -193,6 +193,19 @@
                 self.assertLessEqual(fleet.find_excess(), 1e-6)
 
 
+class EntryTest(unittest.TestCase):
+    def test_allowance_is_void_once_the_entry_clock_stepped_back(self):
+        for back, spendable in ((0.0, True), (20.0, False)):
+            book = allowance.AllowanceBook("entry.1")
+            for _ in range(64):
+                book.spend(CUSTOMER, 1.0, 100.0)
+            ask = book.plan(CUSTOMER, 100.0)
+            book.accept(ask, limit.Grant(5.0, 0.0), 100.0)
+            with self.subTest(back=back):
+                spent = book.spend(CUSTOMER, 1.0, 100.1 - back)
+                self.assertEqual(spent, spendable)
+
+
 class GrantTest(unittest.TestCase):
     def test_retry_after_is_when_the_amount_is_there(self):
         owner = limit.OwnerLimiter(start_empty=True, opens_at=5.0)
--- a/sapphireseam/policy/router.py
+++ b/sapphireseam/policy/router.py
@@ -10,6 +10,7 @@
 """
 
 import hashlib
+import math
 import random
 from collections import OrderedDict, deque
 from collections.abc import Iterable, Sequence
@@ -34,6 +35,9 @@
 # Choices remembered a replica, for reports older than they are.
 RECENT_CHOICES = 1024
 
+# What is remembered of a replica goes once it was no candidate for so long.
+FORGET_SECONDS = 60.0
+
 
 class Candidate(NamedTuple):
     """Describe one replica as its last report and this entry see it.
@@ -167,12 +171,18 @@
 
     def remove(self, name: str, blocks: Iterable[int]) -> None:
         for block in blocks:
-            holders = self._holders.get(block)
-            if holders is None:
-                continue
-            holders.discard(name)
-            if not holders:
-                del self._holders[block]
+            if block in self._holders:
+                self.remove_from(block, {name})
+
+    def forget(self, names: set[str]) -> None:
+        for block in list(self._holders):
+            self.remove_from(block, names)
+
+    def remove_from(self, block: int, names: set[str]) -> None:
+        holders = self._holders[block]
+        holders -= names
+        if not holders:
+            del self._holders[block]
 
     def find(self, prefix: Sequence[int]) -> set[str]:
         """Return the holders of the longest block that has any."""
@@ -190,6 +200,8 @@
         self._rng = rng
         self._hints = _Hints()
         self._recent: dict[str, deque[float]] = {}
+        self._seen: dict[str, float] = {}
+        self._forgotten_at = -math.inf
 
     def record(self, query: Query, name: str, now: float) -> None:
         """Note the choice: it adds load, and the prefix will be there."""
@@ -225,6 +237,7 @@
         self, query: Query, candidates: Sequence[Candidate], now: float
     ) -> str | None:
         """Return the replica for this request, or nothing."""
+        self._note_seen(candidates, now)
         usable = self._drop_slow(keep_usable(query, candidates))
         if not usable:
             return None
@@ -234,6 +247,21 @@
         name = self._find_holder(query, usable, loads)
         return name or self._choose_of_two(query, usable, loads)
 
+    def _note_seen(self, candidates: Sequence[Candidate], now: float) -> None:
+        """Forget replicas that are gone, once in a while."""
+        self._seen.update((each.name, now) for each in candidates)
+        if now - self._forgotten_at < FORGET_SECONDS:
+            return
+        self._forgotten_at = now
+        oldest = now - FORGET_SECONDS
+        gone = {name for name, seen in self._seen.items() if seen < oldest}
+        if not gone:
+            return
+        self._hints.forget(gone)
+        for name in gone:
+            del self._seen[name]
+            self._recent.pop(name, None)
+
     def _drop_slow(self, usable: list[Candidate]) -> list[Candidate]:
         """Leave out replicas far slower than the median one."""
         latencies = sorted(each.latency for each in usable)
--- a/sapphireseam/policy/router_test.py
+++ b/sapphireseam/policy/router_test.py
@@ -148,6 +148,15 @@
             counts[chooser.choose(make_query(), fleet, 1.0)] += 1
         self.assertTrue(0 < counts["slow"] < 100, counts)
 
+    def test_what_is_known_of_a_replaced_replica_goes(self):
+        chooser, flights = router.PrefixRouter(random.Random(1)), Counter()
+        for day in range(50):
+            fleet = [make_replica(f"r{day}")]
+            send(chooser, fleet, make_query([1, 2]), flights, now=100.0 * day)
+        held = chooser._hints._holders
+        self.assertLessEqual(max(len(names) for names in held.values()), 2)
+        self.assertLessEqual(len(chooser._recent) + len(chooser._seen), 4)
+
     def test_far_domain_serves_once_the_near_one_is_full(self):
         chooser = router.PrefixRouter(random.Random(1))
         far = make_replica("far", distance=0.002)
