--- a/sapphireseam/agent/application.py
+++ b/sapphireseam/agent/application.py
@@ -70,6 +70,7 @@
             self._upstream.set_address("")
             return
         self._upstream.set_address(target.address)
+        self._upstream.is_service = bool(target.service)
         self._runner.slots = target.slots
         self._runner.queue_limit = current.policy.queue_limit
         self._follow_weights(current)
--- a/sapphireseam/agent/engine.py
+++ b/sapphireseam/agent/engine.py
@@ -59,6 +59,8 @@
     def __init__(self, name: str, timer: TimerService):
         self.name = name
         self.healthy = False
+        # Whether it is a plain service and no engine.
+        self.is_service = False
         self._timer = timer
         self._base = ""
         self._session: aiohttp.ClientSession | None = None
--- a/sapphireseam/agent/fake.py
+++ b/sapphireseam/agent/fake.py
@@ -49,6 +49,7 @@
     def __init__(self, name: str = "u"):
         self.name = name
         self.healthy = True
+        self.is_service = False
         self.exchanges: list[Exchange] = []
 
     @property
--- a/sapphireseam/agent/runner.py
+++ b/sapphireseam/agent/runner.py
@@ -27,6 +27,8 @@
 EXPIRE_SECONDS = 0.1
 # How often a stop looks whether all has ended.
 IDLE_SECONDS = 0.05
+# What the engine may need for an item's prompt before the next one is started.
+PREFILL_SECONDS = 0.1
 
 
 class Ended(NamedTuple):
@@ -294,6 +296,14 @@
         self._running[name] = _Running(work, task, due, alone, now)
         # A callback runs even if the task is cancelled before its first step.
         task.add_done_callback(lambda task: self._end(name, task))
+        if work.ticket.batch:
+            self._tasks.spawn(self._assume_prefilled(name))
+
+    async def _assume_prefilled(self, name: str) -> None:
+        """Let the next batch work start: an item's answer comes whole."""
+        await self._timer.sleep(PREFILL_SECONDS)
+        self._bound.assume_prefilled(name)
+        self.pump()
 
     def _end(self, name: str, task: asyncio.Task) -> None:
         """Settle a work that has ended, and go on with the next."""
@@ -319,6 +329,10 @@
         """Tell the admission that a request's answer has begun."""
         self._bound.observe_first_token(work.ticket.id, self._timer.read_clock())
 
+    def observe_step(self, seconds: float) -> None:
+        """Tell the admission the time between two pieces of one stream."""
+        self._bound.observe_step(seconds, self._timer.read_clock())
+
     async def _expire(self) -> None:
         """Give work that can't make its deadline its final answer at once."""
         now = self._timer.read_clock()
--- a/sapphireseam/agent/runner_test.py
+++ b/sapphireseam/agent/runner_test.py
@@ -25,6 +25,15 @@
         self.cleared.append(fingerprint)
 
 
+class FakeAdmission(admission.FixedAdmission):
+    """Admit up to the limit; batch work makes room for online work."""
+
+    def must_yield(self, waiting_online, running_online, running_batch):
+        wanted = min(running_online + waiting_online, int(self.limit))
+        excess = wanted + running_batch - int(self.limit)
+        return max(min(excess, running_batch), 0)
+
+
 class FakeWork:
     def __init__(self, name, batch=False, alone=False, deadline=2000.0):
         self.ticket = queue.Ticket(name, "c", batch, 1.0, 1000.0, deadline)
@@ -58,7 +67,7 @@
         self.verdicts = FakeVerdicts()
         self.runner = Runner(
             queue.FairQueue(),
-            admission.AdaptiveAdmission(4),
+            FakeAdmission(4),
             self.verdicts,
             self.timer,
         )
@@ -191,3 +200,10 @@
         await self.runner.stop()
         await self.timer.settle()
         self.assertEqual(waiting.runs, 0)
+
+    async def test_items_start_without_waiting_for_each_others_answers(self):
+        self.runner.set_policy(queue.FairQueue(), admission.AdaptiveAdmission(4))
+        items = [FakeWork(f"item{number}", batch=True) for number in range(3)]
+        await self.submit(*items)
+        await self.timer.advance(1.0)
+        self.assertEqual([item.running for item in items], [1] * 3)
--- a/sapphireseam/agent/server.py
+++ b/sapphireseam/agent/server.py
@@ -40,6 +40,33 @@
 STOPPING = "the upstream's agent is shutting down"
 
 
+class Pace:
+    """Tell the admission how an answer's pieces come.
+
+    Of an engine only a stream of events tells when its first token came; the
+    only piece of a whole answer comes with its last one. A plain service's
+    answer is its first token.
+    """
+
+    def __init__(self, head: message.Head, owner: "EntryServer"):
+        self._streamed = any(
+            name.lower() == "content-type" and value.startswith("text/event-stream")
+            for name, value in head.headers
+        )
+        self._owner = owner
+        self._last: float | None = None
+
+    def note(self, work: "OnlineWork") -> None:
+        """Take in that a piece came now."""
+        now = self._owner.timer.read_clock()
+        first = self._last is None
+        if first and (self._streamed or self._owner.upstream.is_service):
+            self._owner.runner.observe_first_token(work)
+        elif self._streamed and not first:
+            self._owner.runner.observe_step(now - self._last)
+        self._last = now
+
+
 class OnlineWork:
     """Run one online request and send its answer to the entry."""
 
@@ -123,17 +150,16 @@
 
     async def _exchange(self) -> Ended:
         offer = self._offer
-        first = True
         size = 0
         answer = self._owner.upstream.run(
             offer.method, offer.target, offer.headers, offer.body, offer.attempt
         )
         try:
             async for item in answer:
-                if isinstance(item, message.Data):
-                    if first:
-                        first = False
-                        self._owner.runner.observe_first_token(self)
+                if isinstance(item, message.Head):
+                    self._pace = Pace(item, self._owner)
+                elif isinstance(item, message.Data):
+                    self._pace.note(self)
                     size += len(item.body)
                     await self._take_credit(len(item.body))
                 await self._stream.send(item)
--- a/sapphireseam/agent/server_test.py
+++ b/sapphireseam/agent/server_test.py
@@ -198,3 +198,17 @@
         stopping = asyncio.create_task(self.server.stop())
         await self.timer.advance(server.FLUSH_SECONDS + 1.0)
         self.assertTrue(stopping.done())
+
+    async def test_admission_learns_first_tokens_from_streams_only(self):
+        seen = []
+        self.runner._bound.observe_first_token = lambda name, now: seen.append(name)
+        self.runner._bound.observe_step = lambda seconds, now: seen.append("step")
+        await self.send(make_offer(1), make_offer(2))
+        whole, stream = self.upstream.exchanges
+        whole.answer(b"a", b"b")
+        events = (("Content-Type", "text/event-stream"),)
+        stream._inbox.put_nowait(message.Head(0, 200, events))
+        stream.send(b"a")
+        stream.send(b"b")
+        await self.timer.settle()
+        self.assertEqual(seen, ["e/0/2", "step"])
