--- a/sapphireseam/agent/server.py
+++ b/sapphireseam/agent/server.py
@@ -40,33 +40,6 @@
 STOPPING = "the upstream's agent is shutting down"
 
 
-class Pace:
-    """Tell the admission how an answer's pieces come.
-
-    Of an engine only a stream of events tells when its first token came; the
-    only piece of a whole answer comes with its last one. A plain service's
-    answer is its first token.
-    """
-
-    def __init__(self, head: message.Head, owner: "EntryServer"):
-        self._streamed = any(
-            name.lower() == "content-type" and value.startswith("text/event-stream")
-            for name, value in head.headers
-        )
-        self._owner = owner
-        self._last: float | None = None
-
-    def note(self, work: "OnlineWork") -> None:
-        """Take in that a piece came now."""
-        now = self._owner.timer.read_clock()
-        first = self._last is None
-        if first and (self._streamed or self._owner.upstream.is_service):
-            self._owner.runner.observe_first_token(work)
-        elif self._streamed and not first:
-            self._owner.runner.observe_step(now - self._last)
-        self._last = now
-
-
 class OnlineWork:
     """Run one online request and send its answer to the entry."""
 
@@ -150,6 +123,7 @@
 
     async def _exchange(self) -> Ended:
         offer = self._offer
+        pace = Pace(self, self._owner)
         size = 0
         answer = self._owner.upstream.run(
             offer.method, offer.target, offer.headers, offer.body, offer.attempt
@@ -157,9 +131,9 @@
         try:
             async for item in answer:
                 if isinstance(item, message.Head):
-                    self._pace = Pace(item, self._owner)
-                elif isinstance(item, message.Data):
-                    self._pace.note(self)
+                    pace.begin(item)
+                else:
+                    pace.note()
                     size += len(item.body)
                     await self._take_credit(len(item.body))
                 await self._stream.send(item)
@@ -188,6 +162,39 @@
         self._stream.post(engine.explain(failure, self._offer.attempt, died))
 
 
+class Pace:
+    """Tell the admission how fast an answer's tokens come.
+
+    Only a stream shows its first token and its steps. The end of an answer that
+    comes whole says nothing of them; a plain service's answer counts as a first
+    token.
+    """
+
+    def __init__(self, work: OnlineWork, owner: "EntryServer"):
+        self._work = work
+        self._owner = owner
+        self._streamed = False
+        self._last = 0.0
+
+    def begin(self, head: message.Head) -> None:
+        """Note whether the answer is a stream."""
+        kind = next((v for n, v in head.headers if n.lower() == "content-type"), "")
+        self._streamed = kind.startswith("text/event-stream")
+        if not self._streamed and self._owner.runner.is_service:
+            self._owner.runner.observe_first_token(self._work)
+
+    def note(self) -> None:
+        """Note that a piece of the answer came."""
+        if not self._streamed:
+            return
+        now = self._owner.timer.read_clock()
+        if self._last:
+            self._owner.runner.observe_step(now - self._last)
+        else:
+            self._owner.runner.observe_first_token(self._work)
+        self._last = now
+
+
 class EntryServer:
     """Serve the streams of all entries."""
 
