Freeze an entry under real requests; end work that a lost entry never revokes

An entry VM that is lost without a word leaves its stream open at the agents, where an answer that waits for credit kept its slot for ever. Online work ends five seconds after its deadline now; seen red without it.

--- a/sapphireseam/agent/runner.py
+++ b/sapphireseam/agent/runner.py
@@ -27,6 +27,8 @@
 EXPIRE_SECONDS = 0.1
 # A batch item's prompt is taken to be prefilled after this long.
 PREFILL_SECONDS = 0.05
+# How long after its deadline running work may still be revoked by its entry.
+OVERDUE_SECONDS = 5.0
 # How often a stop looks whether all has ended.
 IDLE_SECONDS = 0.05
 
@@ -347,8 +349,19 @@
             text = "the deadline would pass before the request's turn"
             kind = error.Kind.DEADLINE_EXCEEDED
             work.refuse(error.CapacityError(text, kind, not_run=True))
+        self._cancel_overdue(now)
         self.pump()
 
+    def _cancel_overdue(self, now: float) -> None:
+        """End online work that its entry should have revoked at the deadline.
+
+        An entry that was lost without a word, or is frozen, revokes nothing.
+        """
+        for running in self._list_online():
+            ticket = running.work.ticket
+            if now > ticket.deadline + OVERDUE_SECONDS:
+                self.remove(ticket.id)
+
     async def wait_idle(self, seconds: float) -> None:
         """Return once nothing runs, or after so many seconds.
 
--- a/sapphireseam/agent/runner_test.py
+++ b/sapphireseam/agent/runner_test.py
@@ -3,7 +3,12 @@
 import asyncio
 import unittest
 
-from sapphireseam.agent.runner import PREFILL_SECONDS, Ended, Runner
+from sapphireseam.agent.runner import (
+    OVERDUE_SECONDS,
+    PREFILL_SECONDS,
+    Ended,
+    Runner,
+)
 from sapphireseam.core import error
 from sapphireseam.policy import admission, queue
 from sapphireseam.utils.timer import FakeTimer
@@ -209,3 +214,10 @@
         await self.submit(*items)
         await self.timer.advance(1.0)
         self.assertEqual([item.running for item in items], [1] * 3)
+
+    async def test_work_of_a_lost_entry_ends_after_its_deadline(self):
+        """No revoke comes, as from an entry whose VM was lost without a word."""
+        work = FakeWork("a", deadline=1005.0)
+        await self.submit(work)
+        await self.timer.advance(5.0 + OVERDUE_SECONDS + 1.0)
+        self.assertEqual((work.running, self.runner.count_running()), (0, 0))
--- a/sapphireseam/tools/promise_test.py
+++ b/sapphireseam/tools/promise_test.py
@@ -99,6 +99,7 @@
         await self.check_crashing_request()
         await self.check_killed_agent()
         await self.check_frozen_agent()
+        await self.check_frozen_entry()
         await self.check_killed_entry_and_job()
         await self.check_cancel()
         await self.check_graceful_entry()
@@ -244,6 +245,43 @@
         counts = [await self.count_runs(name, "started") for name in ids]
         self.assertEqual(counts, [1] * len(ids))
 
+    async def check_frozen_entry(self):
+        """Freeze an entry after a hand-over past its leases, then let it go on."""
+        name = "once-by-a-frozen-entry"
+        document = {"id": name, "note": LATE}
+        headers = {"Idempotency-Key": name}
+        post = self.post(0, "/post-app/print", document, **headers)
+        posting = asyncio.create_task(post)
+        begun = asyncio.Event()
+        streaming = asyncio.create_task(self.stream(0, "frozen", begun))
+
+        async def has_begun():
+            return begun.is_set() and await self.count_runs(name, "started")
+
+        await self.wait_until(has_begun)
+        self.processes.signal("entry-1", signal.SIGSTOP)
+
+        async def has_ended():
+            return await self.count_runs(name, "completed")
+
+        await self.wait_until(has_ended)
+        replies = [await self.post(1, "/post-app/print", document, **headers)]
+        self.assertIn(replies[0][0], (409, 502), replies)
+        self.processes.signal("entry-1", signal.SIGCONT)
+        replies.append(await posting)
+        await asyncio.gather(streaming, return_exceptions=True)
+        await fleet.wait_healthy(self.http, self.items["entry-1"].health)
+        for entry in (0, 1):
+            replies.append(
+                await self.post(entry, "/post-app/print", document, **headers)
+            )
+        for status, answered, body in replies:
+            self.assertIn(status, (200, 409, 502, 503), body)
+            self.assertNotIn("X-Seam-Not-Run", answered)
+        self.assertEqual(await self.count_runs(name, "started"), 1)
+        text = "after the freeze"
+        self.assertEqual(await self.stream(0, text), expect(text))
+
     async def upload(self, texts):
         form = aiohttp.FormData()
         form.add_field("purpose", "batch")
