--- a/sapphireseam/tools/promise_test.py
+++ b/sapphireseam/tools/promise_test.py
@@ -13,6 +13,7 @@
 
 import aiohttp
 
+from sapphireseam.core import command
 from sapphireseam.scripts import demo
 from sapphireseam.tools import answer, fleet, layout, record, session
 from sapphireseam.utils.timer import SystemTimer
@@ -80,6 +81,7 @@
         for node in self.uppers:
             path = self.items[node].settings
             settings = json.loads(path.read_text()) | {"hooks": HOOKS}
+            settings["checks_fence"] = False
             path.write_text(json.dumps(settings))
         self.processes = fleet.Processes(self.plan.folder)
         self.addAsyncCleanup(self.processes.stop)
@@ -102,6 +104,7 @@
         await self.check_frozen_entry()
         await self.check_killed_entry_and_job()
         await self.check_cancel()
+        await self.check_orders()
         await self.check_graceful_entry()
         await self.check_keys()
 
@@ -371,6 +374,32 @@
         runs = [await self.get_upstream(n, "/_runs") for n in self.uppers]
         return sum(counts.get("started", 0) for run in runs for counts in run.values())
 
+    async def check_orders(self):
+        """Order loads of upstreams that ignore fences; kill an agent meanwhile."""
+        engines = [f"{MODEL}-1", f"{MODEL}-2"]
+        fences = {node: [] for node in engines}
+        for number in range(3):
+            for node in engines:
+                now = SystemTimer().read_wall_clock()
+                item = command.IssueOrder(
+                    f"{node}/{number}", node, "load", f"extra-{number}", now
+                )
+                answer = await self.client.propose(item)
+                fences[node].append(answer.number)
+        await self.restart(f"agent-{engines[0]}")
+        for node in engines:
+            last = fences[node][-1]
+
+            async def has_last(node=node, last=last):
+                found = await self.get_upstream(node, "/orders")
+                return any(order["fence"] == last for order in found["orders"])
+
+            await self.wait_until(has_last)
+            found = await self.get_upstream(node, "/orders")
+            given = [order["fence"] for order in found["orders"]]
+            self.assertEqual(given, sorted(given))
+            self.assertLessEqual(set(given), set(fences[node]))
+
     async def check_graceful_entry(self):
         """Stop an entry and an agent with streams open: none is cut."""
         events = [asyncio.Event() for _ in range(6)]
