--- a/sapphireseam/tools/bench_failure.py
+++ b/sapphireseam/tools/bench_failure.py
@@ -27,7 +27,6 @@
 CUSTOMERS = ("grower-1", "grower-2")
 # Engines with more room than the load needs, also with one of them gone.
 SPEEDS = {"max_running": 64, "step_base": 0.01, "step_per_sequence": 0.0}
-POLICY = {"admission": "fixed"}
 # Time between two failures, how long a process stays away or frozen, seconds.
 PERIOD_SECONDS = 4.0
 AWAY_SECONDS = 0.5
@@ -92,10 +91,12 @@
             self._processes.signal(node, signal.SIGCONT)
 
 
-async def measure(folder: Path, profile: Path, rate: float, seed: int) -> int:
+async def measure(
+    folder: Path, profile: Path, rate: float, seed: int, admission: str
+) -> int:
     """Run the fleet, the load and the failures; return the load's exit code."""
     plan = layout.lay_out(folder, describe_shape(rate), SPEEDS)
-    plan.configuration["policy"] = POLICY
+    plan.configuration["policy"] = {"admission": admission}
     processes = fleet.Processes(folder)
     async with aiohttp.ClientSession() as http:
         try:
@@ -144,6 +145,7 @@
     profile: Annotated[Path, typer.Option(help="The run, for seam-load.")],
     rate: Annotated[float, typer.Option(help="Requests a second of the run.")] = 200,
     seed: Annotated[int, typer.Option(help="Seed of the failures.")] = 1,
+    admission: Annotated[str, typer.Option(help="The policy's choice.")] = "fixed",
     folder: Annotated[Path | None, typer.Option(help="Where files go.")] = None,
 ) -> None:
     """Measure what is lost, doubled or cut under failures.
@@ -152,7 +154,7 @@
     --profile examples/load/failure.json
     """
     target = folder or Path(tempfile.mkdtemp(prefix="seam-bench-"))
-    sys.exit(loop.run(measure(target, profile, rate, seed)))
+    sys.exit(loop.run(measure(target, profile, rate, seed, admission)))
 
 
 if __name__ == "__main__":
