--- a/sapphireseam/agent/runner_test.py
+++ b/sapphireseam/agent/runner_test.py
@@ -3,7 +3,12 @@
 import asyncio
 import unittest
 
-from sapphireseam.agent.runner import PREFILL_SECONDS, Ended, Runner
+from sapphireseam.agent.runner import (
+    OVERDUE_SECONDS,
+    PREFILL_SECONDS,
+    Ended,
+    Runner,
+)
 from sapphireseam.core import error
 from sapphireseam.policy import admission, queue
 from sapphireseam.utils.timer import FakeTimer
@@ -25,6 +30,15 @@
         self.cleared.append(fingerprint)
 
 
+class FakeAdmission(admission.FixedAdmission):
+    """Admit up to the limit; batch work makes room for online work."""
+
+    def must_yield(self, waiting_online, running_online, running_batch):
+        wanted = min(running_online + waiting_online, int(self.limit))
+        excess = wanted + running_batch - int(self.limit)
+        return max(min(excess, running_batch), 0)
+
+
 class FakeWork:
     def __init__(self, name, batch=False, alone=False, deadline=2000.0):
         self.ticket = queue.Ticket(name, "c", batch, 1.0, 1000.0, deadline)
@@ -58,7 +72,7 @@
         self.verdicts = FakeVerdicts()
         self.runner = Runner(
             queue.FairQueue(),
-            admission.AdaptiveAdmission(4),
+            FakeAdmission(4),
             self.verdicts,
             self.timer,
         )
@@ -193,3 +207,17 @@
         await self.runner.stop()
         await self.timer.settle()
         self.assertEqual(waiting.runs, 0)
+
+    async def test_items_start_without_waiting_for_each_others_answers(self):
+        self.runner.set_policy(queue.FairQueue(), admission.AdaptiveAdmission(4))
+        items = [FakeWork(f"item{number}", batch=True) for number in range(3)]
+        await self.submit(*items)
+        await self.timer.advance(1.0)
+        self.assertEqual([item.running for item in items], [1] * 3)
+
+    async def test_work_of_a_lost_entry_ends_after_its_deadline(self):
+        """No revoke comes, as from an entry whose VM was lost without a word."""
+        work = FakeWork("a", deadline=1005.0)
+        await self.submit(work)
+        await self.timer.advance(5.0 + OVERDUE_SECONDS + 1.0)
+        self.assertEqual((work.running, self.runner.count_running()), (0, 0))
