--- a/sapphireseam/scripts/local.py
+++ b/sapphireseam/scripts/local.py
@@ -119,7 +119,7 @@
             f"  -H 'Authorization: Bearer {secret.text}' \\",
             f"  -d '{body}'",
             "",
-            f"seam-ctl --settings {operator} status",
+            f"{Path(sys.executable).parent / 'seam-ctl'} --settings {operator} status",
             "",
             "Ctrl-C stops the fleet.",
         )
