--- a/sapphireseam/control/application.py
+++ b/sapphireseam/control/application.py
@@ -11,6 +11,7 @@
 from sapphireseam.control.dispatch import Dispatcher
 from sapphireseam.control.machine import StateMachine
 from sapphireseam.control.meter import TimedDisk, report_state
+from sapphireseam.control.orderkeeper import OrderKeeper
 from sapphireseam.control.owner import LimitOwner
 from sapphireseam.control.service import ControlService
 from sapphireseam.control.watch import WatchHub
@@ -208,11 +209,20 @@
     )
     members.replica = replica
     dispatcher = Dispatcher(replica, machine, store, timeline, timer)
+    orders = OrderKeeper(replica, machine, timeline, timer)
     owner = LimitOwner(replica, machine, timer)
     hub = WatchHub(replica, machine, timeline, timer)
     report_state(meter, replica, machine, hub)
     service = ControlService(
-        settings.node, replica, machine, store, dispatcher, owner, hub, timeline
+        settings.node,
+        replica,
+        machine,
+        store,
+        dispatcher,
+        orders,
+        owner,
+        hub,
+        timeline,
     )
 
     def is_operator(given: str) -> bool:
@@ -259,6 +269,7 @@
     application.add(server)
     application.add(replica)
     application.add(dispatcher)
+    application.add(orders)
     application.add(owner)
     application.add(OperatorKeeper(settings.data_folder, replica, machine, timer))
     return application
