Give and list orders to upstreams from the command line

Operators had the command in the log and no way to send or see it. Its end is read from the replicated state by a new call; the test gives an order to the stand-in of a local fleet and waits until it is listed as done.

--- a/sapphireseam/control/service.py
+++ b/sapphireseam/control/service.py
@@ -83,6 +83,7 @@
             (message.Heartbeat, _FLEET, self._heartbeat),
             (message.CompleteChunk, _FLEET, self._complete),
             (message.PullOrder, _FLEET, self._pull_order),
+            (message.ListOrders, _OPERATOR, self._list_orders),
             (message.ReadFleet, _BOTH, self._read_fleet),
             (message.CheckFleet, _OPERATOR, self._check_fleet),
             (message.ListHistory, _OPERATOR, self._list_history),
@@ -213,6 +214,26 @@
     ) -> message.Empty:
         return await self._dispatcher.complete(request)
 
+    async def _list_orders(
+        self, request: message.ListOrders, caller: rpc.Caller
+    ) -> message.Orders:
+        await self._replica.read_index()
+        orders = [
+            message.OrderView(
+                fence,
+                order.upstream,
+                order.action,
+                order.argument,
+                order.at,
+                order.begun,
+                order.finished,
+                order.failure,
+            )
+            for fence, order in reversed(self._machine.state.orders.items())
+            if request.upstream in ("", order.upstream)
+        ]
+        return message.Orders(tuple(orders))
+
     async def _pull_order(
         self, request: message.PullOrder, caller: rpc.Caller
     ) -> message.OrderGrant:
--- a/sapphireseam/core/message.py
+++ b/sapphireseam/core/message.py
@@ -200,6 +200,31 @@
     results: tuple[tuple[int, int, bool], ...]
 
 
+class ListOrders(NamedTuple):
+    """Ask for an upstream's orders, or for all with an empty upstream."""
+
+    upstream: str = ""
+
+
+class OrderView(NamedTuple):
+    """Show an order to an operator; times in epoch seconds, 0 if not yet."""
+
+    fence: int
+    upstream: str
+    action: str
+    argument: str
+    at: float
+    begun: float
+    finished: float
+    failure: str
+
+
+class Orders(NamedTuple):
+    """Return orders, newest first."""
+
+    orders: tuple[OrderView, ...]
+
+
 class PullOrder(NamedTuple):
     """Ask for an upstream's next order, or go on with the one in `holding`.
 
@@ -532,6 +557,8 @@
     Heartbeat,
     HeartbeatReply,
     CompleteChunk,
+    ListOrders,
+    Orders,
     PullOrder,
     OrderGrant,
     ReadFleet,
--- a/sapphireseam/scripts/ctl.py
+++ b/sapphireseam/scripts/ctl.py
@@ -10,7 +10,13 @@
 import typer
 
 from sapphireseam.ops import setting
-from sapphireseam.scripts import ctl_configuration, ctl_fleet, ctl_job, ctl_key
+from sapphireseam.scripts import (
+    ctl_configuration,
+    ctl_fleet,
+    ctl_job,
+    ctl_key,
+    ctl_order,
+)
 from sapphireseam.utils import program
 
 app = typer.Typer(
@@ -24,6 +30,7 @@
 ctl_configuration.register(app)
 app.add_typer(ctl_key.app, name="key")
 app.add_typer(ctl_job.app, name="job")
+app.add_typer(ctl_order.app, name="order")
 
 
 @app.callback()
@@ -51,7 +58,7 @@
     ] = None,
     version: program.VersionOption = False,
 ) -> None:
-    """Operate a fleet: configuration, keys, jobs, drains, members, time line.
+    """Operate a fleet: configuration, keys, jobs, orders, members, time line.
 
     Say which fleet by options before the command, by environment variables, or
     by a settings file; options go first:
--- /dev/null
+++ b/sapphireseam/scripts/ctl_order.py
@@ -0,0 +1,85 @@
+"""Give orders to upstreams and list them."""
+
+from enum import StrEnum
+from typing import Annotated
+
+import typer
+
+from sapphireseam.ops import operator, order as orders, table
+from sapphireseam.scripts.ctl_configuration import JsonOption, YesOption
+
+app = typer.Typer(
+    help="Give orders to upstreams: load, unload, change role.",
+    no_args_is_help=True,
+    rich_markup_mode=None,
+)
+
+
+class Action(StrEnum):
+    """Name the orders that upstreams take."""
+
+    LOAD = "load"
+    UNLOAD = "unload"
+    ROLE = "role"
+
+
+@app.command()
+def give(
+    context: typer.Context,
+    upstream: Annotated[str, typer.Argument(help="The upstream's name.")],
+    action: Annotated[Action, typer.Argument(help="What it is to do.")],
+    target: Annotated[str, typer.Argument(help="A model, adapter, version or role.")],
+    yes: YesOption = False,
+) -> None:
+    """Order an upstream to load or unload something, or to change its role.
+
+    Orders of one upstream are carried out one by one, loads at most as many at
+    once as the policy's parallel_loads. Prints the order's fencing number.
+
+    \b
+    Examples:
+      seam-ctl order give wording-llm-1 load wording-llm-2
+      seam-ctl order list --upstream wording-llm-1
+    """
+    if not yes:
+        typer.confirm(f"Order {upstream} to {action} {target}?", abort=True)
+
+    async def work(connection: operator.Operator):
+        return await orders.give(connection, upstream, action, target)
+
+    fence = operator.run(context.obj, work)
+    typer.echo(f"order {fence} waits; see it with: seam-ctl order list")
+
+
+@app.command("list")
+def list_orders(
+    context: typer.Context,
+    upstream: Annotated[str, typer.Option(help="Only this upstream's.")] = "",
+    as_json: JsonOption = False,
+) -> None:
+    """List orders, newest first, and how they ended.
+
+    Example: seam-ctl order list
+    """
+
+    async def work(connection: operator.Operator):
+        return await orders.list_all(connection, upstream)
+
+    rows = operator.run(context.obj, work)
+    if as_json:
+        states = [{"state": orders.describe_state(row)} for row in rows]
+        pairs = zip(rows, states, strict=True)
+        table.write_json([row._asdict() | state for row, state in pairs])
+        return
+    cells = [
+        (
+            row.fence,
+            row.upstream,
+            f"{row.action} {row.argument}",
+            table.render_time(row.at),
+            orders.describe_state(row),
+        )
+        for row in rows
+    ]
+    columns = ("order", "upstream", "what", "given (UTC)", "state")
+    table.write("Orders", columns, cells, "none")
--- a/sapphireseam/scripts/local_test.py
+++ b/sapphireseam/scripts/local_test.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 import tempfile
+import time
 import unittest
 import urllib.request
 
@@ -185,6 +186,18 @@
         self.assertTrue(found["leader"])
         self.assertEqual((found["upstreams"], found["agents"]), (2, 2))
 
+    def test_order_is_carried_out_and_its_end_is_listed(self):
+        self.run_ctl("order", "give", "nowhere", "load", "x", "--yes", code=1)
+        command = ("order", "give", "wording-llm-1", "load", "wording-llm-2")
+        self.run_ctl(*command, typed="n\n", code=1)
+        self.run_ctl(*command, "--yes")
+        states = set()
+        end = time.monotonic() + CEILING_SECONDS
+        while states != {"done"} and time.monotonic() < end:
+            listed = self.run_ctl("order", "list", "--json").stdout
+            states = {row["state"] for row in json.loads(listed)}
+        self.assertEqual(states, {"done"})
+
     def test_wrong_operator_key_is_refused_with_advice(self):
         path = self.folder / "wrong-key"
         path.write_text("wrong\n")
