Fill a new customer's bucket from the time its owner opened

Cause: a customer that a publish added began with an empty bucket, so its first requests were refused although within its burst. Ruled out: a full bucket, which a removal and a new publish could use again, and which a change of owner could double. After: the bucket holds what it would have filled with since this owner opened; a removed customer keeps its old bucket. The window property (any schedule of entry loss, owner change, publishes and removals) passes unchanged. Not measured: how many refusals this saves.

--- a/sapphireseam/policy/limit.py
+++ b/sapphireseam/policy/limit.py
@@ -236,16 +236,28 @@
         self._read(now)
 
     def configure(self, customer: str, rate: float, burst: float, now: float) -> None:
-        """Set a customer's rate and burst; a new customer's bucket is empty."""
+        """Set a customer's rate and burst.
+
+        A customer that is new here has had nothing since this owner opened, so
+        its bucket holds what it would have filled with since.
+        """
         now = self._read(now)
         bucket = self._buckets.get(customer)
         if bucket is not None:
             bucket.change(rate, burst, now)
             return
-        level = 0.0 if self._start_empty else burst
         start = max(now, self._opens_at)
+        level = self._compute_level(rate, burst, start)
         self._buckets[customer] = Bucket(rate, burst, level, start)
 
+    def _compute_level(self, rate: float, burst: float, start: float) -> float:
+        """Return what a new customer's bucket holds at its start."""
+        if not self._start_empty:
+            return burst
+        if self._opens_at == -math.inf:
+            return 0.0
+        return min(burst, rate * (start - self._opens_at))
+
     def remove(self, customer: str) -> None:
         """Grant nothing more; the bucket stays, since its leases may be out.
 
