Point imports downwards: broadcast in utils, session in ops, Secret in utils.setting

Cause: utils imported state, ops imported tools, entry and agent imported control. Nothing else changed.

--- a/sapphireseam/agent/application.py
+++ b/sapphireseam/agent/application.py
@@ -9,7 +9,6 @@
 from sapphireseam.agent.order import OrderRunner
 from sapphireseam.agent.runner import Runner
 from sapphireseam.agent.server import EntryServer
-from sapphireseam.control.application import Secret
 from sapphireseam.core import fleet
 from sapphireseam.policy import registry
 from sapphireseam.utils import metric, rpc
@@ -18,6 +17,7 @@
 from sapphireseam.utils.mirror import Mirror
 from sapphireseam.utils.probe import Probe
 from sapphireseam.utils.rpc import Role
+from sapphireseam.utils.setting import Secret
 from sapphireseam.utils.timeline import Timeline
 from sapphireseam.utils.timer import SystemTimer, TimerService
 
--- a/sapphireseam/control/application.py
+++ b/sapphireseam/control/application.py
@@ -3,9 +3,7 @@
 import logging
 import random
 from pathlib import Path
-from typing import Annotated, NamedTuple
-
-from pydantic import Field
+from typing import NamedTuple
 
 from sapphireseam.control import blob, guard
 from sapphireseam.control.dispatch import Dispatcher
@@ -22,6 +20,7 @@
 from sapphireseam.utils.application import Application, TaskGroup
 from sapphireseam.utils.probe import Probe
 from sapphireseam.utils.rpc import Role
+from sapphireseam.utils.setting import Secret
 from sapphireseam.utils.timeline import Timeline
 from sapphireseam.utils.timer import SystemTimer, TimerService
 
@@ -32,8 +31,6 @@
 OPERATOR_KEY_FILE = "operator-key"
 OPERATOR_PREFIX = "seamop"
 
-Secret = Annotated[str, Field(min_length=16, max_length=512)]
-
 
 class Peer(NamedTuple):
     """Name a control VM and where it listens."""
--- a/sapphireseam/control/recovery_test.py
+++ b/sapphireseam/control/recovery_test.py
@@ -10,7 +10,8 @@
 import aiohttp
 
 from sapphireseam.core import error, message
-from sapphireseam.tools import fleet, layout, session
+from sapphireseam.ops import session
+from sapphireseam.tools import fleet, layout
 from sapphireseam.utils.timer import SystemTimer
 
 SHAPE = layout.Shape("ie-south", (), ("grower-1", "grower-2"), entries=0)
--- a/sapphireseam/entry/application.py
+++ b/sapphireseam/entry/application.py
@@ -4,7 +4,6 @@
 import random
 from typing import NamedTuple
 
-from sapphireseam.control.application import Secret
 from sapphireseam.core import fleet
 from sapphireseam.entry.allowance import LimitClient
 from sapphireseam.entry.claim import ClaimKeeper
@@ -19,6 +18,7 @@
 from sapphireseam.utils.client import ControlClient
 from sapphireseam.utils.mirror import Mirror
 from sapphireseam.utils.probe import Probe
+from sapphireseam.utils.setting import Secret
 from sapphireseam.utils.timeline import Timeline
 from sapphireseam.utils.timer import SystemTimer, TimerService
 
--- a/sapphireseam/ops/configuration.py
+++ b/sapphireseam/ops/configuration.py
@@ -11,8 +11,8 @@
 from typing import Any, NamedTuple
 
 from sapphireseam.core import error, fleet, message, outcome
+from sapphireseam.ops import session
 from sapphireseam.ops.operator import Operator
-from sapphireseam.tools import session
 
 BASE_SUFFIX = ".base"
 
--- a/sapphireseam/ops/key.py
+++ b/sapphireseam/ops/key.py
@@ -1,8 +1,8 @@
 """Issue, withdraw and list callers' keys."""
 
 from sapphireseam.core import error, key, message
+from sapphireseam.ops import session
 from sapphireseam.ops.operator import Operator
-from sapphireseam.tools import session
 
 
 async def issue(operator: Operator, customer: str) -> key.Secret:
--- a/sapphireseam/ops/operator.py
+++ b/sapphireseam/ops/operator.py
@@ -10,8 +10,7 @@
 import typer
 
 from sapphireseam.core import error
-from sapphireseam.ops import setting
-from sapphireseam.tools import session
+from sapphireseam.ops import session, setting
 from sapphireseam.utils import loop
 from sapphireseam.utils.client import ControlClient
 from sapphireseam.utils.timer import SystemTimer, TimerService
--- a/sapphireseam/scripts/demo.py
+++ b/sapphireseam/scripts/demo.py
@@ -15,7 +15,8 @@
 import typer
 
 from sapphireseam.core import message
-from sapphireseam.tools import fleet, layout, session
+from sapphireseam.ops import session
+from sapphireseam.tools import fleet, layout
 from sapphireseam.utils import loop, program
 from sapphireseam.utils.client import ControlClient
 from sapphireseam.utils.timer import SystemTimer
--- a/sapphireseam/scripts/local.py
+++ b/sapphireseam/scripts/local.py
@@ -20,8 +20,9 @@
 from sapphireseam.control import application as controls
 from sapphireseam.core import error, key
 from sapphireseam.entry import application as entries
+from sapphireseam.ops import session
 from sapphireseam.scripts import upstream as standins
-from sapphireseam.tools import fleet, layout, session
+from sapphireseam.tools import fleet, layout
 from sapphireseam.utils import log, loop, program, setting
 from sapphireseam.utils.application import Application
 from sapphireseam.utils.client import ControlClient
--- a/sapphireseam/state/node.py
+++ b/sapphireseam/state/node.py
@@ -16,7 +16,6 @@
 
 from sapphireseam.core import error
 from sapphireseam.state import (
-    broadcast,
     disk as disks,
     link,
     log as logs,
@@ -25,7 +24,7 @@
     roster as rosters,
     store as stores,
 )
-from sapphireseam.utils import application, timer as timers
+from sapphireseam.utils import application, broadcast, timer as timers
 
 logger = logging.getLogger(__name__)
 
--- a/sapphireseam/state/peer.py
+++ b/sapphireseam/state/peer.py
@@ -8,8 +8,8 @@
 import asyncio
 import math
 
-from sapphireseam.state import broadcast, message, node as nodes
-from sapphireseam.utils import timer as timers
+from sapphireseam.state import message, node as nodes
+from sapphireseam.utils import broadcast, timer as timers
 
 
 class Peer:
--- a/sapphireseam/state/replica.py
+++ b/sapphireseam/state/replica.py
@@ -22,7 +22,6 @@
 from sapphireseam.core import error
 from sapphireseam.state import (
     applier,
-    broadcast,
     disk as disks,
     election,
     formation,
@@ -33,7 +32,7 @@
     option,
     receiver,
 )
-from sapphireseam.utils import timer as timers
+from sapphireseam.utils import broadcast, timer as timers
 
 logger = logging.getLogger(__name__)
 
--- a/sapphireseam/tools/bench_deployment.py
+++ b/sapphireseam/tools/bench_deployment.py
@@ -17,8 +17,9 @@
 import typer
 
 from sapphireseam.core import error
+from sapphireseam.ops import session
 from sapphireseam.scripts import load as load_script
-from sapphireseam.tools import fleet, layout, plan, session
+from sapphireseam.tools import fleet, layout, plan
 from sapphireseam.utils import loop, program
 from sapphireseam.utils.timer import SystemTimer
 
--- a/sapphireseam/tools/bench_failure.py
+++ b/sapphireseam/tools/bench_failure.py
@@ -20,7 +20,8 @@
 import aiohttp
 import typer
 
-from sapphireseam.tools import fleet, layout, session
+from sapphireseam.ops import session
+from sapphireseam.tools import fleet, layout
 from sapphireseam.utils import loop
 from sapphireseam.utils.timer import SystemTimer
 
--- a/sapphireseam/tools/fleet.py
+++ b/sapphireseam/tools/fleet.py
@@ -13,7 +13,8 @@
 import aiohttp
 
 from sapphireseam.core import error
-from sapphireseam.tools import layout, session
+from sapphireseam.ops import session
+from sapphireseam.tools import layout
 from sapphireseam.utils.client import ControlClient
 from sapphireseam.utils.timer import SystemTimer
 
--- a/sapphireseam/tools/fleet_test.py
+++ b/sapphireseam/tools/fleet_test.py
@@ -13,8 +13,9 @@
 import openai
 
 from sapphireseam.core import error
+from sapphireseam.ops import session
 from sapphireseam.scripts import demo
-from sapphireseam.tools import answer, fleet, layout, session
+from sapphireseam.tools import answer, fleet, layout
 from sapphireseam.utils.timer import SystemTimer
 
 MODEL = "wording-llm"
--- a/sapphireseam/tools/promise_test.py
+++ b/sapphireseam/tools/promise_test.py
@@ -14,8 +14,9 @@
 import aiohttp
 
 from sapphireseam.core import command
+from sapphireseam.ops import session
 from sapphireseam.scripts import demo
-from sapphireseam.tools import answer, fleet, layout, record, session
+from sapphireseam.tools import answer, fleet, layout, record
 from sapphireseam.utils.timer import SystemTimer
 
 MODEL = "wording-llm"
--- a/sapphireseam/utils/mirror.py
+++ b/sapphireseam/utils/mirror.py
@@ -15,8 +15,7 @@
 from typing import Any
 
 from sapphireseam.core import error, fleet, key, message
-from sapphireseam.state import broadcast
-from sapphireseam.utils import metric, rpc
+from sapphireseam.utils import broadcast, metric, rpc
 from sapphireseam.utils.application import TaskGroup
 from sapphireseam.utils.client import ControlClient
 from sapphireseam.utils.timeline import Timeline
--- a/sapphireseam/utils/setting.py
+++ b/sapphireseam/utils/setting.py
@@ -6,14 +6,17 @@
 
 import json
 from pathlib import Path
-from typing import Any, NamedTuple, TypeVar
+from typing import Annotated, Any, NamedTuple, TypeVar
 
-from pydantic import TypeAdapter, ValidationError
+from pydantic import Field, TypeAdapter, ValidationError
 
 from sapphireseam.core import error
 
 T = TypeVar("T")
 
+# The secret that all processes of one fleet share.
+Secret = Annotated[str, Field(min_length=16, max_length=512)]
+
 
 class Finding(NamedTuple):
     """Point at one wrong value: where it stands, what it is, what was due."""
