--- a/sapphireseam/policy/router_test.py
+++ b/sapphireseam/policy/router_test.py
@@ -108,6 +108,7 @@
 
     def test_no_herd_to_what_a_stale_report_calls_idle(self):
         self.assertLess(self.spread([()]), 1.5)
+        self.assertLess(self.spread([()], entries=400, requests=1), 2.2)
 
     def test_one_hot_prefix_spreads_once_its_holder_is_loaded(self):
         chooser, flights = router.PrefixRouter(random.Random(1)), Counter()
@@ -147,6 +148,15 @@
             counts[chooser.choose(make_query(), fleet, 1.0)] += 1
         self.assertTrue(0 < counts["slow"] < 100, counts)
 
+    def test_what_is_known_of_a_replaced_replica_goes(self):
+        chooser, flights = router.PrefixRouter(random.Random(1)), Counter()
+        for day in range(50):
+            fleet = [make_replica(f"r{day}")]
+            send(chooser, fleet, make_query([1, 2]), flights, now=100.0 * day)
+        held = chooser._hints._holders
+        self.assertLessEqual(max(len(names) for names in held.values()), 2)
+        self.assertLessEqual(len(chooser._recent) + len(chooser._seen), 4)
+
     def test_far_domain_serves_once_the_near_one_is_full(self):
         chooser = router.PrefixRouter(random.Random(1))
         far = make_replica("far", distance=0.002)
