--- a/sapphireseam/control/machine.py
+++ b/sapphireseam/control/machine.py
@@ -18,6 +18,10 @@
 # Answers kept for resends, oldest dropped first.
 ANSWER_LIMIT = 20_000
 
+# A refusal of these is no last word: the same job may be taken once its file or
+# route is there. Whoever publishes must get the first answer, even a refusal.
+_TRIED_AGAIN = (command.SubmitJob,)
+
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(record.State)
 
@@ -86,9 +90,10 @@
         if request and request in self.state.answers:
             return outcome.REGISTRY.decode(self.state.answers[request].answer)
         answer = self._dispatch(index, item)
-        if request:
+        refused = isinstance(answer, outcome.Refused)
+        if request and not (refused and isinstance(item, _TRIED_AGAIN)):
             self._store(request, answer)
-        if not isinstance(answer, outcome.Refused):
+        if not refused:
             self._notify(item, answer)
         return answer
 
--- a/sapphireseam/control/machine_test.py
+++ b/sapphireseam/control/machine_test.py
@@ -108,6 +108,26 @@
 )
 
 
+class ResendTest(unittest.TestCase):
+    def test_job_refused_for_want_of_its_file_is_taken_once_it_is_there(self):
+        kept = machine.StateMachine()
+
+        def apply(index, item):
+            return kept.apply(index, command.REGISTRY.encode(item))
+
+        routes = {"chat": {"path": "/chat", "service": "", "methods": ["POST"]}}
+        document = json.dumps({"routes": routes}).encode()
+        job = command.SubmitJob("r", "j", "c", "k", "f", "/chat", 9.0, 0.0)
+        file = command.CreateFile(
+            "f", "f", "c", "f", "batch", "b", 1, 1, "/chat", "m", 0.0
+        )
+        apply(1, command.Publish("p", 0, document, 0.0))
+        self.assertEqual(apply(2, job).kind, error.Kind.OBJECT_UNKNOWN)
+        apply(3, file)
+        self.assertEqual(apply(4, job), outcome.Done("j"))
+        self.assertEqual(apply(5, job), outcome.Done("j"))
+
+
 class PublishTest(unittest.TestCase):
     def test_every_finding_is_listed_at_once(self):
         document = {
--- a/sapphireseam/entry/ask.py
+++ b/sapphireseam/entry/ask.py
@@ -17,7 +17,8 @@
 class Ask(NamedTuple):
     """Hold a request that is ready to be routed.
 
-    `deadline` is on the entry's monotonic clock, `cost` in tokens.
+    `deadline` is on the entry's monotonic clock, `cost` in tokens; `prefix`
+    holds the hashes of the prompt's blocks.
     """
 
     id: str
@@ -34,6 +35,7 @@
     cost: float
     fingerprint: str
     idempotency_key: str
+    prefix: tuple[int, ...] = ()
 
 
 def find_route(current: fleet.Fleet, path: str) -> tuple[str, fleet.Route]:
--- a/sapphireseam/entry/gateway.py
+++ b/sapphireseam/entry/gateway.py
@@ -24,6 +24,7 @@
     render_error,
 )
 from sapphireseam.entry.store import FileStore
+from sapphireseam.policy import prefix
 from sapphireseam.utils import probe
 from sapphireseam.utils.application import TaskGroup
 from sapphireseam.utils.mirror import Mirror
@@ -280,4 +281,5 @@
             asks.estimate_cost(document, len(body)),
             fingerprint.compute(caller.customer, request.method, target, body),
             request.headers.get("Idempotency-Key", ""),
+            prefix.compute_blocks(document),
         )
