Start a laid-out fleet in one place

Cause: six measurements and the demo each started, published and stopped a fleet with the same lines. After: one context manager and one writer of keys in tools.fleet.

--- a/sapphireseam/scripts/demo.py
+++ b/sapphireseam/scripts/demo.py
@@ -151,19 +151,13 @@
 async def run_demo(folder: Path) -> None:
     """Lay a small fleet out, run it, use it and stop it."""
     plan = layout.lay_out(folder, layout.SMALL)
-    processes = fleet.Processes(folder)
-    async with aiohttp.ClientSession() as http:
-        try:
-            client = await fleet.start_fleet(processes, plan, http)
-            now = SystemTimer().read_wall_clock()
-            secret = await session.issue_key(client, "grower-1", now)
-            typer.echo(f"{len(plan.processes)} processes run, key {secret.id} issued")
-            await show(Caller(http, plan.entries[0], secret.text))
-            path = await write_timeline([client], folder)
-            typer.echo(f"time line: {path}")
-            await client.stop()
-        finally:
-            await processes.stop()
+    async with fleet.run(plan) as running:
+        now = SystemTimer().read_wall_clock()
+        secret = await session.issue_key(running.client, "grower-1", now)
+        typer.echo(f"{len(plan.processes)} processes run, key {secret.id} issued")
+        await show(Caller(running.http, plan.entries[0], secret.text))
+        path = await write_timeline([running.client], folder)
+        typer.echo(f"time line: {path}")
 
 
 @app.command()
--- a/sapphireseam/tools/bench_calls.py
+++ b/sapphireseam/tools/bench_calls.py
@@ -14,7 +14,6 @@
 from pathlib import Path
 from typing import Annotated, NamedTuple
 
-import aiohttp
 import typer
 
 from sapphireseam.core import command, error, message
@@ -187,19 +186,12 @@
     plan = layout.lay_out(folder, shape)
     controls = tuple(p for p in plan.processes if p.program == "seam-control")
     plan = plan._replace(processes=controls)
-    processes = fleet.Processes(folder)
     credential = (rpc.FLEET_HEADER, layout.FLEET_SECRET)
-    async with aiohttp.ClientSession() as http:
-        try:
-            operator = await fleet.start_fleet(processes, plan, http)
-            clients = [
-                ControlClient(plan.controls, credential, timer) for _ in range(AGENTS)
-            ]
-            await BENCHES[name](processes, plan, clients)
-            for client in (operator, *clients):
-                await client.stop()
-        finally:
-            await processes.stop()
+    clients = [ControlClient(plan.controls, credential, timer) for _ in range(AGENTS)]
+    async with fleet.run(plan) as running:
+        await BENCHES[name](running.processes, plan, clients)
+        for client in clients:
+            await client.stop()
 
 
 @app.command()
--- a/sapphireseam/tools/bench_control.py
+++ b/sapphireseam/tools/bench_control.py
@@ -15,7 +15,6 @@
 from pathlib import Path
 from typing import Annotated, Any, NamedTuple
 
-import aiohttp
 import typer
 
 from sapphireseam.core import message
@@ -282,14 +281,8 @@
     """Run three control VMs and one bench on them."""
     shape = layout.Shape("ie-south", (), ("grower-1",), entries=0)
     plan = layout.lay_out(folder, shape)
-    processes = fleet.Processes(folder)
-    async with aiohttp.ClientSession() as http:
-        try:
-            client = await fleet.start_fleet(processes, plan, http)
-            await BENCHES[name](processes, plan, client)
-            await client.stop()
-        finally:
-            await processes.stop()
+    async with fleet.run(plan) as running:
+        await BENCHES[name](running.processes, plan, running.client)
 
 
 @app.command()
--- a/sapphireseam/tools/bench_deployment.py
+++ b/sapphireseam/tools/bench_deployment.py
@@ -17,7 +17,6 @@
 import typer
 
 from sapphireseam.core import error
-from sapphireseam.ops import session
 from sapphireseam.scripts import load as load_script
 from sapphireseam.tools import fleet, layout, plan
 from sapphireseam.utils import loop, program
@@ -105,22 +104,12 @@
     configuration = describe_configuration(laid_out.configuration, profile, policy)
     laid_out = laid_out._replace(configuration=configuration)
     add_hooks(laid_out, profile)
-    processes = fleet.Processes(folder)
-    async with aiohttp.ClientSession() as http:
-        try:
-            client = await fleet.start_fleet(processes, laid_out, http)
-            keys = {}
-            for item in profile.customers:
-                now = SystemTimer().read_wall_clock()
-                secret = await session.issue_key(client, item.name, now)
-                keys[item.name] = secret.text
-            await client.stop()
-            file = folder / "keys.json"
-            file.write_text(json.dumps(keys))
-            await fill_buckets(laid_out.entries[0], keys, profile)
-            return await run_load(laid_out, processes, path, file, options)
-        finally:
-            await processes.stop()
+    async with fleet.run(laid_out) as running:
+        names = [item.name for item in profile.customers]
+        file = await fleet.write_keys(running.client, names, folder)
+        keys = json.loads(file.read_text())
+        await fill_buckets(laid_out.entries[0], keys, profile)
+        return await run_load(laid_out, running.processes, path, file, options)
 
 
 async def run_load(
--- a/sapphireseam/tools/bench_failure.py
+++ b/sapphireseam/tools/bench_failure.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import collections
-import json
 import random
 import signal
 import sys
@@ -17,13 +16,10 @@
 from pathlib import Path
 from typing import Annotated
 
-import aiohttp
 import typer
 
-from sapphireseam.ops import session
 from sapphireseam.tools import fleet, layout
 from sapphireseam.utils import loop
-from sapphireseam.utils.timer import SystemTimer
 
 CUSTOMERS = ("grower-1", "grower-2")
 # Engines with more room than the load needs, also with one of them gone.
@@ -98,21 +94,9 @@
     """Run the fleet, the load and the failures; return the load's exit code."""
     plan = layout.lay_out(folder, describe_shape(rate), SPEEDS)
     plan.configuration["policy"] = {"admission": admission}
-    processes = fleet.Processes(folder)
-    async with aiohttp.ClientSession() as http:
-        try:
-            client = await fleet.start_fleet(processes, plan, http)
-            keys = {}
-            for customer in CUSTOMERS:
-                now = SystemTimer().read_wall_clock()
-                secret = await session.issue_key(client, customer, now)
-                keys[customer] = secret.text
-            await client.stop()
-            path = folder / "keys.json"
-            path.write_text(json.dumps(keys))
-            return await run_load(plan, processes, profile, path, seed)
-        finally:
-            await processes.stop()
+    async with fleet.run(plan) as running:
+        keys = await fleet.write_keys(running.client, CUSTOMERS, folder)
+        return await run_load(plan, running.processes, profile, keys, seed)
 
 
 async def run_load(
--- a/sapphireseam/tools/bench_node.py
+++ b/sapphireseam/tools/bench_node.py
@@ -13,7 +13,6 @@
 from pathlib import Path
 from typing import Annotated, Any
 
-import aiohttp
 import typer
 
 from sapphireseam.core import fleet as fleets, key, message
@@ -79,22 +78,16 @@
 async def measure_idle(folder: Path) -> None:
     """Print what each idle process of a small fleet uses."""
     plan = layout.lay_out(folder, layout.SMALL)
-    processes = fleet.Processes(folder)
-    async with aiohttp.ClientSession() as http:
-        try:
-            client = await fleet.start_fleet(processes, plan, http)
-            await client.stop()
-            pids = {p.node: processes.read_pid(p.node) for p in plan.processes}
-            before = {n: bench_control.read_usage(p) for n, p in pids.items()}
-            await asyncio.sleep(IDLE_SECONDS)
-            typer.echo("| process | % of a core | resident MB |")
-            typer.echo("|---|---|---|")
-            for node, pid in pids.items():
-                usage = bench_control.read_usage(pid)
-                share = (usage.cpu - before[node].cpu) / IDLE_SECONDS * 100
-                typer.echo(f"| {node} | {share:.1f} | {usage.memory / 1e6:.0f} |")
-        finally:
-            await processes.stop()
+    async with fleet.run(plan) as running:
+        pids = {p.node: running.processes.read_pid(p.node) for p in plan.processes}
+        before = {n: bench_control.read_usage(p) for n, p in pids.items()}
+        await asyncio.sleep(IDLE_SECONDS)
+        typer.echo("| process | % of a core | resident MB |")
+        typer.echo("|---|---|---|")
+        for node, pid in pids.items():
+            usage = bench_control.read_usage(pid)
+            share = (usage.cpu - before[node].cpu) / IDLE_SECONDS * 100
+            typer.echo(f"| {node} | {share:.1f} | {usage.memory / 1e6:.0f} |")
 
 
 async def follow_load(channel: rpc.Channel, number: int) -> None:
@@ -107,36 +100,29 @@
 async def measure_links(folder: Path) -> None:
     """Print what an agent's load reports cost by the number of entries."""
     plan = layout.lay_out(folder, layout.SMALL)
-    processes = fleet.Processes(folder)
     agent = plan.configuration["upstreams"]["wording-llm-1"]["agent"]
     credential = (rpc.FLEET_HEADER, layout.FLEET_SECRET)
     tasks: list[asyncio.Task] = []
-    channels: list[rpc.Channel] = []
-    async with aiohttp.ClientSession() as http:
-        try:
-            client = await fleet.start_fleet(processes, plan, http)
-            await client.stop()
-            typer.echo("| entries | agent % of a core | receivers % of a core |")
-            typer.echo("|---|---|---|")
-            for count in (0, 50, 150, 350):
-                while len(tasks) < count:
-                    channels.append(rpc.Channel(agent, credential))
-                    work = follow_load(channels[-1], len(tasks))
-                    tasks.append(asyncio.create_task(work))
-                await asyncio.sleep(1.0)
-                pids = (processes.read_pid("agent-wording-llm-1"), os.getpid())
-                before = [bench_control.read_usage(pid).cpu for pid in pids]
-                await asyncio.sleep(IDLE_SECONDS / 2)
-                after = [bench_control.read_usage(pid).cpu for pid in pids]
-                used = [
-                    (a - b) / IDLE_SECONDS * 200
-                    for a, b in zip(after, before, strict=True)
-                ]
-                typer.echo(f"| {count} | {used[0]:.1f} | {used[1]:.1f} |")
-        finally:
-            for task in tasks:
-                task.cancel()
-            await processes.stop()
+    async with fleet.run(plan) as running:
+        pids = (running.processes.read_pid("agent-wording-llm-1"), os.getpid())
+        typer.echo("| entries | agent % of a core | receivers % of a core |")
+        typer.echo("|---|---|---|")
+        for count in (0, 50, 150, 350):
+            while len(tasks) < count:
+                channel = rpc.Channel(agent, credential)
+                work = follow_load(channel, len(tasks))
+                tasks.append(asyncio.create_task(work))
+            await asyncio.sleep(1.0)
+            before = [bench_control.read_usage(pid).cpu for pid in pids]
+            await asyncio.sleep(IDLE_SECONDS)
+            after = [bench_control.read_usage(pid).cpu for pid in pids]
+            used = [
+                (now - then) / IDLE_SECONDS * 100
+                for now, then in zip(after, before, strict=True)
+            ]
+            typer.echo(f"| {count} | {used[0]:.1f} | {used[1]:.1f} |")
+        for task in tasks:
+            task.cancel()
 
 
 @app.command()
--- a/sapphireseam/tools/fleet.py
+++ b/sapphireseam/tools/fleet.py
@@ -5,10 +5,14 @@
 """
 
 import asyncio
+import json
 import os
 import signal
 import sys
+from collections.abc import AsyncIterator, Iterable
+from contextlib import asynccontextmanager
 from pathlib import Path
+from typing import NamedTuple
 
 import aiohttp
 
@@ -122,3 +126,39 @@
     for address in plan.entries:
         await wait_healthy(http, f"http://{address}/health")
     return client
+
+
+class Running(NamedTuple):
+    """Hold a fleet that runs: its processes and an operator's client."""
+
+    processes: Processes
+    client: ControlClient
+    http: aiohttp.ClientSession
+
+
+@asynccontextmanager
+async def run(plan: layout.Layout) -> AsyncIterator[Running]:
+    """Run a laid-out fleet for as long as the body takes, then stop it."""
+    processes = Processes(plan.folder)
+    async with aiohttp.ClientSession() as http:
+        try:
+            client = await start_fleet(processes, plan, http)
+            try:
+                yield Running(processes, client, http)
+            finally:
+                await client.stop()
+        finally:
+            await processes.stop()
+
+
+async def write_keys(
+    client: ControlClient, customers: Iterable[str], folder: Path
+) -> Path:
+    """Issue a key to each customer and write them for `seam-load`."""
+    keys = {}
+    for customer in customers:
+        now = SystemTimer().read_wall_clock()
+        keys[customer] = (await session.issue_key(client, customer, now)).text
+    path = folder / "keys.json"
+    path.write_text(json.dumps(keys))
+    return path
