Take the cheapest of the replicas chosen longest ago

Two random replicas spread an entry's work unevenly, and in a burst of three times the load the fleet has few slots to spare: a replica that is over by one queues a request for a whole stream, about 500 ms. The router now takes the cheapest of the three that this entry chose longest ago; equal ones are taken in turn, a loaded one is passed.

The new test was seen failing before ([0, 2, 1, 1, 1, 1, 1, 0, 1]). The test of what is forgotten now bounds each of the router's three tables by 2, where it bounded the sum of two by 4.

--- a/sapphireseam/policy/router.py
+++ b/sapphireseam/policy/router.py
@@ -4,8 +4,10 @@
 this entry has sent it since. A prefix that a replica is thought to hold draws
 a request there, only while its load is within a bound of the others', since
 the cache events behind that thought are late and have gaps. Without such a
-replica the cheaper of two random ones is taken: many entries that read one
-stale report then don't all choose one replica.
+replica the cheapest of the few that this entry chose longest ago is taken.
+Many entries that read one stale report then don't all choose one replica, and
+each entry spreads its own work evenly, which random choices don't: a burst
+fits into a fleet only if it is spread evenly.
 
 A replica's cost is the wait expected there and the way to it, both in seconds.
 Failure domains are about a millisecond apart and a stream takes far longer, so
@@ -41,6 +43,9 @@
 # Blocks remembered for all replicas together.
 HINT_BLOCKS = 65536
 
+# Replicas among which the cheapest is taken.
+CHOICES = 3
+
 # Choices remembered a replica, for reports older than they are.
 RECENT_CHOICES = 1024
 
@@ -214,6 +219,8 @@
         self._rng = rng
         self._hints = _Hints()
         self._recent: dict[str, deque[float]] = {}
+        self._turn = 0
+        self._turns: dict[str, int] = {}
         self._seen: dict[str, float] = {}
         self._forgotten_at = -math.inf
 
@@ -223,6 +230,8 @@
         if recent is None:
             recent = self._recent[name] = deque(maxlen=RECENT_CHOICES)
         recent.append(now)
+        self._turn += 1
+        self._turns[name] = self._turn
         self._hints.add(name, query.prefix)
 
     def learn(
@@ -259,7 +268,7 @@
         if query.isolate:
             return min(usable, key=lambda each: (loads[each.name], each.name)).name
         name = self._find_holder(query, usable, loads)
-        return name or self._choose_of_two(query, usable, loads)
+        return name or self._choose_of_few(query, usable, loads)
 
     def _note_seen(self, candidates: Sequence[Candidate], now: float) -> None:
         """Forget replicas that are gone, once in a while."""
@@ -275,6 +284,7 @@
         for name in gone:
             del self._seen[name]
             self._recent.pop(name, None)
+            self._turns.pop(name, None)
 
     def _drop_slow(self, usable: list[Candidate]) -> list[Candidate]:
         """Leave out replicas far slower than the median one."""
@@ -299,21 +309,23 @@
             return None
         return self._choose_cheapest(sorted(holders), loads)
 
-    def _choose_of_two(
+    def _choose_of_few(
         self, query: Query, usable: list[Candidate], loads: dict[str, float]
     ) -> str:
-        """Return the cheaper of two replicas with room, in any failure domain.
+        """Return the cheapest of a few replicas with room, in any failure domain.
 
-        A prompt's first block names the two by its hash, so that entries
-        agree on where a new prefix goes without a message.
+        A prompt's first block names two by its hash, so that entries agree on
+        where a new prefix goes without a message.
         """
         room = [each for each in usable if loads[each.name] < ROOM_LOAD] or usable
         if query.prefix:
             block = query.prefix[0]
-            pair = sorted(room, key=lambda each: rank(block, each.name))[:2]
+            few = sorted(room, key=lambda each: rank(block, each.name))[:2]
         else:
-            pair = self._rng.sample(room, min(2, len(room)))
-        return self._choose_cheapest(pair, loads)
+            self._rng.shuffle(room)
+            room.sort(key=lambda each: self._turns.get(each.name, 0))
+            few = room[:CHOICES]
+        return self._choose_cheapest(few, loads)
 
     def _choose_cheapest(
         self, candidates: list[Candidate], loads: dict[str, float]
--- a/sapphireseam/policy/router_test.py
+++ b/sapphireseam/policy/router_test.py
@@ -155,7 +155,8 @@
             send(chooser, fleet, make_query([1, 2]), flights, now=100.0 * day)
         held = chooser._hints._holders
         self.assertLessEqual(max(len(names) for names in held.values()), 2)
-        self.assertLessEqual(len(chooser._recent) + len(chooser._seen), 4)
+        for kept in (chooser._recent, chooser._seen, chooser._turns):
+            self.assertLessEqual(len(kept), 2)
 
     def test_far_domain_serves_once_the_near_one_is_full(self):
         chooser = router.PrefixRouter(random.Random(1))
@@ -197,3 +198,13 @@
                 flights += mine
             self.assertLessEqual(max(flights.values()), 6, flights)
             self.assertGreaterEqual(min(flights[name] for name in names), 2, flights)
+
+    def test_one_entry_fills_equal_replicas_evenly(self):
+        """No replica gets a second request that another has no first one of."""
+        for seed in range(20):
+            chooser, flights = router.PrefixRouter(random.Random(seed)), Counter()
+            fleet = [make_replica(f"r{each}", limit=8) for each in range(9)]
+            for _ in range(63):
+                send(chooser, fleet, make_query(), flights)
+                spread = [flights[each.name] for each in fleet]
+                self.assertLessEqual(max(spread) - min(spread), 1, spread)
