Follow others' load slowly and this entry's exactly

Cause: the router took a replica's load from its last report, up to 250 ms old, plus what this entry sent since; what ended since still counted, and every entry evened out the same late picture, so all swung together.

Now the load is this entry's requests in flight, known exactly, and the mean over 2.5 s of what reports say of others. That passes over a burst of others that is gone when its report comes, and still shows a replica that stays loaded. Whether a replica is full is read off the last report as before.

Guards taken out: without the mean, test_late_report_of_a_passing_burst fails (2 of at least 3); with own requests counted twice, test_own_requests fails (0.5 for 0.25); with new reports ignored, test_load_that_stays fails (2 for 0). The test of distances now takes a new router for each choice, since its replicas otherwise change without a new report.

--- a/sapphireseam/entry/fake.py
+++ b/sapphireseam/entry/fake.py
@@ -26,6 +26,7 @@
         self.upstream = upstream
         self.load: message.Load | None = message.Load(upstream, 0, 0, 8, False, True)
         self.load_at = 0.0
+        self.in_flight_at_load = 0
         self.latency = 0.0
         self.sent: list[Any] = []
         self.attempts: dict[int, link.Attempt] = {}
--- a/sapphireseam/entry/forward.py
+++ b/sapphireseam/entry/forward.py
@@ -349,6 +349,7 @@
             load.queued,
             load.limit,
             link.in_flight,
+            link.in_flight_at_load,
             link.load_at,
             link.latency,
             load.leaving,
--- a/sapphireseam/entry/link.py
+++ b/sapphireseam/entry/link.py
@@ -76,6 +76,7 @@
         self.address = address
         self.load: message.Load | None = None
         self.load_at = 0.0
+        self.in_flight_at_load = 0
         self.latency = 0.0
         self._entry = entry
         self._timer = timer
@@ -161,6 +162,7 @@
         if isinstance(item, message.Load):
             self.load = item
             self.load_at = self._timer.read_clock()
+            self.in_flight_at_load = self.in_flight
             return
         if isinstance(item, message.Failure):
             raise rpc.unpack_failure(item)
--- a/sapphireseam/policy/router.py
+++ b/sapphireseam/policy/router.py
@@ -1,13 +1,18 @@
 """Choose a replica for each request at an entry.
 
-Reports of load come late, so a replica's load is its last report plus what
-this entry has sent it since. A prefix that a replica is thought to hold draws
-a request there, only while its load is within a bound of the others', since
-the cache events behind that thought are late and have gaps. Without such a
-replica the cheapest of the few that this entry chose longest ago is taken.
-Many entries that read one stale report then don't all choose one replica, and
-each entry spreads its own work evenly, which random choices don't: a burst
-fits into a fleet only if it is spread evenly.
+Reports of load come late, and an entry that follows each one evens out what is
+long past: all entries then swing together between replicas. So a replica's load
+is what this entry has in flight there now, which it knows, and the mean over
+some seconds of what the reports say of others. Only whether a replica is full is
+read off the last report.
+
+A prefix that a replica is thought to hold draws a request there, only while its
+load is within a bound of the others', since the cache events behind that
+thought are late and have gaps. Without such a replica the cheapest of the few
+that this entry chose longest ago is taken. Many entries that read one stale
+report then don't all choose one replica, and each entry spreads its own work
+evenly, which random choices don't: a burst fits into a fleet only if it is
+spread evenly.
 
 A replica's cost is the wait expected there and the way to it, both in seconds.
 Failure domains are about a millisecond apart and a stream takes far longer, so
@@ -19,7 +24,7 @@
 import hashlib
 import math
 import random
-from collections import OrderedDict, deque
+from collections import OrderedDict
 from collections.abc import Iterable, Sequence
 from typing import NamedTuple, Protocol
 
@@ -46,8 +51,9 @@
 # Replicas among which the cheapest is taken.
 CHOICES = 3
 
-# Choices remembered a replica, for reports older than they are.
-RECENT_CHOICES = 1024
+# The time over which reports of others' load count. Bursts are shorter, and a
+# replica that stays slower than others shows all the same.
+STEADY_SECONDS = 2.5
 
 # What is remembered of a replica goes once it was no candidate for so long.
 FORGET_SECONDS = 60.0
@@ -58,7 +64,8 @@
 
     `distance` and `latency` are in seconds, `reported_at` is on this entry's
     clock. `running`, `queued` and `limit` count streams in the report,
-    `in_flight_here` those of this entry now.
+    `in_flight_here` those of this entry now and `in_flight_then` those when the
+    report came.
     """
 
     name: str
@@ -68,6 +75,7 @@
     queued: int
     limit: int
     in_flight_here: int
+    in_flight_then: int
     reported_at: float
     latency: float
     leaving: bool
@@ -212,24 +220,39 @@
     return candidate.distance + FULL_SECONDS * load
 
 
+def count_others(candidate: Candidate) -> int:
+    """Return the streams of others that the last report counts."""
+    reported = candidate.running + candidate.queued
+    return max(reported - candidate.in_flight_then, 0)
+
+
+def has_room(candidate: Candidate) -> bool:
+    """Tell whether the last report and what is in flight here leave room."""
+    streams = count_others(candidate) + candidate.in_flight_here
+    return streams < ROOM_LOAD * max(candidate.limit, 1)
+
+
+class _Steady(NamedTuple):
+    """Hold the mean of others' streams at a replica and the last report's time."""
+
+    streams: float
+    reported_at: float
+
+
 class PrefixRouter:
     """Keep prefixes together as far as the load allows."""
 
     def __init__(self, rng: random.Random):
         self._rng = rng
         self._hints = _Hints()
-        self._recent: dict[str, deque[float]] = {}
+        self._steady: dict[str, _Steady] = {}
         self._turn = 0
         self._turns: dict[str, int] = {}
         self._seen: dict[str, float] = {}
         self._forgotten_at = -math.inf
 
     def record(self, query: Query, name: str, now: float) -> None:
-        """Note the choice: it adds load, and the prefix will be there."""
-        recent = self._recent.get(name)
-        if recent is None:
-            recent = self._recent[name] = deque(maxlen=RECENT_CHOICES)
-        recent.append(now)
+        """Note the choice: others come first next time, and the prefix is there."""
         self._turn += 1
         self._turns[name] = self._turn
         self._hints.add(name, query.prefix)
@@ -242,19 +265,20 @@
         self._hints.remove(name, removed)
 
     def estimate_load(self, candidate: Candidate) -> float:
-        """Return the load by limit, the report corrected by what came after.
-
-        What this entry has in flight is there whatever the report says.
-        """
-        recent = self._recent.get(candidate.name, ())
-        since = 0
-        for sent in reversed(recent):
-            if sent < candidate.reported_at:
-                break
-            since += 1
-        since = min(since, candidate.in_flight_here)
-        reported = candidate.running + candidate.queued + since
-        return max(reported, candidate.in_flight_here) / max(candidate.limit, 1)
+        """Return the load by limit: others' steady streams and this entry's now."""
+        others = self._follow_others(candidate)
+        return (others + candidate.in_flight_here) / max(candidate.limit, 1)
+
+    def _follow_others(self, candidate: Candidate) -> float:
+        """Take in a report that is new; return the mean of others' streams."""
+        others = float(count_others(candidate))
+        known = self._steady.get(candidate.name)
+        if known is not None:
+            passed = max(candidate.reported_at - known.reported_at, 0.0)
+            kept = math.exp(-passed / STEADY_SECONDS)
+            others += kept * (known.streams - others)
+        self._steady[candidate.name] = _Steady(others, candidate.reported_at)
+        return others
 
     def choose(
         self, query: Query, candidates: Sequence[Candidate], now: float
@@ -283,7 +307,7 @@
         self._hints.forget(gone)
         for name in gone:
             del self._seen[name]
-            self._recent.pop(name, None)
+            self._steady.pop(name, None)
             self._turns.pop(name, None)
 
     def _drop_slow(self, usable: list[Candidate]) -> list[Candidate]:
@@ -317,7 +341,7 @@
         A prompt's first block names two by its hash, so that entries agree on
         where a new prefix goes without a message.
         """
-        room = [each for each in usable if loads[each.name] < ROOM_LOAD] or usable
+        room = [each for each in usable if has_room(each)] or usable
         if query.prefix:
             block = query.prefix[0]
             few = sorted(room, key=lambda each: rank(block, each.name))[:2]
--- a/sapphireseam/policy/router_test.py
+++ b/sapphireseam/policy/router_test.py
@@ -20,6 +20,7 @@
         queued=st.integers(0, 9),
         limit=st.integers(1, 9),
         in_flight_here=st.integers(0, 9),
+        in_flight_then=st.integers(0, 9),
         reported_at=st.just(0.0),
         latency=st.sampled_from([0.0, 0.1, 9.0]),
         leaving=st.booleans(),
@@ -42,6 +43,7 @@
         "queued": 0,
         "limit": 16,
         "in_flight_here": 0,
+        "in_flight_then": 0,
         "reported_at": 0.0,
         "latency": 0.1,
         "leaving": False,
@@ -155,7 +157,7 @@
             send(chooser, fleet, make_query([1, 2]), flights, now=100.0 * day)
         held = chooser._hints._holders
         self.assertLessEqual(max(len(names) for names in held.values()), 2)
-        for kept in (chooser._recent, chooser._seen, chooser._turns):
+        for kept in (chooser._steady, chooser._seen, chooser._turns):
             self.assertLessEqual(len(kept), 2)
 
     def test_far_domain_serves_once_the_near_one_is_full(self):
@@ -167,19 +169,22 @@
         self.assertEqual(chooser.choose(make_query(), [far, full], 1.0), "far")
 
     def test_distance_weighs_as_its_milliseconds_against_the_wait(self):
-        chooser = router.PrefixRouter(random.Random(1))
+        def choose(*fleet):
+            chooser = router.PrefixRouter(random.Random(1))
+            chooser.learn("near", [7], [], 0.0)
+            chooser.learn("far", [7], [], 0.0)
+            return chooser.choose(query, fleet, 1.0)
+
         near = make_replica("near", limit=8, running=4)
         far = make_replica("far", limit=8, distance=0.001)
-        chooser.learn("near", [7], [], 0.0)
-        chooser.learn("far", [7], [], 0.0)
         remote = far._replace(distance=0.5)
         for prefix in ((), (7,)):
             query = make_query(prefix)
             with self.subTest(prefix=prefix):
-                self.assertEqual(chooser.choose(query, [near, far], 1.0), "far")
-                self.assertEqual(chooser.choose(query, [near, remote], 1.0), "near")
+                self.assertEqual(choose(near, far), "far")
+                self.assertEqual(choose(near, remote), "near")
                 idle = near._replace(running=0)
-                self.assertEqual(chooser.choose(query, [idle, far], 1.0), "near")
+                self.assertEqual(choose(idle, far), "near")
 
     def test_burst_spreads_over_domains_a_millisecond_apart(self):
         """Two entries send half of what fits into the fleet between two reports."""
@@ -208,3 +213,34 @@
                 send(chooser, fleet, make_query(), flights)
                 spread = [flights[each.name] for each in fleet]
                 self.assertLessEqual(max(spread) - min(spread), 1, spread)
+
+    def test_late_report_of_a_passing_burst_is_not_evened_out(self):
+        chooser, flights = router.PrefixRouter(random.Random(1)), Counter()
+        calm = [make_replica(f"r{each}", limit=16, running=2) for each in range(4)]
+        for _ in range(8):
+            send(chooser, calm, make_query(), flights)
+        late = [each._replace(reported_at=0.25) for each in calm]
+        late[0] = late[0]._replace(running=8)
+        for _ in range(8):
+            send(chooser, late, make_query(), flights)
+        self.assertGreaterEqual(flights["r0"], 3, flights)
+
+    def test_load_that_stays_is_evened_out(self):
+        chooser, flights = router.PrefixRouter(random.Random(1)), Counter()
+        for number in range(40):
+            fleet = [
+                make_replica(f"r{each}", limit=8, reported_at=0.25 * number)
+                for each in range(4)
+            ]
+            fleet[0] = fleet[0]._replace(running=6 if number else 0)
+            chooser.choose(make_query(), fleet, 0.25 * number)
+        for _ in range(12):
+            send(chooser, fleet, make_query(), flights)
+        self.assertEqual(flights["r0"], 0, flights)
+
+    def test_own_requests_in_a_report_count_once(self):
+        chooser = router.PrefixRouter(random.Random(1))
+        own = make_replica("own", running=4, in_flight_here=4, in_flight_then=4)
+        ended = own._replace(name="ended", in_flight_here=1)
+        self.assertAlmostEqual(chooser.estimate_load(own), 4 / 16)
+        self.assertAlmostEqual(chooser.estimate_load(ended), 1 / 16)
