Compare attempts in the order in which they were made

test_request_that_crashed_two_upstreams expects the first offer not to be alone and the second to be, but listed the offers by their replica's name. The router now chooses u3 first: attempt 1 at u3 is not alone, attempt 2 at u1 is, as it must be.

The offers are now sorted by attempt number, which is the order in which they were made, and compared with the same list. Seen failing with the line taken out that makes the second attempt alone, and with the first attempt made alone.

--- a/sapphireseam/entry/forward_test.py
+++ b/sapphireseam/entry/forward_test.py
@@ -240,7 +240,7 @@
     async def test_request_that_crashed_two_upstreams_is_not_tried_again(self):
         world = World(lambda item, bring: bring(DIED))
         failure = await world.run(make_ask(world.timer.read_clock()))
-        offers = world.list_sent(message.Offer)
+        offers = sorted(world.list_sent(message.Offer), key=lambda each: each.attempt)
         self.assertEqual([offer.alone for offer in offers], [False, True])
         self.assertEqual(failure.kind, error.Kind.REQUEST_QUARANTINED)
         self.assertFalse(failure.not_run)
