--- a/sapphireseam/tools/layout.py
+++ b/sapphireseam/tools/layout.py
@@ -6,11 +6,17 @@
 """
 
 import json
+import random
 import socket
 from pathlib import Path
 from typing import Any, NamedTuple
 
+from sapphireseam.core import error
+
 HOST = "127.0.0.1"
+OUTGOING_PORTS = Path("/proc/sys/net/ipv4/ip_local_port_range")
+FIRST_PORT = 10_240
+MOST_TRIES = 1000
 FLEET_SECRET = "loopback-only-fleet-secret"
 
 
@@ -74,14 +80,23 @@
 
 
 def find_ports(count: int) -> list[int]:
-    """Return ports of loopback that were free a moment ago."""
-    sockets = [socket.socket() for _ in range(count)]
-    for item in sockets:
-        item.bind((HOST, 0))
-    ports = [item.getsockname()[1] for item in sockets]
-    for item in sockets:
-        item.close()
-    return ports
+    """Return ports of loopback that were free a moment ago.
+
+    They lie below the range from which the system takes ports for outgoing
+    connections, so a process that has started already can't take one of them.
+    """
+    first_outgoing = int(OUTGOING_PORTS.read_text().split()[0])
+    ports: list[int] = []
+    for port in random.sample(range(FIRST_PORT, first_outgoing), MOST_TRIES):
+        with socket.socket() as item:
+            try:
+                item.bind((HOST, port))
+            except OSError:
+                continue
+        ports.append(port)
+        if len(ports) == count:
+            return ports
+    raise error.SettingsError(f"no {count} free ports below {first_outgoing}")
 
 
 class _Ports:
