Keep loaded modules out of full garbage collections

Cause: a full collection in a running program took 49 ms in the entry, 31 ms in the agent and 23 ms in the leader (one each in 10 s, timed by gc.callbacks), and the loop stood still for as long. Most of what it looked at were modules that live until the end. Ruled out: young collections, p99 below 5 ms.

--- a/sapphireseam/utils/application.py
+++ b/sapphireseam/utils/application.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import gc
 import logging
 import signal
 from collections.abc import Coroutine
@@ -97,6 +98,10 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.request_stop)
         await self.start()
+        # What was loaded lives until the end. Looking through it again in each
+        # full collection would stop the loop for tens of milliseconds.
+        gc.collect()
+        gc.freeze()
         try:
             await self._stopping.wait()
         finally:
