Part the messages: calls, the watch, and what passes between entry and agent

Cause: one module of 602 lines held three protocols. Nothing else changed; the registry knows all three.

--- a/sapphireseam/agent/engine.py
+++ b/sapphireseam/agent/engine.py
@@ -14,7 +14,7 @@
 import aiohttp
 import yarl
 
-from sapphireseam.core import error, message
+from sapphireseam.core import error, exchange
 from sapphireseam.utils.application import TaskGroup
 from sapphireseam.utils.timer import TimerService, run_periodically, wait_for
 
@@ -149,9 +149,9 @@
                 method, url, headers=headers, data=body or None, allow_redirects=False
             ) as response:
                 started = True
-                yield message.Head(attempt, response.status, _keep(response.headers))
+                yield exchange.Head(attempt, response.status, _keep(response.headers))
                 async for data in response.content.iter_any():
-                    yield message.Data(attempt, data)
+                    yield exchange.Data(attempt, data)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as e:
             self.healthy = False
             text = f"upstream {self.name} can't be reached: {type(e).__name__}"
@@ -171,10 +171,10 @@
     )
 
 
-def explain(failure: UpstreamError, attempt: int, died: bool) -> message.Fail:
+def explain(failure: UpstreamError, attempt: int, died: bool) -> exchange.Fail:
     """Return what an entry is told about a failed exchange."""
     kind = error.Kind.NO_UPSTREAM if failure.not_run else error.Kind.OUTCOME_UNKNOWN
-    return message.Fail(
+    return exchange.Fail(
         attempt,
         str(kind),
         str(failure),
--- a/sapphireseam/agent/fake.py
+++ b/sapphireseam/agent/fake.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from sapphireseam.agent import engine
-from sapphireseam.core import message
+from sapphireseam.core import exchange
 
 
 class Exchange:
@@ -20,16 +20,16 @@
         """Answer with these pieces."""
         self.begin(status)
         for part in parts:
-            self._inbox.put_nowait(message.Data(0, part))
+            self._inbox.put_nowait(exchange.Data(0, part))
         self._inbox.put_nowait(None)
 
     def begin(self, status: int = 200) -> None:
         """Send the answer's head."""
-        self._inbox.put_nowait(message.Head(0, status, ()))
+        self._inbox.put_nowait(exchange.Head(0, status, ()))
 
     def send(self, part: bytes) -> None:
         """Send a piece."""
-        self._inbox.put_nowait(message.Data(0, part))
+        self._inbox.put_nowait(exchange.Data(0, part))
 
     def fail(self, not_run: bool = False, broken: bool = False) -> None:
         """End the exchange without an answer."""
--- a/sapphireseam/agent/itemwork.py
+++ b/sapphireseam/agent/itemwork.py
@@ -6,7 +6,7 @@
 from sapphireseam.agent import engine
 from sapphireseam.agent.death import DeathWatch
 from sapphireseam.agent.runner import Ended
-from sapphireseam.core import error, fingerprint, message
+from sapphireseam.core import error, exchange, fingerprint, message
 from sapphireseam.policy import queue
 from sapphireseam.utils.timer import TimerService, wait_for
 
@@ -147,7 +147,7 @@
         data = bytearray()
         try:
             async for part in answer:
-                if isinstance(part, message.Head):
+                if isinstance(part, exchange.Head):
                     status = part.status
                 else:
                     data += part.body
--- a/sapphireseam/agent/server.py
+++ b/sapphireseam/agent/server.py
@@ -16,7 +16,7 @@
 from sapphireseam.agent import engine
 from sapphireseam.agent.death import DeathWatch
 from sapphireseam.agent.runner import Ended, Runner
-from sapphireseam.core import error, message
+from sapphireseam.core import error, exchange
 from sapphireseam.policy import queue
 from sapphireseam.utils import rpc
 from sapphireseam.utils.application import TaskGroup
@@ -44,7 +44,7 @@
     """Run one online request and send its answer to the entry."""
 
     def __init__(
-        self, offer: message.Offer, stream: rpc.Stream, owner: "EntryServer", id: str
+        self, offer: exchange.Offer, stream: rpc.Stream, owner: "EntryServer", id: str
     ):
         now = owner.timer.read_clock()
         self.ticket = queue.Ticket(
@@ -75,7 +75,7 @@
     def refuse(self, failure: error.SeamError) -> None:
         """Tell the entry that the request wasn't run."""
         self._stream.post(
-            message.Fail(
+            exchange.Fail(
                 self._offer.attempt,
                 str(failure.kind),
                 failure.message,
@@ -99,7 +99,7 @@
             logger.exception("a request failed here")
             text = "internal error in the upstream's agent"
             self._stream.post(
-                message.Fail(
+                exchange.Fail(
                     self._offer.attempt,
                     str(error.Kind.INTERNAL),
                     text,
@@ -113,7 +113,7 @@
     async def _ask(self) -> bool:
         """Return whether the entry allows the hand-over, before the deadline."""
         timer = self._owner.timer
-        self._stream.post(message.Ready(self._offer.attempt))
+        self._stream.post(exchange.Ready(self._offer.attempt))
         try:
             await wait_for(timer, self._go.wait(), GO_SECONDS)
         except TimeoutError:
@@ -130,7 +130,7 @@
         )
         try:
             async for item in answer:
-                if isinstance(item, message.Head):
+                if isinstance(item, exchange.Head):
                     pace.begin(item)
                 else:
                     pace.note()
@@ -144,7 +144,7 @@
             return Ended(offer.cost, False)
         finally:
             await answer.aclose()
-        self._stream.post(message.End(offer.attempt))
+        self._stream.post(exchange.End(offer.attempt))
         return Ended(len(offer.body) / 4 + size / 4, True)
 
     async def _take_credit(self, size: int) -> None:
@@ -176,7 +176,7 @@
         self._streamed = False
         self._last = 0.0
 
-    def begin(self, head: message.Head) -> None:
+    def begin(self, head: exchange.Head) -> None:
         """Note whether the answer is a stream."""
         kind = next((v for n, v in head.headers if n.lower() == "content-type"), "")
         self._streamed = kind.startswith("text/event-stream")
@@ -218,7 +218,7 @@
 
     def register(self, server: rpc.Server) -> None:
         """Have the server pass entries' streams to this one."""
-        server.add_stream(message.Connect, frozenset({Role.FLEET}), self.serve)
+        server.add_stream(exchange.Connect, frozenset({Role.FLEET}), self.serve)
 
     async def start(self) -> None:
         """Begin to tell entries the load."""
@@ -247,9 +247,9 @@
         """Drop a request that has ended."""
         self._works.pop(work_id, None)
 
-    def _describe_load(self) -> message.Load:
+    def _describe_load(self) -> exchange.Load:
         runner = self.runner
-        return message.Load(
+        return exchange.Load(
             self.upstream.name,
             runner.count_running(False),
             runner.count_waiting(False),
@@ -267,7 +267,7 @@
         for stream in self._streams:
             stream.post(load)
 
-    async def serve(self, first: message.Connect, stream: rpc.Stream) -> None:
+    async def serve(self, first: exchange.Connect, stream: rpc.Stream) -> None:
         """Serve one entry's stream until it ends."""
         prefix = f"{first.entry}/{self._next}"
         self._next += 1
@@ -285,16 +285,16 @@
         name = f"{prefix}/{item.attempt}"
         work = self._works.get(name)
         match item:
-            case message.Offer():
+            case exchange.Offer():
                 self._timeline.clock.hear(item.clock)
                 work = OnlineWork(item, stream, self, name)
                 self._works[name] = work
                 self.runner.submit(work)
-            case message.Go() if work is not None:
+            case exchange.Go() if work is not None:
                 work.allow()
-            case message.Credit() if work is not None:
+            case exchange.Credit() if work is not None:
                 work.add_credit(item.size)
-            case message.Revoke():
+            case exchange.Revoke():
                 self._drop(name)
 
     def _drop(self, name: str) -> None:
--- a/sapphireseam/agent/server_test.py
+++ b/sapphireseam/agent/server_test.py
@@ -7,7 +7,7 @@
 from sapphireseam.agent.death import DeathWatch
 from sapphireseam.agent.fake import FakeStream, FakeUpstream
 from sapphireseam.agent.runner import Runner
-from sapphireseam.core import error, message
+from sapphireseam.core import error, exchange
 from sapphireseam.policy import admission, queue
 from sapphireseam.tools import fake
 from sapphireseam.utils import rpc
@@ -16,7 +16,7 @@
 
 
 def make_offer(attempt=1, ask=False, remaining=30.0, alone=False, name=""):
-    return message.Offer(
+    return exchange.Offer(
         attempt,
         "c",
         "POST",
@@ -56,7 +56,7 @@
 
     def connect(self):
         stream = FakeStream()
-        task = asyncio.create_task(self.server.serve(message.Connect("e"), stream))
+        task = asyncio.create_task(self.server.serve(exchange.Connect("e"), stream))
 
         async def end():
             task.cancel()
@@ -71,7 +71,7 @@
         await self.timer.settle()
 
     def list_fails(self):
-        return self.stream.list_sent(message.Fail)
+        return self.stream.list_sent(exchange.Fail)
 
     async def test_answer_comes_whole_under_its_attempt(self):
         await self.send(make_offer(7))
@@ -83,9 +83,9 @@
 
     async def test_nothing_is_handed_over_without_the_entrys_word(self):
         await self.send(make_offer(ask=True))
-        self.assertEqual(len(self.stream.list_sent(message.Ready)), 1)
+        self.assertEqual(len(self.stream.list_sent(exchange.Ready)), 1)
         await self.timer.advance(server.GO_SECONDS + 1.0)
-        await self.send(message.Go(1))
+        await self.send(exchange.Go(1))
         (failed,) = self.list_fails()
         self.assertTrue(failed.not_run)
         self.assertEqual(self.upstream.exchanges, [])
@@ -93,7 +93,7 @@
     async def test_word_that_comes_after_the_deadline_hands_nothing_over(self):
         """Freeze the agent between the entry's word and its reading."""
         await self.send(make_offer(ask=True, remaining=1.0))
-        self.stream.inbox.put_nowait(message.Go(1))
+        self.stream.inbox.put_nowait(exchange.Go(1))
         self.timer._now += 1.5
         await self.timer.settle()
         (failed,) = self.list_fails()
@@ -101,11 +101,11 @@
         self.assertEqual(self.upstream.exchanges, [])
 
     async def test_word_allows_one_hand_over(self):
-        await self.send(make_offer(ask=True), message.Go(1), message.Go(1))
+        await self.send(make_offer(ask=True), exchange.Go(1), exchange.Go(1))
         self.assertEqual(len(self.upstream.exchanges), 1)
 
     async def test_broken_exchange_is_never_called_not_run(self):
-        await self.send(make_offer(ask=True), message.Go(1))
+        await self.send(make_offer(ask=True), exchange.Go(1))
         self.upstream.exchanges[0].fail(broken=True)
         await self.timer.advance(1.0)
         (failed,) = self.list_fails()
@@ -124,15 +124,15 @@
 
     async def test_one_death_under_many_requests_is_reported_once(self):
         await self.send(*[make_offer(number) for number in range(3)])
-        for exchange in self.upstream.exchanges:
-            exchange.fail(broken=True)
+        for running in self.upstream.exchanges:
+            running.fail(broken=True)
         await self.timer.advance(1.0)
         self.assertEqual([failed.died for failed in self.list_fails()], [True] * 3)
         self.assertEqual(self.control.machine.state.deaths, {f"f{n}": 1 for n in "012"})
 
     async def test_revoked_request_leaves_queue_or_upstream(self):
         await self.send(*[make_offer(number) for number in range(5)])
-        await self.send(message.Revoke(0), message.Revoke(4))
+        await self.send(exchange.Revoke(0), exchange.Revoke(4))
         self.assertTrue(self.upstream.exchanges[0].cancelled)
         self.assertEqual(len(self.upstream.exchanges), 4)
         self.assertEqual(self.runner.count_waiting(False), 0)
@@ -156,15 +156,15 @@
             slow.send(piece)
         quick.answer(b"quick")
         await self.timer.settle()
-        self.assertEqual(self.stream.list_sent(message.End), [message.End(2)])
+        self.assertEqual(self.stream.list_sent(exchange.End), [exchange.End(2)])
         sent = sum(
             len(item.body)
-            for item in self.stream.list_sent(message.Data)
+            for item in self.stream.list_sent(exchange.Data)
             if item.attempt == 1
         )
         self.assertLessEqual(sent, server.WINDOW_BYTES)
-        await self.send(message.Credit(1, server.WINDOW_BYTES))
-        more = [d for d in self.stream.list_sent(message.Data) if d.attempt == 1]
+        await self.send(exchange.Credit(1, server.WINDOW_BYTES))
+        more = [d for d in self.stream.list_sent(exchange.Data) if d.attempt == 1]
         self.assertEqual(len(more) * len(piece), 2 * server.WINDOW_BYTES)
 
     async def test_fault_of_the_agent_itself_still_ends_the_attempt(self):
@@ -184,12 +184,12 @@
         await self.send(make_offer(9))
         self.assertEqual([f.attempt for f in self.list_fails()], [4, 9])
         self.assertTrue(all(f.not_run for f in self.list_fails()))
-        self.assertTrue(self.stream.list_sent(message.Load)[-1].leaving)
+        self.assertTrue(self.stream.list_sent(exchange.Load)[-1].leaving)
         self.assertFalse(stopping.done())
-        for exchange in self.upstream.exchanges:
-            exchange.answer(b"whole")
+        for running in self.upstream.exchanges:
+            running.answer(b"whole")
         await self.timer.advance(1.0)
-        self.assertEqual(len(self.stream.list_sent(message.End)), 4)
+        self.assertEqual(len(self.stream.list_sent(exchange.End)), 4)
         self.assertTrue(stopping.done())
 
     async def test_stop_does_not_wait_for_a_frozen_entry(self):
@@ -207,7 +207,7 @@
         whole, stream = self.upstream.exchanges
         whole.answer(b"a", b"b")
         events = (("Content-Type", "text/event-stream"),)
-        stream._inbox.put_nowait(message.Head(0, 200, events))
+        stream._inbox.put_nowait(exchange.Head(0, 200, events))
         stream.send(b"a")
         stream.send(b"b")
         await self.timer.settle()
--- a/sapphireseam/control/service.py
+++ b/sapphireseam/control/service.py
@@ -13,7 +13,7 @@
 from sapphireseam.control.orderkeeper import OrderKeeper
 from sapphireseam.control.owner import LimitOwner
 from sapphireseam.control.watch import WatchHub
-from sapphireseam.core import command, error, message, outcome
+from sapphireseam.core import command, error, message, notice, outcome
 from sapphireseam.state.replica import Replica
 from sapphireseam.utils import rpc
 from sapphireseam.utils.rpc import Role
@@ -96,7 +96,7 @@
         ]
         for kind, roles, handler in table:
             server.add_call(kind, roles, handler)
-        server.add_stream(message.Watch, _FLEET, self._hub.serve)
+        server.add_stream(notice.Watch, _FLEET, self._hub.serve)
 
     async def _propose(
         self, request: message.Propose, caller: rpc.Caller
--- a/sapphireseam/control/watch.py
+++ b/sapphireseam/control/watch.py
@@ -13,7 +13,7 @@
 
 from sapphireseam.control import claim, record
 from sapphireseam.control.machine import StateMachine
-from sapphireseam.core import command, error, fleet, message
+from sapphireseam.core import command, error, fleet, message, notice
 from sapphireseam.state.replica import Replica
 from sapphireseam.utils import rpc
 from sapphireseam.utils.timeline import Timeline
@@ -56,7 +56,7 @@
         self._document: dict[str, Any] = {}
         machine.subscribe(self._follow)
 
-    async def serve(self, first: message.Watch, stream: rpc.Stream) -> None:
+    async def serve(self, first: notice.Watch, stream: rpc.Stream) -> None:
         """Serve one watch until either end breaks it."""
         await self._replica.read_index()
         number = self._next
@@ -70,12 +70,10 @@
         finally:
             del self._watchers[number]
 
-    async def _answer(
-        self, first: message.Watch, stream: rpc.Stream, item: Any
-    ) -> None:
+    async def _answer(self, first: notice.Watch, stream: rpc.Stream, item: Any) -> None:
         if isinstance(item, message.SendEvents):
             self._timeline.keep(item.events)
-        if not isinstance(item, message.Ping):
+        if not isinstance(item, notice.Ping):
             return
         self._note(first, item.revision)
         try:
@@ -84,9 +82,9 @@
             return  # Without a quorum the lease isn't renewed.
         revision = record.read_revision(self._machine.state)
         clock = self._timeline.clock.last
-        stream.post(message.Renewal(item.nonce, revision, clock))
+        stream.post(notice.Renewal(item.nonce, revision, clock))
 
-    def _note(self, first: message.Watch, revision: int) -> None:
+    def _note(self, first: notice.Watch, revision: int) -> None:
         now = self._timer.read_clock()
         self._heard[first.node, first.program] = _Heard(revision, now)
 
@@ -105,9 +103,9 @@
             for (node, program), heard in sorted(self._heard.items())
         )
 
-    def _describe_whole(self) -> message.Whole:
+    def _describe_whole(self) -> notice.Whole:
         state = self._machine.state
-        return message.Whole(
+        return notice.Whole(
             record.read_revision(state),
             record.read_document(state),
             tuple(state.keys.values()),
@@ -133,27 +131,27 @@
             case command.Publish():
                 return self._describe_publish()
             case command.IssueKey() | command.WithdrawKey():
-                return message.KeyChange(state.keys[item.id])
+                return notice.KeyChange(state.keys[item.id])
             case command.MarkLeaving():
-                return message.LeavingChange(item.upstream, item.leaving)
+                return notice.LeavingChange(item.upstream, item.leaving)
             case command.ReportDeath():
                 return self._describe_deaths(item)
             case command.ClearSuspects():
-                return message.VerdictChange((), (), item.fingerprints)
+                return notice.VerdictChange((), (), item.fingerprints)
         return None
 
-    def _describe_publish(self) -> message.FleetChange:
+    def _describe_publish(self) -> notice.FleetChange:
         state = self._machine.state
         document = record.decode_document(record.read_document(state))
         changes = fleet.diff(self._document, document)
         self._document = document
         packed = json.dumps(changes).encode()
-        return message.FleetChange(record.read_revision(state), packed)
+        return notice.FleetChange(record.read_revision(state), packed)
 
-    def _describe_deaths(self, item: command.ReportDeath) -> message.VerdictChange:
+    def _describe_deaths(self, item: command.ReportDeath) -> notice.VerdictChange:
         deaths = self._machine.state.deaths
         named = [name for name in item.fingerprints if name in deaths]
-        return message.VerdictChange(
+        return notice.VerdictChange(
             tuple(name for name in named if deaths[name] == claim.SUSPECT),
             tuple(name for name in named if deaths[name] == claim.GUILTY),
         )
--- a/sapphireseam/control/watch_test.py
+++ b/sapphireseam/control/watch_test.py
@@ -3,7 +3,7 @@
 
 from sapphireseam.control import watch
 from sapphireseam.control.machine import StateMachine
-from sapphireseam.core import message
+from sapphireseam.core import notice
 from sapphireseam.tools.fake import FakeReplica
 from sapphireseam.utils.timeline import Timeline
 from sapphireseam.utils.timer import FakeTimer
@@ -26,7 +26,7 @@
         replica = FakeReplica(machine)
         replica.read_index = replica.confirm
         hub = watch.WatchHub(replica, machine, Timeline("control", timer), timer)
-        first = message.Watch("entry-1", "seam-entry", 0)
+        first = notice.Watch("entry-1", "seam-entry", 0)
         serving = asyncio.create_task(hub.serve(first, SilentStream()))
         self.addCleanup(serving.cancel)
         await timer.advance(watch.FORGET_SECONDS)
--- a/sapphireseam/core/message.py
+++ b/sapphireseam/core/message.py
@@ -1,13 +1,12 @@
-"""List the messages between the system's own processes.
+"""List the calls between the system's own processes, and their answers.
 
-Calls are answered by one message; streams carry many both ways, several to a
-flush. Between an entry and an agent every message names the attempt that it
-belongs to, so an answer that matches no open attempt can be dropped.
+The registry at the end knows the messages of the streams too: those of the
+watch (`notice`) and those between an entry and an agent (`exchange`).
 """
 
 from typing import NamedTuple
 
-from sapphireseam.core import codec
+from sapphireseam.core import codec, exchange, notice
 from sapphireseam.core.event import Event
 from sapphireseam.core.key import Key
 
@@ -387,173 +386,6 @@
     events: tuple[Event, ...]
 
 
-# The watch stream: from a process to a control VM and back.
-
-
-class Watch(NamedTuple):
-    """Open a watch; `revision` is the highest that the process has seen."""
-
-    node: str
-    program: str
-    revision: int
-
-
-class Ping(NamedTuple):
-    """Ask for the lease to be renewed; `nonce` comes back with it."""
-
-    nonce: int
-    revision: int
-
-
-class Renewal(NamedTuple):
-    """Confirm that a quorum stood behind all that was sent before this."""
-
-    nonce: int
-    revision: int
-    clock: float = 0.0
-
-
-class Whole(NamedTuple):
-    """Send the whole of what a process watches."""
-
-    revision: int
-    document: bytes
-    keys: tuple[Key, ...]
-    leaving: tuple[str, ...]
-    quarantined: tuple[str, ...]
-    suspects: tuple[str, ...] = ()
-
-
-class FleetChange(NamedTuple):
-    """Send what changed between two revisions, as JSON sections."""
-
-    revision: int
-    changes: bytes
-
-
-class KeyChange(NamedTuple):
-    """Send a key that was issued or withdrawn."""
-
-    key: Key
-
-
-class LeavingChange(NamedTuple):
-    """Send that an upstream leaves or is back."""
-
-    upstream: str
-    leaving: bool
-
-
-class VerdictChange(NamedTuple):
-    """Send fingerprints that are suspected, refused or cleared from now on."""
-
-    suspects: tuple[str, ...]
-    quarantined: tuple[str, ...]
-    cleared: tuple[str, ...] = ()
-
-
-# The stream between an entry and an agent.
-
-
-class Connect(NamedTuple):
-    """Open an entry's stream to an agent."""
-
-    entry: str
-
-
-class Offer(NamedTuple):
-    """Bring a request to an agent's queue.
-
-    `remaining` is the time to the caller's deadline in seconds. With `ask` the
-    agent hands the request over only after a `Go`; with `alone` it runs beside
-    no other. `clock` is the entry's event clock.
-    """
-
-    attempt: int
-    customer: str
-    method: str
-    target: str
-    headers: tuple[tuple[str, str], ...]
-    body: bytes
-    remaining: float
-    cost: float
-    ask: bool
-    alone: bool
-    fingerprint: str
-    clock: float = 0.0
-
-
-class Ready(NamedTuple):
-    """Ask whether a request may be handed over now."""
-
-    attempt: int
-
-
-class Go(NamedTuple):
-    """Allow the hand-over, once."""
-
-    attempt: int
-
-
-class Credit(NamedTuple):
-    """Let the agent send so many more bytes of an answer."""
-
-    attempt: int
-    size: int
-
-
-class Revoke(NamedTuple):
-    """End an attempt: drop it from the queue or cancel it upstream."""
-
-    attempt: int
-
-
-class Head(NamedTuple):
-    """Begin an answer."""
-
-    attempt: int
-    status: int
-    headers: tuple[tuple[str, str], ...]
-
-
-class Data(NamedTuple):
-    """Continue an answer."""
-
-    attempt: int
-    body: bytes
-
-
-class End(NamedTuple):
-    """End an answer that is whole."""
-
-    attempt: int
-
-
-class Fail(NamedTuple):
-    """End an attempt without a whole answer.
-
-    `died` says that the upstream died while it ran the request.
-    """
-
-    attempt: int
-    kind: str
-    message: str
-    not_run: bool
-    retry_after: float = 0.0
-    died: bool = False
-
-
-class Load(NamedTuple):
-    """Tell entries how busy an agent is; also its sign of life."""
-
-    upstream: str
-    running: int
-    queued: int
-    limit: int
-    leaving: bool
-    healthy: bool
-
-
 MESSAGES = (
     Failure,
     Empty,
@@ -599,25 +431,6 @@
     ReadEvents,
     SendEvents,
     Events,
-    Watch,
-    Ping,
-    Renewal,
-    Whole,
-    FleetChange,
-    KeyChange,
-    LeavingChange,
-    VerdictChange,
-    Connect,
-    Offer,
-    Ready,
-    Go,
-    Credit,
-    Revoke,
-    Head,
-    Data,
-    End,
-    Fail,
-    Load,
 )
 
-REGISTRY = codec.Registry(MESSAGES)
+REGISTRY = codec.Registry((*MESSAGES, *notice.MESSAGES, *exchange.MESSAGES))
--- a/sapphireseam/entry/delivery.py
+++ b/sapphireseam/entry/delivery.py
@@ -7,7 +7,7 @@
 
 from typing import Protocol
 
-from sapphireseam.core import message
+from sapphireseam.core import exchange
 from sapphireseam.entry import resume
 from sapphireseam.entry.ask import Ask
 
@@ -44,10 +44,10 @@
         self._sink = sink
         self._follower: resume.EventFollower | None = None
         self._following = False
-        self._head: message.Head | None = None
+        self._head: exchange.Head | None = None
         self._kept = bytearray()
 
-    def take_head(self, head: message.Head) -> bool:
+    def take_head(self, head: exchange.Head) -> bool:
         """Take an attempt's head; false if it can't continue what has begun."""
         events = head.status == _OK and is_event_stream(head)
         if self.begun and not (events and self._following):
@@ -117,7 +117,7 @@
         return resume.render_resumed_body(self.ask.body, self._follower.tokens)
 
 
-def is_event_stream(head: message.Head) -> bool:
+def is_event_stream(head: exchange.Head) -> bool:
     """Tell whether an answer is a stream of events."""
     return any(
         name.lower() == "content-type" and value.startswith(EVENT_STREAM)
--- a/sapphireseam/entry/fake.py
+++ b/sapphireseam/entry/fake.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from sapphireseam.core import fleet, message
+from sapphireseam.core import exchange, fleet
 from sapphireseam.entry import access, link
 from sapphireseam.entry.ask import Ask
 
@@ -24,7 +24,7 @@
         numbers: itertools.count,
     ):
         self.upstream = upstream
-        self.load: message.Load | None = message.Load(upstream, 0, 0, 8, False, True)
+        self.load: exchange.Load | None = exchange.Load(upstream, 0, 0, 8, False, True)
         self.load_at = 0.0
         self.in_flight_at_load = 0
         self.latency = 0.0
@@ -51,7 +51,7 @@
     def close_attempt(self, number: int, revoke: bool) -> None:
         """Forget an attempt."""
         if self.attempts.pop(number, None) is not None and revoke:
-            self.sent.append(message.Revoke(number))
+            self.sent.append(exchange.Revoke(number))
 
     def post(self, item: Any) -> None:
         """Take what the entry sends, and react."""
--- a/sapphireseam/entry/forward.py
+++ b/sapphireseam/entry/forward.py
@@ -15,7 +15,7 @@
 import random
 from collections.abc import Callable
 
-from sapphireseam.core import error, fleet, message
+from sapphireseam.core import error, exchange, fleet
 from sapphireseam.entry import access
 from sapphireseam.entry.ask import Ask
 from sapphireseam.entry.delivery import Delivery, Sink
@@ -223,9 +223,9 @@
 
     def _render_offer(
         self, delivery: Delivery, attempt: Attempt, alone: bool
-    ) -> message.Offer:
+    ) -> exchange.Offer:
         ask = delivery.ask
-        return message.Offer(
+        return exchange.Offer(
             attempt.number,
             ask.caller.customer,
             ask.method,
@@ -249,25 +249,25 @@
         while True:
             item = await attempt.receive()
             match item:
-                case message.Ready():
+                case exchange.Ready():
                     self._check_caller(delivery.ask, stopped)
                     possibly_run = True
-                    attempt.send(message.Go(attempt.number))
-                case message.Head():
+                    attempt.send(exchange.Go(attempt.number))
+                case exchange.Head():
                     self._take_head(delivery, item)
-                case message.Data():
+                case exchange.Data():
                     await delivery.take_data(item.body)
                     taken += len(item.body)
                     if taken >= CREDIT_BYTES:
-                        attempt.send(message.Credit(attempt.number, taken))
+                        attempt.send(exchange.Credit(attempt.number, taken))
                         taken = 0
-                case message.End():
+                case exchange.End():
                     await self._end(delivery)
                     return
-                case message.Fail() | Lost() if delivery.is_whole():
+                case exchange.Fail() | Lost() if delivery.is_whole():
                     await delivery.take_end()
                     return
-                case message.Fail():
+                case exchange.Fail():
                     raise self._explain_fail(item)
                 case Lost():
                     raise self._explain_loss(possibly_run)
@@ -275,7 +275,7 @@
                     delivery.possibly_run = delivery.possibly_run or possibly_run
                     raise self._finish(delivery, item.failure)
 
-    def _take_head(self, delivery: Delivery, head: message.Head) -> None:
+    def _take_head(self, delivery: Delivery, head: exchange.Head) -> None:
         """Take the head, or turn an engine's own refusal into a failed attempt."""
         if head.status == _BUSY_STATUS and delivery.ask.route.idempotent:
             text = "the upstream is overloaded"
@@ -292,7 +292,7 @@
             raise AttemptFailed(failure, False)
         await delivery.take_end()
 
-    def _explain_fail(self, item: message.Fail) -> AttemptFailed:
+    def _explain_fail(self, item: exchange.Fail) -> AttemptFailed:
         failure = error.SeamError(
             item.message, error.Kind(item.kind), item.retry_after or None, item.not_run
         )
--- a/sapphireseam/entry/forward_test.py
+++ b/sapphireseam/entry/forward_test.py
@@ -8,7 +8,7 @@
 
 from hypothesis import given, settings, strategies as st
 
-from sapphireseam.core import error, message
+from sapphireseam.core import error, exchange
 from sapphireseam.entry import forward, link
 from sapphireseam.entry.fake import FakeLink, FakeSink, make_ask, make_future
 from sapphireseam.policy import registry
@@ -33,9 +33,9 @@
         for n, name in enumerate([*NAMES, "p1", "p2", "p3"])
     },
 }
-BROKEN = message.Fail(0, "outcome_unknown", "broke", False)
-DIED = message.Fail(0, "outcome_unknown", "died", False, died=True)
-REFUSED = message.Fail(0, "overloaded", "full", True, 1.0)
+BROKEN = exchange.Fail(0, "outcome_unknown", "broke", False)
+DIED = exchange.Fail(0, "outcome_unknown", "died", False, died=True)
+REFUSED = exchange.Fail(0, "overloaded", "full", True, 1.0)
 
 
 class World:
@@ -83,9 +83,9 @@
 
 
 def answer_whole(bring, body=b"whole", status=200, headers=()):
-    bring(message.Head(0, status, headers))
-    bring(message.Data(0, body))
-    bring(message.End(0))
+    bring(exchange.Head(0, status, headers))
+    bring(exchange.Data(0, body))
+    bring(exchange.End(0))
 
 
 class Script:
@@ -97,13 +97,13 @@
         self.way = ""
 
     def react(self, item, bring):
-        if isinstance(item, message.Offer):
+        if isinstance(item, exchange.Offer):
             self.way = self.ways.pop(0) if len(self.ways) > 1 else self.ways[0]
             if item.ask and self.way not in ("lost before", "refused", "silent"):
-                bring(message.Ready(0))
+                bring(exchange.Ready(0))
                 return
             self.end(bring, item.ask)
-        elif isinstance(item, message.Go):
+        elif isinstance(item, exchange.Go):
             self.end(bring, False)
 
     def end(self, bring, asking):
@@ -121,7 +121,7 @@
                 bring(BROKEN)
             case "busy":
                 self.may_have_run += 1
-                bring(message.Head(0, 503, ()))
+                bring(exchange.Head(0, 503, ()))
             case "whole":
                 self.may_have_run += 1
                 answer_whole(bring)
@@ -167,7 +167,7 @@
         for _ in range(40):
             world.sink = FakeSink()
             await world.run(make_ask(world.timer.read_clock()))
-        offers = len(world.list_sent(message.Offer))
+        offers = len(world.list_sent(exchange.Offer))
         allowed = forward.LEAST_RETRIES + 40 * 0.2
         self.assertLessEqual(offers, 40 + allowed * 1.5)
 
@@ -178,12 +178,12 @@
         world.stopped.set_result(error.AccessError("withdrawn"))
         await world.timer.advance(0.1)
         self.assertTrue(task.exception().not_run)
-        self.assertEqual(len(world.list_sent(message.Revoke)), 1)
+        self.assertEqual(len(world.list_sent(exchange.Revoke)), 1)
 
     async def test_stop_after_the_hand_over_is_not_called_not_run(self):
         def react(item, bring):
-            if isinstance(item, message.Offer):
-                bring(message.Ready(0))
+            if isinstance(item, exchange.Offer):
+                bring(exchange.Ready(0))
 
         world = World(react)
         task = world.serve(make_ask(world.timer.read_clock(), idempotent=False))
@@ -205,7 +205,7 @@
         questions = []
 
         def react(item, bring):
-            if isinstance(item, message.Offer):
+            if isinstance(item, exchange.Offer):
                 questions.append(bring)
 
         world = World(react)
@@ -213,16 +213,16 @@
         task = world.serve(ask)
         await world.timer.settle()
         world.timer._now += 100.0
-        questions[0](message.Ready(0))
+        questions[0](exchange.Ready(0))
         await world.timer.settle()
         self.assertTrue(task.exception().not_run)
-        self.assertEqual(world.list_sent(message.Go), [])
+        self.assertEqual(world.list_sent(exchange.Go), [])
 
     async def test_entry_that_lost_the_control_vms_hands_nothing_over(self):
         questions = []
 
         def react(item, bring):
-            if isinstance(item, message.Offer):
+            if isinstance(item, exchange.Offer):
                 questions.append(bring)
 
         world = World(react)
@@ -232,15 +232,15 @@
         task = world.serve(ask)
         await world.timer.settle()
         world.mirror.confirmed = False
-        questions[0](message.Ready(0))
+        questions[0](exchange.Ready(0))
         await world.timer.settle()
         self.assertTrue(task.exception().not_run)
-        self.assertEqual(world.list_sent(message.Go), [])
+        self.assertEqual(world.list_sent(exchange.Go), [])
 
     async def test_request_that_crashed_two_upstreams_is_not_tried_again(self):
         world = World(lambda item, bring: bring(DIED))
         failure = await world.run(make_ask(world.timer.read_clock()))
-        offers = sorted(world.list_sent(message.Offer), key=lambda each: each.attempt)
+        offers = sorted(world.list_sent(exchange.Offer), key=lambda each: each.attempt)
         self.assertEqual([offer.alone for offer in offers], [False, True])
         self.assertEqual(failure.kind, error.Kind.REQUEST_QUARANTINED)
         self.assertFalse(failure.not_run)
@@ -249,11 +249,11 @@
         world = World(lambda item, bring: answer_whole(bring))
         world.mirror.suspects.add("f")
         await world.run(make_ask(world.timer.read_clock()))
-        self.assertTrue(world.list_sent(message.Offer)[0].alone)
+        self.assertTrue(world.list_sent(exchange.Offer)[0].alone)
         world.mirror.quarantined.add("f")
         failure = await world.run(make_ask(world.timer.read_clock()))
         self.assertTrue(failure.not_run)
-        self.assertEqual(len(world.list_sent(message.Offer)), 1)
+        self.assertEqual(len(world.list_sent(exchange.Offer)), 1)
 
     async def test_leaving_upstreams_get_nothing_by_each_of_three_ways(self):
         world = World(lambda item, bring: answer_whole(bring))
@@ -263,19 +263,19 @@
         world.links["u3"].load = None
         failure = await world.run(make_ask(world.timer.read_clock()))
         self.assertEqual(failure.kind, error.Kind.NO_UPSTREAM)
-        self.assertEqual(world.list_sent(message.Offer), [])
+        self.assertEqual(world.list_sent(exchange.Offer), [])
 
     async def test_answer_credit_is_given_as_the_caller_takes_it(self):
         def react(item, bring):
-            if isinstance(item, message.Offer):
-                bring(message.Head(0, 200, ()))
+            if isinstance(item, exchange.Offer):
+                bring(exchange.Head(0, 200, ()))
                 for _ in range(8):
-                    bring(message.Data(0, bytes(32 * 1024)))
-                bring(message.End(0))
+                    bring(exchange.Data(0, bytes(32 * 1024)))
+                bring(exchange.End(0))
 
         world = World(react)
         await world.run(make_ask(world.timer.read_clock()))
-        credits = world.list_sent(message.Credit)
+        credits = world.list_sent(exchange.Credit)
         self.assertEqual(sum(item.size for item in credits), 8 * 32 * 1024)
 
 
@@ -313,17 +313,17 @@
         replicas = itertools.count()
 
         def react(item, bring):
-            if not isinstance(item, message.Offer):
+            if not isinstance(item, exchange.Offer):
                 return
             done = json.loads(item.body).get("seam_resume_from", 0)
             events = render_events(tokens, usage, f"id-{next(replicas)}")[done:]
             data = line.join(events) + line
-            bring(message.Head(0, 200, EVENTS))
+            bring(exchange.Head(0, 200, EVENTS))
             place, way = pending.pop(0) if pending else (len(data), "end")
             place = min(place, len(data))
             for start in range(0, place, size):
-                bring(message.Data(0, data[start : min(start + size, place)]))
-            last = {"lost": link.Lost(0), "broke": BROKEN, "end": message.End(0)}
+                bring(exchange.Data(0, data[start : min(start + size, place)]))
+            last = {"lost": link.Lost(0), "broke": BROKEN, "end": exchange.End(0)}
             bring(last[way])
 
         world = World(react)
@@ -353,12 +353,12 @@
         offers = []
 
         def react(item, bring):
-            if not isinstance(item, message.Offer):
+            if not isinstance(item, exchange.Offer):
                 return
             offers.append(item)
             if len(offers) == 1:
-                bring(message.Head(0, 200, EVENTS))
-                bring(message.Data(0, events[0] + b"\n\n" + events[1][:9]))
+                bring(exchange.Head(0, 200, EVENTS))
+                bring(exchange.Data(0, events[0] + b"\n\n" + events[1][:9]))
                 bring(link.Lost(0))
             else:
                 second(item, bring)
@@ -392,8 +392,8 @@
             data = b"data: " + json.dumps(event).encode() + b"\n\n"
 
             def react(item, bring):
-                bring(message.Head(0, 200, EVENTS))
-                bring(message.Data(0, data))
+                bring(exchange.Head(0, 200, EVENTS))
+                bring(exchange.Data(0, data))
                 bring(BROKEN)
 
             world = World(react)
@@ -401,7 +401,7 @@
             ask = make_ask(world.timer.read_clock(), streamed=True, body=body)
             failure = await world.run(ask)
             self.assertIsNotNone(failure)
-            self.assertEqual(len(world.list_sent(message.Offer)), 1)
+            self.assertEqual(len(world.list_sent(exchange.Offer)), 1)
 
         asyncio.run(check())
 
--- a/sapphireseam/entry/link.py
+++ b/sapphireseam/entry/link.py
@@ -11,7 +11,7 @@
 import secrets
 from typing import Any, NamedTuple
 
-from sapphireseam.core import error, message
+from sapphireseam.core import error, exchange, message
 from sapphireseam.utils import rpc
 from sapphireseam.utils.application import TaskGroup
 from sapphireseam.utils.timer import TimerService, wait_for
@@ -79,7 +79,7 @@
     ):
         self.upstream = upstream
         self.address = address
-        self.load: message.Load | None = None
+        self.load: exchange.Load | None = None
         self.load_at = 0.0
         self.in_flight_at_load = 0
         self._latency = 0.0
@@ -104,7 +104,7 @@
         age = self._timer.read_clock() - self._latency_at
         return self._latency if age < LATENCY_SECONDS else 0.0
 
-    def _note_latency(self, attempt: Attempt, head: message.Head) -> None:
+    def _note_latency(self, attempt: Attempt, head: exchange.Head) -> None:
         """Take a stream's head into the mean; a whole answer's says too little."""
         kind = next((v for n, v in head.headers if n.lower() == "content-type"), "")
         if not kind.startswith("text/event-stream"):
@@ -144,7 +144,7 @@
     def close_attempt(self, number: int, revoke: bool) -> None:
         """Forget an attempt; what comes for it later is dropped."""
         if self._attempts.pop(number, None) is not None and revoke:
-            self.post(message.Revoke(number))
+            self.post(exchange.Revoke(number))
 
     def post(self, item: Any) -> None:
         """Send the agent a message, if the link is up."""
@@ -173,7 +173,7 @@
             await self._timer.sleep(RECONNECT_SECONDS)
 
     async def _follow(self) -> None:
-        stream = await self._channel.open(message.Connect(self._entry))
+        stream = await self._channel.open(exchange.Connect(self._entry))
         self._stream = stream
         try:
             while True:
@@ -183,7 +183,7 @@
             await stream.close()
 
     def _dispatch(self, item: Any) -> None:
-        if isinstance(item, message.Load):
+        if isinstance(item, exchange.Load):
             self.load = item
             self.load_at = self._timer.read_clock()
             self.in_flight_at_load = self.in_flight
@@ -193,6 +193,6 @@
         attempt = self._attempts.get(item.attempt)
         if attempt is None:
             return
-        if isinstance(item, message.Head):
+        if isinstance(item, exchange.Head):
             self._note_latency(attempt, item)
         attempt.post(item)
--- a/sapphireseam/entry/link_test.py
+++ b/sapphireseam/entry/link_test.py
@@ -3,12 +3,12 @@
 import unittest
 
 from sapphireseam.agent.fake import FakeStream
-from sapphireseam.core import error, message
+from sapphireseam.core import error, exchange
 from sapphireseam.entry import link
 from sapphireseam.utils import rpc
 from sapphireseam.utils.timer import FakeTimer
 
-LOAD = message.Load("u", 0, 0, 8, False, True)
+LOAD = exchange.Load("u", 0, 0, 8, False, True)
 
 
 class FakeChannel:
@@ -53,7 +53,7 @@
 
     async def test_each_answer_reaches_its_own_attempt(self):
         first, second = self.link.open_attempt(), self.link.open_attempt()
-        answers = [message.Data(a.number, b"%d" % a.number) for a in (second, first)]
+        answers = [exchange.Data(a.number, b"%d" % a.number) for a in (second, first)]
         await self.bring(*answers)
         self.assertEqual(self.read(first), [answers[1]])
         self.assertEqual(self.read(second), [answers[0]])
@@ -62,9 +62,9 @@
         first = self.link.open_attempt()
         first.close(revoke=True)
         second = self.link.open_attempt()
-        await self.bring(message.Data(first.number, b"late"))
+        await self.bring(exchange.Data(first.number, b"late"))
         self.assertEqual((self.read(first), self.read(second)), ([], []))
-        self.assertIn(message.Revoke(first.number), self.channel.streams[-1].sent)
+        self.assertIn(exchange.Revoke(first.number), self.channel.streams[-1].sent)
 
     async def test_silent_agent_loses_its_attempts_and_never_gets_them_back(self):
         """Freeze the agent; what it says after it goes on comes too late."""
@@ -77,7 +77,7 @@
         await self.timer.advance(1.0)
         self.assertIsNot(self.channel.streams[-1], old)
         second = self.link.open_attempt()
-        old.inbox.put_nowait(message.Data(second.number, b"old"))
+        old.inbox.put_nowait(exchange.Data(second.number, b"old"))
         await self.timer.settle()
         self.assertEqual(self.read(second), [])
 
--- a/sapphireseam/tools/bench_node.py
+++ b/sapphireseam/tools/bench_node.py
@@ -15,7 +15,7 @@
 
 import typer
 
-from sapphireseam.core import fleet as fleets, key, message
+from sapphireseam.core import exchange, fleet as fleets, key, message, notice
 from sapphireseam.tools import bench_control, fleet, layout
 from sapphireseam.utils import loop, rpc
 from sapphireseam.utils.client import ControlClient
@@ -60,7 +60,7 @@
         key.Key(f"{n:012x}", f"customer-{n:05}", key.digest(str(n)), 0.0)
         for n in range(customers)
     )
-    whole = message.Whole(1, packed, keys, (), ())
+    whole = notice.Whole(1, packed, keys, (), ())
     size = len(message.REGISTRY.encode(whole))
     mirror._apply(whole)
     del document, packed, keys, whole
@@ -68,7 +68,7 @@
     for number in range(CHANGES):
         contract = {"rate": 6 + number, "burst": 20}
         changes = {"contracts": {"standard": contract}}
-        mirror._apply(message.FleetChange(2 + number, json.dumps(changes).encode()))
+        mirror._apply(notice.FleetChange(2 + number, json.dumps(changes).encode()))
     milliseconds = (time.process_time() - start) / CHANGES * 1000
     grown = (bench_control.read_usage(os.getpid()).memory - before) / 1e6
     assert len(fleets.check(mirror.fleet)) == 0
@@ -92,7 +92,7 @@
 
 async def follow_load(channel: rpc.Channel, number: int) -> None:
     """Receive an agent's load reports as an entry would."""
-    stream = await channel.open(message.Connect(f"entry-{number}"))
+    stream = await channel.open(exchange.Connect(f"entry-{number}"))
     while True:
         await stream.receive()
 
--- a/sapphireseam/utils/mirror.py
+++ b/sapphireseam/utils/mirror.py
@@ -14,7 +14,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from sapphireseam.core import error, fleet, key, message
+from sapphireseam.core import error, fleet, key, message, notice
 from sapphireseam.utils import broadcast, metric, rpc
 from sapphireseam.utils.application import TaskGroup
 from sapphireseam.utils.client import ControlClient
@@ -121,7 +121,7 @@
 
     async def _watch(self, address: str) -> None:
         """Follow one control VM until it falls silent or behind."""
-        first = message.Watch(self._node, self._program, self.revision)
+        first = notice.Watch(self._node, self._program, self.revision)
         stream = await self._client.reach(address).open(first)
         self._asked.clear()
         self._stream = stream
@@ -144,7 +144,7 @@
     def _ping(self, stream: rpc.Stream) -> int:
         nonce = next(self._nonces)
         self._asked[nonce] = self._timer.read_clock()
-        stream.post(message.Ping(nonce, self.revision))
+        stream.post(notice.Ping(nonce, self.revision))
         return nonce
 
     def _send_events(self, stream: rpc.Stream) -> None:
@@ -155,27 +155,27 @@
 
     def _apply(self, item: Any) -> None:
         match item:
-            case message.Renewal():
+            case notice.Renewal():
                 self._renew(item)
                 return
-            case message.Whole():
+            case notice.Whole():
                 self._replace(item)
-            case message.FleetChange():
+            case notice.FleetChange():
                 changes = json.loads(item.changes)
                 self._take(item.revision, fleet.patch(self._document, changes))
-            case message.KeyChange():
+            case notice.KeyChange():
                 self.keys[item.key.id] = item.key
-            case message.LeavingChange():
+            case notice.LeavingChange():
                 change = self.leaving.add if item.leaving else self.leaving.discard
                 change(item.upstream)
-            case message.VerdictChange():
+            case notice.VerdictChange():
                 self._judge(item)
             case message.Failure():
                 raise rpc.unpack_failure(item)
         for listener in self._listeners:
             listener()
 
-    def _renew(self, item: message.Renewal) -> None:
+    def _renew(self, item: notice.Renewal) -> None:
         self._timeline.clock.hear(item.clock)
         asked = self._asked.pop(item.nonce, None)
         if asked is None or item.revision > self.revision:
@@ -187,7 +187,7 @@
         if future is not None and not future.done():
             future.set_result(None)
 
-    def _replace(self, item: message.Whole) -> None:
+    def _replace(self, item: notice.Whole) -> None:
         if item.revision < self.revision:
             text = f"it has revision {item.revision}, {self.revision} was seen"
             raise error.ControlError(text)
@@ -197,7 +197,7 @@
         self.suspects = set(item.suspects)
         self._take(item.revision, json.loads(item.document))
 
-    def _judge(self, item: message.VerdictChange) -> None:
+    def _judge(self, item: notice.VerdictChange) -> None:
         """Take in which requests crash upstreams, or may."""
         self.suspects.update(item.suspects)
         self.suspects.difference_update(item.cleared, item.quarantined)
--- a/sapphireseam/utils/mirror_test.py
+++ b/sapphireseam/utils/mirror_test.py
@@ -8,7 +8,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from sapphireseam.control import machine, record, watch
-from sapphireseam.core import command, error, key, message
+from sapphireseam.core import command, error, key, notice
 from sapphireseam.entry import access
 from sapphireseam.utils import mirror, rpc, timeline, timer
 
@@ -314,7 +314,7 @@
         self.model.publish()
         self.model.run(self.model.timer.settle())
         self.assertEqual(self.mirror.revision, 2)
-        old = message.Whole(1, self.model.log[0].document, (), (), ())
+        old = notice.Whole(1, self.model.log[0].document, (), (), ())
         with self.assertRaises(error.ControlError):
             self.mirror._apply(old)
         self.assertEqual(self.mirror.revision, 2)
