--- a/sapphireseam/tools/bench_control.py
+++ b/sapphireseam/tools/bench_control.py
@@ -28,6 +28,7 @@
 
 WINDOW_SECONDS = 6.0
 PUBLISHES = 30
+MANY_PUBLISHES = 400
 POLL_SECONDS = 0.002
 _TICKS = os.sysconf("SC_CLK_TCK")
 
@@ -236,6 +237,31 @@
     await watchers.stop()
 
 
+async def bench_publishes(
+    processes: fleet.Processes, plan: layout.Layout, client: ControlClient
+) -> None:
+    """Print publishes a second, one after the other, with six watchers."""
+    watchers = Watchers(plan.controls)
+    await watchers.start(6)
+    document = describe_customers(50)
+    revision = (await session.read_fleet(client)).revision
+    start = time.monotonic()
+    times = []
+    for number in range(MANY_PUBLISHES):
+        times.append(
+            await publish_once(client, document, revision + number, watchers.mirrors)
+        )
+    rate = MANY_PUBLISHES / (time.monotonic() - start)
+    typer.echo("| publishes/s | accepted p50, p99 ms | in force p50, p99 ms |")
+    typer.echo("|---|---|---|")
+    cells = []
+    for column in zip(*times, strict=True):
+        cuts = statistics.quantiles(column, n=100)
+        cells.append(f"{cuts[49] * 1000:.1f}, {cuts[98] * 1000:.1f}")
+    typer.echo(f"| {rate:.0f} | {cells[0]} | {cells[1]} |")
+    await watchers.stop()
+
+
 async def find_leader(client: ControlClient, plan: layout.Layout) -> str:
     """Return the name of the control VM that leads."""
     for address in plan.controls:
@@ -272,6 +298,7 @@
 Bench = Callable[[fleet.Processes, layout.Layout, ControlClient], Awaitable[None]]
 BENCHES: dict[str, Bench] = {
     "watchers": bench_watchers,
+    "publishes": bench_publishes,
     "sizes": bench_sizes,
     "leader": bench_leader_loss,
 }
@@ -287,7 +314,7 @@
 
 @app.command()
 def bench(
-    name: Annotated[str, typer.Argument(help="watchers, sizes or leader.")],
+    name: Annotated[str, typer.Argument(help="watchers, publishes, sizes or leader.")],
     folder: Annotated[Path | None, typer.Option(help="Where files go.")] = None,
 ) -> None:
     """Measure the control VMs.
