Count the agent's running work as it starts and ends

Cause: the agent counted its running work anew several times at each start and end, which with 60 at once was most of the time spent in choosing what starts (0.31 of 0.51 s under cProfile, 988 requests). Ruled out: the policies' own choice (0.07 s).

--- a/sapphireseam/agent/runner.py
+++ b/sapphireseam/agent/runner.py
@@ -95,6 +95,10 @@
         self._waiting: dict[str, Work] = {}
         self._suspects: list[Work] = []
         self._running: dict[str, _Running] = {}
+        # How many of them are batch work, and how many were started as due.
+        # Counting them anew at each start and end took most of its time.
+        self._running_batch = 0
+        self._running_due = 0
         self._yielding: set[str] = set()
         self._removed: set[str] = set()
         self._tasks = TaskGroup()
@@ -133,7 +137,9 @@
         """Return how many works run, of one kind or of both."""
         if batch is None:
             return len(self._running)
-        return sum(r.work.ticket.batch == batch for r in self._running.values())
+        if batch:
+            return self._running_batch
+        return len(self._running) - self._running_batch
 
     def count_waiting(self, batch: bool) -> int:
         """Return how many works of one kind wait."""
@@ -261,7 +267,7 @@
 
     def _tally(self) -> dispatch.Running:
         online = self.count_running(False)
-        due = sum(running.due for running in self._running.values())
+        due = self._running_due
         return dispatch.Running(online, len(self._running) - online - due, due)
 
     def _make_room(self) -> None:
@@ -298,6 +304,8 @@
         self._bound.observe_start(name, work.ticket.batch, now)
         task = self._tasks.spawn(work.run())
         self._running[name] = _Running(work, task, due, alone, now)
+        self._running_batch += work.ticket.batch
+        self._running_due += due
         if work.ticket.batch:
             self._tasks.spawn(self._assume_prefilled(name))
         # A callback runs even if the task is cancelled before its first step.
@@ -307,6 +315,8 @@
         """Settle a work that has ended, and go on with the next."""
         running = self._running.pop(name)
         work = running.work
+        self._running_batch -= work.ticket.batch
+        self._running_due -= running.due
         is_removed = name in self._removed
         yielded = name in self._yielding and task.cancelled() and not is_removed
         self._yielding.discard(name)
