--- a/sapphireseam/tools/bench_path.py
+++ b/sapphireseam/tools/bench_path.py
@@ -6,19 +6,15 @@
 """
 
 import asyncio
-import json
 import sys
 import tempfile
 from pathlib import Path
 from typing import Annotated
 
-import aiohttp
 import typer
 
-from sapphireseam.ops import session
 from sapphireseam.tools import fleet, layout
 from sapphireseam.utils import loop
-from sapphireseam.utils.timer import SystemTimer
 
 CUSTOMER = "grower-1"
 MODEL = "wording-llm"
@@ -48,18 +44,9 @@
     """Run the fleet and the comparison; return `seam-load`'s exit code."""
     plan = layout.lay_out(folder, describe_shape(rate), SPEEDS)
     plan.configuration["policy"] = POLICY
-    processes = fleet.Processes(folder)
-    async with aiohttp.ClientSession() as http:
-        try:
-            client = await fleet.start_fleet(processes, plan, http)
-            now = SystemTimer().read_wall_clock()
-            secret = await session.issue_key(client, CUSTOMER, now)
-            await client.stop()
-            keys = folder / "keys.json"
-            keys.write_text(json.dumps({CUSTOMER: secret.text}))
-            return await run_load(plan, processes, profile, keys, rounds)
-        finally:
-            await processes.stop()
+    async with fleet.run(plan) as running:
+        keys = await fleet.write_keys(running.client, (CUSTOMER,), folder)
+        return await run_load(plan, running.processes, profile, keys, rounds)
 
 
 async def run_load(
