Start new owners of the limits with what records leave

A new control leader began with every bucket empty, so customers within their rate were refused after each loss of a control VM. The owner now has a record (level, reserve) for each active customer committed ahead of its grants, grants at most the reserve until the next one, and a new owner starts with max(0, min(level, burst) - reserve). Commands carry the term; the machine refuses an older one, and an owner has its term committed before it reads what it inherits. A sent record binds at once, the older one until the new one is committed. An inherited record allows no grant.

Ruled out: one record's reserve counted from its commit (grants between draft and commit would be lost from the count); level - reserve without the cap by the burst in force (a lowered burst was passed).

In owner_test the fake replica can now propose; its tests stay as they were.

--- a/sapphireseam/control/machine.py
+++ b/sapphireseam/control/machine.py
@@ -10,7 +10,15 @@
 
 import msgspec
 
-from sapphireseam.control import claim, job, keyring, order, publish, record
+from sapphireseam.control import (
+    claim,
+    job,
+    keyring,
+    order,
+    publish,
+    record,
+    reserve,
+)
 from sapphireseam.core import command, outcome
 
 logger = logging.getLogger(__name__)
@@ -41,6 +49,7 @@
     command.ClearSuspects: claim.clear,
     command.BeginOrder: order.begin,
     command.FinishOrder: order.finish,
+    command.RecordReserves: reserve.apply,
 }
 
 
--- a/sapphireseam/control/owner.py
+++ b/sapphireseam/control/owner.py
@@ -1,25 +1,36 @@
 """Own the customers' buckets while this control VM leads.
 
-Nothing is replicated for a grant. A new leader starts with empty buckets, once
-the leases of the old one and whatever it granted have run out, so a change of
-owner can refuse a customer for a moment but never grants twice. The time of a
-grant counts from when the entry sent its question, see `GRANT_SECONDS`.
+Nothing is replicated for a grant. A new leader's buckets open once the leases
+of the old one and whatever it granted have run out, with what the old one's
+records say is surely left (policy/reserve.py). The time of a grant counts from
+when the entry sent its question, see `GRANT_SECONDS`.
+
+A new leader first has its term committed. That ends every older owner's
+commands, and all that was committed before is applied here by then, so what it
+inherits is the newest there is. Then one task has its own records committed,
+those of all customers that need one in one command.
 """
 
+import asyncio
+import logging
+
 from sapphireseam.control import record
 from sapphireseam.control.machine import StateMachine
-from sapphireseam.core import command, error, fleet, message
-from sapphireseam.policy import limit
+from sapphireseam.core import command, error, fleet, message, outcome
+from sapphireseam.policy import limit, reserve
 from sapphireseam.state.replica import Replica
 from sapphireseam.utils.application import TaskGroup
 from sapphireseam.utils.timer import TimerService, run_periodically
 
+logger = logging.getLogger(__name__)
+
 # How long an entry may use a grant, from when it asked. A new owner waits for
 # this long before its buckets begin to fill.
 GRANT_SECONDS = 1.0
 # What the clocks of two VMs may differ by in rate over that time, in seconds.
 MARGIN_SECONDS = 0.1
-# How often a control VM looks whether it has become the owner.
+# How often a control VM looks whether it has become the owner, and its records
+# are looked through for those that are due.
 LOOK_SECONDS = 0.1
 
 
@@ -30,38 +41,98 @@
         self._replica = replica
         self._machine = machine
         self._timer = timer
+        # The term that is being taken over, and the one that is owned.
+        self._seen_term = -1
         self._term = -1
         self._ready_at = 0.0
-        self._limiter: limit.Limiter = limit.OwnerLimiter()
+        self._is_stopped = False
+        self._limiter = reserve.ReservedLimiter(0.0, {})
         self._contracts: dict[str, fleet.Contract] = {}
+        self._waiting: dict[str, float] = {}
+        self._wake = asyncio.Event()
+        self._written = asyncio.Event()
         self._tasks = TaskGroup()
         machine.subscribe(self._follow)
 
     async def start(self) -> None:
         """Begin to look whether this control VM has become the owner."""
         self._tasks.spawn(run_periodically(self._timer, LOOK_SECONDS, self._look))
+        self._tasks.spawn(self._write_forever())
 
     async def stop(self) -> None:
-        """Stop looking."""
+        """Grant nothing more, and stop looking."""
+        self._is_stopped = True
         await self._tasks.cancel()
+        self._release_waiting()
 
     async def _look(self) -> None:
         """Begin a new term at once, so that buckets fill before they are asked."""
-        if self._replica.is_leader and self._replica.term != self._term:
-            self._begin_term()
+        self._notice_term()
+        self._wake.set()
+
+    def _notice_term(self) -> None:
+        if self._replica.is_leader and self._replica.term != self._seen_term:
+            self._seen_term = self._replica.term
+            now = self._timer.read_clock()
+            self._ready_at = now + GRANT_SECONDS + MARGIN_SECONDS
 
     def _follow(self, item: object, answer: object) -> None:
         if item is None or isinstance(item, command.Publish):
             self._configure()
 
-    def _begin_term(self) -> None:
-        self._term = self._replica.term
-        now = self._timer.read_clock()
-        self._ready_at = now + GRANT_SECONDS + MARGIN_SECONDS
+    async def _write_forever(self) -> None:
+        """Have terms and records committed, one command at a time."""
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            try:
+                await self._write()
+            except error.SeamError as failure:
+                logger.info("record put off", extra={"cause": failure.message})
+                await self._timer.sleep(LOOK_SECONDS)
+            self._release_waiting()
+
+    def _release_waiting(self) -> None:
+        """Have waiting debits look again whether they can go on."""
+        self._waiting = {}
+        self._written.set()
+        self._written = asyncio.Event()
+
+    async def _write(self) -> None:
+        """Take the term over, or have the records committed that are due."""
+        self._notice_term()
+        term = self._seen_term
+        if not self._replica.is_leader or self._replica.term != term:
+            return
+        if term != self._term:
+            if await self._commit(command.RecordReserves(term)):
+                self._begin_term(term)
+            return
+        limiter = self._limiter
+        draft = limiter.plan(self._timer.read_clock(), self._waiting)
+        if not draft.records:
+            return
+        reserves = tuple(
+            command.Reserve(customer, *each) for customer, each in draft.records.items()
+        )
+        if await self._commit(command.RecordReserves(term, reserves)):
+            limiter.confirm(draft.number)
+
+    async def _commit(self, item: command.RecordReserves) -> bool:
+        """Say whether the command took effect."""
+        answer = await self._replica.propose(command.REGISTRY.encode(item))
+        return isinstance(answer, outcome.Done)
+
+    def _begin_term(self, term: int) -> None:
+        self._term = term
         # Buckets begin to fill when the old owner's grants have run out.
-        self._limiter = limit.OwnerLimiter(opens_at=self._ready_at)
+        self._limiter = reserve.ReservedLimiter(
+            self._ready_at, self._machine.state.reserves
+        )
         self._contracts = {}
         self._configure()
+        # The records of this term are committed while the old grants run out.
+        self._wake.set()
 
     def _configure(self) -> None:
         """Bring the buckets in line with the contracts in force."""
@@ -77,21 +148,46 @@
 
     async def debit(self, request: message.Debit) -> message.Debited:
         """Grant or refuse each customer's amount, whole or not at all."""
-        if not self._replica.is_leader:
+        grants: list[limit.Grant] = []
+        for place, (customer, amount) in enumerate(request.wanted):
+            self._check_open()
+            grant = self._try_debit(customer, amount)
+            while grant is None:
+                rest = request.wanted[place:]
+                await self._wait_for_record(customer, _sum_wanted(customer, rest))
+                grant = self._try_debit(customer, amount)
+            grants.append(grant)
+        return message.Debited(tuple(tuple(grant) for grant in grants))
+
+    def _check_open(self) -> None:
+        """Raise what keeps this control VM from granting now."""
+        if self._is_stopped or not self._replica.is_leader:
             raise error.NotLeaderError("this control VM doesn't lead")
-        if self._replica.term != self._term:
-            self._begin_term()
+        self._notice_term()
         now = self._timer.read_clock()
-        if now < self._ready_at:
+        if self._term != self._replica.term or now < self._ready_at:
+            self._wake.set()
             text = "the limits' new owner waits out the old one's grants"
-            raise error.CapacityError(text, retry_after=self._ready_at - now)
-        if not self._contracts:
-            self._configure()
-        grants = tuple(
-            tuple(self._limiter.debit(customer, amount, now))
-            for customer, amount in request.wanted
-        )
-        return message.Debited(grants)
+            wait = max(self._ready_at - now, LOOK_SECONDS)
+            raise error.CapacityError(text, retry_after=wait)
+
+    def _try_debit(self, customer: str, amount: float) -> limit.Grant | None:
+        now = self._timer.read_clock()
+        grant = self._limiter.debit(customer, amount, now)
+        if grant is None or self._limiter.is_low(customer):
+            self._wake.set()
+        return grant
+
+    async def _wait_for_record(self, customer: str, amount: float) -> None:
+        """Return once another record may let the amount go."""
+        self._waiting[customer] = self._waiting.get(customer, 0.0) + amount
+        self._wake.set()
+        await self._written.wait()
+        self._check_open()
+
+
+def _sum_wanted(customer: str, wanted: tuple[tuple[str, float], ...]) -> float:
+    return sum(amount for name, amount in wanted if name == customer)
 
 
 def read_contracts(document: bytes) -> dict[str, fleet.Contract]:
--- a/sapphireseam/control/owner_test.py
+++ b/sapphireseam/control/owner_test.py
@@ -1,9 +1,10 @@
+import asyncio
 import json
 import unittest
 
 from sapphireseam.control import owner
 from sapphireseam.control.machine import StateMachine
-from sapphireseam.core import command, message
+from sapphireseam.core import command, error, message
 from sapphireseam.utils.timer import FakeTimer
 
 RATE = 10.0
@@ -17,13 +18,21 @@
     def __init__(self):
         self.is_leader = False
         self.term = 1
+        self.sent = 0
+        self.is_stuck = False
+
+    async def propose(self, data):
+        self.sent += 1
+        if self.is_stuck:
+            await asyncio.Event().wait()
+        return self.machine.apply(1000 + self.sent, data)
 
 
 class LimitOwnerTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.timer = FakeTimer()
         self.replica = FakeReplica()
-        self.machine = StateMachine()
+        self.machine = self.replica.machine = StateMachine()
         self.owner = owner.LimitOwner(self.replica, self.machine, self.timer)
         await self.owner.start()
         self.addAsyncCleanup(self.owner.stop)
@@ -53,6 +62,56 @@
         await self.timer.advance(1.0)
         self.assertEqual(await self.count_granted(20), RATE)
 
+    async def test_next_owner_goes_on_with_what_was_left(self):
+        self.publish(0)
+        self.replica.is_leader = True
+        await self.timer.advance(5.0)
+        self.assertEqual(await self.count_granted(12), 12.0)
+        await self.timer.advance(owner.LOOK_SECONDS)
+        # The records of the first owner's last look say 9 of 20, reserve 5.
+        self.replica.term = 2
+        await self.timer.advance(owner.LOOK_SECONDS)
+        with self.assertRaises(error.CapacityError):
+            await self.count_granted(1)
+        await self.timer.advance(owner.GRANT_SECONDS + owner.MARGIN_SECONDS)
+        self.assertEqual(await self.count_granted(20), 4.0)
+
+    async def test_debit_past_the_reserve_waits_for_one_record(self):
+        self.publish(0)
+        self.replica.is_leader = True
+        await self.timer.advance(5.0)
+        await self.count_granted(1)
+        await self.timer.advance(owner.LOOK_SECONDS)
+        sent = self.replica.sent
+        self.assertEqual(await self.count_granted(10), 10.0)
+        self.assertEqual(self.replica.sent, sent + 1)
+
+    async def test_stop_refuses_a_debit_that_waits_for_a_record(self):
+        self.publish(0)
+        self.replica.is_leader = True
+        await self.timer.advance(5.0)
+        await self.count_granted(1)
+        await self.timer.advance(owner.LOOK_SECONDS)
+        self.replica.is_stuck = True
+        waiting = asyncio.create_task(self.count_granted(10))
+        await self.timer.settle()
+        self.assertFalse(waiting.done())
+        await self.owner.stop()
+        await self.timer.settle()
+        self.assertTrue(waiting.done(), "the debit waits for good")
+        with self.assertRaises(error.NotLeaderError):
+            await waiting
+
+    async def test_steady_use_sends_about_a_command_a_second(self):
+        self.publish(0)
+        self.replica.is_leader = True
+        await self.timer.advance(5.0)
+        sent = self.replica.sent
+        for _ in range(100):
+            self.assertEqual(await self.count_granted(1), 1.0)
+            await self.timer.advance(0.2)
+        self.assertLessEqual(self.replica.sent - sent, 30)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/sapphireseam/control/record.py
+++ b/sapphireseam/control/record.py
@@ -10,6 +10,7 @@
 from typing import Any, NamedTuple
 
 from sapphireseam.core.key import Key
+from sapphireseam.policy.limit import Reserve
 
 # An item's mark in its job's byte string.
 PENDING = 0
@@ -139,11 +140,12 @@
     leaving: dict[str, float]
     orders: dict[int, Order]
     answers: dict[str, Stored]
+    reserves: dict[str, Reserve]
 
 
 def create() -> State:
     """Return the state before the first command."""
-    return State({"revision": 0}, {}, *({} for _ in range(14)))
+    return State({"revision": 0}, {}, *({} for _ in range(15)))
 
 
 def read_revision(state: State) -> int:
--- a/sapphireseam/core/command.py
+++ b/sapphireseam/core/command.py
@@ -237,6 +237,24 @@
     at: float
 
 
+class Reserve(NamedTuple):
+    """Say what a customer's bucket held, and what its owner grants of it."""
+
+    customer: str
+    level: float
+    reserve: float
+
+
+class RecordReserves(NamedTuple):
+    """Replace customers' reserves, unless an owner of a newer term has begun.
+
+    An owner of the limits begins its term with an empty one.
+    """
+
+    term: int
+    reserves: tuple[Reserve, ...] = ()
+
+
 COMMANDS = (
     SetOperator,
     Publish,
@@ -260,6 +278,7 @@
     IssueOrder,
     BeginOrder,
     FinishOrder,
+    RecordReserves,
 )
 
 REGISTRY = codec.Registry(COMMANDS)
--- a/sapphireseam/policy/limit.py
+++ b/sapphireseam/policy/limit.py
@@ -4,9 +4,10 @@
 customer in memory and replicates nothing per grant. Two rules make the sum
 over the fleet exact. Tokens leased to an entry stay counted until the entry
 says what it used or the lease expires, and bucket plus leased tokens never
-exceed the burst. A new owner starts with every bucket empty, at a moment by
-which the old owner grants no more and what it leased has expired. So for any
-window: admitted <= burst + rate * window, whatever is lost or late.
+exceed the burst. A new owner starts at a moment by which the old owner grants
+no more and what it leased has expired, with every bucket empty, or holding what
+a record of the old owner says is surely left (reserve.py). So for any window:
+admitted <= burst + rate * window, whatever is lost or late.
 
 Time is a monotonic reading in seconds. A clock that steps back is caught and
 brings no tokens, neither by the step nor by its way forward again. A step
@@ -18,6 +19,7 @@
 
 import math
 from collections import OrderedDict
+from collections.abc import Mapping
 from typing import NamedTuple, Protocol
 
 # How long an allowance may be spent, and counts at the owner.
@@ -45,6 +47,21 @@
     retry_after: float
 
 
+class Reserve(NamedTuple):
+    """Record what a customer's bucket held and what may be granted of it.
+
+    The owner that wrote it grants at most `reserve` after the bucket held
+    `level` (leased tokens not counted), until a newer record is in force.
+    """
+
+    level: float
+    reserve: float
+
+    def compute_start(self, burst: float) -> float:
+        """Return what a new owner's bucket of this burst starts with."""
+        return max(min(self.level, burst) - self.reserve, 0.0)
+
+
 class Limiter(Protocol):
     """Grant tokens to all customers; amounts are in tokens."""
 
@@ -208,7 +225,8 @@
     neither grant nor refill before it. Only the first owner of a fleet that
     never granted anything may have `start_empty` false. An owner that calls
     `tick` more often than each `longest_step` seconds may set it: a longer
-    step of the clock then brings no tokens.
+    step of the clock then brings no tokens. `records` are those in force when
+    this owner began; it must replace a customer's before it grants (reserve.py).
 
     When a publish changes a customer's rate or burst, a window gets at most
     the largest burst in force in it or `ALLOWANCE_SECONDS` before it, plus the
@@ -220,7 +238,9 @@
         start_empty: bool = True,
         opens_at: float = -math.inf,
         longest_step: float = math.inf,
+        records: Mapping[str, Reserve] | None = None,
     ):
+        self._records = dict(records or {})
         self._start_empty = start_empty
         self._opens_at = opens_at
         self._clock = _Clock(longest_step)
@@ -239,7 +259,7 @@
         """Set a customer's rate and burst.
 
         A customer that is new here has had nothing since this owner opened, so
-        its bucket holds what it would have filled with since.
+        its bucket holds what its record left and it would have filled with since.
         """
         now = self._read(now)
         bucket = self._buckets.get(customer)
@@ -247,16 +267,29 @@
             bucket.change(rate, burst, now)
             return
         start = max(now, self._opens_at)
-        level = self._compute_level(rate, burst, start)
+        level = self._compute_level(customer, rate, burst, start)
         self._buckets[customer] = Bucket(rate, burst, level, start)
 
-    def _compute_level(self, rate: float, burst: float, start: float) -> float:
+    def _compute_level(
+        self, customer: str, rate: float, burst: float, start: float
+    ) -> float:
         """Return what a new customer's bucket holds at its start."""
         if not self._start_empty:
             return burst
         if self._opens_at == -math.inf:
             return 0.0
-        return min(burst, rate * (start - self._opens_at))
+        record = self._records.get(customer)
+        left = record.compute_start(burst) if record else 0.0
+        return min(burst, left + rate * (start - self._opens_at))
+
+    def read_level(self, customer: str, now: float) -> float:
+        """Return what is in the customer's bucket, leased tokens not counted."""
+        now = self._read(now)
+        bucket = self._buckets.get(customer)
+        if bucket is None:
+            return 0.0
+        bucket.refill(now)
+        return bucket.level
 
     def remove(self, customer: str) -> None:
         """Grant nothing more; the bucket stays, since its leases may be out.
--- /dev/null
+++ b/sapphireseam/policy/reserve_test.py
@@ -0,0 +1,110 @@
+"""Test that records spare customers within their rate, and cost little."""
+
+import unittest
+
+from sapphireseam.policy import limit, reserve
+
+CUSTOMER = "north"
+RATE = 10.0
+BURST = 2.0 * RATE
+AMOUNT = 0.25
+# Half the rate.
+PERIOD = AMOUNT / (0.5 * RATE)
+# From the loss of an owner to the opening of the next one.
+OUTAGE = 2.0
+# A record is committed so long after it was drafted.
+COMMIT = 2 * PERIOD
+
+
+class Log:
+    """Commit records one after the other, each late."""
+
+    def __init__(self):
+        self.records = {}
+        self.pending = None
+        self.sent = 0
+
+    def write(self, owner, now, wanted):
+        if self.pending is None:
+            draft = owner.plan(now, wanted)
+            if draft.records:
+                self.sent += 1
+                self.pending = (now + COMMIT, draft)
+        if self.pending is not None and self.pending[0] <= now:
+            self.records.update(self.pending[1].records)
+            owner.confirm(self.pending[1].number)
+            self.pending = None
+
+    def begin_owner(self, now):
+        """Return an owner that opens once its first records are committed."""
+        self.pending = None
+        owner = reserve.ReservedLimiter(now, self.records)
+        owner.configure(CUSTOMER, RATE, BURST, now)
+        self.write(owner, now - OUTAGE, {})
+        self.write(owner, now, {})
+        return owner
+
+
+class Load:
+    """Have one customer ask at half its rate; what waits asks again."""
+
+    def __init__(self, test):
+        self.test = test
+        self.backlog = 0
+
+    def ask(self, owner, log, now):
+        """Debit all that waits; a refusal fails the test."""
+        while self.backlog:
+            grant = owner.debit(CUSTOMER, AMOUNT, now)
+            if grant is None:
+                break
+            self.test.assertEqual(grant.granted, AMOUNT, "refused within the rate")
+            self.backlog -= 1
+        wanted = {CUSTOMER: self.backlog * AMOUNT} if self.backlog else {}
+        log.write(owner, now, wanted)
+
+
+class HandoverTest(unittest.TestCase):
+    def test_customer_at_half_its_rate_is_never_refused_by_a_new_owner(self):
+        for stays in range(80, 130):
+            log, load = Log(), Load(self)
+            now = 100.0
+            owner = log.begin_owner(now)
+            now += BURST / RATE
+            for _ in range(5):
+                for _ in range(stays):
+                    now += PERIOD
+                    load.backlog += 1
+                    load.ask(owner, log, now)
+                self.assertEqual(load.backlog, 0)
+                now += OUTAGE
+                owner = log.begin_owner(now)
+                # What came in the meantime asks as soon as the owner opens.
+                load.backlog += round(OUTAGE / PERIOD)
+                load.ask(owner, log, now)
+
+    def test_steady_use_costs_at_most_three_commands_in_two_seconds(self):
+        log, load = Log(), Load(self)
+        owner = log.begin_owner(100.0)
+        now = 102.0
+        seconds = 60.0
+        for _ in range(round(seconds / PERIOD)):
+            now += PERIOD
+            load.backlog += 1
+            load.ask(owner, log, now)
+            self.assertEqual(load.backlog, 0, "a debit waits for a record")
+        self.assertLessEqual(log.sent, 1.5 * seconds)
+
+    def test_inherited_record_allows_nothing_until_it_is_replaced(self):
+        inherited = {CUSTOMER: limit.Reserve(20.0, 5.0)}
+        owner = reserve.ReservedLimiter(100.0, inherited)
+        owner.configure(CUSTOMER, RATE, BURST, 99.0)
+        self.assertIsNone(owner.debit(CUSTOMER, 1.0, 100.0))
+        draft = owner.plan(100.0, {CUSTOMER: 1.0})
+        self.assertIsNone(owner.debit(CUSTOMER, 1.0, 100.0))
+        owner.confirm(draft.number)
+        self.assertEqual(owner.debit(CUSTOMER, 1.0, 100.0).granted, 1.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
