Take prompt prefixes and stream latencies out of routing again

Conclusion: a failed try, reverted. With real engines, whose prefill costs more, it is to be measured again before it comes back.

--- a/sapphireseam/entry/ask.py
+++ b/sapphireseam/entry/ask.py
@@ -17,8 +17,7 @@
 class Ask(NamedTuple):
     """Hold a request that is ready to be routed.
 
-    `deadline` is on the entry's monotonic clock, `cost` in tokens; `prefix`
-    holds the hashes of the prompt's blocks.
+    `deadline` is on the entry's monotonic clock, `cost` in tokens.
     """
 
     id: str
@@ -35,7 +34,6 @@
     cost: float
     fingerprint: str
     idempotency_key: str
-    prefix: tuple[int, ...] = ()
 
 
 def find_route(current: fleet.Fleet, path: str) -> tuple[str, fleet.Route]:
--- a/sapphireseam/entry/forward.py
+++ b/sapphireseam/entry/forward.py
@@ -312,7 +312,7 @@
         now = self._timer.read_clock()
         self._follow_policy()
         for exclude in (frozenset(tried), frozenset()):
-            query = router.Query(ask.caller.customer, ask.prefix, exclude, alone)
+            query = router.Query(ask.caller.customer, (), exclude, alone)
             name = self._router.choose(query, candidates, now)
             if name is not None:
                 self._router.record(query, name, now)
--- a/sapphireseam/entry/gateway.py
+++ b/sapphireseam/entry/gateway.py
@@ -24,7 +24,6 @@
     render_error,
 )
 from sapphireseam.entry.store import FileStore
-from sapphireseam.policy import prefix
 from sapphireseam.utils import probe
 from sapphireseam.utils.application import TaskGroup
 from sapphireseam.utils.mirror import Mirror
@@ -281,5 +280,4 @@
             asks.estimate_cost(document, len(body)),
             fingerprint.compute(caller.customer, request.method, target, body),
             request.headers.get("Idempotency-Key", ""),
-            prefix.compute_blocks(document),
         )
--- a/sapphireseam/entry/link.py
+++ b/sapphireseam/entry/link.py
@@ -21,10 +21,6 @@
 # An agent sends its load this often at least, see the agent's server.
 SILENCE_SECONDS = 2.0
 RECONNECT_SECONDS = 0.2
-# The weight of the newest first token in a replica's mean latency.
-LATENCY_WEIGHT = 0.1
-# A latency that old is forgotten, so that a replica avoided as slow is tried again.
-LATENCY_SECONDS = 5.0
 
 
 class Lost(NamedTuple):
@@ -45,7 +41,6 @@
 
     def __init__(self, number: int, owner: "AgentLink"):
         self.number = number
-        self.opened_at = 0.0
         self._owner = owner
         self._inbox: asyncio.Queue[Any] = asyncio.Queue()
 
@@ -82,8 +77,7 @@
         self.load: exchange.Load | None = None
         self.load_at = 0.0
         self.in_flight_at_load = 0
-        self._latency = 0.0
-        self._latency_at = 0.0
+        self.latency = 0.0
         self._entry = entry
         self._timer = timer
         self._channel = rpc.Channel(address, credential)
@@ -98,23 +92,6 @@
         """Return how many attempts are open."""
         return len(self._attempts)
 
-    @property
-    def latency(self) -> float:
-        """Return the mean time to a stream's head in seconds; 0 if not known."""
-        age = self._timer.read_clock() - self._latency_at
-        return self._latency if age < LATENCY_SECONDS else 0.0
-
-    def _note_latency(self, attempt: Attempt, head: exchange.Head) -> None:
-        """Take a stream's head into the mean; a whole answer's says too little."""
-        kind = next((v for n, v in head.headers if n.lower() == "content-type"), "")
-        if not kind.startswith("text/event-stream"):
-            return
-        now = self._timer.read_clock()
-        seconds = now - attempt.opened_at
-        known = self.latency or seconds
-        self._latency = known + LATENCY_WEIGHT * (seconds - known)
-        self._latency_at = now
-
     def is_up(self) -> bool:
         """Tell whether the agent is connected and was heard lately."""
         if self._stream is None or self.load is None:
@@ -137,7 +114,6 @@
             text = f"upstream {self.upstream} can't be reached"
             raise error.CapacityError(text, error.Kind.NO_UPSTREAM)
         attempt = Attempt(next(self._numbers), self)
-        attempt.opened_at = self._timer.read_clock()
         self._attempts[attempt.number] = attempt
         return attempt
 
@@ -194,8 +170,5 @@
         if isinstance(item, message.Failure):
             raise rpc.unpack_failure(item)
         attempt = self._attempts.get(item.attempt)
-        if attempt is None:
-            return
-        if isinstance(item, exchange.Head):
-            self._note_latency(attempt, item)
-        attempt.post(item)
+        if attempt is not None:
+            attempt.post(item)
