--- a/sapphireseam/agent/application.py
+++ b/sapphireseam/agent/application.py
@@ -115,9 +115,7 @@
     credential = (rpc.FLEET_HEADER, settings.fleet_secret)
     timeline = Timeline(settings.node, timer)
     client = ControlClient(settings.control, credential, timer)
-    mirror = Mirror(
-        settings.node, "seam-agent", client, settings.control, timeline, timer
-    )
+    mirror = Mirror(settings.node, "seam-agent", client, timeline, timer)
     upstream = engine.Upstream(settings.upstream, timer)
     line = registry.build({}, "queue")
     bound = registry.build({}, "admission")
--- a/sapphireseam/control/application.py
+++ b/sapphireseam/control/application.py
@@ -1,11 +1,24 @@
 """Build a control VM's program from its settings."""
 
+import asyncio
 import logging
 import random
+from collections.abc import Callable
 from pathlib import Path
-from typing import NamedTuple
-
-from sapphireseam.control import blob, guard
+from typing import Annotated, NamedTuple
+
+from pydantic import Field
+
+from sapphireseam.control import (
+    blob,
+    desk,
+    directory,
+    guard,
+    joining,
+    lotrunner,
+    lotservice,
+    placement,
+)
 from sapphireseam.control.dispatch import Dispatcher
 from sapphireseam.control.machine import StateMachine
 from sapphireseam.control.meter import TimedDisk, report_state
@@ -14,10 +27,12 @@
 from sapphireseam.control.service import ControlService
 from sapphireseam.control.watch import WatchHub
 from sapphireseam.core import codec, command, error, fleet, key, message, outcome
+from sapphireseam.policy import spare
 from sapphireseam.state import link, message as log_message, option
 from sapphireseam.state.replica import Replica
-from sapphireseam.utils import metric, rpc
-from sapphireseam.utils.application import Application, TaskGroup
+from sapphireseam.utils import metric, outbound, rpc
+from sapphireseam.utils.application import Application, Part, TaskGroup
+from sapphireseam.utils.client import ControlClient
 from sapphireseam.utils.probe import Probe
 from sapphireseam.utils.rpc import Role
 from sapphireseam.utils.setting import Secret
@@ -28,6 +43,8 @@
 
 # Longest time for one call to another member, in seconds.
 MEMBER_CALL_SECONDS = 10.0
+# After so many calls without an answer the connection is given up.
+MEMBER_SILENT_CALLS = 3
 OPERATOR_KEY_FILE = "operator-key"
 OPERATOR_PREFIX = "seamop"
 
@@ -54,25 +71,52 @@
     data_folder: Path
     fleet_secret: Secret
     peers: tuple[Peer, ...]
+    voters: Annotated[int, Field(ge=0, le=9)] = 0
+    is_first_start: bool = True
+    label: str = ""
+    slack: spare.Slack = spare.Slack()
+
+
+class Outside(NamedTuple):
+    """Bring what a deployment needs whose upstreams are found by discovery.
+
+    `make_front` makes the part that takes the operators' calls.
+    """
+
+    source: directory.Source
+    upstreams: outbound.Outbound
+    probe: placement.Probe
+    make_front: Callable[[desk.Desk, ControlClient], Part]
 
 
 _REGISTRY = codec.Registry(log_message.MESSAGES)
 
 
 class MemberLink:
-    """Carry the replicated log's messages to one other control VM."""
+    """Carry the replicated log's messages to one other control VM.
+
+    A connection may fall silent for good without a reset, so one that has
+    brought no answer for a while is given up.
+    """
 
-    def __init__(self, node: str, channel: rpc.Channel):
+    def __init__(self, node: str, members: "Members", name: str):
         self._node = node
-        self._channel = channel
+        self._members = members
+        self._name = name
 
     async def call(self, request: NamedTuple) -> NamedTuple:
         """Return the peer's reply or raise `LinkError`."""
         packed = message.MemberCall(self._node, _REGISTRY.encode(request))
+        channel = self._members.reach(self._name)
         try:
-            reply = await self._channel.call(packed, MEMBER_CALL_SECONDS)
+            reply = await channel.call(packed, MEMBER_CALL_SECONDS)
         except error.SeamError as failure:
             raise link.LinkError(failure.message) from None
+        except asyncio.CancelledError:
+            # Whoever asked has waited long enough.
+            self._members.note_silence(channel)
+            raise
+        self._members.note_answer(channel)
         return _REGISTRY.decode(reply.body)
 
 
@@ -84,6 +128,8 @@
         self._credential = (rpc.FLEET_HEADER, settings.fleet_secret)
         self._addresses = {peer.name: peer.address for peer in settings.peers}
         self._channels: dict[str, rpc.Channel] = {}
+        self._unanswered: dict[str, int] = {}
+        self._tasks = TaskGroup()
         self.replica: Replica | None = None
 
     async def start(self) -> None:
@@ -91,16 +137,32 @@
 
     async def stop(self) -> None:
         """Close every channel."""
+        await self._tasks.cancel()
         for channel in self._channels.values():
             await channel.close()
 
+    def note_answer(self, channel: rpc.Channel) -> None:
+        """Note that a channel works."""
+        self._unanswered.pop(channel.address, None)
+
+    def note_silence(self, channel: rpc.Channel) -> None:
+        """Note that a call brought nothing; open another channel after a few."""
+        count = self._unanswered.get(channel.address, 0) + 1
+        self._unanswered[channel.address] = count
+        held = self._channels.get(channel.address)
+        if count >= MEMBER_SILENT_CALLS and held is channel:
+            del self._channels[channel.address]
+            del self._unanswered[channel.address]
+            self._tasks.spawn(channel.close())
+
     def find_address(self, name: str) -> str:
         """Return a member's address, by the membership before the settings."""
         members = self.replica.members if self.replica else ()
         for member in members:
             if member.name == name and member.address:
                 return member.address
-        return self._addresses.get(name, "")
+        # Members that look after themselves are named by their addresses.
+        return self._addresses.get(name, name)
 
     def reach(self, name: str) -> rpc.Channel:
         """Return the channel to a member."""
@@ -111,7 +173,7 @@
 
     def link(self, name: str) -> MemberLink:
         """Return the link to a member."""
-        return MemberLink(self._node, self.reach(name))
+        return MemberLink(self._node, self, name)
 
     async def fetch(
         self, name: str, request: message.ReadBlob, timeout: float
@@ -180,7 +242,25 @@
         return text
 
 
-def build(settings: Settings, timer: TimerService | None = None) -> Application:
+class Handover:
+    """Hand leadership over when the program stops."""
+
+    def __init__(self, replica: Replica):
+        self._replica = replica
+
+    async def start(self) -> None:
+        """Do nothing yet."""
+
+    async def stop(self) -> None:
+        """Let another member lead from now on."""
+        await self._replica.transfer()
+
+
+def build(
+    settings: Settings,
+    timer: TimerService | None = None,
+    outside: Outside | None = None,
+) -> Application:
     """Return the application of one control VM."""
     timer = timer or SystemTimer()
     meter = metric.Meter(settings.node)
@@ -189,10 +269,10 @@
     machine = StateMachine()
     members = Members(settings)
     store = blob.BlobStore(settings.data_folder / "blobs")
+    first = settings.peers if settings.is_first_start else ()
     options = option.Options(
-        bootstrap=tuple(
-            log_message.Member(peer.name, peer.address) for peer in settings.peers
-        )
+        bootstrap=tuple(log_message.Member(peer.name, peer.address) for peer in first),
+        voters=settings.voters,
     )
     replica = Replica(
         settings.node,
@@ -269,4 +349,45 @@
     application.add(orders)
     application.add(owner)
     application.add(OperatorKeeper(settings.data_folder, replica, machine, timer))
+    if outside is not None:
+        core = Core(settings, replica, machine, owner, server, timer)
+        add_discovery(application, core, outside)
+    application.add(Handover(replica))
     return application
+
+
+class Core(NamedTuple):
+    """Name the parts of a control VM that others are built on."""
+
+    settings: Settings
+    replica: Replica
+    machine: StateMachine
+    owner: LimitOwner
+    server: rpc.Server
+    timer: TimerService
+
+
+def add_discovery(application: Application, core: Core, outside: Outside) -> None:
+    """Add what places requests and runs lots at upstreams that are discovered."""
+    settings, replica, machine, timer = (
+        core.settings,
+        core.replica,
+        core.machine,
+        core.timer,
+    )
+    addresses = tuple(peer.address for peer in settings.peers)
+    credential = (rpc.FLEET_HEADER, settings.fleet_secret)
+    client = ControlClient(addresses, credential, timer)
+    server = placement.PlacementServer(
+        replica, machine, core.owner, settings.slack, outside.probe, timer
+    )
+    server.register(core.server)
+    lotservice.LotService(replica, machine, timer).register(core.server)
+    joins = joining.Joining(replica, machine, settings.voters, timer)
+    joins.register(core.server)
+    runner = lotrunner.LotRunner(replica, machine, server, outside.upstreams, timer)
+    reader = directory.Directory(outside.source, replica, timer, server.take_instances)
+    front = outside.make_front(desk.Desk(replica, machine, client, timer), client)
+    announcer = joining.Announcer(settings.address, settings.label, client, timer)
+    for part in (client, outside.upstreams, server, runner, reader, announcer, front):
+        application.add(part)
--- /dev/null
+++ b/sapphireseam/control/lot.py
@@ -0,0 +1,91 @@
+"""Apply changes to lots: requests that came at once and run later.
+
+A lot is accepted once under its own id. Results get their positions in the
+order of the log, so they are the same at every member, and an item gets one.
+"""
+
+from sapphireseam.control import record
+from sapphireseam.core import command, error, outcome
+
+Answer = outcome.Done | outcome.Refused
+
+
+def accept(state: record.State, item: command.AcceptLot) -> Answer:
+    """Take a lot unless its customer has too many tokens waiting.
+
+    A lot that was accepted before is answered as it was then.
+    """
+    known = state.lots.get(item.lot)
+    if known is not None:
+        if (known.customer, known.route) == (item.customer, item.route):
+            return outcome.Done(item.lot)
+        text = "the id belongs to another lot"
+        return outcome.Refused(error.Kind.CONFLICT, text)
+    wanted = sum(each.tokens for each in item.items)
+    waiting = count_waiting_tokens(state, item.customer, item.route)
+    if item.token_limit and waiting + wanted > item.token_limit:
+        text = f"{waiting} tokens wait already, {item.token_limit} may"
+        return outcome.Refused(error.Kind.RATE_LIMITED, text, waiting)
+    state.lots[item.lot] = record.Lot(
+        item.lot,
+        item.customer,
+        item.route,
+        list(item.items),
+        item.at,
+        item.due,
+        item.abandon,
+        [],
+        set(),
+    )
+    return outcome.Done(item.lot)
+
+
+def count_waiting_tokens(state: record.State, customer: str, route: str) -> int:
+    """Return the tokens of a customer's items on a route that aren't listed."""
+    return sum(
+        each.tokens
+        for lot in state.lots.values()
+        if lot.customer == customer and lot.route == route and lot.is_open
+        for number, each in enumerate(lot.items)
+        if number not in lot.listed
+    )
+
+
+def list_results(state: record.State, item: command.ListResults) -> outcome.Done:
+    """Append results to their lots; those that come too late are dropped."""
+    count = 0
+    for result in item.results:
+        lot = state.lots.get(result.lot)
+        if lot is None or not lot.is_open or result.item in lot.listed:
+            continue
+        _list_result(lot, result.item, result.failed, result.output)
+        count += 1
+    return outcome.Done("", count)
+
+
+def _list_result(lot: record.Lot, number: int, failed: bool, output: bytes) -> None:
+    lot.results.append(record.Result(number, failed, output))
+    lot.listed.add(number)
+    lot.items[number] = lot.items[number]._replace(body=b"")
+
+
+def end(state: record.State, item: command.EndLot) -> Answer:
+    """Stop a lot; ending it again is no error."""
+    lot = state.lots.get(item.lot)
+    if lot is None or lot.customer != item.customer:
+        return outcome.Refused(error.Kind.OBJECT_UNKNOWN, f"no lot {item.lot!r}")
+    if lot.is_open:
+        for number in range(len(lot.items)):
+            if number not in lot.listed:
+                _list_result(lot, number, True, b"")
+        state.lots[item.lot] = lot._replace(is_ended=True)
+    return outcome.Done(item.lot)
+
+
+def forget(state: record.State, item: command.ForgetLots) -> outcome.Done:
+    """Drop lots with all that they hold, but for open ones."""
+    for name in item.lots:
+        lot = state.lots.get(name)
+        if lot is not None and not lot.is_open:
+            del state.lots[name]
+    return outcome.Done()
--- /dev/null
+++ b/sapphireseam/control/lotrunner.py
@@ -0,0 +1,385 @@
+"""Run the items of lots at upstreams, while this control VM leads.
+
+Items take the places that online requests leave free and give them back at
+once. An item that was stopped midway goes on behind its last whole event, at
+whatever upstream has room. What is under way is known to the leader alone: after
+its loss the next one runs what the log doesn't list, so an item may run more
+than once and is listed once.
+"""
+
+import asyncio
+import logging
+
+from sapphireseam.control import record
+from sapphireseam.control.machine import StateMachine
+from sapphireseam.control.placement import PlacementServer
+from sapphireseam.core import command, error, fleet
+from sapphireseam.core.instance import Instance
+from sapphireseam.policy import board as boards, share
+from sapphireseam.state.replica import Replica
+from sapphireseam.utils import event, outbound
+from sapphireseam.utils.application import TaskGroup
+from sapphireseam.utils.timer import TimerService, run_periodically
+
+logger = logging.getLogger(__name__)
+
+# How often all lots are looked through, in seconds.
+LOOK_SECONDS = 0.25
+# An upstream that sends an item nothing for so long is left, in seconds.
+SILENCE_SECONDS = 3.0
+# Pause before an item runs again after its upstream broke off without an event:
+# the first one, doubled each time up to the longest, in seconds.
+FIRST_PAUSE_SECONDS = 0.2
+LONGEST_PAUSE_SECONDS = 8.0
+# Results that are ready together are listed by one command, up to this many bytes.
+LIST_BYTES = 512 * 1024
+# How long a finished lot's results are kept at least, from its acceptance.
+KEEP_SECONDS = 120.0
+# Statuses of an answer: done, never to be done.
+DONE = 200
+IMPOSSIBLE = 422
+
+_Key = tuple[str, int]
+
+
+class _Progress:
+    """Hold what is known of an item that isn't listed yet."""
+
+    def __init__(self):
+        self.data: list[bytes] = []
+        self.last_event = -1
+        self.failures = 0
+        self.breaks = 0
+        self.not_before = 0.0
+        self.avoided: frozenset[str] = frozenset()
+        # The upstream answered without an id to resume behind.
+        self.is_resumable = True
+
+    def reset(self) -> None:
+        """Forget the output, to begin at the beginning."""
+        self.data.clear()
+        self.last_event = -1
+
+
+class LotRunner:
+    """Give items places, run them and have their results listed."""
+
+    def __init__(
+        self,
+        replica: Replica,
+        machine: StateMachine,
+        placement: PlacementServer,
+        upstreams: outbound.Outbound,
+        timer: TimerService,
+        keep_seconds: float = KEEP_SECONDS,
+    ):
+        self._replica = replica
+        self._machine = machine
+        self._placement = placement
+        self._upstreams = upstreams
+        self._timer = timer
+        self._keep_seconds = keep_seconds
+        self._fleet = fleet.Fleet()
+        self._progress: dict[_Key, _Progress] = {}
+        self._runs: dict[str, asyncio.Task] = {}
+        # Items that run, or whose result waits to be listed.
+        self._busy: set[_Key] = set()
+        self._results: list[command.LotResult] = []
+        self._has_results = asyncio.Event()
+        self._wake = asyncio.Event()
+        self._tasks = TaskGroup()
+        placement.on_evicted = self._evict
+        placement.on_room = self._wake.set
+        machine.subscribe(self._follow)
+
+    async def start(self) -> None:
+        """Begin to run items."""
+        self._tasks.spawn(self._fill_forever())
+        self._tasks.spawn(self._list_forever())
+        self._tasks.spawn(run_periodically(self._timer, LOOK_SECONDS, self._look))
+
+    async def stop(self) -> None:
+        """Stop every item; the next leader runs them."""
+        await self._tasks.cancel()
+
+    def _follow(self, item: object, answer: object) -> None:
+        if item is None or isinstance(item, command.Publish | command.PublishNumbered):
+            found, _ = fleet.parse(
+                record.decode_document(record.read_document(self._machine.state))
+            )
+            self._fleet = found or fleet.Fleet()
+        if isinstance(item, command.EndLot):
+            self._stop_lot(item.lot)
+        if isinstance(item, command.ListResults):
+            for result in item.results:
+                self._settle((result.lot, result.item))
+        self._wake.set()
+
+    def _settle(self, key: _Key) -> None:
+        """Forget an item that is listed."""
+        self._progress.pop(key, None)
+        self._busy.discard(key)
+
+    def _stop_lot(self, lot: str) -> None:
+        for name, task in list(self._runs.items()):
+            if name.startswith(_name_run(lot, "")):
+                task.cancel()
+        for key in [key for key in self._progress if key[0] == lot]:
+            del self._progress[key]
+
+    def _evict(self, key: str) -> None:
+        task = self._runs.get(key)
+        if task is not None:
+            task.cancel()
+
+    async def _look(self) -> None:
+        """Give up what is too old, drop what was kept long enough."""
+        if not self._replica.is_leader:
+            self._stop_all()
+            return
+        now = self._timer.read_wall_clock()
+        state = self._machine.state
+        for lot in list(state.lots.values()):
+            if lot.is_open and self._is_over(lot, now):
+                self._give_up(lot)
+        old = tuple(
+            lot.id
+            for lot in state.lots.values()
+            if not lot.is_open and lot.at + self._keep_seconds < now
+        )
+        if old:
+            await self._propose(command.ForgetLots(old))
+        self._wake.set()
+
+    def _stop_all(self) -> None:
+        """Run nothing: another member leads, or nobody does."""
+        for task in list(self._runs.values()):
+            task.cancel()
+        self._progress.clear()
+        self._results.clear()
+        self._busy.clear()
+
+    def _is_over(self, lot: record.Lot, now: float) -> bool:
+        return lot.abandon < now or lot.route not in self._fleet.routes
+
+    def _give_up(self, lot: record.Lot) -> None:
+        for number in range(len(lot.items)):
+            if number not in lot.listed and (lot.id, number) not in self._busy:
+                self._end_item((lot.id, number), True)
+
+    # Filling free places.
+
+    async def _fill_forever(self) -> None:
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            if self._replica.is_leader:
+                self._fill()
+
+    def _fill(self) -> None:
+        now = self._timer.read_clock()
+        full: set[str] = set()
+        for lot in share.order_lots(self._machine.state.lots.values()):
+            route = self._fleet.routes.get(lot.route)
+            if route is None or not lot.is_open:
+                continue
+            service = _choose_service(route)
+            for number in range(len(lot.items)):
+                if service in full:
+                    break
+                key = (lot.id, number)
+                if number in lot.listed or key in self._busy:
+                    continue
+                if not self._try_start(lot, number, route, service, now):
+                    full.add(service)
+
+    def _try_start(
+        self, lot: record.Lot, number: int, route: fleet.Route, service: str, now: float
+    ) -> bool:
+        """Start an item if there is room; false if there is none."""
+        key = (lot.id, number)
+        progress = self._progress.setdefault(key, _Progress())
+        if progress.not_before > now:
+            return True
+        name = _name_run(lot.id, number)
+        ask = boards.Ask(
+            name, service, lot.customer, route.rank, "", now, now, progress.avoided
+        )
+        grant = self._placement.board.take_spare(ask)
+        if grant is None:
+            return False
+        self._busy.add(key)
+        work = self._run(lot, number, route, progress, grant.instance)
+        task = self._tasks.spawn(work)
+        self._runs[name] = task
+        task.add_done_callback(lambda done: self._finish_run(name, key, done))
+        return True
+
+    def _finish_run(
+        self, name: str, key: _Key, task: asyncio.Task[bool | None]
+    ) -> None:
+        """Free the item's place, and list its result if it has one."""
+        if self._runs.get(name) is task:
+            del self._runs[name]
+        self._placement.leave(name)
+        if task.cancelled() or task.exception() or task.result() is None:
+            self._busy.discard(key)
+            self._wake.set()
+            return
+        progress = self._progress.get(key)
+        output = b"\n".join(progress.data) if progress else b""
+        self._end_item(key, task.result(), output)
+
+    # Running one item.
+
+    async def _run(
+        self,
+        lot: record.Lot,
+        number: int,
+        route: fleet.Route,
+        progress: _Progress,
+        instance: Instance,
+    ) -> bool | None:
+        """Return whether the item is given up, or None if it is to run again."""
+        try:
+            return await self._exchange(lot, number, route, progress, instance)
+        except outbound.OutboundError as failure:
+            self._note_break(progress, instance, failure)
+            return None
+
+    def _note_break(
+        self, progress: _Progress, instance: Instance, failure: outbound.OutboundError
+    ) -> None:
+        logger.info(
+            "item broke off",
+            extra={"upstream": instance.id, "cause": str(failure)},
+        )
+        progress.avoided = frozenset({instance.id})
+        if failure.is_not_run:
+            progress.not_before = self._timer.read_clock() + FIRST_PAUSE_SECONDS
+            return
+        self._placement.report_suspect(instance.id)
+        pause = FIRST_PAUSE_SECONDS * 2**progress.breaks
+        progress.breaks += 1
+        now = self._timer.read_clock()
+        progress.not_before = now + min(pause, LONGEST_PAUSE_SECONDS)
+
+    async def _exchange(
+        self,
+        lot: record.Lot,
+        number: int,
+        route: fleet.Route,
+        progress: _Progress,
+        instance: Instance,
+    ) -> bool | None:
+        """Send an item and read its output; the answer is that of `_run`."""
+        item = lot.items[number]
+        request = outbound.Outgoing(
+            item.id,
+            lot.customer,
+            route.host,
+            "POST",
+            item.target,
+            item.headers,
+            item.body,
+            resume_after=progress.last_event,
+        )
+        if not progress.is_resumable:
+            progress.reset()
+            request = request._replace(resume_after=-1)
+        async with self._upstreams.send(request, instance, SILENCE_SECONDS) as answer:
+            if answer.head.is_not_run:
+                raise outbound.OutboundError("the upstream refused the item", True)
+            if answer.head.status == IMPOSSIBLE:
+                return True
+            if answer.head.status != DONE:
+                return self._note_failure(progress, route, answer.head.status)
+            await self._read_output(answer, progress)
+        return False
+
+    def _note_failure(
+        self, progress: _Progress, route: fleet.Route, status: int
+    ) -> bool | None:
+        progress.failures += 1
+        progress.reset()
+        most = route.batch.attempts if route.batch else 1
+        if progress.failures >= most:
+            return True
+        logger.info("item failed", extra={"status": status, "of": most})
+        progress.not_before = self._timer.read_clock() + FIRST_PAUSE_SECONDS
+        return None
+
+    async def _read_output(self, answer: outbound.Answer, progress: _Progress) -> None:
+        if not answer.head.is_stream:
+            progress.reset()
+            progress.data.append(await answer.read_all(LIST_BYTES))
+            return
+        splitter = event.Splitter()
+        while True:
+            data = await answer.read_some(SILENCE_SECONDS)
+            if not data:
+                break
+            for item in splitter.feed(data):
+                _take_event(progress, item)
+        if splitter.has_rest:
+            raise outbound.OutboundError("the answer ends within an event", False)
+
+    # Listing results.
+
+    def _end_item(self, key: _Key, failed: bool, output: bytes = b"") -> None:
+        self._busy.add(key)
+        self._results.append(
+            command.LotResult(key[0], key[1], failed, b"" if failed else output)
+        )
+        self._has_results.set()
+
+    async def _list_forever(self) -> None:
+        while True:
+            await self._has_results.wait()
+            self._has_results.clear()
+            while self._results:
+                await self._list_some()
+
+    async def _list_some(self) -> None:
+        batch: list[command.LotResult] = []
+        size = 0
+        while self._results and (not batch or size < LIST_BYTES):
+            batch.append(self._results.pop(0))
+            size += len(batch[-1].output)
+        if not await self._propose(command.ListResults(tuple(batch))):
+            # Proposed again, it is listed once: the first listing wins.
+            if self._replica.is_leader:
+                self._results[:0] = batch
+                await self._timer.sleep(LOOK_SECONDS)
+
+    async def _propose(self, item: object) -> bool:
+        try:
+            await self._replica.propose(command.REGISTRY.encode(item))
+        except error.SeamError as failure:
+            detail = {"command": type(item).__name__, "cause": failure.message}
+            logger.warning("not committed", extra=detail)
+            return False
+        return True
+
+
+def _name_run(lot: str, number: int | str) -> str:
+    """Return the board's key of an item's run."""
+    return f"item/{lot}#{number}"
+
+
+def _take_event(progress: _Progress, item: event.Event) -> None:
+    """Add an event's data, unless it stands there already."""
+    if item.number < 0:
+        progress.is_resumable = False
+    elif item.number <= progress.last_event:
+        return
+    else:
+        progress.last_event = item.number
+    progress.data.append(item.data)
+
+
+def _choose_service(route: fleet.Route) -> str:
+    """Return the service of a batch route; of several the heaviest."""
+    if not route.shares:
+        return route.service
+    return max(route.shares, key=lambda each: each.weight).service
--- a/sapphireseam/control/owner.py
+++ b/sapphireseam/control/owner.py
@@ -37,7 +37,14 @@
 class LimitOwner:
     """Debit customers' buckets for all entries."""
 
-    def __init__(self, replica: Replica, machine: StateMachine, timer: TimerService):
+    def __init__(
+        self,
+        replica: Replica,
+        machine: StateMachine,
+        timer: TimerService,
+        grant_seconds: float = GRANT_SECONDS,
+    ):
+        self._grant_seconds = grant_seconds
         self._replica = replica
         self._machine = machine
         self._timer = timer
@@ -74,10 +81,10 @@
         if self._replica.is_leader and self._replica.term != self._seen_term:
             self._seen_term = self._replica.term
             now = self._timer.read_clock()
-            self._ready_at = now + GRANT_SECONDS + MARGIN_SECONDS
+            self._ready_at = now + self._grant_seconds + MARGIN_SECONDS
 
     def _follow(self, item: object, answer: object) -> None:
-        if item is None or isinstance(item, command.Publish):
+        if item is None or isinstance(item, command.Publish | command.PublishNumbered):
             self._configure()
 
     async def _write_forever(self) -> None:
@@ -146,6 +153,28 @@
                 self._limiter.configure(customer, contract.rate, contract.burst, now)
         self._contracts = contracts
 
+    @property
+    def contracts(self) -> dict[str, fleet.Contract]:
+        """Return the contract of each customer that has one, as in force here."""
+        return read_contracts(record.read_document(self._machine.state))
+
+    @property
+    def is_open(self) -> bool:
+        """Say whether this control VM may grant now."""
+        try:
+            self._check_open()
+        except error.SeamError:
+            return False
+        return True
+
+    async def debit_one(self, customer: str) -> limit.Grant:
+        """Grant or refuse one request of a customer."""
+        grant = self._try_debit(customer, 1.0)
+        while grant is None:
+            await self._wait_for_record(customer, 1.0)
+            grant = self._try_debit(customer, 1.0)
+        return grant
+
     async def debit(self, request: message.Debit) -> message.Debited:
         """Grant or refuse each customer's amount, whole or not at all."""
         grants: list[limit.Grant] = []
@@ -198,5 +227,5 @@
     return {
         name: found.contracts[customer.contract]
         for name, customer in found.customers.items()
-        if customer.contract in found.contracts
+        if customer.contract and customer.contract in found.contracts
     }
--- /dev/null
+++ b/sapphireseam/control/placement.py
@@ -0,0 +1,303 @@
+"""Place the requests of all entries at upstreams, while this control VM leads.
+
+One board counts what every entry and the lots have running, so an upstream gets
+no more than it works on at once whoever sends it. A request is debited and
+placed in one exchange. An entry that reconnects says what it has running, so a
+new leader's board is right before it places anything for that entry.
+"""
+
+import logging
+from collections.abc import Awaitable, Callable
+
+from sapphireseam.control import record
+from sapphireseam.control.machine import StateMachine
+from sapphireseam.control.owner import LimitOwner
+from sapphireseam.core import command, error, fleet, placement
+from sapphireseam.core.instance import Instance
+from sapphireseam.policy import board as boards, spare
+from sapphireseam.state.replica import Replica
+from sapphireseam.utils import rpc
+from sapphireseam.utils.application import TaskGroup
+from sapphireseam.utils.timer import TimerService, run_periodically
+
+logger = logging.getLogger(__name__)
+
+# How often entries are told that the leader leads, in seconds.
+BEAT_SECONDS = 0.2
+# How often waiting requests are looked through for those that waited too long.
+EXPIRE_SECONDS = 0.02
+# How often an upstream that failed is probed, and for how long, in seconds.
+PROBE_SECONDS = 0.4
+PROBE_LIMIT_SECONDS = 0.3
+
+# Stands between an entry's session and its request's number in a board's key.
+SEPARATOR = ":"
+
+# Asks an instance on a path, for so many seconds, whether it answers.
+Probe = Callable[[Instance, str, float], Awaitable[bool]]
+
+
+class _Entry:
+    """Hold one entry's stream."""
+
+    def __init__(self, first: placement.Attach, stream: rpc.Stream, session: int):
+        self.name = first.entry
+        self.domain = first.domain
+        self.stream = stream
+        self.session = session
+
+    def make_key(self, number: int) -> str:
+        """Return the board's key of one of the entry's requests."""
+        return f"{self.session}{SEPARATOR}{number}"
+
+
+class PlacementServer:
+    """Serve the entries' streams and own the board."""
+
+    def __init__(
+        self,
+        replica: Replica,
+        machine: StateMachine,
+        owner: LimitOwner,
+        slack: spare.Slack,
+        probe: Probe,
+        timer: TimerService,
+    ):
+        self.board = boards.Board()
+        # Called with the key of batch work that must stop.
+        self.on_evicted: Callable[[str], None] = lambda key: None
+        # Called whenever a place may have become free.
+        self.on_room: Callable[[], None] = lambda: None
+        self._replica = replica
+        self._machine = machine
+        self._owner = owner
+        self._spare = spare.SpareLimiter(slack)
+        self._probe = probe
+        self._timer = timer
+        self._entries: dict[int, _Entry] = {}
+        self._next_session = 0
+        self._contracts: dict[str, fleet.Contract] = {}
+        self._services: dict[str, fleet.Service] = {}
+        self._tasks = TaskGroup()
+        machine.subscribe(self._follow)
+
+    async def start(self) -> None:
+        """Begin to tell entries that this VM leads."""
+        for period, work in (
+            (BEAT_SECONDS, self._beat),
+            (EXPIRE_SECONDS, self._expire),
+            (PROBE_SECONDS, self._probe_benched),
+        ):
+            self._tasks.spawn(run_periodically(self._timer, period, work))
+
+    async def stop(self) -> None:
+        """Break off every entry's stream, so that it looks for the new leader."""
+        self._break_all()
+        await self._tasks.cancel()
+
+    def register(self, server: rpc.Server) -> None:
+        """Have the server pass entries' streams to this one."""
+        server.add_stream(placement.Attach, frozenset({rpc.Role.FLEET}), self.serve)
+
+    def _follow(self, item: object, answer: object) -> None:
+        if item is None or isinstance(item, command.Publish | command.PublishNumbered):
+            document = record.read_document(self._machine.state)
+            found, _ = fleet.parse(record.decode_document(document))
+            self._services = found.services if found else {}
+            self._contracts = self._owner.contracts
+
+    def take_instances(self, instances: tuple[Instance, ...]) -> None:
+        """Take in what discovery has found."""
+        if instances == self.board.instances:
+            return
+        self._send(self.board.update(instances, self._timer.read_clock()))
+        self._tell_view()
+        self.on_room()
+
+    # Entries' streams.
+
+    async def serve(self, first: placement.Attach, stream: rpc.Stream) -> None:
+        """Serve one entry until either end breaks the stream."""
+        self._check_leading()
+        self._next_session += 1
+        entry = _Entry(first, stream, self._next_session)
+        self._entries[entry.session] = entry
+        held: set[int] = set()
+        self._adopt(entry, first, held)
+        self._tell_view()
+        logger.info("entry attached", extra={"entry": entry.name})
+        try:
+            while True:
+                self._answer(entry, held, await stream.receive())
+        finally:
+            del self._entries[entry.session]
+            self._release(entry, held)
+            logger.info("entry detached", extra={"entry": entry.name})
+
+    def _check_leading(self) -> None:
+        if not self._replica.is_leader:
+            leader = self._replica.leader
+            raise error.NotLeaderError("this control VM doesn't lead", leader)
+
+    def _adopt(self, entry: _Entry, first: placement.Attach, held: set[int]) -> None:
+        now = self._timer.read_clock()
+        for item in first.running:
+            held.add(item.number)
+            key = entry.make_key(item.number)
+            ask = boards.Ask(key, "", item.customer, 0, entry.domain, now, now)
+            self.board.adopt(ask, item.instance)
+
+    def _release(self, entry: _Entry, held: set[int]) -> None:
+        now = self._timer.read_clock()
+        for number in held:
+            self._send(self.board.leave(entry.make_key(number), now))
+        self.on_room()
+
+    def _answer(self, entry: _Entry, held: set[int], item: object) -> None:
+        match item:
+            case placement.Place():
+                held.add(item.number)
+                self._tasks.spawn(self._place(entry, held, item))
+            case placement.Left():
+                held.discard(item.number)
+                self._take_leave(entry, item)
+            case placement.Suspect():
+                self._suspect(item.instance)
+
+    async def _place(
+        self, entry: _Entry, held: set[int], item: placement.Place
+    ) -> None:
+        """Debit the customer and place the request, or refuse it."""
+        try:
+            if item.is_counted:
+                await self._debit(item.customer)
+        except error.SeamError as failure:
+            held.discard(item.number)
+            self._turn(entry, item.number, failure)
+            return
+        if item.number not in held:
+            return
+        now = self._timer.read_clock()
+        ask = boards.Ask(
+            entry.make_key(item.number),
+            item.service,
+            item.customer,
+            item.rank,
+            entry.domain,
+            now,
+            now + item.patience,
+            frozenset(item.excluded),
+        )
+        verdict = self.board.place(ask, now)
+        if verdict is not None:
+            self._send([verdict])
+
+    async def _debit(self, customer: str) -> None:
+        """Pass the customer's limit, or raise `CapacityError`."""
+        contract = self._contracts.get(customer)
+        if contract is None:
+            return
+        if self._owner.is_open:
+            grant = await self._owner.debit_one(customer)
+            wait = 0.0 if grant.granted else grant.retry_after
+        else:
+            now = self._timer.read_clock()
+            sharers = len(self._entries) + 1
+            wait = self._spare.spend(customer, contract, sharers, now)
+        if wait > 0.0:
+            text = f"customer {customer} is over its rate"
+            raise error.CapacityError(text, error.Kind.RATE_LIMITED, wait)
+
+    def _take_leave(self, entry: _Entry, item: placement.Left) -> None:
+        now = self._timer.read_clock()
+        key = entry.make_key(item.number)
+        name = self.board.find_instance(key)
+        if name and item.pace:
+            self.board.note_pace(name, item.pace)
+        if name and item.is_suspect:
+            self._suspect(name)
+        self._send(self.board.leave(key, now))
+        self.on_room()
+
+    def _suspect(self, name: str) -> None:
+        if self.board.bench(name):
+            logger.info("upstream benched", extra={"upstream": name})
+
+    def leave(self, key: str) -> None:
+        """Free the place of batch work."""
+        self._send(self.board.leave(key, self._timer.read_clock()))
+        self.on_room()
+
+    def report_suspect(self, name: str) -> None:
+        """Give an instance nothing more until a probe finds it well."""
+        self._suspect(name)
+
+    async def _probe_benched(self) -> None:
+        """Use again what answers; what has come back may be another run."""
+        for instance in self.board.list_benched():
+            self._tasks.spawn(self._probe_one(instance))
+
+    async def _probe_one(self, instance: Instance) -> None:
+        service = self._services.get(instance.service, fleet.Service())
+        if await self._probe(instance, service.probe_path, PROBE_LIMIT_SECONDS):
+            logger.info("upstream used again", extra={"upstream": instance.id})
+            self._send(self.board.restore(instance.id, self._timer.read_clock()))
+            self.on_room()
+
+    # What entries are told.
+
+    def _send(self, verdicts: list[boards.Grant] | list[boards.Refusal]) -> None:
+        for verdict in verdicts:
+            session, _, number = verdict.ask.key.partition(SEPARATOR)
+            if isinstance(verdict, boards.Grant) and verdict.evicted:
+                self.on_evicted(verdict.evicted)
+            entry = self._entries.get(int(session))
+            if entry is None:
+                continue
+            if isinstance(verdict, boards.Grant):
+                entry.stream.post(placement.Placed(int(number), verdict.instance))
+            else:
+                self._turn(entry, int(number), _explain(verdict))
+
+    def _turn(self, entry: _Entry, number: int, failure: error.SeamError) -> None:
+        logger.info(
+            "request refused",
+            extra={
+                "entry": entry.name,
+                "number": number,
+                "kind": str(failure.kind),
+                "retry_after": failure.retry_after,
+            },
+        )
+        entry.stream.post(
+            placement.Turned(
+                number, str(failure.kind), failure.message, failure.retry_after
+            )
+        )
+
+    async def _expire(self) -> None:
+        self._send(self.board.expire(self._timer.read_clock()))
+
+    async def _beat(self) -> None:
+        if self._entries and not self._replica.is_leader:
+            self._break_all()
+        for entry in self._entries.values():
+            entry.stream.post(placement.Beat())
+
+    def _break_all(self) -> None:
+        for entry in self._entries.values():
+            entry.stream.break_off()
+
+    def _tell_view(self) -> None:
+        control = tuple(member.address for member in self._replica.members)
+        count = len(self._entries)
+        view = placement.View(self.board.instances, control, count)
+        for entry in self._entries.values():
+            entry.stream.post(view)
+
+
+def _explain(refusal: boards.Refusal) -> error.SeamError:
+    """Return why a request wasn't placed."""
+    kind = error.Kind.NO_UPSTREAM if refusal.has_none else error.Kind.OVERLOADED
+    text = f"no place at service {refusal.ask.service}"
+    return error.CapacityError(text, kind, refusal.retry_after)
--- a/sapphireseam/control/publish.py
+++ b/sapphireseam/control/publish.py
@@ -55,10 +55,41 @@
     return outcome.Done(str(number), number)
 
 
+def apply_numbered(
+    state: record.State, item: command.PublishNumbered
+) -> outcome.Done | outcome.Refused:
+    """Put a configuration in force if its number is the highest so far."""
+    current = record.read_revision(state)
+    if item.number <= current:
+        return outcome.Done(str(current), current)
+    findings = check(state, item.document)
+    if findings:
+        message = fleet.render_findings(findings)
+        return outcome.Refused(error.Kind.BAD_CONFIGURATION, message, current)
+    state.history[item.number] = record.Revision(
+        item.number, item.document, item.at, "", "", item.source
+    )
+    state.numbers["revision"] = item.number
+    _trim_history(state)
+    return outcome.Done(str(item.number), item.number)
+
+
+def read_source(state: record.State) -> bytes:
+    """Return the configuration in force as its operator sent it."""
+    revision = state.history.get(record.read_revision(state))
+    if revision is None:
+        return b""
+    return revision.source or revision.document
+
+
 def _trim_history(state: record.State) -> None:
     """Drop the oldest revisions over the bounds, never the one in force."""
     history = state.history
-    size = sum(len(revision.document) for revision in history.values())
+    size = sum(_measure(revision) for revision in history.values())
     while len(history) > HISTORY_LIMIT or (size > HISTORY_BYTES and len(history) > 1):
         oldest = history.pop(next(iter(history)))
-        size -= len(oldest.document)
+        size -= _measure(oldest)
+
+
+def _measure(revision: record.Revision) -> int:
+    return len(revision.document) + len(revision.source)
--- a/sapphireseam/control/record.py
+++ b/sapphireseam/control/record.py
@@ -9,6 +9,7 @@
 import json
 from typing import Any, NamedTuple
 
+from sapphireseam.core.command import LotItem
 from sapphireseam.core.key import Key
 from sapphireseam.policy.limit import Reserve
 
@@ -25,13 +26,17 @@
 
 
 class Revision(NamedTuple):
-    """Record one published configuration for the history."""
+    """Record one published configuration for the history.
+
+    `source` is what the operator sent, where it isn't the document itself.
+    """
 
     number: int
     document: bytes
     at: float
     note: str
     request: str
+    source: bytes = b""
 
 
 class File(NamedTuple):
@@ -121,6 +126,38 @@
     answer: bytes
 
 
+class Result(NamedTuple):
+    """Record how an item of a lot ended; its place is its position."""
+
+    item: int
+    failed: bool
+    output: bytes
+
+
+class Lot(NamedTuple):
+    """Record requests that came at once and run later.
+
+    `results` stand in the order in which they were listed. The body of an item
+    is dropped with its listing. `is_ended` marks a lot that its customer ended.
+    """
+
+    id: str
+    customer: str
+    route: str
+    items: list[LotItem]
+    at: float
+    due: float
+    abandon: float
+    results: list[Result]
+    listed: set[int]
+    is_ended: bool = False
+
+    @property
+    def is_open(self) -> bool:
+        """Say whether results are still to come."""
+        return not self.is_ended and len(self.results) < len(self.items)
+
+
 class State(NamedTuple):
     """Hold all replicated state."""
 
@@ -141,11 +178,13 @@
     orders: dict[int, Order]
     answers: dict[str, Stored]
     reserves: dict[str, Reserve]
+    lots: dict[str, Lot]
+    retired: dict[str, str]
 
 
 def create() -> State:
     """Return the state before the first command."""
-    return State({"revision": 0}, {}, *({} for _ in range(15)))
+    return State({"revision": 0}, {}, *({} for _ in range(17)))
 
 
 def read_revision(state: State) -> int:
--- a/sapphireseam/control/service.py
+++ b/sapphireseam/control/service.py
@@ -26,6 +26,10 @@
 # Who may have which command committed.
 _COMMAND_ROLES: dict[type, frozenset[Role]] = {
     command.Publish: _OPERATOR,
+    # Fleets that number their configurations have operators of their own.
+    command.PublishNumbered: _BOTH,
+    command.AcceptLot: _FLEET,
+    command.EndLot: _FLEET,
     command.IssueKey: _OPERATOR,
     command.WithdrawKey: _OPERATOR,
     command.IssueOrder: _OPERATOR,
--- a/sapphireseam/control/watch.py
+++ b/sapphireseam/control/watch.py
@@ -128,7 +128,7 @@
             case None:
                 self._document = record.decode_document(record.read_document(state))
                 return self._describe_whole()
-            case command.Publish():
+            case command.Publish() | command.PublishNumbered():
                 return self._describe_publish()
             case command.IssueKey() | command.WithdrawKey():
                 return notice.KeyChange(state.keys[item.id])
--- a/sapphireseam/core/command.py
+++ b/sapphireseam/core/command.py
@@ -30,6 +30,20 @@
     note: str = ""
 
 
+class PublishNumbered(NamedTuple):
+    """Replace the configuration if `number` is higher than the one in force.
+
+    The operator numbers such configurations. One that isn't higher is answered
+    like one that was taken, and changes nothing. `source` is what the operator
+    sent, kept to be read back, where it isn't `document` itself.
+    """
+
+    number: int
+    document: bytes
+    source: bytes
+    at: float
+
+
 class IssueKey(NamedTuple):
     """Add a caller's key by its digest."""
 
@@ -255,7 +269,79 @@
     reserves: tuple[Reserve, ...] = ()
 
 
+class LotItem(NamedTuple):
+    """Describe one request of a lot; `tokens` are those in and out at most.
+
+    `headers` go to the upstream as they are.
+    """
+
+    id: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    tokens: int
+
+
+class AcceptLot(NamedTuple):
+    """Take a lot: requests that came at once and run later, in any order.
+
+    `token_limit` bounds the customer's waiting tokens on the route, 0 for none.
+    Times are in epoch seconds: `due` for all results, `abandon` from when an
+    item may be given up.
+    """
+
+    lot: str
+    customer: str
+    route: str
+    items: tuple[LotItem, ...]
+    token_limit: int
+    at: float
+    due: float
+    abandon: float
+
+
+class LotResult(NamedTuple):
+    """Say how an item of a lot ended: with its whole output, or given up."""
+
+    lot: str
+    item: int
+    failed: bool
+    output: bytes = b""
+
+
+class ListResults(NamedTuple):
+    """Give results their positions in their lots; an item has one at most."""
+
+    results: tuple[LotResult, ...]
+
+
+class EndLot(NamedTuple):
+    """Stop a customer's lot: what isn't listed yet is given up."""
+
+    lot: str
+    customer: str
+
+
+class ForgetLots(NamedTuple):
+    """Drop lots that are finished and whose results were kept long enough."""
+
+    lots: tuple[str, ...]
+
+
+class RetireMember(NamedTuple):
+    """Have a control VM emptied: it is to leave the members for good."""
+
+    address: str
+    label: str
+
+
 COMMANDS = (
+    PublishNumbered,
+    AcceptLot,
+    ListResults,
+    EndLot,
+    ForgetLots,
+    RetireMember,
     SetOperator,
     Publish,
     IssueKey,
--- a/sapphireseam/core/fleet.py
+++ b/sapphireseam/core/fleet.py
@@ -17,6 +17,9 @@
 Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
 Address = Annotated[str, Field(pattern=r"^[0-9a-fA-F.:\[\]]+:[0-9]{1,5}$")]
 Positive = Annotated[float, Field(gt=0, allow_inf_nan=False)]
+Digest = Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
+# 0 goes first.
+Rank = Annotated[int, Field(ge=0, le=1000)]
 
 MEBIBYTE = 1024 * 1024
 
@@ -44,9 +47,15 @@
 
 
 class Customer(NamedTuple):
-    """Name who pays: a tenant with a contract."""
+    """Name who pays: a tenant with a contract, or without a limit.
 
-    contract: Name
+    `keys` are digests of keys that came with the configuration, beside those
+    that the system issues. `rank` replaces the ranks of the routes it calls.
+    """
+
+    contract: Name | Literal[""] = ""
+    keys: tuple[Digest, ...] = ()
+    rank: Rank | None = None
 
 
 class Model(NamedTuple):
@@ -68,17 +77,63 @@
     parent: Name | Literal[""] = ""
 
 
+class Share(NamedTuple):
+    """Send a part of a route's requests to a service, by weight."""
+
+    service: Name
+    weight: Annotated[float, Field(ge=0, allow_inf_nan=False)] = 1.0
+
+
+class Batch(NamedTuple):
+    """Bound the batch jobs of a route.
+
+    Results are due `due` seconds after a job was accepted, and an item may be
+    given up after `abandon` seconds. `attempts` is how often an item may fail.
+    `token_limit` bounds the tokens of a customer's waiting items; 0 is no limit.
+    """
+
+    due: Positive = 3600.0
+    abandon: Positive = 86400.0
+    attempts: Annotated[int, Field(ge=1, le=100)] = 3
+    token_limit: Annotated[int, Field(ge=0)] = 0
+
+
+class Service(NamedTuple):
+    """Name interchangeable upstreams that are found by discovery.
+
+    `connections` is how many one upstream takes from all callers together;
+    `probe_path` is asked whether one that failed answers again.
+    """
+
+    connections: Annotated[int, Field(ge=1)] = 64
+    probe_path: Annotated[str, Field(pattern=r"^/\S*$")] = "/"
+
+
 class Route(NamedTuple):
     """Lead a path to the upstreams that answer it.
 
     With an empty `service` the route is an OpenAI-compatible one, and the
-    request's `model` decides. `open` serves callers without a key. A request
-    on a route that isn't `idempotent` is handed over at most once. `timeout`
-    is in seconds, `body_limit` in bytes.
+    request's `model` decides; with `shares` its requests are split between
+    services. A route with a `host` serves that host only. `open` serves
+    callers without a key. A request on a route that isn't `idempotent` is
+    handed over at most once. `timeout` is in seconds, `body_limit` in bytes.
+
+    `streamed` routes answer with events, `batch` routes take jobs. `target` is
+    within how many seconds an answer, or a stream's first event, is on time,
+    and `pause` the longest pause between events; 0 sets none. One request is
+    sent to at most `attempts` upstreams. Lower `rank` goes first.
     """
 
     path: Annotated[str, Field(pattern=r"^/[A-Za-z0-9._/-]*$")]
     service: Name | Literal[""] = ""
+    host: Annotated[str, Field(max_length=255)] = ""
+    shares: tuple[Share, ...] = ()
+    streamed: bool = False
+    batch: Batch | None = None
+    target: Annotated[float, Field(ge=0)] = 0.0
+    pause: Annotated[float, Field(ge=0)] = 0.0
+    attempts: Annotated[int, Field(ge=1, le=100)] = 3
+    rank: Rank = 0
     methods: tuple[Literal["GET", "POST", "PUT", "DELETE"], ...] = ("GET", "POST")
     open: bool = False
     idempotent: bool = True
@@ -104,6 +159,14 @@
     checks_fence: bool = False
 
 
+class Bounds(NamedTuple):
+    """Bound what a caller may send, in bytes, and stay idle, in seconds."""
+
+    header_bytes: Annotated[int, Field(ge=1024)] = 16 * 1024
+    body_bytes: Annotated[int, Field(ge=1)] = 64 * MEBIBYTE
+    idle: Positive = 75.0
+
+
 class Policy(NamedTuple):
     """Choose each behaviour that varies, by the name of its implementation."""
 
@@ -126,6 +189,8 @@
     versions: dict[Name, Version] = {}
     routes: dict[Name, Route] = {}
     upstreams: dict[Name, Upstream] = {}
+    services: dict[Name, Service] = {}
+    bounds: Bounds = Bounds()
     policy: Policy = Policy()
 
 
@@ -223,7 +288,20 @@
     findings = []
     for name, customer in fleet.customers.items():
         source = f"customers.{name}.contract"
-        findings += _refer(source, customer.contract, fleet.contracts, "contract")
+        if customer.contract:
+            findings += _refer(source, customer.contract, fleet.contracts, "contract")
+    return findings + _check_customer_keys(fleet)
+
+
+def _check_customer_keys(fleet: Fleet) -> list[Finding]:
+    findings = []
+    holders: dict[str, str] = {}
+    for name, customer in fleet.customers.items():
+        for digest in customer.keys:
+            holder = holders.setdefault(digest, name)
+            if holder != name:
+                message = f"has a key of {holder} too"
+                findings.append(Finding(f"customers.{name}.keys", message, digest))
     return findings
 
 
@@ -267,16 +345,22 @@
 
 def _check_routes(fleet: Fleet) -> list[Finding]:
     findings = []
-    paths: dict[str, str] = {}
+    places: dict[tuple[str, str], str] = {}
     services = {item.service for item in fleet.upstreams.values()}
+    services |= fleet.services.keys()
     for name, route in fleet.routes.items():
-        if route.path in paths:
-            message = f"is the path of route {paths[route.path]} too"
+        place = (route.host, route.path)
+        if place in places:
+            message = f"is the path of route {places[place]} too"
             findings.append(Finding(f"routes.{name}.path", message, route.path))
-        paths.setdefault(route.path, name)
-        if route.service and route.service not in services:
-            message = "names no service that an upstream has"
-            findings.append(Finding(f"routes.{name}.service", message, route.service))
+        places.setdefault(place, name)
+        for service in (route.service, *(share.service for share in route.shares)):
+            if service and service not in services:
+                message = "names no service that an upstream has"
+                findings.append(Finding(f"routes.{name}.service", message, service))
+        if route.shares and sum(share.weight for share in route.shares) <= 0:
+            message = "has weights that add up to 0"
+            findings.append(Finding(f"routes.{name}.shares", message, 0))
         if not route.methods:
             findings.append(Finding(f"routes.{name}.methods", "is empty", []))
     return findings
--- a/sapphireseam/core/message.py
+++ b/sapphireseam/core/message.py
@@ -6,7 +6,7 @@
 
 from typing import NamedTuple
 
-from sapphireseam.core import codec, exchange, notice
+from sapphireseam.core import codec, exchange, notice, placement
 from sapphireseam.core.event import Event
 from sapphireseam.core.key import Key
 
@@ -367,6 +367,69 @@
     name: str
 
 
+class Announce(NamedTuple):
+    """Tell the leader that a control VM is there and may become a member.
+
+    `address` is where its calls are taken, which is also its member's name;
+    `label` is the name by which operators know the VM.
+    """
+
+    address: str
+    label: str
+
+
+class Announced(NamedTuple):
+    """Name the members' addresses, the asker's among them or not."""
+
+    members: tuple[str, ...]
+
+
+class Retire(NamedTuple):
+    """Ask for the control VM with this label to be emptied."""
+
+    label: str
+
+
+class ReadRetired(NamedTuple):
+    """Ask whether a VM that is to be emptied holds nothing any more."""
+
+    label: str
+
+
+class RetiredView(NamedTuple):
+    """Tell whether the VM was asked to be emptied, and whether it is."""
+
+    is_known: bool
+    is_empty: bool
+
+
+class ReadLot(NamedTuple):
+    """Ask for a lot's results from a position on.
+
+    The answer waits up to `wait` seconds for a first one.
+    """
+
+    lot: str
+    customer: str
+    after: int
+    wait: float
+
+
+class LotView(NamedTuple):
+    """Return results in order: item id, whether it was given up, output."""
+
+    total: int
+    results: tuple[tuple[str, bool, bytes], ...]
+
+
+class ReadLotItem(NamedTuple):
+    """Ask for the body of an item that isn't listed yet."""
+
+    lot: str
+    customer: str
+    item: str
+
+
 class ReadEvents(NamedTuple):
     """Ask for the events kept here since a clock value."""
 
@@ -428,9 +491,19 @@
     AddMember,
     Promote,
     RemoveMember,
+    Announce,
+    Announced,
+    Retire,
+    ReadRetired,
+    RetiredView,
+    ReadLot,
+    LotView,
+    ReadLotItem,
     ReadEvents,
     SendEvents,
     Events,
 )
 
-REGISTRY = codec.Registry((*MESSAGES, *notice.MESSAGES, *exchange.MESSAGES))
+REGISTRY = codec.Registry(
+    (*MESSAGES, *notice.MESSAGES, *exchange.MESSAGES, *placement.MESSAGES)
+)
--- a/sapphireseam/entry/application.py
+++ b/sapphireseam/entry/application.py
@@ -105,9 +105,7 @@
     credential = (rpc.FLEET_HEADER, settings.fleet_secret)
     timeline = Timeline(settings.node, timer)
     client = ControlClient(settings.control, credential, timer)
-    mirror = Mirror(
-        settings.node, "seam-entry", client, settings.control, timeline, timer
-    )
+    mirror = Mirror(settings.node, "seam-entry", client, timeline, timer)
     keeper = LinkKeeper(settings.node, mirror, credential, timer)
     limits = LimitClient(settings.node, client, timer)
     rng = random.Random()
--- a/sapphireseam/entry/ask.py
+++ b/sapphireseam/entry/ask.py
@@ -36,12 +36,17 @@
     idempotency_key: str
 
 
-def find_route(current: fleet.Fleet, path: str) -> tuple[str, fleet.Route]:
-    """Return the name and route with the longest path that covers this one."""
+def find_route(
+    current: fleet.Fleet, path: str, host: str = ""
+) -> tuple[str, fleet.Route]:
+    """Return the name and route with the longest path that covers this one.
+
+    A route that has a host takes only requests for it.
+    """
     fitting = [
         (name, route)
         for name, route in current.routes.items()
-        if fleet.path_matches(route.path, path)
+        if route.host in ("", host) and fleet.path_matches(route.path, path)
     ]
     if not fitting:
         raise error.RequestError(f"no route for {path}", error.Kind.ROUTE_UNKNOWN)
--- /dev/null
+++ b/sapphireseam/entry/discovery.py
@@ -0,0 +1,119 @@
+"""Build an entry VM's program for upstreams that are found by discovery."""
+
+import random
+from collections.abc import Callable
+from typing import NamedTuple
+
+from sapphireseam.core.instance import Instance
+from sapphireseam.entry.carrier import Carrier
+from sapphireseam.entry.lot import LotClient
+from sapphireseam.entry.placer import Placer
+from sapphireseam.entry.reception import Reception
+from sapphireseam.policy import spare
+from sapphireseam.utils import metric, outbound, rpc
+from sapphireseam.utils.application import Application, Part, TaskGroup
+from sapphireseam.utils.client import ControlClient
+from sapphireseam.utils.mirror import Mirror
+from sapphireseam.utils.probe import Probe
+from sapphireseam.utils.timeline import Timeline
+from sapphireseam.utils.timer import SystemTimer, TimerService
+
+
+class Settings(NamedTuple):
+    """Say where one entry VM is and which control VMs it may ask.
+
+    What was last in force is used for `trust` seconds after the control VMs
+    were lost. `slack` bounds what customers may use beyond their limits while
+    these have no owner.
+    """
+
+    node: str
+    failure_domain: str
+    probe: str
+    control: tuple[str, ...]
+    fleet_secret: str
+    trust: float
+    slack: spare.Slack
+
+
+class Desk(NamedTuple):
+    """Hold what a front needs to serve callers."""
+
+    reception: Reception
+    carrier: Carrier
+    lots: LotClient
+    mirror: Mirror
+    client: ControlClient
+    timer: TimerService
+
+
+class _ConnectionKeeper:
+    """Close the connections to upstreams that are gone."""
+
+    def __init__(self, upstreams: outbound.Outbound):
+        self._upstreams = upstreams
+        self._tasks = TaskGroup()
+
+    async def start(self) -> None:
+        """Do nothing yet."""
+
+    async def stop(self) -> None:
+        """Stop closing."""
+        await self._tasks.cancel()
+
+    def take(self, instances: tuple[Instance, ...]) -> None:
+        """Keep connections to these only."""
+        addresses = {instance.address for instance in instances}
+        self._tasks.spawn(self._upstreams.keep_only(addresses))
+
+
+def build(
+    settings: Settings,
+    upstreams: outbound.Outbound,
+    make_front: Callable[[Desk], Part],
+    timer: TimerService | None = None,
+) -> Application:
+    """Return the application; `make_front` makes the part that takes callers."""
+    timer = timer or SystemTimer()
+    credential = (rpc.FLEET_HEADER, settings.fleet_secret)
+    timeline = Timeline(settings.node, timer)
+    client = ControlClient(settings.control, credential, timer)
+    mirror = Mirror(settings.node, "seam-entry", client, timeline, timer)
+    reception = Reception(mirror, settings.trust)
+    placer = Placer(
+        settings.node,
+        settings.failure_domain,
+        client,
+        reception.read_contracts,
+        settings.slack,
+        timer,
+    )
+    connections = _ConnectionKeeper(upstreams)
+    placer.on_instances = connections.take
+    carrier = Carrier(placer, upstreams, timer, random.Random())
+    lots = LotClient(client, timer)
+    desk = Desk(reception, carrier, lots, mirror, client, timer)
+
+    def describe() -> dict[str, object]:
+        return {
+            "node": settings.node,
+            "revision": mirror.revision,
+            "attended": placer.is_attended,
+        }
+
+    meter = metric.Meter(settings.node)
+    mirror.report(meter)
+    timeline.report(meter)
+    application = Application("seam-entry")
+    for part in (
+        meter,
+        Probe(settings.probe, describe, mirror.is_confirmed),
+        client,
+        upstreams,
+        mirror,
+        connections,
+        placer,
+        make_front(desk),
+    ):
+        application.add(part)
+    return application
--- /dev/null
+++ b/sapphireseam/entry/placer.py
@@ -0,0 +1,267 @@
+"""Have an entry's requests placed by the leader, or alone while there is none.
+
+One stream to the leader carries all questions. While no leader answers, the
+entry places requests by what it was told last and by what it has running itself,
+and admits of each customer only what the deployment's slack allows: better that
+than refusing everybody for the second that an election takes.
+"""
+
+import asyncio
+import itertools
+import logging
+from collections.abc import Callable, Mapping
+from typing import NamedTuple
+
+from sapphireseam.core import error, fleet, placement
+from sapphireseam.core.instance import Instance
+from sapphireseam.policy import board as boards, spare
+from sapphireseam.utils import rpc
+from sapphireseam.utils.application import TaskGroup
+from sapphireseam.utils.client import ControlClient
+from sapphireseam.utils.timer import TimerService, wait_for
+
+logger = logging.getLogger(__name__)
+
+# A leader that says nothing for so long is left for another, in seconds.
+SILENCE_SECONDS = 0.7
+# After so long without a word from the leader nobody waits for its answers.
+DOUBT_SECONDS = 0.45
+# How often a waiting request looks whether the leader still answers.
+LOOK_SECONDS = 0.1
+# How much longer than its patience a request waits for the leader's answer.
+ANSWER_SECONDS = 0.2
+RECONNECT_SECONDS = 0.05
+
+
+class Wish(NamedTuple):
+    """Say what kind of place a request wants; see `placement.Place`."""
+
+    service: str
+    customer: str
+    rank: int
+    patience: float
+    excluded: frozenset[str]
+    is_counted: bool
+
+
+class Ticket(NamedTuple):
+    """Hold a request's place; give it back with `Placer.leave`."""
+
+    number: int
+    instance: Instance
+    customer: str
+
+
+class Placer:
+    """Ask the leader for places and give them back."""
+
+    def __init__(
+        self,
+        node: str,
+        domain: str,
+        client: ControlClient,
+        contracts: Callable[[], Mapping[str, fleet.Contract]],
+        slack: spare.Slack,
+        timer: TimerService,
+    ):
+        self.on_instances: Callable[[tuple[Instance, ...]], None] = lambda _: None
+        self._node = node
+        self._domain = domain
+        self._client = client
+        self._contracts = contracts
+        self._timer = timer
+        self._spare = spare.SpareLimiter(slack)
+        # What this entry runs itself, for when it places alone.
+        self._board = boards.Board()
+        self._sharers = 1
+        self._numbers = itertools.count(1)
+        self._running: dict[int, Ticket] = {}
+        self._waiting: dict[int, asyncio.Future] = {}
+        self._stream: rpc.Stream | None = None
+        self._heard_at = 0.0
+        self._tasks = TaskGroup()
+
+    async def start(self) -> None:
+        """Begin to look for the leader."""
+        self._tasks.spawn(self._attend_forever())
+
+    async def stop(self) -> None:
+        """Leave the leader."""
+        await self._tasks.cancel()
+
+    @property
+    def is_attended(self) -> bool:
+        """Say whether a leader answers."""
+        now = self._timer.read_clock()
+        return self._stream is not None and now - self._heard_at < DOUBT_SECONDS
+
+    # The stream to the leader.
+
+    async def _attend_forever(self) -> None:
+        while True:
+            address = self._client.pick()
+            try:
+                await self._attend(address)
+            except (error.SeamError, TimeoutError) as failure:
+                leader = getattr(failure, "leader", "")
+                self._client.note_leader(leader if leader != address else "")
+                detail = {"address": address, "cause": str(failure) or "silent"}
+                logger.info("leader left", extra=detail)
+                if not isinstance(failure, error.NotLeaderError):
+                    await self._client.drop(address)
+            finally:
+                self._detach()
+            await self._timer.sleep(RECONNECT_SECONDS)
+
+    async def _attend(self, address: str) -> None:
+        running = tuple(
+            placement.Running(ticket.number, ticket.instance.id, ticket.customer)
+            for ticket in self._running.values()
+        )
+        first = placement.Attach(self._node, self._domain, running)
+        known = {item.number for item in running}
+        opening = self._client.reach(address).open(first)
+        stream = await wait_for(self._timer, opening, SILENCE_SECONDS)
+        try:
+            while True:
+                receiving = stream.receive()
+                item = await wait_for(self._timer, receiving, SILENCE_SECONDS)
+                self._heard_at = self._timer.read_clock()
+                if isinstance(item, placement.View) and self._stream is None:
+                    self._catch_up(stream, known)
+                    self._client.note_leader(address)
+                self._take(item)
+        finally:
+            await stream.close()
+
+    def _catch_up(self, stream: rpc.Stream, known: set[int]) -> None:
+        """Tell a new leader what ended while the stream was opened."""
+        self._stream = stream
+        for number in known - self._running.keys():
+            stream.post(placement.Left(number))
+
+    def _detach(self) -> None:
+        self._stream = None
+        for future in self._waiting.values():
+            if not future.done():
+                future.set_result(None)
+
+    def _take(self, item: object) -> None:
+        match item:
+            case placement.View():
+                self._board.update(item.instances, self._timer.read_clock())
+                self._sharers = max(item.entries, 1)
+                self._client.learn(item.control)
+                self.on_instances(item.instances)
+            case placement.Placed() | placement.Turned():
+                self._answer(item)
+
+    def _answer(self, item: placement.Placed | placement.Turned) -> None:
+        future = self._waiting.get(item.number)
+        if future is not None and not future.done():
+            future.set_result(item)
+        elif isinstance(item, placement.Placed) and item.number not in self._running:
+            self._post(placement.Left(item.number))
+
+    def _post(self, item: object) -> None:
+        if self._stream is not None:
+            self._stream.post(item)
+
+    # Places.
+
+    async def place(self, wish: Wish) -> Ticket:
+        """Return a place; raise `CapacityError` if there is none in time."""
+        number = next(self._numbers)
+        if not self.is_attended:
+            return self._place_alone(number, wish)
+        future = asyncio.get_running_loop().create_future()
+        self._waiting[number] = future
+        try:
+            self._post(_render(number, wish))
+            answer = await self._wait_for_answer(future, wish.patience)
+        except asyncio.CancelledError:
+            self._post(placement.Left(number))
+            raise
+        finally:
+            del self._waiting[number]
+        if answer is None:
+            self._post(placement.Left(number))
+            return self._place_alone(next(self._numbers), wish)
+        if isinstance(answer, placement.Turned):
+            kind = error.Kind(answer.kind)
+            raise error.CapacityError(answer.message, kind, answer.retry_after, True)
+        return self._enter(number, wish, answer.instance)
+
+    async def _wait_for_answer(
+        self, future: asyncio.Future, patience: float
+    ) -> placement.Placed | placement.Turned | None:
+        """Return the leader's answer, or None if it doesn't answer."""
+        end = self._timer.read_clock() + patience + ANSWER_SECONDS
+        while self.is_attended and self._timer.read_clock() < end:
+            await asyncio.wait({future}, timeout=LOOK_SECONDS)
+            if future.done():
+                return future.result()
+        return None
+
+    def _enter(self, number: int, wish: Wish, instance: Instance) -> Ticket:
+        ticket = Ticket(number, instance, wish.customer)
+        self._running[number] = ticket
+        self._board.adopt(self._make_ask(number, wish), instance.id)
+        return ticket
+
+    def _make_ask(self, number: int, wish: Wish) -> boards.Ask:
+        now = self._timer.read_clock()
+        return boards.Ask(
+            str(number),
+            wish.service,
+            wish.customer,
+            wish.rank,
+            self._domain,
+            now,
+            now,
+            wish.excluded,
+        )
+
+    def _place_alone(self, number: int, wish: Wish) -> Ticket:
+        """Place a request by what this entry knows itself."""
+        now = self._timer.read_clock()
+        contract = self._contracts().get(wish.customer)
+        if wish.is_counted and contract is not None:
+            wait = self._spare.spend(wish.customer, contract, self._sharers, now)
+            if wait > 0.0:
+                text = "the limits have no owner, and the spare requests are used up"
+                raise error.CapacityError(text, error.Kind.RATE_LIMITED, wait, True)
+        verdict = self._board.place(self._make_ask(number, wish), now)
+        if not isinstance(verdict, boards.Grant):
+            text = f"no place at service {wish.service} that this entry knows of"
+            wait = verdict.retry_after if verdict is not None else LOOK_SECONDS
+            raise error.CapacityError(text, error.Kind.OVERLOADED, wait, True)
+        ticket = Ticket(number, verdict.instance, wish.customer)
+        self._running[number] = ticket
+        return ticket
+
+    def leave(
+        self, ticket: Ticket, is_suspect: bool = False, pace: float = 0.0
+    ) -> None:
+        """Give a place back; see `placement.Left`."""
+        if self._running.pop(ticket.number, None) is None:
+            return
+        now = self._timer.read_clock()
+        self._board.leave(str(ticket.number), now)
+        self._post(placement.Left(ticket.number, is_suspect, pace))
+
+    def suspect(self, instance: Instance) -> None:
+        """Report that an instance is silent."""
+        self._post(placement.Suspect(instance.id))
+
+
+def _render(number: int, wish: Wish) -> placement.Place:
+    return placement.Place(
+        number,
+        wish.service,
+        wish.customer,
+        wish.rank,
+        wish.patience,
+        tuple(wish.excluded),
+        wish.is_counted,
+    )
--- /dev/null
+++ b/sapphireseam/platform/control.py
@@ -0,0 +1,43 @@
+"""Run a control VM on the platform's storage machines."""
+
+from sapphireseam.control import application as control, desk as desks
+from sapphireseam.core import error
+from sapphireseam.core.instance import Instance
+from sapphireseam.platform import dialect, listing, operator, reload, setting
+from sapphireseam.utils import outbound, program
+from sapphireseam.utils.application import Application
+from sapphireseam.utils.client import ControlClient
+from sapphireseam.utils.timer import SystemTimer
+
+
+def build(settings: setting.Settings) -> Application:
+    """Return the application of one storage machine."""
+    if not settings.operator_address:
+        raise error.SettingsError("a control VM needs an address for operators")
+    address = settings.operator_address
+    clients: list[ControlClient] = []
+
+    def make_front(desk: desks.Desk, client: ControlClient) -> operator.OperatorFront:
+        clients.append(client)
+        return operator.OperatorFront(desk, address)
+
+    timer = SystemTimer()
+    upstreams = outbound.Outbound(dialect.ReplicaDialect())
+    source = listing.Listing(settings.list_address)
+
+    async def probe(instance: Instance, path: str, seconds: float) -> bool:
+        return await upstreams.probe(instance.address, path, seconds)
+
+    outside = control.Outside(source, upstreams, probe, make_front)
+    application = control.build(setting.make_control(settings), timer, outside)
+    application.add(reload.Reloader(setting.find_path(), settings, clients[0], timer))
+    return application
+
+
+def main() -> None:
+    """Start the program."""
+    program.run_daemon("seam-control", setting.Settings, build, setting.find_path())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/sapphireseam/platform/listing.py
@@ -0,0 +1,102 @@
+"""Read the platform's list of running replicas."""
+
+import asyncio
+import logging
+from typing import Any
+
+import aiohttp
+
+from sapphireseam.core import error
+from sapphireseam.core.instance import Instance
+
+logger = logging.getLogger(__name__)
+
+# How long one page may take, in seconds.
+PAGE_SECONDS = 1.0
+# A list of more pages than this is taken for one without an end.
+MOST_PAGES = 200
+TOO_MANY_CALLS = 429
+_STATES = ("ready", "draining")
+
+
+class Listing:
+    """Give the product the replicas that the platform lists."""
+
+    def __init__(self, address: str):
+        self._url = f"http://{address}/instances"
+        self._session: aiohttp.ClientSession | None = None
+        self._damaged: set[str] = set()
+
+    async def list(self) -> tuple[Instance, ...]:
+        """Return all replicas that can be read; damaged entries are left out."""
+        found: dict[str, Instance] = {}
+        page = ""
+        for _ in range(MOST_PAGES):
+            answer = await self._read_page(page)
+            for entry in answer.get("instances") or ():
+                instance = self._read_entry(entry)
+                if instance is not None:
+                    found[instance.id] = instance
+            page = answer.get("next")
+            if not page:
+                return tuple(sorted(found.values()))
+        raise error.ControlError("the list of replicas has no end")
+
+    async def close(self) -> None:
+        """Close the connection to the list."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def _read_page(self, page: str) -> dict[str, Any]:
+        if self._session is None:
+            self._session = aiohttp.ClientSession()
+        parameters = {"page_token": page} if page else {}
+        try:
+            async with (
+                asyncio.timeout(PAGE_SECONDS),
+                self._session.get(self._url, params=parameters) as response,
+            ):
+                if response.status != 200:
+                    text = f"the list answered {response.status}"
+                    raise error.ControlError(text)
+                answer = await response.json(content_type=None)
+        except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as failure:
+            text = f"the list can't be read: {type(failure).__name__}"
+            raise error.ControlError(text) from None
+        if not isinstance(answer, dict):
+            raise error.ControlError("the list isn't an object")
+        return answer
+
+    def _read_entry(self, entry: Any) -> Instance | None:
+        try:
+            return read_entry(entry)
+        except (KeyError, TypeError, ValueError) as failure:
+            text = str(entry)[:200]
+            if text not in self._damaged:
+                self._damaged.add(text)
+                logger.warning("damaged entry", extra={"cause": repr(failure)})
+            return None
+
+
+def read_entry(entry: dict[str, Any]) -> Instance:
+    """Return one entry of the list, or raise what is wrong with it."""
+    state = entry["state"]
+    if state not in _STATES:
+        raise ValueError(f"state is {state!r}")
+    texts = [entry[name] for name in ("id", "service", "addr", "zone")]
+    if not all(isinstance(text, str) and text for text in texts):
+        raise TypeError("a name is missing or no text")
+    host, _, port = entry["addr"].rpartition(":")
+    if not host or not 0 < int(port) < 65536:
+        raise ValueError(f"addr is {entry['addr']!r}")
+    slots = entry["slots"]
+    born = entry.get("born", 0)
+    if not _is_count(slots) or slots < 1 or not _is_count(born):
+        raise TypeError("slots or born is no whole number")
+    name, service, address, zone = texts
+    is_leaving = state == "draining"
+    return Instance(name, service, address, zone, slots, is_leaving, born)
+
+
+def _is_count(value: Any) -> bool:
+    return isinstance(value, int) and not isinstance(value, bool) and value >= 0
--- a/sapphireseam/state/membership.py
+++ b/sapphireseam/state/membership.py
@@ -5,6 +5,11 @@
 the leader has committed an entry of its own term. The leader by itself turns a
 voter whose folder is gone into a learner with the new folder, and promotes it
 once it has everything.
+
+Where the leader keeps the number of voters by itself, it makes one step at a
+time: a voter that is to leave goes once a learner that has everything can take
+its place, and a silent one goes before, so that at no moment more voters count
+than can answer.
 """
 
 import asyncio
@@ -26,6 +31,8 @@
     def __init__(self, node: nodes.Node):
         self._node = node
         self._lock = asyncio.Lock()
+        # Members that are to leave for good, set by whoever decides that.
+        self.leaving: frozenset[str] = frozenset()
 
     def refresh_peers(self) -> None:
         """Serve exactly the members of the newest entry, if this one leads."""
@@ -37,7 +44,7 @@
             if member.name != node.name:
                 self._serve(member, before.get(member.name))
         for held in before.values():
-            held.poke()
+            held.wake()
 
     def _serve(self, member: message.Member, held: peers.Peer | None) -> None:
         node = self._node
@@ -141,10 +148,53 @@
                     await self.record_folder(name, peer.found_folder)
                 elif peer.member.returning and self._is_caught_up(name):
                     await self.promote(name)
+            if self._node.options.voters:
+                await self._keep_voters()
         except (error.SeamError, StopIteration):
             # Leadership went, or the member did; the next look sees which.
             return
 
+    async def _keep_voters(self) -> None:
+        """Take the next step towards the number of voters that is due."""
+        node = self._node
+        voters = [item.name for item in node.voters]
+        spare = self._find_spare()
+        leaving = next((name for name in voters if name in self.leaving), "")
+        silent = next((name for name in voters if self._is_silent(name)), "")
+        if spare and len(voters) < node.options.voters:
+            await self.promote(spare)
+        elif len(voters) > node.options.voters and (leaving or silent):
+            await self.remove(silent or leaving)
+        elif spare and silent:
+            await self.remove(silent)
+        elif spare and leaving:
+            await self.promote(spare)
+        else:
+            await self._forget_learners()
+
+    def _find_spare(self) -> str:
+        """Return a learner that answers and holds all that is committed."""
+        node = self._node
+        for name, peer in node.peers.items():
+            is_fit = not peer.member.voter and name not in self.leaving
+            answers = peer.silence < node.options.election_min
+            if is_fit and answers and self._is_caught_up(name):
+                return name
+        return ""
+
+    def _is_silent(self, name: str) -> bool:
+        peer = self._node.peers.get(name)
+        return peer is not None and peer.silence > self._node.options.replace_after
+
+    async def _forget_learners(self) -> None:
+        node = self._node
+        for name, peer in list(node.peers.items()):
+            if peer.member.voter or peer.member.returning:
+                continue
+            is_gone = peer.silence > node.options.forget_after
+            if is_gone or name in self.leaving:
+                await self.remove(name)
+
 
 def _replace(members: nodes.Members, name: str, **fields) -> nodes.Members:
     return tuple(
--- a/sapphireseam/state/node.py
+++ b/sapphireseam/state/node.py
@@ -70,8 +70,9 @@
     match: int
     acked_at: float
     acked_round: int
+    silence: float
 
-    def poke(self) -> None:
+    def wake(self) -> None:
         """Look again whether there is something to send."""
 
 
@@ -263,7 +264,7 @@
         self.leader = ""
         self.is_transferring = False
         for peer in self.peers.values():
-            peer.poke()
+            peer.wake()
         self.peers = {}
         self._fail_waiters(error.OutcomeError("the leader changed meanwhile"))
         self.changed.notify()
@@ -358,7 +359,7 @@
             self.on_members()
         self.log_grew.notify()
         for peer in self.peers.values():
-            peer.poke()
+            peer.wake()
         return future
 
     def merge(self, entries: Sequence[message.Entry]) -> None:
@@ -398,7 +399,7 @@
         if index > self.commit and self.log.read_term(index) == self.term:
             self.set_commit(index)
             for peer in self.peers.values():
-                peer.poke()
+                peer.wake()
 
     def set_commit(self, index: int) -> None:
         """Let entries up to the index be applied."""
--- a/sapphireseam/state/option.py
+++ b/sapphireseam/state/option.py
@@ -11,6 +11,11 @@
     `lease` is shorter than `election_min` by the margin that the members'
     clock rates may differ. `bootstrap` lists the first members by name and
     address; it is read only while every one of their folders is fresh.
+
+    With `voters` above 0 the leader keeps that many voters by itself: it
+    promotes learners, and lets one take the place of a voter that was silent
+    for `replace_after`. A learner that was silent for `forget_after` is removed.
+    With 0 an operator does all that.
     """
 
     bootstrap: tuple[message.Member, ...] = ()
@@ -26,3 +31,6 @@
     segment_bytes: int = 8 << 20
     chunk_bytes: int = 256 << 10
     max_pending: int = 10_000
+    voters: int = 0
+    replace_after: float = 2.0
+    forget_after: float = 10.0
--- a/sapphireseam/state/peer.py
+++ b/sapphireseam/state/peer.py
@@ -22,6 +22,7 @@
         self.is_level = False
         self.acked_at = -math.inf
         self.acked_round = 0
+        self.served_from = node.timer.read_clock()
         # The folder that answered, where it isn't the one on record.
         self.found_folder = ""
         self._node = node
@@ -40,11 +41,17 @@
         self._node.tasks.spawn(self._run_heartbeats())
         self._node.tasks.spawn(self._run_entries())
 
-    def poke(self) -> None:
+    def wake(self) -> None:
         """Look again whether there is something to send."""
         self._heartbeat_due.notify()
         self._entries_due.notify()
 
+    @property
+    def silence(self) -> float:
+        """Return for how many seconds this leader has heard nothing of the peer."""
+        heard = max(self.acked_at, self.served_from)
+        return self._node.timer.read_clock() - heard
+
     @property
     def is_live(self) -> bool:
         """Say whether this member still leads the term and serves the peer."""
--- a/sapphireseam/state/replica.py
+++ b/sapphireseam/state/replica.py
@@ -15,6 +15,7 @@
 
 import asyncio
 import logging
+import math
 import random
 from collections.abc import Callable, Mapping
 from typing import Any, NamedTuple
@@ -155,7 +156,7 @@
         node.round += 1
         wanted = node.round
         for peer in node.peers.values():
-            peer.poke()
+            peer.wake()
 
         def is_confirmed() -> bool:
             node.check_leading()
@@ -264,6 +265,24 @@
         """Remove a member."""
         await self._membership.remove(name)
 
+    def set_leaving(self, names: frozenset[str]) -> None:
+        """Name the members that are to leave as soon as others take their place."""
+        self._membership.leaving = names
+
+    def measure_silence(self, name: str) -> float:
+        """Return for how many seconds the leader has heard nothing of a member.
+
+        It is infinite for one that isn't a member, and on a member that doesn't
+        lead.
+        """
+        peer = self._node.peers.get(name)
+        return peer.silence if peer is not None else math.inf
+
+    @property
+    def folder(self) -> str:
+        """Return the id of this member's data folder."""
+        return self._node.identity.folder
+
     async def transfer(self) -> None:
         """Hand leadership to the most advanced voter, and follow."""
         node = self._node
--- a/sapphireseam/state/replica_test.py
+++ b/sapphireseam/state/replica_test.py
@@ -539,7 +539,7 @@
         self.acked_at = 0.0
         self.acked_round = 0
 
-    def poke(self):
+    def wake(self):
         """Send nothing."""
 
 
--- a/sapphireseam/utils/client.py
+++ b/sapphireseam/utils/client.py
@@ -9,6 +9,7 @@
 
 from sapphireseam.core import command, error, message, outcome
 from sapphireseam.utils import rpc
+from sapphireseam.utils.application import TaskGroup
 from sapphireseam.utils.timer import TimerService, wait_for
 
 # One try's time, and the pause before the next, in seconds.
@@ -36,7 +37,9 @@
         credential: tuple[str, str],
         timer: TimerService,
     ):
+        self._settled = tuple(addresses)
         self._addresses = list(addresses)
+        self._tasks = TaskGroup()
         self._credential = credential
         self._timer = timer
         self._channels: dict[str, rpc.Channel] = {}
@@ -48,10 +51,44 @@
 
     async def stop(self) -> None:
         """Close every channel."""
+        await self._tasks.cancel()
         for channel in self._channels.values():
             await channel.close()
         self._channels.clear()
 
+    @property
+    def addresses(self) -> tuple[str, ...]:
+        """Return the control VMs that are known."""
+        return tuple(self._addresses)
+
+    def learn(self, addresses: tuple[str, ...]) -> None:
+        """Take in the control VMs there are now; those of the settings stay."""
+        known = dict.fromkeys((*self._settled, *addresses))
+        if tuple(known) == self.addresses:
+            return
+        self._addresses = list(known)
+        self._forget_channels()
+
+    def settle(self, addresses: tuple[str, ...]) -> None:
+        """Take in the addresses that the settings name from now on."""
+        self._settled = tuple(addresses)
+        self._addresses = list(dict.fromkeys((*addresses, *self._addresses)))
+
+    def _forget_channels(self) -> None:
+        for address in [name for name in self._channels if name not in self._addresses]:
+            if address != self._leader:
+                self._tasks.spawn(self._channels.pop(address).close())
+
+    async def drop(self, address: str) -> None:
+        """Close the channel to a control VM; the next call opens another."""
+        channel = self._channels.pop(address, None)
+        if channel is not None:
+            await channel.close()
+
+    def note_leader(self, address: str) -> None:
+        """Take somebody's word for which control VM leads; empty for none."""
+        self._leader = address
+
     def reach(self, address: str) -> rpc.Channel:
         """Return the channel to one control VM."""
         if address not in self._channels:
--- a/sapphireseam/utils/mirror.py
+++ b/sapphireseam/utils/mirror.py
@@ -11,6 +11,7 @@
 import itertools
 import json
 import logging
+import random
 from collections.abc import Callable
 from typing import Any
 
@@ -40,7 +41,6 @@
         node: str,
         program: str,
         client: ControlClient,
-        addresses: tuple[str, ...],
         timeline: Timeline,
         timer: TimerService,
     ):
@@ -54,7 +54,7 @@
         self._node = node
         self._program = program
         self._client = client
-        self._addresses = itertools.cycle(addresses)
+        self._turn = random.randrange(1000)
         self._timeline = timeline
         self._timer = timer
         self._tasks = TaskGroup()
@@ -80,6 +80,13 @@
         """Tell whether a quorum stands behind what is mirrored."""
         return self._timer.read_clock() < self._lease_end
 
+    def is_known_within(self, seconds: float) -> bool:
+        """Tell whether a quorum stood behind what is mirrored so lately.
+
+        The seconds are counted from the end of the last lease.
+        """
+        return self._timer.read_clock() < self._lease_end + seconds
+
     async def refresh(self) -> None:
         """Return once all is here that was committed before the call.
 
@@ -111,7 +118,7 @@
 
     async def _watch_forever(self) -> None:
         while True:
-            address = next(self._addresses)
+            address = self._pick()
             try:
                 await self._watch(address)
             except (error.SeamError, TimeoutError) as failure:
@@ -119,6 +126,12 @@
                 logger.info("watch ended", extra=detail)
             await self._timer.sleep(RECONNECT_SECONDS)
 
+    def _pick(self) -> str:
+        """Return the next control VM in turn, of those there are now."""
+        addresses = self._client.addresses
+        self._turn += 1
+        return addresses[self._turn % len(addresses)]
+
     async def _watch(self, address: str) -> None:
         """Follow one control VM until it falls silent or behind."""
         first = notice.Watch(self._node, self._program, self.revision)
--- a/sapphireseam/utils/mirror_test.py
+++ b/sapphireseam/utils/mirror_test.py
@@ -112,6 +112,10 @@
     def __init__(self, links):
         self._links = links
 
+    @property
+    def addresses(self):
+        return tuple(self._links)
+
     def reach(self, address):
         return self._links[address]
 
@@ -142,7 +146,7 @@
             line = timeline.Timeline(entry, self.timer)
             self.links[entry] = links
             self.mirrors[entry] = mirror.Mirror(
-                entry, "seam-entry", FakeClient(links), CONTROLS, line, self.timer
+                entry, "seam-entry", FakeClient(links), line, self.timer
             )
             await self.mirrors[entry].start()
         await self.timer.advance(1.0)
--- a/sapphireseam/utils/rpc.py
+++ b/sapphireseam/utils/rpc.py
@@ -34,6 +34,10 @@
 # Time that calls in progress get at a stop, in seconds.
 GRACE_SECONDS = 0.5
 
+# A connection that answers no ping for so long is given up, in milliseconds.
+KEEPALIVE_MS = 2000
+KEEPALIVE_ANSWER_MS = 1000
+
 _OPTIONS = (
     ("grpc.enable_http_proxy", 0),
     ("grpc.max_send_message_length", MESSAGE_BYTES),
@@ -41,7 +45,14 @@
     ("grpc.so_reuseport", 0),
     ("grpc.initial_reconnect_backoff_ms", 100),
     ("grpc.min_reconnect_backoff_ms", 100),
-    ("grpc.max_reconnect_backoff_ms", 1000),
+    ("grpc.max_reconnect_backoff_ms", 500),
+    ("grpc.keepalive_time_ms", KEEPALIVE_MS),
+    ("grpc.keepalive_timeout_ms", KEEPALIVE_ANSWER_MS),
+    ("grpc.keepalive_permit_without_calls", 1),
+    ("grpc.http2.max_pings_without_data", 0),
+    ("grpc.http2.max_ping_strikes", 0),
+    ("grpc.http2.min_ping_interval_without_data_ms", KEEPALIVE_MS // 2),
+    ("grpc.http2.min_recv_ping_interval_without_data_ms", KEEPALIVE_MS // 2),
 )
 
 
--- a/sapphireseam/utils/timer.py
+++ b/sapphireseam/utils/timer.py
@@ -83,11 +83,15 @@
 
 
 class SystemTimer:
-    """Read the machine's monotonic clock and the event loop's timers."""
+    """Read the machine's boot clock and the event loop's timers.
+
+    The boot clock counts the time in which the machine was suspended, which the
+    monotonic one leaves out: a lease must not outlive that.
+    """
 
     def read_clock(self) -> float:
-        """Return the machine's monotonic time."""
-        return time.monotonic()
+        """Return the time since the machine's start."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
 
     def read_wall_clock(self) -> float:
         """Return the machine's wall time."""
