Bound the opening of a watch; give placements a channel of their own

Closing a channel cancels its calls with CancelledError, which ends whoever waits. Ruled out: the lease (renewed at the five others), readiness itself (same code there). Also: a whole answer's silence is judged by its route's target, not by a stream's.

--- a/sapphireseam/control/placement.py
+++ b/sapphireseam/control/placement.py
@@ -91,8 +91,8 @@
             self._tasks.spawn(run_periodically(self._timer, period, work))
 
     async def stop(self) -> None:
-        """Break off every entry's stream, so that it looks for the new leader."""
-        self._break_all()
+        """Have every entry look for the new leader."""
+        self._dismiss_all()
         await self._tasks.cancel()
 
     def register(self, server: rpc.Server) -> None:
@@ -162,7 +162,7 @@
                 held.discard(item.number)
                 self._take_leave(entry, item)
             case placement.Suspect():
-                self._suspect(item.instance)
+                self._suspect(item.instance, entry.name)
 
     async def _place(
         self, entry: _Entry, held: set[int], item: placement.Place
@@ -215,13 +215,13 @@
         if name and item.pace:
             self.board.note_pace(name, item.pace)
         if name and item.is_suspect:
-            self._suspect(name)
+            self._suspect(name, entry.name)
         self._send(self.board.leave(key, now))
         self.on_room()
 
-    def _suspect(self, name: str) -> None:
+    def _suspect(self, name: str, by: str) -> None:
         if self.board.bench(name):
-            logger.info("upstream benched", extra={"upstream": name})
+            logger.info("upstream benched", extra={"upstream": name, "by": by})
 
     def leave(self, key: str) -> None:
         """Free the place of batch work."""
@@ -230,7 +230,7 @@
 
     def report_suspect(self, name: str) -> None:
         """Give an instance nothing more until a probe finds it well."""
-        self._suspect(name)
+        self._suspect(name, "lots")
 
     async def _probe_benched(self) -> None:
         """Use again what answers; what has come back may be another run."""
@@ -280,13 +280,17 @@
 
     async def _beat(self) -> None:
         if self._entries and not self._replica.is_leader:
-            self._break_all()
+            self._dismiss_all()
         for entry in self._entries.values():
             entry.stream.post(placement.Beat())
 
-    def _break_all(self) -> None:
+    def _dismiss_all(self) -> None:
+        """Tell every entry to look for another leader."""
+        leader = self._replica.leader
+        text = "this control VM doesn't lead any more"
+        failure = rpc.pack_failure(error.NotLeaderError(text, leader))
         for entry in self._entries.values():
-            entry.stream.break_off()
+            entry.stream.post(failure)
 
     def _tell_view(self) -> None:
         control = tuple(member.address for member in self._replica.members)
--- a/sapphireseam/entry/carrier.py
+++ b/sapphireseam/entry/carrier.py
@@ -215,7 +215,7 @@
         # Until a refusal says otherwise it may run.
         trip.runs += 1
         alarm = asyncio.get_running_loop().call_later(
-            STREAM_SILENCE_SECONDS, self._placer.suspect, ticket.instance
+            _expect_answer(call.route), self._placer.suspect, ticket.instance
         )
         try:
             patience = self._choose_patience(call, trip)
@@ -241,7 +241,7 @@
             return STREAM_SILENCE_SECONDS
         if not call.route.target or trip.runs >= call.route.attempts:
             return None
-        return call.route.target * TARGETS_PER_ATTEMPT
+        return _expect_answer(call.route)
 
     async def _take_answer(
         self,
@@ -300,6 +300,13 @@
             await sink.begin(answer.head.status, answer.head.headers)
 
 
+def _expect_answer(route: fleet.Route) -> float:
+    """Return after how many seconds without an answer an upstream seems lost."""
+    if route.streamed:
+        return STREAM_SILENCE_SECONDS
+    return route.target * TARGETS_PER_ATTEMPT or route.timeout
+
+
 def _miss_deadline(trip: _Trip) -> error.SeamError:
     if trip.runs:
         return error.SeamError("the deadline has passed", error.Kind.DEADLINE_EXCEEDED)
--- a/sapphireseam/entry/placer.py
+++ b/sapphireseam/entry/placer.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
-from sapphireseam.core import error, fleet, placement
+from sapphireseam.core import error, fleet, message, placement
 from sapphireseam.core.instance import Instance
 from sapphireseam.policy import board as boards, spare
 from sapphireseam.utils import rpc
@@ -107,8 +107,6 @@
                 self._client.note_leader(leader if leader != address else "")
                 detail = {"address": address, "cause": str(failure) or "silent"}
                 logger.info("leader left", extra=detail)
-                if not isinstance(failure, error.NotLeaderError):
-                    await self._client.drop(address)
             finally:
                 self._detach()
             await self._timer.sleep(RECONNECT_SECONDS)
@@ -120,8 +118,16 @@
         )
         first = placement.Attach(self._node, self._domain, running)
         known = {item.number for item in running}
-        opening = self._client.reach(address).open(first)
-        stream = await wait_for(self._timer, opening, SILENCE_SECONDS)
+        channel = self._client.open_channel(address)
+        try:
+            opening = channel.open(first)
+            stream = await wait_for(self._timer, opening, SILENCE_SECONDS)
+            await self._follow(address, stream, known)
+        finally:
+            await channel.close()
+
+    async def _follow(self, address: str, stream: rpc.Stream, known: set[int]) -> None:
+        """Take what the leader says until it falls silent."""
         try:
             while True:
                 receiving = stream.receive()
@@ -155,6 +161,8 @@
                 self.on_instances(item.instances)
             case placement.Placed() | placement.Turned():
                 self._answer(item)
+            case message.Failure():
+                raise rpc.unpack_failure(item)
 
     def _answer(self, item: placement.Placed | placement.Turned) -> None:
         future = self._waiting.get(item.number)
--- a/sapphireseam/utils/client.py
+++ b/sapphireseam/utils/client.py
@@ -79,11 +79,9 @@
             if address != self._leader:
                 self._tasks.spawn(self._channels.pop(address).close())
 
-    async def drop(self, address: str) -> None:
-        """Close the channel to a control VM; the next call opens another."""
-        channel = self._channels.pop(address, None)
-        if channel is not None:
-            await channel.close()
+    def open_channel(self, address: str) -> rpc.Channel:
+        """Return a channel of the caller's own, which it closes itself."""
+        return rpc.Channel(address, self._credential)
 
     def note_leader(self, address: str) -> None:
         """Take somebody's word for which control VM leads; empty for none."""
--- a/sapphireseam/utils/mirror.py
+++ b/sapphireseam/utils/mirror.py
@@ -135,7 +135,8 @@
     async def _watch(self, address: str) -> None:
         """Follow one control VM until it falls silent or behind."""
         first = notice.Watch(self._node, self._program, self.revision)
-        stream = await self._client.reach(address).open(first)
+        opening = self._client.reach(address).open(first)
+        stream = await wait_for(self._timer, opening, SILENCE_SECONDS)
         self._asked.clear()
         self._stream = stream
         pings = self._tasks.spawn(self._ping_forever(stream))
--- a/sapphireseam/utils/rpc.py
+++ b/sapphireseam/utils/rpc.py
@@ -22,7 +22,7 @@
 import msgspec
 
 from sapphireseam.core import error, message
-from sapphireseam.utils.stream import LinkError, Stream
+from sapphireseam.utils.stream import LinkError, Stream, is_being_cancelled
 
 logger = logging.getLogger(__name__)
 
@@ -43,6 +43,8 @@
     ("grpc.max_send_message_length", MESSAGE_BYTES),
     ("grpc.max_receive_message_length", MESSAGE_BYTES),
     ("grpc.so_reuseport", 0),
+    # A channel that is opened anew must not share a connection that is silent.
+    ("grpc.use_local_subchannel_pool", 1),
     ("grpc.initial_reconnect_backoff_ms", 100),
     ("grpc.min_reconnect_backoff_ms", 100),
     ("grpc.max_reconnect_backoff_ms", 500),
@@ -287,6 +289,11 @@
         except grpc.RpcError as failure:
             text = f"{self.address}: {failure.code().name.lower()}"
             raise LinkError(text) from None
+        except (asyncio.CancelledError, grpc.aio.UsageError):
+            # Closing a channel cancels its calls, but not those who wait for them.
+            if is_being_cancelled():
+                raise
+            raise LinkError(f"{self.address}: the channel was closed") from None
         return _unpack_answer(reply)
 
     async def ask(self, request: Any) -> Any:
--- a/sapphireseam/utils/stream.py
+++ b/sapphireseam/utils/stream.py
@@ -28,6 +28,12 @@
     """Report that the other end can't be reached or went away."""
 
 
+def is_being_cancelled() -> bool:
+    """Say whether somebody has cancelled the running task itself."""
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
+
+
 class Stream:
     """Send and receive messages on one stream; either end looks the same."""
 
@@ -81,6 +87,11 @@
                 data = await self._read()
             except (grpc.RpcError, grpc.aio.BaseError, asyncio.InvalidStateError) as e:
                 raise LinkError(f"the stream broke: {type(e).__name__}") from None
+            except asyncio.CancelledError:
+                # A channel that is closed cancels its streams, not their readers.
+                if is_being_cancelled():
+                    raise
+                raise LinkError("the channel was closed") from None
             if data is grpc.aio.EOF or not data:
                 raise LinkError("the other end closed the stream")
             self._incoming.extend(_batch_decoder.decode(data))
