--- a/sapphireseam/control/application.py
+++ b/sapphireseam/control/application.py
@@ -23,11 +23,10 @@
 from sapphireseam.control.machine import StateMachine
 from sapphireseam.control.meter import TimedDisk, report_state
 from sapphireseam.control.orderkeeper import OrderKeeper
-from sapphireseam.control.owner import LimitOwner
+from sapphireseam.control.owner import GRANT_SECONDS, LimitOwner
 from sapphireseam.control.service import ControlService
 from sapphireseam.control.watch import WatchHub
 from sapphireseam.core import codec, command, error, fleet, key, message, outcome
-from sapphireseam.policy import spare
 from sapphireseam.state import link, message as log_message, option
 from sapphireseam.state.replica import Replica
 from sapphireseam.utils import metric, outbound, rpc
@@ -45,6 +44,8 @@
 MEMBER_CALL_SECONDS = 10.0
 # After so many calls without an answer the connection is given up.
 MEMBER_SILENT_CALLS = 3
+# How long a placement's grant may be on its way, in seconds.
+PLACED_GRANT_SECONDS = 0.1
 OPERATOR_KEY_FILE = "operator-key"
 OPERATOR_PREFIX = "seamop"
 
@@ -74,7 +75,17 @@
     voters: Annotated[int, Field(ge=0, le=9)] = 0
     is_first_start: bool = True
     label: str = ""
-    slack: spare.Slack = spare.Slack()
+
+
+# Times of members that look after themselves, in seconds: a leader that fails is
+# replaced within the time in which callers come back.
+QUICK_ELECTION = {
+    "heartbeat": 0.08,
+    "election_min": 0.5,
+    "election_max": 0.8,
+    "lease": 0.4,
+    "call_timeout": 0.25,
+}
 
 
 class Outside(NamedTuple):
@@ -273,6 +284,7 @@
     options = option.Options(
         bootstrap=tuple(log_message.Member(peer.name, peer.address) for peer in first),
         voters=settings.voters,
+        **(QUICK_ELECTION if settings.voters else {}),
     )
     replica = Replica(
         settings.node,
@@ -287,7 +299,9 @@
     members.replica = replica
     dispatcher = Dispatcher(replica, machine, store, timeline, timer)
     orders = OrderKeeper(replica, machine, timeline, timer)
-    owner = LimitOwner(replica, machine, timer)
+    # Placements use a grant as it comes, so the next owner needn't wait for long.
+    grant_seconds = PLACED_GRANT_SECONDS if outside else GRANT_SECONDS
+    owner = LimitOwner(replica, machine, timer, grant_seconds)
     hub = WatchHub(replica, machine, timeline, timer)
     report_state(meter, replica, machine, hub)
     service = ControlService(
@@ -379,7 +393,7 @@
     credential = (rpc.FLEET_HEADER, settings.fleet_secret)
     client = ControlClient(addresses, credential, timer)
     server = placement.PlacementServer(
-        replica, machine, core.owner, settings.slack, outside.probe, timer
+        replica, machine, core.owner, outside.probe, timer
     )
     server.register(core.server)
     lotservice.LotService(replica, machine, timer).register(core.server)
--- /dev/null
+++ b/sapphireseam/control/lot_test.py
@@ -0,0 +1,114 @@
+"""Test that lots are taken once and that results keep their places."""
+
+import unittest
+
+from sapphireseam.control import machine
+from sapphireseam.core import command, outcome
+
+
+def make_lot(name="l1", count=3, limit=0, customer="c"):
+    items = tuple(
+        command.LotItem(f"{name}-{n}", "/x/", (), b"body", 10) for n in range(count)
+    )
+    return command.AcceptLot(name, customer, "r", items, limit, 1.0, 19.0, 61.0)
+
+
+class LotTest(unittest.TestCase):
+    def setUp(self):
+        self.machine = machine.StateMachine()
+        self.index = 0
+
+    def apply(self, item):
+        self.index += 1
+        return self.machine.apply(self.index, command.REGISTRY.encode(item))
+
+    def list(self, *items, lot="l1"):
+        results = tuple(
+            command.LotResult(lot, number, False, output) for number, output in items
+        )
+        return self.apply(command.ListResults(results))
+
+    def read(self, lot="l1"):
+        return [tuple(result) for result in self.machine.state.lots[lot].results]
+
+    def test_a_lot_is_taken_once(self):
+        self.assertIsInstance(self.apply(make_lot()), outcome.Done)
+        self.list((0, b"a"))
+        self.assertIsInstance(self.apply(make_lot()), outcome.Done)
+        self.assertEqual(self.read(), [(0, False, b"a")])
+
+    def test_another_customers_id_is_refused(self):
+        self.apply(make_lot())
+        answer = self.apply(make_lot(customer="d"))
+        self.assertEqual(answer.kind, "conflict")
+
+    def test_an_item_has_one_place_and_keeps_its_first_result(self):
+        self.apply(make_lot())
+        self.list((1, b"first"))
+        self.list((1, b"second"), (0, b"a"))
+        self.assertEqual(self.read(), [(1, False, b"first"), (0, False, b"a")])
+
+    def test_the_token_limit_counts_what_is_not_listed(self):
+        self.apply(make_lot("l1", 3, 50))
+        refused = self.apply(make_lot("l2", 3, 50))
+        self.assertEqual(refused.kind, "rate_limited")
+        self.list((0, b"a"))
+        self.assertIsInstance(self.apply(make_lot("l2", 3, 50)), outcome.Done)
+
+    def test_an_ended_lot_takes_no_more_results(self):
+        self.apply(make_lot())
+        self.list((2, b"kept"))
+        self.assertIsInstance(self.apply(command.EndLot("l1", "c")), outcome.Done)
+        self.list((0, b"late"))
+        self.assertEqual(
+            self.read(), [(2, False, b"kept"), (0, True, b""), (1, True, b"")]
+        )
+        self.assertIsInstance(self.apply(command.EndLot("l1", "c")), outcome.Done)
+
+    def test_a_stranger_can_not_end_a_lot(self):
+        self.apply(make_lot())
+        answer = self.apply(command.EndLot("l1", "d"))
+        self.assertEqual(answer.kind, "object_unknown")
+
+    def test_an_open_lot_is_not_forgotten(self):
+        self.apply(make_lot())
+        self.apply(command.ForgetLots(("l1",)))
+        self.assertIn("l1", self.machine.state.lots)
+        self.list((0, b""), (1, b""), (2, b""))
+        self.apply(command.ForgetLots(("l1",)))
+        self.assertNotIn("l1", self.machine.state.lots)
+
+    def test_a_snapshot_holds_lots_whole(self):
+        self.apply(make_lot())
+        self.list((1, b"x"))
+        other = machine.StateMachine()
+        other.restore(self.machine.encode())
+        self.assertEqual(other.state.lots, self.machine.state.lots)
+
+
+class PublishNumberedTest(unittest.TestCase):
+    def setUp(self):
+        self.machine = machine.StateMachine()
+
+    def publish(self, number, document=b"{}", source=b"s"):
+        item = command.PublishNumbered(number, document, source, 1.0)
+        return self.machine.apply(number, command.REGISTRY.encode(item))
+
+    def test_the_highest_number_wins_and_others_change_nothing(self):
+        self.publish(7, source=b"seven")
+        for number in (3, 7):
+            answer = self.publish(number, source=b"other")
+            self.assertIsInstance(answer, outcome.Done)
+        state = self.machine.state
+        self.assertEqual(state.numbers["revision"], 7)
+        self.assertEqual(state.history[7].source, b"seven")
+
+    def test_a_refused_one_leaves_its_number_free(self):
+        bad = b'{"routes": {"r": {"path": "/x/", "service": "none"}}}'
+        self.assertEqual(self.publish(5, bad).kind, "bad_configuration")
+        self.assertIsInstance(self.publish(5), outcome.Done)
+        self.assertEqual(self.machine.state.numbers["revision"], 5)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/sapphireseam/control/owner.py
+++ b/sapphireseam/control/owner.py
@@ -32,6 +32,8 @@
 # How often a control VM looks whether it has become the owner, and its records
 # are looked through for those that are due.
 LOOK_SECONDS = 0.1
+# How often whoever waits for the buckets to open looks again.
+OPEN_LOOK_SECONDS = 0.02
 
 
 class LimitOwner:
@@ -167,6 +169,14 @@
             return False
         return True
 
+    async def wait_open(self, seconds: float) -> None:
+        """Return once this VM may grant; raise if that takes longer."""
+        end = self._timer.read_clock() + seconds
+        while not self.is_open:
+            if not self._replica.is_leader or self._timer.read_clock() >= end:
+                self._check_open()
+            await self._timer.sleep(OPEN_LOOK_SECONDS)
+
     async def debit_one(self, customer: str) -> limit.Grant:
         """Grant or refuse one request of a customer."""
         grant = self._try_debit(customer, 1.0)
--- a/sapphireseam/control/placement.py
+++ b/sapphireseam/control/placement.py
@@ -14,7 +14,7 @@
 from sapphireseam.control.owner import LimitOwner
 from sapphireseam.core import command, error, fleet, placement
 from sapphireseam.core.instance import Instance
-from sapphireseam.policy import board as boards, spare
+from sapphireseam.policy import board as boards
 from sapphireseam.state.replica import Replica
 from sapphireseam.utils import rpc
 from sapphireseam.utils.application import TaskGroup
@@ -23,13 +23,17 @@
 logger = logging.getLogger(__name__)
 
 # How often entries are told that the leader leads, in seconds.
-BEAT_SECONDS = 0.2
+BEAT_SECONDS = 0.1
 # How often waiting requests are looked through for those that waited too long.
 EXPIRE_SECONDS = 0.02
 # How often an upstream that failed is probed, and for how long, in seconds.
 PROBE_SECONDS = 0.4
 PROBE_LIMIT_SECONDS = 0.3
 
+# How long a request waits for the limits' new owner to open, in seconds.
+OPEN_SECONDS = 0.4
+# The longest time to come back that a customer over its rate is told.
+LONGEST_RETRY_SECONDS = 5.0
 # Stands between an entry's session and its request's number in a board's key.
 SEPARATOR = ":"
 
@@ -59,7 +63,6 @@
         replica: Replica,
         machine: StateMachine,
         owner: LimitOwner,
-        slack: spare.Slack,
         probe: Probe,
         timer: TimerService,
     ):
@@ -71,7 +74,6 @@
         self._replica = replica
         self._machine = machine
         self._owner = owner
-        self._spare = spare.SpareLimiter(slack)
         self._probe = probe
         self._timer = timer
         self._entries: dict[int, _Entry] = {}
@@ -197,15 +199,11 @@
         contract = self._contracts.get(customer)
         if contract is None:
             return
-        if self._owner.is_open:
-            grant = await self._owner.debit_one(customer)
-            wait = 0.0 if grant.granted else grant.retry_after
-        else:
-            now = self._timer.read_clock()
-            sharers = len(self._entries) + 1
-            wait = self._spare.spend(customer, contract, sharers, now)
-        if wait > 0.0:
+        await self._owner.wait_open(OPEN_SECONDS)
+        grant = await self._owner.debit_one(customer)
+        if not grant.granted:
             text = f"customer {customer} is over its rate"
+            wait = min(grant.retry_after, LONGEST_RETRY_SECONDS)
             raise error.CapacityError(text, error.Kind.RATE_LIMITED, wait)
 
     def _take_leave(self, entry: _Entry, item: placement.Left) -> None:
--- /dev/null
+++ b/sapphireseam/entry/carrier_test.py
@@ -0,0 +1,216 @@
+"""Test what callers get while upstreams fail, and what upstreams are asked."""
+
+import asyncio
+import random
+import unittest
+
+from sapphireseam.core import error, fleet
+from sapphireseam.entry import carrier
+from sapphireseam.entry.placer import Ticket
+from sapphireseam.utils import fakeupstream, outbound
+from sapphireseam.utils.timer import SystemTimer
+
+STREAM = fleet.Route(
+    "/s/", "llm", streamed=True, idempotent=False, target=0.3, attempts=1
+)
+RESUMABLE = STREAM._replace(idempotent=True, attempts=2)
+SAFE = fleet.Route("/w/", "llm", idempotent=True, target=0.2, attempts=3)
+UNSAFE = SAFE._replace(idempotent=False)
+
+
+class FakePlacer:
+    """Give each request the next upstream that hasn't failed it."""
+
+    def __init__(self, upstreams):
+        self.upstreams = upstreams
+        self.wishes = []
+        self.left = []
+        self.suspects = []
+        self.refusal = None
+
+    async def place(self, wish):
+        self.wishes.append(wish)
+        if self.refusal is not None:
+            raise self.refusal
+        fit = [u for u in self.upstreams if u.name not in wish.excluded]
+        chosen = (fit or self.upstreams)[0]
+        return Ticket(len(self.wishes), chosen.instance, wish.customer)
+
+    def leave(self, ticket, is_suspect=False, pace=0.0):
+        self.left.append((ticket.instance.id, is_suspect))
+
+    def suspect(self, instance):
+        self.suspects.append(instance.id)
+
+
+class Sink:
+    def __init__(self):
+        self.status = 0
+        self.headers = ()
+        self.body = b""
+        self.is_whole = False
+
+    async def begin(self, status, headers):
+        self.status = status
+        self.headers = dict(headers)
+
+    async def write(self, data):
+        self.body += data
+
+    async def finish(self):
+        self.is_whole = True
+
+
+class CarrierTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.upstreams = [fakeupstream.FakeUpstream(name) for name in ("u1", "u2")]
+        for upstream in self.upstreams:
+            await upstream.start()
+            self.addAsyncCleanup(upstream.stop)
+        self.placer = FakePlacer(self.upstreams)
+        self.outbound = outbound.Outbound(fakeupstream.FakeDialect())
+        self.addAsyncCleanup(self.outbound.stop)
+        self.timer = SystemTimer()
+        self.carrier = carrier.Carrier(
+            self.placer, self.outbound, self.timer, random.Random(1)
+        )
+        self.sink = Sink()
+
+    def make_call(self, route, seconds=5.0, **fields):
+        now = self.timer.read_clock()
+        return carrier.Call(
+            "r1", "c", 0, "route", route, "h", "POST", route.path + "x", (), b"body",
+            now, now + seconds, **fields,
+        )  # fmt: skip
+
+    async def serve(self, route, *acts, **fields):
+        self.upstreams[0].acts = list(acts)
+        await self.carrier.serve(self.make_call(route, **fields), self.sink)
+
+    async def expect(self, kind, route, *acts, **fields):
+        with self.assertRaises(error.SeamError) as caught:
+            await self.serve(route, *acts, **fields)
+        self.assertEqual(caught.exception.kind, kind)
+        return caught.exception
+
+    def count_runs(self):
+        return [len(upstream.runs) for upstream in self.upstreams]
+
+    def check_events(self, count=4):
+        expected = b"".join(b"id: %d\ndata: r1-%d\n\n" % (n, n) for n in range(count))
+        self.assertEqual(self.sink.body, expected)
+        self.assertTrue(self.sink.is_whole)
+
+    async def test_a_stream_is_passed_on(self):
+        await self.serve(STREAM)
+        self.check_events()
+        self.assertEqual(self.upstreams[0].runs[0].body, b"body")
+        self.assertEqual(self.placer.left, [("u1", False)])
+
+    async def test_connections_are_kept(self):
+        for _ in range(5):
+            self.sink = Sink()
+            await self.serve(STREAM)
+        self.assertEqual(self.upstreams[0].connections, 1)
+
+    async def test_a_cut_stream_goes_on_elsewhere_in_the_same_answer(self):
+        await self.serve(RESUMABLE, "cut")
+        self.check_events()
+        self.assertEqual(self.sink.headers["Fake-By"], "u1")
+        self.assertEqual(self.upstreams[1].runs[0].headers[fakeupstream.RESUME], "1")
+        self.assertEqual(self.placer.left, [("u1", True), ("u2", False)])
+
+    async def test_a_stalled_stream_is_closed_before_it_goes_on_elsewhere(self):
+        await self.serve(RESUMABLE, "stall")
+        self.check_events()
+        await asyncio.sleep(0.01)
+        self.assertEqual(self.upstreams[0].dropped, ["r1"])
+
+    async def test_a_cut_stream_that_may_not_be_resumed_is_broken_off(self):
+        await self.expect(error.Kind.OUTCOME_UNKNOWN, STREAM, "cut")
+        self.assertFalse(self.sink.is_whole)
+        self.assertEqual(self.count_runs(), [1, 0])
+
+    async def test_a_refusal_of_the_upstream_is_no_run(self):
+        for route in (STREAM, RESUMABLE, SAFE, UNSAFE):
+            self.sink = Sink()
+            await self.serve(route, "refuse")
+            self.assertTrue(self.sink.is_whole)
+        self.assertEqual(self.count_runs(), [0, 4])
+
+    async def test_only_a_first_offer_is_counted_against_the_limit(self):
+        await self.serve(SAFE, "refuse")
+        self.assertEqual([w.is_counted for w in self.placer.wishes], [True, False])
+
+    async def test_a_lost_answer_is_asked_for_again_only_where_it_may(self):
+        await self.serve(SAFE, "drop")
+        self.assertEqual(self.count_runs(), [1, 1])
+        failure = await self.expect(error.Kind.OUTCOME_UNKNOWN, UNSAFE, "drop")
+        self.assertFalse(failure.not_run)
+        self.assertEqual(self.count_runs(), [2, 1])
+
+    async def test_attempts_are_bounded(self):
+        self.upstreams[1].acts = ["drop"] * 9
+        await self.expect(error.Kind.UPSTREAM_FAILED, SAFE, *["drop"] * 9)
+        self.assertEqual(sum(self.count_runs()), SAFE.attempts)
+
+    async def test_a_failure_is_replaced_where_it_may_and_else_passed_on(self):
+        await self.serve(SAFE, "fail")
+        self.assertEqual(self.sink.status, 200)
+        self.sink = Sink()
+        await self.serve(UNSAFE, "fail")
+        self.assertEqual((self.sink.status, self.sink.body), (500, b"no"))
+
+    async def test_another_requests_answer_is_never_passed_on(self):
+        await self.serve(SAFE, "stale")
+        self.assertNotEqual(self.sink.body, b"no")
+        await self.expect(error.Kind.OUTCOME_UNKNOWN, UNSAFE, "stale")
+
+    async def test_a_silent_upstream_is_left_by_what_may_be_repeated(self):
+        await self.serve(SAFE, "silent")
+        self.assertTrue(self.sink.is_whole)
+        self.assertIn(("u1", True), self.placer.left)
+
+    async def test_a_silent_upstream_is_reported_while_its_request_waits(self):
+        await self.expect(error.Kind.DEADLINE_EXCEEDED, STREAM, "silent", seconds=1.4)
+        self.assertEqual(self.placer.suspects, ["u1"])
+        self.assertEqual(self.count_runs(), [1, 0])
+
+    async def test_without_a_place_the_refusal_says_not_run(self):
+        self.placer.refusal = error.CapacityError("full", retry_after=0.4)
+        failure = await self.expect(error.Kind.OVERLOADED, STREAM)
+        self.assertTrue(failure.not_run)
+        self.assertEqual(failure.retry_after, 0.4)
+
+    async def test_a_refusal_after_a_run_promises_nothing(self):
+        async def place_once(wish):
+            if wish.excluded:
+                raise error.CapacityError("full")
+            return Ticket(1, self.upstreams[0].instance, "c")
+
+        self.placer.place = place_once
+        failure = await self.expect(error.Kind.UPSTREAM_FAILED, SAFE, "drop")
+        self.assertFalse(failure.not_run)
+
+    async def test_a_callers_own_resumption_goes_on_behind_its_event(self):
+        await self.serve(RESUMABLE, resume_after=1)
+        self.assertEqual(self.sink.body.count(b"data"), 2)
+
+    async def test_a_caller_that_goes_away_ends_the_run(self):
+        self.upstreams[0].pace = 0.05
+        task = asyncio.create_task(self.serve(STREAM))
+        await asyncio.sleep(0.08)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        await asyncio.sleep(0.15)
+        self.assertEqual(self.upstreams[0].dropped, ["r1"])
+        self.assertEqual(self.placer.left, [("u1", False)])
+
+    async def test_the_time_that_is_left_is_handed_on(self):
+        await self.serve(SAFE, seconds=2.0)
+        left = float(self.upstreams[0].runs[0].headers[fakeupstream.REMAINING])
+        self.assertTrue(1.5 < left <= 2.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/sapphireseam/entry/placer.py
+++ b/sapphireseam/entry/placer.py
@@ -23,11 +23,11 @@
 logger = logging.getLogger(__name__)
 
 # A leader that says nothing for so long is left for another, in seconds.
-SILENCE_SECONDS = 0.7
+SILENCE_SECONDS = 0.5
 # After so long without a word from the leader nobody waits for its answers.
-DOUBT_SECONDS = 0.45
+DOUBT_SECONDS = 0.3
 # How often a waiting request looks whether the leader still answers.
-LOOK_SECONDS = 0.1
+LOOK_SECONDS = 0.05
 # How much longer than its patience a request waits for the leader's answer.
 ANSWER_SECONDS = 0.2
 RECONNECT_SECONDS = 0.05
--- a/sapphireseam/platform/control.py
+++ b/sapphireseam/platform/control.py
@@ -30,6 +30,7 @@
 
     outside = control.Outside(source, upstreams, probe, make_front)
     application = control.build(setting.make_control(settings), timer, outside)
+    application.add(source)
     application.add(reload.Reloader(setting.find_path(), settings, clients[0], timer))
     return application
 
--- /dev/null
+++ b/sapphireseam/platform/dialect_test.py
@@ -0,0 +1,73 @@
+"""Test what is told to replicas, and what is kept from them."""
+
+import unittest
+
+from multidict import CIMultiDict, CIMultiDictProxy
+
+from sapphireseam.core.instance import Instance
+from sapphireseam.platform import dialect
+from sapphireseam.utils.outbound import Outgoing
+
+INSTANCE = Instance("i-1", "llm", "10.0.0.1:80", "z", 8)
+
+
+def make_headers(**extra):
+    pairs = {
+        "Host": "a.example",
+        "Authorization": "Token secret",
+        "X-Attempt-Id": "abc",
+        "X-Tenant": "somebody",
+        "X-Model": "m",
+        "X-Token-Usage": "1460,80",
+        "X-Expect-Instance": "i-9",
+        "Connection": "keep-alive, X-Hop",
+        "X-Hop": "1",
+    }
+    return CIMultiDictProxy(CIMultiDict(pairs | extra))
+
+
+def render(**fields):
+    stripped = dialect.strip_request(make_headers())
+    request = Outgoing("abc", "t1", "a.example", "POST", "/x", stripped, b"", **fields)
+    return dialect.ReplicaDialect().render(request, INSTANCE)
+
+
+class RequestTest(unittest.TestCase):
+    def test_the_key_and_what_is_not_the_clients_to_say_is_dropped(self):
+        headers = dict(render())
+        self.assertNotIn("Authorization", headers)
+        self.assertNotIn("X-Hop", headers)
+        self.assertEqual(headers["X-Tenant"], "t1")
+        self.assertEqual(headers["X-Expect-Instance"], "i-1")
+        self.assertEqual(headers["X-Token-Usage"], "1460,80")
+
+    def test_no_header_stands_twice(self):
+        names = [name.lower() for name, _ in render(remaining=1.0, resume_after=3)]
+        self.assertEqual(len(names), len(set(names)))
+
+    def test_deadline_and_resumption(self):
+        headers = dict(render(remaining=1.2345, resume_after=0))
+        self.assertEqual(headers["X-Deadline-Ms"], "1234")
+        self.assertEqual(headers["Last-Event-Id"], "0")
+        self.assertNotIn("Last-Event-Id", dict(render()))
+
+    def test_keys_are_read_from_their_scheme_only(self):
+        self.assertEqual(dialect.read_key(make_headers()), "secret")
+        self.assertEqual(
+            dialect.read_key(make_headers(Authorization="Bearer secret")), ""
+        )
+
+
+class AnswerTest(unittest.TestCase):
+    def test_what_promises_that_nothing_ran(self):
+        speech = dialect.ReplicaDialect()
+        empty = CIMultiDictProxy(CIMultiDict())
+        marked = CIMultiDictProxy(CIMultiDict({"X-Not-Executed": "1"}))
+        self.assertTrue(speech.is_not_run(421, empty))
+        self.assertTrue(speech.is_not_run(503, marked))
+        self.assertFalse(speech.is_not_run(503, empty))
+        self.assertFalse(speech.is_not_run(500, empty))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/sapphireseam/platform/listing.py
+++ b/sapphireseam/platform/listing.py
@@ -15,7 +15,6 @@
 PAGE_SECONDS = 1.0
 # A list of more pages than this is taken for one without an end.
 MOST_PAGES = 200
-TOO_MANY_CALLS = 429
 _STATES = ("ready", "draining")
 
 
@@ -42,7 +41,10 @@
                 return tuple(sorted(found.values()))
         raise error.ControlError("the list of replicas has no end")
 
-    async def close(self) -> None:
+    async def start(self) -> None:
+        """Do nothing; the connection is opened when it is first used."""
+
+    async def stop(self) -> None:
         """Close the connection to the list."""
         if self._session is not None:
             await self._session.close()
--- /dev/null
+++ b/sapphireseam/platform/listing_test.py
@@ -0,0 +1,83 @@
+"""Test what is read from a list that others may have damaged."""
+
+import unittest
+
+from aiohttp import web
+from hypothesis import given, strategies as st
+
+from sapphireseam.core import error
+from sapphireseam.platform import listing
+
+ENTRY = {
+    "service": "llm",
+    "addr": "10.128.0.9:8080",
+    "zone": "z-a",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "born": 1700000000000,
+    "id": "i-1",
+}
+_JSON = st.none() | st.booleans() | st.integers() | st.text() | st.lists(st.integers())
+
+
+class EntryTest(unittest.TestCase):
+    def test_an_entry_is_read(self):
+        instance = listing.read_entry(ENTRY)
+        self.assertEqual(instance.address, "10.128.0.9:8080")
+        self.assertEqual((instance.slots, instance.is_leaving), (8, False))
+        self.assertTrue(listing.read_entry(ENTRY | {"state": "draining"}).is_leaving)
+
+    @given(st.sampled_from(sorted(ENTRY.keys() - {"version", "born"})), _JSON)
+    def test_a_damaged_field_names_no_replica(self, name, value):
+        damaged = ENTRY | {name: value}
+        try:
+            instance = listing.read_entry(damaged)
+        except (KeyError, TypeError, ValueError):
+            return
+        self.assertIs(type(value), type(ENTRY[name]))
+        self.assertTrue(instance.id and instance.service and instance.slots > 0)
+
+    def test_a_missing_field_names_no_replica(self):
+        for name in ("id", "service", "addr", "zone", "slots", "state"):
+            damaged = {key: value for key, value in ENTRY.items() if key != name}
+            with self.assertRaises(KeyError):
+                listing.read_entry(damaged)
+
+
+class ListTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.pages = {"": {"instances": [ENTRY], "next": None}}
+        self.status = 200
+        app = web.Application()
+        app.router.add_get("/instances", self.answer)
+        self.runner = web.AppRunner(app)
+        await self.runner.setup()
+        self.addAsyncCleanup(self.runner.cleanup)
+        site = web.TCPSite(self.runner, "127.0.0.1", 0)
+        await site.start()
+        port = site._server.sockets[0].getsockname()[1]
+        self.listing = listing.Listing(f"127.0.0.1:{port}")
+        self.addAsyncCleanup(self.listing.stop)
+
+    async def answer(self, request):
+        page = request.query.get("page_token", "")
+        return web.json_response(self.pages[page], status=self.status)
+
+    async def test_all_pages_are_read_and_damage_is_left_out(self):
+        second = ENTRY | {"id": "i-2"}
+        self.pages = {
+            "": {"instances": [ENTRY, "rubbish", {"id": 3}], "next": "p-2"},
+            "p-2": {"instances": [second, ENTRY | {"state": "?"}], "next": None},
+        }
+        found = await self.listing.list()
+        self.assertEqual([instance.id for instance in found], ["i-1", "i-2"])
+
+    async def test_too_many_calls_keep_what_is_known(self):
+        self.status = 429
+        with self.assertRaises(error.ControlError):
+            await self.listing.list()
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/sapphireseam/platform/setting.py
+++ b/sapphireseam/platform/setting.py
@@ -101,5 +101,4 @@
         2 * settings.tolerated + 1,
         settings.is_first_start,
         settings.label,
-        settings.slack,
     )
--- /dev/null
+++ b/sapphireseam/policy/board_test.py
@@ -0,0 +1,203 @@
+"""Test how places are given, taken from batch work, waited for and refused."""
+
+import unittest
+
+from hypothesis import given, strategies as st
+
+from sapphireseam.core.instance import Instance
+from sapphireseam.policy import board
+
+
+def make_instance(name, slots=2, domain="a", **fields):
+    return Instance(
+        name, "llm", f"10.0.0.1:{8000 + hash(name) % 1000}", domain, slots, **fields
+    )
+
+
+def make_ask(key, customer="c", rank=0, now=0.0, patience=0.2, **fields):
+    return board.Ask(key, "llm", customer, rank, "a", now, now + patience, **fields)
+
+
+class BoardTest(unittest.TestCase):
+    def setUp(self):
+        self.board = board.Board()
+        self.board.update((make_instance("i1"), make_instance("i2")), 0.0)
+
+    def fill(self, count):
+        return [self.board.place(make_ask(f"r{n}"), 0.0) for n in range(count)]
+
+    def test_requests_spread_over_upstreams(self):
+        names = [grant.instance.id for grant in self.fill(4)]
+        self.assertEqual(sorted(names), ["i1", "i1", "i2", "i2"])
+
+    def test_no_upstream_gets_more_than_its_slots(self):
+        self.fill(4)
+        self.assertIsNone(self.board.place(make_ask("late"), 0.0))
+        self.assertEqual(self.board.count_waiting("llm"), 1)
+
+    def test_one_that_waits_gets_the_next_free_place(self):
+        self.fill(4)
+        self.board.place(make_ask("late"), 0.0)
+        (grant,) = self.board.leave("r0", 0.1)
+        self.assertEqual(grant.ask.key, "late")
+
+    def test_online_work_takes_the_place_of_the_newest_batch_work(self):
+        self.board.take_spare(make_ask("b-old", now=0.0))
+        for number in range(3):
+            self.board.take_spare(make_ask(f"b{number}", now=1.0 + number))
+        grant = self.board.place(make_ask("online", now=5.0), 5.0)
+        self.assertEqual(grant.evicted, "b2")
+        self.assertEqual(self.board.count_running("llm", True), 3)
+        self.assertEqual(self.board.find_instance("b2"), "")
+
+    def test_batch_work_gets_nothing_while_online_work_waits(self):
+        self.fill(5)
+        self.assertIsNone(self.board.take_spare(make_ask("b")))
+
+    def test_what_can_not_be_placed_in_time_is_refused_at_once(self):
+        self.fill(4)
+        verdict = self.board.place(make_ask("late", patience=0.01), 0.0)
+        self.assertIsInstance(verdict, board.Refusal)
+        self.assertGreaterEqual(verdict.retry_after, board.SHORTEST_RETRY_SECONDS)
+        self.assertFalse(verdict.has_none)
+
+    def test_without_any_upstream_a_request_is_refused(self):
+        empty = board.Board()
+        verdict = empty.place(make_ask("r"), 0.0)
+        self.assertTrue(verdict.has_none)
+
+    def test_who_waited_too_long_is_refused(self):
+        self.fill(4)
+        self.board.place(make_ask("late", patience=0.3), 0.0)
+        (refusal,) = self.board.expire(0.4)
+        self.assertEqual(refusal.ask.key, "late")
+        self.assertEqual(self.board.leave("r0", 0.5), [])
+
+    def test_lower_rank_goes_first_then_the_customer_with_less(self):
+        for number in range(4):
+            self.board.place(make_ask(f"r{number}", customer="big"), 0.0)
+        self.board.place(make_ask("big", customer="big", patience=9), 0.0)
+        self.board.place(make_ask("small", customer="small", patience=9), 0.0)
+        self.board.place(make_ask("urgent", "big", rank=-1, patience=9), 0.0)
+        order = [self.board.leave(f"r{number}", 1.0)[0].ask.key for number in range(3)]
+        self.assertEqual(order, ["urgent", "small", "big"])
+
+    def test_leaving_and_benched_upstreams_get_nothing(self):
+        leaving = make_instance("i1", is_leaving=True)
+        self.board.update((leaving, make_instance("i2")), 0.0)
+        self.assertTrue(self.board.bench("i2"))
+        self.assertFalse(self.board.bench("i2"))
+        self.assertIsInstance(self.board.place(make_ask("r"), 0.0), board.Refusal)
+        self.board.restore("i2", 0.0)
+        grant = self.board.place(make_ask("r"), 0.0)
+        self.assertEqual(grant.instance.id, "i2")
+
+    def test_a_restart_under_the_same_id_holds_nothing(self):
+        self.fill(4)
+        reborn = make_instance("i1", born=7)
+        self.board.update((reborn, make_instance("i2")), 0.0)
+        self.assertEqual(self.board.count_running("llm", False), 2)
+        self.assertEqual(self.fill(1)[0].instance.id, "i1")
+
+    def test_an_excluded_upstream_is_the_last_choice(self):
+        excluded = frozenset({"i1"})
+        grants = [
+            self.board.place(make_ask(f"r{n}", excluded=excluded), 0.0)
+            for n in range(2)
+        ]
+        self.assertEqual({grant.instance.id for grant in grants}, {"i2"})
+
+    def test_a_slow_upstream_gets_less(self):
+        self.board.update((make_instance("i1", 8), make_instance("i2", 8)), 0.0)
+        self.board.note_pace("i1", 0.1)
+        self.board.note_pace("i2", 0.02)
+        names = [grant.instance.id for grant in self.fill(6)]
+        self.assertEqual(names.count("i1"), 1)
+
+    def test_adopted_requests_count(self):
+        for number in range(4):
+            self.board.adopt(make_ask(f"r{number}"), "i1" if number < 2 else "i2")
+        self.assertIsNone(self.board.place(make_ask("late"), 0.0))
+
+
+class LoadTest(unittest.TestCase):
+    """Play a load against the board and look at what callers get."""
+
+    STEP = 0.01
+
+    def play(self, seconds, rate, hold, batch):
+        """Return (placed, refused, waits) of online requests beside batch work."""
+        held = board.Board()
+        held.update(tuple(make_instance(f"i{n}", 8) for n in range(5)), 0.0)
+        ends, waits, refused, placed, number = {}, [], 0, 0, 0
+        due = 0.0
+        for tick in range(int(seconds / self.STEP)):
+            now = tick * self.STEP
+            grants = []
+            for key in [key for key, end in ends.items() if end <= now]:
+                del ends[key]
+                grants += held.leave(key, now)
+            refused += len(held.expire(now))
+            due += rate * self.STEP
+            while due >= 1.0:
+                due -= 1.0
+                number += 1
+                verdict = held.place(make_ask(f"r{number}", now=now), now)
+                if isinstance(verdict, board.Refusal):
+                    refused += 1
+                elif verdict is not None:
+                    grants.append(verdict)
+            for grant in grants:
+                placed += 1
+                waits.append(now - grant.ask.arrived)
+                ends[grant.ask.key] = now + hold
+                ends.pop(grant.evicted, None)
+            while batch and (grant := held.take_spare(make_ask(f"b{tick}", now=now))):
+                ends[grant.ask.key] = now + 5.0
+                break
+        return placed, refused, waits
+
+    def test_batch_work_delays_no_online_request(self):
+        placed, refused, waits = self.play(20.0, rate=40.0, hold=0.7, batch=True)
+        self.assertEqual(refused, 0)
+        self.assertEqual(max(waits), 0.0)
+        self.assertGreater(placed, 700)
+
+    def test_twice_the_capacity_is_refused_at_once_and_the_rest_is_on_time(self):
+        placed, refused, waits = self.play(20.0, rate=114.0, hold=0.7, batch=True)
+        self.assertLess(max(waits), 0.25)
+        capacity = 40 / 0.7 * 20.0
+        self.assertGreater(placed, 0.9 * capacity)
+        self.assertGreater(refused, 0.4 * capacity)
+
+
+class PropertyTest(unittest.TestCase):
+    @given(st.lists(st.tuples(st.integers(0, 3), st.integers(0, 30)), max_size=120))
+    def test_places_are_never_given_twice(self, steps):
+        held = board.Board()
+        held.update((make_instance("i1", 3), make_instance("i2", 2)), 0.0)
+        running = {}
+        for now, (kind, number) in enumerate(steps):
+            key = f"{'b' if kind == 1 else 'r'}{number}"
+            grants = []
+            if kind in (0, 1) and key not in running:
+                held.leave(key, now)
+                ask = make_ask(key, now=now, patience=9)
+                given_ = held.take_spare(ask) if kind else held.place(ask, now)
+                grants = [given_] if isinstance(given_, board.Grant) else []
+            elif kind == 2:
+                running.pop(key, None)
+                grants = held.leave(key, now)
+            else:
+                held.expire(now)
+            for grant in grants:
+                running.pop(grant.evicted, None)
+                self.assertNotIn(grant.ask.key, running)
+                running[grant.ask.key] = grant.instance
+            for instance in held.instances:
+                taken = sum(each.id == instance.id for each in running.values())
+                self.assertLessEqual(taken, instance.slots)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/sapphireseam/policy/spare.py
+++ b/sapphireseam/policy/spare.py
@@ -1,9 +1,11 @@
-"""Admit a few requests while nobody can say what a customer has left.
-
-This answers the seconds in which the limits have no owner. The deployment says
-how much all of a customer's requests may go over its limit in a window; each of
-so many processes may use an equal part of that, and no more, so that together
-they stay within it.
+"""Admit requests while nobody can say what a customer has left.
+
+This answers the second or two in which the limits have no owner: it has failed
+and the next isn't elected yet. No time is credited to a customer by the next
+owner for that span, so the processes that take requests may grant the
+customer's rate in it, each an equal part. Beside that each has a part of the
+slack that the deployment allows, for those that are cut off from an owner that
+goes on granting.
 """
 
 from typing import NamedTuple
@@ -27,8 +29,12 @@
         return self.requests + self.share * allowed
 
 
+# Part of the slack that is used; the rest is for processes that come and go.
+USED_SHARE = 0.6
+
+
 class SpareLimiter:
-    """Grant one process's part of the slack to each customer."""
+    """Grant one process's part of each customer's rate and slack."""
 
     def __init__(self, slack: Slack):
         self._slack = slack
@@ -38,14 +44,12 @@
         self, customer: str, contract: fleet.Contract, sharers: int, now: float
     ) -> float:
         """Take one request; return 0, or the seconds until there is one."""
-        part = self._slack.measure(contract) / max(sharers, 1)
-        # Half of the part may go at once, and half comes back in a window.
-        most = part / 2.0
-        rate = most / self._slack.window
+        most = USED_SHARE * self._slack.measure(contract) / max(sharers, 1)
+        rate = contract.rate / max(sharers, 1)
         level, since = self._levels.get(customer, (most, now))
-        level = min(level + (now - since) * rate, most)
+        level = min(level + (now - since) * rate, max(most, 1.0))
         if level < 1.0:
             self._levels[customer] = (level, now)
-            return (1.0 - level) / rate if rate else self._slack.window
+            return (1.0 - level) / rate
         self._levels[customer] = (level - 1.0, now)
         return 0.0
