--- /dev/null
+++ b/sapphireseam/control/lotrunner_test.py
@@ -0,0 +1,221 @@
+"""Test that items run in free places, resume, fail and end as they should."""
+
+import asyncio
+import json
+import unittest
+
+from sapphireseam.control import lotrunner, machine as machines, placement
+from sapphireseam.core import command, placement as messages
+from sapphireseam.policy import board
+from sapphireseam.utils import fakeupstream, outbound
+from sapphireseam.utils.timer import SystemTimer
+
+DOCUMENT = {
+    "services": {"llm": {}},
+    "customers": {"c": {}},
+    "routes": {
+        "r": {
+            "path": "/b/",
+            "service": "llm",
+            "batch": {"due": 18, "abandon": 60, "attempts": 2},
+        }
+    },
+}
+
+
+class FakeReplica:
+    """Apply each proposal at once."""
+
+    def __init__(self, machine):
+        self.is_leader = True
+        self.leader = "me"
+        self.members = ()
+        self._machine = machine
+        self._index = 0
+
+    async def propose(self, data):
+        self._index += 1
+        return self._machine.apply(self._index, data)
+
+
+class FakeOwner:
+    contracts = {}
+
+
+class LeaderTest(unittest.IsolatedAsyncioTestCase):
+    """Set a leader up with one upstream."""
+
+    async def asyncSetUp(self):
+        self.timer = SystemTimer()
+        self.machine = machines.StateMachine()
+        self.replica = FakeReplica(self.machine)
+        self.upstream = fakeupstream.FakeUpstream("u1")
+        self.other = fakeupstream.FakeUpstream("u2")
+        for upstream in (self.upstream, self.other):
+            await upstream.start()
+            self.addAsyncCleanup(upstream.stop)
+        self.outbound = outbound.Outbound(fakeupstream.FakeDialect())
+        self.addAsyncCleanup(self.outbound.stop)
+
+        async def probe(instance, path, seconds):
+            return True
+
+        self.placement = placement.PlacementServer(
+            self.replica, self.machine, FakeOwner(), probe, self.timer
+        )
+        self.runner = lotrunner.LotRunner(
+            self.replica, self.machine, self.placement, self.outbound, self.timer
+        )
+        await self.apply(
+            command.PublishNumbered(1, json.dumps(DOCUMENT).encode(), b"", 1.0)
+        )
+        self.placement.take_instances((self.upstream.instance,))
+        for part in (self.placement, self.runner):
+            await part.start()
+            self.addAsyncCleanup(part.stop)
+
+    async def apply(self, item):
+        return await self.replica.propose(command.REGISTRY.encode(item))
+
+
+class LotRunnerTest(LeaderTest):
+    async def accept(self, count=1, abandon=60.0):
+        now = self.timer.read_wall_clock()
+        items = tuple(
+            command.LotItem(f"i{n}", "/b/x", (("H", "v"),), b"body", 10)
+            for n in range(count)
+        )
+        lot = command.AcceptLot("l", "c", "r", items, 0, now, now + 18, now + abandon)
+        await self.apply(lot)
+
+    async def wait_done(self, seconds=5.0):
+        end = self.timer.read_clock() + seconds
+        while (lot := self.machine.state.lots["l"]).is_open:
+            self.assertLess(self.timer.read_clock(), end, "too late")
+            await asyncio.sleep(0.01)
+        return {result.item: result for result in lot.results}
+
+    def expect_output(self, item):
+        return b"\n".join(b"%s-%d" % (item, number) for number in range(4))
+
+    async def test_items_run_and_are_listed_with_their_whole_output(self):
+        await self.accept(12)
+        results = await self.wait_done()
+        for number, result in results.items():
+            self.assertEqual(result.output, self.expect_output(b"i%d" % number))
+        run = self.upstream.runs[0]
+        self.assertEqual((run.body, run.headers["H"]), (b"body", "v"))
+        self.assertEqual(self.placement.board.count_running("llm", True), 0)
+
+    async def test_a_cut_item_goes_on_behind_its_last_event(self):
+        self.upstream.acts = ["cut"]
+        await self.accept()
+        results = await self.wait_done()
+        self.assertEqual(results[0].output, self.expect_output(b"i0"))
+        self.assertEqual(self.upstream.runs[1].headers[fakeupstream.RESUME], "1")
+
+    async def test_an_item_that_fails_each_time_is_given_up_at_its_limit(self):
+        self.upstream.acts = ["fail"] * 9
+        await self.accept()
+        results = await self.wait_done()
+        self.assertTrue(results[0].failed)
+        self.assertEqual(len(self.upstream.runs), 2)
+
+    async def test_an_item_that_can_never_be_done_runs_once(self):
+        self.upstream.acts = ["impossible"]
+        await self.accept()
+        self.assertTrue((await self.wait_done())[0].failed)
+        self.assertEqual(len(self.upstream.runs), 1)
+
+    async def test_a_refusal_is_no_failure(self):
+        self.upstream.acts = ["refuse"] * 3
+        await self.accept()
+        self.assertFalse((await self.wait_done())[0].failed)
+
+    async def test_an_ended_lot_stops_at_its_upstream(self):
+        self.upstream.pace = 0.2
+        await self.accept()
+        await asyncio.sleep(0.1)
+        await self.apply(command.EndLot("l", "c"))
+        await asyncio.sleep(0.4)
+        self.assertEqual(self.upstream.dropped, ["i0"])
+        self.assertEqual(len(self.upstream.runs), 1)
+
+    async def test_online_work_takes_a_place_at_once_and_the_item_goes_on(self):
+        self.upstream.slots = 1
+        self.upstream.pace = 0.05
+        self.placement.take_instances((self.upstream.instance,))
+        await self.accept()
+        await asyncio.sleep(0.13)
+        now = self.timer.read_clock()
+        ask = board.Ask("9:1", "llm", "c", 0, "z", now, now)
+        grant = self.placement.board.place(ask, now)
+        self.placement._send([grant])
+        await asyncio.sleep(0.2)
+        self.assertEqual(len(self.upstream.runs), 1)
+        self.placement.leave("9:1")
+        results = await self.wait_done()
+        self.assertEqual(results[0].output, self.expect_output(b"i0"))
+        self.assertIn(fakeupstream.RESUME, self.upstream.runs[1].headers)
+
+    async def test_what_is_too_old_is_given_up(self):
+        self.upstream.slots = 1
+        self.placement.board.update((), 0.0)
+        await self.accept(2, abandon=0.2)
+        results = await self.wait_done()
+        self.assertTrue(results[0].failed and results[1].failed)
+
+    async def test_a_member_that_does_not_lead_runs_nothing(self):
+        self.replica.is_leader = False
+        await self.accept()
+        await asyncio.sleep(0.4)
+        self.assertEqual(self.upstream.runs, [])
+
+    async def test_items_of_a_removed_route_are_given_up(self):
+        self.placement.board.update((), 0.0)
+        await self.accept(2)
+        await self.apply(command.PublishNumbered(2, b"{}", b"", 1.0))
+        self.assertTrue((await self.wait_done())[0].failed)
+
+
+class PlacementServerTest(LeaderTest):
+    async def test_an_entrys_requests_are_counted_until_its_stream_ends(self):
+        stream = FakeStream()
+        running = (messages.Running(5, "u1", "c"),)
+        first = messages.Attach("e1", "z", running)
+        task = asyncio.create_task(self.placement.serve(first, stream))
+        await asyncio.sleep(0.01)
+        self.assertEqual(self.placement.board.count_running("llm", False), 1)
+        stream.put(messages.Place(6, "llm", "c", 0, 0.1, (), True))
+        await asyncio.sleep(0.01)
+        placed = [item for item in stream.sent if isinstance(item, messages.Placed)]
+        self.assertEqual(placed[0].number, 6)
+        self.assertEqual(self.placement.board.count_running("llm", False), 2)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        self.assertEqual(self.placement.board.count_running("llm", False), 0)
+
+    async def test_a_suspect_gets_nothing_until_a_probe_finds_it_well(self):
+        self.placement.report_suspect("u1")
+        self.assertEqual(len(self.placement.board.list_benched()), 1)
+        await asyncio.sleep(placement.PROBE_SECONDS + 0.1)
+        self.assertEqual(self.placement.board.list_benched(), [])
+
+
+class FakeStream:
+    def __init__(self):
+        self.sent = []
+        self._inbox = asyncio.Queue()
+
+    def post(self, item):
+        self.sent.append(item)
+
+    def put(self, item):
+        self._inbox.put_nowait(item)
+
+    async def receive(self):
+        return await self._inbox.get()
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/sapphireseam/entry/placer_test.py
@@ -0,0 +1,190 @@
+"""Test how requests are placed with a leader, and without one."""
+
+import asyncio
+import unittest
+
+from sapphireseam.core import error, fleet, placement
+from sapphireseam.core.instance import Instance
+from sapphireseam.entry import placer
+from sapphireseam.policy import spare
+from sapphireseam.utils import rpc
+from sapphireseam.utils.timer import SystemTimer
+
+INSTANCES = tuple(Instance(f"i{n}", "llm", f"10.0.0.{n}:80", "z", 2) for n in (1, 2))
+
+
+class FakeStream:
+    def __init__(self, leader):
+        self.leader = leader
+        self.inbox = asyncio.Queue()
+
+    def post(self, item):
+        self.leader.take(self, item)
+
+    async def receive(self):
+        item = await self.inbox.get()
+        if item is None:
+            raise rpc.LinkError("the stream broke")
+        return item
+
+    async def close(self):
+        self.inbox.put_nowait(None)
+
+
+class FakeLeader:
+    """Stand for the leader and for the channel to it."""
+
+    def __init__(self):
+        self.heard = []
+        self.attached = []
+        self.streams = []
+        self.is_up = True
+        self.answers = True
+        self.turned = None
+
+    async def open(self, first):
+        if not self.is_up:
+            raise rpc.LinkError("unreachable")
+        self.attached.append(first)
+        stream = FakeStream(self)
+        self.streams.append(stream)
+        stream.inbox.put_nowait(placement.View(INSTANCES, ("c1", "c2"), 4))
+        return stream
+
+    async def close(self):
+        """Do nothing."""
+
+    def take(self, stream, item):
+        self.heard.append(item)
+        if not self.answers or not isinstance(item, placement.Place):
+            return
+        if self.turned is not None:
+            answer = placement.Turned(item.number, *self.turned)
+        else:
+            answer = placement.Placed(item.number, INSTANCES[0])
+        stream.inbox.put_nowait(answer)
+
+    def beat(self):
+        for stream in self.streams:
+            stream.inbox.put_nowait(placement.Beat())
+
+    def fall(self):
+        self.is_up = False
+        for stream in self.streams:
+            stream.inbox.put_nowait(None)
+
+
+class FakeClient:
+    def __init__(self, leader):
+        self.leader = leader
+        self.learned = ()
+
+    def pick(self):
+        return "c1"
+
+    def open_channel(self, address):
+        return self.leader
+
+    def note_leader(self, address):
+        """Do nothing."""
+
+    def learn(self, addresses):
+        self.learned = addresses
+
+
+class PlacerTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.leader = FakeLeader()
+        self.client = FakeClient(self.leader)
+        contract = fleet.Contract(10.0, 10.0)
+        self.placer = placer.Placer(
+            "e1", "z", self.client, lambda: {"c": contract},
+            spare.Slack(20, 0.1, 5.0), SystemTimer(),
+        )  # fmt: skip
+        await self.placer.start()
+        self.addAsyncCleanup(self.placer.stop)
+        self.beating = asyncio.create_task(self.beat())
+        self.addCleanup(self.beating.cancel)
+        await asyncio.sleep(0.02)
+
+    async def beat(self):
+        while True:
+            await asyncio.sleep(0.1)
+            self.leader.beat()
+
+    def wish(self, **fields):
+        wish = placer.Wish("llm", "c", 0, 0.2, frozenset(), True)
+        return wish._replace(**fields)
+
+    async def test_the_leader_places_and_is_told_when_the_place_is_free(self):
+        ticket = await self.placer.place(self.wish())
+        self.assertEqual(ticket.instance, INSTANCES[0])
+        self.placer.leave(ticket, True, 0.02)
+        self.placer.leave(ticket)
+        left = [item for item in self.leader.heard if isinstance(item, placement.Left)]
+        self.assertEqual(left, [placement.Left(ticket.number, True, 0.02)])
+
+    async def test_a_refusal_carries_its_kind_and_time(self):
+        self.leader.turned = ("rate_limited", "over", 0.7)
+        with self.assertRaises(error.CapacityError) as caught:
+            await self.placer.place(self.wish())
+        self.assertEqual(caught.exception.kind, error.Kind.RATE_LIMITED)
+        self.assertEqual(caught.exception.retry_after, 0.7)
+        self.assertTrue(caught.exception.not_run)
+
+    async def test_it_learns_the_control_vms(self):
+        self.assertEqual(self.client.learned, ("c1", "c2"))
+
+    async def test_without_a_leader_it_places_within_its_own_counts(self):
+        self.leader.fall()
+        await asyncio.sleep(0.02)
+        tickets = [await self.placer.place(self.wish()) for _ in range(3)]
+        names = [ticket.instance.id for ticket in tickets]
+        self.assertLessEqual(max(names.count(name) for name in names), 2)
+
+    async def test_without_a_leader_a_customer_gets_a_part_of_its_limit(self):
+        self.leader.fall()
+        await asyncio.sleep(0.02)
+        granted = 0
+        with self.assertRaises(error.CapacityError) as caught:
+            for _ in range(50):
+                ticket = await self.placer.place(self.wish())
+                self.placer.leave(ticket)
+                granted += 1
+        self.assertEqual(caught.exception.kind, error.Kind.RATE_LIMITED)
+        self.assertTrue(1 <= granted <= 6, granted)
+
+    async def test_a_silent_leader_is_not_waited_for(self):
+        self.leader.answers = False
+        self.beating.cancel()
+        start = asyncio.get_running_loop().time()
+        await self.placer.place(self.wish())
+        took = asyncio.get_running_loop().time() - start
+        self.assertLess(took, placer.DOUBT_SECONDS + 0.15)
+
+    async def test_a_new_leader_is_told_what_runs(self):
+        ticket = await self.placer.place(self.wish())
+        ended = await self.placer.place(self.wish())
+        self.leader.fall()
+        await asyncio.sleep(0.02)
+        self.placer.leave(ended)
+        self.leader.is_up = True
+        await asyncio.sleep(0.15)
+        running = self.leader.attached[-1].running
+        self.assertEqual([item.number for item in running], [ticket.number])
+
+    async def test_a_place_that_comes_too_late_is_given_back(self):
+        self.leader.answers = False
+        task = asyncio.create_task(self.placer.place(self.wish()))
+        await asyncio.sleep(0.01)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        number = self.leader.heard[0].number
+        late = placement.Placed(number, INSTANCES[0])
+        self.leader.streams[-1].inbox.put_nowait(late)
+        await asyncio.sleep(0.01)
+        self.assertEqual(self.leader.heard[-1], placement.Left(number))
+
+
+if __name__ == "__main__":
+    unittest.main()
