Log each decision as one bounded JSON line, written beside the loop

Cause: a line a decision on standard error is a system call each, on the loop, and a reader that stalls would hold up every request. Change: lines gather in a bounded list, a thread writes them, each kind has a budget a second, what is left out is counted and said. Ruled out: dropping the log's level (the on-call engineers have nothing else).

--- a/sapphireseam/control/lotrunner_test.py
+++ b/sapphireseam/control/lotrunner_test.py
@@ -186,7 +186,7 @@
         task = asyncio.create_task(self.placement.serve(first, stream))
         await asyncio.sleep(0.01)
         self.assertEqual(self.placement.board.count_running("llm", False), 1)
-        stream.put(messages.Place(6, "llm", "c", 0, 0.1, (), True))
+        stream.put(messages.Place(6, "r6", "llm", "c", 0, 0.1, (), True))
         await asyncio.sleep(0.01)
         placed = [item for item in stream.sent if isinstance(item, messages.Placed)]
         self.assertEqual(placed[0].number, 6)
--- a/sapphireseam/control/placement.py
+++ b/sapphireseam/control/placement.py
@@ -175,7 +175,7 @@
                 await self._debit(item.customer)
         except error.SeamError as failure:
             held.discard(item.number)
-            self._turn(entry, item.number, failure)
+            self._turn(entry, item.number, failure, item.request)
             return
         if item.number not in held:
             return
@@ -191,9 +191,34 @@
             frozenset(item.excluded),
         )
         verdict = self.board.place(ask, now)
+        self._log_verdict(entry, item, verdict)
         if verdict is not None:
             self._send([verdict])
 
+    def _log_verdict(
+        self,
+        entry: _Entry,
+        item: placement.Place,
+        verdict: boards.Grant | boards.Refusal | None,
+    ) -> None:
+        """Log where a request goes and what the board knew."""
+        is_placed = isinstance(verdict, boards.Grant)
+        logger.info(
+            "request placed" if is_placed else "request waits or is refused",
+            extra={
+                "request": item.request,
+                "entry": entry.name,
+                "customer": item.customer,
+                "service": item.service,
+                "upstream": verdict.instance.id if is_placed else "",
+                "evicted": verdict.evicted if is_placed else "",
+                "online": self.board.count_running(item.service, False),
+                "batch": self.board.count_running(item.service, True),
+                "slots": self.board.count_slots(item.service),
+                "waiting": self.board.count_waiting(item.service),
+            },
+        )
+
     async def _debit(self, customer: str) -> None:
         """Pass the customer's limit, or raise `CapacityError`."""
         contract = self._contracts.get(customer)
@@ -257,10 +282,13 @@
             else:
                 self._turn(entry, int(number), _explain(verdict))
 
-    def _turn(self, entry: _Entry, number: int, failure: error.SeamError) -> None:
+    def _turn(
+        self, entry: _Entry, number: int, failure: error.SeamError, request: str = ""
+    ) -> None:
         logger.info(
             "request refused",
             extra={
+                "request": request,
                 "entry": entry.name,
                 "number": number,
                 "kind": str(failure.kind),
--- a/sapphireseam/core/placement.py
+++ b/sapphireseam/core/placement.py
@@ -30,10 +30,12 @@
 
     `patience` is how long the request may wait for a place, in seconds.
     `excluded` are instances that have failed it. With `is_counted` it counts
-    against its customer's limit; a second attempt doesn't.
+    against its customer's limit; a second attempt doesn't. `request` is the
+    caller's id, for the log.
     """
 
     number: int
+    request: str
     service: str
     customer: str
     rank: int
--- a/sapphireseam/entry/carrier.py
+++ b/sapphireseam/entry/carrier.py
@@ -129,15 +129,31 @@
             trip.offers += 1
             failure = await self._attempt(call, trip, ticket, sink)
             if failure is None:
+                self._log_answer(call, trip, ticket.instance)
                 return
             self._judge(call, trip, ticket.instance, failure)
 
+    def _log_answer(self, call: Call, trip: _Trip, instance: Instance) -> None:
+        logger.info(
+            "request answered",
+            extra={
+                "request": call.id,
+                "customer": call.customer,
+                "route": call.route_name,
+                "upstream": instance.id,
+                "offers": trip.offers,
+                "runs": trip.runs,
+                "took": round(self._timer.read_clock() - call.arrived, 3),
+            },
+        )
+
     async def _find_place(self, call: Call, trip: _Trip) -> Ticket:
         now = self._timer.read_clock()
         patience = call.route.target * PLACE_SHARE - (now - call.arrived)
         if not call.route.target or trip.offers:
             patience = PLACE_SECONDS
         wish = Wish(
+            call.id,
             self._choose_service(call.route),
             call.customer,
             call.rank,
--- a/sapphireseam/entry/placer.py
+++ b/sapphireseam/entry/placer.py
@@ -36,6 +36,7 @@
 class Wish(NamedTuple):
     """Say what kind of place a request wants; see `placement.Place`."""
 
+    request: str
     service: str
     customer: str
     rank: int
@@ -246,6 +247,15 @@
             raise error.CapacityError(text, error.Kind.OVERLOADED, wait, True)
         ticket = Ticket(number, verdict.instance, wish.customer)
         self._running[number] = ticket
+        silent = now - self._heard_at
+        logger.info(
+            "placed alone",
+            extra={
+                "request": wish.request,
+                "upstream": verdict.instance.id,
+                "leader_silent": round(silent, 3),
+            },
+        )
         return ticket
 
     def leave(
@@ -266,6 +276,7 @@
 def _render(number: int, wish: Wish) -> placement.Place:
     return placement.Place(
         number,
+        wish.request,
         wish.service,
         wish.customer,
         wish.rank,
--- /dev/null
+++ b/sapphireseam/utils/log_test.py
@@ -0,0 +1,73 @@
+"""Test that a log stays bounded and holds up nobody."""
+
+import json
+import logging
+import os
+import threading
+import time
+import unittest
+
+from sapphireseam.utils import log
+
+
+class LogTest(unittest.TestCase):
+    def setUp(self):
+        root = logging.getLogger()
+        before, level = list(root.handlers), root.level
+        self.addCleanup(root.setLevel, level)
+        self.addCleanup(root.handlers.__setitem__, slice(None), before)
+        self.reader, self.writer = os.pipe()
+        self.handler = log.configure("seam-test", "n1", descriptor=self.writer)
+
+    def read_lines(self):
+        """Return all that was written, after closing the log."""
+        chunks = []
+
+        def read():
+            while data := os.read(self.reader, 65536):
+                chunks.append(data)
+
+        thread = threading.Thread(target=read)
+        thread.start()
+        self.handler.close()
+        os.close(self.writer)
+        thread.join()
+        os.close(self.reader)
+        return [json.loads(line) for line in b"".join(chunks).splitlines()]
+
+    def test_a_line_says_program_node_and_fields(self):
+        logging.getLogger("x").info("placed", extra={"request": "r1", "load": 3})
+        (line,) = self.read_lines()
+        self.assertEqual(line["program"], "seam-test")
+        self.assertEqual((line["message"], line["request"]), ("placed", "r1"))
+
+    def test_a_kind_over_its_budget_is_counted_and_others_are_not_touched(self):
+        logger = logging.getLogger("x")
+        for _ in range(log.BUDGET_LINES + 30):
+            logger.info("often")
+        logger.info("once")
+        lines = self.read_lines()
+        kinds = [line["message"] for line in lines]
+        self.assertEqual(kinds.count("often"), log.BUDGET_LINES)
+        self.assertEqual(kinds.count("once"), 1)
+        (left,) = [line for line in lines if line["message"] == log.LEFT_OUT]
+        self.assertEqual(left["counts"], {"often": 30})
+
+    def test_a_reader_that_stalls_holds_up_nobody(self):
+        logger = logging.getLogger("x")
+        start = time.monotonic()
+        for number in range(3 * log.QUEUE_LINES):
+            logger.warning("line %d", number, extra={"filler": "x" * 100})
+        took = time.monotonic() - start
+        self.assertLess(took, 5.0)
+        self.assertGreater(self.handler.dropped, 0)
+        time.sleep(2 * log.FLUSH_SECONDS)
+        # The pipe is full now, and the thread stuck in its write.
+        start = time.monotonic()
+        logger.warning("after")
+        self.assertLess(time.monotonic() - start, 0.1)
+        self.assertTrue(self.read_lines())
+
+
+if __name__ == "__main__":
+    unittest.main()
