Keep items' output in the log as it comes; count a lost leader's work at upstreams

Change: once a second the log keeps what items have put out, and the next leader goes on behind it; for 8 s after it took over, or after a refusal, a leader asks upstreams what they work on and counts the rest as taken.

--- a/sapphireseam/control/application.py
+++ b/sapphireseam/control/application.py
@@ -77,14 +77,17 @@
     label: str = ""
 
 
-# Times of members that look after themselves, in seconds: a leader that fails is
-# replaced within the time in which callers come back.
-QUICK_ELECTION = {
+# Times in seconds and sizes of members that look after themselves: a leader that
+# fails is replaced within the time in which callers come back, and the log that is
+# held in memory stays small beside the lots.
+SELF_KEEPING = {
     "heartbeat": 0.08,
     "election_min": 0.5,
     "election_max": 0.8,
     "lease": 0.4,
     "call_timeout": 0.25,
+    "snapshot_bytes": 4 << 20,
+    "trailing_entries": 50,
 }
 
 
@@ -284,7 +287,7 @@
     options = option.Options(
         bootstrap=tuple(log_message.Member(peer.name, peer.address) for peer in first),
         voters=settings.voters,
-        **(QUICK_ELECTION if settings.voters else {}),
+        **(SELF_KEEPING if settings.voters else {}),
     )
     replica = Replica(
         settings.node,
--- a/sapphireseam/control/lot.py
+++ b/sapphireseam/control/lot.py
@@ -7,6 +7,9 @@
 from sapphireseam.control import record
 from sapphireseam.core import command, error, outcome
 
+# Stands between the data of two events in an output.
+SEPARATOR = b"\n"
+
 Answer = outcome.Done | outcome.Refused
 
 
@@ -36,6 +39,7 @@
         item.abandon,
         [],
         set(),
+        {},
     )
     return outcome.Done(item.lot)
 
@@ -55,18 +59,55 @@
     """Append results to their lots; those that come too late are dropped."""
     count = 0
     for result in item.results:
-        lot = state.lots.get(result.lot)
-        if lot is None or not lot.is_open or result.item in lot.listed:
+        lot = _find_unlisted(state, result.lot, result.item)
+        if lot is None:
             continue
-        _list_result(lot, result.item, result.failed, result.output)
-        count += 1
+        output = _complete_output(lot, result)
+        if output is not None:
+            _list_result(lot, result.item, result.failed, output)
+            count += 1
     return outcome.Done("", count)
 
 
+def keep_parts(state: record.State, item: command.KeepParts) -> outcome.Done:
+    """Keep parts of outputs; one that doesn't follow what is kept is dropped."""
+    for part in item.parts:
+        lot = _find_unlisted(state, part.lot, part.item)
+        if lot is None:
+            continue
+        held = lot.partials.get(part.item)
+        if part.after < 0:
+            lot.partials[part.item] = record.Partial(part.last, part.output)
+        elif held is not None and held.last == part.after:
+            output = held.output + SEPARATOR + part.output
+            lot.partials[part.item] = record.Partial(part.last, output)
+    return outcome.Done()
+
+
+def _find_unlisted(state: record.State, name: str, item: int) -> record.Lot | None:
+    lot = state.lots.get(name)
+    if lot is None or not lot.is_open or item in lot.listed:
+        return None
+    return lot
+
+
+def _complete_output(lot: record.Lot, result: command.LotResult) -> bytes | None:
+    """Return an item's whole output; None if what was kept isn't its beginning."""
+    if result.failed or result.after < 0:
+        return result.output
+    held = lot.partials.get(result.item)
+    if held is None or held.last != result.after:
+        return None
+    if result.is_rest_empty:
+        return held.output
+    return held.output + SEPARATOR + result.output
+
+
 def _list_result(lot: record.Lot, number: int, failed: bool, output: bytes) -> None:
     lot.results.append(record.Result(number, failed, output))
     lot.listed.add(number)
     lot.items[number] = lot.items[number]._replace(body=b"")
+    lot.partials.pop(number, None)
 
 
 def end(state: record.State, item: command.EndLot) -> Answer:
--- a/sapphireseam/control/lot_test.py
+++ b/sapphireseam/control/lot_test.py
@@ -78,9 +78,44 @@
         self.apply(command.ForgetLots(("l1",)))
         self.assertNotIn("l1", self.machine.state.lots)
 
+    def keep(self, after, last, output):
+        part = command.LotPart("l1", 0, after, last, output)
+        self.apply(command.KeepParts((part,)))
+
+    def finish(self, after, output, is_rest_empty=False):
+        result = command.LotResult("l1", 0, False, output, after, is_rest_empty)
+        self.apply(command.ListResults((result,)))
+        return self.read()
+
+    def test_an_output_is_put_together_from_its_parts(self):
+        self.apply(make_lot())
+        self.keep(-1, 1, b"e0\ne1")
+        self.keep(1, 2, b"e2")
+        self.assertEqual(self.finish(2, b"e3"), [(0, False, b"e0\ne1\ne2\ne3")])
+        self.assertEqual(self.machine.state.lots["l1"].partials, {})
+
+    def test_a_last_part_may_be_all(self):
+        self.apply(make_lot())
+        self.keep(-1, 1, b"e0\ne1")
+        self.assertEqual(self.finish(1, b"", True), [(0, False, b"e0\ne1")])
+
+    def test_what_does_not_follow_what_is_kept_changes_nothing(self):
+        self.apply(make_lot())
+        self.keep(-1, 1, b"e0\ne1")
+        self.keep(3, 4, b"e4")
+        self.assertEqual(self.finish(4, b"e5"), [])
+        self.assertEqual(self.machine.state.lots["l1"].partials[0].last, 1)
+
+    def test_a_new_beginning_replaces_what_was_kept(self):
+        self.apply(make_lot())
+        self.keep(-1, 1, b"old")
+        self.keep(-1, 0, b"new")
+        self.assertEqual(self.finish(0, b"x"), [(0, False, b"new\nx")])
+
     def test_a_snapshot_holds_lots_whole(self):
         self.apply(make_lot())
         self.list((1, b"x"))
+        self.keep(-1, 1, b"part")
         other = machine.StateMachine()
         other.restore(self.machine.encode())
         self.assertEqual(other.state.lots, self.machine.state.lots)
--- a/sapphireseam/control/lotrunner.py
+++ b/sapphireseam/control/lotrunner.py
@@ -2,8 +2,8 @@
 
 Items take the places that online requests leave free and give them back at
 once. An item that was stopped midway goes on behind its last whole event, at
-whatever upstream has room. What is under way is known to the leader alone: after
-its loss the next one runs what the log doesn't list, so an item may run more
+whatever upstream has room. The log keeps what items have put out once a second:
+after the loss of a leader the next one goes on behind that. An item may run more
 than once and is listed once.
 """
 
@@ -11,6 +11,7 @@
 import logging
 
 from sapphireseam.control import record
+from sapphireseam.control.lot import SEPARATOR
 from sapphireseam.control.machine import StateMachine
 from sapphireseam.control.placement import PlacementServer
 from sapphireseam.core import command, error, fleet
@@ -31,6 +32,10 @@
 # the first one, doubled each time up to the longest, in seconds.
 FIRST_PAUSE_SECONDS = 0.2
 LONGEST_PAUSE_SECONDS = 8.0
+# How often the log keeps what items have put out, in seconds, and how many events
+# of one item are worth a part.
+KEEP_PARTS_SECONDS = 1.0
+PART_EVENTS = 10
 # Results that are ready together are listed by one command, up to this many bytes.
 LIST_BYTES = 512 * 1024
 # How long a finished lot's results are kept at least, from its acceptance.
@@ -43,11 +48,17 @@
 
 
 class _Progress:
-    """Hold what is known of an item that isn't listed yet."""
+    """Hold what is known of an item that isn't listed yet.
 
-    def __init__(self):
+    The log keeps its output up to event `kept_event`; `data` is what came since.
+    """
+
+    def __init__(self, kept: record.Partial | None):
+        self.kept_event = kept.last if kept else -1
+        self.last_event = self.kept_event
         self.data: list[bytes] = []
-        self.last_event = -1
+        # Counts the beginnings, so that a part of an earlier one is known for it.
+        self.run = 0
         self.failures = 0
         self.breaks = 0
         self.not_before = 0.0
@@ -58,7 +69,12 @@
     def reset(self) -> None:
         """Forget the output, to begin at the beginning."""
         self.data.clear()
-        self.last_event = -1
+        self.kept_event = self.last_event = -1
+        self.run += 1
+
+    def render_rest(self) -> bytes:
+        """Return what came since the log last kept something."""
+        return SEPARATOR.join(self.data)
 
 
 class LotRunner:
@@ -84,8 +100,12 @@
         self._runs: dict[str, asyncio.Task] = {}
         # Items that run, or whose result waits to be listed.
         self._busy: set[_Key] = set()
-        self._results: list[command.LotResult] = []
-        self._has_results = asyncio.Event()
+        # Items that have ended, to be listed; and whether they were given up.
+        self._ended: list[tuple[_Key, bool]] = []
+        self._has_ended = asyncio.Event()
+        # A result says what the log keeps of its output, so neither is proposed
+        # while the other is under way.
+        self._proposing = asyncio.Lock()
         self._wake = asyncio.Event()
         self._tasks = TaskGroup()
         placement.on_evicted = self._evict
@@ -96,7 +116,11 @@
         """Begin to run items."""
         self._tasks.spawn(self._fill_forever())
         self._tasks.spawn(self._list_forever())
-        self._tasks.spawn(run_periodically(self._timer, LOOK_SECONDS, self._look))
+        for period, work in (
+            (LOOK_SECONDS, self._look),
+            (KEEP_PARTS_SECONDS, self._keep_parts),
+        ):
+            self._tasks.spawn(run_periodically(self._timer, period, work))
 
     async def stop(self) -> None:
         """Stop every item; the next leader runs them."""
@@ -156,7 +180,7 @@
         for task in list(self._runs.values()):
             task.cancel()
         self._progress.clear()
-        self._results.clear()
+        self._ended.clear()
         self._busy.clear()
 
     def _is_over(self, lot: record.Lot, now: float) -> bool:
@@ -198,7 +222,10 @@
     ) -> bool:
         """Start an item if there is room; false if there is none."""
         key = (lot.id, number)
-        progress = self._progress.setdefault(key, _Progress())
+        progress = self._progress.get(key)
+        if progress is None:
+            progress = _Progress(lot.partials.get(number))
+            self._progress[key] = progress
         if progress.not_before > now:
             return True
         name = _name_run(lot.id, number)
@@ -226,9 +253,7 @@
             self._busy.discard(key)
             self._wake.set()
             return
-        progress = self._progress.get(key)
-        output = b"\n".join(progress.data) if progress else b""
-        self._end_item(key, task.result(), output)
+        self._end_item(key, task.result())
 
     # Running one item.
 
@@ -326,31 +351,71 @@
 
     # Listing results.
 
-    def _end_item(self, key: _Key, failed: bool, output: bytes = b"") -> None:
+    def _end_item(self, key: _Key, failed: bool) -> None:
         self._busy.add(key)
-        self._results.append(
-            command.LotResult(key[0], key[1], failed, b"" if failed else output)
+        self._ended.append((key, failed))
+        self._has_ended.set()
+
+    def _make_result(self, key: _Key, failed: bool) -> command.LotResult:
+        progress = self._progress.get(key)
+        if failed or progress is None:
+            return command.LotResult(*key, failed)
+        return command.LotResult(
+            *key,
+            failed,
+            progress.render_rest(),
+            progress.kept_event,
+            not progress.data,
         )
-        self._has_results.set()
+
+    async def _keep_parts(self) -> None:
+        """Have the log keep what running items have put out."""
+        if not self._replica.is_leader:
+            return
+        async with self._proposing:
+            await self._keep_some_parts()
+
+    async def _keep_some_parts(self) -> None:
+        drafts = [
+            (progress, progress.run, len(progress.data), _draft_part(key, progress))
+            for key, progress in self._progress.items()
+            if len(progress.data) >= PART_EVENTS and progress.is_resumable
+        ]
+        if not drafts:
+            return
+        parts = tuple(part for _, _, _, part in drafts)
+        if not await self._propose(command.KeepParts(parts)):
+            return
+        for progress, run, count, part in drafts:
+            if progress.run == run:
+                del progress.data[:count]
+                progress.kept_event = part.last
 
     async def _list_forever(self) -> None:
         while True:
-            await self._has_results.wait()
-            self._has_results.clear()
-            while self._results:
-                await self._list_some()
-
-    async def _list_some(self) -> None:
-        batch: list[command.LotResult] = []
+            await self._has_ended.wait()
+            self._has_ended.clear()
+            while self._ended:
+                async with self._proposing:
+                    is_listed = await self._list_some()
+                if not is_listed:
+                    await self._timer.sleep(LOOK_SECONDS)
+
+    async def _list_some(self) -> bool:
+        """Have some results listed; say whether they are."""
+        taken: list[tuple[_Key, bool]] = []
+        results: list[command.LotResult] = []
         size = 0
-        while self._results and (not batch or size < LIST_BYTES):
-            batch.append(self._results.pop(0))
-            size += len(batch[-1].output)
-        if not await self._propose(command.ListResults(tuple(batch))):
-            # Proposed again, it is listed once: the first listing wins.
-            if self._replica.is_leader:
-                self._results[:0] = batch
-                await self._timer.sleep(LOOK_SECONDS)
+        while self._ended and size < LIST_BYTES:
+            taken.append(self._ended.pop(0))
+            results.append(self._make_result(*taken[-1]))
+            size += len(results[-1].output)
+        if await self._propose(command.ListResults(tuple(results))):
+            return True
+        # Proposed again, each is listed once: the first listing wins.
+        if self._replica.is_leader:
+            self._ended[:0] = taken
+        return False
 
     async def _propose(self, item: object) -> bool:
         try:
@@ -367,6 +432,12 @@
     return f"item/{lot}#{number}"
 
 
+def _draft_part(key: _Key, progress: _Progress) -> command.LotPart:
+    return command.LotPart(
+        *key, progress.kept_event, progress.last_event, progress.render_rest()
+    )
+
+
 def _take_event(progress: _Progress, item: event.Event) -> None:
     """Add an event's data, unless it stands there already."""
     if item.number < 0:
--- a/sapphireseam/control/lotrunner_test.py
+++ b/sapphireseam/control/lotrunner_test.py
@@ -11,7 +11,7 @@
 from sapphireseam.utils.timer import SystemTimer
 
 DOCUMENT = {
-    "services": {"llm": {}},
+    "services": {"llm": {"tells_load": True}},
     "customers": {"c": {}},
     "routes": {
         "r": {
@@ -29,6 +29,7 @@
     def __init__(self, machine):
         self.is_leader = True
         self.leader = "me"
+        self.term = 1
         self.members = ()
         self._machine = machine
         self._index = 0
@@ -49,6 +50,7 @@
         self.timer = SystemTimer()
         self.machine = machines.StateMachine()
         self.replica = FakeReplica(self.machine)
+        self.load = 0
         self.upstream = fakeupstream.FakeUpstream("u1")
         self.other = fakeupstream.FakeUpstream("u2")
         for upstream in (self.upstream, self.other):
@@ -58,7 +60,7 @@
         self.addAsyncCleanup(self.outbound.stop)
 
         async def probe(instance, path, seconds):
-            return True
+            return self.load
 
         self.placement = placement.PlacementServer(
             self.replica, self.machine, FakeOwner(), probe, self.timer
@@ -95,6 +97,11 @@
             await asyncio.sleep(0.01)
         return {result.item: result for result in lot.results}
 
+    async def wait_idle(self):
+        """Wait until nothing runs."""
+        while self.placement.board.count_running("llm", True):  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+
     def expect_output(self, item):
         return b"\n".join(b"%s-%d" % (item, number) for number in range(4))
 
@@ -158,6 +165,31 @@
         self.assertEqual(results[0].output, self.expect_output(b"i0"))
         self.assertIn(fakeupstream.RESUME, self.upstream.runs[1].headers)
 
+    async def test_the_next_leader_goes_on_behind_what_the_log_keeps(self):
+        self.upstream.pace = 0.3
+        await self.accept()
+        await asyncio.sleep(0.1)
+        self.upstream.pace = 0.0
+        part = command.LotPart("l", 0, -1, 1, b"i0-0\ni0-1")
+        self.replica.is_leader = False
+        await self.wait_idle()
+        await self.apply(command.KeepParts((part,)))
+        self.replica.is_leader = True
+        results = await self.wait_done()
+        self.assertEqual(results[0].output, self.expect_output(b"i0"))
+        self.assertEqual(self.upstream.runs[-1].headers[fakeupstream.RESUME], "1")
+
+    async def test_running_items_have_their_parts_kept(self):
+        self.upstream.events = 60
+        self.upstream.pace = 0.03
+        await self.accept()
+        await asyncio.sleep(lotrunner.KEEP_PARTS_SECONDS + 0.3)
+        partials = self.machine.state.lots["l"].partials
+        self.assertGreaterEqual(partials[0].last, lotrunner.PART_EVENTS - 1)
+        results = await self.wait_done()
+        expected = b"\n".join(b"i0-%d" % number for number in range(60))
+        self.assertEqual(results[0].output, expected)
+
     async def test_what_is_too_old_is_given_up(self):
         self.upstream.slots = 1
         self.placement.board.update((), 0.0)
@@ -201,6 +233,16 @@
         await asyncio.sleep(placement.PROBE_SECONDS + 0.1)
         self.assertEqual(self.placement.board.list_benched(), [])
 
+    async def test_a_lost_leaders_work_is_counted_where_it_runs_on(self):
+        self.load = 8
+        await asyncio.sleep(placement.PROBE_SECONDS + 0.1)
+        now = self.timer.read_clock()
+        ask = board.Ask("9:1", "llm", "c", 0, "z", now, now + 1.0)
+        self.assertIsNone(self.placement.board.place(ask, now))
+        self.load = 0
+        await asyncio.sleep(placement.PROBE_SECONDS + 0.1)
+        self.assertEqual(self.placement.board.count_waiting("llm"), 0)
+
 
 class FakeStream:
     def __init__(self):
--- a/sapphireseam/control/machine.py
+++ b/sapphireseam/control/machine.py
@@ -40,6 +40,7 @@
     command.Publish: publish.apply,
     command.PublishNumbered: publish.apply_numbered,
     command.AcceptLot: lot.accept,
+    command.KeepParts: lot.keep_parts,
     command.ListResults: lot.list_results,
     command.EndLot: lot.end,
     command.ForgetLots: lot.forget,
--- a/sapphireseam/control/placement.py
+++ b/sapphireseam/control/placement.py
@@ -29,6 +29,11 @@
 # How often an upstream that failed is probed, and for how long, in seconds.
 PROBE_SECONDS = 0.4
 PROBE_LIMIT_SECONDS = 0.3
+# For so long after it took over, or an upstream refused, the leader asks upstreams
+# what they work on: a lost leader's items may run on where its connections hang.
+STOCK_SECONDS = 8.0
+# What an upstream says of itself is that old at the most, in seconds.
+REPORT_AGE_SECONDS = 0.4
 
 # How long a request waits for the limits' new owner to open, in seconds.
 OPEN_SECONDS = 0.4
@@ -37,8 +42,9 @@
 # Stands between an entry's session and its request's number in a board's key.
 SEPARATOR = ":"
 
-# Asks an instance on a path, for so many seconds, whether it answers.
-Probe = Callable[[Instance, str, float], Awaitable[bool]]
+# Asks an instance on a path, for so many seconds: how many requests it works on, 0
+# if it doesn't say, None if it doesn't answer.
+Probe = Callable[[Instance, str, float], Awaitable[int | None]]
 
 
 class _Entry:
@@ -78,6 +84,9 @@
         self._timer = timer
         self._entries: dict[int, _Entry] = {}
         self._next_session = 0
+        # Until when each instance is asked what it works on.
+        self._stock: dict[str, float] = {}
+        self._term = -1
         self._contracts: dict[str, fleet.Contract] = {}
         self._services: dict[str, fleet.Service] = {}
         self._tasks = TaskGroup()
@@ -89,6 +98,7 @@
             (BEAT_SECONDS, self._beat),
             (EXPIRE_SECONDS, self._expire),
             (PROBE_SECONDS, self._probe_benched),
+            (PROBE_SECONDS, self._take_stock),
         ):
             self._tasks.spawn(run_periodically(self._timer, period, work))
 
@@ -110,9 +120,15 @@
 
     def take_instances(self, instances: tuple[Instance, ...]) -> None:
         """Take in what discovery has found."""
-        if instances == self.board.instances:
+        is_new_term = self._replica.term != self._term
+        if instances == self.board.instances and not is_new_term:
             return
-        self._send(self.board.update(instances, self._timer.read_clock()))
+        now = self._timer.read_clock()
+        if self._replica.term != self._term:
+            self._term = self._replica.term
+            for instance in instances:
+                self._stock[instance.id] = now + STOCK_SECONDS
+        self._send(self.board.update(instances, now))
         self._tell_view()
         self.on_room()
 
@@ -239,6 +255,8 @@
             self.board.note_pace(name, item.pace)
         if name and item.is_suspect:
             self._suspect(name, entry.name)
+        if name and item.is_full:
+            self._stock[name] = now + STOCK_SECONDS
         self._send(self.board.leave(key, now))
         self.on_room()
 
@@ -261,12 +279,38 @@
             self._tasks.spawn(self._probe_one(instance))
 
     async def _probe_one(self, instance: Instance) -> None:
-        service = self._services.get(instance.service, fleet.Service())
-        if await self._probe(instance, service.probe_path, PROBE_LIMIT_SECONDS):
+        if await self._ask(instance) is not None:
             logger.info("upstream used again", extra={"upstream": instance.id})
             self._send(self.board.restore(instance.id, self._timer.read_clock()))
             self.on_room()
 
+    async def _ask(self, instance: Instance) -> int | None:
+        service = self._services.get(instance.service, fleet.Service())
+        return await self._probe(instance, service.probe_path, PROBE_LIMIT_SECONDS)
+
+    async def _take_stock(self) -> None:
+        """Count what upstreams work on beside what was placed here."""
+        now = self._timer.read_clock()
+        for instance in self.board.instances:
+            until = self._stock.get(instance.id)
+            service = self._services.get(instance.service, fleet.Service())
+            if until is None or not service.tells_load:
+                continue
+            if until > now:
+                self._tasks.spawn(self._count_one(instance))
+            else:
+                del self._stock[instance.id]
+                self._send(self.board.forget_load(instance.id, now))
+                self.on_room()
+
+    async def _count_one(self, instance: Instance) -> None:
+        before = self._timer.read_clock() - REPORT_AGE_SECONDS
+        running = await self._ask(instance)
+        if running is not None:
+            now = self._timer.read_clock()
+            self._send(self.board.note_load(instance.id, running, before, now))
+            self.on_room()
+
     # What entries are told.
 
     def _send(self, verdicts: list[boards.Grant] | list[boards.Refusal]) -> None:
--- a/sapphireseam/control/record.py
+++ b/sapphireseam/control/record.py
@@ -134,11 +134,19 @@
     output: bytes
 
 
+class Partial(NamedTuple):
+    """Record what an item has put out up to event `last`."""
+
+    last: int
+    output: bytes
+
+
 class Lot(NamedTuple):
     """Record requests that came at once and run later.
 
     `results` stand in the order in which they were listed. The body of an item
-    is dropped with its listing. `is_ended` marks a lot that its customer ended.
+    and what was kept of its output are dropped with its listing. `is_ended`
+    marks a lot that its customer ended.
     """
 
     id: str
@@ -150,6 +158,7 @@
     abandon: float
     results: list[Result]
     listed: set[int]
+    partials: dict[int, Partial]
     is_ended: bool = False
 
     @property
--- a/sapphireseam/core/command.py
+++ b/sapphireseam/core/command.py
@@ -300,13 +300,39 @@
     abandon: float
 
 
+class LotPart(NamedTuple):
+    """Keep what an item has put out behind event `after`, up to `last`.
+
+    `output` holds the events' data, separated by line feeds. With `after` -1 it
+    replaces what was kept before.
+    """
+
+    lot: str
+    item: int
+    after: int
+    last: int
+    output: bytes
+
+
+class KeepParts(NamedTuple):
+    """Keep parts of outputs, so that the next leader goes on behind them."""
+
+    parts: tuple[LotPart, ...]
+
+
 class LotResult(NamedTuple):
-    """Say how an item of a lot ended: with its whole output, or given up."""
+    """Say how an item of a lot ended: with its whole output, or given up.
+
+    `output` is what came behind event `after`; what came up to it was kept.
+    `is_rest_empty` says that nothing came.
+    """
 
     lot: str
     item: int
     failed: bool
     output: bytes = b""
+    after: int = -1
+    is_rest_empty: bool = False
 
 
 class ListResults(NamedTuple):
@@ -338,6 +364,7 @@
 COMMANDS = (
     PublishNumbered,
     AcceptLot,
+    KeepParts,
     ListResults,
     EndLot,
     ForgetLots,
--- a/sapphireseam/core/fleet.py
+++ b/sapphireseam/core/fleet.py
@@ -102,11 +102,13 @@
     """Name interchangeable upstreams that are found by discovery.
 
     `connections` is how many one upstream takes from all callers together;
-    `probe_path` is asked whether one that failed answers again.
+    `probe_path` is asked whether one that failed answers again. Upstreams that
+    `tells_load` answer there with how many requests they work on.
     """
 
     connections: Annotated[int, Field(ge=1)] = 64
     probe_path: Annotated[str, Field(pattern=r"^/\S*$")] = "/"
+    tells_load: bool = False
 
 
 class Route(NamedTuple):
--- a/sapphireseam/core/placement.py
+++ b/sapphireseam/core/placement.py
@@ -64,13 +64,15 @@
     """Free a request's place, or end its waiting.
 
     `is_suspect` says that the upstream broke off, can't be reached or is
-    silent. `pace` is how long it took for an event of its answer, or for the
-    whole of one that has none, in seconds; 0 if nothing was measured.
+    silent, `is_full` that it refused, and so works on more than is known.
+    `pace` is how long it took for an event of its answer, or for the whole of
+    one that has none, in seconds; 0 if nothing was measured.
     """
 
     number: int
     is_suspect: bool = False
     pace: float = 0.0
+    is_full: bool = False
 
 
 class Suspect(NamedTuple):
--- a/sapphireseam/entry/carrier.py
+++ b/sapphireseam/entry/carrier.py
@@ -215,7 +215,7 @@
     ) -> outbound.OutboundError | None:
         """Send the call once; return why it failed, or None if it is delivered."""
         pace = _Pace()
-        is_suspect = False
+        is_suspect = is_full = False
         now = self._timer.read_clock()
         request = outbound.Outgoing(
             call.id,
@@ -241,12 +241,13 @@
                 await self._take_answer(call, trip, answer, sink, pace, patience)
         except outbound.OutboundError as failure:
             is_suspect = not isinstance(failure, outbound.RefusalError)
+            is_full = not is_suspect and failure.is_not_run
             if failure.is_not_run:
                 trip.runs -= 1
             return failure
         finally:
             alarm.cancel()
-            self._placer.leave(ticket, is_suspect, pace.seconds)
+            self._placer.leave(ticket, is_suspect, pace.seconds, is_full)
         return None
 
     def _choose_patience(self, call: Call, trip: _Trip) -> float | None:
--- a/sapphireseam/entry/carrier_test.py
+++ b/sapphireseam/entry/carrier_test.py
@@ -36,7 +36,7 @@
         chosen = (fit or self.upstreams)[0]
         return Ticket(len(self.wishes), chosen.instance, wish.customer)
 
-    def leave(self, ticket, is_suspect=False, pace=0.0):
+    def leave(self, ticket, is_suspect=False, pace=0.0, is_full=False):
         self.left.append((ticket.instance.id, is_suspect))
 
     def suspect(self, instance):
--- a/sapphireseam/entry/placer.py
+++ b/sapphireseam/entry/placer.py
@@ -259,14 +259,18 @@
         return ticket
 
     def leave(
-        self, ticket: Ticket, is_suspect: bool = False, pace: float = 0.0
+        self,
+        ticket: Ticket,
+        is_suspect: bool = False,
+        pace: float = 0.0,
+        is_full: bool = False,
     ) -> None:
         """Give a place back; see `placement.Left`."""
         if self._running.pop(ticket.number, None) is None:
             return
         now = self._timer.read_clock()
         self._board.leave(str(ticket.number), now)
-        self._post(placement.Left(ticket.number, is_suspect, pace))
+        self._post(placement.Left(ticket.number, is_suspect, pace, is_full))
 
     def suspect(self, instance: Instance) -> None:
         """Report that an instance is silent."""
--- a/sapphireseam/platform/control.py
+++ b/sapphireseam/platform/control.py
@@ -3,7 +3,7 @@
 from sapphireseam.control import application as control, desk as desks
 from sapphireseam.core import error
 from sapphireseam.core.instance import Instance
-from sapphireseam.platform import dialect, listing, operator, reload, setting
+from sapphireseam.platform import dialect, listing, operator, reload, report, setting
 from sapphireseam.utils import outbound, program
 from sapphireseam.utils.application import Application
 from sapphireseam.utils.client import ControlClient
@@ -25,8 +25,9 @@
     upstreams = outbound.Outbound(dialect.ReplicaDialect())
     source = listing.Listing(settings.list_address)
 
-    async def probe(instance: Instance, path: str, seconds: float) -> bool:
-        return await upstreams.probe(instance.address, path, seconds)
+    async def probe(instance: Instance, path: str, seconds: float) -> int | None:
+        body = await upstreams.probe(instance.address, path, seconds)
+        return None if body is None else report.read_load(body)
 
     outside = control.Outside(source, upstreams, probe, make_front)
     application = control.build(setting.make_control(settings), timer, outside)
--- a/sapphireseam/platform/document.py
+++ b/sapphireseam/platform/document.py
@@ -179,7 +179,11 @@
 
 def _make_service(service: Service) -> dict[str, Any]:
     probe = ENGINE_PROBE_PATH if service.engine else service.health_path
-    return {"connections": service.max_connections, "probe_path": probe}
+    return {
+        "connections": service.max_connections,
+        "probe_path": probe,
+        "tells_load": service.engine is not None,
+    }
 
 
 def _make_customer(tenant: Tenant) -> dict[str, Any]:
--- a/sapphireseam/policy/board.py
+++ b/sapphireseam/policy/board.py
@@ -78,6 +78,8 @@
         self.runs: dict[str, _Run] = {}
         self.benched = False
         self.pace = 0.0
+        # Work that nobody here has placed, such as a lost leader's.
+        self.foreign = 0
 
     @property
     def is_usable(self) -> bool:
@@ -85,7 +87,7 @@
 
     @property
     def room(self) -> int:
-        return self.instance.slots - len(self.runs)
+        return self.instance.slots - len(self.runs) - self.foreign
 
 
 class Board:
@@ -139,6 +141,25 @@
         """Return the instances that are given nothing now."""
         return [site.instance for site in self._sites.values() if site.benched]
 
+    def note_load(
+        self, name: str, running: int, before: float, now: float
+    ) -> list[Grant]:
+        """Take in how many requests an instance works on, by its own word.
+
+        What was placed `before` that moment is in its count; the rest of it
+        is work that nobody here has placed. Return what became placed.
+        """
+        site = self._sites.get(name)
+        if site is None:
+            return []
+        own = sum(run.since <= before for run in site.runs.values())
+        site.foreign = max(min(running - own, site.instance.slots), 0)
+        return self._place_waiting(now)
+
+    def forget_load(self, name: str, now: float) -> list[Grant]:
+        """Count only what was placed here again; return what became placed."""
+        return self.note_load(name, 0, now, now)
+
     def note_pace(self, name: str, pace: float) -> None:
         """Take in how fast an instance answered."""
         site = self._sites.get(name)
@@ -321,4 +342,4 @@
     if site.pace and fastest:
         slowness = min(site.pace / fastest, SLOWEST_FACTOR)
     distance = 0.0 if site.instance.domain == domain else DISTANCE_PLACES
-    return (len(site.runs) + 1 + distance) * slowness
+    return (len(site.runs) + site.foreign + 1 + distance) * slowness
--- a/sapphireseam/policy/board_test.py
+++ b/sapphireseam/policy/board_test.py
@@ -114,6 +114,20 @@
         names = [grant.instance.id for grant in self.fill(6)]
         self.assertEqual(names.count("i1"), 1)
 
+    def test_work_that_nobody_here_placed_takes_places_until_it_is_gone(self):
+        self.board.place(make_ask("r0"), 0.0)
+        self.board.note_load("i1", 2, 0.5, 0.5)
+        self.board.note_load("i2", 2, 0.5, 0.5)
+        self.assertIsNone(self.board.place(make_ask("r1", patience=9), 1.0))
+        (grant,) = self.board.forget_load("i2", 1.0)
+        self.assertEqual(grant.ask.key, "r1")
+
+    def test_what_was_placed_after_a_report_is_not_foreign(self):
+        self.board.place(make_ask("r0", now=1.0), 1.0)
+        self.board.note_load("i1", 0, 0.5, 1.0)
+        self.board.note_load("i2", 0, 0.5, 1.0)
+        self.assertEqual(len([g for g in self.fill(3) if g]), 3)
+
     def test_adopted_requests_count(self):
         for number in range(4):
             self.board.adopt(make_ask(f"r{number}"), "i1" if number < 2 else "i2")
--- a/sapphireseam/state/applier.py
+++ b/sapphireseam/state/applier.py
@@ -68,6 +68,7 @@
         if entry.kind == message.COMMAND:
             result = node.machine.apply(entry.index, entry.data)
         node.applied = entry.index
+        node.applied_bytes += len(entry.data)
         node.resolve(entry.index, result)
         if entry.kind == message.COMMAND:
             self._call_subscribers(entry.index, result)
@@ -92,7 +93,9 @@
     def _is_snapshot_due(self) -> bool:
         node = self._node
         newer = node.applied - node.snapshot.index
-        return node.fatal is not None or newer >= node.options.snapshot_entries
+        is_large = node.applied_bytes >= node.options.snapshot_bytes
+        is_long = newer >= node.options.snapshot_entries
+        return node.fatal is not None or (newer > 0 and (is_large or is_long))
 
     async def _write_snapshot(self) -> None:
         node = self._node
@@ -104,6 +107,7 @@
             members = node.roster.read(index)
             mark = stores.Mark(index, node.log.read_term(index), members)
             data = node.machine.encode()
+            node.applied_bytes = 0
             await node.wait_synced(index)
             await node.keep(node.store.save_snapshot(mark, data))
             node.snapshot = mark
--- a/sapphireseam/state/node.py
+++ b/sapphireseam/state/node.py
@@ -119,6 +119,8 @@
         self.quiet_from = -math.inf
         self.commit = 0
         self.applied = 0
+        # Bytes of the entries that were applied since the newest snapshot.
+        self.applied_bytes = 0
         # Up to here the log agrees with the leader of this term.
         self.matched = 0
         self.term_start = 0
--- a/sapphireseam/state/option.py
+++ b/sapphireseam/state/option.py
@@ -26,6 +26,7 @@
     call_timeout: float = 0.4
     append_timeout: float = 5.0
     snapshot_entries: int = 1000
+    snapshot_bytes: int = 64 << 20
     trailing_entries: int = 200
     batch_bytes: int = 1 << 20
     segment_bytes: int = 8 << 20
--- a/sapphireseam/utils/outbound.py
+++ b/sapphireseam/utils/outbound.py
@@ -30,7 +30,8 @@
 UNACKNOWLEDGED_MS = 1500
 # How long an idle connection is kept, in seconds.
 IDLE_SECONDS = 4.0
-READ_BYTES = 64 * 1024
+# The first status of a failure.
+HTTP_FAILURE = 400
 
 
 class Outgoing(NamedTuple):
@@ -233,15 +234,17 @@
         is_stream = headers.get("Content-Type", "").startswith(event.CONTENT_TYPE)
         return Head(response.status, tuple(headers.items()), id, is_not_run, is_stream)
 
-    async def probe(self, address: str, path: str, seconds: float) -> bool:
-        """Say whether a GET of the path is answered with success in time."""
+    async def probe(self, address: str, path: str, seconds: float) -> bytes | None:
+        """Return the answer to a GET of the path, or None without success."""
         url = yarl.URL(f"http://{address}{path}", encoded=True)
+        cause = "refused"
         try:
             async with asyncio.timeout(seconds):
                 async with self._reach(address).get(url) as response:
-                    await response.read()
-                    return response.status < 400
-        except (TimeoutError, aiohttp.ClientError, OSError) as failure:
-            detail = {"address": address, "cause": type(failure).__name__}
-            logger.info("probe failed", extra=detail)
-            return False
+                    body = await response.read()
+                    if response.status < HTTP_FAILURE:
+                        return body
+        except (aiohttp.ClientError, OSError) as failure:
+            cause = type(failure).__name__
+        logger.info("probe failed", extra={"address": address, "cause": cause})
+        return None
