Require a customer's contract again; an empty one must be written to set no limit

Cause: the contract had got a default, so a customer published without one was served without a limit; machine_test saw it (its message now names customers.x.contract again).

--- a/sapphireseam/control/lotrunner_test.py
+++ b/sapphireseam/control/lotrunner_test.py
@@ -12,7 +12,7 @@
 
 DOCUMENT = {
     "services": {"llm": {"tells_load": True}},
-    "customers": {"c": {}},
+    "customers": {"c": {"contract": ""}},
     "routes": {
         "r": {
             "path": "/b/",
--- a/sapphireseam/core/fleet.py
+++ b/sapphireseam/core/fleet.py
@@ -47,13 +47,13 @@
 
 
 class Customer(NamedTuple):
-    """Name who pays: a tenant with a contract, or without a limit.
+    """Name who pays: a tenant with a contract; an empty one sets no limit.
 
     `keys` are digests of keys that came with the configuration, beside those
     that the system issues. `rank` replaces the ranks of the routes it calls.
     """
 
-    contract: Name | Literal[""] = ""
+    contract: Name | Literal[""]
     keys: tuple[Digest, ...] = ()
     rank: Rank | None = None
 
