--- a/sapphireseam/control/lotrunner_test.py
+++ b/sapphireseam/control/lotrunner_test.py
@@ -5,8 +5,8 @@
 import unittest
 
 from sapphireseam.control import lotrunner, machine as machines, placement
-from sapphireseam.core import command, placement as messages
-from sapphireseam.policy import board
+from sapphireseam.core import command, fleet, placement as messages
+from sapphireseam.policy import board, limit
 from sapphireseam.utils import fakeupstream, outbound
 from sapphireseam.utils.timer import SystemTimer
 
@@ -40,7 +40,19 @@
 
 
 class FakeOwner:
-    contracts = {}
+    """Grant one debit each time that `waits` has none left."""
+
+    def __init__(self):
+        self.contracts = {"limited": fleet.Contract(10.0, 10.0)}
+        self.waits = []
+
+    async def wait_open(self, seconds):
+        """Be open."""
+
+    async def debit_one(self, customer):
+        if self.waits:
+            return limit.Grant(0.0, self.waits.pop(0))
+        return limit.Grant(1.0, 0.0)
 
 
 class LeaderTest(unittest.IsolatedAsyncioTestCase):
@@ -60,6 +72,7 @@
         self.addAsyncCleanup(self.outbound.stop)
 
         self.stopped = []
+        self.owner = FakeOwner()
 
         async def probe(instance, path, seconds):
             return self.load
@@ -68,7 +81,7 @@
             self.stopped.append((instance.id, request, other.id))
 
         self.placement = placement.PlacementServer(
-            self.replica, self.machine, FakeOwner(), probe, stop_run, self.timer
+            self.replica, self.machine, self.owner, probe, stop_run, self.timer
         )
         self.runner = lotrunner.LotRunner(
             self.replica, self.machine, self.placement, self.outbound, self.timer
@@ -246,6 +259,26 @@
         await asyncio.gather(task, return_exceptions=True)
         self.assertEqual(self.placement.board.count_running("llm", False), 0)
 
+    async def ask(self, *waits):
+        """Return what an entry is told about a request of a limited customer."""
+        self.owner.waits = list(waits)
+        stream = FakeStream()
+        serving = self.placement.serve(messages.Attach("e1", "z", ()), stream)
+        task = asyncio.create_task(serving)
+        stream.put(messages.Place(6, "r6", "llm", "limited", 0, 0.2, (), True))
+        await asyncio.sleep(0.15)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        return [item for item in stream.sent if not isinstance(item, messages.View)]
+
+    async def test_who_may_go_in_a_moment_waits_for_that(self):
+        told = await self.ask(0.02, 0.03)
+        self.assertIsInstance(told[0], messages.Placed)
+
+    async def test_who_must_wait_longer_is_told_at_once(self):
+        told = await self.ask(0.7)
+        self.assertEqual((told[0].kind, told[0].retry_after), ("rate_limited", 0.7))
+
     async def test_a_suspect_gets_nothing_until_a_probe_finds_it_well(self):
         self.placement.report_suspect("u1")
         self.assertEqual(len(self.placement.board.list_benched()), 1)
--- a/sapphireseam/control/placement.py
+++ b/sapphireseam/control/placement.py
@@ -38,6 +38,8 @@
 
 # How long a request waits for the limits' new owner to open, in seconds.
 OPEN_SECONDS = 0.4
+# The shortest time that a debit waits before it is tried again, in seconds.
+SHORTEST_SLEEP_SECONDS = 0.005
 # The longest time to come back that a customer over its rate is told.
 LONGEST_RETRY_SECONDS = 5.0
 # Stands between an entry's session and its request's number in a board's key.
@@ -204,7 +206,7 @@
         """Debit the customer and place the request, or refuse it."""
         try:
             if item.is_counted:
-                await self._debit(item.customer)
+                await self._debit(item.customer, item.patience)
         except error.SeamError as failure:
             held.discard(item.number)
             self._turn(entry, item.number, failure, item.request)
@@ -251,17 +253,22 @@
             },
         )
 
-    async def _debit(self, customer: str) -> None:
-        """Pass the customer's limit, or raise `CapacityError`."""
-        contract = self._contracts.get(customer)
-        if contract is None:
+    async def _debit(self, customer: str, patience: float) -> None:
+        """Pass the customer's limit, or raise `CapacityError`.
+
+        Who may go within its patience waits for that: to come back would take a
+        caller longer.
+        """
+        if customer not in self._contracts:
             return
         await self._owner.wait_open(OPEN_SECONDS)
-        grant = await self._owner.debit_one(customer)
-        if not grant.granted:
-            text = f"customer {customer} is over its rate"
-            wait = min(grant.retry_after, LONGEST_RETRY_SECONDS)
-            raise error.CapacityError(text, error.Kind.RATE_LIMITED, wait)
+        end = self._timer.read_clock() + patience
+        while not (grant := await self._owner.debit_one(customer)).granted:
+            if self._timer.read_clock() + grant.retry_after > end:
+                text = f"customer {customer} is over its rate"
+                wait = min(grant.retry_after, LONGEST_RETRY_SECONDS)
+                raise error.CapacityError(text, error.Kind.RATE_LIMITED, wait)
+            await self._timer.sleep(max(grant.retry_after, SHORTEST_SLEEP_SECONDS))
 
     def _take_leave(self, entry: _Entry, item: placement.Left) -> None:
         now = self._timer.read_clock()
