Count as foreign only what an upstream names and nobody here placed

Change: reports are compared by requests' ids; what ran here within a second isn't foreign. Ruled out: the limits (no 429), replicas lost (slots 56 all the while).

--- a/sapphireseam/control/lotrunner.py
+++ b/sapphireseam/control/lotrunner.py
@@ -242,7 +242,15 @@
             return True
         name = _name_run(lot.id, number)
         ask = boards.Ask(
-            name, service, lot.customer, route.rank, "", now, now, progress.avoided
+            name,
+            service,
+            lot.customer,
+            route.rank,
+            "",
+            now,
+            now,
+            progress.avoided,
+            lot.items[number].id,
         )
         grant = self._placement.board.take_spare(ask)
         if grant is None:
--- a/sapphireseam/control/lotrunner_test.py
+++ b/sapphireseam/control/lotrunner_test.py
@@ -62,7 +62,7 @@
         self.timer = SystemTimer()
         self.machine = machines.StateMachine()
         self.replica = FakeReplica(self.machine)
-        self.load = placement.Load(0, ())
+        self.load = placement.Load(())
         self.upstream = fakeupstream.FakeUpstream("u1")
         self.other = fakeupstream.FakeUpstream("u2")
         for upstream in (self.upstream, self.other):
@@ -202,14 +202,9 @@
         self.placement.take_instances(instances)
         self.replica.is_leader = False
         await self.accept(2)
-        self.load = placement.Load(2, ("i1", "somebody's"))
-        self.placement.board.bench("u1")
-        self.placement.board.bench("u2")
-        self.replica.is_leader = True
-        await asyncio.sleep(placement.PROBE_SECONDS + 0.1)
-        stopped = {(name, item) for name, item, _ in self.stopped}
-        self.assertIn(("u1", "i1"), stopped)
-        self.assertNotIn("somebody's", {item for _, item in stopped})
+        load = placement.Load(("i1", "somebody's"))
+        await self.placement._stop_orphans(self.upstream.instance, load)
+        self.assertEqual(self.stopped, [("u1", "i1", "u2")])
 
     async def test_running_items_have_their_parts_kept(self):
         self.upstream.events = 60
@@ -245,7 +240,7 @@
 class PlacementServerTest(LeaderTest):
     async def test_an_entrys_requests_are_counted_until_its_stream_ends(self):
         stream = FakeStream()
-        running = (messages.Running(5, "u1", "c"),)
+        running = (messages.Running(5, "q", "u1", "c"),)
         first = messages.Attach("e1", "z", running)
         task = asyncio.create_task(self.placement.serve(first, stream))
         await asyncio.sleep(0.01)
@@ -286,12 +281,12 @@
         self.assertEqual(self.placement.board.list_benched(), [])
 
     async def test_a_lost_leaders_work_is_counted_where_it_runs_on(self):
-        self.load = placement.Load(8, ())
+        self.load = placement.Load(tuple(f"x{n}" for n in range(8)))
         await asyncio.sleep(placement.PROBE_SECONDS + 0.1)
         now = self.timer.read_clock()
         ask = board.Ask("9:1", "llm", "c", 0, "z", now, now + 1.0)
         self.assertIsNone(self.placement.board.place(ask, now))
-        self.load = placement.Load(0, ())
+        self.load = placement.Load(())
         await asyncio.sleep(placement.PROBE_SECONDS + 0.1)
         self.assertEqual(self.placement.board.count_waiting("llm"), 0)
 
--- a/sapphireseam/control/placement.py
+++ b/sapphireseam/control/placement.py
@@ -33,8 +33,6 @@
 # For so long after it took over, or an upstream refused, the leader asks upstreams
 # what they work on: a lost leader's items may run on where its connections hang.
 STOCK_SECONDS = 8.0
-# What an upstream says of itself is that old at the most, in seconds.
-REPORT_AGE_SECONDS = 0.4
 
 # How long a request waits for the limits' new owner to open, in seconds.
 OPEN_SECONDS = 0.4
@@ -47,9 +45,8 @@
 
 
 class Load(NamedTuple):
-    """Say how many requests an upstream works on, and the ids of those it names."""
+    """Say which requests an upstream works on, by their ids."""
 
-    running: int
     ids: tuple[str, ...]
 
 
@@ -180,7 +177,16 @@
         for item in first.running:
             held.add(item.number)
             key = entry.make_key(item.number)
-            ask = boards.Ask(key, "", item.customer, 0, entry.domain, now, now)
+            ask = boards.Ask(
+                key,
+                "",
+                item.customer,
+                0,
+                entry.domain,
+                now,
+                now,
+                request=item.request,
+            )
             self.board.adopt(ask, item.instance)
 
     def _release(self, entry: _Entry, held: set[int]) -> None:
@@ -223,6 +229,7 @@
             now,
             now + item.patience,
             frozenset(item.excluded),
+            item.request,
         )
         verdict = self.board.place(ask, now)
         self._log_verdict(entry, item, verdict)
@@ -327,12 +334,11 @@
                 self.on_room()
 
     async def _count_one(self, instance: Instance) -> None:
-        before = self._timer.read_clock() - REPORT_AGE_SECONDS
         load = await self._ask(instance)
         if load is None:
             return
         now = self._timer.read_clock()
-        self._send(self.board.note_load(instance.id, load.running, before, now))
+        self._send(self.board.note_load(instance.id, load.ids, now))
         self.on_room()
         if self._replica.is_leader:
             await self._stop_orphans(instance, load)
--- a/sapphireseam/core/placement.py
+++ b/sapphireseam/core/placement.py
@@ -13,6 +13,7 @@
     """Tell a new leader of a request that an upstream works on."""
 
     number: int
+    request: str
     instance: str
     customer: str
 
--- a/sapphireseam/entry/placer.py
+++ b/sapphireseam/entry/placer.py
@@ -53,6 +53,7 @@
     """Hold a request's place; give it back with `Placer.leave`."""
 
     number: int
+    request: str
     instance: Instance
     customer: str
 
@@ -120,7 +121,9 @@
 
     async def _attend(self, address: str) -> None:
         running = tuple(
-            placement.Running(ticket.number, ticket.instance.id, ticket.customer)
+            placement.Running(
+                ticket.number, ticket.request, ticket.instance.id, ticket.customer
+            )
             for ticket in self._running.values()
         )
         first = placement.Attach(self._node, self._domain, running)
@@ -230,7 +233,7 @@
         return None
 
     def _enter(self, number: int, wish: Wish, instance: Instance) -> Ticket:
-        ticket = Ticket(number, instance, wish.customer)
+        ticket = Ticket(number, wish.request, instance, wish.customer)
         self._running[number] = ticket
         self._board.adopt(self._make_ask(number, wish), instance.id)
         return ticket
@@ -262,7 +265,7 @@
             text = f"no place at service {wish.service} that this entry knows of"
             wait = verdict.retry_after if verdict is not None else LOOK_SECONDS
             raise error.CapacityError(text, error.Kind.OVERLOADED, wait, True)
-        ticket = Ticket(number, verdict.instance, wish.customer)
+        ticket = Ticket(number, wish.request, verdict.instance, wish.customer)
         self._running[number] = ticket
         silent = now - self._heard_at
         logger.info(
--- a/sapphireseam/platform/report.py
+++ b/sapphireseam/platform/report.py
@@ -17,13 +17,11 @@
 
 
 class Report(msgspec.Struct):
-    """Count a replica's requests; all is as of some hundred ms ago.
+    """List a replica's running requests, as of some hundred ms ago.
 
     Each of `runs` begins with the request's id.
     """
 
-    num_running: int = 0
-    num_waiting: int = 0
     runs: list[list] = []
 
 
@@ -46,22 +44,25 @@
 
 
 def read_load(body: bytes) -> Load:
-    """Return how many requests a replica works on or holds, and which.
+    """Return which requests a replica works on.
 
     One that answers a plain health check says nothing of that.
 
-    >>> read_load(b'{"num_running": 7, "num_waiting": 1, "runs": [["a", 9, 2, 0]]}')
-    Load(running=8, ids=('a',))
-    >>> read_load(b"ok").running
-    0
+    >>> read_load(b'{"num_running": 7, "runs": [["a", 9, 2, 0]], "stage": "both"}')
+    Load(ids=('a',))
+    >>> read_load(b"ok").ids
+    ()
     """
     try:
         report = _decoder.decode(body)
     except msgspec.MsgspecError:
         logger.debug("no load in the answer")
-        return Load(0, ())
-    ids = tuple(run[0] for run in report.runs if run and isinstance(run[0], str))
-    return Load(report.num_running + report.num_waiting, ids)
+        return Load(())
+    return Load(tuple(run[0] for run in report.runs if run and _is_text(run[0])))
+
+
+def _is_text(value: object) -> bool:
+    return isinstance(value, str)
 
 
 async def stop_run(
--- /dev/null
+++ b/sapphireseam/platform/report_test.py
@@ -0,0 +1,49 @@
+"""Test what is read from replicas' reports, and how runs are stopped."""
+
+import doctest
+import json
+import unittest
+
+from sapphireseam.core.instance import Instance
+from sapphireseam.platform import report
+
+HERE = Instance("i1", "llm", "10.0.0.1:80", "z", 8)
+THERE = Instance("i2", "llm", "10.0.0.2:80", "z", 8)
+
+
+class FakeUpstreams:
+    def __init__(self, answer):
+        self.answer = answer
+        self.orders = []
+
+    async def order(self, address, method, path, body, seconds):
+        self.orders.append((address, method, path, body))
+        return self.answer
+
+
+class ReportTest(unittest.IsolatedAsyncioTestCase):
+    def test_examples(self):
+        self.assertEqual(doctest.testmod(report).failed, 0)
+
+    def test_damage_is_no_load(self):
+        for body in (b"", b"{", b'{"runs": 3}', b'{"runs": [[], [4], ["a"]]}'):
+            self.assertLessEqual(len(report.read_load(body).ids), 1)
+
+    async def test_a_stopped_runs_copy_is_freed(self):
+        upstreams = FakeUpstreams(b'{"handle": "h1", "made": 3}')
+        await report.stop_run(upstreams, HERE, "r1", THERE)
+        move, drop = upstreams.orders
+        self.assertEqual(move[:3], (HERE.address, "POST", "/kv-move"))
+        self.assertEqual(
+            json.loads(move[3]), {"id": "r1", "to": THERE.address, "last": True}
+        )
+        self.assertEqual(drop[1:3], ("DELETE", "/kv-handle/h1"))
+
+    async def test_a_run_that_is_gone_needs_nothing_more(self):
+        upstreams = FakeUpstreams(None)
+        await report.stop_run(upstreams, HERE, "r1", THERE)
+        self.assertEqual(len(upstreams.orders), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/sapphireseam/policy/board.py
+++ b/sapphireseam/policy/board.py
@@ -22,6 +22,9 @@
 FIRST_HOLD_SECONDS = 0.5
 # How much slower than the fastest an upstream may seem at the most.
 SLOWEST_FACTOR = 8.0
+# How old what an upstream says of itself may be, and how long it may take to drop
+# a request whose connection was closed, together, in seconds.
+REPORT_SECONDS = 1.0
 # Load that a place in another failure domain counts more, in places.
 DISTANCE_PLACES = 0.3
 # Shortest and longest time to come back that a refusal tells, in seconds.
@@ -32,7 +35,8 @@
 class Ask(NamedTuple):
     """Describe a request that wants a place until it leaves.
 
-    `key` is its own, `until` the moment until which it may wait.
+    `key` is its own, `until` the moment until which it may wait, `request` the id
+    by which an upstream names it.
     """
 
     key: str
@@ -43,6 +47,7 @@
     arrived: float
     until: float
     excluded: frozenset[str] = frozenset()
+    request: str = ""
 
 
 class Grant(NamedTuple):
@@ -65,6 +70,7 @@
 
 
 class _Run(NamedTuple):
+    request: str
     customer: str
     since: float
     is_batch: bool
@@ -80,11 +86,29 @@
         self.pace = 0.0
         # Work that nobody here has placed, such as a lost leader's.
         self.foreign = 0
+        # When the requests left that an upstream may still name.
+        self._left: dict[str, float] = {}
 
     @property
     def is_usable(self) -> bool:
         return not self.benched and not self.instance.is_leaving
 
+    def remove(self, key: str, now: float) -> _Run | None:
+        """Take a run away; return it if it was there."""
+        run = self.runs.pop(key, None)
+        if run is not None:
+            old = [id for id, at in self._left.items() if at < now - REPORT_SECONDS]
+            for id in old:
+                del self._left[id]
+            self._left[run.request] = now
+        return run
+
+    def count_foreign(self, ids: tuple[str, ...], now: float) -> int:
+        """Return how many of the requests that it works on nobody here placed."""
+        own = {run.request for run in self.runs.values()}
+        own.update(id for id, at in self._left.items() if at >= now - REPORT_SECONDS)
+        return sum(id not in own for id in ids)
+
     @property
     def room(self) -> int:
         return self.instance.slots - len(self.runs) - self.foreign
@@ -141,24 +165,21 @@
         """Return the instances that are given nothing now."""
         return [site.instance for site in self._sites.values() if site.benched]
 
-    def note_load(
-        self, name: str, running: int, before: float, now: float
-    ) -> list[Grant]:
-        """Take in how many requests an instance works on, by its own word.
+    def note_load(self, name: str, ids: tuple[str, ...], now: float) -> list[Grant]:
+        """Take in which requests an instance works on, by its own word.
 
-        What was placed `before` that moment is in its count; the rest of it
-        is work that nobody here has placed. Return what became placed.
+        Those that were never placed here take up places until they are gone.
+        Return what became placed.
         """
         site = self._sites.get(name)
         if site is None:
             return []
-        own = sum(run.since <= before for run in site.runs.values())
-        site.foreign = max(min(running - own, site.instance.slots), 0)
+        site.foreign = min(site.count_foreign(ids, now), site.instance.slots)
         return self._place_waiting(now)
 
     def forget_load(self, name: str, now: float) -> list[Grant]:
         """Count only what was placed here again; return what became placed."""
-        return self.note_load(name, 0, now, now)
+        return self.note_load(name, (), now)
 
     def note_pace(self, name: str, pace: float) -> None:
         """Take in how fast an instance answered."""
@@ -201,7 +222,7 @@
         site = self._sites.get(name) if name is not None else None
         if site is None:
             return []
-        run = site.runs.pop(key, None)
+        run = site.remove(key, now)
         if run is not None and not run.is_batch:
             self._note_hold(site.instance.service, now - run.since)
         return self._place_waiting(now)
@@ -271,13 +292,14 @@
         if not candidates:
             return None
         _, key, site = max(candidates, key=lambda item: item[:2])
-        del site.runs[key]
+        site.remove(key, ask.arrived)
         self._places.pop(key, None)
         self._enter(site, ask, False)
         return Grant(ask, site.instance, key)
 
     def _enter(self, site: _Site, ask: Ask, is_batch: bool) -> None:
-        site.runs[ask.key] = _Run(ask.customer, ask.arrived, is_batch)
+        run = _Run(ask.request, ask.customer, ask.arrived, is_batch)
+        site.runs[ask.key] = run
         self._places[ask.key] = site.instance.id
 
     # Who waits, and for how long.
