--- a/sapphireseam/control/lotrunner.py
+++ b/sapphireseam/control/lotrunner.py
@@ -201,6 +201,8 @@
     def _give_up(self, lot: record.Lot) -> None:
         for number in range(len(lot.items)):
             if number not in lot.listed and (lot.id, number) not in self._busy:
+                detail = {"request": lot.items[number].id, "lot": lot.id}
+                logger.info("item given up as too old", extra=detail)
                 self._end_item((lot.id, number), True)
 
     # Filling free places.
@@ -289,15 +291,25 @@
         try:
             return await self._exchange(lot, number, route, progress, instance)
         except outbound.OutboundError as failure:
-            self._note_break(progress, instance, failure)
+            self._note_break(lot.items[number].id, progress, instance, failure)
             return None
 
     def _note_break(
-        self, progress: _Progress, instance: Instance, failure: outbound.OutboundError
+        self,
+        item: str,
+        progress: _Progress,
+        instance: Instance,
+        failure: outbound.OutboundError,
     ) -> None:
         logger.info(
             "item broke off",
-            extra={"upstream": instance.id, "cause": str(failure)},
+            extra={
+                "request": item,
+                "upstream": instance.id,
+                "cause": str(failure),
+                "not_run": failure.is_not_run,
+                "last_event": progress.last_event,
+            },
         )
         progress.avoided = frozenset({instance.id})
         if failure.is_not_run:
@@ -335,24 +347,30 @@
         async with self._upstreams.send(request, instance, SILENCE_SECONDS) as answer:
             if answer.head.is_not_run:
                 raise outbound.OutboundError("the upstream refused the item", True)
-            if answer.head.status == IMPOSSIBLE:
-                return True
             if answer.head.status != DONE:
-                return self._note_failure(progress, route, answer.head.status)
+                return self._note_failure(item.id, progress, route, answer.head.status)
             await self._read_output(answer, progress)
         return False
 
     def _note_failure(
-        self, progress: _Progress, route: fleet.Route, status: int
+        self, item: str, progress: _Progress, route: fleet.Route, status: int
     ) -> bool | None:
+        """Return whether a failed item is given up, or None if it runs again."""
         progress.failures += 1
         progress.reset()
         most = route.batch.attempts if route.batch else 1
-        if progress.failures >= most:
-            return True
-        logger.info("item failed", extra={"status": status, "of": most})
+        is_over = status == IMPOSSIBLE or progress.failures >= most
+        logger.info(
+            "item given up" if is_over else "item failed",
+            extra={
+                "request": item,
+                "status": status,
+                "failures": progress.failures,
+                "of": most,
+            },
+        )
         progress.not_before = self._timer.read_clock() + FIRST_PAUSE_SECONDS
-        return None
+        return True if is_over else None
 
     async def _read_output(self, answer: outbound.Answer, progress: _Progress) -> None:
         if not answer.head.is_stream:
