Finish requests that come as a stop's notice ends; outwait a full disk; free stopped runs

Changes: a stop takes no new connection, then waits for what is open; an application whose storage fails is built anew in its process; handles are freed in both cases. Refusals for want of a leader say 0.6 to 0.8 s, which is what an election takes.

--- a/sapphireseam/control/placement.py
+++ b/sapphireseam/control/placement.py
@@ -257,6 +257,7 @@
                 "batch": self.board.count_running(item.service, True),
                 "slots": self.board.count_slots(item.service),
                 "waiting": self.board.count_waiting(item.service),
+                "loads": {} if is_placed else self.board.describe(item.service),
             },
         )
 
@@ -338,6 +339,10 @@
         if load is None:
             return
         now = self._timer.read_clock()
+        foreign = self.board.list_foreign(instance.id, load.ids, now)
+        if foreign:
+            detail = {"upstream": instance.id, "requests": foreign}
+            logger.info("foreign work", extra=detail)
         self._send(self.board.note_load(instance.id, load.ids, now))
         self.on_room()
         if self._replica.is_leader:
@@ -345,17 +350,13 @@
 
     async def _stop_orphans(self, instance: Instance, load: Load) -> None:
         """Stop what a lost leader had running there."""
-        others = [
-            each
-            for each in self.board.instances
-            if each.service == instance.service and each.id != instance.id
-        ]
-        if not others:
+        other = self.board.find_freest(instance.service, instance.id)
+        if other is None:
             return
         for request in self.find_orphans(instance.id, load.ids):
             detail = {"request": request, "upstream": instance.id}
             logger.info("orphan stopped", extra=detail)
-            await self._stop_run(instance, request, others[0])
+            await self._stop_run(instance, request, other)
 
     # What entries are told.
 
--- a/sapphireseam/entry/lot.py
+++ b/sapphireseam/entry/lot.py
@@ -1,6 +1,7 @@
 """Hand in, read and end lots on behalf of callers."""
 
 from sapphireseam.core import command, error, fleet, message
+from sapphireseam.entry.placer import ELECTION_SECONDS
 from sapphireseam.utils.client import ControlClient
 from sapphireseam.utils.timer import TimerService
 
@@ -49,6 +50,8 @@
                 raise error.CapacityError(
                     failure.message, error.Kind.RATE_LIMITED, not_run=True
                 ) from None
+            if failure.not_run:
+                failure.retry_after = ELECTION_SECONDS
             raise
 
     async def read(
--- a/sapphireseam/entry/placer.py
+++ b/sapphireseam/entry/placer.py
@@ -31,6 +31,8 @@
 # How much longer than its patience a request waits for the leader's answer.
 ANSWER_SECONDS = 0.2
 RECONNECT_SECONDS = 0.05
+# How long the control VMs usually take to elect a leader, in seconds.
+ELECTION_SECONDS = 0.6
 # Who gave a place, as metrics name it.
 PLACED = "placed"
 ALONE = "alone"
@@ -264,6 +266,8 @@
         if not isinstance(verdict, boards.Grant):
             text = f"no place at service {wish.service} that this entry knows of"
             wait = verdict.retry_after if verdict is not None else LOOK_SECONDS
+            # The next leader knows more.
+            wait = min(wait, ELECTION_SECONDS)
             raise error.CapacityError(text, error.Kind.OVERLOADED, wait, True)
         ticket = Ticket(number, wish.request, verdict.instance, wish.customer)
         self._running[number] = ticket
--- a/sapphireseam/entry/reception.py
+++ b/sapphireseam/entry/reception.py
@@ -12,6 +12,10 @@
 from sapphireseam.utils.mirror import Mirror
 
 
+# Within so long after a start or a loss the control VMs usually answer again.
+RECOVERY_SECONDS = 0.8
+
+
 class Admitted(NamedTuple):
     """Hold the route of a request, and its customer; empty on an open route."""
 
@@ -68,8 +72,7 @@
         Raises `RequestError` or `AccessError` if the configuration doesn't allow
         it, and `ControlError` if this entry can't say.
         """
-        if not self.is_ready:
-            raise error.ControlError("this entry knows no configuration in force")
+        self._check_ready()
         try:
             return self._judge(host, path, text)
         except (error.RequestError, error.AccessError):
@@ -77,6 +80,11 @@
             await self._mirror.refresh()
             return self._judge(host, path, text)
 
+    def _check_ready(self) -> None:
+        if not self.is_ready:
+            text = "this entry knows no configuration in force"
+            raise error.ControlError(text, retry_after=RECOVERY_SECONDS)
+
     def _judge(self, host: str, path: str, text: str) -> Admitted:
         name, route = asks.find_route(self._mirror.fleet, path, host)
         if route.open:
@@ -96,8 +104,7 @@
 
     async def identify_surely(self, text: str) -> str:
         """Do as `identify`, after asking the control VMs where need be."""
-        if not self.is_ready:
-            raise error.ControlError("this entry knows no configuration in force")
+        self._check_ready()
         try:
             return self.identify(text)
         except error.AccessError:
--- a/sapphireseam/platform/control.py
+++ b/sapphireseam/platform/control.py
@@ -28,8 +28,10 @@
     async def probe(
         instance: Instance, path: str, seconds: float
     ) -> placement.Load | None:
-        body = await upstreams.order(instance.address, "GET", path, b"", seconds)
-        return None if body is None else report.read_load(body)
+        reply = await upstreams.order(instance.address, "GET", path, b"", seconds)
+        if reply is None or not reply.is_success:
+            return None
+        return report.read_load(reply.body)
 
     async def stop_run(instance: Instance, request: str, other: Instance) -> None:
         await report.stop_run(upstreams, instance, request, other)
@@ -43,7 +45,8 @@
 
 def main() -> None:
     """Start the program."""
-    program.run_daemon("seam-control", setting.Settings, build, setting.find_path())
+    path = setting.find_path()
+    program.run_daemon("seam-control", setting.Settings, build, path, restarts=True)
 
 
 if __name__ == "__main__":
--- a/sapphireseam/platform/front.py
+++ b/sapphireseam/platform/front.py
@@ -19,7 +19,6 @@
 NOTICE_SECONDS = 3.0
 # What is left of the grace for closing down after the last request, in seconds.
 CLOSING_SECONDS = 0.8
-IDLE_LOOK_SECONDS = 0.05
 # Longer than clients leave a connection idle, in seconds.
 KEEP_SECONDS = 90.0
 
@@ -34,7 +33,6 @@
         self._grace = grace
         self._batch = batch.BatchFront(desk)
         self._is_closing = False
-        self._open = 0
         self._runners: list[web.ServerRunner] = []
 
     async def start(self) -> None:
@@ -51,21 +49,28 @@
         )
         ready = web.Server(self._answer_ready, access_log=None)
         for server, address in ((ready, self._ready), (callers, self._callers)):
-            runner = web.ServerRunner(server, shutdown_timeout=CLOSING_SECONDS / 2)
+            runner = web.ServerRunner(server, shutdown_timeout=self._measure_patience())
             await runner.setup()
             self._runners.append(runner)
             host, port = probe.split_address(address)
             await web.TCPSite(runner, host, port, backlog=1024).start()
 
+    def _measure_notice(self) -> float:
+        return min(NOTICE_SECONDS, self._grace / 2)
+
+    def _measure_patience(self) -> float:
+        """Return how long a stop waits for open requests once it takes no more."""
+        return max(self._grace - self._measure_notice() - CLOSING_SECONDS, 0.0)
+
     async def stop(self) -> None:
-        """Have the balancer look elsewhere, finish what is open, close."""
-        timer = self._desk.timer
-        end = timer.read_clock() + self._grace - CLOSING_SECONDS
+        """Have the balancer look elsewhere, finish what is open, close.
+
+        No connection is taken any more before what is open is counted, so that a
+        request that comes last is finished as well.
+        """
         self._is_closing = True
-        await timer.sleep(min(NOTICE_SECONDS, self._grace / 2))
-        while self._open and timer.read_clock() < end:
-            await timer.sleep(IDLE_LOOK_SECONDS)
-        for runner in self._runners:
+        await self._desk.timer.sleep(self._measure_notice())
+        for runner in reversed(self._runners):
             await runner.cleanup()
 
     async def _answer_ready(self, request: web.BaseRequest) -> web.Response:
@@ -74,11 +79,7 @@
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serve one request to its end."""
-        self._open += 1
-        try:
-            response = await self._answer(request)
-        finally:
-            self._open -= 1
+        response = await self._answer(request)
         if self._is_closing and not response.prepared:
             response.force_close()
         return response
--- a/sapphireseam/platform/front_test.py
+++ b/sapphireseam/platform/front_test.py
@@ -193,6 +193,18 @@
         self.assertEqual((status, headers.get("Connection")), (200, "close"))
         await stopping
 
+    async def test_a_request_that_comes_last_is_finished(self):
+        """It comes on a kept connection as the notice ends."""
+        await self.post()
+        stopping = asyncio.create_task(self.front.stop())
+        await asyncio.sleep(0.97)
+        self.carrier.gate.clear()
+        asked = asyncio.create_task(self.post())
+        await asyncio.sleep(0.12)
+        self.carrier.gate.set()
+        self.assertEqual((await asked)[0], 200)
+        await stopping
+
     async def test_a_batch_job_is_taken_read_and_ended(self):
         self.reception.route = ROUTE._replace(streamed=False, batch=fleet.Batch())
         job = b'{"requests":[{"id":"i1","path":"/s/1","body":"eA==","tokens":3}]}'
--- a/sapphireseam/platform/report.py
+++ b/sapphireseam/platform/report.py
@@ -14,6 +14,8 @@
 STOP_SECONDS = 1.0
 MOVE_PATH = "/kv-move"
 HANDLE_PATH = "/kv-handle/"
+DONE = 200
+NO_ROOM = 503
 
 
 class Report(msgspec.Struct):
@@ -70,13 +72,14 @@
 ) -> None:
     """Stop a run whose sender is gone, by moving it away and dropping the copy."""
     move = msgspec.json.encode(Move(request, other.address))
-    body = await upstreams.order(
+    reply = await upstreams.order(
         instance.address, "POST", MOVE_PATH, move, STOP_SECONDS
     )
-    if body is None:
+    # Without room for the copy the run is stopped as well, and its memory kept.
+    if reply is None or reply.status not in (DONE, NO_ROOM):
         return
     try:
-        handle = _moved_decoder.decode(body).handle
+        handle = _moved_decoder.decode(reply.body).handle
     except msgspec.MsgspecError:
         logger.warning("no handle in the answer", extra={"upstream": instance.id})
         return
--- a/sapphireseam/platform/report_test.py
+++ b/sapphireseam/platform/report_test.py
@@ -6,6 +6,7 @@
 
 from sapphireseam.core.instance import Instance
 from sapphireseam.platform import report
+from sapphireseam.utils.outbound import Reply
 
 HERE = Instance("i1", "llm", "10.0.0.1:80", "z", 8)
 THERE = Instance("i2", "llm", "10.0.0.2:80", "z", 8)
@@ -30,8 +31,11 @@
             self.assertLessEqual(len(report.read_load(body).ids), 1)
 
     async def test_a_stopped_runs_copy_is_freed(self):
-        upstreams = FakeUpstreams(b'{"handle": "h1", "made": 3}')
-        await report.stop_run(upstreams, HERE, "r1", THERE)
+        for status in (200, 503):
+            body = b'{"handle": "h1", "made": 3}'
+            upstreams = FakeUpstreams(Reply(status, body))
+            await report.stop_run(upstreams, HERE, "r1", THERE)
+            self.assertEqual(len(upstreams.orders), 2)
         move, drop = upstreams.orders
         self.assertEqual(move[:3], (HERE.address, "POST", "/kv-move"))
         self.assertEqual(
@@ -40,9 +44,10 @@
         self.assertEqual(drop[1:3], ("DELETE", "/kv-handle/h1"))
 
     async def test_a_run_that_is_gone_needs_nothing_more(self):
-        upstreams = FakeUpstreams(None)
-        await report.stop_run(upstreams, HERE, "r1", THERE)
-        self.assertEqual(len(upstreams.orders), 1)
+        for answer in (None, Reply(404, b""), Reply(503, b"")):
+            upstreams = FakeUpstreams(answer)
+            await report.stop_run(upstreams, HERE, "r1", THERE)
+            self.assertEqual(len(upstreams.orders), 1)
 
 
 if __name__ == "__main__":
--- a/sapphireseam/policy/board.py
+++ b/sapphireseam/policy/board.py
@@ -103,11 +103,11 @@
             self._left[run.request] = now
         return run
 
-    def count_foreign(self, ids: tuple[str, ...], now: float) -> int:
-        """Return how many of the requests that it works on nobody here placed."""
+    def list_foreign(self, ids: tuple[str, ...], now: float) -> list[str]:
+        """Return those of the requests that it works on that nobody here placed."""
         own = {run.request for run in self.runs.values()}
         own.update(id for id, at in self._left.items() if at >= now - REPORT_SECONDS)
-        return sum(id not in own for id in ids)
+        return [id for id in ids if id not in own]
 
     @property
     def room(self) -> int:
@@ -174,9 +174,14 @@
         site = self._sites.get(name)
         if site is None:
             return []
-        site.foreign = min(site.count_foreign(ids, now), site.instance.slots)
+        site.foreign = min(len(site.list_foreign(ids, now)), site.instance.slots)
         return self._place_waiting(now)
 
+    def list_foreign(self, name: str, ids: tuple[str, ...], now: float) -> list[str]:
+        """Return those of an instance's requests that were never placed here."""
+        site = self._sites.get(name)
+        return site.list_foreign(ids, now) if site is not None else []
+
     def forget_load(self, name: str, now: float) -> list[Grant]:
         """Count only what was placed here again; return what became placed."""
         return self.note_load(name, (), now)
@@ -256,6 +261,33 @@
         sites = self._list_sites(service)
         return sum(site.instance.slots for site in sites if site.is_usable)
 
+    def find_freest(self, service: str, excluded: str) -> Instance | None:
+        """Return the upstream of a service with the most room, but for one."""
+        sites = [
+            site
+            for site in self._list_sites(service)
+            if site.instance.id != excluded and not site.benched
+        ]
+        if not sites:
+            return None
+        return max(sites, key=lambda site: (site.is_usable, site.room)).instance
+
+    def describe(self, service: str) -> dict[str, str]:
+        """Return each upstream's load, for the log.
+
+        An entry reads `online+batch+foreign/slots`, with a mark for one that is
+        leaving or benched.
+        """
+        described = {}
+        for site in self._list_sites(service):
+            batch = sum(run.is_batch for run in site.runs.values())
+            online = len(site.runs) - batch
+            mark = " leaving" if site.instance.is_leaving else ""
+            mark += " benched" if site.benched else ""
+            load = f"{online}+{batch}+{site.foreign}/{site.instance.slots}"
+            described[site.instance.id] = load + mark
+        return described
+
     # How a place is found.
 
     def _list_sites(self, service: str) -> list[_Site]:
--- a/sapphireseam/utils/outbound.py
+++ b/sapphireseam/utils/outbound.py
@@ -67,6 +67,18 @@
     is_stream: bool
 
 
+class Reply(NamedTuple):
+    """Hold the whole answer to an order."""
+
+    status: int
+    body: bytes
+
+    @property
+    def is_success(self) -> bool:
+        """Say whether the order was carried out."""
+        return self.status < HTTP_FAILURE
+
+
 class Dialect(Protocol):
     """Know the names that upstreams use."""
 
@@ -236,20 +248,19 @@
 
     async def order(
         self, address: str, method: str, path: str, body: bytes, seconds: float
-    ) -> bytes | None:
-        """Return the answer to an order to an upstream, or None without success."""
+    ) -> Reply | None:
+        """Return the answer to an order to an upstream, or None if none came."""
         url = yarl.URL(f"http://{address}{path}", encoded=True)
-        cause = "refused"
         session = self._reach(address)
         try:
             async with asyncio.timeout(seconds):
                 async with session.request(method, url, data=body or None) as response:
-                    answer = await response.read()
-                    if response.status < HTTP_FAILURE:
-                        return answer
-                    cause = f"answered {response.status}"
+                    return Reply(response.status, await response.read())
         except (aiohttp.ClientError, OSError) as failure:
-            cause = type(failure).__name__
-        detail = {"address": address, "path": path, "cause": cause}
-        logger.info("order to an upstream failed", extra=detail)
-        return None
+            detail = {
+                "address": address,
+                "path": path,
+                "cause": type(failure).__name__,
+            }
+            logger.info("no answer to an order", extra=detail)
+            return None
--- a/sapphireseam/utils/program.py
+++ b/sapphireseam/utils/program.py
@@ -7,6 +7,7 @@
 
 import logging
 import sys
+import time
 from collections.abc import Callable
 from importlib import metadata
 from pathlib import Path
@@ -20,6 +21,8 @@
 
 BAD_SETTINGS_EXIT = 2
 FAILED_EXIT = 1
+# Pause before an application whose storage failed is built anew, in seconds.
+RESTART_SECONDS = 0.5
 
 logger = logging.getLogger(__name__)
 
@@ -41,21 +44,36 @@
 
 
 def run_daemon(
-    name: str, kind: type[Any], build: Callable[[Any], Application], path: Path
+    name: str,
+    kind: type[Any],
+    build: Callable[[Any], Application],
+    path: Path,
+    restarts: bool = False,
 ) -> None:
-    """Read the settings, run the application until it is told to stop."""
+    """Read the settings, run the application until it is told to stop.
+
+    With `restarts` an application whose storage fails is built anew, for as long
+    as it takes: a disk that was full may have room again.
+    """
     try:
         settings = setting.read(kind, path)
     except error.SettingsError as failure:
         typer.echo(failure.message, err=True)
         sys.exit(BAD_SETTINGS_EXIT)
     log.configure(name, settings.node)
-    try:
-        loop.run(build_and_run(build, settings))
-    except error.SeamError as failure:
-        logger.error("can't run", extra={"cause": failure.message})
-        bad = failure.kind is error.Kind.BAD_SETTINGS
-        sys.exit(BAD_SETTINGS_EXIT if bad else FAILED_EXIT)
+    while True:
+        try:
+            loop.run(build_and_run(build, settings))
+            return
+        except error.StorageError as failure:
+            logger.error("storage failed", extra={"cause": failure.message})
+            if not restarts:
+                sys.exit(FAILED_EXIT)
+            time.sleep(RESTART_SECONDS)
+        except error.SeamError as failure:
+            logger.error("can't run", extra={"cause": failure.message})
+            bad = failure.kind is error.Kind.BAD_SETTINGS
+            sys.exit(BAD_SETTINGS_EXIT if bad else FAILED_EXIT)
 
 
 async def build_and_run(build: Callable[[Any], Application], settings: Any) -> None:
