--- a/sapphireseam/entry/reception.py
+++ b/sapphireseam/entry/reception.py
@@ -11,7 +11,6 @@
 from sapphireseam.entry import ask as asks
 from sapphireseam.utils.mirror import Mirror
 
-
 # Within so long after a start or a loss the control VMs usually answer again.
 RECOVERY_SECONDS = 0.8
 
