--- a/sapphireseam/control/desk.py
+++ b/sapphireseam/control/desk.py
@@ -31,8 +31,8 @@
         self._client = client
         self._timer = timer
 
-    async def publish(self, number: int, document: bytes, source: bytes) -> None:
-        """Return once a configuration of this number or a higher one is kept.
+    async def publish(self, number: int, document: bytes, source: bytes) -> int:
+        """Return the number in force once this one or a higher one is kept.
 
         Raises `ConfigurationError` with every finding, or `ControlError` while
         no leader takes it.
@@ -42,7 +42,8 @@
             raise error.ConfigurationError(fleet.render_findings(findings))
         now = self._timer.read_wall_clock()
         item = command.PublishNumbered(number, document, source, now)
-        await self._client.propose(item, ORDER_SECONDS)
+        answer = await self._client.propose(item, ORDER_SECONDS)
+        return answer.number
 
     async def read(self) -> bytes:
         """Return the newest configuration as its operator sent it."""
--- a/sapphireseam/control/placement.py
+++ b/sapphireseam/control/placement.py
@@ -371,10 +371,11 @@
             if isinstance(verdict, boards.Grant):
                 entry.stream.post(placement.Placed(int(number), verdict.instance))
             else:
-                self._turn(entry, int(number), _explain(verdict))
+                failure = _explain(verdict)
+                self._turn(entry, int(number), failure, verdict.ask.request)
 
     def _turn(
-        self, entry: _Entry, number: int, failure: error.SeamError, request: str = ""
+        self, entry: _Entry, number: int, failure: error.SeamError, request: str
     ) -> None:
         logger.info(
             "request refused",
--- a/sapphireseam/core/fleet.py
+++ b/sapphireseam/core/fleet.py
@@ -303,7 +303,7 @@
             holder = holders.setdefault(digest, name)
             if holder != name:
                 message = f"has a key of {holder} too"
-                findings.append(Finding(f"customers.{name}.keys", message, digest))
+                findings.append(Finding(f"customers.{name}.keys", message, holder))
     return findings
 
 
--- a/sapphireseam/platform/operator.py
+++ b/sapphireseam/platform/operator.py
@@ -61,8 +61,10 @@
     async def _put(self, request: web.Request) -> web.Response:
         source = await request.read()
         translated = document.translate(source)
-        await self._desk.publish(translated.number, translated.document, source)
-        logger.info("published", extra={"revision": translated.number})
+        number, text = translated
+        in_force = await self._desk.publish(number, text, source)
+        kind = "published" if in_force == number else "older configuration acknowledged"
+        logger.info(kind, extra={"revision": number, "in_force": in_force})
         return answer.render_json(b"{}")
 
     async def _get(self, request: web.Request) -> web.Response:
--- a/sapphireseam/utils/application.py
+++ b/sapphireseam/utils/application.py
@@ -70,6 +70,7 @@
 
     def request_stop(self) -> None:
         """Ask `run` to stop the parts and return."""
+        logger.info("stopping", extra={"program": self.name})
         self._stopping.set()
 
     def fail(self, failure: Exception) -> None:
