--- a/sapphireseam/platform/control.py
+++ b/sapphireseam/platform/control.py
@@ -47,7 +47,3 @@
     """Start the program."""
     path = setting.find_path()
     program.run_daemon("seam-control", setting.Settings, build, path, restarts=True)
-
-
-if __name__ == "__main__":
-    main()
--- a/sapphireseam/platform/entry.py
+++ b/sapphireseam/platform/entry.py
@@ -39,7 +39,3 @@
 def main() -> None:
     """Start the program."""
     program.run_daemon("seam-entry", setting.Settings, build, setting.find_path())
-
-
-if __name__ == "__main__":
-    main()
--- a/sapphireseam/utils/application.py
+++ b/sapphireseam/utils/application.py
@@ -109,6 +109,7 @@
         # full collection would stop the loop for tens of milliseconds.
         gc.collect()
         gc.freeze()
+        gc.enable()
         try:
             await self._stopping.wait()
         finally:
