--- a/sapphireseam/control/application.py
+++ b/sapphireseam/control/application.py
@@ -35,6 +35,7 @@
 from sapphireseam.utils.probe import Probe
 from sapphireseam.utils.rpc import Role
 from sapphireseam.utils.setting import Secret
+from sapphireseam.utils.stall import StallWatch
 from sapphireseam.utils.timeline import Timeline
 from sapphireseam.utils.timer import SystemTimer, TimerService, run_periodically
 
@@ -401,6 +402,7 @@
         core = Core(settings, replica, machine, owner, server, meter, timer)
         add_discovery(application, core, outside)
         application.add(StorageWatch(replica, application, timer))
+        application.add(StallWatch(timer))
     application.add(Handover(replica))
     return application
 
--- a/sapphireseam/entry/discovery.py
+++ b/sapphireseam/entry/discovery.py
@@ -15,6 +15,7 @@
 from sapphireseam.utils.client import ControlClient
 from sapphireseam.utils.mirror import Mirror
 from sapphireseam.utils.probe import Probe
+from sapphireseam.utils.stall import StallWatch
 from sapphireseam.utils.timeline import Timeline
 from sapphireseam.utils.timer import SystemTimer, TimerService
 
@@ -114,6 +115,7 @@
         mirror,
         connections,
         placer,
+        StallWatch(timer),
         make_front(desk),
     ):
         application.add(part)
