Let upstreams that left the list finish what they have

Cause: found in reading. Connections to an address that is no longer listed were closed with whatever ran on them, though a replica that leaves serves on for seconds. Change: they are closed once nothing runs there. The test doesn't end before the change (the stream's session is closed under it) and passes after.

--- a/sapphireseam/entry/discovery.py
+++ b/sapphireseam/entry/discovery.py
@@ -64,7 +64,7 @@
 
     def take(self, instances: tuple[Instance, ...]) -> None:
         """Keep connections to these only."""
-        addresses = {instance.address for instance in instances}
+        addresses = frozenset(instance.address for instance in instances)
         self._tasks.spawn(self._upstreams.keep_only(addresses))
 
 
--- a/sapphireseam/utils/outbound.py
+++ b/sapphireseam/utils/outbound.py
@@ -9,6 +9,7 @@
 import asyncio
 import logging
 import socket
+from collections import Counter
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from typing import NamedTuple, Protocol
@@ -148,6 +149,9 @@
     def __init__(self, dialect: Dialect):
         self._dialect = dialect
         self._sessions: dict[str, aiohttp.ClientSession] = {}
+        # Requests under way by address.
+        self._open_requests: Counter[str] = Counter()
+        self._wanted: frozenset[str] | None = None
         self.opened = 0
 
     async def start(self) -> None:
@@ -159,10 +163,23 @@
             await session.close()
         self._sessions.clear()
 
-    async def keep_only(self, addresses: set[str]) -> None:
-        """Close the idle connections to all other addresses."""
-        for address in [name for name in self._sessions if name not in addresses]:
-            await self._sessions.pop(address).close()
+    async def keep_only(self, addresses: frozenset[str]) -> None:
+        """Close the connections to all other addresses, once nothing runs there.
+
+        An upstream that is gone from a list may still finish what it has.
+        """
+        self._wanted = addresses
+        for address in list(self._sessions):
+            await self._close_unwanted(address)
+
+    async def _close_unwanted(self, address: str) -> None:
+        is_wanted = self._wanted is None or address in self._wanted
+        if is_wanted or self._open_requests[address]:
+            return
+        del self._open_requests[address]
+        session = self._sessions.pop(address, None)
+        if session is not None:
+            await session.close()
 
     def _reach(self, address: str) -> aiohttp.ClientSession:
         session = self._sessions.get(address)
@@ -205,6 +222,21 @@
         Raises `OutboundError` where no answer to this request comes, and
         `SilenceError` where none has begun after `patience` seconds.
         """
+        self._open_requests[instance.address] += 1
+        try:
+            async with self._exchange(request, instance, patience) as answer:
+                yield answer
+        finally:
+            self._open_requests[instance.address] -= 1
+            await self._close_unwanted(instance.address)
+
+    @asynccontextmanager
+    async def _exchange(
+        self,
+        request: Outgoing,
+        instance: instances.Instance,
+        patience: float | None,
+    ) -> AsyncIterator[Answer]:
         try:
             async with asyncio.timeout(patience):
                 response = await self._open(request, instance)
