--- a/sapphireseam/agent/death.py
+++ b/sapphireseam/agent/death.py
@@ -64,7 +64,7 @@
         # What this agent found out itself, and until when that counts here;
         # by then the mirror shows it.
         self._suspects: dict[str, float] = {}
-        self._guilty: dict[str, float] = {}
+        self._quarantined: dict[str, float] = {}
         self._tasks = TaskGroup()
 
     async def start(self) -> None:
@@ -80,10 +80,10 @@
             self._suspects, fingerprint
         )
 
-    def is_guilty(self, fingerprint: str) -> bool:
+    def is_quarantined(self, fingerprint: str) -> bool:
         """Tell whether a request must not run."""
         return fingerprint in self._mirror.quarantined or self._knows(
-            self._guilty, fingerprint
+            self._quarantined, fingerprint
         )
 
     def _knows(self, found: dict[str, float], fingerprint: str) -> bool:
@@ -93,13 +93,13 @@
         """Judge here as the state machine will."""
         for fingerprint in item.fingerprints:
             if item.alone and self.is_suspect(fingerprint):
-                self._guilty[fingerprint] = until
+                self._quarantined[fingerprint] = until
             self._suspects[fingerprint] = until
 
     def _limit(self, item: command.ReportDeath) -> None:
         """Forget what was found out once the mirror had time to show it."""
         until = self._timer.read_clock() + MIRROR_SECONDS
-        for found in (self._suspects, self._guilty):
+        for found in (self._suspects, self._quarantined):
             for fingerprint in found.keys() & set(item.fingerprints):
                 found[fingerprint] = until
             for fingerprint in [f for f in found if not self._knows(found, f)]:
--- a/sapphireseam/agent/death_test.py
+++ b/sapphireseam/agent/death_test.py
@@ -68,12 +68,12 @@
         await self.timer.advance(1.0)
         self.assertTrue(self.list_reports()[0].alone)
 
-    async def test_lone_suspect_is_guilty_here_before_the_watch_says_so(self):
+    async def test_lone_suspect_is_quarantined_here_before_the_watch_says_so(self):
         for _ in range(2):
             self.running = {"1"}
             self.judge("1")
             await self.timer.advance(1.0)
-        self.assertTrue(self.watch.is_guilty("f1"))
+        self.assertTrue(self.watch.is_quarantined("f1"))
         self.assertEqual(self.control.machine.state.deaths, {"f1": 2})
 
     async def test_next_death_counts_again(self):
--- a/sapphireseam/agent/item_test.py
+++ b/sapphireseam/agent/item_test.py
@@ -209,7 +209,7 @@
         poison = b'{"n": 2}'
         for _ in range(200):
             mirror.suspects = set(claim.list_fingerprints(state, claim.SUSPECT))
-            mirror.quarantined = set(claim.list_fingerprints(state, claim.GUILTY))
+            mirror.quarantined = set(claim.list_fingerprints(state, claim.QUARANTINED))
             running = agent.upstream.open
             if any(exchange.body == poison for exchange in running):
                 for exchange in running:
--- a/sapphireseam/agent/itemwork.py
+++ b/sapphireseam/agent/itemwork.py
@@ -102,7 +102,7 @@
         return self._holding.work.idempotent
 
     def refuse(self, failure: error.SeamError) -> None:
-        """Give the item back, not run; a guilty one ends as failed."""
+        """Give the item back, not run; a quarantined one ends as failed."""
         if failure.kind is error.Kind.REQUEST_QUARANTINED:
             self._keep_failure(failure)
         else:
--- a/sapphireseam/agent/runner.py
+++ b/sapphireseam/agent/runner.py
@@ -6,7 +6,7 @@
 that runs makes room at once.
 
 A request that is suspected of crashing upstreams runs with nothing beside it,
-and one found guilty doesn't run. Both are looked up again right before the
+and one found to be quarantined doesn't run. Both are looked up again right before the
 start, since other copies of it may have crashed an upstream while it waited.
 An online suspect holds back what comes after it until the upstream is idle; a
 batch suspect waits until no online work is there, and yields to it.
@@ -63,7 +63,7 @@
     def is_suspect(self, fingerprint: str) -> bool:
         """Tell whether a request must run alone."""
 
-    def is_guilty(self, fingerprint: str) -> bool:
+    def is_quarantined(self, fingerprint: str) -> bool:
         """Tell whether a request must not run."""
 
     def clear(self, fingerprint: str) -> None:
@@ -295,7 +295,7 @@
             self._begin(work, due, alone=False)
 
     def _begin(self, work: Work, due: bool, alone: bool) -> None:
-        if self._verdicts.is_guilty(work.fingerprint):
+        if self._verdicts.is_quarantined(work.fingerprint):
             text = "this request crashed the upstreams that ran it"
             work.refuse(error.RequestError(text, error.Kind.REQUEST_QUARANTINED))
             return
--- a/sapphireseam/agent/runner_test.py
+++ b/sapphireseam/agent/runner_test.py
@@ -17,14 +17,14 @@
 class FakeVerdicts:
     def __init__(self):
         self.suspects: set[str] = set()
-        self.guilty: set[str] = set()
+        self.quarantined: set[str] = set()
         self.cleared: list[str] = []
 
     def is_suspect(self, fingerprint):
         return fingerprint in self.suspects
 
-    def is_guilty(self, fingerprint):
-        return fingerprint in self.guilty
+    def is_quarantined(self, fingerprint):
+        return fingerprint in self.quarantined
 
     def clear(self, fingerprint):
         self.cleared.append(fingerprint)
@@ -119,11 +119,11 @@
             await self.finish(work)
         self.assertEqual(copy.running, 1)
 
-    async def test_guilty_copy_that_waited_is_refused_as_not_run(self):
+    async def test_quarantined_copy_that_waited_is_refused_as_not_run(self):
         fill = [FakeWork(f"f{number}") for number in range(4)]
         copy = FakeWork("x")
         await self.submit(*fill, copy)
-        self.verdicts.guilty.add("x")
+        self.verdicts.quarantined.add("x")
         await self.finish(fill[0])
         self.assertEqual(copy.refused[0].kind, error.Kind.REQUEST_QUARANTINED)
         self.assertTrue(copy.refused[0].not_run)
--- a/sapphireseam/control/claim.py
+++ b/sapphireseam/control/claim.py
@@ -1,8 +1,8 @@
 """Apply claims of idempotency keys and deaths blamed on requests.
 
 A request that was running when an upstream died is a suspect and runs alone
-from then on. A suspect whose upstream dies while it runs alone is guilty, for
-good: every entry refuses it. So it takes two deaths to condemn, the second
+from then on. A suspect whose upstream dies while it runs alone is quarantined, for
+good: every entry refuses it. So it takes two deaths to quarantine, the second
 with nothing beside it, and what merely ran beside a crash, however often, is
 served and cleared.
 """
@@ -19,7 +19,7 @@
 DEATH_LIMIT = 10_000
 # What a fingerprint counts as.
 SUSPECT = 1
-GUILTY = 2
+QUARANTINED = 2
 
 
 def take(
@@ -86,7 +86,7 @@
 
 
 def count_death(state: record.State, item: command.ReportDeath) -> outcome.Done:
-    """Suspect what an upstream ran when it died; condemn a lone suspect.
+    """Suspect what an upstream ran when it died; quarantine a lone suspect.
 
     An upstream on the list of leaving ones is taken down by the platform, and
     its end says nothing about what it ran.
@@ -96,19 +96,19 @@
     for fingerprint in item.fingerprints:
         before = state.deaths.get(fingerprint, 0)
         proven = item.alone and before == SUSPECT
-        state.deaths[fingerprint] = GUILTY if proven else max(before, SUSPECT)
+        state.deaths[fingerprint] = QUARANTINED if proven else max(before, SUSPECT)
     while len(state.deaths) > DEATH_LIMIT:
         del state.deaths[_find_least(state.deaths)]
     return outcome.Done(item.upstream, len(item.fingerprints))
 
 
 def _find_least(deaths: dict[str, int]) -> str:
-    """Return the oldest suspect, or the oldest guilty one if there is none."""
+    """Return the oldest suspect, or the oldest quarantined one if there is none."""
     return min(deaths, key=deaths.__getitem__)
 
 
 def clear(state: record.State, item: command.ClearSuspects) -> outcome.Done:
-    """Forget suspects; the guilty stay so."""
+    """Forget suspects; quarantined ones stay so."""
     cleared = [f for f in item.fingerprints if state.deaths.get(f) == SUSPECT]
     for fingerprint in cleared:
         del state.deaths[fingerprint]
--- a/sapphireseam/control/claim_test.py
+++ b/sapphireseam/control/claim_test.py
@@ -83,37 +83,37 @@
 
     @FAST
     @given(st.lists(st.sets(st.sampled_from("abc"), min_size=1), max_size=8))
-    def test_innocents_are_served_and_the_guilty_condemned(self, beside):
+    def test_innocents_are_served_and_the_proven_quarantined(self, beside):
         """Run `x` beside others until it is found; nobody else ever is."""
         state = record.create()
         for others in [*beside, set()]:
-            if state.deaths.get("x") == claim.GUILTY:
+            if state.deaths.get("x") == claim.QUARANTINED:
                 break
             isolated = "x" in state.deaths
             self.report(state, {"x"} if isolated else others | {"x"}, isolated)
             for name in others & state.deaths.keys():
                 claim.clear(state, command.ClearSuspects((name,)))
         self.report(state, {"x"}, True)
-        self.assertEqual(claim.list_fingerprints(state, claim.GUILTY), ("x",))
+        self.assertEqual(claim.list_fingerprints(state, claim.QUARANTINED), ("x",))
 
-    def test_many_deaths_beside_others_condemn_nobody(self):
+    def test_many_deaths_beside_others_quarantine_nobody(self):
         state = record.create()
         for _ in range(9):
             self.report(state, "ab")
-        self.assertEqual(claim.list_fingerprints(state, claim.GUILTY), ())
+        self.assertEqual(claim.list_fingerprints(state, claim.QUARANTINED), ())
 
-    def test_first_death_condemns_nobody_even_alone(self):
+    def test_first_death_quarantines_nobody_even_alone(self):
         state = record.create()
         self.report(state, "a", alone=True)
         self.assertEqual(claim.list_fingerprints(state, claim.SUSPECT), ("a",))
 
-    def test_guilty_stays_so(self):
+    def test_quarantined_stays_so(self):
         state = record.create()
         self.report(state, "a")
         self.report(state, "a", alone=True)
         claim.clear(state, command.ClearSuspects(("a",)))
         self.report(state, "ab")
-        self.assertEqual(claim.list_fingerprints(state, claim.GUILTY), ("a",))
+        self.assertEqual(claim.list_fingerprints(state, claim.QUARANTINED), ("a",))
 
     def test_end_of_a_leaving_upstream_blames_nobody(self):
         state = record.create()
@@ -121,11 +121,11 @@
         self.assertEqual(self.report(state, "a"), outcome.Done("u"))
         self.assertEqual(state.deaths, {})
 
-    def test_suspects_go_before_the_guilty_at_the_limit(self):
+    def test_suspects_go_before_the_quarantined_at_the_limit(self):
         state = record.create()
         self.report(state, "a")
         self.report(state, "a", alone=True)
         with mock.patch.object(claim, "DEATH_LIMIT", 2):
             for name in "bcdef":
                 self.report(state, name)
-        self.assertEqual(claim.list_fingerprints(state, claim.GUILTY), ("a",))
+        self.assertEqual(claim.list_fingerprints(state, claim.QUARANTINED), ("a",))
--- a/sapphireseam/control/lotrunner.py
+++ b/sapphireseam/control/lotrunner.py
@@ -11,9 +11,9 @@
 import logging
 
 from sapphireseam.control import record
-from sapphireseam.control.lot import SEPARATOR
 from sapphireseam.control.machine import StateMachine
 from sapphireseam.control.placement import PlacementServer
+from sapphireseam.control.progress import Progress
 from sapphireseam.core import command, error, fleet
 from sapphireseam.core.instance import Instance
 from sapphireseam.policy import board as boards, share
@@ -47,36 +47,6 @@
 _Key = tuple[str, int]
 
 
-class _Progress:
-    """Hold what is known of an item that isn't listed yet.
-
-    The log keeps its output up to event `kept_event`; `data` is what came since.
-    """
-
-    def __init__(self, kept: record.Partial | None):
-        self.kept_event = kept.last if kept else -1
-        self.last_event = self.kept_event
-        self.data: list[bytes] = []
-        # Counts the beginnings, so that a part of an earlier one is known for it.
-        self.run = 0
-        self.failures = 0
-        self.breaks = 0
-        self.not_before = 0.0
-        self.avoided: frozenset[str] = frozenset()
-        # The upstream answered without an id to resume behind.
-        self.is_resumable = True
-
-    def reset(self) -> None:
-        """Forget the output, to begin at the beginning."""
-        self.data.clear()
-        self.kept_event = self.last_event = -1
-        self.run += 1
-
-    def render_rest(self) -> bytes:
-        """Return what came since the log last kept something."""
-        return SEPARATOR.join(self.data)
-
-
 class LotRunner:
     """Give items places, run them and have their results listed."""
 
@@ -96,7 +66,7 @@
         self._timer = timer
         self._keep_seconds = keep_seconds
         self._fleet = fleet.Fleet()
-        self._progress: dict[_Key, _Progress] = {}
+        self._progress: dict[_Key, Progress] = {}
         self._runs: dict[str, asyncio.Task] = {}
         # Items that run, or whose result waits to be listed.
         self._busy: set[_Key] = set()
@@ -238,7 +208,7 @@
         key = (lot.id, number)
         progress = self._progress.get(key)
         if progress is None:
-            progress = _Progress(lot.partials.get(number))
+            progress = Progress(lot.partials.get(number))
             self._progress[key] = progress
         if progress.not_before > now:
             return True
@@ -284,7 +254,7 @@
         lot: record.Lot,
         number: int,
         route: fleet.Route,
-        progress: _Progress,
+        progress: Progress,
         instance: Instance,
     ) -> bool | None:
         """Return whether the item is given up, or None if it is to run again."""
@@ -297,7 +267,7 @@
     def _note_break(
         self,
         item: str,
-        progress: _Progress,
+        progress: Progress,
         instance: Instance,
         failure: outbound.OutboundError,
     ) -> None:
@@ -326,7 +296,7 @@
         lot: record.Lot,
         number: int,
         route: fleet.Route,
-        progress: _Progress,
+        progress: Progress,
         instance: Instance,
     ) -> bool | None:
         """Send an item and read its output; the answer is that of `_run`."""
@@ -353,7 +323,7 @@
         return False
 
     def _note_failure(
-        self, item: str, progress: _Progress, route: fleet.Route, status: int
+        self, item: str, progress: Progress, route: fleet.Route, status: int
     ) -> bool | None:
         """Return whether a failed item is given up, or None if it runs again."""
         progress.failures += 1
@@ -372,7 +342,7 @@
         progress.not_before = self._timer.read_clock() + FIRST_PAUSE_SECONDS
         return True if is_over else None
 
-    async def _read_output(self, answer: outbound.Answer, progress: _Progress) -> None:
+    async def _read_output(self, answer: outbound.Answer, progress: Progress) -> None:
         if not answer.head.is_stream:
             progress.reset()
             progress.data.append(await answer.read_all(LIST_BYTES))
@@ -383,7 +353,7 @@
             if not data:
                 break
             for item in splitter.feed(data):
-                _take_event(progress, item)
+                progress.take(item)
         if splitter.has_rest:
             raise outbound.OutboundError("the answer ends within an event", False)
 
@@ -415,7 +385,7 @@
 
     async def _keep_some_parts(self) -> None:
         drafts = [
-            (progress, progress.run, len(progress.data), _draft_part(key, progress))
+            (progress, progress.run, len(progress.data), progress.draft_part(*key))
             for key, progress in self._progress.items()
             if len(progress.data) >= PART_EVENTS and progress.is_resumable
         ]
@@ -470,23 +440,6 @@
     return f"item/{lot}#{number}"
 
 
-def _draft_part(key: _Key, progress: _Progress) -> command.LotPart:
-    return command.LotPart(
-        *key, progress.kept_event, progress.last_event, progress.render_rest()
-    )
-
-
-def _take_event(progress: _Progress, item: event.Event) -> None:
-    """Add an event's data, unless it stands there already."""
-    if item.number < 0:
-        progress.is_resumable = False
-    elif item.number <= progress.last_event:
-        return
-    else:
-        progress.last_event = item.number
-    progress.data.append(item.data)
-
-
 def _choose_service(route: fleet.Route) -> str:
     """Return the service of a batch route; of several the heaviest."""
     if not route.shares:
--- a/sapphireseam/control/reserve_test.py
+++ b/sapphireseam/control/reserve_test.py
@@ -18,7 +18,7 @@
 CUSTOMER = limit_test.CUSTOMER
 KINDS = ["request", "deliver", "drain", "write", "commit", "hear", "skip"] * 3
 KINDS += ["advance", "settle", "configure", "change_owner", "hand_over"] * 2
-KINDS += ["rush", "usurp", "usurp", "remove", "collect", "repeat", "drop"]
+KINDS += ["rush", "take_over", "take_over", "remove", "collect", "repeat", "drop"]
 KINDS += ["lose_entry", "step_back", "come_late", "publish_less"]
 KINDS += ["borrow"] * 2
 # Reserves in these schedules are larger than what comes in while a new owner
@@ -110,7 +110,7 @@
         self.write(first, second)
         self.rush(second, first)
 
-    def usurp(self, first, second):
+    def take_over(self, first, second):
         """Have a deposed owner's command come right before a change of owner."""
         self.come_late(first, second)
         self.hand_over(first, second)
--- a/sapphireseam/control/watch.py
+++ b/sapphireseam/control/watch.py
@@ -110,7 +110,7 @@
             record.read_document(state),
             tuple(state.keys.values()),
             tuple(state.leaving),
-            claim.list_fingerprints(state, claim.GUILTY),
+            claim.list_fingerprints(state, claim.QUARANTINED),
             claim.list_fingerprints(state, claim.SUSPECT),
         )
 
@@ -153,5 +153,5 @@
         named = [name for name in item.fingerprints if name in deaths]
         return notice.VerdictChange(
             tuple(name for name in named if deaths[name] == claim.SUSPECT),
-            tuple(name for name in named if deaths[name] == claim.GUILTY),
+            tuple(name for name in named if deaths[name] == claim.QUARANTINED),
         )
--- a/sapphireseam/entry/forward.py
+++ b/sapphireseam/entry/forward.py
@@ -106,7 +106,7 @@
             except AttemptFailed as failed:
                 delivery.possibly_run = delivery.possibly_run or not failed.not_run
                 if failed.died and alone:
-                    failed = AttemptFailed(_condemn(), False)
+                    failed = AttemptFailed(_explain_quarantine(), False)
                 alone = alone or failed.died
                 await self._plan_retry(delivery, failed, made, budget, stopped)
 
@@ -217,7 +217,7 @@
         elif not access.is_valid(self._mirror, ask.caller):
             failure = access.explain_invalid(self._mirror)
         elif ask.fingerprint in self._mirror.quarantined:
-            failure = _condemn()
+            failure = _explain_quarantine()
         if failure is not None:
             raise AttemptFailed(failure, True)
 
@@ -363,6 +363,6 @@
     return error.CapacityError(text, kind, FAILED_RETRY_SECONDS)
 
 
-def _condemn() -> error.SeamError:
+def _explain_quarantine() -> error.SeamError:
     text = "this request crashed the upstreams that ran it"
     return error.RequestError(text, error.Kind.REQUEST_QUARANTINED)
--- a/sapphireseam/entry/forward_test.py
+++ b/sapphireseam/entry/forward_test.py
@@ -245,7 +245,7 @@
         self.assertEqual(failure.kind, error.Kind.REQUEST_QUARANTINED)
         self.assertFalse(failure.not_run)
 
-    async def test_suspect_is_offered_alone_and_a_guilty_one_not_at_all(self):
+    async def test_suspect_is_offered_alone_and_a_quarantined_one_not_at_all(self):
         world = World(lambda item, bring: answer_whole(bring))
         world.mirror.suspects.add("f")
         await world.run(make_ask(world.timer.read_clock()))
