Test a request that comes as the front closes

With the wait of before (0.4 s) it is cut, ServerDisconnectedError; with the one that the grace leaves it is finished.

--- a/sapphireseam/platform/front_test.py
+++ b/sapphireseam/platform/front_test.py
@@ -193,17 +193,27 @@
         self.assertEqual((status, headers.get("Connection")), (200, "close"))
         await stopping
 
-    async def test_a_request_that_comes_last_is_finished(self):
-        """It comes on a kept connection as the notice ends."""
+    async def test_a_request_that_comes_as_the_front_closes_is_finished(self):
+        """It is read after the notice, just before the connections are closed."""
         await self.post()
-        stopping = asyncio.create_task(self.front.stop())
-        await asyncio.sleep(0.97)
-        self.carrier.gate.clear()
-        asked = asyncio.create_task(self.post())
-        await asyncio.sleep(0.12)
-        self.carrier.gate.set()
-        self.assertEqual((await asked)[0], 200)
-        await stopping
+        self.front._grace = 4.0
+        ready, callers = self.front._runners
+        callers._shutdown_timeout = self.front._measure_patience()
+        asked = []
+
+        async def ask_and_close():
+            self.carrier.gate.clear()
+            asked.append(asyncio.create_task(self.post()))
+            while len(self.carrier.calls) < 2:  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+            asyncio.get_running_loop().call_later(0.7, self.carrier.gate.set)
+            await callers.cleanup()
+
+        closing = types.SimpleNamespace(cleanup=ask_and_close)
+        self.front._runners = [ready, closing]
+        await self.front.stop()
+        self.front._runners = []
+        self.assertEqual((await asked[0])[0], 200)
 
     async def test_a_batch_job_is_taken_read_and_ended(self):
         self.reception.route = ROUTE._replace(streamed=False, batch=fleet.Batch())
