--- a/sapphireseam/platform/front_test.py
+++ b/sapphireseam/platform/front_test.py
@@ -206,7 +206,7 @@
             asked.append(asyncio.create_task(self.post()))
             while len(self.carrier.calls) < 2:  # noqa: ASYNC110
                 await asyncio.sleep(0.01)
-            asyncio.get_running_loop().call_later(0.7, self.carrier.gate.set)
+            asyncio.get_running_loop().call_later(1.0, self.carrier.gate.set)
             await callers.cleanup()
 
         closing = types.SimpleNamespace(cleanup=ask_and_close)
