--- a/sapphireseam/control/application.py
+++ b/sapphireseam/control/application.py
@@ -76,6 +76,7 @@
     voters: Annotated[int, Field(ge=0, le=9)] = 0
     is_first_start: bool = True
     label: str = ""
+    lot_seconds: fleet.Positive = lotrunner.KEEP_SECONDS
 
 
 # Times in seconds and sizes of members that look after themselves: a leader that
@@ -438,7 +439,9 @@
     lotservice.LotService(replica, machine, timer).register(core.server)
     joins = joining.Joining(replica, machine, settings.voters, timer)
     joins.register(core.server)
-    runner = lotrunner.LotRunner(replica, machine, server, outside.upstreams, timer)
+    runner = lotrunner.LotRunner(
+        replica, machine, server, outside.upstreams, timer, settings.lot_seconds
+    )
     reader = directory.Directory(outside.source, replica, timer, server.take_instances)
     front = outside.make_front(desk.Desk(replica, machine, client, timer), client)
     announcer = joining.Announcer(settings.address, settings.label, client, timer)
--- a/sapphireseam/platform/setting.py
+++ b/sapphireseam/platform/setting.py
@@ -29,7 +29,8 @@
     """Hold one process's settings.
 
     `seeds` are operator addresses of a few control VMs, `port` is where every
-    process takes the system's calls. Times are in seconds.
+    process takes the system's calls. `slack_window` is in seconds; results of a
+    batch job are kept for `keep_s` after it came.
     """
 
     label: str
@@ -101,4 +102,5 @@
         2 * settings.tolerated + 1,
         settings.is_first_start,
         settings.label,
+        settings.keep_s,
     )
--- /dev/null
+++ b/sapphireseam/platform/setting_test.py
@@ -0,0 +1,62 @@
+"""Test what becomes of the rendered settings."""
+
+import json
+import tempfile
+import unittest
+from pathlib import Path
+
+from sapphireseam.core import error
+from sapphireseam.platform import setting
+
+RENDERED = {
+    "label": "storage-a-1",
+    "ip": "10.1.0.10",
+    "failure_domain": "a",
+    "port": 7660,
+    "seeds": ["10.1.0.10:8407", "10.2.0.42:8407"],
+    "list_address": "10.200.0.60:8408",
+    "is_first_start": True,
+    "tolerated": 2,
+    "slack_requests": 20,
+    "slack_share": 0.1,
+    "slack_window": 5,
+    "trust_ms": 5000,
+    "grace_s": 8,
+    "keep_s": 300,
+    "data_folder": "/data/control",
+    "operator_address": "10.1.0.10:8407",
+}
+
+
+class SettingTest(unittest.TestCase):
+    def read(self, document):
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "settings.json"
+            path.write_text(json.dumps(document))
+            return setting.read(path)
+
+    def test_a_control_vm_gets_what_the_platform_says(self):
+        made = setting.make_control(self.read(RENDERED))
+        self.assertEqual((made.node, made.address), ("10.1.0.10:7660",) * 2)
+        self.assertEqual(
+            [peer.address for peer in made.peers],
+            ["10.1.0.10:7660", "10.2.0.42:7660"],
+        )
+        self.assertEqual((made.voters, made.lot_seconds), (5, 300))
+        self.assertEqual(made.label, "storage-a-1")
+
+    def test_every_wrong_field_is_named(self):
+        wrong = RENDERED | {"port": 0, "grace_s": "long"}
+        with self.assertRaises(error.SettingsError) as caught:
+            self.read(wrong)
+        for name in ("port", "grace_s"):
+            self.assertIn(name, caught.exception.message)
+
+    def test_a_control_vm_needs_a_disk(self):
+        settings = self.read(RENDERED | {"data_folder": None})
+        with self.assertRaises(error.SettingsError):
+            setting.make_control(settings)
+
+
+if __name__ == "__main__":
+    unittest.main()
