Scrape the metrics of discovery in a test of their own

Change: such metrics are marked, and control.meter_test scrapes each with its labels and counts; the local fleet must show exactly the others.

--- /dev/null
+++ b/sapphireseam/control/meter_test.py
@@ -0,0 +1,56 @@
+"""Test that every metric of programs with discovered upstreams is scraped."""
+
+import types
+import unittest
+
+from prometheus_client import generate_latest
+from prometheus_client.parser import text_string_to_metric_families
+
+from sapphireseam.control import machine as machines, meter
+from sapphireseam.core import command
+from sapphireseam.core.instance import Instance
+from sapphireseam.policy import board as boards
+from sapphireseam.utils import metric
+
+
+class DiscoveryMetricTest(unittest.TestCase):
+    def scrape(self):
+        """Return the samples of this test's programs by metric."""
+        found = {}
+        for family in text_string_to_metric_families(generate_latest().decode()):
+            for sample in family.samples:
+                if sample.labels.get("node", "").endswith("-m"):
+                    found.setdefault(sample.name, []).append(sample)
+        return found
+
+    def test_each_is_there_with_its_labels_and_counts(self):
+        board = boards.Board()
+        board.update((Instance("i1", "llm", "10.0.0.1:80", "z", 8),), 0.0)
+        board.place(boards.Ask("k", "llm", "c", 0, "z", 0.0, 1.0), 0.0)
+        machine = machines.StateMachine()
+        items = (command.LotItem("i", "/x", (), b"", 1),)
+        lot = command.AcceptLot("l", "c", "r", items, 0, 0.0, 1.0, 2.0)
+        machine.apply(1, command.REGISTRY.encode(lot))
+        control = metric.Meter("control-m")
+        replica = types.SimpleNamespace(is_leader=True)
+        meter.report_places(control, board, machine, replica)
+        metric.Meter("entry-m").observe(metric.PLACE, 0.01, outcome="placed")
+        found = self.scrape()
+        for item in metric.METRICS:
+            if not item.is_discovery:
+                continue
+            name = item.expose()
+            if item.form is metric.Form.HISTOGRAM:
+                name += "_count"
+            labels = set(found[name][0].labels)
+            self.assertEqual(labels, {"node", *item.labels}, item.name)
+        places = {s.labels["work"]: s.value for s in found["seam_places"]}
+        self.assertEqual(places, {"online": 1, "batch": 0, "free": 7, "waiting": 0})
+        states = {s.labels["state"]: s.value for s in found["seam_lot_items"]}
+        self.assertEqual(states["open"], 1)
+        replica.is_leader = False
+        self.assertNotIn("seam_places", self.scrape())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/sapphireseam/scripts/local_test.py
+++ b/sapphireseam/scripts/local_test.py
@@ -100,7 +100,9 @@
             "entry": "seam-entry",
             "agent": "seam-agent",
         }
-        for item in metric.METRICS:
+        # A local fleet lists its upstreams; control.meter_test has the others.
+        expected = [item for item in metric.METRICS if not item.is_discovery]
+        for item in expected:
             with self.subTest(item.name):
                 name = item.expose()
                 if item.form is metric.Form.HISTOGRAM:
@@ -109,7 +111,7 @@
                 self.assertEqual(set(samples[0]), {"node", *item.labels})
                 programs = {kinds[s["node"].split("-")[0]] for s in samples}
                 self.assertEqual(programs, set(item.programs))
-        listed = {item.expose() for item in metric.METRICS}
+        listed = {item.expose() for item in expected}
         ours = {re.sub(r"_(count|sum|bucket)$", "", n) for n in found if "seam_" in n}
         self.assertEqual(ours, listed)
 
--- a/sapphireseam/utils/metric.py
+++ b/sapphireseam/utils/metric.py
@@ -30,7 +30,10 @@
 
 
 class Metric(NamedTuple):
-    """Describe one instrument; `programs` are those that have it."""
+    """Describe one instrument; `programs` are those that have it.
+
+    `is_discovery` marks one that only programs with discovered upstreams have.
+    """
 
     name: str
     form: Form
@@ -39,6 +42,7 @@
     programs: tuple[str, ...]
     text: str
     advice: str
+    is_discovery: bool = False
 
     def expose(self) -> str:
         """Return the name under which it is scraped.
@@ -164,6 +168,7 @@
     " leader), `alone` (no leader answered) and `refused`.",
     "`alone` rises: no leader answers, look at `seam_leader`. `refused`: look at"
     " `seam_places` and `seam_benched`.",
+    is_discovery=True,
 )
 PLACES = Metric(
     "seam.places",
@@ -174,6 +179,7 @@
     "Places at a service's upstreams as the leader counts them, by `online`, `batch`"
     " and `free`; `waiting` counts requests that wait for one.",
     "`waiting` stays above 0: too little capacity; add replicas.",
+    is_discovery=True,
 )
 BENCHED = Metric(
     "seam.benched",
@@ -184,6 +190,7 @@
     "Upstreams that are given nothing since they failed, until a probe finds them"
     " well.",
     "Stays above 0: the replica doesn't answer; its platform should replace it.",
+    is_discovery=True,
 )
 LOT_ITEMS = Metric(
     "seam.lot.items",
@@ -193,6 +200,7 @@
     _CONTROL,
     "Items of the lots that are kept, by `done`, `failed` and `open`.",
     "`open` only grows: too few places are left over; look at `seam_places`.",
+    is_discovery=True,
 )
 LEADER = Metric(
     "seam.leader",
