Look a route up anew before it is said to be unknown

A key that is unknown was looked up anew, a route wasn't. The gateway's test gets 404 before and is served after. Ruled out: the publish (its answer had come), the route's path (the next calls pass).

--- a/sapphireseam/entry/gateway.py
+++ b/sapphireseam/entry/gateway.py
@@ -12,7 +12,7 @@
 
 from aiohttp import web
 
-from sapphireseam.core import error, fingerprint
+from sapphireseam.core import error, fingerprint, fleet
 from sapphireseam.entry import access, ask as asks
 from sapphireseam.entry.allowance import LimitClient
 from sapphireseam.entry.claim import ClaimKeeper
@@ -244,11 +244,19 @@
             failure.not_run = True
             raise
 
+    async def _find_route(self, path: str) -> tuple[str, fleet.Route]:
+        """Return a path's route; one that was published just before is known, too."""
+        try:
+            return asks.find_route(self.mirror.fleet, path)
+        except error.RequestError:
+            await self.mirror.refresh()
+            return asks.find_route(self.mirror.fleet, path)
+
     async def _read_ask(self, request: web.Request, request_id: str) -> asks.Ask:
-        current = self.mirror.fleet
         path = request.rel_url.raw_path
         access.check_place(path, b"")
-        name, route = asks.find_route(current, request.path)
+        name, route = await self._find_route(request.path)
+        current = self.mirror.fleet
         if request.method not in route.methods:
             text = f"route {name} takes {', '.join(route.methods)}"
             raise error.RequestError(text)
--- a/sapphireseam/entry/gateway_test.py
+++ b/sapphireseam/entry/gateway_test.py
@@ -100,6 +100,18 @@
         self.http = aiohttp.ClientSession(headers=self.headers)
         self.addAsyncCleanup(self.http.close)
 
+    async def test_a_route_that_was_published_just_before_is_served(self):
+        published = self.mirror.fleet
+        path = next(iter(published.routes.values())).path
+        self.mirror.fleet = published._replace(routes={})
+
+        async def refresh():
+            self.mirror.fleet = published
+
+        self.mirror.refresh = refresh
+        async with self.http.post(self.base + path, json={"model": "m"}) as answer:
+            self.assertNotEqual(answer.status, 404)
+
     async def end(self):
         if self.stopping is None:
             self.stop()
