Count old leases from when the process began

Cause: after the loss of all machines a control VM stood for election only 0.4 to 0.6 s after it had read its folder, since the process before it may have granted a lease. But the process before had ended before this one began, and most of that time passes in imports.

Ruled out: the disks (folder read within 20 ms), ties (one candidate only).

Change: Options.predecessor_ended says when the process before had ended; the programs on the platform pass the moment at which they began (utils/startup.py). A poll that was lost is repeated sooner, since voters may be starting; polls depose nobody.

--- a/sapphireseam/control/application.py
+++ b/sapphireseam/control/application.py
@@ -307,8 +307,12 @@
     settings: Settings,
     timer: TimerService | None = None,
     outside: Outside | None = None,
+    predecessor_ended: float | None = None,
 ) -> Application:
-    """Return the application of one control VM."""
+    """Return the application of one control VM.
+
+    `predecessor_ended` is when whatever last used the data folder had ended.
+    """
     timer = timer or SystemTimer()
     meter = metric.Meter(settings.node)
     timeline = Timeline(settings.node, timer)
@@ -320,6 +324,7 @@
     options = option.Options(
         bootstrap=tuple(log_message.Member(peer.name, peer.address) for peer in first),
         voters=settings.voters,
+        predecessor_ended=predecessor_ended,
         **(SELF_KEEPING if settings.voters else {}),
     )
     replica = Replica(
--- a/sapphireseam/platform/control.py
+++ b/sapphireseam/platform/control.py
@@ -4,14 +4,19 @@
 from sapphireseam.core import error
 from sapphireseam.core.instance import Instance
 from sapphireseam.platform import dialect, listing, operator, reload, report, setting
-from sapphireseam.utils import outbound, program
+from sapphireseam.utils import outbound, program, startup
 from sapphireseam.utils.application import Application
 from sapphireseam.utils.client import ControlClient
 from sapphireseam.utils.timer import SystemTimer
 
 
-def build(settings: setting.Settings) -> Application:
-    """Return the application of one storage machine."""
+def build(
+    settings: setting.Settings, predecessor_ended: float | None = None
+) -> Application:
+    """Return the application of one storage machine.
+
+    `predecessor_ended` is when whatever last used the data folder had ended.
+    """
     if not settings.operator_address:
         raise error.SettingsError("a control VM needs an address for operators")
     address = settings.operator_address
@@ -37,7 +42,9 @@
         await report.stop_run(upstreams, instance, request, other)
 
     outside = control.Outside(source, upstreams, probe, stop_run, make_front)
-    application = control.build(setting.make_control(settings), timer, outside)
+    application = control.build(
+        setting.make_control(settings), timer, outside, predecessor_ended
+    )
     application.add(source)
     application.add(reload.Reloader(setting.find_path(), settings, clients[0], timer))
     return application
@@ -46,4 +53,12 @@
 def main() -> None:
     """Start the program."""
     path = setting.find_path()
-    program.run_daemon("seam-control", setting.Settings, build, path, restarts=True)
+    # An application that is built anew follows one of this very process.
+    ends = iter([startup.BEGAN])
+
+    def build_next(settings: setting.Settings) -> Application:
+        return build(settings, next(ends, None))
+
+    program.run_daemon(
+        "seam-control", setting.Settings, build_next, path, restarts=True
+    )
--- a/sapphireseam/platform/start.py
+++ b/sapphireseam/platform/start.py
@@ -9,6 +9,8 @@
 import gc
 import sys
 
+from sapphireseam.utils import startup  # noqa: F401  # Notes the time.
+
 CONTROL = "control"
 ENTRY = "entry"
 USAGE = f"usage: python3 -m sapphireseam.platform.start {CONTROL}|{ENTRY}"
--- a/sapphireseam/state/cluster.py
+++ b/sapphireseam/state/cluster.py
@@ -211,6 +211,9 @@
         self.delay = 0.01
         self.drops = 0.0
         self.duplicates = 0.0
+        # Whether members are told when their predecessors ended, and when that was.
+        self.tells_ends = False
+        self.ends: dict[str, float] = {}
         self.violations: list[str] = []
         self.history: dict[int, bytes] = {}
         self.acknowledged: dict[bytes, int] = {}
@@ -249,6 +252,9 @@
         disk.pause = lambda: self._pause(gate)
         rate = 1 + self.rng.uniform(-CLOCK_RATE_ERROR, CLOCK_RATE_ERROR)
         self.machines[name] = Machine(self, name)
+        options = self.options
+        if self.tells_ends and name in self.ends:
+            options = options._replace(predecessor_ended=self.ends[name] * rate)
         return replica.Replica(
             name,
             lambda peer: FakeLink(self, name, peer),
@@ -256,7 +262,7 @@
             MemberTimer(self.timer, gate, rate),
             self.machines[name],
             self.guards[name],
-            self.options,
+            options,
             random.Random(self.rng.getrandbits(32)),
         )
 
@@ -282,6 +288,7 @@
         """End a process at once; without power its unsynced data may go."""
         self.gates[name].thaw()
         member = self.replicas.pop(name)
+        self.ends[name] = self.timer.read_clock()
         disk = self.disks[name]
         self.disks[name] = disk.reopen() if power else disk.crash(self.rng)
         await member.stop()
--- a/sapphireseam/state/election.py
+++ b/sapphireseam/state/election.py
@@ -9,6 +9,11 @@
 
 from sapphireseam.state import message, node as nodes
 
+# Parts of the shortest election timeout after which a lost poll is repeated: polls
+# depose nobody, and the voters that didn't answer may be starting.
+SHORTEST_REPEAT = 0.25
+LONGEST_REPEAT = 0.5
+
 
 class Elector:
     """Watch for silence on behalf of one member."""
@@ -21,6 +26,10 @@
         options = self._node.options
         return self._node.rng.uniform(options.election_min, options.election_max)
 
+    def _draw_repeat(self) -> float:
+        share = self._node.rng.uniform(SHORTEST_REPEAT, LONGEST_REPEAT)
+        return self._node.options.election_min * share
+
     async def run(self) -> None:
         """Look now and then, at no fixed beat so that members rarely tie."""
         node = self._node
@@ -56,6 +65,7 @@
         node.quiet_from = node.timer.read_clock()
         before = (node.term, node.heard_at)
         if not transfer and not await self._poll(node.term + 1, True, False):
+            self._timeout = self._draw_repeat()
             return
         if before != (node.term, node.heard_at) or not node.is_voter:
             return
--- a/sapphireseam/state/node.py
+++ b/sapphireseam/state/node.py
@@ -190,7 +190,8 @@
         self.commit = self.applied = self.snapshot.index
         if self.identity.cluster:
             # The process before this one may have promised a leader its lease.
-            self.heard_at = self.timer.read_clock()
+            ended = self.options.predecessor_ended
+            self.heard_at = self.timer.read_clock() if ended is None else ended
         self.is_loaded = True
 
     async def save(self) -> None:
--- a/sapphireseam/state/option.py
+++ b/sapphireseam/state/option.py
@@ -16,6 +16,10 @@
     promotes learners, and lets one take the place of a voter that was silent
     for `replace_after`. A learner that was silent for `forget_after` is removed.
     With 0 an operator does all that.
+
+    `predecessor_ended` is when the process that last held this folder had surely
+    ended, by this member's clock: the leases that it granted count from there.
+    Without it they count from when the folder is read.
     """
 
     bootstrap: tuple[message.Member, ...] = ()
@@ -35,3 +39,4 @@
     voters: int = 0
     replace_after: float = 2.0
     forget_after: float = 10.0
+    predecessor_ended: float | None = None
--- a/sapphireseam/state/replica_test.py
+++ b/sapphireseam/state/replica_test.py
@@ -242,10 +242,38 @@
         self.assertEqual(held.leaders, {1: leader})
         await held.close()
 
+    @drive
+    async def test_members_that_were_down_for_long_elect_at_once(self):
+        """All lose power for longer than any lease, then start one by one."""
+        held = await self.form()
+        held.tells_ends = True
+        await self.propose(held, 3)
+        for name in "abc":
+            await held.kill(name, power=False)
+        await held.advance(held.options.election_min)
+        for name in "abc":
+            await held.start(name)
+        before = held.timer.read_clock()
+        while not held.find_leader():
+            await held.advance(0.02)
+        took = held.timer.read_clock() - before
+        self.assertLess(took, held.options.election_min * 0.7)
+        await self.propose(held, 3)
+        self.check(held)
+        await held.close()
+
+    @drive
+    async def test_voter_back_at_once_keeps_the_lease_its_predecessor_granted(self):
+        await self.check_restarted_voter(True)
+
     @drive
     async def test_restarted_voter_keeps_the_lease_it_granted(self):
+        await self.check_restarted_voter(False)
+
+    async def check_restarted_voter(self, tells_ends):
         """A voter forgets whom it heard, but not that it may have heard."""
         held = await self.form()
+        held.tells_ends = tells_ends
         leader = await self.propose(held)
         member, voter = self.pick_followers(held)
         # The other member hears nobody, the voter has just heard the leader.
