Run items that can still be done when due before those that can't

Cause: with more batch work than room, order by due time alone makes every item a little late.

Ruled out: idle places (the board shows 53 to 56 of 56 taken in these seconds), the order among customers (turns within 2 s of due time only).

Change: items are judged by what finished ones took (policy/forecast.py): on time, late, almost lost. Late ones make way; halfway between due and given up they go first, so none is forgotten.

--- a/sapphireseam/control/lotrunner.py
+++ b/sapphireseam/control/lotrunner.py
@@ -16,7 +16,7 @@
 from sapphireseam.control.progress import Progress
 from sapphireseam.core import command, error, fleet
 from sapphireseam.core.instance import Instance
-from sapphireseam.policy import board as boards, share
+from sapphireseam.policy import board as boards, forecast, share
 from sapphireseam.state.replica import Replica
 from sapphireseam.utils import event, outbound
 from sapphireseam.utils.application import TaskGroup
@@ -68,6 +68,7 @@
         self._upstreams = upstreams
         self._timer = timer
         self._keep_seconds = keep_seconds
+        self._forecast = forecast.Forecast()
         self._fleet = fleet.Fleet()
         self._progress: dict[_Key, Progress] = {}
         self._runs: dict[str, asyncio.Task] = {}
@@ -189,32 +190,63 @@
 
     def _fill(self) -> None:
         now = self._timer.read_clock()
-        full: set[str] = set()
-        for lot in share.order_lots(self._machine.state.lots.values()):
-            route = self._fleet.routes.get(lot.route)
-            if route is None or not lot.is_open:
+        lots = share.order_lots(
+            lot
+            for lot in self._machine.state.lots.values()
+            if lot.is_open and lot.route in self._fleet.routes
+        )
+        full = {
+            name
+            for name in {_choose_service(self._fleet.routes[lot.route]) for lot in lots}
+            if not self._placement.board.has_spare(name)
+        }
+        for urgency in share.Urgency:
+            for lot in lots:
+                self._fill_with(lot, urgency, full, now)
+
+    def _fill_with(
+        self, lot: record.Lot, urgency: share.Urgency, full: set[str], now: float
+    ) -> None:
+        """Start the lot's items of one urgency while its service has room."""
+        route = self._fleet.routes[lot.route]
+        service = _choose_service(route)
+        if service in full or urgency not in self._judge_lot(lot):
+            return
+        for number in range(len(lot.items)):
+            if service in full:
+                return
+            key = (lot.id, number)
+            if number in lot.listed or key in self._busy:
                 continue
-            service = _choose_service(route)
-            for number in range(len(lot.items)):
-                if service in full:
-                    break
-                key = (lot.id, number)
-                if number in lot.listed or key in self._busy:
-                    continue
-                if not self._try_start(lot, number, route, service, now):
-                    full.add(service)
+            progress = self._find_progress(lot, number)
+            if progress.not_before > now or self._judge(lot, progress) != urgency:
+                continue
+            if not self._try_start(lot, number, route, service, now):
+                full.add(service)
 
-    def _try_start(
-        self, lot: record.Lot, number: int, route: fleet.Route, service: str, now: float
-    ) -> bool:
-        """Start an item if there is room; false if there is none."""
+    def _find_progress(self, lot: record.Lot, number: int) -> Progress:
         key = (lot.id, number)
         progress = self._progress.get(key)
         if progress is None:
             progress = Progress(lot.partials.get(number))
             self._progress[key] = progress
-        if progress.not_before > now:
-            return True
+        return progress
+
+    def _judge(self, lot: record.Lot, progress: Progress) -> share.Urgency:
+        left = self._forecast.estimate(progress.events)
+        return share.judge_item(lot, left, self._timer.read_wall_clock())
+
+    def _judge_lot(self, lot: record.Lot) -> tuple[share.Urgency, ...]:
+        """Return which urgencies the lot's items may have."""
+        longest = self._forecast.estimate(0)
+        return share.judge_lot(lot, longest, self._timer.read_wall_clock())
+
+    def _try_start(
+        self, lot: record.Lot, number: int, route: fleet.Route, service: str, now: float
+    ) -> bool:
+        """Start an item if there is room; false if there is none."""
+        key = (lot.id, number)
+        progress = self._progress[key]
         name = _name_run(lot.id, number)
         ask = boards.Ask(
             name,
@@ -317,12 +349,16 @@
         if not progress.is_resumable:
             progress.reset()
             request = request._replace(resume_after=-1)
+        begun_at, before = self._timer.read_clock(), progress.events
         async with self._upstreams.send(request, instance, SILENCE_SECONDS) as answer:
             if answer.head.is_not_run:
                 raise outbound.OutboundError("the upstream refused the item", True)
             if answer.head.status != DONE:
                 return self._note_failure(item.id, progress, route, answer.head.status)
             await self._read_output(answer, progress)
+        took = self._timer.read_clock() - begun_at
+        self._forecast.note_run(progress.events - before, took)
+        self._forecast.note_item(progress.events)
         return False
 
     def _note_failure(
--- a/sapphireseam/control/lotrunner_test.py
+++ b/sapphireseam/control/lotrunner_test.py
@@ -225,6 +225,8 @@
 
     async def test_a_clock_that_is_ahead_gives_nothing_up_too_soon(self):
         self.placement.board.update((), 0.0)
+        now = self.timer.read_wall_clock()
+        self.timer.read_wall_clock = lambda: now
         await self.accept(1, abandon=-0.9 * lotrunner.CLOCK_SECONDS)
         await asyncio.sleep(2 * lotrunner.LOOK_SECONDS)
         self.assertTrue(self.machine.state.lots["l"].is_open)
--- a/sapphireseam/control/progress.py
+++ b/sapphireseam/control/progress.py
@@ -25,6 +25,11 @@
         # The upstream answered without an id to resume behind.
         self.is_resumable = True
 
+    @property
+    def events(self) -> int:
+        """Return how many events the item has put out."""
+        return self.last_event + 1
+
     def reset(self) -> None:
         """Forget the output, to begin at the beginning."""
         self.data.clear()
--- a/sapphireseam/policy/board.py
+++ b/sapphireseam/policy/board.py
@@ -210,9 +210,15 @@
             self._waiting.append(ask)
         return refusal
 
+    def has_spare(self, service: str) -> bool:
+        """Say whether there is room for batch work of a service."""
+        if self.count_waiting(service):
+            return False
+        return any(s.is_usable and s.room > 0 for s in self._list_sites(service))
+
     def take_spare(self, ask: Ask) -> Grant | None:
         """Place batch work where nothing online wants the place."""
-        if any(each.service == ask.service for each in self._waiting):
+        if self.count_waiting(ask.service):
             return None
         site = self._find_room(ask)
         if site is None:
--- a/sapphireseam/policy/share.py
+++ b/sapphireseam/policy/share.py
@@ -1,10 +1,15 @@
-"""Order lots for the places that online requests leave free.
+"""Order the items of lots for the places that online requests leave free.
 
-This answers many lots at once, some of one customer: the earliest due go first,
-and among those that are due together the customers take turns.
+This answers many lots at once, some of one customer, and more work than there is
+room for. Lots that are due earliest go first, and among those that are due
+together the customers take turns. An item that can't be done any more when it is
+due makes way for those that can: run in order of their due times alone, all would
+be done a little late. It isn't forgotten: halfway between due and given up it goes
+before all others.
 """
 
 from collections.abc import Iterable
+from enum import IntEnum
 from typing import Protocol
 
 # Lots due within the same span of this many seconds count as due together.
@@ -12,10 +17,49 @@
 
 
 class Lot(Protocol):
-    """Say when a lot is due and whose it is."""
+    """Say when a lot is due, when it is given up, and whose it is."""
 
     customer: str
     due: float
+    abandon: float
+
+
+class Urgency(IntEnum):
+    """Say which items go first, the lowest number before the others."""
+
+    ALMOST_LOST = 0
+    ON_TIME = 1
+    LATE = 2
+
+
+def judge_item(lot: Lot, left: float, now: float) -> Urgency:
+    """Return the urgency of an item that still has to run for `left` seconds.
+
+    >>> from collections import namedtuple
+    >>> lot = namedtuple("Lot", "customer due abandon")("a", 20.0, 60.0)
+    >>> judge_item(lot, 5.0, 14.0).name, judge_item(lot, 5.0, 16.0).name
+    ('ON_TIME', 'LATE')
+    >>> judge_item(lot, 5.0, 36.0).name
+    'ALMOST_LOST'
+    """
+    if now + left <= lot.due:
+        return Urgency.ON_TIME
+    halfway = (lot.due + lot.abandon) / 2
+    return Urgency.LATE if now + left < halfway else Urgency.ALMOST_LOST
+
+
+def judge_lot(lot: Lot, longest: float, now: float) -> tuple[Urgency, ...]:
+    """Return the urgencies of items that run for up to `longest` seconds.
+
+    >>> from collections import namedtuple
+    >>> lot = namedtuple("Lot", "customer due abandon")("a", 20.0, 60.0)
+    >>> [urgency.name for urgency in judge_lot(lot, 5.0, 16.0)]
+    ['ON_TIME', 'LATE']
+    """
+    first, last = judge_item(lot, 0.0, now), judge_item(lot, longest, now)
+    # More time left makes an item late first and then almost lost.
+    order = (Urgency.ON_TIME, Urgency.LATE, Urgency.ALMOST_LOST)
+    return order[order.index(first) : order.index(last) + 1]
 
 
 def order_lots(lots: Iterable) -> list:
