Keep room for requests that can still be on time

Ruled out: batch work in the way (0 batch runs while requests waited), work of the lost leader (1 of 8 places at most, gone within 0.8 s).

Change: a caller that comes again says how long it still waits; against the longest patience heard on its route that tells how long it did (policy/patience.py). Those that are late get the places that the demand of the last second leaves over (policy/demand.py), an eighth of all at least and half while the demand isn't known, and come after the others of their rank. They may wait for longer, since that makes them no later. A refusal's time to come back counts on that, too.

--- a/sapphireseam/control/placement.py
+++ b/sapphireseam/control/placement.py
@@ -230,6 +230,7 @@
             now + item.patience,
             frozenset(item.excluded),
             item.request,
+            item.is_late,
         )
         verdict = self.board.place(ask, now)
         self._log_verdict(entry, item, verdict)
--- a/sapphireseam/core/placement.py
+++ b/sapphireseam/core/placement.py
@@ -32,7 +32,8 @@
     `patience` is how long the request may wait for a place, in seconds.
     `excluded` are instances that have failed it. With `is_counted` it counts
     against its customer's limit; a second attempt doesn't. `request` is the
-    caller's id, for the log.
+    caller's id, for the log. `is_late` says that its answer can't be on time any
+    more.
     """
 
     number: int
@@ -43,6 +44,7 @@
     patience: float
     excluded: tuple[str, ...]
     is_counted: bool
+    is_late: bool = False
 
 
 class Placed(NamedTuple):
--- a/sapphireseam/entry/carrier.py
+++ b/sapphireseam/entry/carrier.py
@@ -26,8 +26,10 @@
 MOST_OFFERS = 6
 # Part of a route's target that a request may wait for its place.
 PLACE_SHARE = 0.6
-# How long it may wait where the route has no target, or once it is late.
+# How long it may wait where the route has no target, or once it was offered.
 PLACE_SECONDS = 0.5
+# Part of its caller's patience that a request may wait which is late already.
+LATE_SHARE = 0.3
 # An upstream that sends a stream nothing for so long is taken for lost, and a
 # resumable stream goes on elsewhere, in seconds.
 STREAM_SILENCE_SECONDS = 1.0
@@ -59,6 +61,13 @@
     deadline: float
     # The event behind which the caller goes on; -1 from the beginning.
     resume_after: int = -1
+    # How long the caller had waited before this request, in seconds.
+    waited: float = 0.0
+
+    @property
+    def is_late(self) -> bool:
+        """Say whether the answer can't be on time any more."""
+        return 0.0 < self.route.target < self.waited
 
 
 class _Trip:
@@ -169,6 +178,8 @@
         patience = call.route.target * PLACE_SHARE - (now - call.arrived)
         if not call.route.target or trip.offers:
             patience = PLACE_SECONDS
+        elif call.is_late:
+            patience = (call.deadline - now) * LATE_SHARE
         wish = Wish(
             call.id,
             self._choose_service(call.route),
@@ -177,6 +188,7 @@
             max(patience, 0.0),
             frozenset(trip.excluded),
             not trip.is_counted,
+            call.is_late,
         )
         try:
             ticket = await self._placer.place(wish)
--- a/sapphireseam/entry/placer.py
+++ b/sapphireseam/entry/placer.py
@@ -49,6 +49,7 @@
     patience: float
     excluded: frozenset[str]
     is_counted: bool
+    is_late: bool = False
 
 
 class Ticket(NamedTuple):
@@ -251,6 +252,7 @@
             now,
             now,
             wish.excluded,
+            is_late=wish.is_late,
         )
 
     def _place_alone(self, number: int, wish: Wish) -> Ticket:
@@ -311,4 +313,5 @@
         wish.patience,
         tuple(wish.excluded),
         wish.is_counted,
+        wish.is_late,
     )
--- a/sapphireseam/platform/front.py
+++ b/sapphireseam/platform/front.py
@@ -9,6 +9,7 @@
 from sapphireseam.entry.carrier import Call
 from sapphireseam.entry.discovery import Desk
 from sapphireseam.platform import answer, batch, dialect
+from sapphireseam.policy import patience
 from sapphireseam.utils import probe
 
 logger = logging.getLogger(__name__)
@@ -32,6 +33,7 @@
         self._ready = ready
         self._grace = grace
         self._batch = batch.BatchFront(desk)
+        self._patience = patience.PatienceWatch()
         self._is_closing = False
         self._runners: list[web.ServerRunner] = []
 
@@ -110,6 +112,7 @@
             return await self._batch.accept(admitted, attempt, body)
         if not attempt:
             raise error.RequestError(f"the header {dialect.ATTEMPT} is missing")
+        seconds = _read_limit(request, admitted.route.timeout)
         call = Call(
             attempt,
             admitted.customer,
@@ -122,8 +125,9 @@
             dialect.strip_request(request.headers),
             body,
             arrived,
-            arrived + _read_limit(request, admitted.route.timeout),
+            arrived + seconds,
             _read_resumption(request),
+            self._patience.note(admitted.route_name, seconds, arrived),
         )
         return await self._carry(request, call)
 
--- a/sapphireseam/policy/board.py
+++ b/sapphireseam/policy/board.py
@@ -4,9 +4,14 @@
 arrival: whatever reaches such an engine first is served first, so nobody may
 send it more than it works on at once. One board counts what runs at each
 upstream. Online requests get the place with the least load; when none is free
-they take one from batch work, which goes on elsewhere later. Only what can
-still be on time waits, by rank, then by what its customer has running, then by
-arrival. All else is refused at once, with the time at which there will be room.
+they take one from batch work, which goes on elsewhere later. Who waits gets a place
+by rank; those that can be on time before those that are late already; then by what
+its customer has running, then by arrival. What can't be placed in its time is refused
+at once, with the time at which there will be room.
+
+Many come back at once after an outage, late already. Those get only the places that
+requests which can be on time will leave over while they run, by how many of these
+came lately (policy/demand.py).
 
 Times are readings of one monotonic clock, in seconds. Nothing here waits or
 sends: callers ask, and are told what became placed.
@@ -15,6 +20,7 @@
 from typing import NamedTuple
 
 from sapphireseam.core.instance import Instance
+from sapphireseam.policy.demand import Demand
 
 # Share of a new measurement in the running means.
 MEAN_SHARE = 0.1
@@ -30,13 +36,18 @@
 # Shortest and longest time to come back that a refusal tells, in seconds.
 SHORTEST_RETRY_SECONDS = 0.1
 LONGEST_RETRY_SECONDS = 2.0
+# Part of a service's places that late requests may have whatever else comes, and
+# the most they may have while it isn't known what comes.
+LATE_SHARE = 0.125
+UNKNOWN_SHARE = 0.5
 
 
 class Ask(NamedTuple):
     """Describe a request that wants a place until it leaves.
 
     `key` is its own, `until` the moment until which it may wait, `request` the id
-    by which an upstream names it.
+    by which an upstream names it. One that `is_late` can't be answered on time any
+    more, whatever is done.
     """
 
     key: str
@@ -48,6 +59,7 @@
     until: float
     excluded: frozenset[str] = frozenset()
     request: str = ""
+    is_late: bool = False
 
 
 class Grant(NamedTuple):
@@ -74,6 +86,7 @@
     customer: str
     since: float
     is_batch: bool
+    is_late: bool
 
 
 class _Site:
@@ -122,6 +135,7 @@
         self._waiting: list[Ask] = []
         self._places: dict[str, str] = {}
         self._holds: dict[str, float] = {}
+        self._demand = Demand()
 
     # What is known of the upstreams.
 
@@ -202,7 +216,9 @@
 
     def place(self, ask: Ask, now: float) -> Grant | Refusal | None:
         """Place a request, refuse it, or return None while it waits."""
-        grant = self._try_place(ask)
+        if not ask.is_late:
+            self._demand.note(ask.service, now)
+        grant = self._try_place(ask, now)
         if grant is not None:
             return grant
         refusal = self._judge_wait(ask, now)
@@ -244,7 +260,7 @@
         if not late:
             return []
         self._waiting = [ask for ask in self._waiting if ask.until > now]
-        return [self._refuse(ask) for ask in late]
+        return [self._refuse(ask, now) for ask in late]
 
     def find_instance(self, key: str) -> str:
         """Return the instance at which a request has its place, or nothing."""
@@ -312,7 +328,11 @@
         fastest = min(paces, default=0.0)
         return min(sites, key=lambda site: _weigh(site, ask.domain, fastest))
 
-    def _try_place(self, ask: Ask) -> Grant | None:
+    def _try_place(self, ask: Ask, now: float) -> Grant | None:
+        if ask.is_late:
+            late = self._count_late(ask.service)
+            if late >= self._count_late_places(ask.service, now):
+                return None
         site = self._find_room(ask)
         if site is not None:
             self._enter(site, ask, False)
@@ -335,8 +355,25 @@
         self._enter(site, ask, False)
         return Grant(ask, site.instance, key)
 
+    def _count_late(self, service: str) -> int:
+        """Return how many places late requests have."""
+        return sum(
+            run.is_late
+            for site in self._list_sites(service)
+            for run in site.runs.values()
+        )
+
+    def _count_late_places(self, service: str, now: float) -> float:
+        """Return how many places late requests may have."""
+        slots = self.count_slots(service)
+        hold = self._holds.get(service, FIRST_HOLD_SECONDS)
+        left_over = slots - self._demand.measure(service, now) * hold
+        if not self._demand.is_known(now):
+            left_over = min(left_over, slots * UNKNOWN_SHARE)
+        return max(left_over, slots * LATE_SHARE)
+
     def _enter(self, site: _Site, ask: Ask, is_batch: bool) -> None:
-        run = _Run(ask.request, ask.customer, ask.arrived, is_batch)
+        run = _Run(ask.request, ask.customer, ask.arrived, is_batch, ask.is_late)
         site.runs[ask.key] = run
         self._places[ask.key] = site.instance.id
 
@@ -346,54 +383,66 @@
         mean = self._holds.get(service, FIRST_HOLD_SECONDS)
         self._holds[service] = mean + (seconds - mean) * MEAN_SHARE
 
-    def _estimate_wait(self, service: str, ahead: int) -> float:
-        """Return when so many requests that wait will have been placed."""
-        slots = self.count_slots(service)
-        if not slots:
+    def _estimate_wait(self, ask: Ask, ahead: int, now: float) -> float:
+        """Return when a request will be placed with so many ahead of it."""
+        places: float = self.count_slots(ask.service)
+        if not places:
             return LONGEST_RETRY_SECONDS
-        hold = self._holds.get(service, FIRST_HOLD_SECONDS)
-        return (ahead + 1) * hold / slots
+        if ask.is_late:
+            places = self._count_late_places(ask.service, now)
+        hold = self._holds.get(ask.service, FIRST_HOLD_SECONDS)
+        return (ahead + 1) * hold / places
 
     def _judge_wait(self, ask: Ask, now: float) -> Refusal | None:
+        own = _rate(ask)
         ahead = sum(
-            each.service == ask.service and each.rank <= ask.rank
-            for each in self._waiting
+            each.service == ask.service and _rate(each) <= own for each in self._waiting
         )
         has_slots = self.count_slots(ask.service) > 0
-        wait = self._estimate_wait(ask.service, ahead)
+        wait = self._estimate_wait(ask, ahead, now)
         if has_slots and now + wait < ask.until:
             return None
-        return self._refuse(ask)
+        return self._refuse(ask, now)
 
-    def _refuse(self, ask: Ask) -> Refusal:
-        ahead = self.count_waiting(ask.service)
-        wait = self._estimate_wait(ask.service, ahead)
+    def _refuse(self, ask: Ask, now: float) -> Refusal:
+        # Whoever comes back is late then.
+        back = ask._replace(is_late=True)
+        wait = self._estimate_wait(back, self.count_waiting(ask.service), now)
         bounded = min(max(wait, SHORTEST_RETRY_SECONDS), LONGEST_RETRY_SECONDS)
         return Refusal(ask, bounded, self.count_slots(ask.service) == 0)
 
     def _place_waiting(self, now: float) -> list[Grant]:
         """Place what waits, first by rank, then evenly among customers."""
         grants = []
-        blocked: set[str] = set()
+        blocked: set[tuple[str, bool]] = set()
         while True:
-            waiting = [ask for ask in self._waiting if ask.service not in blocked]
+            waiting = [
+                ask
+                for ask in self._waiting
+                if (ask.service, ask.is_late) not in blocked
+            ]
             if not waiting:
                 return grants
             ask = min(waiting, key=self._order)
-            grant = self._try_place(ask)
+            grant = self._try_place(ask, now)
             if grant is None:
-                blocked.add(ask.service)
+                blocked.add((ask.service, ask.is_late))
                 continue
             self._waiting.remove(ask)
             grants.append(grant)
 
-    def _order(self, ask: Ask) -> tuple[int, int, float]:
+    def _order(self, ask: Ask) -> tuple[int, bool, int, float]:
         running = sum(
             run.customer == ask.customer
             for site in self._list_sites(ask.service)
             for run in site.runs.values()
         )
-        return (ask.rank, running, ask.arrived)
+        return (*_rate(ask), running, ask.arrived)
+
+
+def _rate(ask: Ask) -> tuple[int, bool]:
+    """Return what decides first whose turn it is; the lowest goes first."""
+    return (ask.rank, ask.is_late)
 
 
 def _weigh(site: _Site, domain: str, fastest: float) -> float:
--- a/sapphireseam/policy/board_test.py
+++ b/sapphireseam/policy/board_test.py
@@ -54,6 +54,30 @@
         self.fill(5)
         self.assertIsNone(self.board.take_spare(make_ask("b")))
 
+    def test_one_that_can_be_on_time_goes_before_one_that_is_late(self):
+        self.fill(4)
+        self.board.place(make_ask("late", patience=1.0, is_late=True), 0.0)
+        self.board.place(make_ask("fresh", now=0.1), 0.1)
+        (grant,) = self.board.leave("r0", 0.2)
+        self.assertEqual(grant.ask.key, "fresh")
+
+    def test_one_that_is_late_goes_before_one_of_a_lower_rank(self):
+        self.board.update((make_instance("i1"),), 0.0)
+        self.fill(2)
+        late = make_ask("late", rank=0, now=2.0, patience=1.0, is_late=True)
+        self.board.place(late, 2.0)
+        self.board.place(make_ask("fresh", rank=1, now=2.1), 2.1)
+        (grant,) = self.board.leave("r0", 2.2)
+        self.assertEqual(grant.ask.key, "late")
+
+    def test_late_ones_leave_room_for_those_that_can_be_on_time(self):
+        self.board.update((make_instance("i1", 8),), 0.0)
+        for number in range(9):
+            ask = make_ask(f"late{number}", patience=1.0, is_late=True)
+            self.board.place(ask, 0.0)
+        self.assertEqual(self.board.count_running("llm", False), 4)
+        self.assertIsInstance(self.board.place(make_ask("fresh"), 0.0), board.Grant)
+
     def test_what_can_not_be_placed_in_time_is_refused_at_once(self):
         self.fill(4)
         verdict = self.board.place(make_ask("late", patience=0.01), 0.0)
@@ -156,15 +180,25 @@
 
     STEP = 0.01
 
-    def play(self, seconds, rate, hold, batch):
-        """Return (placed, refused, waits) of online requests beside batch work."""
+    def play(self, seconds, rate, hold, batch, back=0, tells=True):
+        """Return (placed, refused, waits) of online requests beside batch work.
+
+        `back` requests that are late already come at once at the beginning; the
+        board is told so with `tells`. Their waits aren't returned.
+        """
         held = board.Board()
         held.update(tuple(make_instance(f"i{n}", 8) for n in range(5)), 0.0)
         ends, waits, refused, placed, number = {}, [], 0, 0, 0
         due = 0.0
+        first = []
+        for count in range(back):
+            ask = make_ask(f"late{count}", patience=1.0, is_late=tells)
+            verdict = held.place(ask, 0.0)
+            if isinstance(verdict, board.Grant):
+                first.append(verdict)
         for tick in range(int(seconds / self.STEP)):
             now = tick * self.STEP
-            grants = []
+            grants, first = first, []
             for key in [key for key, end in ends.items() if end <= now]:
                 del ends[key]
                 grants += held.leave(key, now)
@@ -179,10 +213,12 @@
                 elif verdict is not None:
                     grants.append(verdict)
             for grant in grants:
-                placed += 1
-                waits.append(now - grant.ask.arrived)
                 ends[grant.ask.key] = now + hold
                 ends.pop(grant.evicted, None)
+                if grant.ask.key.startswith("late"):
+                    continue
+                placed += 1
+                waits.append(now - grant.ask.arrived)
             while batch and (grant := held.take_spare(make_ask(f"b{tick}", now=now))):
                 ends[grant.ask.key] = now + 5.0
                 break
@@ -201,6 +237,14 @@
         self.assertGreater(placed, 0.9 * capacity)
         self.assertGreater(refused, 0.4 * capacity)
 
+    def test_a_rush_of_late_callers_makes_few_others_late(self):
+        """After an outage a hundred come back while new ones go on coming."""
+        load = {"seconds": 4.0, "rate": 50.0, "hold": 0.7, "batch": False}
+        placed, _, waits = self.play(**load, back=100)
+        placed_alike, _, _ = self.play(**load, back=100, tells=False)
+        self.assertGreater(placed, placed_alike * 1.3)
+        self.assertLess(max(waits), 0.25)
+
 
 class PropertyTest(unittest.TestCase):
     @given(st.lists(st.tuples(st.integers(0, 3), st.integers(0, 30)), max_size=120))
--- /dev/null
+++ b/sapphireseam/policy/patience_test.py
@@ -0,0 +1,27 @@
+"""Test what is learned of callers' patience."""
+
+import doctest
+import unittest
+
+from sapphireseam.policy import patience
+
+
+class PatienceWatchTest(unittest.TestCase):
+    def test_examples(self):
+        self.assertEqual(doctest.testmod(patience).failed, 0)
+
+    def test_routes_are_kept_apart(self):
+        watch = patience.PatienceWatch()
+        watch.note("slow", 60.0, 0.0)
+        self.assertEqual(watch.note("quick", 1.0, 0.0), 0.0)
+
+    def test_a_patience_that_is_heard_no_more_is_forgotten(self):
+        watch = patience.PatienceWatch()
+        watch.note("r", 15.0, 0.0)
+        later = 2 * patience.MEMORY_SECONDS
+        self.assertEqual(watch.note("r", 5.0, later / 2 + 1), 10.0)
+        self.assertEqual(watch.note("r", 5.0, later + 2), 0.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
