Import what a daemon needs only

Cause: a restart is time in which callers aren't served, and most of it is imports. An entry on the platform imported the control VM's parts (through the settings) and the command line's library (through the start of daemons).

Ruled out: bytecode (the build compiles it), garbage collection (off at start).

Change: a control VM's settings are made in platform/control.py, the options of command lines stand in scripts/option.py.

What is left: aiohttp, pydantic, OpenTelemetry.

--- a/sapphireseam/platform/control.py
+++ b/sapphireseam/platform/control.py
@@ -1,5 +1,7 @@
 """Run a control VM on the platform's storage machines."""
 
+from pathlib import Path
+
 from sapphireseam.control import application as control, desk as desks, placement
 from sapphireseam.core import error
 from sapphireseam.core.instance import Instance
@@ -10,6 +12,25 @@
 from sapphireseam.utils.timer import SystemTimer
 
 
+def make_settings(settings: setting.Settings) -> control.Settings:
+    """Return the product's settings of a control VM."""
+    if settings.data_folder is None:
+        raise error.SettingsError("a control VM needs a data folder")
+    return control.Settings(
+        settings.address,
+        settings.failure_domain,
+        settings.address,
+        f"{settings.ip}:{setting.METRICS_PORT}",
+        Path(settings.data_folder),
+        setting.FLEET_SECRET,
+        tuple(control.Peer(name, name) for name in settings.control),
+        2 * settings.tolerated + 1,
+        settings.is_first_start,
+        settings.label,
+        settings.keep_s,
+    )
+
+
 def build(
     settings: setting.Settings, predecessor_ended: float | None = None
 ) -> Application:
@@ -43,7 +64,7 @@
 
     outside = control.Outside(source, upstreams, probe, stop_run, make_front)
     application = control.build(
-        setting.make_control(settings), timer, outside, predecessor_ended
+        make_settings(settings), timer, outside, predecessor_ended
     )
     application.add(source)
     application.add(reload.Reloader(setting.find_path(), settings, clients[0], timer))
--- a/sapphireseam/platform/setting.py
+++ b/sapphireseam/platform/setting.py
@@ -10,7 +10,6 @@
 
 from pydantic import Field
 
-from sapphireseam.control import application as control
 from sapphireseam.core import error, fleet
 from sapphireseam.policy import spare
 from sapphireseam.utils import setting
@@ -85,22 +84,3 @@
 def read(path: Path) -> Settings:
     """Read the rendered settings."""
     return setting.read(Settings, path)
-
-
-def make_control(settings: Settings) -> control.Settings:
-    """Return the settings of a control VM's program."""
-    if settings.data_folder is None:
-        raise error.SettingsError("a control VM needs a data folder")
-    return control.Settings(
-        settings.address,
-        settings.failure_domain,
-        settings.address,
-        f"{settings.ip}:{METRICS_PORT}",
-        Path(settings.data_folder),
-        FLEET_SECRET,
-        tuple(control.Peer(name, name) for name in settings.control),
-        2 * settings.tolerated + 1,
-        settings.is_first_start,
-        settings.label,
-        settings.keep_s,
-    )
--- a/sapphireseam/platform/setting_test.py
+++ b/sapphireseam/platform/setting_test.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 
 from sapphireseam.core import error
-from sapphireseam.platform import setting
+from sapphireseam.platform import control, setting
 
 RENDERED = {
     "label": "storage-a-1",
@@ -36,7 +36,7 @@
             return setting.read(path)
 
     def test_a_control_vm_gets_what_the_platform_says(self):
-        made = setting.make_control(self.read(RENDERED))
+        made = control.make_settings(self.read(RENDERED))
         self.assertEqual((made.node, made.address), ("10.1.0.10:7660",) * 2)
         self.assertEqual(
             [peer.address for peer in made.peers],
@@ -55,7 +55,7 @@
     def test_a_control_vm_needs_a_disk(self):
         settings = self.read(RENDERED | {"data_folder": None})
         with self.assertRaises(error.SettingsError):
-            setting.make_control(settings)
+            control.make_settings(settings)
 
 
 if __name__ == "__main__":
--- a/sapphireseam/scripts/agent.py
+++ b/sapphireseam/scripts/agent.py
@@ -3,6 +3,7 @@
 import typer
 
 from sapphireseam.agent import application
+from sapphireseam.scripts import option
 from sapphireseam.utils import program
 
 app = typer.Typer(add_completion=False)
@@ -10,7 +11,7 @@
 
 @app.command()
 def agent(
-    settings: program.SettingsOption, version: program.VersionOption = False
+    settings: option.SettingsOption, version: option.VersionOption = False
 ) -> None:
     """Run the process beside one upstream.
 
--- a/sapphireseam/scripts/ctl.py
+++ b/sapphireseam/scripts/ctl.py
@@ -16,8 +16,8 @@
     ctl_job,
     ctl_key,
     ctl_order,
+    option,
 )
-from sapphireseam.utils import program
 
 app = typer.Typer(
     add_completion=False,
@@ -56,7 +56,7 @@
             envvar="SEAM_OPERATOR_KEY_FILE", help="File that holds the operator key."
         ),
     ] = None,
-    version: program.VersionOption = False,
+    version: option.VersionOption = False,
 ) -> None:
     """Operate a fleet: configuration, keys, jobs, orders, members, time line.
 
--- a/sapphireseam/scripts/demo.py
+++ b/sapphireseam/scripts/demo.py
@@ -16,8 +16,9 @@
 
 from sapphireseam.core import message
 from sapphireseam.ops import session
+from sapphireseam.scripts import option
 from sapphireseam.tools import fleet, layout
-from sapphireseam.utils import loop, program
+from sapphireseam.utils import loop
 from sapphireseam.utils.client import ControlClient
 from sapphireseam.utils.timer import SystemTimer
 
@@ -163,7 +164,7 @@
 @app.command()
 def demo(
     folder: Path = typer.Option(None, help="Where settings, data and logs go."),
-    version: program.VersionOption = False,
+    version: option.VersionOption = False,
 ) -> None:
     """Run a small fleet on this machine, use it, and show what came back."""
     target = folder or Path(tempfile.mkdtemp(prefix="seam-demo-"))
--- a/sapphireseam/scripts/load.py
+++ b/sapphireseam/scripts/load.py
@@ -12,6 +12,7 @@
 import typer
 
 from sapphireseam.core import error
+from sapphireseam.scripts import option
 from sapphireseam.tools import load, plan, table
 from sapphireseam.utils import log, loop, program, setting, timer
 
@@ -39,10 +40,10 @@
 def parse_pids(options: list[str]) -> dict[str, int]:
     """Return the pids by name from `name=pid` options."""
     pids = {}
-    for option in options:
-        name, _, number = option.rpartition("=")
+    for item in options:
+        name, _, number = item.rpartition("=")
         if not name or not number.isdigit():
-            raise error.SettingsError(f"pid option {option!r}: expected name=pid")
+            raise error.SettingsError(f"pid option {item!r}: expected name=pid")
         pids[name] = int(number)
     return pids
 
@@ -87,7 +88,7 @@
     output: Annotated[
         Path | None, typer.Option(help="Where to write the JSON report.")
     ] = None,
-    version: program.VersionOption = False,
+    version: option.VersionOption = False,
 ) -> None:
     """Drive a profile at --entry, or compare --direct with --through."""
     try:
--- a/sapphireseam/scripts/local.py
+++ b/sapphireseam/scripts/local.py
@@ -20,7 +20,7 @@
 from sapphireseam.core import error, key
 from sapphireseam.entry import application as entries
 from sapphireseam.ops import session
-from sapphireseam.scripts import upstream as standins
+from sapphireseam.scripts import option, upstream as standins
 from sapphireseam.tools import fleet, layout
 from sapphireseam.utils import log, loop, program, setting
 from sapphireseam.utils.application import Application
@@ -152,7 +152,7 @@
         Path | None, typer.Option(help="A new folder for settings, data and log.")
     ] = None,
     size: Annotated[Size, typer.Option(help="Which fleet to run.")] = Size.SMALL,
-    version: program.VersionOption = False,
+    version: option.VersionOption = False,
 ) -> None:
     """Run a whole fleet in one process, with stand-in upstreams.
 
--- a/sapphireseam/scripts/upstream.py
+++ b/sapphireseam/scripts/upstream.py
@@ -12,6 +12,7 @@
 from pydantic import Field
 
 from sapphireseam.core import error
+from sapphireseam.scripts import option
 from sapphireseam.tools import engine, service, standin
 from sapphireseam.utils import application, log, loop, program, setting, timer
 
@@ -73,7 +74,7 @@
 @app.command()
 def upstream(
     settings: Annotated[Path, typer.Option(help="The JSON settings file.")],
-    version: program.VersionOption = False,
+    version: option.VersionOption = False,
 ) -> None:
     """Run a stand-in model engine or plain service."""
     try:
--- a/sapphireseam/utils/program.py
+++ b/sapphireseam/utils/program.py
@@ -1,4 +1,4 @@
-"""Start a program the same way everywhere: options, settings, logs, loop.
+"""Start a program the same way everywhere: settings, logs, loop.
 
 Every daemon takes one JSON settings file. Wrong settings are listed whole on
 standard error with exit code 2; a program that can't start for another reason
@@ -9,11 +9,8 @@
 import sys
 import time
 from collections.abc import Callable
-from importlib import metadata
 from pathlib import Path
-from typing import Annotated, Any
-
-import typer
+from typing import Any
 
 from sapphireseam.core import error
 from sapphireseam.utils import log, loop, setting
@@ -27,22 +24,6 @@
 logger = logging.getLogger(__name__)
 
 
-def show_version(wanted: bool) -> None:
-    """Print the version and end, as the callback of `--version`."""
-    if wanted:
-        typer.echo(metadata.version("sapphireseam"))
-        raise typer.Exit
-
-
-VersionOption = Annotated[
-    bool,
-    typer.Option(
-        "--version", callback=show_version, is_eager=True, help="Show and exit."
-    ),
-]
-SettingsOption = Annotated[Path, typer.Option(help="The JSON settings file.")]
-
-
 def run_daemon(
     name: str,
     kind: type[Any],
@@ -58,7 +39,7 @@
     try:
         settings = setting.read(kind, path)
     except error.SettingsError as failure:
-        typer.echo(failure.message, err=True)
+        print(failure.message, file=sys.stderr)
         sys.exit(BAD_SETTINGS_EXIT)
     log.configure(name, settings.node)
     while True:
