Stop a lost leader's items although they run here again

Cause: the next leader starts all items at once, and took a run of its own as proof that a run of the same item elsewhere wasn't an orphan.

Ruled out: the report's age (the same ids stood in it for 2 s), stop orders that failed (only 6 were sent).

Change: what is foreign at an instance (not placed there, not left within the last second) and an item of an open lot is stopped there, all at once, and stock is taken as soon as a leader has the list.

Figures: control/lotrunner_test.py (both items run here, one of them at that very instance) stops none before and both foreign runs after.

--- a/sapphireseam/control/lotrunner.py
+++ b/sapphireseam/control/lotrunner.py
@@ -84,7 +84,7 @@
         self._tasks = TaskGroup()
         placement.on_evicted = self._evict
         placement.on_room = self._wake.set
-        placement.find_orphans = self._find_orphans
+        placement.find_items = self._find_items
         machine.subscribe(self._follow)
 
     async def start(self) -> None:
@@ -131,15 +131,15 @@
         if task is not None:
             task.cancel()
 
-    def _find_orphans(self, instance: str, ids: tuple[str, ...]) -> list[str]:
-        """Return the items among these that this leader doesn't run there."""
+    def _find_items(self, ids: list[str]) -> list[str]:
+        """Return those of the requests that are items of open lots."""
         named = set(ids)
         return [
             item.id
             for lot in self._machine.state.lots.values()
             if lot.is_open
-            for number, item in enumerate(lot.items)
-            if item.id in named and _name_run(lot.id, number) not in self._runs
+            for item in lot.items
+            if item.id in named
         ]
 
     async def _look(self) -> None:
--- a/sapphireseam/control/lotrunner_test.py
+++ b/sapphireseam/control/lotrunner_test.py
@@ -198,13 +198,21 @@
         self.assertEqual(self.upstream.runs[-1].headers[fakeupstream.RESUME], "1")
 
     async def test_items_of_a_lost_leader_are_stopped_where_they_run(self):
+        """Both run here by now, one of them at that very instance."""
         instances = (self.upstream.instance, self.other.instance)
+        for upstream in (self.upstream, self.other):
+            upstream.pace = 0.2
         self.placement.take_instances(instances)
-        self.replica.is_leader = False
         await self.accept(2)
-        load = placement.Load(("i1", "somebody's"))
-        await self.placement._stop_orphans(self.upstream.instance, load)
-        self.assertEqual(self.stopped, [("u1", "i1", "u2")])
+        await asyncio.sleep(0.1)
+        board = self.placement.board
+        places = {board.find_instance(f"item/l#{n}"): f"i{n}" for n in range(2)}
+        self.assertEqual(set(places), {"u1", "u2"})
+        self.load = placement.Load(("i0", "i1", "somebody's"))
+        for instance in instances:
+            await self.placement._count_one(instance)
+        expected = {("u1", places["u2"], "u2"), ("u2", places["u1"], "u1")}
+        self.assertEqual(set(self.stopped), expected)
 
     async def test_running_items_have_their_parts_kept(self):
         self.upstream.events = 60
--- a/sapphireseam/control/placement.py
+++ b/sapphireseam/control/placement.py
@@ -6,6 +6,7 @@
 new leader's board is right before it places anything for that entry.
 """
 
+import asyncio
 import logging
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
@@ -93,9 +94,8 @@
         self._owner = owner
         self._probe = probe
         self._stop_run = stop_run
-        # Says which of the requests at an instance nobody waits for any more.
-        self.find_orphans: Callable[[str, tuple[str, ...]], list[str]]
-        self.find_orphans = lambda instance, ids: []
+        # Says which of the requests are items of lots.
+        self.find_items: Callable[[list[str]], list[str]] = lambda ids: []
         self._timer = timer
         self._entries: dict[int, _Entry] = {}
         self._next_session = 0
@@ -143,6 +143,7 @@
             self._term = self._replica.term
             for instance in instances:
                 self._stock[instance.id] = now + STOCK_SECONDS
+            self._tasks.spawn(self._take_stock())
         self._send(self.board.update(instances, now))
         self._tell_view()
         self.on_room()
@@ -347,17 +348,22 @@
         self._send(self.board.note_load(instance.id, load.ids, now))
         self.on_room()
         if self._replica.is_leader:
-            await self._stop_orphans(instance, load)
+            await self._stop_orphans(instance, foreign)
 
-    async def _stop_orphans(self, instance: Instance, load: Load) -> None:
-        """Stop what a lost leader had running there."""
+    async def _stop_orphans(self, instance: Instance, foreign: list[str]) -> None:
+        """Stop the items that a lost leader has running there.
+
+        Such an item runs here as well, or will: its other run brings nobody
+        anything. What entries placed is theirs to end.
+        """
         other = self.board.find_freest(instance.service, instance.id)
-        if other is None:
+        orphans = self.find_items(foreign)
+        if other is None or not orphans:
             return
-        for request in self.find_orphans(instance.id, load.ids):
-            detail = {"request": request, "upstream": instance.id}
-            logger.info("orphan stopped", extra=detail)
-            await self._stop_run(instance, request, other)
+        detail = {"requests": orphans, "upstream": instance.id}
+        logger.info("orphans stopped", extra=detail)
+        stops = [self._stop_run(instance, request, other) for request in orphans]
+        await asyncio.gather(*stops)
 
     # What entries are told.
 
