--- a/sapphireseam/utils/application.py
+++ b/sapphireseam/utils/application.py
@@ -12,6 +12,8 @@
 from collections.abc import Coroutine
 from typing import Any, Protocol
 
+from sapphireseam.utils import startup
+
 logger = logging.getLogger(__name__)
 
 
@@ -87,7 +89,8 @@
         except BaseException:
             await self.stop()
             raise
-        logger.info("started", extra={"program": self.name})
+        took = round(startup.measure(), 3)
+        logger.info("started", extra={"program": self.name, "took": took})
 
     async def stop(self) -> None:
         """Stop the parts that run, last started first."""
--- a/sapphireseam/utils/startup.py
+++ b/sapphireseam/utils/startup.py
@@ -8,3 +8,8 @@
 
 # By the clock that `SystemTimer` reads, in seconds.
 BEGAN = time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def measure() -> float:
+    """Return the seconds since this process began."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME) - BEGAN
