Count places by service as they are taken; a wait is no hold

Cause: each placement counted all runs at all upstreams several times, for the log and for the order of those that wait. And the time a request waited for its place counted as time in it, which late requests, who wait for longer, would make wrong: the more wait, the fewer places they were given and the later all were told to come back.

Change: upstreams are indexed by service, each counts its batch and late runs, the board its online runs by customer (policy/site.py takes that from the board); a run begins when it is placed. Batch runs of a customer don't count any more against its online requests.

--- a/sapphireseam/policy/board.py
+++ b/sapphireseam/policy/board.py
@@ -17,22 +17,17 @@
 sends: callers ask, and are told what became placed.
 """
 
+from collections import Counter
 from typing import NamedTuple
 
 from sapphireseam.core.instance import Instance
 from sapphireseam.policy.demand import Demand
+from sapphireseam.policy.site import Run, Site, weigh
 
 # Share of a new measurement in the running means.
 MEAN_SHARE = 0.1
 # What a place is taken to be held for before any was measured, in seconds.
 FIRST_HOLD_SECONDS = 0.5
-# How much slower than the fastest an upstream may seem at the most.
-SLOWEST_FACTOR = 8.0
-# How old what an upstream says of itself may be, and how long it may take to drop
-# a request whose connection was closed, together, in seconds.
-REPORT_SECONDS = 1.0
-# Load that a place in another failure domain counts more, in places.
-DISTANCE_PLACES = 0.3
 # Shortest and longest time to come back that a refusal tells, in seconds.
 SHORTEST_RETRY_SECONDS = 0.1
 LONGEST_RETRY_SECONDS = 2.0
@@ -81,57 +76,14 @@
     has_none: bool
 
 
-class _Run(NamedTuple):
-    request: str
-    customer: str
-    since: float
-    is_batch: bool
-    is_late: bool
-
-
-class _Site:
-    """Count what runs at one instance."""
-
-    def __init__(self, instance: Instance):
-        self.instance = instance
-        self.runs: dict[str, _Run] = {}
-        self.benched = False
-        self.pace = 0.0
-        # Work that nobody here has placed, such as a lost leader's.
-        self.foreign = 0
-        # When the requests left that an upstream may still name.
-        self._left: dict[str, float] = {}
-
-    @property
-    def is_usable(self) -> bool:
-        return not self.benched and not self.instance.is_leaving
-
-    def remove(self, key: str, now: float) -> _Run | None:
-        """Take a run away; return it if it was there."""
-        run = self.runs.pop(key, None)
-        if run is not None:
-            old = [id for id, at in self._left.items() if at < now - REPORT_SECONDS]
-            for id in old:
-                del self._left[id]
-            self._left[run.request] = now
-        return run
-
-    def list_foreign(self, ids: tuple[str, ...], now: float) -> list[str]:
-        """Return those of the requests that it works on that nobody here placed."""
-        own = {run.request for run in self.runs.values()}
-        own.update(id for id, at in self._left.items() if at >= now - REPORT_SECONDS)
-        return [id for id in ids if id not in own]
-
-    @property
-    def room(self) -> int:
-        return self.instance.slots - len(self.runs) - self.foreign
-
-
 class Board:
     """Count places at all upstreams and the requests that wait for one."""
 
     def __init__(self):
-        self._sites: dict[str, _Site] = {}
+        self._sites: dict[str, Site] = {}
+        self._by_service: dict[str, list[Site]] = {}
+        # Online requests with a place, by service and customer.
+        self._online: Counter[tuple[str, str]] = Counter()
         self._waiting: list[Ask] = []
         self._places: dict[str, str] = {}
         self._holds: dict[str, float] = {}
@@ -145,16 +97,28 @@
         for instance in instances:
             held = before.get(instance.id)
             if held is None or held.instance.born != instance.born:
-                self._sites[instance.id] = _Site(instance)
+                self._sites[instance.id] = Site(instance)
                 continue
             held.instance = instance
             self._sites[instance.id] = held
+        self._index()
         for key, name in list(self._places.items()):
             site = self._sites.get(name)
             if site is None or key not in site.runs:
                 del self._places[key]
         return self._place_waiting(now)
 
+    def _index(self) -> None:
+        """Bring what is counted by service in line with the instances."""
+        self._by_service = {}
+        self._online.clear()
+        for site in self._sites.values():
+            service = site.instance.service
+            self._by_service.setdefault(service, []).append(site)
+            for run in site.runs.values():
+                if not run.is_batch:
+                    self._online[service, run.customer] += 1
+
     @property
     def instances(self) -> tuple[Instance, ...]:
         """Return all known instances."""
@@ -212,7 +176,7 @@
         """Count a request that was placed by somebody else."""
         site = self._sites.get(name)
         if site is not None:
-            self._enter(site, ask, False)
+            self._enter(site, ask, False, ask.arrived)
 
     def place(self, ask: Ask, now: float) -> Grant | Refusal | None:
         """Place a request, refuse it, or return None while it waits."""
@@ -239,7 +203,7 @@
         site = self._find_room(ask)
         if site is None:
             return None
-        self._enter(site, ask, True)
+        self._enter(site, ask, True, ask.arrived)
         return Grant(ask, site.instance)
 
     def leave(self, key: str, now: float) -> list[Grant]:
@@ -251,7 +215,9 @@
             return []
         run = site.remove(key, now)
         if run is not None and not run.is_batch:
-            self._note_hold(site.instance.service, now - run.since)
+            service = site.instance.service
+            self._online[service, run.customer] -= 1
+            self._note_hold(service, now - run.since)
         return self._place_waiting(now)
 
     def expire(self, now: float) -> list[Refusal]:
@@ -268,11 +234,9 @@
 
     def count_running(self, service: str, is_batch: bool) -> int:
         """Return how many places of a service are taken by one kind of work."""
-        return sum(
-            run.is_batch == is_batch
-            for site in self._list_sites(service)
-            for run in site.runs.values()
-        )
+        sites = self._list_sites(service)
+        batch = sum(site.batch for site in sites)
+        return batch if is_batch else sum(len(site.runs) for site in sites) - batch
 
     def count_waiting(self, service: str) -> int:
         """Return how many requests wait for a place of a service."""
@@ -295,92 +259,80 @@
         return max(sites, key=lambda site: (site.is_usable, site.room)).instance
 
     def describe(self, service: str) -> dict[str, str]:
-        """Return each upstream's load, for the log.
-
-        An entry reads `online+batch+foreign/slots`, with a mark for one that is
-        leaving or benched.
-        """
-        described = {}
-        for site in self._list_sites(service):
-            batch = sum(run.is_batch for run in site.runs.values())
-            online = len(site.runs) - batch
-            mark = " leaving" if site.instance.is_leaving else ""
-            mark += " benched" if site.benched else ""
-            load = f"{online}+{batch}+{site.foreign}/{site.instance.slots}"
-            described[site.instance.id] = load + mark
-        return described
+        """Return each upstream's load, for the log; see `Site.describe`."""
+        sites = self._list_sites(service)
+        return {site.instance.id: site.describe() for site in sites}
 
     # How a place is found.
 
-    def _list_sites(self, service: str) -> list[_Site]:
-        return [s for s in self._sites.values() if s.instance.service == service]
+    def _list_sites(self, service: str) -> list[Site]:
+        return self._by_service.get(service, [])
 
-    def _list_fit(self, ask: Ask) -> list[_Site]:
+    def _list_fit(self, ask: Ask) -> list[Site]:
         sites = [s for s in self._list_sites(ask.service) if s.is_usable]
         fit = [s for s in sites if s.instance.id not in ask.excluded]
         return fit or sites
 
-    def _find_room(self, ask: Ask) -> _Site | None:
+    def _find_room(self, ask: Ask) -> Site | None:
         sites = [site for site in self._list_fit(ask) if site.room > 0]
         if not sites:
             return None
         paces = [site.pace for site in sites if site.pace]
         fastest = min(paces, default=0.0)
-        return min(sites, key=lambda site: _weigh(site, ask.domain, fastest))
+        return min(sites, key=lambda site: weigh(site, ask.domain, fastest))
 
     def _try_place(self, ask: Ask, now: float) -> Grant | None:
         if ask.is_late:
-            late = self._count_late(ask.service)
+            late = sum(site.late for site in self._list_sites(ask.service))
             if late >= self._count_late_places(ask.service, now):
                 return None
         site = self._find_room(ask)
         if site is not None:
-            self._enter(site, ask, False)
+            self._enter(site, ask, False, now)
             return Grant(ask, site.instance)
-        return self._evict_for(ask)
+        return self._evict_for(ask, now)
 
-    def _evict_for(self, ask: Ask) -> Grant | None:
+    def _evict_for(self, ask: Ask, now: float) -> Grant | None:
         """Take the place of the batch work that began last."""
         candidates = [
             (run.since, key, site)
             for site in self._list_fit(ask)
+            if site.batch
             for key, run in site.runs.items()
             if run.is_batch
         ]
         if not candidates:
             return None
         _, key, site = max(candidates, key=lambda item: item[:2])
-        site.remove(key, ask.arrived)
+        site.remove(key, now)
         self._places.pop(key, None)
-        self._enter(site, ask, False)
+        self._enter(site, ask, False, now)
         return Grant(ask, site.instance, key)
 
-    def _count_late(self, service: str) -> int:
-        """Return how many places late requests have."""
-        return sum(
-            run.is_late
-            for site in self._list_sites(service)
-            for run in site.runs.values()
-        )
-
     def _count_late_places(self, service: str, now: float) -> float:
         """Return how many places late requests may have."""
         slots = self.count_slots(service)
-        hold = self._holds.get(service, FIRST_HOLD_SECONDS)
+        hold = self.measure_hold(service)
         left_over = slots - self._demand.measure(service, now) * hold
         if not self._demand.is_known(now):
             left_over = min(left_over, slots * UNKNOWN_SHARE)
         return max(left_over, slots * LATE_SHARE)
 
-    def _enter(self, site: _Site, ask: Ask, is_batch: bool) -> None:
-        run = _Run(ask.request, ask.customer, ask.arrived, is_batch, ask.is_late)
-        site.runs[ask.key] = run
+    def _enter(self, site: Site, ask: Ask, is_batch: bool, now: float) -> None:
+        run = Run(ask.request, ask.customer, now, is_batch, ask.is_late)
+        site.enter(ask.key, run)
         self._places[ask.key] = site.instance.id
+        if not is_batch:
+            self._online[site.instance.service, ask.customer] += 1
 
     # Who waits, and for how long.
 
+    def measure_hold(self, service: str) -> float:
+        """Return the seconds for which an online request has its place."""
+        return self._holds.get(service, FIRST_HOLD_SECONDS)
+
     def _note_hold(self, service: str, seconds: float) -> None:
-        mean = self._holds.get(service, FIRST_HOLD_SECONDS)
+        mean = self.measure_hold(service)
         self._holds[service] = mean + (seconds - mean) * MEAN_SHARE
 
     def _estimate_wait(self, ask: Ask, ahead: int, now: float) -> float:
@@ -390,7 +342,7 @@
             return LONGEST_RETRY_SECONDS
         if ask.is_late:
             places = self._count_late_places(ask.service, now)
-        hold = self._holds.get(ask.service, FIRST_HOLD_SECONDS)
+        hold = self.measure_hold(ask.service)
         return (ahead + 1) * hold / places
 
     def _judge_wait(self, ask: Ask, now: float) -> Refusal | None:
@@ -432,23 +384,10 @@
             grants.append(grant)
 
     def _order(self, ask: Ask) -> tuple[int, bool, int, float]:
-        running = sum(
-            run.customer == ask.customer
-            for site in self._list_sites(ask.service)
-            for run in site.runs.values()
-        )
+        running = self._online[ask.service, ask.customer]
         return (*_rate(ask), running, ask.arrived)
 
 
 def _rate(ask: Ask) -> tuple[int, bool]:
     """Return what decides first whose turn it is; the lowest goes first."""
     return (ask.rank, ask.is_late)
-
-
-def _weigh(site: _Site, domain: str, fastest: float) -> float:
-    """Return how loaded an upstream would seem to one more request."""
-    slowness = 1.0
-    if site.pace and fastest:
-        slowness = min(site.pace / fastest, SLOWEST_FACTOR)
-    distance = 0.0 if site.instance.domain == domain else DISTANCE_PLACES
-    return (len(site.runs) + site.foreign + 1 + distance) * slowness
--- a/sapphireseam/policy/board_test.py
+++ b/sapphireseam/policy/board_test.py
@@ -5,7 +5,7 @@
 from hypothesis import given, strategies as st
 
 from sapphireseam.core.instance import Instance
-from sapphireseam.policy import board
+from sapphireseam.policy import board, site
 
 
 def make_instance(name, slots=2, domain="a", **fields):
@@ -41,6 +41,14 @@
         (grant,) = self.board.leave("r0", 0.1)
         self.assertEqual(grant.ask.key, "late")
 
+    def test_the_wait_for_a_place_is_no_time_in_it(self):
+        self.fill(4)
+        self.board.place(make_ask("w", patience=9.0), 0.0)
+        self.board.leave("r0", 5.0)
+        before = self.board.measure_hold("llm")
+        self.board.leave("w", 5.1)
+        self.assertLess(self.board.measure_hold("llm"), before)
+
     def test_online_work_takes_the_place_of_the_newest_batch_work(self):
         self.board.take_spare(make_ask("b-old", now=0.0))
         for number in range(3):
@@ -165,7 +173,7 @@
     def test_what_left_long_ago_and_still_runs_is_foreign(self):
         self.board.place(make_ask("r0", request="q0"), 0.0)
         self.board.leave("r0", 1.0)
-        self.board.note_load("i1", ("q0", "q0"), 1.0 + 2 * board.REPORT_SECONDS)
+        self.board.note_load("i1", ("q0", "q0"), 1.0 + 2 * site.REPORT_SECONDS)
         names = [grant.instance.id for grant in self.fill(2)]
         self.assertEqual(names, ["i2", "i2"])
 
