--- a/sapphireseam/platform/front.py
+++ b/sapphireseam/platform/front.py
@@ -1,6 +1,7 @@
 """Take the platform's clients at an edge machine, and its readiness questions."""
 
 import logging
+import math
 
 from aiohttp import web
 
@@ -9,7 +10,7 @@
 from sapphireseam.entry.carrier import Call
 from sapphireseam.entry.discovery import Desk
 from sapphireseam.platform import answer, batch, dialect
-from sapphireseam.policy import patience
+from sapphireseam.policy.patience import PatienceWatch
 from sapphireseam.utils import probe
 
 logger = logging.getLogger(__name__)
@@ -33,7 +34,7 @@
         self._ready = ready
         self._grace = grace
         self._batch = batch.BatchFront(desk)
-        self._patience = patience.PatienceWatch()
+        self._callers_patience = PatienceWatch()
         self._is_closing = False
         self._runners: list[web.ServerRunner] = []
 
@@ -106,13 +107,13 @@
         host = request.headers.get("Host", "")
         text = dialect.read_key(request.headers)
         admitted = await self._desk.reception.admit(host, request.path, text)
-        limit = self._desk.reception.bounds.body_bytes
-        body = await asks.read_body(request, limit)
+        body = await asks.read_body(request, self._desk.reception.bounds.body_bytes)
         if admitted.route.batch is not None:
             return await self._batch.accept(admitted, attempt, body)
         if not attempt:
             raise error.RequestError(f"the header {dialect.ATTEMPT} is missing")
-        seconds = _read_limit(request, admitted.route.timeout)
+        patience = _read_patience(request)
+        limit = admitted.route.timeout
         call = Call(
             attempt,
             admitted.customer,
@@ -125,12 +126,18 @@
             dialect.strip_request(request.headers),
             body,
             arrived,
-            arrived + seconds,
+            arrived + (limit if patience is None else min(patience, limit)),
             _read_resumption(request),
-            self._patience.note(admitted.route_name, seconds, arrived),
+            self._measure_waited(admitted.route_name, patience, arrived),
         )
         return await self._carry(request, call)
 
+    def _measure_waited(self, route: str, patience: float | None, now: float) -> float:
+        """Return how long a caller had waited before it came, as far as known."""
+        if patience is None:
+            return 0.0
+        return self._callers_patience.note(route, patience, now)
+
     async def _carry(self, request: web.BaseRequest, call: Call) -> web.StreamResponse:
         sink = answer.ClientSink(request, call.route.streamed)
         sink.is_closing = self._is_closing
@@ -150,14 +157,18 @@
         return sink.response
 
 
-def _read_limit(request: web.BaseRequest, timeout: float) -> float:
-    """Return how many seconds a request may take."""
+def _read_patience(request: web.BaseRequest) -> float | None:
+    """Return for how many seconds the client waits, or None if it doesn't say."""
     text = request.headers.get(dialect.DEADLINE, "")
+    if not text:
+        return None
     try:
-        given = float(text) / dialect.MILLISECONDS if text else timeout
+        milliseconds = float(text)
     except ValueError:
-        raise error.RequestError(f"{dialect.DEADLINE} is no number") from None
-    return min(given, timeout)
+        milliseconds = math.nan
+    if not math.isfinite(milliseconds):
+        raise error.RequestError(f"{dialect.DEADLINE} is no number")
+    return milliseconds / dialect.MILLISECONDS
 
 
 def _read_resumption(request: web.BaseRequest) -> int:
--- a/sapphireseam/platform/front_test.py
+++ b/sapphireseam/platform/front_test.py
@@ -108,6 +108,22 @@
         async with self.http.post(self.base + path, data=data, headers=sent) as answer:
             return answer.status, await answer.read(), answer.headers
 
+    async def test_a_caller_that_comes_again_is_known_by_its_patience(
+        self,
+    ):
+        await self.post(X_Deadline_Ms="4000")
+        await self.post(X_Deadline_Ms="3000")
+        waited = [call.waited for call in self.carrier.calls]
+        self.assertEqual(waited, [0.0, 1.0])
+
+    async def test_a_shorter_limit_of_the_route_makes_nobody_late(self):
+        await self.post(X_Deadline_Ms="4000")
+        self.reception.route = ROUTE._replace(timeout=1.0)
+        await self.post(X_Deadline_Ms="4000")
+        await self.post()
+        waited = [call.waited for call in self.carrier.calls]
+        self.assertEqual(waited, [0.0, 0.0, 0.0])
+
     async def test_a_stream_comes_back_signed(self):
         status, body, headers = await self.post(X_Deadline_Ms="1500")
         self.assertEqual((status, body), (200, b"id: 0\n\n"))
@@ -155,7 +171,8 @@
         self.assertEqual((await self.post(data=b"x" * 1001))[0], 413)
 
     async def test_bad_headers(self):
-        self.assertEqual((await self.post(X_Deadline_Ms="soon"))[0], 400)
+        for text in ("soon", "nan", "inf"):
+            self.assertEqual((await self.post(X_Deadline_Ms=text))[0], 400)
         self.assertEqual((await self.post(X_Attempt_Id=""))[0], 400)
 
     async def test_a_broken_stream_does_not_look_whole(self):
--- /dev/null
+++ b/sapphireseam/tools/proxy_test.py
@@ -0,0 +1,99 @@
+"""Test that a harmed link behaves as a harmed network does."""
+
+import asyncio
+import unittest
+
+from sapphireseam.tools import layout, proxy
+
+
+class ProxyTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        near, far = (f"{layout.HOST}:{port}" for port in layout.find_ports(2))
+        host, port = far.rsplit(":", 1)
+        self.server = await asyncio.start_server(self.echo, host, int(port))
+        self.proxy = proxy.Proxy(near, far)
+        await self.proxy.start()
+
+    async def asyncTearDown(self):
+        await self.proxy.stop()
+        # The echo's own tasks see their connections end.
+        await asyncio.sleep(0.05)
+        self.server.close()
+
+    async def echo(self, reader, writer):
+        try:
+            while data := await reader.read(100):
+                writer.write(data)
+        except ConnectionError:
+            return
+        finally:
+            writer.close()
+
+    async def connect(self):
+        host, port = self.proxy.address.rsplit(":", 1)
+        reader, writer = await asyncio.open_connection(host, int(port))
+        self.addCleanup(writer.close)
+        return reader, writer
+
+    async def expect(self, reader, text, seconds=5.0):
+        async with asyncio.timeout(seconds):
+            self.assertEqual(await reader.readexactly(len(text)), text)
+
+    async def expect_nothing(self, reader):
+        with self.assertRaises(TimeoutError):
+            async with asyncio.timeout(0.2):
+                await reader.read(1)
+
+    async def test_a_healthy_link_passes_everything_and_the_end(self):
+        reader, writer = await self.connect()
+        writer.write(b"one")
+        await self.expect(reader, b"one")
+        writer.write_eof()
+        self.assertEqual(await reader.read(), b"")
+
+    async def test_silence_holds_bytes_back_until_the_link_is_well(self):
+        for kind in (
+            proxy.Harm.SILENT,
+            proxy.Harm.SILENT_THERE,
+            proxy.Harm.SILENT_BACK,
+        ):
+            with self.subTest(kind):
+                reader, writer = await self.connect()
+                writer.write(b"one")
+                await self.expect(reader, b"one")
+                self.proxy.harm(kind)
+                writer.write(b"two")
+                await self.expect_nothing(reader)
+                self.proxy.harm(proxy.Harm.NONE)
+                await self.expect(reader, b"two")
+
+    async def test_a_new_connection_to_a_silent_link_hears_nothing(self):
+        self.proxy.harm(proxy.Harm.SILENT)
+        reader, writer = await self.connect()
+        writer.write(b"one")
+        await self.expect_nothing(reader)
+        self.proxy.harm(proxy.Harm.NONE)
+        await self.expect(reader, b"one")
+
+    async def test_a_reset_ends_open_connections_and_new_ones_work(self):
+        reader, writer = await self.connect()
+        writer.write(b"one")
+        await self.expect(reader, b"one")
+        self.proxy.reset()
+        with self.assertRaises(ConnectionError):
+            async with asyncio.timeout(5.0):
+                await reader.readexactly(1)
+        reader, writer = await self.connect()
+        writer.write(b"two")
+        await self.expect(reader, b"two")
+
+    async def test_nobody_behind_it_ends_the_connection(self):
+        self.server.close()
+        await self.server.wait_closed()
+        reader, _ = await self.connect()
+        async with asyncio.timeout(5.0):
+            self.assertEqual(await reader.read(), b"")
+
+
+if __name__ == "__main__":
+    unittest.main()
