--- a/sapphireseam/tools/soak_test.py
+++ b/sapphireseam/tools/soak_test.py
@@ -1,7 +1,7 @@
 """Play a short soak of one seed, and test what a seed draws.
 
-Seeds that ever failed stand in `FAILED_SEEDS`, each with its cause, and are played
-again by hand: python -m sapphireseam.tools.soak --seed N (docs/measure/soak.md).
+Seeds that showed a fault of the product are listed with their causes in
+docs/measure/soak.md and get a test here each; there is none so far.
 """
 
 import asyncio
