Log how an answer was framed and how its connection ended

Three explanations fit: the reset of the connection is taken for the end of a body that has neither length nor chunks; the upstream closed before the first event; or the rest after the last whole event was dropped.

Change: "request answered" and "attempt failed" tell the framing of the answer, its bytes and events, and whether its connection is open, was closed or was reset. No decision depends on it yet. The tests of outbound and direct pass.

--- a/sapphireseam/entry/direct.py
+++ b/sapphireseam/entry/direct.py
@@ -86,6 +86,15 @@
         self.is_counted = False
         self.has_begun = False
         self.last_event = resume_after
+        # Events that were passed on, over all attempts.
+        self.events = 0
+        # The answer of the newest attempt.
+        self.answer: outbound.Answer | None = None
+
+    def describe(self) -> dict[str, object]:
+        """Return what was received, for the log."""
+        answer = self.answer.describe() if self.answer is not None else {}
+        return {"runs": self.runs, "events": self.events, **answer}
 
 
 class _EventInterval:
@@ -179,7 +188,7 @@
                 "route": request.route_name,
                 "upstream": instance.id,
                 "offers": progress.offers,
-                "runs": progress.runs,
+                **progress.describe(),
                 "took": round(self._timer.read_clock() - request.arrived, 3),
             },
         )
@@ -235,7 +244,7 @@
                 "upstream": instance.id,
                 "cause": str(failure),
                 "not_run": failure.is_not_run,
-                "runs": progress.runs,
+                **progress.describe(),
             },
         )
         progress.excluded.add(instance.id)
@@ -272,6 +281,7 @@
         )
         # The request counts as run unless the failure proves that it did not run.
         progress.runs += 1
+        progress.answer = None
         silence_timer = asyncio.get_running_loop().call_later(
             _get_answer_timeout(request.route),
             self._placer.report_silent,
@@ -282,6 +292,7 @@
             exchange = self._upstreams.send(outgoing, slot.instance, silence_limit)
             async with exchange as answer:
                 silence_timer.cancel()
+                progress.answer = answer
                 await self._deliver_answer(
                     request, progress, answer, sink, interval, silence_limit
                 )
@@ -356,6 +367,7 @@
             if not new_events:
                 continue
             interval.record(len(new_events), self._timer.read_clock())
+            progress.events += len(new_events)
             if not progress.has_begun:
                 progress.has_begun = True
                 await sink.begin(answer.head.status, answer.head.headers)
--- a/sapphireseam/utils/outbound.py
+++ b/sapphireseam/utils/outbound.py
@@ -19,7 +19,7 @@
 from multidict import CIMultiDictProxy
 
 from sapphireseam.core import instance as instances
-from sapphireseam.utils import event
+from sapphireseam.utils import event, framing
 
 logger = logging.getLogger(__name__)
 
@@ -114,10 +114,19 @@
 class Answer:
     """An answer whose body can be read in parts or at once."""
 
-    def __init__(self, head: Head, response: aiohttp.ClientResponse):
+    def __init__(self, head: Head, response: framing.FramedResponse):
         self.head = head
+        self._received = 0
         self._response = response
 
+    def describe(self) -> dict[str, object]:
+        """Return how the body is framed, the bytes read of it and its end."""
+        return {
+            "framing": str(self._response.framing),
+            "bytes": self._received,
+            "connection": str(self._response.connection_end),
+        }
+
     async def read_some(self, timeout: float | None = None) -> bytes:
         """Return the next bytes, or empty bytes at the end of a complete body.
 
@@ -126,7 +135,7 @@
         """
         try:
             async with asyncio.timeout(timeout):
-                return await self._response.content.readany()
+                data = await self._response.content.readany()
         except TimeoutError:
             raise AnswerTimeoutError(
                 f"nothing received for {timeout:.1f} s", False
@@ -134,6 +143,8 @@
         except (aiohttp.ClientError, OSError) as failure:
             text = f"the answer ended early: {type(failure).__name__}"
             raise OutboundError(text, False) from None
+        self._received += len(data)
+        return data
 
     async def read_all(self, limit: int, timeout: float | None = None) -> bytes:
         """Return the complete body; raise if it ends early or exceeds `limit` bytes."""
@@ -197,6 +208,7 @@
                 timeout=timeout,
                 auto_decompress=False,
                 cookie_jar=aiohttp.DummyCookieJar(),
+                response_class=framing.FramedResponse,
                 skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
             )
             self._sessions[address] = session
@@ -254,7 +266,7 @@
 
     async def _open(
         self, request: Outgoing, instance: instances.Instance
-    ) -> aiohttp.ClientResponse:
+    ) -> framing.FramedResponse:
         url = yarl.URL(f"http://{instance.address}{request.target}", encoded=True)
         headers = self._dialect.render(request, instance)
         try:
@@ -272,7 +284,7 @@
             text = f"no answer: {type(failure).__name__}"
             raise OutboundError(text, False) from None
 
-    def _read_head(self, request: Outgoing, response: aiohttp.ClientResponse) -> Head:
+    def _read_head(self, request: Outgoing, response: framing.FramedResponse) -> Head:
         headers = response.headers
         id = self._dialect.read_id(headers)
         is_not_run = self._dialect.is_not_run(response.status, headers)
