Show that broken off answers without length or chunks end as complete

A stream whose connection is reset between two events, or ends before its first event, is passed on as complete by the entry, is not resumed where that is allowed, and completes an item of a bulk job with a part of its output. The agent and the connection pool read the reset of any such answer as its end. In the other direction, a caller that speaks HTTP/1.0 gets an answer that ends with its connection, and a broken off answer closes it in order.

--- /dev/null
+++ b/sapphireseam/agent/engine_test.py
@@ -0,0 +1,41 @@
+"""Test when the agent's upstream client takes an answer as complete."""
+
+import asyncio
+import unittest
+
+from sapphireseam.agent import engine
+from sapphireseam.core import exchange
+from sapphireseam.utils import fakeupstream
+from sapphireseam.utils.timer import SystemTimer
+
+
+class UpstreamClientTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.upstream = fakeupstream.FakeUpstream("u1")
+        self.upstream.event_delay = 0.01
+        await self.upstream.start()
+        self.addAsyncCleanup(self.upstream.stop)
+        self.client = engine.UpstreamClient("u1", SystemTimer())
+        self.client.set_address(self.upstream.instance.address)
+        await self.client.start()
+        self.addAsyncCleanup(self.client.stop)
+
+    async def read(self, behaviour):
+        await asyncio.sleep(0.05)
+        self.upstream.behaviours = [behaviour]
+        answer = self.client.run("POST", "/x", (), b"b")
+        parts = [item async for item in answer]
+        return b"".join(item.body for item in parts if isinstance(item, exchange.Data))
+
+    async def test_an_unframed_answer_ends_with_its_connection(self):
+        self.assertEqual((await self.read("unframed")).count(b"data"), 4)
+
+    async def test_an_unframed_answer_whose_connection_is_reset_is_not_complete(self):
+        with self.assertRaises(engine.UpstreamError) as caught:
+            await self.read("unframed-reset")
+        self.assertTrue(caught.exception.broken)
+        self.assertFalse(caught.exception.not_run)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/sapphireseam/control/bulkrunner_test.py
+++ b/sapphireseam/control/bulkrunner_test.py
@@ -132,6 +132,16 @@
         self.assertEqual((run.body, run.headers["H"]), (b"body", "v"))
         self.assertEqual(self.placement.allocator.count_running("llm", True), 0)
 
+    async def test_output_of_an_unframed_stream_that_breaks_off_is_completed(self):
+        for behaviour in ("unframed-cut", "unframed-empty", "unframed-reset"):
+            with self.subTest(behaviour):
+                self.upstream.event_delay = 0.01
+                self.upstream.behaviours = [behaviour]
+                await self.accept()
+                results = await self.wait_done()
+                self.assertEqual(results[0].output, self.expect_output(b"i0"))
+                del self.machine.state.lots["l"]
+
     async def test_disconnected_item_resumes_after_its_last_event(self):
         self.upstream.behaviours = ["cut"]
         await self.accept()
--- a/sapphireseam/entry/direct_test.py
+++ b/sapphireseam/entry/direct_test.py
@@ -131,6 +131,25 @@
         self.assertFalse(self.sink.is_complete)
         self.assertEqual(self.count_runs(), [1, 0])
 
+    async def test_an_unframed_stream_is_passed_on(self):
+        await self.serve(STREAM, "unframed")
+        self.check_events()
+
+    async def test_an_unframed_stream_that_breaks_off_is_never_ended_as_complete(self):
+        for behaviour in ("unframed-cut", "unframed-empty", "unframed-reset"):
+            with self.subTest(behaviour):
+                self.sink = FakeSink()
+                await self.expect(error.Kind.OUTCOME_UNKNOWN, STREAM, behaviour)
+                self.assertFalse(self.sink.is_complete)
+
+    async def test_an_unframed_stream_that_breaks_off_continues_elsewhere(self):
+        for behaviour in ("unframed-cut", "unframed-empty", "unframed-reset"):
+            with self.subTest(behaviour):
+                self.sink = FakeSink()
+                self.upstreams[0].event_delay = 0.01
+                await self.serve(RESUMABLE, behaviour)
+                self.check_events()
+
     async def test_a_refusal_of_the_upstream_does_not_count_as_a_run(self):
         for route in (STREAM, RESUMABLE, SAFE, UNSAFE):
             self.sink = FakeSink()
--- a/sapphireseam/entry/gateway_test.py
+++ b/sapphireseam/entry/gateway_test.py
@@ -112,6 +112,22 @@
         async with self.http.post(self.base + path, json={"model": "m"}) as answer:
             self.assertNotEqual(answer.status, 404)
 
+    async def test_caller_without_chunks_detects_a_broken_stream(self):
+        async def break_off(request, sink, stopped):
+            await sink.begin(200, (("Content-Type", "text/event-stream"),))
+            await sink.write(b"data: 1\n\n")
+            raise error.OutcomeError("cut")
+
+        self.forwarder.answer = break_off
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        self.addCleanup(writer.close)
+        key_line = f"Authorization: Bearer {self.secret.text}\r\n".encode()
+        writer.write(
+            b"POST /post HTTP/1.0\r\n" + key_line + b"Content-Length: 0\r\n\r\n"
+        )
+        with self.assertRaises(ConnectionResetError):
+            await reader.read()
+
     async def end(self):
         if self.stopping is None:
             self.stop()
--- a/sapphireseam/platform/front_test.py
+++ b/sapphireseam/platform/front_test.py
@@ -180,6 +180,17 @@
         with self.assertRaises(aiohttp.ClientPayloadError):
             await self.post()
 
+    async def test_a_client_without_chunks_detects_a_broken_stream(self):
+        self.forwarder.breaks = True
+        host, port = self.base.removeprefix("http://").split(":")
+        reader, writer = await asyncio.open_connection(host, port)
+        self.addCleanup(writer.close)
+        writer.write(
+            b"POST /s/x HTTP/1.0\r\nX-Attempt-Id: a1\r\nContent-Length: 0\r\n\r\n"
+        )
+        with self.assertRaises(ConnectionResetError):
+            await reader.read()
+
     async def test_a_disconnected_client_ends_its_request(self):
         self.forwarder.gate.clear()
         with self.assertRaises(TimeoutError):
--- a/sapphireseam/utils/fakeupstream.py
+++ b/sapphireseam/utils/fakeupstream.py
@@ -6,6 +6,8 @@
 """
 
 import asyncio
+import socket
+import struct
 from typing import NamedTuple
 
 from multidict import CIMultiDict, CIMultiDictProxy
@@ -60,6 +62,11 @@
     `impossible` (422), `drop` (closes without an answer), `silent` (no answer),
     `cut` (closes within the third event), `stall` (sends nothing after the second
     event), `stale` (answers another request).
+
+    Answers without length or chunks, which end with their connection: `unframed`
+    (complete), `unframed-cut` (closes within the third event), `unframed-empty`
+    (closes before the first event), `unframed-reset` (resets the connection after
+    the second event).
     """
 
     def __init__(self, name: str, service: str = "llm", events: int = 4):
@@ -138,11 +145,17 @@
         behaviour: str,
     ) -> bool:
         start = int(run.headers.get(RESUME, "-1")) + 1
+        is_framed = not behaviour.startswith("unframed")
+        ending = behaviour.removeprefix("unframed-")
+        framing = b"Transfer-Encoding: chunked\r\n" if is_framed else b""
         writer.write(
             b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
             + f"{ID}: {run.id}\r\nFake-By: {self.name}\r\n".encode()
-            + b"Transfer-Encoding: chunked\r\n\r\n"
+            + framing
+            + b"\r\n"
         )
+        if ending == "empty":
+            return False
         for number in range(start, self.events):
             if self.event_delay:
                 await asyncio.sleep(self.event_delay)
@@ -150,22 +163,38 @@
                 self.dropped.append(run.id)
                 return False
             event = f"id: {number}\ndata: {run.id}-{number}\n\n".encode()
-            if behaviour == "cut" and number == start + 2:
-                _write_chunk(writer, event[:5])
+            if ending == "reset" and number == start + 2:
+                _reset_connection(writer)
+                return False
+            if ending == "cut" and number == start + 2:
+                _write_part(writer, event[:5], is_framed)
                 await writer.drain()
                 return False
             if behaviour == "stall" and number == start + 2:
                 await self._wait_for_close(reader, run)
                 return False
-            _write_chunk(writer, event)
+            _write_part(writer, event, is_framed)
+            await writer.drain()
+        if is_framed:
+            writer.write(b"0\r\n\r\n")
             await writer.drain()
-        writer.write(b"0\r\n\r\n")
-        await writer.drain()
-        return True
+        return is_framed
 
 
-def _write_chunk(writer: asyncio.StreamWriter, data: bytes) -> None:
-    writer.write(f"{len(data):x}\r\n".encode() + data + b"\r\n")
+def _write_part(writer: asyncio.StreamWriter, data: bytes, is_framed: bool) -> None:
+    """Write a part of a body, as a chunk if the body is framed."""
+    if is_framed:
+        data = f"{len(data):x}\r\n".encode() + data + b"\r\n"
+    writer.write(data)
+
+
+def _reset_connection(writer: asyncio.StreamWriter) -> None:
+    """Reset the connection instead of closing it."""
+    linger = struct.pack("ii", 1, 0)
+    writer.get_extra_info("socket").setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, linger
+    )
+    writer.transport.abort()
 
 
 def _write_short_answer(writer: asyncio.StreamWriter, behaviour: str, run: Run) -> None:
--- a/sapphireseam/utils/outbound_test.py
+++ b/sapphireseam/utils/outbound_test.py
@@ -48,6 +48,14 @@
         self.assertNotIsInstance(caught.exception, outbound.AnswerTimeoutError)
         self.assertFalse(caught.exception.is_not_run)
 
+    async def test_unframed_answer_whose_connection_is_reset_is_not_complete(self):
+        self.upstream.event_delay = 0.01
+        self.upstream.behaviours = ["unframed", "unframed-reset"]
+        self.assertEqual((await self.read()).count(b"data"), 4)
+        with self.assertRaises(outbound.OutboundError) as caught:
+            await self.read()
+        self.assertFalse(caught.exception.is_not_run)
+
     async def test_refused_connection_means_not_run(self):
         instance = self.upstream.instance
         await self.upstream.stop()
