Take a reset for the broken end of an answer without length or chunks

What callers saw: an answer that its upstream had broken off came as complete, with status 200 and the upstream's signature (ORDER on streams, MIXED on plain answers).

Cause: a body with neither length nor chunks ends with its connection, and is complete only if the upstream closed it. Two layers lose the difference. aiohttp feeds the end to the body whatever error the connection ended with. uvloop reports no error at all if the last data and the reset are read in one poll: it calls eof_received and leaves ECONNRESET pending at the socket. Every answer of that kind was affected that didn't happen to stop inside an event.

Ruled out: an orderly close by the upstream.

Change: sessions are made by utils.framing. Its protocol records a reset from either source, and its response raises for a body that ended so. The pool, the agent's upstream client and the list of upstreams use it, which are all places that read answers over HTTP.

Left: a stream that closes before its first event, and callers without chunks.

--- a/sapphireseam/agent/engine.py
+++ b/sapphireseam/agent/engine.py
@@ -17,6 +17,7 @@
 import yarl
 
 from sapphireseam.core import error, exchange
+from sapphireseam.utils import framing
 from sapphireseam.utils.application import TaskGroup
 from sapphireseam.utils.timer import TimerService, run_periodically, wait_for
 
@@ -75,8 +76,8 @@
 
     async def start(self) -> None:
         """Start the periodic health check."""
-        self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, force_close=True),
+        self._session = framing.create_session(
+            {"limit": 0, "force_close": True},
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_SECONDS),
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
@@ -158,6 +159,7 @@
                 )
                 async for data in response.content.iter_any():
                     yield exchange.Data(attempt, data)
+                response.check_complete()
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as caught:
             self.healthy = False
             reason = f"cannot connect to upstream {self.name}: {type(caught).__name__}"
--- a/sapphireseam/platform/listing.py
+++ b/sapphireseam/platform/listing.py
@@ -8,6 +8,7 @@
 
 from sapphireseam.core import error
 from sapphireseam.core.instance import Instance
+from sapphireseam.utils import framing
 
 logger = logging.getLogger(__name__)
 
@@ -51,7 +52,7 @@
 
     async def _read_page(self, page: str) -> dict[str, Any]:
         if self._session is None:
-            self._session = aiohttp.ClientSession()
+            self._session = framing.create_session()
         parameters = {"page_token": page} if page else {}
         try:
             async with (
--- a/sapphireseam/utils/framing.py
+++ b/sapphireseam/utils/framing.py
@@ -1,14 +1,22 @@
-"""Records how the body of an HTTP answer is framed and how its connection ended.
+"""Tells whether the body of an HTTP answer is complete when its connection ends.
 
-A body ends after a given length, with its last chunk or with its connection. The
-HTTP library reports the end of the connection in the same way whether the upstream
-closed it or reset it.
+A body ends after a given length, with its last chunk or with its connection. In the
+last case it is complete only if the upstream closed the connection. The HTTP library
+takes a reset for the end of such a body, and the event loop doesn't raise an error if
+it reads the last data and the reset at once. The sessions made here see both.
+
+    async with framing.create_session() as http, http.get(url) as response:
+        body = await response.read()  # raises ClientPayloadError after a reset
 """
 
 import asyncio
 import enum
+import functools
+import socket
+from typing import Any
 
 import aiohttp
+from aiohttp.client_proto import ResponseHandler
 from aiohttp.connector import Connection
 
 
@@ -28,21 +36,53 @@
     RESET = "reset"
 
 
-class FramedResponse(aiohttp.ClientResponse):
-    """An answer that records how its connection ends.
+class _Protocol(ResponseHandler):
+    """Records how its connection ends."""
 
-    Pass it as `response_class` to a session.
-    """
+    def __init__(self, loop: asyncio.AbstractEventLoop):
+        super().__init__(loop)
+        self.end = ConnectionEnd.OPEN
+
+    def eof_received(self) -> None:
+        """Record the end of the received data."""
+        # uvloop calls this, too, if a reset arrives together with data. The error is
+        # then still pending at the socket.
+        own_socket = self.transport.get_extra_info("socket")
+        if own_socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            self.end = ConnectionEnd.RESET
+        super().eof_received()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Record the end of the connection."""
+        if exc is not None:
+            self.end = ConnectionEnd.RESET
+        elif self.end is ConnectionEnd.OPEN:
+            self.end = ConnectionEnd.CLOSED
+        super().connection_lost(exc)
 
-    _ended: asyncio.Future[None] | None = None
+
+class FramedResponse(aiohttp.ClientResponse):
+    """An answer that isn't complete if it ends with the reset of its connection."""
+
+    _framed_protocol: _Protocol
 
     async def start(self, connection: Connection) -> aiohttp.ClientResponse:
         """Read the head of the answer."""
-        self._ended = connection.protocol.closed
-        if self._ended is not None:
-            self._ended.add_done_callback(_retrieve_exception)
+        self._framed_protocol = connection.protocol
         return await super().start(connection)
 
+    async def read(self) -> bytes:
+        """Return the body; raise `ClientPayloadError` if it isn't complete."""
+        body = await super().read()
+        self.check_complete()
+        return body
+
+    def check_complete(self) -> None:
+        """Raise `ClientPayloadError` if the body that was read isn't complete."""
+        is_reset = self.connection_end is ConnectionEnd.RESET
+        if is_reset and self.framing is Framing.CONNECTION:
+            raise aiohttp.ClientPayloadError("the connection was reset")
+
     @property
     def framing(self) -> Framing:
         """Return what marks the end of the body."""
@@ -56,16 +96,27 @@
     @property
     def connection_end(self) -> ConnectionEnd:
         """Return how the connection has ended, or `OPEN`."""
-        if self._ended is None:
-            # The connection had ended before the answer was read from it.
-            return ConnectionEnd.RESET
-        if not self._ended.done():
-            return ConnectionEnd.OPEN
-        is_reset = self._ended.cancelled() or self._ended.exception() is not None
-        return ConnectionEnd.RESET if is_reset else ConnectionEnd.CLOSED
-
-
-def _retrieve_exception(ended: asyncio.Future[None]) -> None:
-    """Mark the exception as handled, so that asyncio doesn't log it."""
-    if not ended.cancelled():
-        ended.exception()
+        return self._framed_protocol.end
+
+
+class _Connector(aiohttp.TCPConnector):
+    """Opens connections that record how they end."""
+
+    def __init__(self, **options: Any):
+        super().__init__(**options)
+        # The library has no public way to choose the protocol class.
+        self._factory = functools.partial(_Protocol, loop=self._loop)
+
+
+def create_session(
+    connector_options: dict[str, Any] | None = None, **options: Any
+) -> aiohttp.ClientSession:
+    """Return a session whose answers are `FramedResponse` objects.
+
+    `connector_options` are those of `aiohttp.TCPConnector`, and `options` those of
+    `aiohttp.ClientSession`.
+    """
+    connector = _Connector(**(connector_options or {}))
+    return aiohttp.ClientSession(
+        connector=connector, response_class=FramedResponse, **options
+    )
--- /dev/null
+++ b/sapphireseam/utils/framing_test.py
@@ -0,0 +1,93 @@
+"""Test which answers count as complete when their connection ends."""
+
+import asyncio
+import socket
+import struct
+import threading
+import time
+import unittest
+
+import aiohttp
+import uvloop
+
+from sapphireseam.utils import framing
+
+HEADS = {
+    "connection": b"HTTP/1.1 200 OK\r\n\r\n",
+    "length": b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n",
+    "chunks": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n",
+}
+BODY = b"abc"
+
+
+class Server:
+    """Answer one request in a thread, and close or reset the connection."""
+
+    def __init__(self, head, body, resets):
+        self.answer = head + body
+        self.resets = resets
+        self.ended = threading.Event()
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.url = f"http://127.0.0.1:{self._listener.getsockname()[1]}/"
+        self._thread = threading.Thread(target=self._serve)
+        self._thread.start()
+
+    def _serve(self):
+        connection, _ = self._listener.accept()
+        connection.recv(65536)
+        connection.sendall(self.answer)
+        if self.resets:
+            linger = struct.pack("ii", 1, 0)
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        connection.close()
+        self.ended.set()
+
+    def stop(self):
+        self._thread.join()
+        self._listener.close()
+
+
+class FramingTest(unittest.TestCase):
+    def read(self, run, server, blocks):
+        """Return the body; `blocks` polls the answer and its end at once."""
+
+        async def read():
+            async with framing.create_session() as http:
+                task = asyncio.ensure_future(http.get(server.url))
+                while blocks and not server.ended.is_set():
+                    await asyncio.sleep(0)
+                    time.sleep(0.01)  # noqa: ASYNC251
+                async with await task as response:
+                    return await response.read(), response.connection_end
+
+        try:
+            return run(read())
+        finally:
+            server.stop()
+
+    def test_an_answer_that_ends_with_a_closed_connection_is_complete(self):
+        for run in (asyncio.run, uvloop.run):
+            for blocks in (False, True):
+                server = Server(HEADS["connection"], BODY, False)
+                with self.subTest(run=run.__module__, blocks=blocks):
+                    result = self.read(run, server, blocks)
+                    self.assertEqual(result, (BODY, framing.ConnectionEnd.CLOSED))
+
+    def test_a_reset_that_arrives_with_the_data_does_not_complete_an_answer(self):
+        for run in (asyncio.run, uvloop.run):
+            for name, head in HEADS.items():
+                for blocks in (False, True):
+                    server = Server(head, BODY, True)
+                    with (
+                        self.subTest(run=run.__module__, framing=name, blocks=blocks),
+                        self.assertRaises(aiohttp.ClientError),
+                    ):
+                        self.read(run, server, blocks)
+
+    def test_a_whole_answer_with_a_length_is_complete_after_a_reset(self):
+        server = Server(HEADS["length"], b"abcde", True)
+        self.assertEqual(self.read(uvloop.run, server, True)[0], b"abcde")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/sapphireseam/utils/outbound.py
+++ b/sapphireseam/utils/outbound.py
@@ -136,6 +136,8 @@
         try:
             async with asyncio.timeout(timeout):
                 data = await self._response.content.readany()
+            if not data:
+                self._response.check_complete()
         except TimeoutError:
             raise AnswerTimeoutError(
                 f"nothing received for {timeout:.1f} s", False
@@ -197,18 +199,17 @@
     def _get_session(self, address: str) -> aiohttp.ClientSession:
         session = self._sessions.get(address)
         if session is None:
-            connector = aiohttp.TCPConnector(
-                limit=0,
-                keepalive_timeout=IDLE_SECONDS,
-                socket_factory=self._open_socket,
-            )
+            connector_options = {
+                "limit": 0,
+                "keepalive_timeout": IDLE_SECONDS,
+                "socket_factory": self._open_socket,
+            }
             timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_SECONDS)
-            session = aiohttp.ClientSession(
-                connector=connector,
+            session = framing.create_session(
+                connector_options,
                 timeout=timeout,
                 auto_decompress=False,
                 cookie_jar=aiohttp.DummyCookieJar(),
-                response_class=framing.FramedResponse,
                 skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
             )
             self._sessions[address] = session
