Treat a stream that ends with its connection before its first event as broken

What callers saw: an empty stream, framed as complete, for a request whose upstream had closed its connection right after the head.

Cause: the entry and the runner of bulk jobs each read events and judged the end themselves, and both asked only whether the end was inside an event. A stream without chunks that has no event at all passed as complete; an item of a bulk job was recorded as completed with an empty output.

Change: Answer.read_events reads the events for both and decides alone whether the end is complete. An end with the connection before the first event isn't, unless the request resumed an earlier answer, whose rest may be empty.

Evidence: the cases "unframed-empty" of direct_test and bulkrunner_test, red since, pass; the 49 tests of these modules and outbound pass.

--- a/sapphireseam/control/bulkrunner.py
+++ b/sapphireseam/control/bulkrunner.py
@@ -20,7 +20,7 @@
 from sapphireseam.core.instance import Instance
 from sapphireseam.policy import allocator, bulk, forecast
 from sapphireseam.state.replica import Replica
-from sapphireseam.utils import event, outbound
+from sapphireseam.utils import outbound
 from sapphireseam.utils.application import TaskGroup
 from sapphireseam.utils.timer import TimerService, run_periodically
 
@@ -409,15 +409,9 @@
             progress.reset()
             progress.data.append(await answer.read_all(MAX_RESULT_BYTES))
             return
-        splitter = event.Splitter()
-        while True:
-            data = await answer.read_some(IDLE_TIMEOUT_SECONDS)
-            if not data:
-                break
-            for received in splitter.feed(data):
+        async for events in answer.read_events(IDLE_TIMEOUT_SECONDS):
+            for received in events:
                 progress.append_event(received)
-        if splitter.has_incomplete_event:
-            raise outbound.OutboundError("answer ended with an incomplete event", False)
 
     # Recording results.
 
--- a/sapphireseam/entry/direct.py
+++ b/sapphireseam/entry/direct.py
@@ -16,7 +16,7 @@
 from sapphireseam.core.instance import Instance
 from sapphireseam.entry.delivery import Sink
 from sapphireseam.entry.placer import HeldSlot, Placer, SlotSpec
-from sapphireseam.utils import event, metric, outbound
+from sapphireseam.utils import metric, outbound
 from sapphireseam.utils.timer import TimerService
 
 logger = logging.getLogger(__name__)
@@ -357,11 +357,10 @@
         interval: _EventInterval,
         silence_limit: float | None,
     ) -> None:
-        splitter = event.Splitter()
-        while data := await answer.read_some(silence_limit):
+        async for events in answer.read_events(silence_limit):
             new_events = [
                 item
-                for item in splitter.feed(data)
+                for item in events
                 if item.number < 0 or item.number > progress.last_event
             ]
             if not new_events:
@@ -373,8 +372,6 @@
                 await sink.begin(answer.head.status, answer.head.headers)
             await sink.write(b"".join(item.raw for item in new_events))
             progress.last_event = max(progress.last_event, new_events[-1].number)
-        if splitter.has_incomplete_event:
-            raise outbound.OutboundError("the answer ended inside an event", False)
         if not progress.has_begun:
             progress.has_begun = True
             await sink.begin(answer.head.status, answer.head.headers)
--- a/sapphireseam/utils/outbound.py
+++ b/sapphireseam/utils/outbound.py
@@ -112,12 +112,18 @@
 
 
 class Answer:
-    """An answer whose body can be read in parts or at once."""
+    """An answer whose body can be read in parts, in events or at once.
 
-    def __init__(self, head: Head, response: framing.FramedResponse):
+    `is_resumed` is true if the request asked for the rest of an earlier answer.
+    """
+
+    def __init__(
+        self, head: Head, response: framing.FramedResponse, is_resumed: bool = False
+    ):
         self.head = head
-        self._received = 0
         self._response = response
+        self._is_resumed = is_resumed
+        self._received = 0
 
     def describe(self) -> dict[str, object]:
         """Return how the body is framed, the bytes read of it and its end."""
@@ -148,6 +154,25 @@
         self._received += len(data)
         return data
 
+    async def read_events(
+        self, timeout: float | None = None
+    ) -> AsyncIterator[list[event.Event]]:
+        """Yield the events of the body as they arrive.
+
+        Raises the same errors as `read_some`, and `OutboundError` if the body ends
+        inside an event, or with its connection before the first event.
+        """
+        splitter = event.Splitter()
+        has_begun = self._is_resumed
+        while data := await self.read_some(timeout):
+            if events := splitter.feed(data):
+                has_begun = True
+                yield events
+        if splitter.has_incomplete_event:
+            raise OutboundError("the answer ended inside an event", False)
+        if not has_begun and self._response.framing is framing.Framing.CONNECTION:
+            raise OutboundError("the answer ended before its first event", False)
+
     async def read_all(self, limit: int, timeout: float | None = None) -> bytes:
         """Return the complete body; raise if it ends early or exceeds `limit` bytes."""
         body = bytearray()
@@ -260,7 +285,8 @@
         except TimeoutError:
             raise AnswerTimeoutError(f"no answer for {timeout:.1f} s", False) from None
         try:
-            yield Answer(self._read_head(request, response), response)
+            head = self._read_head(request, response)
+            yield Answer(head, response, request.resume_after >= 0)
         finally:
             # The connection of a completely read answer was already released for reuse.
             response.close()
