Reset the connection of a broken answer whose caller doesn't know chunks

What callers saw: a caller that speaks HTTP/1.0 gets an answer that ends with its connection. When the entry had to break it off, the connection was closed in order, so the part looked like the whole answer.

Cause: an entry shows that an answer is incomplete by closing the connection without the last chunk. Without chunks nothing is missing then. An abort of the transport doesn't help either: it closes the socket, and the kernel sends what is left and a regular end.

Change: utils.framing.break_off closes with SO_LINGER at 0, which resets the connection. Both sinks (platform and the product's own) use it for such callers. Callers with chunks still get what was written before the close.

--- a/sapphireseam/entry/response.py
+++ b/sapphireseam/entry/response.py
@@ -10,11 +10,12 @@
 import math
 from typing import Any, Protocol
 
-from aiohttp import web
+from aiohttp import HttpVersion11, web
 
 from sapphireseam.core import error, key
 from sapphireseam.entry import access
 from sapphireseam.entry.delivery import EVENT_STREAM
+from sapphireseam.utils import framing
 from sapphireseam.utils.mirror import Mirror
 from sapphireseam.utils.timer import TimerService, wait_for
 
@@ -155,11 +156,15 @@
         """Abort an answer that can't be completed, so that the caller notices.
 
         An event stream gets an error event, unless earlier data is unsent. In
-        both cases the connection is closed without the regular end of the body.
+        both cases the connection is closed without the regular end of the body. A
+        caller that doesn't know chunks would take the close for that end.
         """
         transport = self._request.transport
         if transport is None:
             return
+        if self._request.version < HttpVersion11:
+            framing.break_off(transport)
+            return
         content_type = self.response.headers.get("Content-Type", "")
         if (
             not content_type.startswith(EVENT_STREAM)
--- a/sapphireseam/platform/answer.py
+++ b/sapphireseam/platform/answer.py
@@ -2,10 +2,11 @@
 
 import json
 
-from aiohttp import web
+from aiohttp import HttpVersion11, web
 
 from sapphireseam.core import error
 from sapphireseam.platform import dialect
+from sapphireseam.utils import framing
 from sapphireseam.utils.outbound import Headers
 
 # Statuses that promise that the request has not run and will not run.
@@ -93,6 +94,14 @@
             await self.response.write_eof()
 
     def abort(self) -> None:
-        """Close the connection, to show the client that the answer is incomplete."""
-        if self._request.transport is not None:
-            self._request.transport.close()
+        """Close the connection, to show the client that the answer is incomplete.
+
+        A client that doesn't know chunks would take the close for the regular end.
+        """
+        transport = self._request.transport
+        if transport is None:
+            return
+        if self._request.version < HttpVersion11:
+            framing.break_off(transport)
+        else:
+            transport.close()
--- a/sapphireseam/utils/fakeupstream.py
+++ b/sapphireseam/utils/fakeupstream.py
@@ -6,14 +6,12 @@
 """
 
 import asyncio
-import socket
-import struct
 from typing import NamedTuple
 
 from multidict import CIMultiDict, CIMultiDictProxy
 
 from sapphireseam.core.instance import Instance
-from sapphireseam.utils import outbound
+from sapphireseam.utils import framing, outbound
 
 ID = "Fake-Id"
 NOT_RUN = "Fake-Not-Run"
@@ -147,11 +145,11 @@
         start = int(run.headers.get(RESUME, "-1")) + 1
         is_framed = not behaviour.startswith("unframed")
         ending = behaviour.removeprefix("unframed-")
-        framing = b"Transfer-Encoding: chunked\r\n" if is_framed else b""
+        coding = b"Transfer-Encoding: chunked\r\n" if is_framed else b""
         writer.write(
             b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
             + f"{ID}: {run.id}\r\nFake-By: {self.name}\r\n".encode()
-            + framing
+            + coding
             + b"\r\n"
         )
         if ending == "empty":
@@ -164,7 +162,7 @@
                 return False
             event = f"id: {number}\ndata: {run.id}-{number}\n\n".encode()
             if ending == "reset" and number == start + 2:
-                _reset_connection(writer)
+                framing.break_off(writer.transport)
                 return False
             if ending == "cut" and number == start + 2:
                 _write_part(writer, event[:5], is_framed)
@@ -188,15 +186,6 @@
     writer.write(data)
 
 
-def _reset_connection(writer: asyncio.StreamWriter) -> None:
-    """Reset the connection instead of closing it."""
-    linger = struct.pack("ii", 1, 0)
-    writer.get_extra_info("socket").setsockopt(
-        socket.SOL_SOCKET, socket.SO_LINGER, linger
-    )
-    writer.transport.abort()
-
-
 def _write_short_answer(writer: asyncio.StreamWriter, behaviour: str, run: Run) -> None:
     status = {"refuse": 503, "fail": 500, "impossible": 422, "stale": 200}[behaviour]
     id = "another" if behaviour == "stale" else run.id
--- a/sapphireseam/utils/framing.py
+++ b/sapphireseam/utils/framing.py
@@ -13,12 +13,16 @@
 import enum
 import functools
 import socket
+import struct
 from typing import Any
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.connector import Connection
 
+# The value of SO_LINGER with which a close resets the connection.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
 
 class Framing(enum.StrEnum):
     """What marks the end of a body."""
@@ -120,3 +124,14 @@
     return aiohttp.ClientSession(
         connector=connector, response_class=FramedResponse, **options
     )
+
+
+def break_off(transport: asyncio.Transport) -> None:
+    """Reset a connection at once, so that the peer notices that data is missing.
+
+    An abort alone closes it as after complete data.
+    """
+    own_socket = transport.get_extra_info("socket")
+    if own_socket is not None:
+        own_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+    transport.abort()
