Read the software version of upstreams and log it with placements and answers

The list of upstreams names a version for each, which was not read, so logs show neither where a stream began nor where it went on. Two ways fit the record: an entry resumes a broken stream within one answer, and a caller takes it up with its next try, maybe at another entry.

Change: Instance carries the version; "request placed", "request answered", "attempt failed" and the lines of bulk items tell it, and "request answered" also the event after which a caller resumed. An entry of the list without a version is malformed like one without any other field. No decision depends on it yet.

--- a/sapphireseam/control/bulkrunner.py
+++ b/sapphireseam/control/bulkrunner.py
@@ -328,6 +328,7 @@
             extra={
                 "request": item,
                 "upstream": instance.id,
+                "version": instance.version,
                 "cause": str(failure),
                 "not_run": failure.is_not_run,
                 "last_event": progress.last_event,
--- a/sapphireseam/control/placement.py
+++ b/sapphireseam/control/placement.py
@@ -261,6 +261,7 @@
                 "customer": message.customer,
                 "service": message.service,
                 "upstream": decision.instance.id if is_placed else "",
+                "version": decision.instance.version if is_placed else "",
                 "evicted": decision.evicted if is_placed else "",
                 "online": self.allocator.count_running(message.service, False),
                 "batch": self.allocator.count_running(message.service, True),
--- a/sapphireseam/core/instance.py
+++ b/sapphireseam/core/instance.py
@@ -8,7 +8,8 @@
 
     The upstream chooses `id` and may use it again after a restart. The runs then differ
     in `born`, the start time in epoch milliseconds. `slots` is how many requests the
-    upstream runs at once. An instance that `is_leaving` gets no new requests.
+    upstream runs at once. An instance that `is_leaving` gets no new requests. `version`
+    is the version of the upstream's software, without any order.
     """
 
     id: str
@@ -18,3 +19,4 @@
     slots: int
     is_leaving: bool = False
     born: int = 0
+    version: str = ""
--- a/sapphireseam/entry/direct.py
+++ b/sapphireseam/entry/direct.py
@@ -187,6 +187,8 @@
                 "customer": request.customer,
                 "route": request.route_name,
                 "upstream": instance.id,
+                "version": instance.version,
+                "resume_after": request.resume_after,
                 "offers": progress.offers,
                 **progress.describe(),
                 "took": round(self._timer.read_clock() - request.arrived, 3),
@@ -242,6 +244,7 @@
             extra={
                 "request": request.id,
                 "upstream": instance.id,
+                "version": instance.version,
                 "cause": str(failure),
                 "not_run": failure.is_not_run,
                 **progress.describe(),
--- a/sapphireseam/platform/listing.py
+++ b/sapphireseam/platform/listing.py
@@ -94,9 +94,9 @@
     state = entry["state"]
     if state not in _STATES:
         raise ValueError(f"state is {state!r}")
-    texts = [entry[name] for name in ("id", "service", "addr", "zone")]
+    texts = [entry[name] for name in ("id", "service", "addr", "zone", "version")]
     if not all(isinstance(text, str) and text for text in texts):
-        raise TypeError("id, service, addr or zone is empty or not a string")
+        raise TypeError("id, service, addr, zone or version is empty or no string")
     host, _, port = entry["addr"].rpartition(":")
     if not host or not 0 < int(port) < 65536:
         raise ValueError(f"addr is {entry['addr']!r}")
@@ -104,9 +104,9 @@
     born = entry.get("born", 0)
     if not _is_count(slots) or slots < 1 or not _is_count(born):
         raise TypeError("slots or born is not a whole number in its range")
-    name, service, address, zone = texts
+    name, service, address, zone, version = texts
     is_leaving = state == "draining"
-    return Instance(name, service, address, zone, slots, is_leaving, born)
+    return Instance(name, service, address, zone, slots, is_leaving, born, version)
 
 
 def _is_count(value: Any) -> bool:
--- a/sapphireseam/platform/listing_test.py
+++ b/sapphireseam/platform/listing_test.py
@@ -25,10 +25,11 @@
     def test_an_entry_is_read(self):
         instance = listing.read_entry(ENTRY)
         self.assertEqual(instance.address, "10.128.0.9:8080")
+        self.assertEqual(instance.version, "v1")
         self.assertEqual((instance.slots, instance.is_leaving), (8, False))
         self.assertTrue(listing.read_entry(ENTRY | {"state": "draining"}).is_leaving)
 
-    @given(st.sampled_from(sorted(ENTRY.keys() - {"version", "born"})), _JSON)
+    @given(st.sampled_from(sorted(ENTRY.keys() - {"born"})), _JSON)
     def test_an_entry_with_a_replaced_field_is_valid_or_raises(self, name, value):
         changed = ENTRY | {name: value}
         try:
@@ -39,7 +40,7 @@
         self.assertTrue(instance.id and instance.service and instance.slots > 0)
 
     def test_an_entry_with_a_missing_field_is_malformed(self):
-        for name in ("id", "service", "addr", "zone", "slots", "state"):
+        for name in ("id", "service", "addr", "zone", "version", "slots", "state"):
             malformed = {key: value for key, value in ENTRY.items() if key != name}
             with self.assertRaises(KeyError):
                 listing.read_entry(malformed)
--- a/sapphireseam/utils/fakeupstream.py
+++ b/sapphireseam/utils/fakeupstream.py
@@ -67,8 +67,11 @@
     the second event).
     """
 
-    def __init__(self, name: str, service: str = "llm", events: int = 4):
+    def __init__(
+        self, name: str, service: str = "llm", events: int = 4, version: str = ""
+    ):
         self.name = name
+        self.version = version
         self.service = service
         self.events = events
         self.behaviours: list[str] = []
@@ -94,7 +97,9 @@
         """Return the instance as discovery would list it."""
         port = self._server.sockets[0].getsockname()[1]
         address = f"127.0.0.1:{port}"
-        return Instance(self.name, self.service, address, "z", self.slots)
+        return Instance(
+            self.name, self.service, address, "z", self.slots, version=self.version
+        )
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
