Show that streams go on at another software version than the one they began at

Seen: three tests fail with runs at the other version, one with an error since the attempt that began the stream isn't known to the entry.

--- a/sapphireseam/control/bulkrunner_test.py
+++ b/sapphireseam/control/bulkrunner_test.py
@@ -142,6 +142,20 @@
                 self.assertEqual(results[0].output, self.expect_output(b"i0"))
                 del self.machine.state.lots["l"]
 
+    async def test_output_of_an_item_never_mixes_two_software_versions(self):
+        self.upstream.version, self.other.version = "v1", "v2"
+        self.placement.update_instances((self.upstream.instance, self.other.instance))
+        self.other.slots = self.upstream.slots = 1
+        self.upstream.behaviours = self.other.behaviours = ["cut"] * 3
+        await self.accept(6)
+        await self.wait_done(10.0)
+        runs = self.upstream.runs + self.other.runs
+        self.assertGreater(len(runs), 6)
+        for runs in (self.upstream.runs, self.other.runs):
+            begun = {run.id for run in runs if fakeupstream.RESUME not in run.headers}
+            resumed = {run.id for run in runs if fakeupstream.RESUME in run.headers}
+            self.assertLessEqual(resumed, begun)
+
     async def test_disconnected_item_resumes_after_its_last_event(self):
         self.upstream.behaviours = ["cut"]
         await self.accept()
--- a/sapphireseam/entry/direct_test.py
+++ b/sapphireseam/entry/direct_test.py
@@ -32,8 +32,12 @@
         self.specs.append(spec)
         if self.refusal is not None:
             raise self.refusal
-        usable = [u for u in self.upstreams if u.name not in spec.excluded]
-        chosen = (usable or self.upstreams)[0]
+        version = getattr(spec, "version", "")
+        fitting = [u for u in self.upstreams if version in ("", u.version)]
+        if not fitting:
+            raise error.CapacityError("no upstream of this version")
+        usable = [u for u in fitting if u.name not in spec.excluded]
+        chosen = (usable or fitting)[0]
         return HeldSlot(len(self.specs), "r", chosen.instance, spec.customer)
 
     def release(self, slot, is_suspect=False, pace=0.0, is_full=False):
@@ -120,6 +124,24 @@
         self.assertEqual(self.upstreams[1].runs[0].headers[fakeupstream.RESUME], "1")
         self.assertEqual(self.placer.released, [("u1", True), ("u2", False)])
 
+    async def test_a_cut_stream_never_continues_at_another_software_version(self):
+        self.upstreams[0].version, self.upstreams[1].version = "v1", "v2"
+        self.upstreams[0].behaviours = ["cut", "drop"]
+        with self.assertRaises(error.SeamError):
+            await self.forwarder.serve(self.make_request(RESUMABLE), self.sink)
+        self.assertFalse(self.sink.is_complete)
+        self.assertEqual(self.count_runs(), [2, 0])
+
+    async def test_a_cut_stream_continues_at_its_software_version(self):
+        third = fakeupstream.FakeUpstream("u3", version="v1")
+        await third.start()
+        self.addAsyncCleanup(third.stop)
+        self.upstreams.append(third)
+        self.upstreams[0].version, self.upstreams[1].version = "v1", "v2"
+        await self.serve(RESUMABLE, "cut")
+        self.check_events()
+        self.assertEqual(self.count_runs(), [1, 0, 1])
+
     async def test_a_stalled_stream_is_closed_before_it_continues_elsewhere(self):
         await self.serve(RESUMABLE, "stall")
         self.check_events()
--- a/sapphireseam/platform/front_test.py
+++ b/sapphireseam/platform/front_test.py
@@ -134,6 +134,11 @@
         names = [name.lower() for name, _ in request.headers]
         self.assertNotIn("authorization", names)
 
+    async def test_a_client_names_the_attempt_that_began_its_stream(self):
+        await self.post(Last_Event_Id="4", Resumes="a0")
+        (request,) = self.forwarder.requests
+        self.assertEqual((request.resume_after, request.resumes), (4, "a0"))
+
     async def test_the_routes_timeout_limits_the_clients_deadline(self):
         await self.post(X_Deadline_Ms="90000")
         (request,) = self.forwarder.requests
