Continue a stream only at the service and software version that began it

Cause: a stream was resumed by its position alone. Nothing that takes a stream up again asked which upstreams write the same text: the entry's retry within an answer, the caller's next try at the same or another entry, an item of a bulk job after a break or a preemption, and the next leader, which resumes items from their saved output. On a split route a retry could even change the service.

Change: policy.origin keeps the service and the version at which each attempt's stream began. The leader knows them from its own grants; entries remember the streams that they began, report those that they placed without a leader, and tell all recent ones to a new leader. A resumption is placed by the allocator at that version alone, and has its own place in the queue, so it doesn't hold back others. A stream whose origin isn't known, serves no more or isn't allowed by the route any more is refused at once as not run. Without the header the caller may resume only if the service has a single version. Items keep their origin with the saved output; one whose version serves no more starts again.

Why it works: no place is left where a resumption is placed without the origin, and an entry without a leader knows only streams it began itself.

--- a/sapphireseam/control/bulk.py
+++ b/sapphireseam/control/bulk.py
@@ -83,10 +83,14 @@
             continue
         partial = job.partials.get(part.item)
         if part.after < 0:
-            job.partials[part.item] = record.Partial(part.last, part.output)
+            output = part.output
         elif partial is not None and partial.last == part.after:
             output = partial.output + EVENT_SEPARATOR + part.output
-            job.partials[part.item] = record.Partial(part.last, output)
+        else:
+            continue
+        job.partials[part.item] = record.Partial(
+            part.last, output, part.service, part.version
+        )
     return outcome.Done()
 
 
--- a/sapphireseam/control/bulkrunner.py
+++ b/sapphireseam/control/bulkrunner.py
@@ -259,7 +259,7 @@
     def _try_start(
         self, job: record.Lot, number: int, route: fleet.Route, service: str, now: float
     ) -> bool:
-        """Start an item on a free slot; return False if there is none."""
+        """Start an item on a free slot; return False if the service has none."""
         key = (job.id, number)
         progress = self._progress[key]
         run_key = _make_run_key(job.id, number)
@@ -273,10 +273,12 @@
             now,
             progress.excluded,
             job.items[number].id,
+            version=self._choose_version(progress, service),
         )
         grant = self._placement.allocator.place_batch(request)
         if grant is None:
-            return False
+            # Slots of other versions may still be free.
+            return bool(request.version)
         self._active.add(key)
         run = self._run(job, number, route, progress, grant.instance)
         task = self._tasks.spawn(run)
@@ -284,6 +286,17 @@
         task.add_done_callback(lambda done: self._finish_run(run_key, key, done))
         return True
 
+    def _choose_version(self, progress: ItemProgress, service: str) -> str:
+        """Return the version at which an item must run, or an empty string for any.
+
+        An item whose version serves no more starts again, at any version.
+        """
+        began = progress.origin
+        if began is None or not progress.event_count or began.service != service:
+            return ""
+        is_served = self._placement.allocator.count_slots(service, began.version)
+        return began.version if is_served else ""
+
     def _finish_run(
         self, run_key: str, key: _ItemKey, task: asyncio.Task[bool | None]
     ) -> None:
@@ -354,6 +367,7 @@
     ) -> bool | None:
         """Send an item and read its output; return the same as `_run`."""
         item = job.items[number]
+        progress.begin_run(instance)
         request = outbound.Outgoing(
             item.id,
             job.customer,
@@ -364,9 +378,6 @@
             item.body,
             resume_after=progress.last_event,
         )
-        if not progress.is_resumable:
-            progress.reset()
-            request = request._replace(resume_after=-1)
         started_at, events_before = self._timer.read_clock(), progress.event_count
         async with self._upstreams.send(
             request, instance, IDLE_TIMEOUT_SECONDS
--- a/sapphireseam/control/bulkrunner_test.py
+++ b/sapphireseam/control/bulkrunner_test.py
@@ -5,7 +5,7 @@
 import unittest
 
 from sapphireseam.control import bulkrunner, machine as machines, placement
-from sapphireseam.core import command, fleet, placement as messages
+from sapphireseam.core import command, error, fleet, placement as messages
 from sapphireseam.policy import allocator, limit
 from sapphireseam.utils import fakeupstream, outbound
 from sapphireseam.utils.timer import SystemTimer
@@ -156,6 +156,32 @@
             resumed = {run.id for run in runs if fakeupstream.RESUME in run.headers}
             self.assertLessEqual(resumed, begun)
 
+    async def test_item_whose_version_serves_no_more_starts_again(self):
+        self.upstream.version, self.other.version = "v1", "v2"
+        self.placement.update_instances((self.upstream.instance,))
+        self.upstream.behaviours = ["stall"]
+        await self.accept()
+        await asyncio.sleep(0.1)
+        self.placement.update_instances((self.other.instance,))
+        results = await self.wait_done(10.0)
+        self.assertEqual(results[0].output, self.expect_output(b"i0"))
+        self.assertNotIn(fakeupstream.RESUME, self.other.runs[0].headers)
+
+    async def test_next_leader_keeps_the_version_of_a_saved_output(self):
+        self.upstream.version, self.other.version = "v1", "v2"
+        instances = (self.other.instance, self.upstream.instance)
+        self.replica.is_leader = False
+        self.placement.update_instances(instances)
+        await self.accept()
+        part = command.LotPart("l", 0, -1, 1, b"i0-0\ni0-1", "llm", "v1")
+        await self.apply(command.KeepParts((part,)))
+        self.replica.is_leader = True
+        self.runner._wake.set()
+        results = await self.wait_done()
+        self.assertEqual(results[0].output, self.expect_output(b"i0"))
+        self.assertEqual(self.upstream.runs[0].headers[fakeupstream.RESUME], "1")
+        self.assertEqual(self.other.runs, [])
+
     async def test_disconnected_item_resumes_after_its_last_event(self):
         self.upstream.behaviours = ["cut"]
         await self.accept()
@@ -288,6 +314,55 @@
 
 
 class PlacementServerTest(LeaderTest):
+    async def resume(self, *origins, resumes="a0", services=("llm",), version="v2"):
+        """Return the answer to a request that resumes the stream of `resumes`."""
+        self.upstream.version, self.other.version = "v1", version
+        self.placement.update_instances((self.upstream.instance, self.other.instance))
+        stream = FakeStream()
+        first = messages.Attach("e1", "z", (), origins)
+        task = asyncio.create_task(self.placement.serve(first, stream))
+        stream.put(
+            messages.Place(
+                6, "a1", "llm", "c", 0, 0.1, (), True, False, "", resumes, services
+            )
+        )
+        await asyncio.sleep(0.05)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        kinds = (messages.Placed, messages.Turned)
+        (answer,) = [item for item in stream.sent if isinstance(item, kinds)]
+        return answer
+
+    async def test_a_stream_is_resumed_at_the_version_that_another_entry_reported(self):
+        for version, upstream in (("v1", "u1"), ("v2", "u2")):
+            began = messages.Began("a0" + version, "llm", version)
+            answer = await self.resume(began, resumes="a0" + version)
+            self.assertEqual(answer.instance.id, upstream)
+
+    async def test_a_stream_is_resumed_at_the_version_that_this_leader_chose(self):
+        stream = FakeStream()
+        self.upstream.version = "v1"
+        self.placement.update_instances((self.upstream.instance,))
+        serving = self.placement.serve(messages.Attach("e0", "z", ()), stream)
+        task = asyncio.create_task(serving)
+        stream.put(messages.Place(1, "a0", "llm", "c", 0, 0.1, (), True))
+        await asyncio.sleep(0.02)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        for _ in range(4):
+            self.assertEqual((await self.resume()).instance.id, "u1")
+
+    async def test_a_stream_whose_version_is_unknown_or_gone_is_refused_at_once(self):
+        began = messages.Began("a0", "llm", "v0")
+        for origins, services in (((), ("llm",)), ((began,), ("llm",))):
+            answer = await self.resume(*origins, services=services)
+            self.assertEqual(answer.kind, error.Kind.NO_UPSTREAM)
+
+    async def test_a_stream_of_a_service_that_the_route_left_is_refused(self):
+        began = messages.Began("a0", "llm", "v1")
+        answer = await self.resume(began, services=("other",))
+        self.assertEqual(answer.kind, error.Kind.NO_UPSTREAM)
+
     async def test_requests_of_an_entry_are_counted_until_its_stream_ends(self):
         stream = FakeStream()
         running = (messages.Running(5, "q", "u1", "c"),)
--- a/sapphireseam/control/placement.py
+++ b/sapphireseam/control/placement.py
@@ -17,7 +17,7 @@
 from sapphireseam.control.ratelimit import RateLimitService
 from sapphireseam.core import command, error, fleet, placement
 from sapphireseam.core.instance import Instance
-from sapphireseam.policy import allocator
+from sapphireseam.policy import allocator, origin
 from sapphireseam.state.replica import Replica
 from sapphireseam.utils import rpc
 from sapphireseam.utils.application import TaskGroup
@@ -102,6 +102,7 @@
         self._timer = timer
         self._entries: dict[int, _EntrySession] = {}
         self._next_session = 0
+        self._origins = origin.StreamOrigins()
         # The time until which each instance's load is reconciled.
         self._reconcile_until: dict[str, float] = {}
         self._term = -1
@@ -180,6 +181,8 @@
         self, entry: _EntrySession, first: placement.Attach, open_numbers: set[int]
     ) -> None:
         now = self._timer.read_clock()
+        origins = ((each.request, _get_origin(each)) for each in first.origins)
+        self._origins.record_many(origins, now)
         for each in first.running:
             open_numbers.add(each.number)
             key = entry.make_key(each.number)
@@ -211,6 +214,9 @@
             case placement.Left():
                 open_numbers.discard(message.number)
                 self._handle_left(entry, message)
+            case placement.Began():
+                now = self._timer.read_clock()
+                self._origins.record(message.request, _get_origin(message), now)
             case placement.Suspect():
                 self._eject(message.instance, entry.name)
 
@@ -219,6 +225,7 @@
     ) -> None:
         """Debit the customer and place the request, or refuse it."""
         try:
+            target = self._find_target(message)
             if message.is_counted:
                 await self._debit(message.customer, message.patience)
         except error.SeamError as failure:
@@ -230,7 +237,7 @@
         now = self._timer.read_clock()
         request = allocator.SlotRequest(
             entry.make_key(message.number),
-            message.service,
+            target.service,
             message.customer,
             message.rank,
             entry.domain,
@@ -239,12 +246,23 @@
             frozenset(message.excluded),
             message.request,
             message.is_late,
+            target.version,
         )
         decision = self.allocator.place(request, now)
         self._log_decision(entry, message, decision)
         if decision is not None:
             self._send_decisions([decision])
 
+    def _find_target(self, message: placement.Place) -> origin.Origin:
+        """Return the service and the version, if any, that a request must get.
+
+        Raise `CapacityError` if it resumes a stream that can't be continued.
+        """
+        if not message.resumes:
+            return origin.Origin(message.service, message.version)
+        now = self._timer.read_clock()
+        return self._origins.require(message.resumes, message.services, now)
+
     def _log_decision(
         self,
         entry: _EntrySession,
@@ -395,6 +413,11 @@
             if entry is None:
                 continue
             if isinstance(decision, allocator.Grant):
+                self._origins.record(
+                    decision.request.request_id,
+                    origin.get_origin(decision.instance),
+                    self._timer.read_clock(),
+                )
                 entry.stream.post(placement.Placed(int(number), decision.instance))
             else:
                 failure = _make_error(decision)
@@ -446,6 +469,10 @@
             entry.stream.post(view)
 
 
+def _get_origin(item: placement.Began) -> origin.Origin:
+    return origin.Origin(item.service, item.version)
+
+
 def _make_error(refusal: allocator.Refusal) -> error.SeamError:
     """Return the error for a request that was not placed."""
     kind = error.Kind.NO_UPSTREAM if refusal.has_no_upstream else error.Kind.OVERLOADED
--- a/sapphireseam/control/progress.py
+++ b/sapphireseam/control/progress.py
@@ -3,6 +3,8 @@
 from sapphireseam.control import record
 from sapphireseam.control.bulk import EVENT_SEPARATOR
 from sapphireseam.core import command
+from sapphireseam.core.instance import Instance
+from sapphireseam.policy import origin
 from sapphireseam.utils import event
 
 
@@ -10,12 +12,16 @@
     """The output and the retry state of an item that has no result yet.
 
     The output up to event `saved_event` is saved in the log. `data` holds the
-    events after it.
+    events after it. All of it comes from upstreams of one `origin`.
     """
 
     def __init__(self, partial: record.Partial | None):
         self.saved_event = partial.last if partial else -1
         self.last_event = self.saved_event
+        # None if the output was saved without it, or if there is none.
+        self.origin: origin.Origin | None = None
+        if partial and partial.service:
+            self.origin = origin.Origin(partial.service, partial.version)
         self.data: list[bytes] = []
         # Counts how often the item restarted from the first event. Parts of the
         # output that were proposed before a restart are recognized by it.
@@ -33,6 +39,14 @@
         """Return the number of events that the item has produced."""
         return self.last_event + 1
 
+    def begin_run(self, instance: Instance) -> None:
+        """Prepare for a run at an instance, from the first event if it must be."""
+        here = origin.get_origin(instance)
+        began = self.origin or origin.Origin(instance.service, "")
+        if not self.is_resumable or began != here:
+            self.reset()
+        self.origin = here
+
     def reset(self) -> None:
         """Discard the output, so that the item starts again from the first event."""
         self.data.clear()
@@ -56,5 +70,10 @@
     def draft_part(self, job: str, item: int) -> command.LotPart:
         """Return the next part of the output to save in the log."""
         return command.LotPart(
-            job, item, self.saved_event, self.last_event, self.render_unsaved()
+            job,
+            item,
+            self.saved_event,
+            self.last_event,
+            self.render_unsaved(),
+            *self.origin,
         )
--- a/sapphireseam/control/record.py
+++ b/sapphireseam/control/record.py
@@ -135,10 +135,15 @@
 
 
 class Partial(NamedTuple):
-    """The output of an unfinished item up to event `last`."""
+    """The output of an unfinished item up to event `last`.
+
+    `service` and `version` are those of the upstream that wrote it.
+    """
 
     last: int
     output: bytes
+    service: str = ""
+    version: str = ""
 
 
 class Lot(NamedTuple):
--- a/sapphireseam/core/command.py
+++ b/sapphireseam/core/command.py
@@ -310,7 +310,8 @@
     """The output of an item after event `after`, up to event `last`.
 
     `output` is the data of the events, separated by line feeds. If `after` is -1,
-    it replaces the output that was saved before.
+    it replaces the output that was saved before. `service` and `version` are those of
+    the upstream that wrote it.
     """
 
     lot: str
@@ -318,6 +319,8 @@
     after: int
     last: int
     output: bytes
+    service: str = ""
+    version: str = ""
 
 
 class KeepParts(NamedTuple):
--- a/sapphireseam/core/placement.py
+++ b/sapphireseam/core/placement.py
@@ -18,12 +18,27 @@
     customer: str
 
 
+class Began(NamedTuple):
+    """Report the service and the software version at which a request's stream began.
+
+    The leader itself knows this of the instances that it chose.
+    """
+
+    request: str
+    service: str
+    version: str
+
+
 class Attach(NamedTuple):
-    """Open an entry's stream; `domain` is the entry's failure domain."""
+    """Open an entry's stream; `domain` is the entry's failure domain.
+
+    `origins` are the streams that began recently.
+    """
 
     entry: str
     domain: str
     running: tuple[Running, ...]
+    origins: tuple[Began, ...] = ()
 
 
 class Place(NamedTuple):
@@ -33,7 +48,9 @@
     the instances at which the request has failed. With `is_counted`, the request is
     debited from its customer's rate limit; a further attempt isn't. `request` is the
     id of the caller's request, for the log. `is_late` says that the answer can no
-    longer be on time.
+    longer be on time. A request with a `version` gets an upstream of that software
+    version. One that `resumes` the stream of an earlier attempt gets an upstream like
+    the one that began it, if that is of one of `services`.
     """
 
     number: int
@@ -45,6 +62,9 @@
     excluded: tuple[str, ...]
     is_counted: bool
     is_late: bool = False
+    version: str = ""
+    resumes: str = ""
+    services: tuple[str, ...] = ()
 
 
 class Placed(NamedTuple):
@@ -97,4 +117,4 @@
     """Confirm that the sender is still the leader."""
 
 
-MESSAGES = (Attach, Place, Placed, Turned, Left, Suspect, View, Beat)
+MESSAGES = (Attach, Place, Placed, Turned, Left, Began, Suspect, View, Beat)
--- a/sapphireseam/entry/direct.py
+++ b/sapphireseam/entry/direct.py
@@ -66,6 +66,8 @@
     deadline: float
     # Number of the last event that the caller has; -1 if it has none.
     resume_after: int = -1
+    # The attempt that began the caller's stream, if the caller names it.
+    resumes: str = ""
     # Seconds that the caller had waited before this request.
     waited: float = 0.0
 
@@ -86,6 +88,8 @@
         self.is_counted = False
         self.has_begun = False
         self.last_event = resume_after
+        # The upstream at which the stream began or went on.
+        self.origin: Instance | None = None
         # Events that were passed on, over all attempts.
         self.events = 0
         # The answer of the newest attempt.
@@ -204,15 +208,20 @@
             patience = SLOT_WAIT_SECONDS
         elif request.is_late:
             patience = (request.deadline - now) * LATE_WAIT_SHARE
+        began = progress.origin
         spec = SlotSpec(
             request.id,
-            self._choose_service(request.route),
+            began.service if began else self._choose_service(request.route),
             request.customer,
             request.rank,
             max(patience, 0.0),
             frozenset(progress.excluded),
             not progress.is_counted,
             request.is_late,
+            began.version if began else "",
+            request.resume_after >= 0,
+            request.resumes,
+            _list_services(request.route),
         )
         try:
             slot = await self._placer.place(spec)
@@ -297,7 +306,7 @@
                 silence_timer.cancel()
                 progress.answer = answer
                 await self._deliver_answer(
-                    request, progress, answer, sink, interval, silence_limit
+                    request, progress, slot, answer, sink, interval, silence_limit
                 )
         except outbound.OutboundError as failure:
             is_suspect = not isinstance(failure, outbound.RefusalError)
@@ -326,6 +335,7 @@
         self,
         request: DirectRequest,
         progress: _Progress,
+        slot: HeldSlot,
         answer: outbound.Answer,
         sink: Sink,
         interval: _EventInterval,
@@ -342,7 +352,9 @@
         if head.status >= SERVER_ERROR_STATUS and may_retry:
             raise outbound.RefusalError(f"the upstream answered {head.status}", False)
         if head.is_stream and request.route.streamed:
-            await self._deliver_events(progress, answer, sink, interval, silence_limit)
+            await self._deliver_events(
+                progress, slot, answer, sink, interval, silence_limit
+            )
         else:
             body = await answer.read_all(MAX_BUFFERED_BYTES, silence_limit)
             # For a plain answer, the interval is the time since the request arrived.
@@ -355,6 +367,7 @@
     async def _deliver_events(
         self,
         progress: _Progress,
+        slot: HeldSlot,
         answer: outbound.Answer,
         sink: Sink,
         interval: _EventInterval,
@@ -370,6 +383,9 @@
                 continue
             interval.record(len(new_events), self._timer.read_clock())
             progress.events += len(new_events)
+            if progress.origin is None:
+                progress.origin = slot.instance
+                self._placer.record_stream(slot)
             if not progress.has_begun:
                 progress.has_begun = True
                 await sink.begin(answer.head.status, answer.head.headers)
@@ -380,6 +396,11 @@
             await sink.begin(answer.head.status, answer.head.headers)
 
 
+def _list_services(route: fleet.Route) -> tuple[str, ...]:
+    """Return the services that may serve a route."""
+    return tuple(share.service for share in route.shares) or (route.service,)
+
+
 def _get_answer_timeout(route: fleet.Route) -> float:
     """Return the seconds without an answer after which an upstream seems lost."""
     if route.streamed:
--- a/sapphireseam/entry/direct_test.py
+++ b/sapphireseam/entry/direct_test.py
@@ -26,6 +26,7 @@
         self.specs = []
         self.released = []
         self.silent = []
+        self.streams = []
         self.refusal = None
 
     async def place(self, spec):
@@ -43,6 +44,9 @@
     def release(self, slot, is_suspect=False, pace=0.0, is_full=False):
         self.released.append((slot.instance.id, is_suspect))
 
+    def record_stream(self, slot):
+        self.streams.append(slot.instance.id)
+
     def report_silent(self, instance):
         self.silent.append(instance.id)
 
--- a/sapphireseam/entry/placer.py
+++ b/sapphireseam/entry/placer.py
@@ -15,7 +15,7 @@
 
 from sapphireseam.core import error, fleet, message, placement
 from sapphireseam.core.instance import Instance
-from sapphireseam.policy import allocator, fallback
+from sapphireseam.policy import allocator, fallback, origin
 from sapphireseam.utils import metric, rpc
 from sapphireseam.utils.application import TaskGroup
 from sapphireseam.utils.client import ControlClient
@@ -41,7 +41,11 @@
 
 
 class SlotSpec(NamedTuple):
-    """Specify the slot that a request needs; see `placement.Place`."""
+    """Specify the slot that a request needs; see `placement.Place`.
+
+    A request that `is_resumed` continues the stream of the attempt `resumes`. If its
+    caller doesn't name the attempt, `resumes` is empty.
+    """
 
     request: str
     service: str
@@ -51,15 +55,23 @@
     excluded: frozenset[str]
     is_counted: bool
     is_late: bool = False
+    version: str = ""
+    is_resumed: bool = False
+    resumes: str = ""
+    services: tuple[str, ...] = ()
 
 
 class HeldSlot(NamedTuple):
-    """A request's slot, which is taken until `Placer.release`."""
+    """A request's slot, which is taken until `Placer.release`.
+
+    `is_local` says that this entry chose the instance without the leader.
+    """
 
     number: int
     request: str
     instance: Instance
     customer: str
+    is_local: bool = False
 
 
 class Placer:
@@ -86,6 +98,8 @@
         # Counts only this entry's requests, to place locally without a leader.
         self._allocator = allocator.SlotAllocator()
         self._entry_count = 1
+        # The streams that this entry began or resumed.
+        self._origins = origin.StreamOrigins()
         self._numbers = itertools.count(1)
         self._running: dict[int, HeldSlot] = {}
         self._waiting: dict[int, asyncio.Future] = {}
@@ -132,7 +146,11 @@
             )
             for slot in self._running.values()
         )
-        first = placement.Attach(self._node, self._domain, running)
+        origins = tuple(
+            placement.Began(attempt, *each)
+            for attempt, each in self._origins.list(self._timer.read_clock())
+        )
+        first = placement.Attach(self._node, self._domain, running, origins)
         reported = {item.number for item in running}
         channel = self._client.open_channel(address)
         try:
@@ -200,12 +218,41 @@
         begin = self._timer.read_clock()
         outcome = REFUSED
         try:
-            slot, outcome = await self._place(spec)
+            slot, outcome = await self._place(self._find_origin(spec, begin))
             return slot
         finally:
             spent = self._timer.read_clock() - begin
             self._meter.observe(metric.PLACEMENT, spent, outcome=outcome)
 
+    def record_stream(self, slot: HeldSlot) -> None:
+        """Record that the stream of a slot's request began, or went on, there."""
+        began = origin.get_origin(slot.instance)
+        self._origins.record(slot.request, began, self._timer.read_clock())
+        if slot.is_local:
+            self._post(placement.Began(slot.request, *began))
+
+    def _find_origin(self, spec: SlotSpec, now: float) -> SlotSpec:
+        """Return the specification with the origin of the stream, if it is known here.
+
+        Raise `CapacityError` if the stream can't be continued. A caller that doesn't
+        name the attempt can continue only if there is a single version.
+        """
+        if not spec.is_resumed or spec.version:
+            return spec
+        if spec.resumes:
+            known = self._origins.find(spec.resumes, now)
+            if known is None:
+                return spec
+            origin.check_service(known, spec.services)
+            return spec._replace(
+                service=known.service, version=known.version, resumes=""
+            )
+        versions = self._allocator.list_versions(spec.service)
+        if len(versions) != 1 or len(spec.services) != 1:
+            text = "the caller doesn't name the attempt that began the stream"
+            raise error.CapacityError(text, error.Kind.NO_UPSTREAM, not_run=True)
+        return spec._replace(version=versions.pop())
+
     async def _place(self, spec: SlotSpec) -> tuple[HeldSlot, str]:
         """Return a slot and the outcome for the metrics."""
         number = next(self._numbers)
@@ -258,11 +305,15 @@
             now,
             spec.excluded,
             is_late=spec.is_late,
+            version=spec.version,
         )
 
     def _place_locally(self, number: int, spec: SlotSpec) -> HeldSlot:
         """Place a request by the instances and requests that this entry has seen."""
         now = self._timer.read_clock()
+        if spec.resumes:
+            # Only a leader knows the streams of other entries.
+            self._origins.require(spec.resumes, spec.services, now)
         contract = self._contracts().get(spec.customer)
         if spec.is_counted and contract is not None:
             wait = self._fallback.spend(spec.customer, contract, self._entry_count, now)
@@ -276,7 +327,7 @@
             # After an election the new leader can place by the load of all entries.
             wait = min(wait, ELECTION_SECONDS)
             raise error.CapacityError(text, error.Kind.OVERLOADED, wait, True)
-        slot = HeldSlot(number, spec.request, result.instance, spec.customer)
+        slot = HeldSlot(number, spec.request, result.instance, spec.customer, True)
         self._running[number] = slot
         silent = now - self._last_contact
         logger.info(
@@ -319,4 +370,7 @@
         tuple(spec.excluded),
         spec.is_counted,
         spec.is_late,
+        spec.version,
+        spec.resumes,
+        spec.services,
     )
--- a/sapphireseam/entry/placer_test.py
+++ b/sapphireseam/entry/placer_test.py
@@ -10,7 +10,9 @@
 from sapphireseam.utils import metric, rpc
 from sapphireseam.utils.timer import SystemTimer
 
-INSTANCES = tuple(Instance(f"i{n}", "llm", f"10.0.0.{n}:80", "z", 2) for n in (1, 2))
+INSTANCES = tuple(
+    Instance(f"i{n}", "llm", f"10.0.0.{n}:80", "z", 2, version="v1") for n in (1, 2)
+)
 
 
 class FakeStream:
@@ -116,6 +118,53 @@
         spec = placer.SlotSpec("r", "llm", "c", 0, 0.2, frozenset(), True)
         return spec._replace(**fields)
 
+    def make_resumption(self, **fields):
+        return self.make_spec(is_resumed=True, services=("llm",), **fields)
+
+    async def test_a_stream_of_this_entry_is_resumed_at_its_version(self):
+        slot = await self.placer.place(self.make_spec(request="a0"))
+        self.placer.record_stream(slot)
+        await self.placer.place(self.make_resumption(resumes="a0"))
+        place = self.leader.received[-1]
+        self.assertEqual((place.version, place.resumes), ("v1", ""))
+
+    async def test_the_leader_is_asked_for_the_version_of_another_entrys_stream(self):
+        await self.placer.place(self.make_resumption(resumes="a0"))
+        place = self.leader.received[-1]
+        self.assertEqual((place.resumes, place.services), ("a0", ("llm",)))
+
+    async def test_without_a_leader_only_streams_of_this_entry_are_resumed(self):
+        self.leader.fail()
+        await asyncio.sleep(0.05)
+        slot = await self.placer.place(self.make_spec(request="a0"))
+        self.placer.record_stream(slot)
+        again = await self.placer.place(self.make_resumption(resumes="a0"))
+        self.assertEqual(again.instance.version, "v1")
+        with self.assertRaises(error.CapacityError) as caught:
+            await self.placer.place(self.make_resumption(resumes="b0"))
+        self.assertTrue(caught.exception.not_run)
+
+    async def test_a_new_leader_learns_the_streams_that_it_did_not_place(self):
+        self.leader.fail()
+        await asyncio.sleep(0.05)
+        slot = await self.placer.place(self.make_spec(request="a0"))
+        self.placer.record_stream(slot)
+        self.leader.is_up = True
+        await asyncio.sleep(0.2)
+        began = placement.Began("a0", "llm", "v1")
+        self.assertEqual(self.leader.attached[-1].origins, (began,))
+        self.placer.record_stream(slot)
+        self.assertIn(began, self.leader.received)
+
+    async def test_a_caller_that_names_no_attempt_resumes_only_a_single_version(self):
+        await self.placer.place(self.make_resumption())
+        self.assertEqual(self.leader.received[-1].version, "v1")
+        two = (INSTANCES[0], INSTANCES[1]._replace(version="v2"))
+        self.leader.streams[-1].inbox.put_nowait(placement.View(two, (), 1))
+        await asyncio.sleep(0.02)
+        with self.assertRaises(error.CapacityError):
+            await self.placer.place(self.make_resumption())
+
     async def test_the_leader_places_and_gets_one_release(self):
         slot = await self.placer.place(self.make_spec())
         self.assertEqual(slot.instance, INSTANCES[0])
--- a/sapphireseam/platform/dialect.py
+++ b/sapphireseam/platform/dialect.py
@@ -11,6 +11,8 @@
 # Names the customer to a replica. The header is dropped from clients' requests.
 CUSTOMER = "X-Tenant"
 RESUME = "Last-Event-Id"
+# Names the client's attempt that brought the first event of a stream.
+RESUMES = "Resumes"
 NOT_RUN = "X-Not-Executed"
 SIGNATURE = "X-Response-Signature"
 WAIT = "X-Wait-Ms"
--- a/sapphireseam/platform/front.py
+++ b/sapphireseam/platform/front.py
@@ -149,6 +149,7 @@
             arrived,
             arrived + (limit if remaining is None else min(remaining, limit)),
             _read_last_event(request),
+            request.headers.get(dialect.RESUMES, ""),
             self._estimate_wait(authorization.route_name, remaining, arrived),
         )
         return await self._forward(request, direct_request)
--- a/sapphireseam/policy/allocator.py
+++ b/sapphireseam/policy/allocator.py
@@ -47,7 +47,8 @@
 
     `key` identifies it in the allocator and `request_id` at the upstream. It may wait
     until `wait_until`. A request that `is_late` can't meet its deadline any more, even
-    if it starts now.
+    if it starts now. One with a `version` is placed only at upstreams of that software
+    version.
     """
 
     key: str
@@ -60,6 +61,7 @@
     excluded: frozenset[str] = frozenset()
     request_id: str = ""
     is_late: bool = False
+    version: str = ""
 
 
 class Grant(NamedTuple):
@@ -73,7 +75,8 @@
 class Refusal(NamedTuple):
     """A refused request, which may be retried after `retry_after` seconds.
 
-    `has_no_upstream` means that the service has no usable upstream.
+    `has_no_upstream` means that the service has no usable upstream, or none of the
+    requested version.
     """
 
     request: SlotRequest
@@ -256,10 +259,17 @@
         """Return how many requests wait for a slot of a service."""
         return sum(request.service == service for request in self._waiting)
 
-    def count_slots(self, service: str) -> int:
-        """Return how many slots the usable upstreams of a service have."""
-        loads = self._list_loads(service)
-        return sum(load.instance.slots for load in loads if load.is_usable)
+    def count_slots(self, service: str, version: str = "") -> int:
+        """Return how many slots the usable upstreams of a service have.
+
+        With a `version`, only upstreams of that software version count.
+        """
+        loads = self._list_usable(service, version)
+        return sum(load.instance.slots for load in loads)
+
+    def list_versions(self, service: str) -> set[str]:
+        """Return the software versions of a service's known upstreams."""
+        return {load.instance.version for load in self._list_loads(service)}
 
     def find_least_loaded(self, service: str, excluded: str) -> Instance | None:
         """Return a service's upstream with the most free slots, except `excluded`.
@@ -286,8 +296,15 @@
     def _list_loads(self, service: str) -> list[UpstreamLoad]:
         return self._by_service.get(service, [])
 
+    def _list_usable(self, service: str, version: str) -> list[UpstreamLoad]:
+        return [
+            load
+            for load in self._list_loads(service)
+            if load.is_usable and version in ("", load.instance.version)
+        ]
+
     def _list_candidates(self, request: SlotRequest) -> list[UpstreamLoad]:
-        loads = [load for load in self._list_loads(request.service) if load.is_usable]
+        loads = self._list_usable(request.service, request.version)
         allowed = [load for load in loads if load.instance.id not in request.excluded]
         return allowed or loads
 
@@ -359,11 +376,11 @@
 
     def _estimate_wait(self, request: SlotRequest, ahead: int, now: float) -> float:
         """Return the expected wait in seconds of a request with `ahead` before it."""
-        slots: float = self.count_slots(request.service)
+        slots: float = self.count_slots(request.service, request.version)
         if not slots:
             return MAX_RETRY_SECONDS
         if request.is_late:
-            slots = self._count_late_slots(request.service, now)
+            slots = min(slots, self._count_late_slots(request.service, now))
         slot_seconds = self.estimate_slot_seconds(request.service)
         return (ahead + 1) * slot_seconds / slots
 
@@ -373,7 +390,7 @@
             each.service == request.service and _get_precedence(each) <= precedence
             for each in self._waiting
         )
-        has_slots = self.count_slots(request.service) > 0
+        has_slots = self.count_slots(request.service, request.version) > 0
         wait = self._estimate_wait(request, ahead, now)
         if has_slots and now + wait < request.wait_until:
             return None
@@ -384,24 +401,25 @@
         retried = request._replace(is_late=True)
         wait = self._estimate_wait(retried, self.count_waiting(request.service), now)
         bounded = min(max(wait, MIN_RETRY_SECONDS), MAX_RETRY_SECONDS)
-        return Refusal(request, bounded, self.count_slots(request.service) == 0)
+        has_no_upstream = self.count_slots(request.service, request.version) == 0
+        return Refusal(request, bounded, has_no_upstream)
 
     def _place_waiting(self, now: float) -> list[Grant]:
         """Place waiting requests by rank, then evenly among customers."""
         grants = []
-        blocked: set[tuple[str, bool]] = set()
+        blocked: set[tuple[str, bool, str]] = set()
         while True:
             waiting = [
                 request
                 for request in self._waiting
-                if (request.service, request.is_late) not in blocked
+                if _get_block_key(request) not in blocked
             ]
             if not waiting:
                 return grants
             request = min(waiting, key=self._get_sort_key)
             grant = self._try_place(request, now)
             if grant is None:
-                blocked.add((request.service, request.is_late))
+                blocked.add(_get_block_key(request))
                 continue
             self._waiting.remove(request)
             grants.append(grant)
@@ -417,3 +435,8 @@
     The lowest key is placed first.
     """
     return (request.rank, request.is_late)
+
+
+def _get_block_key(request: SlotRequest) -> tuple[str, bool, str]:
+    """Return the key that requests share if none of them can be placed."""
+    return (request.service, request.is_late, request.version)
--- a/sapphireseam/policy/allocator_test.py
+++ b/sapphireseam/policy/allocator_test.py
@@ -43,6 +43,26 @@
         (grant,) = self.allocator.release("r0", 0.1)
         self.assertEqual(grant.request.key, "late")
 
+    def test_a_version_is_kept_and_does_not_hold_back_other_requests(self):
+        versions = (("i1", "v1"), ("i2", "v2"))
+        self.allocator.update(
+            tuple(make_instance(name, version=version) for name, version in versions),
+            0.0,
+        )
+        for number in range(2):
+            grant = self.allocator.place(make_request(f"p{number}", version="v1"), 0.0)
+            self.assertEqual(grant.instance.id, "i1")
+        pinned = make_request("w", version="v1", patience=1.0)
+        self.assertIsNone(self.allocator.place(pinned, 0.0))
+        self.fill(2)
+        self.assertIsNone(self.allocator.place(make_request("any", patience=1.0), 0.1))
+        (grant,) = self.allocator.release("p0", 0.1)
+        self.assertEqual((grant.request.key, grant.instance.id), ("w", "i1"))
+
+    def test_a_request_for_a_version_that_serves_no_more_is_refused_at_once(self):
+        refusal = self.allocator.place(make_request("r", version="v0"), 0.0)
+        self.assertTrue(refusal.has_no_upstream)
+
     def test_time_in_the_queue_does_not_count_as_slot_time(self):
         self.fill(4)
         self.allocator.place(make_request("w", patience=9.0), 0.0)
