Continue a stream only at the model version that began it

What callers would see: a stream of an upstream with an agent that breaks while its model moves to another version goes on with text of the new version.

A retry lists the upstreams of the model's version in force, whatever version wrote the events that the caller has.

Change: the delivery remembers the version of the upstream that began the answer, and a continued answer is offered to upstreams of that version alone. They may still serve it after the model has moved on. Without one the stream is broken off.

Evidence: both new tests fail on the code before (the stream went on at u3, with version m-2) and pass; the 19 tests of the forwarder pass.

--- a/sapphireseam/entry/delivery.py
+++ b/sapphireseam/entry/delivery.py
@@ -35,12 +35,14 @@
     """Pass an answer on, or buffer it while it can still be replaced.
 
     `possibly_run` says that an attempt which has ended may have run at an upstream.
+    `version` is the model version that began the answer, empty if none has.
     """
 
     def __init__(self, request: RoutedRequest, sink: Sink):
         self.request = request
         self.begun = False
         self.possibly_run = False
+        self.version = ""
         self._sink = sink
         self._tracker: resume.StreamTracker | None = None
         self._is_streaming = False
--- a/sapphireseam/entry/forwarder.py
+++ b/sapphireseam/entry/forwarder.py
@@ -183,7 +183,8 @@
     ) -> None:
         request = delivery.request
         self._check_may_run(request, stopped)
-        link = self._choose_link(request, tried, alone)
+        link = self._choose_link(delivery, tried, alone)
+        version = self._mirror.fleet.upstreams[link.upstream].version
         try:
             attempt = link.open_attempt()
         except error.SeamError as failure:
@@ -205,6 +206,8 @@
             await self._read_messages(delivery, attempt, stopped)
             complete = True
         finally:
+            if delivery.begun and not delivery.version:
+                delivery.version = version
             deadline_task.cancel()
             stopped.remove_done_callback(stop)
             attempt.close(revoke=not complete)
@@ -315,13 +318,23 @@
         failure = error.CapacityError(text, error.Kind.NO_UPSTREAM)
         return AttemptFailed(failure, True)
 
+    def _list_upstreams(self, delivery: Delivery) -> list[str]:
+        """Return the upstreams that may answer, or continue an answer that began.
+
+        Texts of two model versions don't fit together.
+        """
+        request, found = delivery.request, self._mirror.fleet
+        if delivery.version:
+            names = found.upstreams
+            return [n for n in names if names[n].version == delivery.version]
+        return fleet.list_upstreams(found, request.model, request.route.service)
+
     def _choose_link(
-        self, request: RoutedRequest, tried: set[str], alone: bool
+        self, delivery: Delivery, tried: set[str], alone: bool
     ) -> AgentLink:
         """Return the link for the next attempt, preferably to an untried replica."""
-        names = fleet.list_upstreams(
-            self._mirror.fleet, request.model, request.route.service
-        )
+        request = delivery.request
+        names = self._list_upstreams(delivery)
         candidates = [
             self._make_candidate(name) for name in names if self._is_usable(name)
         ]
--- a/sapphireseam/entry/forwarder_test.py
+++ b/sapphireseam/entry/forwarder_test.py
@@ -392,6 +392,58 @@
         self.assertNotIn(b"other", fixture.sink.body)
         self.assertEqual(fixture.sink.body.count(b"id-0"), 3)
 
+    async def resume_during_rollout(self, keeps_first):
+        """Cut a stream while its model moves on; return the fixture and the offers.
+
+        All upstreams but the first one serve the next version then, and also the
+        first one unless `keeps_first`.
+        """
+        events = render_events(["a ", "b "], False, "id-0")
+        offers = []
+
+        def move_on(first):
+            found = fixture.mirror.fleet
+            upstreams = {
+                name: each._replace(version="m-2")
+                if each.version and (name != first or not keeps_first)
+                else each
+                for name, each in found.upstreams.items()
+            }
+            models = {"m": found.models["m"]._replace(version="m-2")}
+            fixture.mirror.fleet = found._replace(upstreams=upstreams, models=models)
+
+        def react(item, send):
+            if not isinstance(item, exchange.Offer):
+                return
+            name = next(
+                name for name, each in fixture.links.items() if item in each.sent
+            )
+            offers.append(name)
+            if len(offers) == 1:
+                move_on(name)
+                send(exchange.Head(0, 200, EVENTS))
+                send(exchange.Data(0, events[0] + b"\n\n"))
+                send(link.LinkLost(0))
+                return
+            done = json.loads(item.body)["seam_resume_from"]
+            send_answer(send, b"\n\n".join(events[done:]) + b"\n\n", headers=EVENTS)
+
+        fixture = Fixture(react)
+        request = make_request(
+            fixture.timer.read_clock(), streamed=True, body=b'{"stream":true}'
+        )
+        return await fixture.run(request), offers
+
+    def test_stream_continues_at_the_model_version_that_began_it(self):
+        failure, offers = asyncio.run(self.resume_during_rollout(True))
+        self.assertIsNone(failure)
+        self.assertEqual(offers[0], offers[1])
+
+    def test_stream_is_not_continued_at_another_model_version(self):
+        failure, offers = asyncio.run(self.resume_during_rollout(False))
+        self.assertIsNotNone(failure)
+        self.assertEqual(len(offers), 1)
+
     def test_stream_whose_tokens_cannot_be_counted_is_cut_not_garbled(self):
         async def check():
             event = {"id": "i", "choices": [{"index": 1, "delta": {"content": "x"}}]}
