Send nothing more to an upstream that says in an answer that it is leaving

What callers would see: requests that reach an upstream long after it had said in an answer that it leaves, and are cut off with it (DRAIN).

Cause: only the list of upstreams told that one is leaving. The list lags, and an entry that isn't in touch with the leader has an old one.

Change: the pool of connections, which every request and every item passes, remembers each run of an upstream (id and start) whose answer had the header, and refuses to send to it again, as not run. So the rule holds on each VM from that answer on, whatever list it has. The entry also tells the leader, and the leader its own allocator, so that such upstreams are not chosen at all; an entry whose leader didn't know repeats the report. A run that starts again under the same id is another one.

--- a/sapphireseam/control/application.py
+++ b/sapphireseam/control/application.py
@@ -461,6 +461,7 @@
         timer,
     )
     server.register(shared.server)
+    integration.upstreams.on_leaving = server.mark_leaving
     report_slots(shared.meter, server.allocator, machine, replica)
     bulkservice.BulkService(replica, machine, timer).register(shared.server)
     members = membership.MembershipService(replica, machine, settings.voters, timer)
--- a/sapphireseam/control/bulkrunner_test.py
+++ b/sapphireseam/control/bulkrunner_test.py
@@ -405,6 +405,23 @@
             (answers[0].kind, answers[0].retry_after), ("rate_limited", 0.7)
         )
 
+    async def test_leaving_upstream_gets_nothing_more_from_the_leader(self):
+        instances = (self.upstream.instance, self.other.instance)
+        self.placement.update_instances(instances)
+        stream = FakeStream()
+        serving = self.placement.serve(messages.Attach("e1", "z", ()), stream)
+        task = asyncio.create_task(serving)
+        stream.put(messages.Leaving("u1", 0))
+        for number in range(4):
+            stream.put(messages.Place(number, "r", "llm", "c", 0, 0.1, (), True))
+        await asyncio.sleep(0.05)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        placed = [item for item in stream.sent if isinstance(item, messages.Placed)]
+        self.assertEqual({item.instance.id for item in placed}, {"u2"})
+        self.placement.update_instances((instances[0]._replace(born=9),))
+        self.assertEqual(self.placement.allocator.count_slots("llm"), 8)
+
     async def test_ejected_upstream_gets_nothing_until_a_probe_succeeds(self):
         self.placement.eject("u1")
         self.assertEqual(len(self.placement.allocator.list_ejected()), 1)
--- a/sapphireseam/control/placement.py
+++ b/sapphireseam/control/placement.py
@@ -219,6 +219,8 @@
                 self._origins.record(message.request, _get_origin(message), now)
             case placement.Suspect():
                 self._eject(message.instance, entry.name)
+            case placement.Leaving():
+                self.allocator.mark_leaving(message.instance, message.born)
 
     async def _place(
         self, entry: _EntrySession, open_numbers: set[int], message: placement.Place
@@ -331,6 +333,10 @@
         self._send_decisions(self.allocator.release(key, self._timer.read_clock()))
         self.on_slot_free()
 
+    def mark_leaving(self, instance: Instance) -> None:
+        """Stop sending requests to a run of an instance that says that it leaves."""
+        self.allocator.mark_leaving(instance.id, instance.born)
+
     def eject(self, instance_id: str) -> None:
         """Stop sending requests to an instance until a probe succeeds."""
         self._eject(instance_id, "lots")
--- a/sapphireseam/core/placement.py
+++ b/sapphireseam/core/placement.py
@@ -105,6 +105,13 @@
     instance: str
 
 
+class Leaving(NamedTuple):
+    """Report that a run of an upstream has said that it is leaving."""
+
+    instance: str
+    born: int
+
+
 class View(NamedTuple):
     """Send all instances, the control VMs and how many entries are connected."""
 
@@ -117,4 +124,4 @@
     """Confirm that the sender is still the leader."""
 
 
-MESSAGES = (Attach, Place, Placed, Turned, Left, Began, Suspect, View, Beat)
+MESSAGES = (Attach, Place, Placed, Turned, Left, Began, Suspect, Leaving, View, Beat)
--- a/sapphireseam/entry/direct.py
+++ b/sapphireseam/entry/direct.py
@@ -310,9 +310,13 @@
                 )
         except outbound.OutboundError as failure:
             is_suspect = not isinstance(failure, outbound.RefusalError)
-            is_full = not is_suspect and failure.is_not_run
+            is_refusal = not is_suspect and failure.is_not_run
+            is_full = is_refusal and not isinstance(failure, outbound.LeavingError)
             if failure.is_not_run:
                 progress.runs -= 1
+            if isinstance(failure, outbound.LeavingError):
+                # This leader doesn't know it, or knew it too late.
+                self._placer.report_leaving(slot.instance)
             return failure
         finally:
             silence_timer.cancel()
--- a/sapphireseam/entry/direct_test.py
+++ b/sapphireseam/entry/direct_test.py
@@ -27,6 +27,7 @@
         self.released = []
         self.silent = []
         self.streams = []
+        self.leaving = []
         self.refusal = None
 
     async def place(self, spec):
@@ -47,6 +48,9 @@
     def record_stream(self, slot):
         self.streams.append(slot.instance.id)
 
+    def report_leaving(self, instance):
+        self.leaving.append(instance.id)
+
     def report_silent(self, instance):
         self.silent.append(instance.id)
 
@@ -221,6 +225,19 @@
         self.assertEqual(self.placer.silent, ["u1"])
         self.assertEqual(self.count_runs(), [1, 0])
 
+    async def test_an_upstream_that_says_it_leaves_gets_no_further_request(self):
+        for behaviour in ("well", "refuse", "fail"):
+            with self.subTest(behaviour):
+                await self.asyncSetUp()
+                self.upstreams[0].is_leaving = True
+                await self.serve(STREAM, behaviour)
+                before = len(self.upstreams[0].runs)
+                for _ in range(3):
+                    self.sink = FakeSink()
+                    await self.serve(STREAM)
+                self.assertEqual(self.count_runs()[0], before)
+                self.assertTrue(self.sink.is_complete)
+
     async def test_without_a_slot_the_refusal_says_not_run(self):
         self.placer.refusal = error.CapacityError("full", retry_after=0.4)
         failure = await self.expect(error.Kind.OVERLOADED, STREAM)
--- a/sapphireseam/entry/discovery.py
+++ b/sapphireseam/entry/discovery.py
@@ -93,6 +93,7 @@
     )
     connection_closer = _ConnectionCloser(upstreams)
     placer.on_instances = connection_closer.update
+    upstreams.on_leaving = placer.report_leaving
     forwarder = DirectForwarder(placer, upstreams, meter, timer, random.Random())
     bulk_jobs = BulkJobClient(client, timer)
     context = FrontContext(authorizer, forwarder, bulk_jobs, mirror, client, timer)
--- a/sapphireseam/entry/placer.py
+++ b/sapphireseam/entry/placer.py
@@ -354,6 +354,11 @@
         self._allocator.release(str(slot.number), now)
         self._post(placement.Left(slot.number, is_suspect, pace, is_full))
 
+    def report_leaving(self, instance: Instance) -> None:
+        """Report to the leader that an instance has said that it is leaving."""
+        self._allocator.mark_leaving(instance.id, instance.born)
+        self._post(placement.Leaving(instance.id, instance.born))
+
     def report_silent(self, instance: Instance) -> None:
         """Report to the leader that an instance is silent."""
         self._post(placement.Suspect(instance.id))
--- a/sapphireseam/entry/placer_test.py
+++ b/sapphireseam/entry/placer_test.py
@@ -118,6 +118,18 @@
         spec = placer.SlotSpec("r", "llm", "c", 0, 0.2, frozenset(), True)
         return spec._replace(**fields)
 
+    async def test_an_instance_that_says_it_leaves_is_reported_and_not_used(self):
+        leaving = INSTANCES[0]
+        self.placer.report_leaving(leaving)
+        self.assertEqual(
+            self.leader.received[-1], placement.Leaving(leaving.id, leaving.born)
+        )
+        self.leader.fail()
+        await asyncio.sleep(0.05)
+        for _ in range(2):
+            slot = await self.placer.place(self.make_spec())
+            self.assertEqual(slot.instance.id, INSTANCES[1].id)
+
     def make_resumption(self, **fields):
         return self.make_spec(is_resumed=True, services=("llm",), **fields)
 
--- a/sapphireseam/platform/dialect.py
+++ b/sapphireseam/platform/dialect.py
@@ -16,6 +16,8 @@
 NOT_RUN = "X-Not-Executed"
 SIGNATURE = "X-Response-Signature"
 WAIT = "X-Wait-Ms"
+LEAVING = "Server-Leaving"
+LEAVING_VALUE = "1"
 KEY = "Authorization"
 KEY_SCHEME = "token "
 
@@ -109,3 +111,7 @@
     def is_not_run(self, status: int, headers: CIMultiDictProxy[str]) -> bool:
         """Return whether the replica promises that it has not run the request."""
         return status == MISDIRECTED_STATUS or NOT_RUN in headers
+
+    def is_leaving(self, headers: CIMultiDictProxy[str]) -> bool:
+        """Return whether the replica says that it is leaving."""
+        return headers.get(LEAVING, "").strip() == LEAVING_VALUE
--- a/sapphireseam/platform/dialect_test.py
+++ b/sapphireseam/platform/dialect_test.py
@@ -68,6 +68,11 @@
         self.assertFalse(replica_dialect.is_not_run(503, empty))
         self.assertFalse(replica_dialect.is_not_run(500, empty))
 
+    def test_which_answers_say_that_their_replica_leaves(self):
+        for value, expected in (("1", True), (" 1", True), ("0", False), ("", False)):
+            headers = CIMultiDictProxy(CIMultiDict({"Server-Leaving": value}))
+            self.assertIs(dialect.ReplicaDialect().is_leaving(headers), expected)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/sapphireseam/policy/allocator.py
+++ b/sapphireseam/policy/allocator.py
@@ -152,6 +152,12 @@
             load.is_ejected = False
         return self._place_waiting(now)
 
+    def mark_leaving(self, name: str, born: int) -> None:
+        """Place nothing more at a run of an instance, which has said that it leaves."""
+        load = self._loads.get(name)
+        if load is not None and load.instance.born == born:
+            load.mark_leaving()
+
     def list_ejected(self) -> list[Instance]:
         """Return the ejected instances."""
         return [load.instance for load in self._loads.values() if load.is_ejected]
--- a/sapphireseam/policy/occupancy.py
+++ b/sapphireseam/policy/occupancy.py
@@ -41,6 +41,7 @@
         self.batch_count = 0
         self.late_count = 0
         self.is_ejected = False
+        self._has_said_leaving = False
         # Mean seconds per event, 0 before the first measurement.
         self.pace = 0.0
         # Number of reported requests that this process didn't place, such as those
@@ -49,10 +50,22 @@
         # Release times of requests that the upstream may still report.
         self._released: dict[str, float] = {}
 
+    def mark_leaving(self) -> None:
+        """Record that the instance has said that it is leaving.
+
+        The list of instances may not tell it yet.
+        """
+        self._has_said_leaving = True
+
+    @property
+    def is_leaving(self) -> bool:
+        """Return whether the instance is leaving."""
+        return self._has_said_leaving or self.instance.is_leaving
+
     @property
     def is_usable(self) -> bool:
         """Return whether requests may be placed at the instance."""
-        return not self.is_ejected and not self.instance.is_leaving
+        return not self.is_ejected and not self.is_leaving
 
     @property
     def free_slots(self) -> int:
@@ -90,7 +103,7 @@
 
         " leaving" and " benched" (ejected) are appended where they apply.
         """
-        mark = " leaving" if self.instance.is_leaving else ""
+        mark = " leaving" if self.is_leaving else ""
         mark += " benched" if self.is_ejected else ""
         online = len(self.requests) - self.batch_count
         return (
--- a/sapphireseam/utils/fakeupstream.py
+++ b/sapphireseam/utils/fakeupstream.py
@@ -18,6 +18,7 @@
 RESUME = "Fake-Resume"
 CUSTOMER = "Fake-Customer"
 REMAINING = "Fake-Remaining"
+LEAVING = "Fake-Leaving"
 # How long a silent upstream sends nothing, in seconds.
 SILENT_SECONDS = 30.0
 
@@ -43,6 +44,10 @@
         """Return whether the answer guarantees that the request hasn't run."""
         return NOT_RUN in headers
 
+    def is_leaving(self, headers: CIMultiDictProxy[str]) -> bool:
+        """Return whether the upstream says that it is leaving."""
+        return LEAVING in headers
+
 
 class Run(NamedTuple):
     """A request that an upstream has received."""
@@ -78,6 +83,9 @@
         self.runs: list[Run] = []
         self.connections = 0
         self.slots = 8
+        self.born = 0
+        # Whether every answer says that the upstream is leaving.
+        self.is_leaving = False
         # Delay before each event, in seconds.
         self.event_delay = 0.0
         # Ids of the requests that were running when their connection was closed.
@@ -98,7 +106,13 @@
         port = self._server.sockets[0].getsockname()[1]
         address = f"127.0.0.1:{port}"
         return Instance(
-            self.name, self.service, address, "z", self.slots, version=self.version
+            self.name,
+            self.service,
+            address,
+            "z",
+            self.slots,
+            born=self.born,
+            version=self.version,
         )
 
     async def _serve(
@@ -128,10 +142,13 @@
             await self._wait_for_close(reader, run)
             return False
         if behaviour in ("refuse", "fail", "impossible", "stale"):
-            _write_short_answer(writer, behaviour, run)
+            _write_short_answer(writer, behaviour, run, self._render_leaving())
             return True
         return await self._stream_answer(reader, writer, run, behaviour)
 
+    def _render_leaving(self) -> bytes:
+        return f"{LEAVING}: 1\r\n".encode() if self.is_leaving else b""
+
     async def _wait_for_close(self, reader: asyncio.StreamReader, run: Run) -> None:
         try:
             async with asyncio.timeout(SILENT_SECONDS):
@@ -155,6 +172,7 @@
             b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
             + f"{ID}: {run.id}\r\nFake-By: {self.name}\r\n".encode()
             + coding
+            + self._render_leaving()
             + b"\r\n"
         )
         if ending == "empty":
@@ -191,12 +209,16 @@
     writer.write(data)
 
 
-def _write_short_answer(writer: asyncio.StreamWriter, behaviour: str, run: Run) -> None:
+def _write_short_answer(
+    writer: asyncio.StreamWriter, behaviour: str, run: Run, extra: bytes
+) -> None:
     status = {"refuse": 503, "fail": 500, "impossible": 422, "stale": 200}[behaviour]
     id = "another" if behaviour == "stale" else run.id
-    extra = f"{NOT_RUN}: 1\r\n" if behaviour == "refuse" else ""
+    if behaviour == "refuse":
+        extra += f"{NOT_RUN}: 1\r\n".encode()
     writer.write(
-        f"HTTP/1.1 {status} X\r\n{ID}: {id}\r\n{extra}".encode()
+        f"HTTP/1.1 {status} X\r\n{ID}: {id}\r\n".encode()
+        + extra
         + b"Content-Length: 2\r\n\r\nno"
     )
 
--- a/sapphireseam/utils/outbound.py
+++ b/sapphireseam/utils/outbound.py
@@ -10,7 +10,7 @@
 import logging
 import socket
 from collections import Counter
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from typing import NamedTuple, Protocol
 
@@ -94,6 +94,9 @@
     def is_not_run(self, status: int, headers: CIMultiDictProxy[str]) -> bool:
         """Return whether an answer guarantees that the request hasn't run."""
 
+    def is_leaving(self, headers: CIMultiDictProxy[str]) -> bool:
+        """Return whether an answer says that its upstream is leaving."""
+
 
 class OutboundError(Exception):
     """A request failed; `is_not_run` is true if it certainly didn't run."""
@@ -107,6 +110,10 @@
     """An upstream answered, but didn't deliver the requested result."""
 
 
+class LeavingError(RefusalError):
+    """The request wasn't sent, because its upstream has said that it is leaving."""
+
+
 class AnswerTimeoutError(OutboundError):
     """An upstream accepted a request but sent nothing in time."""
 
@@ -184,10 +191,17 @@
 
 
 class ConnectionPool:
-    """Reuses the connections of one process to all upstreams."""
+    """Reuses the connections of one process to all upstreams.
+
+    An upstream that has said in an answer that it is leaving gets no further request
+    from this process. `on_leaving` is called when it says so for the first time.
+    """
 
     def __init__(self, dialect: Dialect):
+        self.on_leaving: Callable[[instances.Instance], None] = lambda _: None
         self._dialect = dialect
+        # Ids and start times of the instances that are leaving. A run never returns.
+        self._leaving: set[tuple[str, int]] = set()
         self._sessions: dict[str, aiohttp.ClientSession] = {}
         # Requests in progress by address.
         self._open_requests: Counter[str] = Counter()
@@ -261,9 +275,12 @@
 
         The connection is closed if the caller doesn't read the answer to its end.
 
-        Raises `OutboundError` if no answer to this request is received, and
-        `AnswerTimeoutError` if none has begun after `timeout` seconds.
+        Raises `OutboundError` if no answer to this request is received,
+        `AnswerTimeoutError` if none has begun after `timeout` seconds, and
+        `LeavingError` if the upstream has said that it is leaving.
         """
+        if (instance.id, instance.born) in self._leaving:
+            raise LeavingError("the upstream is leaving", True)
         self._open_requests[instance.address] += 1
         try:
             async with self._exchange(request, instance, timeout) as answer:
@@ -284,6 +301,8 @@
                 response = await self._open(request, instance)
         except TimeoutError:
             raise AnswerTimeoutError(f"no answer for {timeout:.1f} s", False) from None
+        if self._dialect.is_leaving(response.headers):
+            self._record_leaving(instance)
         try:
             head = self._read_head(request, response)
             yield Answer(head, response, request.resume_after >= 0)
@@ -291,6 +310,13 @@
             # The connection of a completely read answer was already released for reuse.
             response.close()
 
+    def _record_leaving(self, instance: instances.Instance) -> None:
+        run = (instance.id, instance.born)
+        if run not in self._leaving:
+            self._leaving.add(run)
+            logger.info("upstream is leaving", extra={"upstream": instance.id})
+            self.on_leaving(instance)
+
     async def _open(
         self, request: Outgoing, instance: instances.Instance
     ) -> framing.FramedResponse:
--- a/sapphireseam/utils/outbound_test.py
+++ b/sapphireseam/utils/outbound_test.py
@@ -65,6 +65,20 @@
                 self.fail("the upstream has stopped")
         self.assertTrue(caught.exception.is_not_run)
 
+    async def test_leaving_upstream_gets_nothing_more_until_it_runs_anew(self):
+        leaving = []
+        self.pool.on_leaving = leaving.append
+        self.upstream.is_leaving = True
+        await self.read()
+        with self.assertRaises(outbound.LeavingError) as caught:
+            await self.read("r2")
+        self.assertTrue(caught.exception.is_not_run)
+        self.assertEqual(leaving, [self.upstream.instance])
+        self.upstream.is_leaving = False
+        self.upstream.born = 7
+        await self.read("r3")
+        self.assertEqual([run.id for run in self.upstream.runs], ["r1", "r3"])
+
     async def test_order_returns_the_answer_or_none(self):
         self.upstream.behaviours = ["fail"]
         address = self.upstream.instance.address
