Never suspect a batch item of the crashes of its upstreams

Cause: the agent named items among the requests that may have caused a crash. A suspected item waited until nothing else ran at its upstream, which under steady online work never happens, and held back the other items of that upstream. A second crash while it ran alone quarantined it for good.

Change: items are never suspected. Their crashes are still detected and aren't counted as failed attempts, and they run beside other work like before the crash. Isolation and quarantine stay as they were for online requests.

--- a/sapphireseam/agent/crash.py
+++ b/sapphireseam/agent/crash.py
@@ -5,9 +5,9 @@
 episode that covers all work running at that time. After a short delay the
 episode is classified as a whole. If none of its work still runs, the upstream
 crashed once, and every request whose connection broke is suspected. If some of
-the work still runs, the upstream is alive and no request is suspected. An agent
-that is lost together with its VM reports no crash, so no request is blamed for
-the loss of a VM.
+the work still runs, the upstream is alive and no request is suspected. Batch items
+are part of an episode but are never suspected. An agent that is lost together with
+its VM reports no crash, so no request is blamed for the loss of a VM.
 """
 
 import asyncio
@@ -125,9 +125,10 @@
     async def detect_crash(self, work_id: str, fingerprint: str) -> bool:
         """Return whether a broken exchange was part of a crash of the upstream.
 
-        The work must still be in `list_running`. When this returns true, the
-        control VMs have accepted the crash report, unless they could not be reached
-        within REPORT_SECONDS.
+        An empty fingerprint stands for work that is never suspected. The work must
+        still be in `list_running`. When this returns true, the control VMs have
+        accepted the crash report, unless they could not be reached within
+        REPORT_SECONDS.
         """
         for episode in self._episodes:
             if work_id in episode.members:
@@ -153,7 +154,10 @@
                 episode.crashed.set_result(True)
 
     async def _report(self, episode: _Episode) -> None:
-        fingerprints = tuple(sorted(set(episode.broken.values())))
+        self._timeline.record("upstream_died", self._upstream)
+        fingerprints = tuple(sorted(set(episode.broken.values()) - {""}))
+        if not fingerprints:
+            return
         report = command.ReportDeath(
             f"death-{self._upstream}-{secrets.token_hex(8)}",
             self._upstream,
@@ -162,7 +166,6 @@
             self._timer.read_wall_clock(),
         )
         self._apply_locally(report, math.inf)
-        self._timeline.record("upstream_died", self._upstream)
         sending = self._tasks.spawn(self._propose(report))
         try:
             await wait_for(self._timer, asyncio.shield(sending), REPORT_SECONDS)
--- a/sapphireseam/agent/itemwork.py
+++ b/sapphireseam/agent/itemwork.py
@@ -6,7 +6,7 @@
 from sapphireseam.agent import engine
 from sapphireseam.agent.crash import CrashDetector
 from sapphireseam.agent.scheduler import Completion
-from sapphireseam.core import error, exchange, fingerprint, message
+from sapphireseam.core import error, exchange, message
 from sapphireseam.policy import queue
 from sapphireseam.utils.timer import TimerService, wait_for
 
@@ -96,9 +96,8 @@
         self.alone = False
         self._document = json.loads(line)
         self._body = json.dumps(self._document["body"]).encode()
-        self.fingerprint = fingerprint.compute(
-            work.customer, self._document["method"], self._document["url"], self._body
-        )
+        # An item is never suspected of a crash.
+        self.fingerprint = ""
         self._lease = lease
         self._item = item
         self._context = context
@@ -108,11 +107,8 @@
         return self._lease.work.idempotent
 
     def refuse(self, failure: error.SeamError) -> None:
-        """Return the item as not run, or fail it if it is quarantined."""
-        if failure.kind is error.Kind.REQUEST_QUARANTINED:
-            self._add_failure(failure)
-        else:
-            self._lease.return_item(self._item, not_run=True)
+        """Return the item as not run."""
+        self._lease.return_item(self._item, not_run=True)
 
     async def run(self) -> Completion:
         """Run the item at the upstream and store its output line."""
@@ -164,8 +160,8 @@
     async def _return_failed(self, failure: engine.UpstreamError) -> None:
         """Return the item after a failed exchange.
 
-        After a crash this is not counted as a failed attempt. The crash report makes
-        every request whose connection broke a suspect instead.
+        After a crash this is not counted as a failed attempt, and the item isn't
+        suspected of it either.
         """
         has_crashed = False
         if failure.broken:
@@ -175,16 +171,6 @@
         blamed = not failure.not_run and not has_crashed
         self._lease.return_item(self._item, blamed, failure.not_run)
 
-    def _add_failure(self, failure: error.SeamError) -> None:
-        line = {
-            "id": f"{self._lease.work.job}-{self._item}",
-            "custom_id": self._document["custom_id"],
-            "response": None,
-            "error": {"code": str(failure.kind), "message": failure.message},
-        }
-        data = json.dumps(line).encode()
-        self._lease.add_result(Result(self._item, data, True))
-
 
 def render_line(
     work: message.Work, item: int, document: dict[str, Any], status: int, data: bytes
--- a/sapphireseam/agent/scheduler.py
+++ b/sapphireseam/agent/scheduler.py
@@ -9,9 +9,9 @@
 A request that is suspected of crashing upstreams runs alone, and a quarantined
 request does not run. Both conditions are checked again right before the start,
 because another copy of the request may have crashed an upstream in the meantime.
-While an online suspect waits, no other work starts and running batch work is
-preempted. The suspect starts once the upstream is idle. A batch suspect waits until
-there is no online work, and online work preempts it.
+While a suspect waits, no other work starts and running batch work is preempted. The
+suspect starts once the upstream is idle. A batch item is never suspected: it is owed
+to its job, however many upstreams crashed while it ran.
 """
 
 import asyncio
@@ -149,14 +149,12 @@
 
     def count_waiting(self, batch: bool) -> int:
         """Return the number of waiting requests or waiting items."""
-        return self._queue.count(batch) + len(self._list_waiting_suspects(batch))
+        suspects = 0 if batch else len(self._waiting_suspects)
+        return self._queue.count(batch) + suspects
 
     def _list_running_online(self) -> list[_Running]:
         return [r for r in self._running.values() if not r.work.ticket.batch]
 
-    def _list_waiting_suspects(self, batch: bool) -> list[Work]:
-        return [work for work in self._waiting_suspects if work.ticket.batch == batch]
-
     def list_running(self) -> frozenset[str]:
         """Return the ids of the running work."""
         return frozenset(self._running)
@@ -229,61 +227,35 @@
         """Start the work that may start now; preempt batch work for waiting work."""
         if self._stopped:
             return
-        if self._is_suspect_running() or self._start_online_suspect():
+        if self._is_suspect_running() or self._start_suspect():
             return
         now = self._timer.read_clock()
         while len(self._running) < self.slots:
-            if self._start_batch_suspect():
-                break
             start = dispatch.choose_start(
                 self._queue, self._admission, self._count_by_kind(), now
             )
             if start is None:
                 break
             self._start_or_isolate(self._waiting.pop(start.ticket.id), start.due)
-            if self._list_waiting_suspects(False):
+            if self._waiting_suspects:
                 return self.schedule()
         self._preempt_for_online()
 
     def _is_suspect_running(self) -> bool:
-        """Return whether a suspect runs alone.
-
-        Waiting online work preempts a batch suspect like other batch work.
-        """
-        for work_id, running in self._running.items():
-            if running.alone:
-                if self.count_waiting(False) and running.work.is_preemptible():
-                    self._preempt(work_id)
-                return True
-        return False
+        """Return whether a suspect runs alone."""
+        return any(running.alone for running in self._running.values())
 
-    def _start_online_suspect(self) -> bool:
-        """Start a waiting online suspect once the upstream is idle.
+    def _start_suspect(self) -> bool:
+        """Start a waiting suspect once the upstream is idle.
 
         Return whether all other work must wait for it.
         """
-        suspects = self._list_waiting_suspects(False)
-        if not suspects:
+        if not self._waiting_suspects:
             return False
         if self._running:
             self.preempt_batch()
         else:
-            self._waiting_suspects.remove(suspects[0])
-            self._start_work(suspects[0], due=False, alone=True)
-        return True
-
-    def _start_batch_suspect(self) -> bool:
-        """Start a waiting batch suspect once the upstream is idle.
-
-        Return whether all other batch work must wait for it. While online work
-        waits, the suspect does not start.
-        """
-        suspects = self._list_waiting_suspects(True)
-        if not suspects or self._queue.count(False):
-            return False
-        if not self._running:
-            self._waiting_suspects.remove(suspects[0])
-            self._start_work(suspects[0], due=False, alone=True)
+            self._start_work(self._waiting_suspects.pop(0), due=False, alone=True)
         return True
 
     def _count_by_kind(self) -> dispatch.StreamCounts:
@@ -310,13 +282,15 @@
 
     def _start_or_isolate(self, work: Work, due: bool) -> None:
         """Start work, or queue it to run alone if it is a suspect by now."""
-        if self._suspect_tracker.is_suspect(work.fingerprint):
+        is_online = not work.ticket.batch
+        if is_online and self._suspect_tracker.is_suspect(work.fingerprint):
             self._waiting_suspects.append(work)
         else:
             self._start_work(work, due, alone=False)
 
     def _start_work(self, work: Work, due: bool, alone: bool) -> None:
-        if self._suspect_tracker.is_quarantined(work.fingerprint):
+        is_online = not work.ticket.batch
+        if is_online and self._suspect_tracker.is_quarantined(work.fingerprint):
             text = "this request crashed the upstreams that ran it"
             work.refuse(error.RequestError(text, error.Kind.REQUEST_QUARANTINED))
             return
@@ -377,7 +351,7 @@
         """Refuse online work that cannot start before its deadline."""
         now = self._timer.read_clock()
         expired = [self._waiting.pop(ticket.id) for ticket in self._queue.expire(now)]
-        for work in self._list_waiting_suspects(False):
+        for work in list(self._waiting_suspects):
             if work.ticket.deadline <= now:
                 self._waiting_suspects.remove(work)
                 expired.append(work)
