Blame the loss of an agent on no batch item

What customers would see: an item that happened to be leased singly to three agents which were lost in a burst of crashes ends as failed with upstream_failed, though it is sound.

Cause: the state machine blamed the loss of an agent on an item leased singly, and three such losses ended it. An agent is lost with its VM, often together with the upstream beside it, for reasons of its own.

Change: a lost lease blames no item. Its items are still leased singly and last, so other items don't wait for them.

--- a/sapphireseam/control/job.py
+++ b/sapphireseam/control/job.py
@@ -4,10 +4,9 @@
 the mark, and any later result is dropped. So an item has one result, however often
 it ran. A lease only says which agent may run an item now.
 
-An item ends as failed once TRY_LIMIT failures were blamed on it. A failed answer is
-blamed on its item, and the loss of an agent on an item that was leased to it singly.
-When an agent is lost with several items, none of them is blamed, but each of them is
-leased singly from then on. So an item that crashes its VM is identified.
+An item ends as failed once TRY_LIMIT failed answers were blamed on it. The loss of an
+agent is blamed on no item, but its items are leased singly and last from then on, so
+that others don't wait for them.
 """
 
 from sapphireseam.control import record
@@ -199,13 +198,10 @@
     found = state.leases.pop(item.lease, None)
     if found is None:
         return outcome.Refused(error.Kind.CONFLICT, f"lease {item.lease} is over")
-    # Only an item that was leased singly is blamed for the loss of its agent.
     tries = state.tries[found.job]
-    single = len(found.items) == 1 and found.items[0] in tries
     for number in found.items:
         tries.setdefault(number, 0)
-    blamed = set(found.items) if single else set()
-    _requeue(state, found.job, list(found.items), blamed, item.at)
+    _requeue(state, found.job, list(found.items), set(), item.at)
     return outcome.Done(found.job, len(found.items))
 
 
