Run an item of a bulk job again soon after a burst of crashes

What customers would see: an item under whose connections upstreams crashed several times waits up to 8 s although all is calm and slots are free; after about a thousand broken connections its delay can't be computed any more.

Cause: the delay doubled with every broken connection of the item and was never reduced, and the power was computed before the bound was applied.

Change: it doubles three times, so an item waits 1.6 s at most.

--- a/sapphireseam/control/bulkrunner.py
+++ b/sapphireseam/control/bulkrunner.py
@@ -32,9 +32,9 @@
 # An item's connection is closed after this many seconds without data.
 IDLE_TIMEOUT_SECONDS = 3.0
 # Delay before an item is retried, in seconds. It doubles with each broken connection
-# of the item up to the maximum. A refused or failed item waits for the minimum.
+# of the item, this many times. A refused or failed item waits for the minimum.
 MIN_BACKOFF_SECONDS = 0.2
-MAX_BACKOFF_SECONDS = 8.0
+MAX_DOUBLINGS = 3
 # How often the output of running items is saved in the log, in seconds, and the
 # minimum number of new events for which a part of an output is saved.
 SAVE_PARTS_SECONDS = 1.0
@@ -352,10 +352,10 @@
             progress.not_before = self._timer.read_clock() + MIN_BACKOFF_SECONDS
             return
         self._placement.eject(instance.id)
-        backoff = MIN_BACKOFF_SECONDS * 2**progress.disconnects
+        doublings = min(progress.disconnects, MAX_DOUBLINGS)
         progress.disconnects += 1
         now = self._timer.read_clock()
-        progress.not_before = now + min(backoff, MAX_BACKOFF_SECONDS)
+        progress.not_before = now + MIN_BACKOFF_SECONDS * 2**doublings
 
     async def _exchange(
         self,
--- a/sapphireseam/control/bulkrunner_test.py
+++ b/sapphireseam/control/bulkrunner_test.py
@@ -167,6 +167,18 @@
         self.assertEqual(results[0].output, self.expect_output(b"i0"))
         self.assertNotIn(fakeupstream.RESUME, self.other.runs[0].headers)
 
+    async def test_item_under_which_upstreams_crashed_runs_again_soon(self):
+        await self.accept(0)
+        progress = bulkrunner.ItemProgress(None)
+        for disconnects in (3, 10, 2000):
+            progress.disconnects = disconnects
+            now = self.timer.read_clock()
+            failure = outbound.OutboundError("crash", False)
+            self.runner._handle_exchange_error(
+                "i0", progress, self.upstream.instance, failure
+            )
+            self.assertLessEqual(progress.not_before - now, 2.1)
+
     async def test_next_leader_keeps_the_version_of_a_saved_output(self):
         self.upstream.version, self.other.version = "v1", "v2"
         instances = (self.other.instance, self.upstream.instance)
