Send no item of a bulk job whose result is recorded already

What customers would see: an item runs once more after its result was in, with an empty body (UNASKED).

Cause: a started item read its body when its task first ran. If the command that records its result is applied between the start and that moment, the job has dropped the body already, and the run isn't stopped either. Such a command can be on its way when an item starts: a leader whose lease has ended forgets what it has proposed, and a member that becomes leader starts items from its own state before it has applied what was committed before its term.

Change: a run takes the item as it was at the start; the result of an item stops its run; and a new leader starts items only once it has applied everything up to the beginning of its term.

Evidence: on the code before, the test that records results right after a start sends all three items with empty bodies, and a leader that isn't caught up runs an item.

--- a/sapphireseam/control/bulkrunner.py
+++ b/sapphireseam/control/bulkrunner.py
@@ -115,6 +115,7 @@
             self._stop_job(item.lot)
         if isinstance(item, command.ListResults):
             for result in item.results:
+                self._preempt(_make_run_key(result.lot, result.item))
                 self._remove_item((result.lot, result.item))
         self._wake.set()
 
@@ -193,7 +194,7 @@
         while True:
             await self._wake.wait()
             self._wake.clear()
-            if self._replica.is_leader:
+            if self._replica.is_leader and self._replica.has_caught_up:
                 self._schedule()
 
     def _schedule(self) -> None:
@@ -262,6 +263,7 @@
         """Start an item on a free slot; return False if the service has none."""
         key = (job.id, number)
         progress = self._progress[key]
+        item = job.items[number]
         run_key = _make_run_key(job.id, number)
         request = allocator.SlotRequest(
             run_key,
@@ -272,7 +274,7 @@
             now,
             now,
             progress.excluded,
-            job.items[number].id,
+            item.id,
             version=self._choose_version(progress, service),
         )
         grant = self._placement.allocator.place_batch(request)
@@ -280,7 +282,7 @@
             # Slots of other versions may still be free.
             return bool(request.version)
         self._active.add(key)
-        run = self._run(job, number, route, progress, grant.instance)
+        run = self._run(job, item, route, progress, grant.instance)
         task = self._tasks.spawn(run)
         self._runs[run_key] = task
         task.add_done_callback(lambda done: self._finish_run(run_key, key, done))
@@ -315,18 +317,19 @@
     async def _run(
         self,
         job: record.Lot,
-        number: int,
+        item: command.LotItem,
         route: fleet.Route,
         progress: ItemProgress,
         instance: Instance,
     ) -> bool | None:
-        """Run an item; return whether it failed for good, or None to run it again."""
+        """Run an item; return whether it failed for good, or None to run it again.
+
+        The item is that of the start, because the job drops its body with the result.
+        """
         try:
-            return await self._exchange(job, number, route, progress, instance)
+            return await self._exchange(job, item, route, progress, instance)
         except outbound.OutboundError as failure:
-            self._handle_exchange_error(
-                job.items[number].id, progress, instance, failure
-            )
+            self._handle_exchange_error(item.id, progress, instance, failure)
             return None
 
     def _handle_exchange_error(
@@ -360,13 +363,12 @@
     async def _exchange(
         self,
         job: record.Lot,
-        number: int,
+        item: command.LotItem,
         route: fleet.Route,
         progress: ItemProgress,
         instance: Instance,
     ) -> bool | None:
         """Send an item and read its output; return the same as `_run`."""
-        item = job.items[number]
         progress.begin_run(instance)
         request = outbound.Outgoing(
             item.id,
--- a/sapphireseam/control/bulkrunner_test.py
+++ b/sapphireseam/control/bulkrunner_test.py
@@ -28,6 +28,7 @@
 
     def __init__(self, machine):
         self.is_leader = True
+        self.has_caught_up = True
         self.leader = "me"
         self.term = 1
         self.members = ()
@@ -312,6 +313,23 @@
         await asyncio.sleep(0.4 + 2 * bulkrunner.REVIEW_SECONDS)
         self.assertNotIn("l", self.machine.state.lots)
 
+    async def test_item_that_was_just_started_is_not_sent_without_its_body(self):
+        await self.accept(3)
+        self.runner._schedule()
+        results = tuple(command.LotResult("l", n, False, b"done") for n in range(3))
+        await self.apply(command.ListResults(results))
+        await asyncio.sleep(0.2)
+        self.assertEqual([run.body for run in self.upstream.runs if not run.body], [])
+        self.assertEqual(self.placement.allocator.count_running("llm", True), 0)
+
+    async def test_new_leader_runs_nothing_before_it_has_its_predecessors_results(self):
+        self.replica.has_caught_up = False
+        await self.accept()
+        await asyncio.sleep(0.4)
+        self.assertEqual(self.upstream.runs, [])
+        self.replica.has_caught_up = True
+        await self.wait_done()
+
     async def test_member_that_does_not_lead_runs_nothing(self):
         self.replica.is_leader = False
         await self.accept()
--- a/sapphireseam/state/replica.py
+++ b/sapphireseam/state/replica.py
@@ -230,6 +230,14 @@
         """Return whether this member is leader with a valid lease."""
         return self._node.role is nodes.Role.LEADER and self._node.has_lease
 
+    @property
+    def has_caught_up(self) -> bool:
+        """Return whether a leader has applied all that was committed before its term.
+
+        Until then its state may lack commands that its predecessor acknowledged.
+        """
+        return self._node.applied >= self._node.term_start
+
     @property
     def applied(self) -> int:
         """Return the index of the last entry applied by this member."""
