Pass a reset on as a reset in the proxy of the soak

The entry wasn't at fault: the proxy between agent and upstream closed the agent's connection in order where the upstream's had been reset, so the agent couldn't tell. It aborted the transport, which closes the socket, and didn't look for an error at the end of the data.

Change: the proxy resets the other connection with break_off and asks for a pending error at the end, as the answers' protocol does.

--- a/sapphireseam/tools/proxy.py
+++ b/sapphireseam/tools/proxy.py
@@ -7,15 +7,13 @@
 
 import asyncio
 import enum
-import socket
-import struct
+
+from sapphireseam.utils import framing
 
 # Maximum number of bytes forwarded at once.
 CHUNK_BYTES = 64 * 1024
 # Delay of a slow link, in seconds.
 SLOW_SECONDS = 0.15
-# SO_LINGER option that makes closing a socket send a reset (RST) instead of a FIN.
-_RESET = struct.pack("ii", 1, 0)
 
 
 class LinkFault(enum.StrEnum):
@@ -65,10 +63,7 @@
     def reset(self) -> None:
         """Reset all open connections."""
         for writer in list(self._writers):
-            raw_socket = writer.get_extra_info("socket")
-            if raw_socket is not None:
-                raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
-            writer.transport.abort()
+            framing.break_off(writer.transport)
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -83,8 +78,12 @@
             self._close(writer)
             return
         self._writers.add(far_writer)
-        forward = asyncio.create_task(self._pump(reader, far_writer, _BLOCKS_REQUESTS))
-        backward = asyncio.create_task(self._pump(far_reader, writer, _BLOCKS_REPLIES))
+        forward = asyncio.create_task(
+            self._pump(reader, writer.transport, far_writer, _BLOCKS_REQUESTS)
+        )
+        backward = asyncio.create_task(
+            self._pump(far_reader, far_writer.transport, writer, _BLOCKS_REPLIES)
+        )
         try:
             await asyncio.wait({forward, backward})
         finally:
@@ -100,10 +99,14 @@
     async def _pump(
         self,
         reader: asyncio.StreamReader,
+        source: asyncio.BaseTransport,
         writer: asyncio.StreamWriter,
         blocking_faults: frozenset[LinkFault],
     ) -> None:
-        """Forward one direction until its end, or until either connection is lost."""
+        """Forward one direction until its end, or until either connection is lost.
+
+        `source` is the transport of the reader's connection.
+        """
         try:
             while data := await reader.read(CHUNK_BYTES):
                 await self._wait_until_passable(blocking_faults)
@@ -111,10 +114,13 @@
                     await asyncio.sleep(SLOW_SECONDS)
                 writer.write(data)
                 await writer.drain()
-            writer.write_eof()
+            if not source.is_closing() and framing.has_pending_error(source):
+                framing.break_off(writer.transport)
+            else:
+                writer.write_eof()
         except OSError:
             # If one connection is lost, the other one is reset.
-            writer.transport.abort()
+            framing.break_off(writer.transport)
 
     async def _wait_until_passable(self, blocking_faults: frozenset[LinkFault]) -> None:
         while self._fault in blocking_faults:
--- a/sapphireseam/tools/proxy_test.py
+++ b/sapphireseam/tools/proxy_test.py
@@ -4,10 +4,12 @@
 import unittest
 
 from sapphireseam.tools import layout, proxy
+from sapphireseam.utils import framing
 
 
 class ProxyTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
+        self.echo_handler = None
         near, far = (f"{layout.HOST}:{port}" for port in layout.find_ports(2))
         host, port = far.rsplit(":", 1)
         self.server = await asyncio.start_server(self.echo, host, int(port))
@@ -21,6 +23,9 @@
         self.server.close()
 
     async def echo(self, reader, writer):
+        if self.echo_handler is not None:
+            await self.echo_handler(reader, writer)
+            return
         try:
             while data := await reader.read(100):
                 writer.write(data)
@@ -51,6 +56,20 @@
         writer.write_eof()
         self.assertEqual(await reader.read(), b"")
 
+    async def test_a_reset_by_the_server_reaches_the_client_as_a_reset(self):
+        async def send_and_reset(reader, writer):
+            await reader.read(1)
+            writer.write(b"part")
+            framing.break_off(writer.transport)
+
+        self.echo_handler = send_and_reset
+        for _ in range(5):
+            reader, writer = await self.connect()
+            writer.write(b"x")
+            with self.assertRaises(ConnectionResetError):
+                while await reader.read(100):
+                    pass
+
     async def test_a_silent_link_holds_bytes_back_until_the_fault_is_cleared(self):
         for kind in (
             proxy.LinkFault.SILENT,
--- a/sapphireseam/utils/framing.py
+++ b/sapphireseam/utils/framing.py
@@ -49,10 +49,7 @@
 
     def eof_received(self) -> None:
         """Record the end of the received data."""
-        # uvloop calls this, too, if a reset arrives together with data. The error is
-        # then still pending at the socket.
-        own_socket = self.transport.get_extra_info("socket")
-        if own_socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+        if has_pending_error(self.transport):
             self.end = ConnectionEnd.RESET
         super().eof_received()
 
@@ -126,6 +123,16 @@
     )
 
 
+def has_pending_error(transport: asyncio.BaseTransport) -> bool:
+    """Return whether a connection whose end was reported has failed instead.
+
+    uvloop reports the end, too, if a reset arrives together with data. The error is
+    then still pending at the socket.
+    """
+    own_socket = transport.get_extra_info("socket")
+    return own_socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0
+
+
 def break_off(transport: asyncio.Transport) -> None:
     """Reset a connection at once, so that the peer notices that data is missing.
 
