--- a/sapphireseam/tools/listener.py
+++ b/sapphireseam/tools/listener.py
@@ -9,7 +9,7 @@
 
 from aiohttp import web
 
-from sapphireseam.utils import application, timer
+from sapphireseam.utils import application, framing, timer
 
 # Longest time that a stop waits for the requests in flight.
 SHUTDOWN_SECONDS = 30.0
@@ -105,3 +105,21 @@
     if request.transport is not None:
         request.transport.abort()
     raise asyncio.CancelledError
+
+
+def send_unframed(
+    request: web.Request, body: bytes, content_type: str, breaks_off: bool
+) -> None:
+    """Answer with neither a length nor chunks, so that the connection ends the body.
+
+    With `breaks_off`, half of the body is sent and the connection is reset.
+    """
+    transport = request.transport
+    if transport is not None:
+        head = f"HTTP/1.1 200 OK\r\nContent-Type: {content_type}\r\n\r\n".encode()
+        transport.write(head + (body[: len(body) // 2] if breaks_off else body))
+        if breaks_off:
+            framing.break_off(transport)
+        else:
+            transport.close()
+    raise asyncio.CancelledError
--- a/sapphireseam/tools/service.py
+++ b/sapphireseam/tools/service.py
@@ -26,7 +26,9 @@
     A request whose prompt or body contains `crash_marker` crashes the upstream,
     which restarts after `restart_seconds`. A request with `fail_marker` is
     always answered with 500. The complete answer to a request with
-    `late_marker` is delayed by `late_seconds`.
+    `late_marker` is delayed by `late_seconds`. Every `unframed_every`th answer of a
+    plain service ends with its connection, and every `broken_every`th of those is
+    broken off; 0 means none.
     """
 
     crash_marker: str = ""
@@ -34,6 +36,8 @@
     fail_marker: str = ""
     late_marker: str = ""
     late_seconds: engine.Seconds = 2.0
+    unframed_every: int = 0
+    broken_every: int = 0
 
 
 def render_failure(message: str, code: str, kind: str = "server_error") -> dict:
@@ -77,6 +81,7 @@
         self._hooks = hooks
         self._timer = timer_service
         self._active = 0
+        self._answers = 0
         self._tasks = application.TaskGroup()
         self.listener = listener.Listener(
             host,
@@ -121,21 +126,33 @@
         label = _LABEL.search(request.path)
         if label:
             image = answer.render_label(label.group(1))
-            return web.Response(body=image, content_type="image/png")
-        return web.json_response({"path": request.path, "upstream": self.name})
+            return self._respond(request, image, "image/png")
+        document = {"path": request.path, "upstream": self.name}
+        return self._respond(request, json.dumps(document).encode())
 
     async def _serve_post(self, request: web.Request) -> web.Response:
         content = await request.read()
         failure = await self._run(request, content)
         if failure is not None:
             return failure
-        return web.json_response(
-            {
-                "id": read_request_id(request, content),
-                "digest": answer.compute_digest(content),
-                "upstream": self.name,
-            }
-        )
+        document = {
+            "id": read_request_id(request, content),
+            "digest": answer.compute_digest(content),
+            "upstream": self.name,
+        }
+        return self._respond(request, json.dumps(document).encode())
+
+    def _respond(
+        self, request: web.Request, body: bytes, content_type: str = "application/json"
+    ) -> web.Response:
+        """Return a complete answer, or send one without length or chunks."""
+        self._answers += 1
+        every = self._hooks.unframed_every
+        if every and self._answers % every == 0:
+            unframed, broken_every = self._answers // every, self._hooks.broken_every
+            breaks_off = bool(broken_every) and unframed % broken_every == 0
+            listener.send_unframed(request, body, content_type, breaks_off)
+        return web.Response(body=body, content_type=content_type)
 
     async def _run(self, request: web.Request, content: bytes) -> web.Response | None:
         """Do the work and count it; return an error answer only if the work failed.
--- a/sapphireseam/tools/soak.py
+++ b/sapphireseam/tools/soak.py
@@ -8,6 +8,9 @@
 run only once runs twice, no request answered with "not run" has run, and every
 accepted item is completed once.
 
+Plain services answer in part without length or chunks, and break off some of these
+answers.
+
 Only one control VM has a fault at a time, so that a quorum remains. Entries get no
 faults: `seam-load` does not retry at another entry as a load balancer would, so it
 would count every failed connection to a lost entry. `promise_test` covers their loss.
@@ -38,6 +41,9 @@
 # Maximum number of simultaneous faults of control VMs, and of all other processes.
 MAX_CONTROL_FAULTS = 1
 MAX_OTHER_FAULTS = 2
+# Which of the answers of plain services have neither length nor chunks, and which of
+# those are broken off.
+UNFRAMED_EVERY, BROKEN_EVERY = 3, 7
 CONTROL = "seam-control"
 UPSTREAM = "seam-upstream"
 # Faults that end a process. A stand-in upstream loses its run counts when it ends, so
@@ -86,6 +92,11 @@
                 f"{settings['host']}:{settings['port']}", address
             )
             settings["port"] = port
+            if settings["kind"] == "service":
+                settings["hooks"] = {
+                    "unframed_every": UNFRAMED_EVERY,
+                    "broken_every": BROKEN_EVERY,
+                }
             runs.append(f"http://{address}")
             item = item._replace(health=f"http://{address}/health")
         else:
--- a/sapphireseam/tools/standin_test.py
+++ b/sapphireseam/tools/standin_test.py
@@ -8,7 +8,7 @@
 
 from sapphireseam.scripts import upstream
 from sapphireseam.tools import answer, engine, record, service
-from sapphireseam.utils import timer
+from sapphireseam.utils import framing, timer
 
 MODEL = "wording-llm"
 KEY = "sk-secret-of-a-caller"
@@ -49,6 +49,21 @@
             while not await check():
                 await SYSTEM.sleep(0.01)
 
+    async def test_a_service_answers_in_part_without_length_or_chunks(self):
+        hooks = service.Hooks(unframed_every=2, broken_every=2)
+        await self.start_upstream("service", hooks=hooks)
+        base = f"http://127.0.0.1:{self.stand_in.listener.port}/orders"
+        outcomes = []
+        async with framing.create_session() as session:
+            for number in range(8):
+                try:
+                    async with session.post(base, json={"id": number}) as response:
+                        await response.read()
+                        outcomes.append(str(response.framing))
+                except aiohttp.ClientError:
+                    outcomes.append("broken")
+        self.assertEqual(outcomes, ["length", "connection", "length", "broken"] * 2)
+
     async def test_unstreamed_streamed_and_resumed_answers_agree(self):
         await self.start_upstream("engine")
         messages = [{"role": "user", "content": "oak, please"}]
