Treat a resumed stream that ends before its first event as broken, too

The upstream of the resumption had closed its connection right after the head.

Change: such an end is never complete. An item of a bulk job starts again after it, because it would never end otherwise if nothing had been left. The test of direct fails with the exception put back.

--- a/sapphireseam/control/bulkrunner.py
+++ b/sapphireseam/control/bulkrunner.py
@@ -351,6 +351,9 @@
             },
         )
         progress.excluded = frozenset({instance.id})
+        if isinstance(failure, outbound.EmptyAnswerError):
+            # Resumed after its last event, the item would never end.
+            progress.reset()
         if failure.is_not_run:
             progress.not_before = self._timer.read_clock() + MIN_BACKOFF_SECONDS
             return
--- a/sapphireseam/control/bulkrunner_test.py
+++ b/sapphireseam/control/bulkrunner_test.py
@@ -157,6 +157,14 @@
             resumed = {run.id for run in runs if fakeupstream.RESUME in run.headers}
             self.assertLessEqual(resumed, begun)
 
+    async def test_item_whose_resumption_brings_no_event_starts_again(self):
+        self.upstream.behaviours = ["unframed-cut", "unframed-empty"]
+        await self.accept()
+        results = await self.wait_done()
+        self.assertEqual(results[0].output, self.expect_output(b"i0"))
+        resumed = [fakeupstream.RESUME in run.headers for run in self.upstream.runs]
+        self.assertEqual(resumed, [False, True, False])
+
     async def test_item_whose_version_serves_no_more_starts_again(self):
         self.upstream.version, self.other.version = "v1", "v2"
         self.placement.update_instances((self.upstream.instance,))
--- a/sapphireseam/entry/direct_test.py
+++ b/sapphireseam/entry/direct_test.py
@@ -180,6 +180,12 @@
                 await self.serve(RESUMABLE, behaviour)
                 self.check_events()
 
+    async def test_a_resumed_unframed_stream_without_an_event_is_not_complete(self):
+        self.upstreams[1].behaviours = ["unframed-empty"]
+        with self.assertRaises(error.SeamError):
+            await self.serve(RESUMABLE, "cut")
+        self.assertFalse(self.sink.is_complete)
+
     async def test_a_refusal_of_the_upstream_does_not_count_as_a_run(self):
         for route in (STREAM, RESUMABLE, SAFE, UNSAFE):
             self.sink = FakeSink()
--- a/sapphireseam/utils/outbound.py
+++ b/sapphireseam/utils/outbound.py
@@ -114,22 +114,23 @@
     """The request wasn't sent, because its upstream has said that it is leaving."""
 
 
+class EmptyAnswerError(OutboundError):
+    """A stream ended with its connection before its first event.
+
+    The upstream may have closed the connection early, or had nothing left to send.
+    """
+
+
 class AnswerTimeoutError(OutboundError):
     """An upstream accepted a request but sent nothing in time."""
 
 
 class Answer:
-    """An answer whose body can be read in parts, in events or at once.
-
-    `is_resumed` is true if the request asked for the rest of an earlier answer.
-    """
+    """An answer whose body can be read in parts, in events or at once."""
 
-    def __init__(
-        self, head: Head, response: framing.FramedResponse, is_resumed: bool = False
-    ):
+    def __init__(self, head: Head, response: framing.FramedResponse):
         self.head = head
         self._response = response
-        self._is_resumed = is_resumed
         self._received = 0
 
     def describe(self) -> dict[str, object]:
@@ -166,11 +167,12 @@
     ) -> AsyncIterator[list[event.Event]]:
         """Yield the events of the body as they arrive.
 
-        Raises the same errors as `read_some`, and `OutboundError` if the body ends
-        inside an event, or with its connection before the first event.
+        Raises the same errors as `read_some`, `OutboundError` if the body ends inside
+        an event, and `EmptyAnswerError` if it ends with its connection before the
+        first event.
         """
         splitter = event.Splitter()
-        has_begun = self._is_resumed
+        has_begun = False
         while data := await self.read_some(timeout):
             if events := splitter.feed(data):
                 has_begun = True
@@ -178,7 +180,7 @@
         if splitter.has_incomplete_event:
             raise OutboundError("the answer ended inside an event", False)
         if not has_begun and self._response.framing is framing.Framing.CONNECTION:
-            raise OutboundError("the answer ended before its first event", False)
+            raise EmptyAnswerError("the answer ended before its first event", False)
 
     async def read_all(self, limit: int, timeout: float | None = None) -> bytes:
         """Return the complete body; raise if it ends early or exceeds `limit` bytes."""
@@ -304,8 +306,7 @@
         if self._dialect.is_leaving(response.headers):
             self._record_leaving(instance)
         try:
-            head = self._read_head(request, response)
-            yield Answer(head, response, request.resume_after >= 0)
+            yield Answer(self._read_head(request, response), response)
         finally:
             # The connection of a completely read answer was already released for reuse.
             response.close()
