Continue a stream at an ejected upstream if no other has its version

Cause: a request without a version goes elsewhere while upstreams are ejected. A stream has nowhere else to go, so it was refused at once and lost, though an ejected upstream may well serve it.

Change: if all upstreams of a version are ejected, online requests for that version are placed at them. Items of bulk jobs wait until one is restored.

--- a/sapphireseam/policy/allocator.py
+++ b/sapphireseam/policy/allocator.py
@@ -222,7 +222,7 @@
         if self.count_waiting(request.service):
             return None
         load = self._find_free(request)
-        if load is None:
+        if load is None or load.is_ejected:
             return None
         self._occupy(load, request, True, request.arrived)
         return Grant(request, load.instance)
@@ -303,11 +303,20 @@
         return self._by_service.get(service, [])
 
     def _list_usable(self, service: str, version: str) -> list[UpstreamLoad]:
-        return [
+        """Return the upstreams where requests for a version, if any, may be placed.
+
+        If all upstreams of a version are ejected, they are used as a last resort,
+        since no other upstream can continue a stream.
+        """
+        loads = [
             load
             for load in self._list_loads(service)
-            if load.is_usable and version in ("", load.instance.version)
+            if version in ("", load.instance.version)
         ]
+        usable = [load for load in loads if load.is_usable]
+        if usable or not version:
+            return usable
+        return [load for load in loads if not load.is_leaving]
 
     def _list_candidates(self, request: SlotRequest) -> list[UpstreamLoad]:
         loads = self._list_usable(request.service, request.version)
--- a/sapphireseam/policy/allocator_test.py
+++ b/sapphireseam/policy/allocator_test.py
@@ -59,6 +59,19 @@
         (grant,) = self.allocator.release("p0", 0.1)
         self.assertEqual((grant.request.key, grant.instance.id), ("w", "i1"))
 
+    def test_ejected_upstreams_continue_a_stream_if_no_other_has_its_version(self):
+        versions = (("i1", "v1"), ("i2", "v2"))
+        self.allocator.update(
+            tuple(make_instance(name, version=version) for name, version in versions),
+            0.0,
+        )
+        self.allocator.eject("i1")
+        self.assertIsNone(self.allocator.place_batch(make_request("b", version="v1")))
+        grant = self.allocator.place(make_request("r", version="v1"), 0.0)
+        self.assertEqual(grant.instance.id, "i1")
+        grant = self.allocator.place(make_request("any"), 0.0)
+        self.assertEqual(grant.instance.id, "i2")
+
     def test_a_request_for_a_version_that_serves_no_more_is_refused_at_once(self):
         refusal = self.allocator.place(make_request("r", version="v0"), 0.0)
         self.assertTrue(refusal.has_no_upstream)
