Soak streams over discovered upstreams, leaders and entries

This soak runs real entries and leaders in one process against fake upstreams, with faults drawn from a seed, and checks what callers and upstreams got.

--- /dev/null
+++ b/sapphireseam/tools/streamsoak.py
@@ -0,0 +1,495 @@
+"""Streams from fake upstreams found by discovery, under faults drawn from a seed.
+
+Entries and leaders are real and run in one process; the links between them are in
+memory. Upstreams break answers off in every way that the fake knows, are replaced by
+other software versions and say that they leave; leaders change; an entry loses its
+link to the leader. Callers take broken streams up again, at any entry.
+
+It checks that a stream that ended as complete has each event once, that all events of
+a stream come from one software version, that most resumptions go on while their
+version serves, and that an upstream gets nothing more from an entry to which it has
+said that it leaves.
+"""
+
+import asyncio
+import collections
+import random
+import sys
+from typing import Annotated, NamedTuple
+
+import typer
+
+from sapphireseam.control.machine import StateMachine
+from sapphireseam.control.placement import PlacementServer, ProbeResult
+from sapphireseam.core import error, fleet, placement
+from sapphireseam.entry.direct import DirectForwarder, DirectRequest
+from sapphireseam.entry.placer import Placer
+from sapphireseam.policy import fallback
+from sapphireseam.utils import event, loop, metric, outbound, rpc
+from sapphireseam.utils.fakeupstream import FakeDialect, FakeUpstream
+from sapphireseam.utils.timer import SystemTimer
+
+SERVICE = "llm"
+ROUTE = fleet.Route(
+    "/s/", SERVICE, streamed=True, idempotent=True, target=0.3, attempts=2
+)
+ENTRIES = ("entry-1", "entry-2", "entry-3")
+LEADERS = 2
+UPSTREAMS = 4
+EVENTS = 12
+EVENT_SECONDS = 0.005
+# Time between new streams, between faults, and for which a fault lasts, in seconds.
+STREAM_SECONDS = 0.02
+SHORTEST_PAUSE, LONGEST_PAUSE = 0.02, 0.15
+FAULT_SECONDS = 0.3
+# How long the list of upstreams lags behind what an upstream says, in seconds.
+LIST_LAG_SECONDS = 0.3
+# A caller's deadline and the tries that it makes before that.
+DEADLINE_SECONDS = 4.0
+TRIES = 4
+TRY_PAUSE_SECONDS = 0.05
+# Requests that were on their way may reach a leaving upstream for this long.
+CROSSING_SECONDS = 0.3
+# Resumptions are judged if no leader changed and no entry was parted for this long.
+SETTLED_SECONDS = 0.5
+# Fewer resumptions than this are not judged. Of others, the share that goes on must be
+# at least this part of the share of new streams that begin.
+MIN_RESUMPTIONS = 12
+MIN_RESUMED_PART = 0.5
+BREAKS = ("cut", "drop", "unframed-cut", "unframed-empty", "unframed-reset", "refuse")
+FAULTS = ("break",) * 12 + ("release",) * 4 + ("lead", "part")
+
+
+class _Replica:
+    """Stands in for the replicated log of one leader."""
+
+    def __init__(self):
+        self.is_leader = False
+        self.leader = ""
+        self.term = 1
+        self.members = ()
+
+
+class _RateLimits:
+    """Limits no customer."""
+
+    contracts: dict[str, fleet.Contract] = {}
+
+
+class _Link:
+    """One end of a stream in memory."""
+
+    def __init__(self, inbox: asyncio.Queue, peer: asyncio.Queue):
+        self._inbox = inbox
+        self._peer = peer
+
+    def post(self, item: object) -> None:
+        """Send a message."""
+        self._peer.put_nowait(item)
+
+    async def receive(self) -> object:
+        """Return the next message, or raise `LinkError` if the stream has ended."""
+        item = await self._inbox.get()
+        if item is None:
+            raise rpc.LinkError("the stream has ended")
+        return item
+
+    async def close(self) -> None:
+        """End the stream for both ends."""
+        self._inbox.put_nowait(None)
+        self._peer.put_nowait(None)
+
+
+class _Client:
+    """Finds the leader for one entry, unless the entry is parted from it."""
+
+    def __init__(self, soak: "StreamSoak"):
+        self.is_parted = False
+        self.links: list[_Link] = []
+        self._soak = soak
+
+    def pick_address(self) -> str:
+        """Return the address of the leader."""
+        return str(self._soak.leader)
+
+    def open_channel(self, address: str) -> "_Client":
+        """Return the channel to a leader."""
+        return self
+
+    async def open(self, first: placement.Attach) -> _Link:
+        """Open an entry's stream to the leader."""
+        if self.is_parted:
+            raise rpc.LinkError("the leader can't be reached")
+        here, there = asyncio.Queue(), asyncio.Queue()
+        link = _Link(here, there)
+        self.links.append(link)
+        server = self._soak.servers[self._soak.leader]
+        self._soak.spawn(self._serve(server, first, _Link(there, here), link))
+        return link
+
+    async def _serve(
+        self,
+        server: PlacementServer,
+        first: placement.Attach,
+        end: _Link,
+        link: _Link,
+    ) -> None:
+        try:
+            await server.serve(first, end)
+        except error.SeamError:
+            await link.close()
+
+    async def close(self) -> None:
+        """Close the channel."""
+
+    def record_leader(self, address: str) -> None:
+        """Do nothing; the soak knows the leader."""
+
+    def update_addresses(self, addresses: tuple[str, ...]) -> None:
+        """Do nothing; the soak knows the leaders."""
+
+    async def part(self) -> None:
+        """End the entry's streams to the leader."""
+        for link in self.links:
+            await link.close()
+        self.links.clear()
+
+
+class _Entry(NamedTuple):
+    """The parts of one entry."""
+
+    name: str
+    client: _Client
+    placer: Placer
+    pool: outbound.ConnectionPool
+    forwarder: DirectForwarder
+
+
+class _Sink:
+    """Records the answer to one attempt of a caller."""
+
+    def __init__(self):
+        self.events: list[event.Event] = []
+        self.is_complete = False
+        self._splitter = event.Splitter()
+
+    async def begin(self, status: int, headers: outbound.Headers) -> None:
+        """Begin the answer."""
+
+    async def write(self, data: bytes) -> None:
+        """Record events."""
+        self.events += self._splitter.feed(data)
+
+    async def finish(self) -> None:
+        """End the complete answer."""
+        self.is_complete = True
+
+
+class SoakResult(NamedTuple):
+    """The result of one seed; `findings` describes the faults of the system."""
+
+    seed: int
+    findings: tuple[str, ...]
+    counts: dict[str, int]
+
+
+class StreamSoak:
+    """One run of the soak."""
+
+    def __init__(self, seed: int):
+        self.seed = seed
+        self.leader = 0
+        self.findings: list[str] = []
+        self.counts: collections.Counter[str] = collections.Counter()
+        self.servers: list[PlacementServer] = []
+        self._replicas = [_Replica() for _ in range(LEADERS)]
+        self._rng = random.Random(seed)
+        self._timer = SystemTimer()
+        self._upstreams: list[FakeUpstream] = []
+        # Upstreams that the list shows as leaving.
+        self._listed_leaving: set[str] = set()
+        self._entries: list[_Entry] = []
+        self._tasks: set[asyncio.Task] = set()
+        # When a leader changed last or an entry was parted, or came back.
+        self._unsettled_at = 0.0
+        self._version = 1
+        self._names = 0
+
+    def spawn(self, work) -> asyncio.Task:
+        """Run a coroutine as a task of the soak."""
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def run(self, seconds: float) -> SoakResult:
+        """Run for some seconds and return what was found."""
+        await self._start()
+        callers = []
+        end = self._timer.read_clock() + seconds
+        injecting = self.spawn(self._inject_forever())
+        while self._timer.read_clock() < end:
+            callers.append(asyncio.create_task(self._call(len(callers))))
+            await asyncio.sleep(STREAM_SECONDS)
+        await asyncio.gather(*callers)
+        injecting.cancel()
+        self._check_resumptions()
+        await self._stop()
+        counts = dict(sorted(self.counts.items()))
+        return SoakResult(self.seed, tuple(self.findings), counts)
+
+    # The fleet.
+
+    async def _start(self) -> None:
+        for replica in self._replicas:
+            server = PlacementServer(
+                replica, StateMachine(), _RateLimits(), _probe, _stop_run, self._timer
+            )
+            await server.start()
+            self.servers.append(server)
+        self._replicas[0].is_leader = True
+        for _ in range(UPSTREAMS):
+            await self._add_upstream()
+        for name in ENTRIES:
+            await self._add_entry(name)
+        self._publish()
+        await asyncio.sleep(CROSSING_SECONDS)
+
+    async def _stop(self) -> None:
+        for entry in self._entries:
+            await entry.placer.stop()
+            await entry.pool.stop()
+        for server in self.servers:
+            await server.stop()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for upstream in self._upstreams:
+            await upstream.stop()
+
+    async def _add_entry(self, name: str) -> None:
+        client = _Client(self)
+        meter = metric.Meter(name)
+        slack = fallback.Slack(20, 0.1, 5.0)
+        placer = Placer(name, "z", client, dict, slack, meter, self._timer)
+        pool = outbound.ConnectionPool(FakeDialect())
+        rng = random.Random(self._rng.random())
+        forwarder = DirectForwarder(placer, pool, meter, self._timer, rng)
+
+        def handle_leaving(instance) -> None:
+            placer.report_leaving(instance)
+            self.spawn(self._watch_leaving(name, instance.id))
+
+        pool.on_leaving = handle_leaving
+        await placer.start()
+        self._entries.append(_Entry(name, client, placer, pool, forwarder))
+
+    async def _add_upstream(self) -> None:
+        self._names += 1
+        version = f"v{self._version}"
+        upstream = FakeUpstream(f"u{self._names}", SERVICE, EVENTS, version)
+        upstream.text = version
+        upstream.event_delay = EVENT_SECONDS
+        await upstream.start()
+        self._upstreams.append(upstream)
+
+    def _publish(self) -> None:
+        """Give the leader the list of upstreams."""
+        instances = tuple(
+            each.instance._replace(is_leaving=each.name in self._listed_leaving)
+            for each in self._upstreams
+        )
+        self.servers[self.leader].update_instances(instances)
+
+    # Faults.
+
+    async def _inject_forever(self) -> None:
+        actions = {
+            "break": self._break,
+            "release": self._release,
+            "lead": self._change_leader,
+            "part": self._part,
+        }
+        while True:
+            pause = self._rng.uniform(SHORTEST_PAUSE, LONGEST_PAUSE)
+            await asyncio.sleep(pause)
+            name = self._rng.choice(FAULTS)
+            self.counts[name] += 1
+            await actions[name]()
+
+    async def _break(self) -> None:
+        """Let an upstream break off its next answers."""
+        upstream = self._rng.choice(self._upstreams)
+        upstream.behaviours += self._rng.choices(BREAKS, k=3)
+
+    async def _release(self) -> None:
+        """Replace an upstream by one of the next version, or of the same."""
+        leaving = [each for each in self._upstreams if not each.is_leaving]
+        if len(leaving) < UPSTREAMS:
+            return
+        if self._rng.random() < 1 / UPSTREAMS:
+            self._version += 1
+        await self._add_upstream()
+        upstream = self._rng.choice(leaving)
+        upstream.is_leaving = True
+        self.spawn(self._remove(upstream))
+
+    async def _remove(self, upstream: FakeUpstream) -> None:
+        await asyncio.sleep(LIST_LAG_SECONDS)
+        self._listed_leaving.add(upstream.name)
+        self._publish()
+        await asyncio.sleep(LIST_LAG_SECONDS)
+        self._upstreams.remove(upstream)
+        self._publish()
+        await upstream.stop()
+
+    async def _change_leader(self) -> None:
+        self._unsettled_at = self._timer.read_clock()
+        self._replicas[self.leader].is_leader = False
+        self.leader = (self.leader + 1) % LEADERS
+        self._replicas[self.leader].is_leader = True
+        self._replicas[self.leader].term += LEADERS
+        self._publish()
+
+    async def _part(self) -> None:
+        """Part an entry from the leader for a while."""
+        entry = self._rng.choice(self._entries)
+        entry.client.is_parted = True
+        self._unsettled_at = self._timer.read_clock() + FAULT_SECONDS
+        await entry.client.part()
+
+        async def rejoin() -> None:
+            await asyncio.sleep(FAULT_SECONDS)
+            entry.client.is_parted = False
+
+        self.spawn(rejoin())
+
+    # Callers and checks.
+
+    async def _call(self, number: int) -> None:
+        """Read one stream as a caller, with tries after it breaks."""
+        first = ""
+        events: list[event.Event] = []
+        for attempt in range(TRIES):
+            id = f"s{number}-{attempt}"
+            is_resumed = bool(events)
+            is_judged = self._is_settled() and (
+                not is_resumed or self._count_serving(events[0]) >= 2
+            )
+            sink = _Sink()
+            await self._attempt(id, events, first, sink)
+            if is_judged:
+                kind = "resumption" if is_resumed else "new stream"
+                self.counts[f"{kind}s"] += 1
+                self.counts[f"{kind}s that went on"] += bool(sink.events)
+            if sink.events and not events:
+                first = id
+            events += sink.events
+            if sink.is_complete:
+                self.counts["complete"] += 1
+                self._check_complete(id, events)
+                break
+            await asyncio.sleep(TRY_PAUSE_SECONDS)
+        versions = {each.data.split(b"-")[0] for each in events}
+        if len(versions) > 1:
+            self.findings.append(f"{number}: events of {sorted(versions)}")
+
+    async def _attempt(
+        self, id: str, events: list[event.Event], first: str, sink: _Sink
+    ) -> None:
+        entry = self._rng.choice(self._entries)
+        now = self._timer.read_clock()
+        request = DirectRequest(
+            id,
+            "",
+            0,
+            "r",
+            ROUTE,
+            "h",
+            "POST",
+            "/s/x",
+            (("Entry", entry.name),),
+            b"body",
+            now,
+            now + DEADLINE_SECONDS,
+            events[-1].number if events else -1,
+            first,
+        )
+        try:
+            await entry.forwarder.serve(request, sink)
+        except error.SeamError:
+            self.counts["broken"] += 1
+
+    def _is_settled(self) -> bool:
+        """Return whether all entries have been in touch with one leader for a while."""
+        return self._timer.read_clock() - self._unsettled_at >= SETTLED_SECONDS
+
+    def _count_serving(self, began: event.Event) -> int:
+        """Return how many upstreams serve at the version of an event."""
+        version = began.data.split(b"-")[0].decode()
+        return sum(
+            each.version == version and not each.is_leaving for each in self._upstreams
+        )
+
+    def _check_complete(self, id: str, events: list[event.Event]) -> None:
+        numbers = [each.number for each in events]
+        if numbers != list(range(EVENTS)):
+            self.findings.append(f"{id}: complete with events {numbers}")
+
+    async def _watch_leaving(self, entry: str, name: str) -> None:
+        """Check that a leaving upstream gets nothing more from an entry."""
+        (upstream,) = [each for each in self._upstreams if each.name == name]
+        await asyncio.sleep(CROSSING_SECONDS)
+        before = _count_runs(upstream, entry)
+        await asyncio.sleep(LIST_LAG_SECONDS)
+        if _count_runs(upstream, entry) > before:
+            self.findings.append(f"{name} got a request from {entry} while it left")
+
+    def _check_resumptions(self) -> None:
+        tried, went_on = self._count_tries("resumption")
+        began = self._count_tries("new stream")
+        wanted = MIN_RESUMED_PART * began[1] / max(began[0], 1)
+        if tried >= MIN_RESUMPTIONS and went_on < wanted * tried:
+            self.findings.append(f"{went_on} of {tried} resumptions went on")
+
+    def _count_tries(self, kind: str) -> tuple[int, int]:
+        return self.counts[f"{kind}s"], self.counts[f"{kind}s that went on"]
+
+
+def _count_runs(upstream: FakeUpstream, entry: str) -> int:
+    return sum(run.headers.get("Entry") == entry for run in upstream.runs)
+
+
+async def _probe(instance, path, seconds) -> ProbeResult:
+    return ProbeResult(())
+
+
+async def _stop_run(instance, request, other) -> None:
+    return None
+
+
+app = typer.Typer(add_completion=False)
+
+
+@app.command()
+def main(
+    seed: Annotated[int, typer.Option(help="The first seed.")] = 1,
+    seeds: Annotated[int, typer.Option(help="Number of seeds.")] = 1,
+    seconds: Annotated[float, typer.Option(help="Seconds of each seed.")] = 6.0,
+) -> None:
+    """Run streams under faults; exit with 1 if the system was at fault.
+
+    Example: python -m sapphireseam.tools.streamsoak --seed 1 --seeds 50
+    """
+    has_findings = False
+    for number in range(seed, seed + seeds):
+        result = loop.run(StreamSoak(number).run(seconds))
+        has_findings = has_findings or bool(result.findings)
+        typer.echo(f"seed {number}: {len(result.findings)} findings, {result.counts}")
+        for finding in result.findings:
+            typer.echo(f"  {finding}")
+    sys.exit(1 if has_findings else 0)
+
+
+if __name__ == "__main__":
+    app()
--- a/sapphireseam/utils/fakeupstream.py
+++ b/sapphireseam/utils/fakeupstream.py
@@ -80,6 +80,8 @@
         self.service = service
         self.events = events
         self.behaviours: list[str] = []
+        # The data of each event begins with it, or with the request's id if empty.
+        self.text = ""
         self.runs: list[Run] = []
         self.connections = 0
         self.slots = 8
@@ -183,7 +185,8 @@
             if writer.is_closing() or reader.at_eof():
                 self.dropped.append(run.id)
                 return False
-            event = f"id: {number}\ndata: {run.id}-{number}\n\n".encode()
+            text = self.text or run.id
+            event = f"id: {number}\ndata: {text}-{number}\n\n".encode()
             if ending == "reset" and number == start + 2:
                 framing.break_off(writer.transport)
                 return False
