Watch an upstream of the soak that has left the list already

An answer may say that its upstream leaves after the list has dropped it. The check then looked it up in vain and raised ValueError in a task, seen in the run of the test beside others. It looks among removed upstreams, too, which serve on until the end, so that a late request to them is seen.

--- a/sapphireseam/tools/streamsoak.py
+++ b/sapphireseam/tools/streamsoak.py
@@ -206,6 +206,8 @@
         self._rng = random.Random(seed)
         self._timer = SystemTimer()
         self._upstreams: list[FakeUpstream] = []
+        # Upstreams that are not listed any more. They serve on until the end.
+        self._removed: list[FakeUpstream] = []
         # Upstreams that the list shows as leaving.
         self._listed_leaving: set[str] = set()
         self._entries: list[_Entry] = []
@@ -264,7 +266,7 @@
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        for upstream in self._upstreams:
+        for upstream in self._upstreams + self._removed:
             await upstream.stop()
 
     async def _add_entry(self, name: str) -> None:
@@ -278,7 +280,9 @@
 
         def handle_leaving(instance) -> None:
             placer.report_leaving(instance)
-            self.spawn(self._watch_leaving(name, instance.id))
+            known = self._upstreams + self._removed
+            (upstream,) = [each for each in known if each.name == instance.id]
+            self.spawn(self._watch_leaving(name, upstream))
 
         pool.on_leaving = handle_leaving
         await placer.start()
@@ -340,8 +344,8 @@
         self._publish()
         await asyncio.sleep(LIST_LAG_SECONDS)
         self._upstreams.remove(upstream)
+        self._removed.append(upstream)
         self._publish()
-        await upstream.stop()
 
     async def _change_leader(self) -> None:
         self._unsettled_at = self._timer.read_clock()
@@ -436,14 +440,14 @@
         if numbers != list(range(EVENTS)):
             self.findings.append(f"{id}: complete with events {numbers}")
 
-    async def _watch_leaving(self, entry: str, name: str) -> None:
+    async def _watch_leaving(self, entry: str, upstream: FakeUpstream) -> None:
         """Check that a leaving upstream gets nothing more from an entry."""
-        (upstream,) = [each for each in self._upstreams if each.name == name]
         await asyncio.sleep(CROSSING_SECONDS)
         before = _count_runs(upstream, entry)
         await asyncio.sleep(LIST_LAG_SECONDS)
         if _count_runs(upstream, entry) > before:
-            self.findings.append(f"{name} got a request from {entry} while it left")
+            text = f"{upstream.name} got a request from {entry} while it left"
+            self.findings.append(text)
 
     def _check_resumptions(self) -> None:
         tried, went_on = self._count_tries("resumption")
