Count only an entry's report as the origin of a stream

Cause: the leader recorded the origin of an attempt when it granted a slot. An entry that hears the grant too late, or is parted from the leader, places the attempt elsewhere; the report of that was ignored if the leader knew the attempt already, so a resumption at another entry went to the version of the grant.

Change: the leader records no grants. An entry reports each stream at its first event, and all recent ones when it attaches; a report replaces what was known. That is one short message more for each stream.

Evidence: the new test of the leader fails on the code before (it chose u1) and passes.

--- a/sapphireseam/control/placement.py
+++ b/sapphireseam/control/placement.py
@@ -181,8 +181,8 @@
         self, entry: _EntrySession, first: placement.Attach, open_numbers: set[int]
     ) -> None:
         now = self._timer.read_clock()
-        origins = ((each.request, _get_origin(each)) for each in first.origins)
-        self._origins.record_many(origins, now)
+        for each in first.origins:
+            self._origins.record(each.request, _get_origin(each), now)
         for each in first.running:
             open_numbers.add(each.number)
             key = entry.make_key(each.number)
@@ -419,11 +419,6 @@
             if entry is None:
                 continue
             if isinstance(decision, allocator.Grant):
-                self._origins.record(
-                    decision.request.request_id,
-                    origin.get_origin(decision.instance),
-                    self._timer.read_clock(),
-                )
                 entry.stream.post(placement.Placed(int(number), decision.instance))
             else:
                 failure = _make_error(decision)
--- a/sapphireseam/core/placement.py
+++ b/sapphireseam/core/placement.py
@@ -21,7 +21,7 @@
 class Began(NamedTuple):
     """Report the service and the software version at which a request's stream began.
 
-    The leader itself knows this of the instances that it chose.
+    A grant doesn't show it: the request may be placed elsewhere before its first event.
     """
 
     request: str
--- a/sapphireseam/entry/placer.py
+++ b/sapphireseam/entry/placer.py
@@ -62,16 +62,12 @@
 
 
 class HeldSlot(NamedTuple):
-    """A request's slot, which is taken until `Placer.release`.
-
-    `is_local` says that this entry chose the instance without the leader.
-    """
+    """A request's slot, which is taken until `Placer.release`."""
 
     number: int
     request: str
     instance: Instance
     customer: str
-    is_local: bool = False
 
 
 class Placer:
@@ -228,8 +224,7 @@
         """Record that the stream of a slot's request began, or went on, there."""
         began = origin.get_origin(slot.instance)
         self._origins.record(slot.request, began, self._timer.read_clock())
-        if slot.is_local:
-            self._post(placement.Began(slot.request, *began))
+        self._post(placement.Began(slot.request, *began))
 
     def _find_origin(self, spec: SlotSpec, now: float) -> SlotSpec:
         """Return the specification with the origin of the stream, if it is known here.
@@ -327,7 +322,7 @@
             # After an election the new leader can place by the load of all entries.
             wait = min(wait, ELECTION_SECONDS)
             raise error.CapacityError(text, error.Kind.OVERLOADED, wait, True)
-        slot = HeldSlot(number, spec.request, result.instance, spec.customer, True)
+        slot = HeldSlot(number, spec.request, result.instance, spec.customer)
         self._running[number] = slot
         silent = now - self._last_contact
         logger.info(
--- a/sapphireseam/policy/origin.py
+++ b/sapphireseam/policy/origin.py
@@ -2,13 +2,13 @@
 
 What two versions of an upstream write doesn't fit together, so a stream continues
 only at the version that began it. Callers name the attempt that began their stream.
-Every entry remembers the streams that it began, and the leader those of all entries.
+Every entry remembers the streams that it began and reports them to the leader, which
+knows those of all entries.
 
     origins.record("a1", Origin("llm", "v2"), now)
     origins.require("a1", ("llm",), now)  # Origin("llm", "v2")
 """
 
-from collections.abc import Iterable
 from typing import NamedTuple
 
 from sapphireseam.core import error
@@ -49,12 +49,6 @@
         self._origins.pop(attempt, None)
         self._origins[attempt] = (origin, now + MEMORY_SECONDS)
 
-    def record_many(self, origins: Iterable[tuple[str, Origin]], now: float) -> None:
-        """Record the origins of attempts that are not known yet."""
-        for attempt, origin in origins:
-            if attempt not in self._origins:
-                self.record(attempt, origin, now)
-
     def find(self, attempt: str, now: float) -> Origin | None:
         """Return the origin of an attempt's stream, or None if it isn't known.
 
