Expect the end of a connection that was closed here already

A connection that this process has closed has no transport any more. Should the end of its data still be reported, the protocol would raise AttributeError in a callback of the loop. Found by reading, not seen in a run; the tests of framing and outbound pass.

--- a/sapphireseam/utils/framing.py
+++ b/sapphireseam/utils/framing.py
@@ -49,7 +49,7 @@
 
     def eof_received(self) -> None:
         """Record the end of the received data."""
-        if has_pending_error(self.transport):
+        if self.transport is not None and has_pending_error(self.transport):
             self.end = ConnectionEnd.RESET
         super().eof_received()
 
