--- a/sapphireseam/tools/page.py
+++ b/sapphireseam/tools/page.py
@@ -102,7 +102,8 @@
         "Retry if it may run twice; operators check the upstream.",
     ),
     Kind.REQUEST_QUARANTINED: (
-        "This request crashed upstreams and is refused everywhere.",
+        "This request crashed upstreams and is refused everywhere. Items of batch jobs"
+        " never are.",
         "Change the request; operators find out why it crashes the engine.",
     ),
     Kind.CANCELLED: (
