Never give a process of the soak the port of another one

Cause: insert_proxies drew new ports for the processes behind the proxies without knowing the ports that the layout had given to processes not yet started (17 ports drawn beside 31 of 22,528). If a control VM is involved, one of two processes can't listen and ends. A new cluster needs all its first members once, so no leader is ever elected.

Evidence: with control-2 moved to the probe port of control-1 by hand, the start failed with the same trace, and control-1 logged "address already in use".

Change: a layout tells its ports, and find_ports leaves out those it is told.

--- a/sapphireseam/tools/layout.py
+++ b/sapphireseam/tools/layout.py
@@ -8,6 +8,7 @@
 import json
 import random
 import socket
+from collections.abc import Collection
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -52,7 +53,10 @@
 
 
 class Layout(NamedTuple):
-    """Everything that is needed to start a fleet on one machine."""
+    """Everything that is needed to start a fleet on one machine.
+
+    `ports` are all ports of its processes.
+    """
 
     folder: Path
     processes: tuple[Process, ...]
@@ -60,6 +64,7 @@
     entries: tuple[str, ...]
     configuration: dict[str, Any]
     operator_files: tuple[Path, ...]
+    ports: frozenset[int]
 
 
 SHANNONSIDE = Shape(
@@ -80,8 +85,10 @@
 )
 
 
-def find_ports(count: int) -> list[int]:
-    """Return loopback ports that were free when checked.
+def find_ports(count: int, taken: Collection[int] = ()) -> list[int]:
+    """Return loopback ports that were free when checked, except those in `taken`.
+
+    `taken` are ports of processes that are not started yet.
 
     They are below the range from which the kernel takes ports for outgoing
     connections, so the outgoing connections of other processes cannot take them.
@@ -89,6 +96,8 @@
     first_outgoing = int(OUTGOING_PORTS.read_text().split()[0])
     ports: list[int] = []
     for port in random.sample(range(FIRST_PORT, first_outgoing), MAX_TRIES):
+        if port in taken:
+            continue
         with socket.socket() as port_socket:
             try:
                 port_socket.bind((HOST, port))
@@ -104,7 +113,8 @@
     """An allocator of loopback addresses."""
 
     def __init__(self, count: int):
-        self._ports = iter(find_ports(count))
+        self.ports = find_ports(count)
+        self._ports = iter(self.ports)
 
     def take(self) -> str:
         return f"{HOST}:{next(self._ports)}"
@@ -150,7 +160,13 @@
         for number in range(shape.controls)
     )
     return Layout(
-        folder, tuple(processes), tuple(controls), tuple(entries), configuration, keys
+        folder,
+        tuple(processes),
+        tuple(controls),
+        tuple(entries),
+        configuration,
+        keys,
+        frozenset(ports.ports),
     )
 
 
--- a/sapphireseam/tools/soak.py
+++ b/sapphireseam/tools/soak.py
@@ -78,7 +78,7 @@
 def insert_proxies(plan: layout.Layout) -> ProxiedFleet:
     """Move each process to a new address and put a proxy at its old address."""
     proxied = [item for item in plan.processes if item.program != "seam-entry"]
-    ports = iter(layout.find_ports(len(proxied)))
+    ports = iter(layout.find_ports(len(proxied), plan.ports))
     links, runs, processes = {}, [], []
     for item in plan.processes:
         if item.program == "seam-entry":
--- a/sapphireseam/tools/soak_test.py
+++ b/sapphireseam/tools/soak_test.py
@@ -8,6 +8,7 @@
 import tempfile
 import unittest
 from pathlib import Path
+from unittest import mock
 
 from sapphireseam.tools import layout, soak
 
@@ -31,6 +32,22 @@
         )
         self.assertEqual(len(proxied_fleet.runs), len(plan.configuration["upstreams"]))
 
+    def test_no_moved_process_gets_the_port_of_another(self):
+        # So few ports that those of the layout would be drawn again.
+        first_outgoing = int(layout.OUTGOING_PORTS.read_text().split()[0])
+        few = 100
+        with (
+            mock.patch.object(layout, "FIRST_PORT", first_outgoing - few),
+            mock.patch.object(layout, "MAX_TRIES", few),
+            tempfile.TemporaryDirectory() as folder,
+        ):
+            plan = layout.lay_out(Path(folder), soak.describe_shape(RATE))
+            proxied_fleet = soak.insert_proxies(plan)
+        targets = {link.target for link in proxied_fleet.links.values()}
+        moved = {int(target.rsplit(":", 1)[1]) for target in targets}
+        self.assertEqual(len(moved), len(proxied_fleet.links))
+        self.assertEqual(moved & plan.ports, set())
+
 
 class FaultInjectorTest(unittest.IsolatedAsyncioTestCase):
     async def draw(self, seed):
