Say which process ended when a fleet can't be started

Seen: a fleet of which one process ended at its start failed after 60 s with a bare TimeoutError, and with the folder of its logs the cause was gone.

Cause: start_fleet waited for the operator key and for health checks alone, and never looked at the processes.

Change: start_fleet also waits for the end of any process and raises StartError with its node and the last line of its log.

--- a/sapphireseam/tools/fleet.py
+++ b/sapphireseam/tools/fleet.py
@@ -12,7 +12,7 @@
 from collections.abc import AsyncIterator, Iterable
 from contextlib import asynccontextmanager
 from pathlib import Path
-from typing import NamedTuple
+from typing import NamedTuple, NoReturn
 
 import aiohttp
 
@@ -27,6 +27,10 @@
 POLL_SECONDS = 0.1
 
 
+class StartError(Exception):
+    """A process of the fleet ended while the fleet was being started."""
+
+
 class Processes:
     """The processes of a fleet by node; they are ended by their process ids."""
 
@@ -34,10 +38,13 @@
         self._log_folder = log_folder
         self.running: dict[str, asyncio.subprocess.Process] = {}
 
+    def _locate_log(self, node: str) -> Path:
+        return self._log_folder / f"{node}.log"
+
     async def start(self, item: layout.Process) -> None:
         """Start a program with its settings file."""
         binary = Path(sys.executable).parent / item.program
-        with (self._log_folder / f"{item.node}.log").open("ab") as log:
+        with self._locate_log(item.node).open("ab") as log:
             self.running[item.node] = await asyncio.create_subprocess_exec(
                 binary, "--settings", item.settings, stdout=log, stderr=log
             )
@@ -52,6 +59,21 @@
         if process.returncode is None:
             os.kill(process.pid, number)
 
+    async def raise_at_end(self) -> NoReturn:
+        """Wait until a process ends; raise `StartError` with the end of its log."""
+        waits = {
+            asyncio.ensure_future(process.wait()): node
+            for node, process in self.running.items()
+        }
+        try:
+            ended, _ = await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for wait in waits:
+                wait.cancel()
+        node = waits[ended.pop()]
+        lines = self._locate_log(node).read_text().splitlines()
+        raise StartError(f"{node} ended: {lines[-1] if lines else 'nothing logged'}")
+
     async def stop(self) -> None:
         """Stop every process gracefully; kill those that do not stop in time."""
         for node in self.running:
@@ -112,10 +134,21 @@
 async def start_fleet(
     processes: Processes, plan: layout.Layout, http: aiohttp.ClientSession
 ) -> ControlClient:
-    """Start every process, publish the configuration and wait for readiness."""
+    """Start every process, publish the configuration and wait for readiness.
+
+    Raises `StartError` at once if a process ends: without one of its first control
+    VMs, for example, a fleet never gets a leader.
+    """
     for item in plan.processes:
         await processes.start(item)
-    return await finish_start(plan, http)
+    finish = asyncio.ensure_future(finish_start(plan, http))
+    end = asyncio.ensure_future(processes.raise_at_end())
+    try:
+        done, _ = await asyncio.wait({finish, end}, return_when=asyncio.FIRST_COMPLETED)
+        return finish.result() if finish in done else end.result()
+    finally:
+        finish.cancel()
+        end.cancel()
 
 
 async def finish_start(
--- a/sapphireseam/tools/fleet_test.py
+++ b/sapphireseam/tools/fleet_test.py
@@ -5,6 +5,7 @@
 import json
 import os
 import signal
+import socket
 import tempfile
 import unittest
 from pathlib import Path
@@ -28,6 +29,18 @@
     return "".join(answer.compute_answer(MODEL, prompt, tokens).tokens)
 
 
+class FleetStartTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_port_taken_by_another_process_is_no_silent_timeout(self):
+        with tempfile.TemporaryDirectory() as folder, socket.socket() as other:
+            plan = layout.lay_out(Path(folder), layout.SMALL)
+            host, port = plan.controls[0].rsplit(":", 1)
+            other.bind((host, int(port)))
+            other.listen()
+            with self.assertRaisesRegex(fleet.StartError, "^control-1 .*can't listen"):
+                async with fleet.run(plan):
+                    pass
+
+
 class FleetTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         folder = tempfile.TemporaryDirectory()
