Take the ports of the front's tests from below the outgoing range

Cause: the tests of the front had a function of their own that asked the kernel for free ports and closed them again.

Change: they use layout.find_ports, as the tests of the gateway do.

--- a/sapphireseam/platform/front_test.py
+++ b/sapphireseam/platform/front_test.py
@@ -9,6 +9,7 @@
 from sapphireseam.core import command, error, fleet, message
 from sapphireseam.entry.authorizer import Authorization
 from sapphireseam.platform import front
+from sapphireseam.tools import layout
 from sapphireseam.utils.timer import SystemTimer
 
 ROUTE = fleet.Route("/s/", "llm", streamed=True, timeout=5.0)
@@ -90,7 +91,7 @@
             bulk_jobs=self.bulk_jobs,
             timer=SystemTimer(),
         )
-        callers, ready = await find_ports(2)
+        callers, ready = layout.find_ports(2)
         self.base = f"http://127.0.0.1:{callers}"
         self.ready = f"http://127.0.0.1:{ready}/readyz"
         self.front = front.Front(
@@ -279,18 +280,5 @@
             self.assertEqual(answer.status, 503)
 
 
-async def find_ports(count):
-    """Return free ports."""
-    servers = [
-        await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
-        for _ in range(count)
-    ]
-    ports = [server.sockets[0].getsockname()[1] for server in servers]
-    for server in servers:
-        server.close()
-        await server.wait_closed()
-    return ports
-
-
 if __name__ == "__main__":
     unittest.main()
