Start an item again whose version stays out of reach

Seen: by reading; an item of a bulk job whose output began at a version of which only unreachable upstreams are listed waited for ever: for ejected ones that no probe restored, or in endless tries at one that refused connections.

Cause: since items keep the version that began their output, an item had no way out while its version was still listed, and how long a lost upstream stays listed isn't ours to say.

Change: such an item waits for RESUME_WAIT_SECONDS and then starts again at any version. An upstream that is only full doesn't count as out of reach.

--- a/sapphireseam/control/bulkrunner.py
+++ b/sapphireseam/control/bulkrunner.py
@@ -35,6 +35,9 @@
 # of the item, this many times. A refused or failed item waits for the minimum.
 MIN_BACKOFF_SECONDS = 0.2
 MAX_DOUBLINGS = 3
+# How long an item waits for an upstream that can continue its output before it starts
+# again, in seconds. An upstream may be listed for long after it was lost.
+RESUME_WAIT_SECONDS = 3.0
 # How often the output of running items is saved in the log, in seconds, and the
 # minimum number of new events for which a part of an output is saved.
 SAVE_PARTS_SECONDS = 1.0
@@ -275,7 +278,7 @@
             now,
             progress.excluded,
             item.id,
-            version=self._choose_version(progress, service),
+            version=self._choose_version(progress, service, now),
         )
         grant = self._placement.allocator.place_batch(request)
         if grant is None:
@@ -288,16 +291,25 @@
         task.add_done_callback(lambda done: self._finish_run(run_key, key, done))
         return True
 
-    def _choose_version(self, progress: ItemProgress, service: str) -> str:
+    def _choose_version(self, progress: ItemProgress, service: str, now: float) -> str:
         """Return the version at which an item must run, or an empty string for any.
 
-        An item whose version serves no more starts again, at any version.
+        An item whose version serves no more, or is out of reach for too long, starts
+        again at any version.
         """
         began = progress.origin
         if began is None or not progress.event_count or began.service != service:
             return ""
-        is_served = self._placement.allocator.count_slots(service, began.version)
-        return began.version if is_served else ""
+        slots = self._placement.allocator
+        if not slots.count_slots(service, began.version):
+            return ""
+        if slots.has_usable(service, began.version, progress.unreachable):
+            progress.unreachable_since = None
+            return began.version
+        if progress.unreachable_since is None:
+            progress.unreachable_since = now
+        is_overdue = now - progress.unreachable_since >= RESUME_WAIT_SECONDS
+        return "" if is_overdue else began.version
 
     def _finish_run(
         self, run_key: str, key: _ItemKey, task: asyncio.Task[bool | None]
@@ -351,6 +363,8 @@
             },
         )
         progress.excluded = frozenset({instance.id})
+        is_refusal = isinstance(failure, outbound.RefusalError)
+        progress.unreachable = "" if is_refusal else instance.id
         if isinstance(failure, outbound.EmptyAnswerError):
             # Resumed after its last event, the item would never end.
             progress.reset()
@@ -388,7 +402,7 @@
             request, instance, IDLE_TIMEOUT_SECONDS
         ) as answer:
             if answer.head.is_not_run:
-                raise outbound.OutboundError("the upstream refused the item", True)
+                raise outbound.RefusalError("the upstream refused the item", True)
             if answer.head.status != STATUS_DONE:
                 return self._record_failure(
                     item.id, progress, route, answer.head.status
--- a/sapphireseam/control/bulkrunner_test.py
+++ b/sapphireseam/control/bulkrunner_test.py
@@ -176,6 +176,32 @@
         self.assertEqual(results[0].output, self.expect_output(b"i0"))
         self.assertNotIn(fakeupstream.RESUME, self.other.runs[0].headers)
 
+    async def test_item_whose_version_stays_out_of_reach_starts_again(self):
+        self.upstream.version, self.other.version = "v1", "v2"
+        self.upstream.slots = 9
+        self.upstream.behaviours = ["cut"]
+        self.probe_result = None
+        self.placement.update_instances((self.upstream.instance, self.other.instance))
+        await self.accept()
+        results = await self.wait_done(10.0)
+        self.assertEqual(results[0].output, self.expect_output(b"i0"))
+        self.assertEqual(len(self.upstream.runs), 1)
+        self.assertNotIn(fakeupstream.RESUME, self.other.runs[0].headers)
+
+    async def test_saved_item_whose_version_refuses_connections_starts_again(self):
+        self.upstream.version, self.other.version = "v1", "v2"
+        instances = (self.upstream.instance, self.other.instance)
+        await self.upstream.stop()
+        self.replica.is_leader = False
+        self.placement.update_instances(instances)
+        await self.accept()
+        part = command.LotPart("l", 0, -1, 1, b"i0-0\ni0-1", "llm", "v1")
+        await self.apply(command.KeepParts((part,)))
+        self.replica.is_leader = True
+        self.runner._wake.set()
+        results = await self.wait_done(10.0)
+        self.assertEqual(results[0].output, self.expect_output(b"i0"))
+
     async def test_item_under_which_upstreams_crashed_runs_again_soon(self):
         await self.accept(0)
         progress = bulkrunner.ItemProgress(None)
--- a/sapphireseam/control/progress.py
+++ b/sapphireseam/control/progress.py
@@ -30,6 +30,10 @@
         self.disconnects = 0
         self.not_before = 0.0
         self.excluded: frozenset[str] = frozenset()
+        # The upstream at which the item failed without being refused, and since when
+        # no other can continue the output.
+        self.unreachable = ""
+        self.unreachable_since: float | None = None
         # Becomes False if the upstream sends events without an id, because the
         # item then has no position from which to resume.
         self.is_resumable = True
@@ -52,6 +56,7 @@
         self.data.clear()
         self.saved_event = self.last_event = -1
         self.attempt += 1
+        self.unreachable_since = None
 
     def render_unsaved(self) -> bytes:
         """Return the output that is not saved in the log yet."""
@@ -65,6 +70,7 @@
             return
         else:
             self.last_event = received.number
+        self.unreachable_since = None
         self.data.append(received.data)
 
     def draft_part(self, job: str, item: int) -> command.LotPart:
--- a/sapphireseam/policy/allocator.py
+++ b/sapphireseam/policy/allocator.py
@@ -273,6 +273,15 @@
         loads = self._list_usable(service, version)
         return sum(load.instance.slots for load in loads)
 
+    def has_usable(self, service: str, version: str, excluded: str) -> bool:
+        """Return whether an upstream of a version is usable, except `excluded`."""
+        return any(
+            load.is_usable
+            and load.instance.version == version
+            and load.instance.id != excluded
+            for load in self._list_loads(service)
+        )
+
     def list_versions(self, service: str) -> set[str]:
         """Return the software versions of a service's known upstreams."""
         return {load.instance.version for load in self._list_loads(service)}
