Heed Server-Leaving in answers to the leader's own calls

Seen: nothing by callers. A replica says in all its answers that it leaves, but the leader, which probes replicas and stops orphaned runs, placed requests there until an entry or the list told it.

Cause: send_order knew only an address and read neither headers nor which run of the replica had answered.

Change: it takes the instance, and records that the instance is leaving as answers to requests do.

--- a/sapphireseam/platform/control.py
+++ b/sapphireseam/platform/control.py
@@ -57,7 +57,7 @@
     async def probe(
         instance: Instance, path: str, seconds: float
     ) -> placement.ProbeResult | None:
-        reply = await upstreams.send_order(instance.address, "GET", path, b"", seconds)
+        reply = await upstreams.send_order(instance, "GET", path, b"", seconds)
         if reply is None or not reply.is_success:
             return None
         return report.read_report(reply.body)
--- a/sapphireseam/platform/report.py
+++ b/sapphireseam/platform/report.py
@@ -78,9 +78,7 @@
 ) -> None:
     """Stop an orphaned run by moving it to another replica, then free the copy."""
     move = msgspec.json.encode(Move(request, target.address))
-    reply = await upstreams.send_order(
-        instance.address, "POST", MOVE_PATH, move, STOP_SECONDS
-    )
+    reply = await upstreams.send_order(instance, "POST", MOVE_PATH, move, STOP_SECONDS)
     # Without space for the copy the run is stopped as well, but its KV cache is kept
     # until the handle is deleted.
     if reply is None or reply.status not in (MOVED_STATUS, NO_SPACE_STATUS):
@@ -94,4 +92,4 @@
         return
     if handle:
         path = HANDLE_PATH + handle
-        await upstreams.send_order(instance.address, "DELETE", path, b"", STOP_SECONDS)
+        await upstreams.send_order(instance, "DELETE", path, b"", STOP_SECONDS)
--- a/sapphireseam/platform/report_test.py
+++ b/sapphireseam/platform/report_test.py
@@ -17,8 +17,8 @@
         self.answer = answer
         self.orders = []
 
-    async def send_order(self, address, method, path, body, seconds):
-        self.orders.append((address, method, path, body))
+    async def send_order(self, instance, method, path, body, seconds):
+        self.orders.append((instance, method, path, body))
         return self.answer
 
 
@@ -37,7 +37,7 @@
             await report.stop_run(upstreams, SOURCE, "r1", TARGET)
             self.assertEqual(len(upstreams.orders), 2)
         move, free = upstreams.orders
-        self.assertEqual(move[:3], (SOURCE.address, "POST", "/kv-move"))
+        self.assertEqual(move[:3], (SOURCE, "POST", "/kv-move"))
         self.assertEqual(
             json.loads(move[3]), {"id": "r1", "to": TARGET.address, "last": True}
         )
--- a/sapphireseam/utils/outbound.py
+++ b/sapphireseam/utils/outbound.py
@@ -349,18 +349,25 @@
         return Head(response.status, tuple(headers.items()), id, is_not_run, is_stream)
 
     async def send_order(
-        self, address: str, method: str, path: str, body: bytes, seconds: float
+        self,
+        instance: instances.Instance,
+        method: str,
+        path: str,
+        body: bytes,
+        seconds: float,
     ) -> Reply | None:
         """Send an order to an upstream; return its answer, or None if there is none."""
-        url = yarl.URL(f"http://{address}{path}", encoded=True)
-        session = self._get_session(address)
+        url = yarl.URL(f"http://{instance.address}{path}", encoded=True)
+        session = self._get_session(instance.address)
         try:
             async with asyncio.timeout(seconds):
                 async with session.request(method, url, data=body or None) as response:
+                    if self._dialect.is_leaving(response.headers):
+                        self._record_leaving(instance)
                     return Reply(response.status, await response.read())
         except (aiohttp.ClientError, OSError) as failure:
             detail = {
-                "address": address,
+                "upstream": instance.id,
                 "path": path,
                 "cause": type(failure).__name__,
             }
--- a/sapphireseam/utils/outbound_test.py
+++ b/sapphireseam/utils/outbound_test.py
@@ -81,11 +81,20 @@
 
     async def test_order_returns_the_answer_or_none(self):
         self.upstream.behaviours = ["fail"]
-        address = self.upstream.instance.address
-        reply = await self.pool.send_order(address, "GET", "/x", b"", 1.0)
+        instance = self.upstream.instance
+        reply = await self.pool.send_order(instance, "GET", "/x", b"", 1.0)
         self.assertEqual((reply.status, reply.is_success), (500, False))
         self.upstream.behaviours = ["silent"]
-        self.assertIsNone(await self.pool.send_order(address, "GET", "/x", b"", 0.1))
+        self.assertIsNone(await self.pool.send_order(instance, "GET", "/x", b"", 0.1))
+
+    async def test_an_answer_to_an_order_that_says_leaving_is_heeded(self):
+        leaving = []
+        self.pool.on_leaving = leaving.append
+        self.upstream.is_leaving = True
+        await self.pool.send_order(self.upstream.instance, "GET", "/x", b"", 1.0)
+        self.assertEqual(leaving, [self.upstream.instance])
+        with self.assertRaises(outbound.LeavingError):
+            await self.read()
 
 
 if __name__ == "__main__":
