Print why a soak's requests were refused and who led

Cause: the report counted refusals only, and jobs were printed only for findings of one kind, while the folder of logs is gone after the test. Change: the report has refusals by cause and the faults of each job, and a failed soak prints these and the lines about leaders.

--- a/sapphireseam/tools/load.py
+++ b/sapphireseam/tools/load.py
@@ -136,7 +136,9 @@
         sum(cpu.values()) * 1000 / max(len(outcomes), 1), 3
     )
     report["runs"] = summarize_runs(outcomes, results, planned_jobs, runs)
-    report["jobs"] = [result._asdict() for result in results]
+    report["jobs"] = [
+        result._asdict() | {"faults": result.faults} for result in results
+    ]
     report["batch"] = summarize_batch(outcomes, results)
     report["faults"] = (
         check.count_faults(outcomes, profile.allow_losses)
@@ -210,11 +212,17 @@
         for outcome in outcomes
         if outcome.verdict not in (check.Verdict.RIGHT, check.Verdict.REFUSED)
     ]
+    refusals = collections.Counter(
+        outcome.reply.code
+        for outcome in outcomes
+        if outcome.verdict is check.Verdict.REFUSED
+    )
     return {
         "profile": profile.name,
         "seed": profile.seed,
         "seconds": round(seconds, 3),
         "verdicts": dict(verdicts),
+        "refusals": dict(refusals),
         "worst_of_fair_share": worst_share,
         "customers": customers,
         "latencies": latencies.render(),
--- a/sapphireseam/tools/soak.py
+++ b/sapphireseam/tools/soak.py
@@ -44,6 +44,8 @@
 # Which of the answers of plain services have neither length nor chunks, and which of
 # those are broken off.
 UNFRAMED_EVERY, BROKEN_EVERY = 3, 7
+# What a control VM logs when its leadership changes, and when it starts.
+LEADER_LINES = ('"leads"', '"lost leadership"', '"started"')
 CONTROL = "seam-control"
 UPSTREAM = "seam-upstream"
 # Faults that end a process. A stand-in upstream loses its run counts when it ends, so
@@ -290,12 +292,21 @@
     if not result.faults:
         return line
     details = [f"  faults injected: {result.counts}", f"  logs: {folder}"]
+    details += [f"  refusals by cause: {report.get('refusals')}"]
+    details += [f"  {line}" for line in _list_leaders(folder)]
     details += [f"  {text}" for text in report.get("troubled", ())]
     details += [f"  {text}" for text in report.get("runs", {}).get("findings", ())]
-    details += [f"  job: {job}" for job in report.get("jobs", ()) if job["findings"]]
+    details += [f"  job: {job}" for job in report.get("jobs", ()) if job["faults"]]
     return "\n".join([line, *details])
 
 
+def _list_leaders(folder: Path) -> list[str]:
+    """Return the log lines about changes of leadership, in order of time."""
+    logs = sorted(folder.glob("control-*.log"))
+    lines = [line for log in logs for line in log.read_text().splitlines()]
+    return sorted(line for line in lines if any(text in line for text in LEADER_LINES))
+
+
 app = typer.Typer(add_completion=False)
 
 
