Reserve the ports of a fleet as long as it exists

Seen: with four soaks at once, one couldn't start: "agent-post-app-2 ended: can't listen on 127.0.0.1:24867 ... address already in use".

Cause: find_ports only checked that ports were free. Two fleets that draw 48 ports each from the same 22,528 get a common one in a tenth of the cases, and a process that a fault ended leaves its port to others until it is started again. That a layout tells its ports helped within one fleet only.

Change: a layout holds its ports by bound sockets that don't listen, so that nobody else finds them free. The programs set SO_REUSEADDR and listen beside them. The test of two fleets needs the reservation; that of the soak's moved processes passes unchanged but for where it reads the ports. 32 tests that start fleets, fronts and proxies pass.

--- a/sapphireseam/tools/fleet_test.py
+++ b/sapphireseam/tools/fleet_test.py
@@ -9,6 +9,7 @@
 import tempfile
 import unittest
 from pathlib import Path
+from unittest import mock
 
 import aiohttp
 import openai
@@ -29,11 +30,29 @@
     return "".join(answer.compute_answer(MODEL, prompt, tokens).tokens)
 
 
+class PortReservationTest(unittest.TestCase):
+    def test_two_fleets_never_get_the_same_port(self):
+        # So few ports that the second fleet would draw some of the first one.
+        first_outgoing = int(layout.OUTGOING_PORTS.read_text().split()[0])
+        few = 50
+        with (
+            mock.patch.object(layout, "FIRST_PORT", first_outgoing - few),
+            mock.patch.object(layout, "MAX_TRIES", few),
+        ):
+            first, second = layout.reserve_ports(20), layout.reserve_ports(20)
+            self.assertEqual(set(first.ports) & set(second.ports), set())
+            with self.assertRaises(error.SettingsError):
+                layout.reserve_ports(20)
+            del first
+            layout.reserve_ports(20)
+
+
 class FleetStartTest(unittest.IsolatedAsyncioTestCase):
     async def test_a_port_taken_by_another_process_is_no_silent_timeout(self):
         with tempfile.TemporaryDirectory() as folder, socket.socket() as other:
             plan = layout.lay_out(Path(folder), layout.SMALL)
             host, port = plan.controls[0].rsplit(":", 1)
+            other.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             other.bind((host, int(port)))
             other.listen()
             with self.assertRaisesRegex(fleet.StartError, "^control-1 .*can't listen"):
--- a/sapphireseam/tools/layout.py
+++ b/sapphireseam/tools/layout.py
@@ -8,7 +8,7 @@
 import json
 import random
 import socket
-from collections.abc import Collection
+import weakref
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -55,7 +55,7 @@
 class Layout(NamedTuple):
     """Everything that is needed to start a fleet on one machine.
 
-    `ports` are all ports of its processes.
+    The ports of its processes are reserved as long as it exists.
     """
 
     folder: Path
@@ -64,7 +64,7 @@
     entries: tuple[str, ...]
     configuration: dict[str, Any]
     operator_files: tuple[Path, ...]
-    ports: frozenset[int]
+    reservations: tuple["PortReservation", ...]
 
 
 SHANNONSIDE = Shape(
@@ -85,36 +85,56 @@
 )
 
 
-def find_ports(count: int, taken: Collection[int] = ()) -> list[int]:
-    """Return loopback ports that were free when checked, except those in `taken`.
+class PortReservation:
+    """Loopback ports that are kept from other fleets, also while no process listens.
 
-    `taken` are ports of processes that are not started yet.
+    A bound socket that doesn't listen holds each port. The programs listen beside it,
+    because they set SO_REUSEADDR. The ports are released with the object.
+    """
+
+    def __init__(self, sockets: list[socket.socket]):
+        self.ports = tuple(held.getsockname()[1] for held in sockets)
+        weakref.finalize(self, _close, sockets)
+
+
+def _close(sockets: list[socket.socket]) -> None:
+    for held in sockets:
+        held.close()
+
+
+def reserve_ports(count: int) -> PortReservation:
+    """Reserve free loopback ports.
 
     They are below the range from which the kernel takes ports for outgoing
     connections, so the outgoing connections of other processes cannot take them.
     """
     first_outgoing = int(OUTGOING_PORTS.read_text().split()[0])
-    ports: list[int] = []
+    sockets: list[socket.socket] = []
     for port in random.sample(range(FIRST_PORT, first_outgoing), MAX_TRIES):
-        if port in taken:
+        held = socket.socket()
+        try:
+            held.bind((HOST, port))
+        except OSError:
+            held.close()
             continue
-        with socket.socket() as port_socket:
-            try:
-                port_socket.bind((HOST, port))
-            except OSError:
-                continue
-        ports.append(port)
-        if len(ports) == count:
-            return ports
+        held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sockets.append(held)
+        if len(sockets) == count:
+            return PortReservation(sockets)
+    _close(sockets)
     raise error.SettingsError(f"fewer than {count} free ports below {first_outgoing}")
 
 
+def find_ports(count: int) -> tuple[int, ...]:
+    """Return loopback ports that were free when checked."""
+    return reserve_ports(count).ports
+
+
 class _AddressAllocator:
     """An allocator of loopback addresses."""
 
-    def __init__(self, count: int):
-        self.ports = find_ports(count)
-        self._ports = iter(self.ports)
+    def __init__(self, reservation: PortReservation):
+        self._ports = iter(reservation.ports)
 
     def take(self) -> str:
         return f"{HOST}:{next(self._ports)}"
@@ -127,7 +147,9 @@
     """
     folder.mkdir(parents=True, exist_ok=True)
     upstreams = sum(item.count for item in shape.replicas)
-    ports = _AddressAllocator(2 * shape.controls + 2 * shape.entries + 3 * upstreams)
+    count = 2 * shape.controls + 2 * shape.entries + 3 * upstreams
+    reservation = reserve_ports(count)
+    ports = _AddressAllocator(reservation)
     domains = [f"{shape.region}-{letter}" for letter in "abc"]
     processes: list[Process] = []
     controls = [ports.take() for _ in range(shape.controls)]
@@ -166,7 +188,7 @@
         tuple(entries),
         configuration,
         keys,
-        frozenset(ports.ports),
+        (reservation,),
     )
 
 
--- a/sapphireseam/tools/soak.py
+++ b/sapphireseam/tools/soak.py
@@ -80,7 +80,8 @@
 def insert_proxies(plan: layout.Layout) -> ProxiedFleet:
     """Move each process to a new address and put a proxy at its old address."""
     proxied = [item for item in plan.processes if item.program != "seam-entry"]
-    ports = iter(layout.find_ports(len(proxied), plan.ports))
+    reservation = layout.reserve_ports(len(proxied))
+    ports = iter(reservation.ports)
     links, runs, processes = {}, [], []
     for item in plan.processes:
         if item.program == "seam-entry":
@@ -106,7 +107,10 @@
             settings["address"] = address
         item.settings.write_text(json.dumps(settings, indent=2) + "\n")
         processes.append(item)
-    return ProxiedFleet(plan._replace(processes=tuple(processes)), links, tuple(runs))
+    moved = plan._replace(
+        processes=tuple(processes), reservations=(*plan.reservations, reservation)
+    )
+    return ProxiedFleet(moved, links, tuple(runs))
 
 
 class FaultInjector:
--- a/sapphireseam/tools/soak_test.py
+++ b/sapphireseam/tools/soak_test.py
@@ -46,7 +46,8 @@
         targets = {link.target for link in proxied_fleet.links.values()}
         moved = {int(target.rsplit(":", 1)[1]) for target in targets}
         self.assertEqual(len(moved), len(proxied_fleet.links))
-        self.assertEqual(moved & plan.ports, set())
+        (reservation,) = plan.reservations
+        self.assertEqual(moved & set(reservation.ports), set())
 
 
 class FaultInjectorTest(unittest.IsolatedAsyncioTestCase):
