Retry reading a job's results as other calls of the load tool are retried

Cause: results were read once at each entry. If both refuse at that moment because no leader is reachable, a completed job of 200 items counts as 200 lost items and 2 unreadable files, 202 faults, though 503 is an answer that every other call of a job is repeated after.

Change: results are read like all else, until ACCEPT_SECONDS are over at one entry. What stays refused for that long is still a fault: the test has both cases, and the first of them failed before (5 faults for a job of 4 items).

--- a/sapphireseam/tools/job.py
+++ b/sapphireseam/tools/job.py
@@ -115,19 +115,22 @@
         )
         return await self._check_results(job, batch, result)
 
-    async def _call(self, job: plan.Job, method: str, path: str, **options) -> bytes:
+    async def _call(
+        self, job: plan.Job, method: str, path: str, base: str = "", **options
+    ) -> bytes:
         """Make a call; resend it while its answer is lost or is a refusal.
 
-        Raise CallError on any other error, and after `ACCEPT_SECONDS`.
+        Without a `base`, each attempt goes to another entry. Raise CallError on any
+        other error, and after `ACCEPT_SECONDS`.
         """
         deadline = self._timer.read_clock() + ACCEPT_SECONDS
         while True:
             self._calls += 1
-            base = self._bases[self._calls % len(self._bases)]
+            target = base or self._bases[self._calls % len(self._bases)]
             try:
                 return await timer.wait_for(
                     self._timer,
-                    self._call_once(job, method, base + path, options),
+                    self._call_once(job, method, target + path, options),
                     CALL_SECONDS,
                 )
             except (aiohttp.ClientError, OSError, TimeoutError) as failure:
@@ -214,12 +217,12 @@
             for field in ("output_file_id", "error_file_id"):
                 if not batch.get(field):
                     continue
-                url = f"{base}/v1/files/{batch[field]}/content"
+                path = f"/v1/files/{batch[field]}/content"
                 try:
-                    data = await self._call_once(job, "GET", url, {})
+                    data = await self._call(job, "GET", path, base)
                     lines += data.splitlines()
-                except (aiohttp.ClientError, OSError, CallError) as failure:
-                    unreadable.append(f"{url}: {failure}")
+                except CallError as failure:
+                    unreadable.append(f"{base}: {failure}")
             results_by_entry.append(lines)
         if (
             len({tuple(sorted(lines)) for lines in results_by_entry}) > 1
