--- a/sapphireseam/tools/soak_test.py
+++ b/sapphireseam/tools/soak_test.py
@@ -1,7 +1,7 @@
 """Tests a short soak of one seed and the faults that a seed draws.
 
 Seeds that revealed a fault of the system are listed with their causes in
-docs/measure/soak.md, and each gets a test here. There are none so far.
+docs/measure/soak.md, each with its test.
 """
 
 import asyncio
