Start an item again if its version has no free slot for too long

Cause: an item whose output began at a version waited for a slot of that version without a limit, also while slots of other versions were free. In a release the last upstreams of the old version may be full for long.

Change: the wait of RESUME_WAIT_SECONDS counts from when no upstream of the version has a slot, not only from when none is usable.

--- a/sapphireseam/control/bulkrunner.py
+++ b/sapphireseam/control/bulkrunner.py
@@ -35,8 +35,8 @@
 # of the item, this many times. A refused or failed item waits for the minimum.
 MIN_BACKOFF_SECONDS = 0.2
 MAX_DOUBLINGS = 3
-# How long an item waits for an upstream that can continue its output before it starts
-# again, in seconds. An upstream may be listed for long after it was lost.
+# How long an item waits for a slot at which its output can be continued before it
+# starts again, in seconds. An upstream may be listed for long after it was lost.
 RESUME_WAIT_SECONDS = 3.0
 # How often the output of running items is saved in the log, in seconds, and the
 # minimum number of new events for which a part of an output is saved.
@@ -294,8 +294,8 @@
     def _choose_version(self, progress: ItemProgress, service: str, now: float) -> str:
         """Return the version at which an item must run, or an empty string for any.
 
-        An item whose version serves no more, or is out of reach for too long, starts
-        again at any version.
+        An item whose version serves no more, or is out of reach or full for too long,
+        starts again at any version.
         """
         began = progress.origin
         if began is None or not progress.event_count or began.service != service:
@@ -303,7 +303,7 @@
         slots = self._placement.allocator
         if not slots.count_slots(service, began.version):
             return ""
-        if slots.has_usable(service, began.version, progress.unreachable):
+        if slots.has_free_slot(service, began.version, progress.unreachable):
             progress.unreachable_since = None
             return began.version
         if progress.unreachable_since is None:
--- a/sapphireseam/control/bulkrunner_test.py
+++ b/sapphireseam/control/bulkrunner_test.py
@@ -202,6 +202,24 @@
         results = await self.wait_done(10.0)
         self.assertEqual(results[0].output, self.expect_output(b"i0"))
 
+    async def test_saved_item_whose_version_has_no_free_slot_starts_again(self):
+        self.upstream.version, self.other.version = "v1", "v2"
+        self.upstream.slots = 1
+        self.replica.is_leader = False
+        self.placement.update_instances((self.upstream.instance, self.other.instance))
+        online = allocator.SlotRequest(
+            "o", "llm", "c", 0, "z", 60.0, self.timer.read_clock(), version="v1"
+        )
+        self.placement.allocator.place(online, self.timer.read_clock())
+        await self.accept()
+        part = command.LotPart("l", 0, -1, 1, b"i0-0\ni0-1", "llm", "v1")
+        await self.apply(command.KeepParts((part,)))
+        self.replica.is_leader = True
+        self.runner._wake.set()
+        results = await self.wait_done(10.0)
+        self.assertEqual(results[0].output, self.expect_output(b"i0"))
+        self.assertEqual(self.upstream.runs, [])
+
     async def test_item_under_which_upstreams_crashed_runs_again_soon(self):
         await self.accept(0)
         progress = bulkrunner.ItemProgress(None)
--- a/sapphireseam/control/progress.py
+++ b/sapphireseam/control/progress.py
@@ -31,7 +31,7 @@
         self.not_before = 0.0
         self.excluded: frozenset[str] = frozenset()
         # The upstream at which the item failed without being refused, and since when
-        # no other can continue the output.
+        # no other had a slot to continue the output.
         self.unreachable = ""
         self.unreachable_since: float | None = None
         # Becomes False if the upstream sends events without an id, because the
--- a/sapphireseam/policy/allocator.py
+++ b/sapphireseam/policy/allocator.py
@@ -273,10 +273,11 @@
         loads = self._list_usable(service, version)
         return sum(load.instance.slots for load in loads)
 
-    def has_usable(self, service: str, version: str, excluded: str) -> bool:
-        """Return whether an upstream of a version is usable, except `excluded`."""
+    def has_free_slot(self, service: str, version: str, excluded: str) -> bool:
+        """Return whether an upstream of a version, except `excluded`, has a slot."""
         return any(
             load.is_usable
+            and load.free_slots > 0
             and load.instance.version == version
             and load.instance.id != excluded
             for load in self._list_loads(service)
