Add no control VM before the leader knows which ones are retired

What operators would see: a VM that is being retired is a member again for a moment after a new leader was elected.

An announcement in that time was checked against the list of retired VMs of that state.

--- a/sapphireseam/control/membership.py
+++ b/sapphireseam/control/membership.py
@@ -89,7 +89,11 @@
             self._replica.set_leaving(leaving)
 
     def _require_leader(self) -> None:
-        if not self._replica.is_leader:
+        """Raise unless this VM leads and has applied what its predecessors committed.
+
+        Before that it may not know that a VM is retired.
+        """
+        if not (self._replica.is_leader and self._replica.has_caught_up):
             leader = self._replica.leader
             raise error.NotLeaderError("this control VM is not the leader", leader)
 
--- a/sapphireseam/control/membership_test.py
+++ b/sapphireseam/control/membership_test.py
@@ -14,6 +14,7 @@
 class FakeReplica:
     def __init__(self, machine):
         self.is_leader = True
+        self.has_caught_up = True
         self.leader = "a"
         self.members = tuple(Member(name, name) for name in "abc")
         self.leaving = frozenset()
@@ -69,6 +70,12 @@
             await self.announce("d")
         self.assertEqual(caught.exception.leader, "a")
 
+    async def test_new_leader_adds_no_vm_before_it_knows_which_are_retired(self):
+        self.replica.has_caught_up = False
+        with self.assertRaises(error.NotLeaderError):
+            await self.announce("d")
+        self.assertEqual(len(self.replica.members), 3)
+
     async def test_retiring_is_refused_if_too_few_would_remain(self):
         await self.announce("a", "b", "c")
         with self.assertRaises(error.RequestError) as caught:
