Debit no customer by limits that a new leader has not applied yet

What customers would see: for the moment after an election, a customer whose limit was published shortly before a loss of power isn't limited at all.

Cause: a leader takes the entries' streams at once. A customer that its state does not know as limited was not debited, though the configuration with the limit stands in its log.

Change: the debit waits until the leader has applied everything up to the beginning of its term. That takes one commit; a request whose entry has withdrawn it meanwhile is dropped as before, and entries place by themselves without an answer.

--- a/sapphireseam/control/bulkrunner_test.py
+++ b/sapphireseam/control/bulkrunner_test.py
@@ -39,6 +39,10 @@
         self._index += 1
         return self._machine.apply(self._index, data)
 
+    async def wait_caught_up(self):
+        while not self.has_caught_up:  # noqa: ASYNC110
+            await asyncio.sleep(0.001)
+
 
 class FakeRateLimitService:
     """Refuse a debit with the next wait of `waits`; grant it if none is left."""
@@ -498,6 +502,18 @@
             (answers[0].kind, answers[0].retry_after), ("rate_limited", 0.7)
         )
 
+    async def test_new_leader_places_nothing_before_it_knows_who_is_limited(self):
+        contracts, self.rate_limits.contracts = self.rate_limits.contracts, {}
+        document = json.dumps(DOCUMENT).encode()
+        await self.apply(command.PublishNumbered(2, document, b"", 2.0))
+        self.replica.has_caught_up = False
+        sending = asyncio.create_task(self.send_request(0.7))
+        await asyncio.sleep(0.05)
+        self.rate_limits.contracts = contracts
+        await self.apply(command.PublishNumbered(3, document, b"", 3.0))
+        self.replica.has_caught_up = True
+        self.assertEqual((await sending)[0].kind, "rate_limited")
+
     async def test_leaving_upstream_gets_nothing_more_from_the_leader(self):
         instances = (self.upstream.instance, self.other.instance)
         self.placement.update_instances(instances)
--- a/sapphireseam/control/placement.py
+++ b/sapphireseam/control/placement.py
@@ -297,6 +297,7 @@
         A request that the limit allows within its patience waits here, because a
         retry by the caller would take longer.
         """
+        await self._replica.wait_caught_up()
         if customer not in self._contracts:
             return
         await self._rate_limits.wait_ready(READY_TIMEOUT_SECONDS)
--- a/sapphireseam/state/replica.py
+++ b/sapphireseam/state/replica.py
@@ -238,6 +238,18 @@
         """
         return self._node.applied >= self._node.term_start
 
+    async def wait_caught_up(self) -> None:
+        """Wait until `has_caught_up`; raise `NotLeaderError` if leadership ends."""
+        if self.has_caught_up:
+            return
+        node = self._node
+
+        def has_caught_up() -> bool:
+            node.check_leading()
+            return self.has_caught_up
+
+        await node.changed.wait_until(has_caught_up)
+
     @property
     def applied(self) -> int:
         """Return the index of the last entry applied by this member."""
--- a/sapphireseam/tools/streamsoak.py
+++ b/sapphireseam/tools/streamsoak.py
@@ -69,6 +69,9 @@
         self.term = 1
         self.members = ()
 
+    async def wait_caught_up(self) -> None:
+        """Do nothing; no leader of the soak has a log."""
+
 
 class _RateLimits:
     """Limits no customer."""
