Abandon no item by a configuration that a new leader has not yet replaced

What customers would see: after all control VMs have restarted, items of an open batch job are listed as failed although their route is in the configuration in force. Found by reading, as another place in which a leader acts on state that lacks what was committed; never seen in a run.

If a version without the route was followed by one that has it again, the first made the leader give the items up before the second was applied.

Change: the review, like the start of items, waits until the leader has applied everything up to the beginning of its term. The new test failed before (the item was listed as failed) and passes now, with the other 38 of the module.

--- a/sapphireseam/control/bulkrunner.py
+++ b/sapphireseam/control/bulkrunner.py
@@ -155,6 +155,8 @@
         if not self._replica.is_leader:
             self._stop_all()
             return
+        if not self._replica.has_caught_up:
+            return
         now = self._timer.read_wall_clock()
         state = self._machine.state
         for job in list(state.lots.values()):
--- a/sapphireseam/control/bulkrunner_test.py
+++ b/sapphireseam/control/bulkrunner_test.py
@@ -386,6 +386,19 @@
         self.replica.has_caught_up = True
         await self.wait_done()
 
+    async def test_new_leader_abandons_no_item_by_an_older_configuration(self):
+        await self.accept()
+        self.replica.has_caught_up = False
+        gone = DOCUMENT | {"routes": {}}
+        await self.apply(
+            command.PublishNumbered(2, json.dumps(gone).encode(), b"", 2.0)
+        )
+        await asyncio.sleep(2 * bulkrunner.REVIEW_SECONDS)
+        restored = json.dumps(DOCUMENT).encode()
+        await self.apply(command.PublishNumbered(3, restored, b"", 3.0))
+        self.replica.has_caught_up = True
+        self.assertFalse((await self.wait_done())[0].failed)
+
     async def test_member_that_does_not_lead_runs_nothing(self):
         self.replica.is_leader = False
         await self.accept()
