Close each descriptor of an outgoing connection exactly once

A request that is cancelled while its connection opens (a preempted item, a caller that leaves) could later close the descriptor of any other connection or file of the process. Another socket then gets that number, so that two connections read and write one descriptor, or the process aborts.

Cause: the HTTP library connects a Python socket and passes it to uvloop. If the task is cancelled while uvloop takes the socket over, uvloop closes the descriptor, and the Python socket, which still owns it, closes it again when it is collected: as late as the task's traceback lives.

Evidence: the new test, on the code before: under uvloop the cancellation after 4 and after 9 of 30 iterations closes a descriptor that was opened afterwards; none under asyncio's own loop.

Change: the connector lets the event loop make the socket, which then has one owner. The option TCP_USER_TIMEOUT is set when the connection is made. The unused count of opened connections goes.

--- a/sapphireseam/utils/framing.py
+++ b/sapphireseam/utils/framing.py
@@ -14,6 +14,7 @@
 import functools
 import socket
 import struct
+from collections.abc import Callable
 from typing import Any
 
 import aiohttp
@@ -43,9 +44,19 @@
 class _Protocol(ResponseHandler):
     """Records how its connection ends."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop):
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        on_open: Callable[[socket.socket], None],
+    ):
         super().__init__(loop)
         self.end = ConnectionEnd.OPEN
+        self._on_open = on_open
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Prepare the connection's socket."""
+        self._on_open(transport.get_extra_info("socket"))
+        super().connection_made(transport)
 
     def eof_received(self) -> None:
         """Record the end of the received data."""
@@ -101,23 +112,63 @@
 
 
 class _Connector(aiohttp.TCPConnector):
-    """Opens connections that record how they end."""
+    """Opens connections that record how they end.
+
+    The event loop makes their sockets. uvloop closes the descriptor of a socket that it
+    was given if it is interrupted while it takes the socket over. The socket would then
+    close the descriptor again, when it may already belong to another connection.
+    """
 
-    def __init__(self, **options: Any):
+    def __init__(self, on_open: Callable[[socket.socket], None], **options: Any):
         super().__init__(**options)
         # The library has no public way to choose the protocol class.
-        self._factory = functools.partial(_Protocol, loop=self._loop)
+        self._factory = functools.partial(_Protocol, self._loop, on_open)
+
+    # The library has no public way to replace this either.
+    async def _wrap_create_connection(
+        self,
+        *args: Any,
+        addr_infos: list[tuple],
+        req: aiohttp.ClientRequest,
+        timeout: aiohttp.ClientTimeout,
+        client_error: type[Exception] = aiohttp.ClientConnectorError,
+        **options: Any,
+    ) -> tuple[asyncio.Transport, ResponseHandler]:
+        """Open a connection to the first address that accepts one."""
+        try:
+            async with asyncio.timeout(timeout.sock_connect):
+                return await self._connect(addr_infos, *args, **options)
+        except OSError as failure:
+            # The kernel's timeout has a number, the one above has none.
+            if isinstance(failure, TimeoutError) and failure.errno is None:
+                raise
+            raise client_error(req.connection_key, failure) from failure
+
+    async def _connect(
+        self, addr_infos: list[tuple], *args: Any, **options: Any
+    ) -> tuple[asyncio.Transport, ResponseHandler]:
+        failure = OSError("no address")
+        for *_, (host, port, *_) in addr_infos:
+            try:
+                return await self._loop.create_connection(
+                    *args, host=host, port=port, **options
+                )
+            except OSError as caught:
+                failure = caught
+        raise failure
 
 
 def create_session(
-    connector_options: dict[str, Any] | None = None, **options: Any
+    connector_options: dict[str, Any] | None = None,
+    on_open: Callable[[socket.socket], None] = lambda _: None,
+    **options: Any,
 ) -> aiohttp.ClientSession:
     """Return a session whose answers are `FramedResponse` objects.
 
-    `connector_options` are those of `aiohttp.TCPConnector`, and `options` those of
-    `aiohttp.ClientSession`.
+    `on_open` is called with the socket of each new connection. `connector_options` are
+    those of `aiohttp.TCPConnector`, and `options` those of `aiohttp.ClientSession`.
     """
-    connector = _Connector(**(connector_options or {}))
+    connector = _Connector(on_open, **(connector_options or {}))
     return aiohttp.ClientSession(
         connector=connector, response_class=FramedResponse, **options
     )
--- a/sapphireseam/utils/framing_test.py
+++ b/sapphireseam/utils/framing_test.py
@@ -1,6 +1,8 @@
 """Test which answers count as complete when their connection ends."""
 
 import asyncio
+import gc
+import os
 import socket
 import struct
 import threading
@@ -89,5 +91,41 @@
         self.assertEqual(self.read(uvloop.run, server, True)[0], b"abcde")
 
 
+class CancellationTest(unittest.TestCase):
+    async def count_closed(self, iterations):
+        """Cancel a request after some iterations of the event loop.
+
+        Return how many of the descriptors opened since then were closed by others.
+        """
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            url = f"http://127.0.0.1:{listener.getsockname()[1]}/"
+            async with framing.create_session() as http:
+                task = asyncio.ensure_future(http.get(url))
+                for _ in range(iterations):
+                    await asyncio.sleep(0)
+                task.cancel()
+                await asyncio.wait([task])
+                descriptors = [os.open(os.devnull, os.O_RDONLY) for _ in range(3)]
+                # The task holds the request's frames and what they refer to.
+                del task
+                gc.collect()
+                return sum(not _close(descriptor) for descriptor in descriptors)
+
+    def test_request_that_is_cancelled_closes_no_descriptor_of_another(self):
+        for run in (asyncio.run, uvloop.run):
+            for iterations in range(30):
+                with self.subTest(run=run.__module__, iterations=iterations):
+                    self.assertEqual(run(self.count_closed(iterations)), 0)
+
+
+def _close(descriptor):
+    """Return whether the descriptor was open."""
+    try:
+        os.close(descriptor)
+    except OSError:
+        return False
+    return True
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/sapphireseam/utils/outbound.py
+++ b/sapphireseam/utils/outbound.py
@@ -208,7 +208,6 @@
         # Requests in progress by address.
         self._open_requests: Counter[str] = Counter()
         self._listed: frozenset[str] | None = None
-        self.opened_connections = 0
 
     async def start(self) -> None:
         """Do nothing; a connection is opened when it is first used."""
@@ -240,14 +239,11 @@
     def _get_session(self, address: str) -> aiohttp.ClientSession:
         session = self._sessions.get(address)
         if session is None:
-            connector_options = {
-                "limit": 0,
-                "keepalive_timeout": IDLE_SECONDS,
-                "socket_factory": self._open_socket,
-            }
+            connector_options = {"limit": 0, "keepalive_timeout": IDLE_SECONDS}
             timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_SECONDS)
             session = framing.create_session(
                 connector_options,
+                _limit_unacknowledged,
                 timeout=timeout,
                 auto_decompress=False,
                 cookie_jar=aiohttp.DummyCookieJar(),
@@ -256,16 +252,6 @@
             self._sessions[address] = session
         return session
 
-    def _open_socket(self, address_info: tuple) -> socket.socket:
-        self.opened_connections += 1
-        family, kind, protocol, _, _ = address_info
-        new_socket = socket.socket(family, kind, protocol)
-        new_socket.setblocking(False)
-        new_socket.setsockopt(
-            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
-        )
-        return new_socket
-
     @asynccontextmanager
     async def send(
         self,
@@ -373,3 +359,9 @@
             }
             logger.info("no answer to an order", extra=detail)
             return None
+
+
+def _limit_unacknowledged(own_socket: socket.socket) -> None:
+    own_socket.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
+    )
