Record no result of an item whose output was dropped meanwhile

What callers saw: results that are completed and hold text that no server made.

Cause: a leader whose lease has ended drops the output of all items and cancels their runs. A run that had just ended could not be cancelled any more, and its end was handled after that. It was then recorded as completed with an empty output, and a leader whose lease was renewed, or that had lost it for less than the shortest election timeout, committed that.

Evidence: the test drops the progress between a run's last step and the handling of its end.

Change: a run's end counts only if the item still has the progress that the run was started with. Otherwise the item runs again.

--- a/sapphireseam/control/bulkrunner.py
+++ b/sapphireseam/control/bulkrunner.py
@@ -288,7 +288,9 @@
         run = self._run(job, item, route, progress, grant.instance)
         task = self._tasks.spawn(run)
         self._runs[run_key] = task
-        task.add_done_callback(lambda done: self._finish_run(run_key, key, done))
+        task.add_done_callback(
+            lambda done: self._finish_run(run_key, key, progress, done)
+        )
         return True
 
     def _choose_version(self, progress: ItemProgress, service: str, now: float) -> str:
@@ -312,13 +314,22 @@
         return "" if is_overdue else began.version
 
     def _finish_run(
-        self, run_key: str, key: _ItemKey, task: asyncio.Task[bool | None]
+        self,
+        run_key: str,
+        key: _ItemKey,
+        progress: ItemProgress,
+        task: asyncio.Task[bool | None],
     ) -> None:
-        """Release the item's slot and record its result if it has one."""
+        """Release the item's slot and record its result if it has one.
+
+        A run whose progress was dropped has none, because its output is gone.
+        """
         if self._runs.get(run_key) is task:
             del self._runs[run_key]
         self._placement.release(run_key)
-        if task.cancelled() or task.exception() or task.result() is None:
+        is_dropped = self._progress.get(key) is not progress
+        has_ended = not task.cancelled() and not task.exception()
+        if is_dropped or not has_ended or task.result() is None:
             self._active.discard(key)
             self._wake.set()
             return
--- a/sapphireseam/control/bulkrunner_test.py
+++ b/sapphireseam/control/bulkrunner_test.py
@@ -281,6 +281,17 @@
         self.assertEqual(self.upstream.dropped, ["i0"])
         self.assertEqual(len(self.upstream.runs), 1)
 
+    async def test_run_that_ends_as_its_progress_is_dropped_has_no_result(self):
+        def drop_progress(events):
+            # Between the last step of the run and its end.
+            self.runner._estimator.record_item = lambda events: None
+            asyncio.get_running_loop().call_soon(self.runner._stop_all)
+
+        self.runner._estimator.record_item = drop_progress
+        await self.accept()
+        results = await self.wait_done()
+        self.assertEqual(results[0].output, self.expect_output(b"i0"))
+
     async def test_online_request_preempts_an_item_which_resumes_later(self):
         self.upstream.slots = 1
         self.upstream.event_delay = 0.05
