Start an item again only after its stopped run has ended

What callers saw: not traced to one report. Two runs of one item at once may add their events to the same output, and slots stay taken by nobody or are given away while an item still uses them.

Cause: when all runs are stopped, or a result is dropped, the items were free to start at once, before the tasks of the stopped runs had ended. A leader whose lease is renewed in between, as after a stall, starts them then. The end of the old run released the slot of the new one, which had the same key, and marked the item as free, so that it started once more beside the new run. The slot of the old run was never released.

Evidence: the test stops all runs and schedules at once. On the code before, two of three items hold a slot afterwards.

Change: an item is busy while a task of it exists. The set of active items holds only those whose result isn't recorded yet, and is named so.

--- a/sapphireseam/control/bulkrunner.py
+++ b/sapphireseam/control/bulkrunner.py
@@ -79,8 +79,8 @@
         self._fleet = fleet.Fleet()
         self._progress: dict[_ItemKey, ItemProgress] = {}
         self._runs: dict[str, asyncio.Task] = {}
-        # Items that are running or whose result is not recorded yet.
-        self._active: set[_ItemKey] = set()
+        # Finished items whose result is not recorded yet.
+        self._unrecorded: set[_ItemKey] = set()
         # Finished items whose result is to be recorded, and whether they failed.
         self._finished: list[tuple[_ItemKey, bool]] = []
         self._has_finished = asyncio.Event()
@@ -125,7 +125,7 @@
     def _remove_item(self, key: _ItemKey) -> None:
         """Stop tracking an item whose result is recorded."""
         self._progress.pop(key, None)
-        self._active.discard(key)
+        self._unrecorded.discard(key)
 
     def _stop_job(self, job: str) -> None:
         for run_key, task in list(self._runs.items()):
@@ -176,7 +176,7 @@
             task.cancel()
         self._progress.clear()
         self._finished.clear()
-        self._active.clear()
+        self._unrecorded.clear()
 
     def _must_abandon(self, job: record.Lot, now: float) -> bool:
         return (
@@ -186,7 +186,7 @@
 
     def _abandon(self, job: record.Lot) -> None:
         for number in range(len(job.items)):
-            if number not in job.listed and (job.id, number) not in self._active:
+            if number not in job.listed and not self._is_busy((job.id, number)):
                 detail = {"request": job.items[number].id, "lot": job.id}
                 logger.info("item abandoned: job expired or route gone", extra=detail)
                 self._finish_item((job.id, number), True)
@@ -232,7 +232,7 @@
             if service in full_services:
                 return
             key = (job.id, number)
-            if number in job.listed or key in self._active:
+            if number in job.listed or self._is_busy(key):
                 continue
             progress = self._get_progress(job, number)
             if (
@@ -243,6 +243,13 @@
             if not self._try_start(job, number, route, service, now):
                 full_services.add(service)
 
+    def _is_busy(self, key: _ItemKey) -> bool:
+        """Return whether the item has a run, or a result that is not recorded yet.
+
+        A run that was stopped has ended only when its task has.
+        """
+        return key in self._unrecorded or _make_run_key(*key) in self._runs
+
     def _get_progress(self, job: record.Lot, number: int) -> ItemProgress:
         key = (job.id, number)
         progress = self._progress.get(key)
@@ -284,7 +291,6 @@
         if grant is None:
             # Slots of other versions may still be free.
             return bool(request.version)
-        self._active.add(key)
         run = self._run(job, item, route, progress, grant.instance)
         task = self._tasks.spawn(run)
         self._runs[run_key] = task
@@ -324,13 +330,11 @@
 
         A run whose progress was dropped has none, because its output is gone.
         """
-        if self._runs.get(run_key) is task:
-            del self._runs[run_key]
+        del self._runs[run_key]
         self._placement.release(run_key)
         is_dropped = self._progress.get(key) is not progress
         has_ended = not task.cancelled() and not task.exception()
         if is_dropped or not has_ended or task.result() is None:
-            self._active.discard(key)
             self._wake.set()
             return
         self._finish_item(key, task.result())
@@ -458,7 +462,7 @@
     # Recording results.
 
     def _finish_item(self, key: _ItemKey, failed: bool) -> None:
-        self._active.add(key)
+        self._unrecorded.add(key)
         self._finished.append((key, failed))
         self._has_finished.set()
 
--- a/sapphireseam/control/bulkrunner_test.py
+++ b/sapphireseam/control/bulkrunner_test.py
@@ -292,6 +292,21 @@
         results = await self.wait_done()
         self.assertEqual(results[0].output, self.expect_output(b"i0"))
 
+    async def test_item_is_never_run_twice_at_once_after_all_runs_were_stopped(self):
+        self.upstream.event_delay = self.other.event_delay = 0.05
+        self.placement.update_instances((self.upstream.instance, self.other.instance))
+        await self.accept(3)
+        await asyncio.sleep(0.1)
+        self.runner._stop_all()
+        self.runner._schedule()
+        await asyncio.sleep(0.1)
+        self.assertEqual(self.placement.allocator.count_running("llm", True), 3)
+        await self.wait_done()
+        await asyncio.sleep(0.1)
+        ids = [run.id for run in self.upstream.runs + self.other.runs]
+        self.assertEqual(sorted(ids), ["i0", "i0", "i1", "i1", "i2", "i2"])
+        self.assertEqual(self.placement.allocator.count_running("llm", True), 0)
+
     async def test_online_request_preempts_an_item_which_resumes_later(self):
         self.upstream.slots = 1
         self.upstream.event_delay = 0.05
