Keep a finished item until its result is applied

What callers saw: not traced to one report; an item of an open job would have no run and no result until the next change of leader (LOST).

Cause: results that are proposed were taken off the list of finished items. If the proposal failed while the member had no lease, they were not put back, since another leader was expected to run the items again. If the member led again before the next check for that, it still counted the items as finished, but nothing proposed their results any more.

Evidence: the test refuses one proposal of a result and takes the lease away for one iteration of the event loop. On the code before, the job has no result after 5 s.

Change: an item stays in the table of finished items until a result of it is applied, its job ends or all items are stopped. A proposal that failed is repeated, with the result made anew from the item's progress.

Result: the test passes, with the 40 tests of runner and placement.

--- a/sapphireseam/control/bulkrunner.py
+++ b/sapphireseam/control/bulkrunner.py
@@ -79,10 +79,8 @@
         self._fleet = fleet.Fleet()
         self._progress: dict[_ItemKey, ItemProgress] = {}
         self._runs: dict[str, asyncio.Task] = {}
-        # Finished items whose result is not recorded yet.
-        self._unrecorded: set[_ItemKey] = set()
-        # Finished items whose result is to be recorded, and whether they failed.
-        self._finished: list[tuple[_ItemKey, bool]] = []
+        # Finished items whose result is not recorded yet, and whether they failed.
+        self._finished: dict[_ItemKey, bool] = {}
         self._has_finished = asyncio.Event()
         # A result refers to the parts of its output that are saved in the log.
         # Parts and results are therefore never proposed at the same time.
@@ -125,14 +123,14 @@
     def _remove_item(self, key: _ItemKey) -> None:
         """Stop tracking an item whose result is recorded."""
         self._progress.pop(key, None)
-        self._unrecorded.discard(key)
+        self._finished.pop(key, None)
 
     def _stop_job(self, job: str) -> None:
         for run_key, task in list(self._runs.items()):
             if run_key.startswith(_make_run_key(job, "")):
                 task.cancel()
         for key in [key for key in self._progress if key[0] == job]:
-            del self._progress[key]
+            self._remove_item(key)
 
     def _preempt(self, run_key: str) -> None:
         task = self._runs.get(run_key)
@@ -176,7 +174,6 @@
             task.cancel()
         self._progress.clear()
         self._finished.clear()
-        self._unrecorded.clear()
 
     def _must_abandon(self, job: record.Lot, now: float) -> bool:
         return (
@@ -248,7 +245,7 @@
 
         A run that was stopped has ended only when its task has.
         """
-        return key in self._unrecorded or _make_run_key(*key) in self._runs
+        return key in self._finished or _make_run_key(*key) in self._runs
 
     def _get_progress(self, job: record.Lot, number: int) -> ItemProgress:
         key = (job.id, number)
@@ -462,14 +459,13 @@
     # Recording results.
 
     def _finish_item(self, key: _ItemKey, failed: bool) -> None:
-        self._unrecorded.add(key)
-        self._finished.append((key, failed))
+        self._finished[key] = failed
         self._has_finished.set()
 
     def _make_result(self, key: _ItemKey, failed: bool) -> command.LotResult:
-        progress = self._progress.get(key)
-        if failed or progress is None:
+        if failed:
             return command.LotResult(*key, failed)
+        progress = self._progress[key]
         return command.LotResult(
             *key,
             failed,
@@ -512,21 +508,20 @@
                     await self._timer.sleep(REVIEW_SECONDS)
 
     async def _propose_results(self) -> bool:
-        """Propose a batch of results; return whether it was committed."""
-        batch: list[tuple[_ItemKey, bool]] = []
+        """Propose the first results; return whether they were committed.
+
+        An item counts as finished until a result of it is applied. The results may
+        have been committed even if this returns false. Proposing them again is safe,
+        because only the first result of an item counts.
+        """
         results: list[command.LotResult] = []
         size = 0
-        while self._finished and size < MAX_RESULT_BYTES:
-            batch.append(self._finished.pop(0))
-            results.append(self._make_result(*batch[-1]))
+        for key, failed in self._finished.items():
+            if size >= MAX_RESULT_BYTES:
+                break
+            results.append(self._make_result(key, failed))
             size += len(results[-1].output)
-        if await self._propose(command.ListResults(tuple(results))):
-            return True
-        # The results may have been committed nevertheless. Proposing them again
-        # is safe, because only the first result of an item counts.
-        if self._replica.is_leader:
-            self._finished[:0] = batch
-        return False
+        return await self._propose(command.ListResults(tuple(results)))
 
     async def _propose(self, item: object) -> bool:
         try:
--- a/sapphireseam/control/bulkrunner_test.py
+++ b/sapphireseam/control/bulkrunner_test.py
@@ -34,8 +34,15 @@
         self.members = ()
         self._machine = machine
         self._index = 0
+        # The next results are refused, as while the leader has no lease.
+        self.refuses_results = False
 
     async def propose(self, data):
+        is_result = isinstance(command.REGISTRY.decode(data), command.ListResults)
+        if self.refuses_results and is_result:
+            self.refuses_results = self.is_leader = False
+            asyncio.get_running_loop().call_soon(setattr, self, "is_leader", True)
+            raise error.NotLeaderError("no lease")
         self._index += 1
         return self._machine.apply(self._index, data)
 
@@ -307,6 +314,13 @@
         self.assertEqual(sorted(ids), ["i0", "i0", "i1", "i1", "i2", "i2"])
         self.assertEqual(self.placement.allocator.count_running("llm", True), 0)
 
+    async def test_result_that_was_refused_in_a_moment_without_lease_is_recorded(self):
+        self.replica.refuses_results = True
+        await self.accept()
+        results = await self.wait_done()
+        self.assertEqual(results[0].output, self.expect_output(b"i0"))
+        self.assertEqual(len(self.upstream.runs), 1)
+
     async def test_online_request_preempts_an_item_which_resumes_later(self):
         self.upstream.slots = 1
         self.upstream.event_delay = 0.05
