Continue an output only where the same run left off

Cause: the parts of an output, and the result that completes them, were matched by the number of the last event alone. A leader whose lease lapses starts its items again from what is saved, while a part that it proposed before may still be committed. If the new run then saves a part up to the same event, that part is dropped, but the result continues after it, on the other run's events.

Evidence: the test holds a part back, starts the item again and saves a part of the new run up to the same event.

Change: a saved output has a random name. Parts and results name the output that they continue, and are dropped if another one is saved. The new fields have defaults, so stored data of the former program is read; a former program can't read the new commands, as with the service and version of a part.

--- a/sapphireseam/control/bulk.py
+++ b/sapphireseam/control/bulk.py
@@ -81,15 +81,15 @@
         job = _find_open_job(state, part.lot, part.item)
         if job is None:
             continue
-        partial = job.partials.get(part.item)
+        partial = _find_continued(job, part)
         if part.after < 0:
             output = part.output
-        elif partial is not None and partial.last == part.after:
+        elif partial is not None:
             output = partial.output + EVENT_SEPARATOR + part.output
         else:
             continue
         job.partials[part.item] = record.Partial(
-            part.last, output, part.service, part.version
+            part.last, output, part.service, part.version, part.lineage
         )
     return outcome.Done()
 
@@ -102,12 +102,23 @@
     return job
 
 
+def _find_continued(
+    job: record.Lot, item: command.LotPart | command.LotResult
+) -> record.Partial | None:
+    """Return the saved output that a part or a result continues, or None."""
+    partial = job.partials.get(item.item)
+    if partial is None:
+        return None
+    is_same = (partial.last, partial.lineage) == (item.after, item.continues)
+    return partial if is_same else None
+
+
 def _complete_output(job: record.Lot, result: command.LotResult) -> bytes | None:
     """Return the complete output, or None if result and saved output do not fit."""
     if result.failed or result.after < 0:
         return result.output
-    partial = job.partials.get(result.item)
-    if partial is None or partial.last != result.after:
+    partial = _find_continued(job, result)
+    if partial is None:
         return None
     if result.is_rest_empty:
         return partial.output
--- a/sapphireseam/control/bulk_test.py
+++ b/sapphireseam/control/bulk_test.py
@@ -78,12 +78,16 @@
         self.apply(command.ForgetLots(("l1",)))
         self.assertNotIn("l1", self.machine.state.lots)
 
-    def save(self, after, last, output):
-        part = command.LotPart("l1", 0, after, last, output)
+    def save(self, after, last, output, lineage="", continues=""):
+        part = command.LotPart(
+            "l1", 0, after, last, output, lineage=lineage, continues=continues
+        )
         self.apply(command.KeepParts((part,)))
 
-    def finish(self, after, output, is_rest_empty=False):
-        result = command.LotResult("l1", 0, False, output, after, is_rest_empty)
+    def finish(self, after, output, is_rest_empty=False, continues=""):
+        result = command.LotResult(
+            "l1", 0, False, output, after, is_rest_empty, continues
+        )
         self.apply(command.ListResults((result,)))
         return self.read()
 
@@ -106,6 +110,16 @@
         self.assertEqual(self.finish(4, b"e5"), [])
         self.assertEqual(self.machine.state.lots["l1"].partials[0].last, 1)
 
+    def test_parts_of_two_runs_with_the_same_numbers_are_not_joined(self):
+        self.apply(make_job())
+        self.save(-1, 1, b"e0\ne1", "a")
+        self.save(1, 3, b"b2\nb3", "b", "a")
+        self.save(1, 3, b"c2\nc3", "c", "a")
+        self.save(3, 4, b"c4", "c", "c")
+        self.assertEqual(self.finish(3, b"c4", continues="c"), [])
+        expected = b"e0\ne1\nb2\nb3\nb4"
+        self.assertEqual(self.finish(3, b"b4", continues="b"), [(0, False, expected)])
+
     def test_part_from_the_first_event_replaces_the_saved_output(self):
         self.apply(make_job())
         self.save(-1, 1, b"old")
--- a/sapphireseam/control/bulkrunner.py
+++ b/sapphireseam/control/bulkrunner.py
@@ -472,6 +472,7 @@
             progress.render_unsaved(),
             progress.saved_event,
             not progress.data,
+            progress.saved_lineage,
         )
 
     async def _save_parts(self) -> None:
@@ -494,8 +495,7 @@
             return
         for progress, attempt, count, part in drafts:
             if progress.attempt == attempt:
-                del progress.data[:count]
-                progress.saved_event = part.last
+                progress.record_saved(part, count)
 
     async def _append_results_forever(self) -> None:
         while True:
--- a/sapphireseam/control/bulkrunner_test.py
+++ b/sapphireseam/control/bulkrunner_test.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import unittest
+from unittest import mock
 
 from sapphireseam.control import bulkrunner, machine as machines, placement
 from sapphireseam.core import command, error, fleet, placement as messages
@@ -36,6 +37,9 @@
         self._index = 0
         # The next results are refused, as while the leader has no lease.
         self.refuses_results = False
+        # Proposals are applied once it is set.
+        self.commits = asyncio.Event()
+        self.commits.set()
 
     async def propose(self, data):
         is_result = isinstance(command.REGISTRY.decode(data), command.ListResults)
@@ -43,6 +47,7 @@
             self.refuses_results = self.is_leader = False
             asyncio.get_running_loop().call_soon(setattr, self, "is_leader", True)
             raise error.NotLeaderError("no lease")
+        await self.commits.wait()
         self._index += 1
         return self._machine.apply(self._index, data)
 
@@ -128,6 +133,12 @@
         while self.placement.allocator.count_running("llm", True):  # noqa: ASYNC110
             await asyncio.sleep(0.01)
 
+    async def wait_event(self, number):
+        """Wait until the item's run has received an event."""
+        tracked = self.runner._progress
+        while ("l", 0) not in tracked or tracked["l", 0].last_event != number:  # noqa: ASYNC110
+            await asyncio.sleep(0.005)
+
     def expect_output(self, item):
         return b"\n".join(b"%s-%d" % (item, number) for number in range(4))
 
@@ -321,6 +332,29 @@
         self.assertEqual(results[0].output, self.expect_output(b"i0"))
         self.assertEqual(len(self.upstream.runs), 1)
 
+    async def test_output_is_continued_only_after_the_events_of_the_same_run(self):
+        self.upstream.events, self.upstream.event_delay = 8, 0.05
+        self.upstream.text = "old"
+        with mock.patch.object(bulkrunner, "MIN_PART_EVENTS", 1):
+            await self.accept()
+            await self.wait_event(1)
+            await self.runner._save_parts()
+            await self.wait_event(3)
+            self.replica.commits.clear()
+            saving = asyncio.create_task(self.runner._save_parts())
+            await asyncio.sleep(0)
+            self.runner._stop_all()
+            self.upstream.text = "new"
+            # The next run begins before the part of the first one is saved.
+            await self.wait_event(3)
+            self.replica.commits.set()
+            await saving
+            await self.runner._save_parts()
+            output = (await self.wait_done())[0].output
+        self.assertEqual(output.count(b"\n"), 7)
+        resumed_after = int(self.upstream.runs[-1].headers[fakeupstream.RESUME])
+        self.assertEqual(output.count(b"old"), resumed_after + 1)
+
     async def test_online_request_preempts_an_item_which_resumes_later(self):
         self.upstream.slots = 1
         self.upstream.event_delay = 0.05
--- a/sapphireseam/control/progress.py
+++ b/sapphireseam/control/progress.py
@@ -1,5 +1,7 @@
 """Tracks the output of one item of a bulk job while it runs."""
 
+import secrets
+
 from sapphireseam.control import record
 from sapphireseam.control.bulk import EVENT_SEPARATOR
 from sapphireseam.core import command
@@ -7,16 +9,22 @@
 from sapphireseam.policy import origin
 from sapphireseam.utils import event
 
+# Size of the random name of an output, in bytes.
+LINEAGE_BYTES = 8
+
 
 class ItemProgress:
     """The output and the retry state of an item that has no result yet.
 
-    The output up to event `saved_event` is saved in the log. `data` holds the
-    events after it. All of it comes from upstreams of one `origin`.
+    The output up to event `saved_event` is saved in the log under the name
+    `saved_lineage`. `data` holds the events after it, and `lineage` is the name of the
+    output with them. All of it comes from upstreams of one `origin`.
     """
 
     def __init__(self, partial: record.Partial | None):
         self.saved_event = partial.last if partial else -1
+        self.saved_lineage = partial.lineage if partial else ""
+        self.lineage = secrets.token_hex(LINEAGE_BYTES)
         self.last_event = self.saved_event
         # None if the output was saved without it, or if there is none.
         self.origin: origin.Origin | None = None
@@ -82,4 +90,11 @@
             self.last_event,
             self.render_unsaved(),
             *self.origin,
+            self.lineage,
+            self.saved_lineage,
         )
+
+    def record_saved(self, part: command.LotPart, count: int) -> None:
+        """Record that a part with the first `count` events of `data` is saved."""
+        del self.data[:count]
+        self.saved_event, self.saved_lineage = part.last, part.lineage
--- a/sapphireseam/control/record.py
+++ b/sapphireseam/control/record.py
@@ -137,13 +137,15 @@
 class Partial(NamedTuple):
     """The output of an unfinished item up to event `last`.
 
-    `service` and `version` are those of the upstream that wrote it.
+    `service` and `version` are those of the upstream that wrote it. The events of two
+    runs may have the same numbers, so `lineage` names the output.
     """
 
     last: int
     output: bytes
     service: str = ""
     version: str = ""
+    lineage: str = ""
 
 
 class Lot(NamedTuple):
--- a/sapphireseam/core/command.py
+++ b/sapphireseam/core/command.py
@@ -311,7 +311,8 @@
 
     `output` is the data of the events, separated by line feeds. If `after` is -1,
     it replaces the output that was saved before. `service` and `version` are those of
-    the upstream that wrote it.
+    the upstream that wrote it. `lineage` names the output with this part, and
+    `continues` the saved output that the part continues.
     """
 
     lot: str
@@ -321,6 +322,8 @@
     output: bytes
     service: str = ""
     version: str = ""
+    lineage: str = ""
+    continues: str = ""
 
 
 class KeepParts(NamedTuple):
@@ -334,7 +337,7 @@
 
     `output` is the part after event `after`; the part up to `after` was saved before.
     `is_rest_empty` says that no event came after `after`; otherwise an empty `output`
-    can be one event without data.
+    can be one event without data. `continues` names the saved output.
     """
 
     lot: str
@@ -343,6 +346,7 @@
     output: bytes = b""
     after: int = -1
     is_rest_empty: bool = False
+    continues: str = ""
 
 
 class ListResults(NamedTuple):
