Eject an upstream to which an item can't connect

What callers saw: an item without a run although upstreams have free slots.

Cause: an item whose connection fails was only kept from the same upstream the next time, and the upstream stayed in use. Of two listed upstreams that accept no connection, both look empty, so the item goes from one to the other as long as they are listed, and every other item does so too. Requests of entries eject such an upstream, but only while there are any.

Evidence: the test lists two stopped upstreams before a sound one.

Change: the leader ejects an upstream whenever an exchange fails without an answer, also if the item certainly didn't run. A refusal ejects none, as before.

--- a/sapphireseam/control/bulkrunner.py
+++ b/sapphireseam/control/bulkrunner.py
@@ -380,10 +380,11 @@
         if isinstance(failure, outbound.EmptyAnswerError):
             # Resumed after its last event, the item would never end.
             progress.reset()
+        if not is_refusal:
+            self._placement.eject(instance.id)
         if failure.is_not_run:
             progress.not_before = self._timer.read_clock() + MIN_BACKOFF_SECONDS
             return
-        self._placement.eject(instance.id)
         doublings = min(progress.disconnects, MAX_DOUBLINGS)
         progress.disconnects += 1
         now = self._timer.read_clock()
--- a/sapphireseam/control/bulkrunner_test.py
+++ b/sapphireseam/control/bulkrunner_test.py
@@ -332,6 +332,19 @@
         self.assertEqual(results[0].output, self.expect_output(b"i0"))
         self.assertEqual(len(self.upstream.runs), 1)
 
+    async def test_item_is_run_although_two_listed_upstreams_refuse_connections(self):
+        gone = [fakeupstream.FakeUpstream(name) for name in ("a1", "a2")]
+        for upstream in gone:
+            await upstream.start()
+        instances = tuple(upstream.instance for upstream in (*gone, self.upstream))
+        for upstream in gone:
+            await upstream.stop()
+        self.probe_result = None
+        self.placement.update_instances(instances)
+        await self.accept()
+        results = await self.wait_done()
+        self.assertEqual(results[0].output, self.expect_output(b"i0"))
+
     async def test_output_is_continued_only_after_the_events_of_the_same_run(self):
         self.upstream.events, self.upstream.event_delay = 8, 0.05
         self.upstream.text = "old"
