Tell the allocator again that an upstream is leaving

Cause: the leader's connections know for good which runs of upstreams have said that they leave, and tell the allocator once. The allocator forgets it if the upstream is missing from the list for one read, and knows it never if it was not listed yet. An item then gets a slot there, isn't sent, and with two such upstreams goes from one to the other.

Evidence: the test makes two upstreams say that they leave before they are listed.

Change: an item that isn't sent because its upstream is leaving tells the allocator so, as entries do in the same case.

--- a/sapphireseam/control/bulkrunner.py
+++ b/sapphireseam/control/bulkrunner.py
@@ -380,7 +380,10 @@
         if isinstance(failure, outbound.EmptyAnswerError):
             # Resumed after its last event, the item would never end.
             progress.reset()
-        if not is_refusal:
+        if isinstance(failure, outbound.LeavingError):
+            # It may have been listed anew since it said so.
+            self._placement.mark_leaving(instance)
+        elif not is_refusal:
             self._placement.eject(instance.id)
         if failure.is_not_run:
             progress.not_before = self._timer.read_clock() + MIN_BACKOFF_SECONDS
--- a/sapphireseam/control/bulkrunner_test.py
+++ b/sapphireseam/control/bulkrunner_test.py
@@ -345,6 +345,19 @@
         results = await self.wait_done()
         self.assertEqual(results[0].output, self.expect_output(b"i0"))
 
+    async def test_item_is_run_although_two_upstreams_left_and_are_listed_again(self):
+        leaving = [fakeupstream.FakeUpstream(name) for name in ("a1", "a2")]
+        for upstream in leaving:
+            await upstream.start()
+            self.addAsyncCleanup(upstream.stop)
+            self.outbound._record_leaving(upstream.instance)
+        instances = [upstream.instance for upstream in (*leaving, self.upstream)]
+        self.placement.update_instances(tuple(instances))
+        await self.accept()
+        results = await self.wait_done()
+        self.assertEqual(results[0].output, self.expect_output(b"i0"))
+        self.assertEqual(leaving[0].runs + leaving[1].runs, [])
+
     async def test_output_is_continued_only_after_the_events_of_the_same_run(self):
         self.upstream.events, self.upstream.event_delay = 8, 0.05
         self.upstream.text = "old"
