Log items that wait beside free slots and results that are dropped

Change: every 5 s the leader logs how many items wait although their service has a free slot, with the position and retry state of the first three. It logs a result that doesn't continue the saved output, and a run that ended after its output was dropped. Each is a line for a state that should not last, so the volume is small.

--- a/sapphireseam/control/bulkrunner.py
+++ b/sapphireseam/control/bulkrunner.py
@@ -42,6 +42,10 @@
 # minimum number of new events for which a part of an output is saved.
 SAVE_PARTS_SECONDS = 1.0
 MIN_PART_EVENTS = 10
+# How often items that wait although slots are free are logged, in seconds, and how
+# many of them are described.
+WAIT_LOG_SECONDS = 5.0
+MAX_DESCRIBED_ITEMS = 3
 # One command records results until they reach this many bytes in total. An answer
 # that is not streamed may have at most this many.
 MAX_RESULT_BYTES = 512 * 1024
@@ -99,6 +103,7 @@
         for period, callback in (
             (REVIEW_SECONDS, self._review),
             (SAVE_PARTS_SECONDS, self._save_parts),
+            (WAIT_LOG_SECONDS, self._log_waiting),
         ):
             self._tasks.spawn(run_periodically(self._timer, period, callback))
 
@@ -115,11 +120,26 @@
         if isinstance(item, command.EndLot):
             self._stop_job(item.lot)
         if isinstance(item, command.ListResults):
+            self._log_unlisted(item)
             for result in item.results:
                 self._preempt(_make_run_key(result.lot, result.item))
                 self._remove_item((result.lot, result.item))
         self._wake.set()
 
+    def _log_unlisted(self, item: command.ListResults) -> None:
+        """Log the results of open jobs that did not fit the saved output."""
+        for result in item.results:
+            job = self._machine.state.lots.get(result.lot)
+            if job is not None and job.is_open and result.item not in job.listed:
+                detail = {
+                    "request": job.items[result.item].id,
+                    "after": result.after,
+                    "saved": job.partials.get(
+                        result.item, record.Partial(-1, b"")
+                    ).last,
+                }
+                logger.warning("result does not continue the output", extra=detail)
+
     def _remove_item(self, key: _ItemKey) -> None:
         """Stop tracking an item whose result is recorded."""
         self._progress.pop(key, None)
@@ -255,6 +275,29 @@
             self._progress[key] = progress
         return progress
 
+    async def _log_waiting(self) -> None:
+        """Log the items that wait although their service has a free slot."""
+        if not self._replica.is_leader:
+            return
+        waiting = [
+            f"{job.items[number].id}: {self._get_progress(job, number).describe()}"
+            for job in self._machine.state.lots.values()
+            if job.is_open and job.route in self._fleet.routes
+            if self._placement.allocator.has_batch_slot(
+                _choose_service(self._fleet.routes[job.route])
+            )
+            for number in range(len(job.items))
+            if number not in job.listed and not self._is_busy((job.id, number))
+        ]
+        if waiting:
+            detail = {
+                "count": len(waiting),
+                "first": waiting[:MAX_DESCRIBED_ITEMS],
+                "running": len(self._runs),
+                "unrecorded": len(self._finished),
+            }
+            logger.warning("items wait although slots are free", extra=detail)
+
     def _classify_item(self, job: record.Lot, progress: ItemProgress) -> bulk.Urgency:
         remaining = self._estimator.estimate(progress.event_count)
         return bulk.classify_item(job, remaining, self._timer.read_wall_clock())
@@ -331,6 +374,9 @@
         self._placement.release(run_key)
         is_dropped = self._progress.get(key) is not progress
         has_ended = not task.cancelled() and not task.exception()
+        if is_dropped and has_ended:
+            detail = {"lot": key[0], "item": key[1]}
+            logger.info("run ended after its output was dropped", extra=detail)
         if is_dropped or not has_ended or task.result() is None:
             self._wake.set()
             return
--- a/sapphireseam/control/bulkrunner_test.py
+++ b/sapphireseam/control/bulkrunner_test.py
@@ -358,6 +358,19 @@
         self.assertEqual(results[0].output, self.expect_output(b"i0"))
         self.assertEqual(leaving[0].runs + leaving[1].runs, [])
 
+    async def test_item_that_waits_beside_free_slots_is_logged(self):
+        await self.accept()
+        progress = bulkrunner.ItemProgress(None)
+        progress.not_before = self.timer.read_clock() + 1.0
+        self.runner._progress["l", 0] = progress
+        with self.assertLogs(bulkrunner.logger, "WARNING") as logged:
+            await self.runner._log_waiting()
+        self.assertIn("i0: event -1", logged.records[0].first[0])
+        progress.not_before = 0.0
+        self.runner._schedule()
+        with self.assertNoLogs(bulkrunner.logger, "WARNING"):
+            await self.runner._log_waiting()
+
     async def test_output_is_continued_only_after_the_events_of_the_same_run(self):
         self.upstream.events, self.upstream.event_delay = 8, 0.05
         self.upstream.text = "old"
--- a/sapphireseam/control/progress.py
+++ b/sapphireseam/control/progress.py
@@ -51,6 +51,15 @@
         """Return the number of events that the item has produced."""
         return self.last_event + 1
 
+    def describe(self) -> str:
+        """Return the position and the retry state, for the log."""
+        version = self.origin.version if self.origin else ""
+        return (
+            f"event {self.last_event} of version {version!r}, "
+            f"{self.failures} failed, {self.disconnects} broken off, "
+            f"not before {self.not_before:.1f}, not at {sorted(self.excluded)}"
+        )
+
     def begin_run(self, instance: Instance) -> None:
         """Prepare for a run at an instance, from the first event if it must be."""
         here = origin.get_origin(instance)
