Take a late refusal of another request for no refusal of this one

A request that may run once only is sent to a second upstream, or answered as not run, although it runs (TWICE, REFUSED).

Cause: an upstream may send an answer more than once, so that the next request on the connection reads it. Answers that name another request were rejected, except refusals, which were taken for a refusal of the request that was sent.

Evidence: the test lets an upstream refuse another request's id. On the code before, no error is raised and the answer counts as not run.

Change: a refusal counts only if it names this request or none, as an upstream that can't read the id does. Any other ends the exchange with an unknown outcome.

--- a/sapphireseam/utils/fakeupstream.py
+++ b/sapphireseam/utils/fakeupstream.py
@@ -64,7 +64,7 @@
     Behaviours: `well` (complete answer), `refuse` (not run), `fail` (500),
     `impossible` (422), `drop` (closes without an answer), `silent` (no answer),
     `cut` (closes within the third event), `stall` (sends nothing after the second
-    event), `stale` (answers another request).
+    event), `stale` (answers another request), `stale-refuse` (refuses another one).
 
     Answers without length or chunks, which end with their connection: `unframed`
     (complete), `unframed-cut` (closes within the third event), `unframed-empty`
@@ -143,7 +143,7 @@
         if behaviour == "silent":
             await self._wait_for_close(reader, run)
             return False
-        if behaviour in ("refuse", "fail", "impossible", "stale"):
+        if behaviour in ("refuse", "fail", "impossible", "stale", "stale-refuse"):
             _write_short_answer(writer, behaviour, run, self._render_leaving())
             return True
         return await self._stream_answer(reader, writer, run, behaviour)
@@ -215,9 +215,10 @@
 def _write_short_answer(
     writer: asyncio.StreamWriter, behaviour: str, run: Run, extra: bytes
 ) -> None:
-    status = {"refuse": 503, "fail": 500, "impossible": 422, "stale": 200}[behaviour]
-    id = "another" if behaviour == "stale" else run.id
-    if behaviour == "refuse":
+    kind = behaviour.removeprefix("stale-")
+    status = {"refuse": 503, "fail": 500, "impossible": 422, "stale": 200}[kind]
+    id = "another" if behaviour.startswith("stale") else run.id
+    if kind == "refuse":
         extra += f"{NOT_RUN}: 1\r\n".encode()
     writer.write(
         f"HTTP/1.1 {status} X\r\n{ID}: {id}\r\n".encode()
--- a/sapphireseam/utils/outbound.py
+++ b/sapphireseam/utils/outbound.py
@@ -328,7 +328,7 @@
         headers = response.headers
         id = self._dialect.read_id(headers)
         is_not_run = self._dialect.is_not_run(response.status, headers)
-        if not is_not_run and id != request.id:
+        if id != request.id and (id or not is_not_run):
             # This is a late answer to an earlier request on the same connection.
             raise OutboundError("the answer belongs to another request", False)
         is_stream = headers.get("Content-Type", "").startswith(event.CONTENT_TYPE)
--- a/sapphireseam/utils/outbound_test.py
+++ b/sapphireseam/utils/outbound_test.py
@@ -65,6 +65,13 @@
                 self.fail("the upstream has stopped")
         self.assertTrue(caught.exception.is_not_run)
 
+    async def test_refusal_of_another_request_does_not_mean_not_run(self):
+        self.upstream.behaviours = ["stale-refuse", "refuse"]
+        with self.assertRaises(outbound.OutboundError) as caught:
+            await self.read()
+        self.assertFalse(caught.exception.is_not_run)
+        self.assertEqual(await self.read(), b"no")
+
     async def test_leaving_upstream_gets_nothing_more_until_it_runs_anew(self):
         leaving = []
         self.pool.on_leaving = leaving.append
