--- a/sapphireseam/control/bulkrunner.py
+++ b/sapphireseam/control/bulkrunner.py
@@ -42,6 +42,10 @@
 # minimum number of new events for which a part of an output is saved.
 SAVE_PARTS_SECONDS = 1.0
 MIN_PART_EVENTS = 10
+# How often items that wait although slots are free are logged, in seconds, and how
+# many of them are described.
+WAIT_LOG_SECONDS = 5.0
+MAX_DESCRIBED_ITEMS = 3
 # One command records results until they reach this many bytes in total. An answer
 # that is not streamed may have at most this many.
 MAX_RESULT_BYTES = 512 * 1024
@@ -79,10 +83,8 @@
         self._fleet = fleet.Fleet()
         self._progress: dict[_ItemKey, ItemProgress] = {}
         self._runs: dict[str, asyncio.Task] = {}
-        # Items that are running or whose result is not recorded yet.
-        self._active: set[_ItemKey] = set()
-        # Finished items whose result is to be recorded, and whether they failed.
-        self._finished: list[tuple[_ItemKey, bool]] = []
+        # Finished items whose result is not recorded yet, and whether they failed.
+        self._finished: dict[_ItemKey, bool] = {}
         self._has_finished = asyncio.Event()
         # A result refers to the parts of its output that are saved in the log.
         # Parts and results are therefore never proposed at the same time.
@@ -101,6 +103,7 @@
         for period, callback in (
             (REVIEW_SECONDS, self._review),
             (SAVE_PARTS_SECONDS, self._save_parts),
+            (WAIT_LOG_SECONDS, self._log_waiting),
         ):
             self._tasks.spawn(run_periodically(self._timer, period, callback))
 
@@ -117,22 +120,37 @@
         if isinstance(item, command.EndLot):
             self._stop_job(item.lot)
         if isinstance(item, command.ListResults):
+            self._log_unlisted(item)
             for result in item.results:
                 self._preempt(_make_run_key(result.lot, result.item))
                 self._remove_item((result.lot, result.item))
         self._wake.set()
 
+    def _log_unlisted(self, item: command.ListResults) -> None:
+        """Log the results of open jobs that did not fit the saved output."""
+        for result in item.results:
+            job = self._machine.state.lots.get(result.lot)
+            if job is not None and job.is_open and result.item not in job.listed:
+                detail = {
+                    "request": job.items[result.item].id,
+                    "after": result.after,
+                    "saved": job.partials.get(
+                        result.item, record.Partial(-1, b"")
+                    ).last,
+                }
+                logger.warning("result does not continue the output", extra=detail)
+
     def _remove_item(self, key: _ItemKey) -> None:
         """Stop tracking an item whose result is recorded."""
         self._progress.pop(key, None)
-        self._active.discard(key)
+        self._finished.pop(key, None)
 
     def _stop_job(self, job: str) -> None:
         for run_key, task in list(self._runs.items()):
             if run_key.startswith(_make_run_key(job, "")):
                 task.cancel()
         for key in [key for key in self._progress if key[0] == job]:
-            del self._progress[key]
+            self._remove_item(key)
 
     def _preempt(self, run_key: str) -> None:
         task = self._runs.get(run_key)
@@ -178,7 +196,6 @@
             task.cancel()
         self._progress.clear()
         self._finished.clear()
-        self._active.clear()
 
     def _must_abandon(self, job: record.Lot, now: float) -> bool:
         return (
@@ -188,7 +205,7 @@
 
     def _abandon(self, job: record.Lot) -> None:
         for number in range(len(job.items)):
-            if number not in job.listed and (job.id, number) not in self._active:
+            if number not in job.listed and not self._is_busy((job.id, number)):
                 detail = {"request": job.items[number].id, "lot": job.id}
                 logger.info("item abandoned: job expired or route gone", extra=detail)
                 self._finish_item((job.id, number), True)
@@ -234,7 +251,7 @@
             if service in full_services:
                 return
             key = (job.id, number)
-            if number in job.listed or key in self._active:
+            if number in job.listed or self._is_busy(key):
                 continue
             progress = self._get_progress(job, number)
             if (
@@ -245,6 +262,13 @@
             if not self._try_start(job, number, route, service, now):
                 full_services.add(service)
 
+    def _is_busy(self, key: _ItemKey) -> bool:
+        """Return whether the item has a run, or a result that is not recorded yet.
+
+        A run that was stopped has ended only when its task has.
+        """
+        return key in self._finished or _make_run_key(*key) in self._runs
+
     def _get_progress(self, job: record.Lot, number: int) -> ItemProgress:
         key = (job.id, number)
         progress = self._progress.get(key)
@@ -253,6 +277,29 @@
             self._progress[key] = progress
         return progress
 
+    async def _log_waiting(self) -> None:
+        """Log the items that wait although their service has a free slot."""
+        if not self._replica.is_leader:
+            return
+        waiting = [
+            f"{job.items[number].id}: {self._get_progress(job, number).describe()}"
+            for job in self._machine.state.lots.values()
+            if job.is_open and job.route in self._fleet.routes
+            if self._placement.allocator.has_batch_slot(
+                _choose_service(self._fleet.routes[job.route])
+            )
+            for number in range(len(job.items))
+            if number not in job.listed and not self._is_busy((job.id, number))
+        ]
+        if waiting:
+            detail = {
+                "count": len(waiting),
+                "first": waiting[:MAX_DESCRIBED_ITEMS],
+                "running": len(self._runs),
+                "unrecorded": len(self._finished),
+            }
+            logger.warning("items wait although slots are free", extra=detail)
+
     def _classify_item(self, job: record.Lot, progress: ItemProgress) -> bulk.Urgency:
         remaining = self._estimator.estimate(progress.event_count)
         return bulk.classify_item(job, remaining, self._timer.read_wall_clock())
@@ -286,11 +333,12 @@
         if grant is None:
             # Slots of other versions may still be free.
             return bool(request.version)
-        self._active.add(key)
         run = self._run(job, item, route, progress, grant.instance)
         task = self._tasks.spawn(run)
         self._runs[run_key] = task
-        task.add_done_callback(lambda done: self._finish_run(run_key, key, done))
+        task.add_done_callback(
+            lambda done: self._finish_run(run_key, key, progress, done)
+        )
         return True
 
     def _choose_version(self, progress: ItemProgress, service: str, now: float) -> str:
@@ -314,14 +362,24 @@
         return "" if is_overdue else began.version
 
     def _finish_run(
-        self, run_key: str, key: _ItemKey, task: asyncio.Task[bool | None]
+        self,
+        run_key: str,
+        key: _ItemKey,
+        progress: ItemProgress,
+        task: asyncio.Task[bool | None],
     ) -> None:
-        """Release the item's slot and record its result if it has one."""
-        if self._runs.get(run_key) is task:
-            del self._runs[run_key]
+        """Release the item's slot and record its result if it has one.
+
+        A run whose progress was dropped has none, because its output is gone.
+        """
+        del self._runs[run_key]
         self._placement.release(run_key)
-        if task.cancelled() or task.exception() or task.result() is None:
-            self._active.discard(key)
+        is_dropped = self._progress.get(key) is not progress
+        has_ended = not task.cancelled() and not task.exception()
+        if is_dropped and has_ended:
+            detail = {"lot": key[0], "item": key[1]}
+            logger.info("run ended after its output was dropped", extra=detail)
+        if is_dropped or not has_ended or task.result() is None:
             self._wake.set()
             return
         self._finish_item(key, task.result())
@@ -370,10 +428,14 @@
         if isinstance(failure, outbound.EmptyAnswerError):
             # Resumed after its last event, the item would never end.
             progress.reset()
+        if isinstance(failure, outbound.LeavingError):
+            # It may have been listed anew since it said so.
+            self._placement.mark_leaving(instance)
+        elif not is_refusal:
+            self._placement.eject(instance.id)
         if failure.is_not_run:
             progress.not_before = self._timer.read_clock() + MIN_BACKOFF_SECONDS
             return
-        self._placement.eject(instance.id)
         doublings = min(progress.disconnects, MAX_DOUBLINGS)
         progress.disconnects += 1
         now = self._timer.read_clock()
@@ -449,20 +511,20 @@
     # Recording results.
 
     def _finish_item(self, key: _ItemKey, failed: bool) -> None:
-        self._active.add(key)
-        self._finished.append((key, failed))
+        self._finished[key] = failed
         self._has_finished.set()
 
     def _make_result(self, key: _ItemKey, failed: bool) -> command.LotResult:
-        progress = self._progress.get(key)
-        if failed or progress is None:
+        if failed:
             return command.LotResult(*key, failed)
+        progress = self._progress[key]
         return command.LotResult(
             *key,
             failed,
             progress.render_unsaved(),
             progress.saved_event,
             not progress.data,
+            progress.saved_lineage,
         )
 
     async def _save_parts(self) -> None:
@@ -485,8 +547,7 @@
             return
         for progress, attempt, count, part in drafts:
             if progress.attempt == attempt:
-                del progress.data[:count]
-                progress.saved_event = part.last
+                progress.record_saved(part, count)
 
     async def _append_results_forever(self) -> None:
         while True:
@@ -499,21 +560,20 @@
                     await self._timer.sleep(REVIEW_SECONDS)
 
     async def _propose_results(self) -> bool:
-        """Propose a batch of results; return whether it was committed."""
-        batch: list[tuple[_ItemKey, bool]] = []
+        """Propose the first results; return whether they were committed.
+
+        An item counts as finished until a result of it is applied. The results may
+        have been committed even if this returns false. Proposing them again is safe,
+        because only the first result of an item counts.
+        """
         results: list[command.LotResult] = []
         size = 0
-        while self._finished and size < MAX_RESULT_BYTES:
-            batch.append(self._finished.pop(0))
-            results.append(self._make_result(*batch[-1]))
+        for key, failed in self._finished.items():
+            if size >= MAX_RESULT_BYTES:
+                break
+            results.append(self._make_result(key, failed))
             size += len(results[-1].output)
-        if await self._propose(command.ListResults(tuple(results))):
-            return True
-        # The results may have been committed nevertheless. Proposing them again
-        # is safe, because only the first result of an item counts.
-        if self._replica.is_leader:
-            self._finished[:0] = batch
-        return False
+        return await self._propose(command.ListResults(tuple(results)))
 
     async def _propose(self, item: object) -> bool:
         try:
--- a/sapphireseam/control/bulkrunner_test.py
+++ b/sapphireseam/control/bulkrunner_test.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import unittest
+from unittest import mock
 
 from sapphireseam.control import bulkrunner, machine as machines, placement
 from sapphireseam.core import command, error, fleet, placement as messages
@@ -34,8 +35,19 @@
         self.members = ()
         self._machine = machine
         self._index = 0
+        # The next results are refused, as while the leader has no lease.
+        self.refuses_results = False
+        # Proposals are applied once it is set.
+        self.commits = asyncio.Event()
+        self.commits.set()
 
     async def propose(self, data):
+        is_result = isinstance(command.REGISTRY.decode(data), command.ListResults)
+        if self.refuses_results and is_result:
+            self.refuses_results = self.is_leader = False
+            asyncio.get_running_loop().call_soon(setattr, self, "is_leader", True)
+            raise error.NotLeaderError("no lease")
+        await self.commits.wait()
         self._index += 1
         return self._machine.apply(self._index, data)
 
@@ -125,6 +137,12 @@
         while self.placement.allocator.count_running("llm", True):  # noqa: ASYNC110
             await asyncio.sleep(0.01)
 
+    async def wait_event(self, number):
+        """Wait until the item's run has received an event."""
+        tracked = self.runner._progress
+        while ("l", 0) not in tracked or tracked["l", 0].last_event != number:  # noqa: ASYNC110
+            await asyncio.sleep(0.005)
+
     def expect_output(self, item):
         return b"\n".join(b"%s-%d" % (item, number) for number in range(4))
 
@@ -285,6 +303,101 @@
         self.assertEqual(self.upstream.dropped, ["i0"])
         self.assertEqual(len(self.upstream.runs), 1)
 
+    async def test_run_that_ends_as_its_progress_is_dropped_has_no_result(self):
+        def drop_progress(events):
+            # Between the last step of the run and its end.
+            self.runner._estimator.record_item = lambda events: None
+            asyncio.get_running_loop().call_soon(self.runner._stop_all)
+
+        self.runner._estimator.record_item = drop_progress
+        await self.accept()
+        results = await self.wait_done()
+        self.assertEqual(results[0].output, self.expect_output(b"i0"))
+
+    async def test_item_is_never_run_twice_at_once_after_all_runs_were_stopped(self):
+        self.upstream.event_delay = self.other.event_delay = 0.05
+        self.placement.update_instances((self.upstream.instance, self.other.instance))
+        await self.accept(3)
+        await asyncio.sleep(0.1)
+        self.runner._stop_all()
+        self.runner._schedule()
+        await asyncio.sleep(0.1)
+        self.assertEqual(self.placement.allocator.count_running("llm", True), 3)
+        await self.wait_done()
+        await asyncio.sleep(0.1)
+        ids = [run.id for run in self.upstream.runs + self.other.runs]
+        self.assertEqual(sorted(ids), ["i0", "i0", "i1", "i1", "i2", "i2"])
+        self.assertEqual(self.placement.allocator.count_running("llm", True), 0)
+
+    async def test_result_that_was_refused_in_a_moment_without_lease_is_recorded(self):
+        self.replica.refuses_results = True
+        await self.accept()
+        results = await self.wait_done()
+        self.assertEqual(results[0].output, self.expect_output(b"i0"))
+        self.assertEqual(len(self.upstream.runs), 1)
+
+    async def test_item_is_run_although_two_listed_upstreams_refuse_connections(self):
+        gone = [fakeupstream.FakeUpstream(name) for name in ("a1", "a2")]
+        for upstream in gone:
+            await upstream.start()
+        instances = tuple(upstream.instance for upstream in (*gone, self.upstream))
+        for upstream in gone:
+            await upstream.stop()
+        self.probe_result = None
+        self.placement.update_instances(instances)
+        await self.accept()
+        results = await self.wait_done()
+        self.assertEqual(results[0].output, self.expect_output(b"i0"))
+
+    async def test_item_is_run_although_two_upstreams_left_and_are_listed_again(self):
+        leaving = [fakeupstream.FakeUpstream(name) for name in ("a1", "a2")]
+        for upstream in leaving:
+            await upstream.start()
+            self.addAsyncCleanup(upstream.stop)
+            self.outbound._record_leaving(upstream.instance)
+        instances = [upstream.instance for upstream in (*leaving, self.upstream)]
+        self.placement.update_instances(tuple(instances))
+        await self.accept()
+        results = await self.wait_done()
+        self.assertEqual(results[0].output, self.expect_output(b"i0"))
+        self.assertEqual(leaving[0].runs + leaving[1].runs, [])
+
+    async def test_item_that_waits_beside_free_slots_is_logged(self):
+        await self.accept()
+        progress = bulkrunner.ItemProgress(None)
+        progress.not_before = self.timer.read_clock() + 1.0
+        self.runner._progress["l", 0] = progress
+        with self.assertLogs(bulkrunner.logger, "WARNING") as logged:
+            await self.runner._log_waiting()
+        self.assertIn("i0: event -1", logged.records[0].first[0])
+        progress.not_before = 0.0
+        self.runner._schedule()
+        with self.assertNoLogs(bulkrunner.logger, "WARNING"):
+            await self.runner._log_waiting()
+
+    async def test_output_is_continued_only_after_the_events_of_the_same_run(self):
+        self.upstream.events, self.upstream.event_delay = 8, 0.05
+        self.upstream.text = "old"
+        with mock.patch.object(bulkrunner, "MIN_PART_EVENTS", 1):
+            await self.accept()
+            await self.wait_event(1)
+            await self.runner._save_parts()
+            await self.wait_event(3)
+            self.replica.commits.clear()
+            saving = asyncio.create_task(self.runner._save_parts())
+            await asyncio.sleep(0)
+            self.runner._stop_all()
+            self.upstream.text = "new"
+            # The next run begins before the part of the first one is saved.
+            await self.wait_event(3)
+            self.replica.commits.set()
+            await saving
+            await self.runner._save_parts()
+            output = (await self.wait_done())[0].output
+        self.assertEqual(output.count(b"\n"), 7)
+        resumed_after = int(self.upstream.runs[-1].headers[fakeupstream.RESUME])
+        self.assertEqual(output.count(b"old"), resumed_after + 1)
+
     async def test_online_request_preempts_an_item_which_resumes_later(self):
         self.upstream.slots = 1
         self.upstream.event_delay = 0.05
