Fail an answer at once when its body turns malformed

Seen: an upstream in trouble sent a chunked body whose next chunk was garbage. The caller heard nothing until the silence limit or its own deadline, and an item or order without such a limit would have waited for ever.

Cause: the HTTP library closes the connection and reports the parse error to a reader of the head only. The reader of the body isn't told.

Evidence: test_a_body_that_turns_malformed_fails_at_once failed before for its three bodies (bad chunk size, bad chunk extension, oversized trailer) with "nothing received for 3.0 s"; 3 of 3 subtests.

Change: the protocol of framing.py hands the error to the body that is being read, as MalformedAnswerError. It is an aiohttp.ClientError, so every reader already takes it for a broken answer, and the agent doesn't take it for a crash. FakeFlood is the stand-in for upstreams that send bytes without end.

--- a/sapphireseam/utils/framing.py
+++ b/sapphireseam/utils/framing.py
@@ -19,11 +19,16 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.connector import Connection
+from aiohttp.http import RawResponseMessage
 
 # The value of SO_LINGER with which a close resets the connection.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
+class MalformedAnswerError(aiohttp.ClientError):
+    """The received bytes are no answer."""
+
+
 class Framing(enum.StrEnum):
     """What marks the end of a body."""
 
@@ -41,11 +46,33 @@
 
 
 class _Protocol(ResponseHandler):
-    """Records how its connection ends."""
+    """Records how its connection ends, and reports malformed bodies."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop):
         super().__init__(loop)
         self.end = ConnectionEnd.OPEN
+        # The body of the newest answer.
+        self._body: aiohttp.StreamReader | None = None
+
+    def feed_data(
+        self, data: tuple[RawResponseMessage, aiohttp.StreamReader], size: int = 0
+    ) -> None:
+        """Queue the head of an answer."""
+        self._body = data[1]
+        super().feed_data(data, size)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes."""
+        super().data_received(data)
+        failure = self.exception()
+        if failure is not None and self._body is not None:
+            # The library reports malformed bytes only to a reader of the head.
+            self._break_body(f"malformed: {type(failure).__name__}")
+
+    def _break_body(self, text: str) -> None:
+        """Make readers of the body fail, unless it is complete or has failed."""
+        if not self._body.is_eof() and self._body.exception() is None:
+            self._body.set_exception(MalformedAnswerError(text))
 
     def eof_received(self) -> None:
         """Record the end of the received data."""
--- a/sapphireseam/utils/outbound_test.py
+++ b/sapphireseam/utils/outbound_test.py
@@ -1,9 +1,16 @@
 """Test when connections to upstreams are reused and closed, and how errors differ."""
 
 import asyncio
+import time
 import unittest
 
-from sapphireseam.utils import fakeupstream, outbound
+from sapphireseam.utils import fakeflood, fakeupstream, outbound
+
+HEAD = b"HTTP/1.1 200 OK\r\nFake-Id: r1\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+# What a caller may receive before it closes a connection: its own bounds and the
+# buffers of the sockets.
+ACCEPTED_BYTES = 8 * 1024 * 1024
 
 
 class OutboundTest(unittest.IsolatedAsyncioTestCase):
@@ -96,6 +103,29 @@
         with self.assertRaises(outbound.LeavingError):
             await self.read()
 
+    async def flood(self, start, repeated, pause=0.0, timeout=3.0):
+        """Read an endless answer; return its error, the flood and the seconds."""
+        flood = fakeflood.FakeFlood(start, repeated, pause)
+        await flood.start()
+        self.addAsyncCleanup(flood.stop)
+        self.upstream = flood
+        began = time.monotonic()
+        with self.assertRaises(outbound.OutboundError) as caught:
+            await self.read(timeout=timeout)
+        self.assertFalse(caught.exception.is_not_run)
+        seconds = time.monotonic() - began
+        await asyncio.wait_for(flood.has_closed.wait(), 2.0)
+        return caught.exception, flood, seconds
+
+    async def test_a_body_that_turns_malformed_fails_at_once(self):
+        for garbage in (b"zz\r\n", b"1;\0\r\na\r\n", b"0\r\nA: " + bytes(9000)):
+            with self.subTest(garbage=garbage[:8]):
+                failure, _, seconds = await self.flood(
+                    CHUNKED + b"1\r\na\r\n", garbage, 0.05
+                )
+                self.assertNotIsInstance(failure, outbound.AnswerTimeoutError)
+                self.assertLess(seconds, 1.0)
+
 
 if __name__ == "__main__":
     unittest.main()
