Bound the bytes of an answer that are not its body

Seen: an upstream in trouble sent bytes without end that the HTTP parser takes and keeps no count of. The connection stayed open and busy until the silence limit or the deadline; up to 67 MB (all the stand-in had) went through one.

Cause: the library bounds single header lines and their number, but not blank lines before the status line, informational answers, spaces before a header's value, chunk sizes with leading zeros and chunk extensions.

Evidence: test_bytes_around_the_body_do_not_go_on_without_end failed before in 7 of 12 subtests: five ended with the timeout of 3 s, and one-byte chunks took 3.8 s. Status line, headers and trailers passed before and stay guarded.

Change: the protocol of framing.py counts what it receives for a request. More than 128 KiB beside the body, and two bytes for each byte of it, is no answer: the connection is aborted and readers of head and body fail. Bytes that wait while reading is paused aren't counted yet.

Result: outbound_test, framing_test and engine_test: 17 tests pass in 3.4 s; the flood of each subtest is closed within 1 s and 8 MiB, buffers included.

--- a/sapphireseam/utils/framing.py
+++ b/sapphireseam/utils/framing.py
@@ -21,12 +21,17 @@
 from aiohttp.connector import Connection
 from aiohttp.http import RawResponseMessage
 
+# Bytes of an answer beside its body that are always accepted: heads, chunk sizes,
+# chunk extensions and trailers.
+MAX_OVERHEAD_BYTES = 128 * 1024
+# Further bytes of this kind that are accepted for each byte of the body.
+OVERHEAD_PER_BODY_BYTE = 2
 # The value of SO_LINGER with which a close resets the connection.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 class MalformedAnswerError(aiohttp.ClientError):
-    """The received bytes are no answer."""
+    """The received bytes are no answer, or too many for one."""
 
 
 class Framing(enum.StrEnum):
@@ -46,14 +51,22 @@
 
 
 class _Protocol(ResponseHandler):
-    """Records how its connection ends, and reports malformed bodies."""
+    """Records how its connection ends, and rejects malformed answers."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop):
         super().__init__(loop)
         self.end = ConnectionEnd.OPEN
+        # Bytes that were received since the newest request.
+        self._received = 0
         # The body of the newest answer.
         self._body: aiohttp.StreamReader | None = None
 
+    def set_response_params(self, **options: Any) -> None:
+        """Prepare for the answer to a new request."""
+        self._received = 0
+        self._body = None
+        super().set_response_params(**options)
+
     def feed_data(
         self, data: tuple[RawResponseMessage, aiohttp.StreamReader], size: int = 0
     ) -> None:
@@ -64,15 +77,30 @@
     def data_received(self, data: bytes) -> None:
         """Parse received bytes."""
         super().data_received(data)
+        self._received += len(data)
         failure = self.exception()
-        if failure is not None and self._body is not None:
+        if failure is not None:
             # The library reports malformed bytes only to a reader of the head.
             self._break_body(f"malformed: {type(failure).__name__}")
+        elif self._has_too_much_overhead() and self.transport is not None:
+            text = f"{self._received} bytes received, hardly any of them in the body"
+            self.transport.abort()
+            self.set_exception(MalformedAnswerError(text))
+            self._break_body(text)
+
+    def _has_too_much_overhead(self) -> bool:
+        if self._reading_paused:
+            # Some received bytes of the body are not parsed yet.
+            return False
+        size = self._body.total_bytes if self._body is not None else 0
+        overhead = self._received - size
+        return overhead > MAX_OVERHEAD_BYTES + OVERHEAD_PER_BODY_BYTE * size
 
     def _break_body(self, text: str) -> None:
         """Make readers of the body fail, unless it is complete or has failed."""
-        if not self._body.is_eof() and self._body.exception() is None:
-            self._body.set_exception(MalformedAnswerError(text))
+        body = self._body
+        if body is not None and not body.is_eof() and body.exception() is None:
+            body.set_exception(MalformedAnswerError(text))
 
     def eof_received(self) -> None:
         """Record the end of the received data."""
--- a/sapphireseam/utils/outbound_test.py
+++ b/sapphireseam/utils/outbound_test.py
@@ -126,6 +126,32 @@
                 self.assertNotIsInstance(failure, outbound.AnswerTimeoutError)
                 self.assertLess(seconds, 1.0)
 
+    async def test_bytes_around_the_body_do_not_go_on_without_end(self):
+        cases = {
+            "blank lines": (b"", b"\r\n"),
+            "status line": (b"HTTP/1.1 200 ", b"x"),
+            "informational answers": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+            "headers": (HEAD, b"A: b\r\n"),
+            "header name": (HEAD, b"A"),
+            "header value": (HEAD + b"A: ", b"b"),
+            "spaces of a header": (HEAD + b"A:", b" "),
+            "chunk size": (CHUNKED, b"0"),
+            "chunk extension": (CHUNKED + b"1;", b"x"),
+            "chunk extensions": (CHUNKED, b"1;%s\r\na\r\n" % (b"x" * 9000)),
+            "chunks of one byte": (CHUNKED, b"1\r\na\r\n"),
+            "trailers": (CHUNKED + b"0\r\n", b"A: b\r\n"),
+        }
+        for name, (start, repeated) in cases.items():
+            with self.subTest(name):
+                failure, flood, seconds = await self.flood(start, repeated)
+                self.assertNotIsInstance(failure, outbound.AnswerTimeoutError)
+                self.assertLess(flood.sent, ACCEPTED_BYTES)
+                self.assertLess(seconds, 1.0)
+
+    async def test_a_head_that_trickles_ends_with_the_timeout(self):
+        failure, _, _ = await self.flood(HEAD, b"A: b\r\n", 0.05, timeout=0.5)
+        self.assertIsInstance(failure, outbound.AnswerTimeoutError)
+
 
 if __name__ == "__main__":
     unittest.main()
