Close a connection that receives bytes after its answer

Seen: an upstream in trouble went on sending after a whole answer. The connection went back to the pool, and what came was parsed and queued there until the idle limit of 4 s, or became the answer to the next order, which has no id to check.

Cause: an idle connection of the HTTP library still parses and queues heads, in a queue without a bound.

Change: once the final answer of a request is whole, further bytes or heads abort the connection and are dropped. The answer itself stays good.

--- a/sapphireseam/utils/framing.py
+++ b/sapphireseam/utils/framing.py
@@ -21,6 +21,8 @@
 from aiohttp.connector import Connection
 from aiohttp.http import RawResponseMessage
 
+# The lowest status of an answer that isn't informational.
+FINAL_STATUS = 200
 # Bytes of an answer beside its body that are always accepted: heads, chunk sizes,
 # chunk extensions and trailers.
 MAX_OVERHEAD_BYTES = 128 * 1024
@@ -58,24 +60,33 @@
         self.end = ConnectionEnd.OPEN
         # Bytes that were received since the newest request.
         self._received = 0
-        # The body of the newest answer.
+        # The body of the newest answer, and whether that answer is the final one.
         self._body: aiohttp.StreamReader | None = None
+        self._is_answered = False
 
     def set_response_params(self, **options: Any) -> None:
         """Prepare for the answer to a new request."""
         self._received = 0
         self._body = None
+        self._is_answered = False
         super().set_response_params(**options)
 
     def feed_data(
         self, data: tuple[RawResponseMessage, aiohttp.StreamReader], size: int = 0
     ) -> None:
-        """Queue the head of an answer."""
-        self._body = data[1]
+        """Queue the head of an answer, unless the request has its answer."""
+        if self._is_answered:
+            self._abort()
+            return
+        message, self._body = data
+        self._is_answered = message.code >= FINAL_STATUS
         super().feed_data(data, size)
 
     def data_received(self, data: bytes) -> None:
-        """Parse received bytes."""
+        """Parse received bytes, or close the connection if none are awaited."""
+        if data and self._is_answered and self._body.is_eof():
+            self._abort()
+            return
         super().data_received(data)
         self._received += len(data)
         failure = self.exception()
@@ -84,10 +95,15 @@
             self._break_body(f"malformed: {type(failure).__name__}")
         elif self._has_too_much_overhead() and self.transport is not None:
             text = f"{self._received} bytes received, hardly any of them in the body"
-            self.transport.abort()
+            self._abort()
             self.set_exception(MalformedAnswerError(text))
             self._break_body(text)
 
+    def _abort(self) -> None:
+        self.force_close()
+        if self.transport is not None:
+            self.transport.abort()
+
     def _has_too_much_overhead(self) -> bool:
         if self._reading_paused:
             # Some received bytes of the body are not parsed yet.
--- a/sapphireseam/utils/outbound_test.py
+++ b/sapphireseam/utils/outbound_test.py
@@ -152,6 +152,24 @@
         failure, _, _ = await self.flood(HEAD, b"A: b\r\n", 0.05, timeout=0.5)
         self.assertIsInstance(failure, outbound.AnswerTimeoutError)
 
+    async def test_bytes_after_a_whole_answer_close_its_connection(self):
+        whole = HEAD + b"Content-Length: 2\r\n\r\nab"
+        for start, repeated, pause in (
+            (whole, whole, 0.0),
+            (whole, whole, 0.05),
+            (whole, b"\r\n", 0.05),
+            (whole[:-1], b"b" + whole, 0.05),
+            (CHUNKED + b"2\r\nab\r\n", b"0\r\n\r\n" + whole, 0.05),
+        ):
+            flood = fakeflood.FakeFlood(start, repeated, pause)
+            await flood.start()
+            self.addAsyncCleanup(flood.stop)
+            self.upstream = flood
+            with self.subTest(start=start, repeated=repeated, pause=pause):
+                self.assertEqual(await self.read(), b"ab")
+                await asyncio.wait_for(flood.has_closed.wait(), 1.0)
+                self.assertLess(flood.sent, ACCEPTED_BYTES)
+
 
 if __name__ == "__main__":
     unittest.main()
