Bound the bytes of a stream between complete events

Seen: an upstream in trouble sent an event that never ended. An event that trickled in kept its caller waiting without end.

Cause: the splitter had no bound, and the silence limit applied to bytes instead of events. Blank lines counted as events.

Change: more than 1 MiB without a complete event fails the answer, no event for the silence limit is silence, further blank lines after an event are dropped, and the splitter searches only new bytes. A body is read in pieces of 64 KiB.

--- a/sapphireseam/utils/event.py
+++ b/sapphireseam/utils/event.py
@@ -9,6 +9,7 @@
 
 CONTENT_TYPE = "text/event-stream"
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
+_MAX_END_BYTES = 4
 _LINE_BREAK = re.compile(rb"\r?\n")
 
 
@@ -24,7 +25,10 @@
 
 
 class Splitter:
-    """Buffer the bytes of a stream and return each event once it is complete."""
+    """Buffer the bytes of a stream and return each event once it is complete.
+
+    Further blank lines after an event are dropped.
+    """
 
     def __init__(self):
         self._incomplete = b""
@@ -36,11 +40,15 @@
 
     def feed(self, data: bytes) -> list[Event]:
         """Add bytes and return the events that they complete."""
+        # An event's end may have begun in the earlier bytes.
+        searched = max(len(self._incomplete) - _MAX_END_BYTES + 1, 0)
         buffer = self._incomplete + data
         events = []
         start = 0
-        for match in _EVENT_END.finditer(buffer):
-            events.append(_parse(buffer[start : match.end()]))
+        for match in _EVENT_END.finditer(buffer, searched):
+            raw = buffer[start : match.end()]
+            if raw.strip(b"\r\n"):
+                events.append(_parse(raw))
             start = match.end()
         self._incomplete = buffer[start:]
         return events
--- a/sapphireseam/utils/event_test.py
+++ b/sapphireseam/utils/event_test.py
@@ -31,6 +31,10 @@
         (item,) = event.Splitter().feed(b"id: x7\n\n")
         self.assertEqual(item.number, -1)
 
+    def test_further_blank_lines_are_no_events(self):
+        events = event.Splitter().feed(b"\n\ndata: a\n\n\r\n\r\n\n\n: b\n\n")
+        self.assertEqual([item.raw for item in events], [b"data: a\n\n", b": b\n\n"])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/sapphireseam/utils/outbound.py
+++ b/sapphireseam/utils/outbound.py
@@ -31,6 +31,10 @@
 TCP_USER_TIMEOUT_MS = 1500
 # How long an idle connection stays open, in seconds.
 IDLE_SECONDS = 4.0
+# Bytes of a body that are read at once.
+READ_BYTES = 64 * 1024
+# The largest event of a stream, in bytes.
+MAX_EVENT_BYTES = 1024 * 1024
 # The lowest HTTP status of a failure.
 FAILURE_STATUS = 400
 
@@ -141,47 +145,72 @@
             "connection": str(self._response.connection_end),
         }
 
+    async def _read(self) -> bytes:
+        """Return the next bytes, or empty bytes at the end of a complete body."""
+        try:
+            data = await self._response.content.read(READ_BYTES)
+            if not data:
+                self._response.check_complete()
+        except (aiohttp.ClientError, OSError) as failure:
+            text = f"the answer ended early: {type(failure).__name__}"
+            raise OutboundError(text, False) from None
+        self._received += len(data)
+        return data
+
     async def read_some(self, timeout: float | None = None) -> bytes:
         """Return the next bytes, or empty bytes at the end of a complete body.
 
-        Raises `OutboundError` if the body ends early, and `AnswerTimeoutError` if
-        nothing is received for `timeout` seconds.
+        Raises `OutboundError` if the body ends early or is malformed, and
+        `AnswerTimeoutError` if nothing is received for `timeout` seconds.
         """
         try:
             async with asyncio.timeout(timeout):
-                data = await self._response.content.readany()
-            if not data:
-                self._response.check_complete()
+                return await self._read()
         except TimeoutError:
             raise AnswerTimeoutError(
                 f"nothing received for {timeout:.1f} s", False
             ) from None
-        except (aiohttp.ClientError, OSError) as failure:
-            text = f"the answer ended early: {type(failure).__name__}"
-            raise OutboundError(text, False) from None
-        self._received += len(data)
-        return data
 
     async def read_events(
         self, timeout: float | None = None
     ) -> AsyncIterator[list[event.Event]]:
         """Yield the events of the body as they arrive.
 
-        Raises the same errors as `read_some`, `OutboundError` if the body ends inside
-        an event, and `EmptyAnswerError` if it ends with its connection before the
-        first event.
+        Raises `OutboundError` if the body ends early, is malformed, ends inside an
+        event or has more than `MAX_EVENT_BYTES` without a complete event,
+        `AnswerTimeoutError` if no event is completed for `timeout` seconds, and
+        `EmptyAnswerError` if the body ends with its connection before the first event.
         """
         splitter = event.Splitter()
         has_begun = False
-        while data := await self.read_some(timeout):
-            if events := splitter.feed(data):
-                has_begun = True
-                yield events
+        while events := await self._read_next_events(splitter, timeout):
+            has_begun = True
+            yield events
         if splitter.has_incomplete_event:
             raise OutboundError("the answer ended inside an event", False)
         if not has_begun and self._response.framing is framing.Framing.CONNECTION:
             raise EmptyAnswerError("the answer ended before its first event", False)
 
+    async def _read_next_events(
+        self, splitter: event.Splitter, timeout: float | None
+    ) -> list[event.Event]:
+        """Return the next complete events, or none at the end of the body."""
+        size = 0
+        try:
+            async with asyncio.timeout(timeout):
+                while data := await self._read():
+                    if events := splitter.feed(data):
+                        return events
+                    size += len(data)
+                    if size > MAX_EVENT_BYTES:
+                        text = f"the answer has {size} bytes without an event"
+                        raise OutboundError(text, False)
+        except TimeoutError:
+            raise AnswerTimeoutError(
+                f"no event received for {timeout:.1f} s", False
+            ) from None
+        return []
+
     async def read_all(self, limit: int, timeout: float | None = None) -> bytes:
         """Return the complete body; raise if it ends early or exceeds `limit` bytes."""
         body = bytearray()
--- a/sapphireseam/utils/outbound_test.py
+++ b/sapphireseam/utils/outbound_test.py
@@ -111,7 +111,7 @@
         self.upstream = flood
         began = time.monotonic()
         with self.assertRaises(outbound.OutboundError) as caught:
-            await self.read(timeout=timeout)
+            await asyncio.wait_for(self.read(timeout=timeout), 6.0)
         self.assertFalse(caught.exception.is_not_run)
         seconds = time.monotonic() - began
         await asyncio.wait_for(flood.has_closed.wait(), 2.0)
@@ -170,6 +170,28 @@
                 await asyncio.wait_for(flood.has_closed.wait(), 1.0)
                 self.assertLess(flood.sent, ACCEPTED_BYTES)
 
+    async def read_events(self, id="r1", timeout=None):
+        request = outbound.Outgoing(id, "c", "h", "POST", "/x", (), b"body")
+        sending = self.pool.send(request, self.upstream.instance, timeout)
+        async with sending as answer:
+            return [item async for item in answer.read_events(timeout)]
+
+    async def test_an_event_without_end_fails_its_answer(self):
+        self.read = self.read_events
+        for repeated in (b"x", b"\n", b"\r\n", b"data: x\n"):
+            with self.subTest(repeated=repeated):
+                failure, flood, seconds = await self.flood(HEAD + b"\r\n", repeated)
+                self.assertNotIsInstance(failure, outbound.AnswerTimeoutError)
+                self.assertLess(flood.sent, ACCEPTED_BYTES)
+                self.assertLess(seconds, 1.0)
+
+    async def test_an_event_that_trickles_counts_as_silence(self):
+        self.read = self.read_events
+        start = HEAD + b"\r\nid: 0\ndata: a\n\n"
+        for repeated in (b"x", b"\n"):
+            failure, _, _ = await self.flood(start, repeated, 0.05, timeout=0.5)
+            self.assertIsInstance(failure, outbound.AnswerTimeoutError)
+
 
 if __name__ == "__main__":
     unittest.main()
