Share one bound of memory among all buffered answers

Seen: each plain answer may have 16 MiB, and an upstream in trouble filled that for every request it got. Two at once cost an entry over 100 MB, of the 150 to 320 MB that a VM has.

Cause: the bound applied to each answer alone, and a failed attempt kept its body in the traceback of its error while the request was retried.

Change: a pool has 32 MiB for unfinished answers. While they are exceeded, an answer above an equal part of them fails and small ones go on. The bytes of an answer count until it is closed. read_all clears what it has when it fails.

--- a/sapphireseam/utils/fakeflood.py
+++ b/sapphireseam/utils/fakeflood.py
@@ -12,7 +12,7 @@
 
 # Bytes that are written at once without a pause.
 BLOCK_BYTES = 64 * 1024
-# It stops after this many bytes, so that a caller that reads on gets to an end.
+# A flood stops after this many bytes, so that a caller that reads on gets to an end.
 MAX_SENT_BYTES = 64 * 1024 * 1024
 
 
@@ -25,6 +25,7 @@
         self.pause = pause
         # Bytes that were sent, including those that wait in the sockets' buffers.
         self.sent = 0
+        self.max_sent = MAX_SENT_BYTES
         self.has_closed = asyncio.Event()
         self._server: asyncio.Server | None = None
 
@@ -54,7 +55,7 @@
             await self._send(writer, self.start_bytes)
             await asyncio.sleep(self.pause)
             count = 1 if self.pause else -(-BLOCK_BYTES // len(self.repeated))
-            while self.sent < MAX_SENT_BYTES and not writer.is_closing():
+            while self.sent < self.max_sent and not writer.is_closing():
                 await self._send(writer, self.repeated * count)
                 await asyncio.sleep(self.pause)
             await reader.read()
--- a/sapphireseam/utils/outbound.py
+++ b/sapphireseam/utils/outbound.py
@@ -19,7 +19,7 @@
 from multidict import CIMultiDictProxy
 
 from sapphireseam.core import instance as instances
-from sapphireseam.utils import event, framing
+from sapphireseam.utils import bufferlimit, event, framing
 
 logger = logging.getLogger(__name__)
 
@@ -35,6 +35,8 @@
 READ_BYTES = 64 * 1024
 # The largest event of a stream, in bytes.
 MAX_EVENT_BYTES = 1024 * 1024
+# Bytes of unfinished answers that one process buffers, see `BufferLimit`.
+MAX_BUFFERED_BYTES = 32 * 1024 * 1024
 # The lowest HTTP status of a failure.
 FAILURE_STATUS = 400
 
@@ -132,9 +134,12 @@
 class Answer:
     """An answer whose body can be read in parts, in events or at once."""
 
-    def __init__(self, head: Head, response: framing.FramedResponse):
+    def __init__(
+        self, head: Head, response: framing.FramedResponse, buffer: bufferlimit.Share
+    ):
         self.head = head
         self._response = response
+        self._buffer = buffer
         self._received = 0
 
     def describe(self) -> dict[str, object]:
@@ -200,8 +205,10 @@
             async with asyncio.timeout(timeout):
                 while data := await self._read():
                     if events := splitter.feed(data):
+                        self._record_buffer(0)
                         return events
                     size += len(data)
+                    self._record_buffer(size)
                     if size > MAX_EVENT_BYTES:
                         text = f"the answer has {size} bytes without an event"
                         raise OutboundError(text, False)
@@ -211,14 +218,29 @@
             ) from None
         return []
 
+    def _record_buffer(self, size: int) -> None:
+        try:
+            self._buffer.resize(size)
+        except bufferlimit.BufferLimitError as failure:
+            raise OutboundError(str(failure), False) from None
+
     async def read_all(self, limit: int, timeout: float | None = None) -> bytes:
-        """Return the complete body; raise if it ends early or exceeds `limit` bytes."""
+        """Return the complete body; raise if it ends early or exceeds `limit` bytes.
+
+        The body counts as buffered until the answer is closed.
+        """
         body = bytearray()
-        while data := await self.read_some(timeout):
-            body += data
-            if len(body) > limit:
-                raise OutboundError(f"the answer has more than {limit} bytes", False)
-        return bytes(body)
+        try:
+            while data := await self.read_some(timeout):
+                body += data
+                self._record_buffer(len(body))
+                if len(body) > limit:
+                    text = f"the answer has more than {limit} bytes"
+                    raise OutboundError(text, False)
+            return bytes(body)
+        finally:
+            # The traceback of an error would keep the body alive.
+            body.clear()
 
 
 class ConnectionPool:
@@ -237,6 +259,7 @@
         # Requests in progress by address.
         self._open_requests: Counter[str] = Counter()
         self._listed: frozenset[str] | None = None
+        self._buffers = bufferlimit.BufferLimit(MAX_BUFFERED_BYTES)
         self.opened_connections = 0
 
     async def start(self) -> None:
@@ -334,9 +357,11 @@
             raise AnswerTimeoutError(f"no answer for {timeout:.1f} s", False) from None
         if self._dialect.is_leaving(response.headers):
             self._record_leaving(instance)
+        buffer = self._buffers.open()
         try:
-            yield Answer(self._read_head(request, response), response)
+            yield Answer(self._read_head(request, response), response, buffer)
         finally:
+            buffer.close()
             # The connection of a completely read answer was already released for reuse.
             response.close()
 
--- a/sapphireseam/utils/outbound_test.py
+++ b/sapphireseam/utils/outbound_test.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+import tracemalloc
 import unittest
 
 from sapphireseam.utils import fakeflood, fakeupstream, outbound
@@ -192,6 +193,28 @@
             failure, _, _ = await self.flood(start, repeated, 0.05, timeout=0.5)
             self.assertIsInstance(failure, outbound.AnswerTimeoutError)
 
+    async def test_many_bodies_without_end_share_one_bound_of_memory(self):
+        flood = fakeflood.FakeFlood(HEAD + b"\r\n", b"x")
+        flood.max_sent = 20 * fakeflood.MAX_SENT_BYTES
+        await flood.start()
+        self.addAsyncCleanup(flood.stop)
+        self.upstream = flood
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+
+        async def read():
+            request = outbound.Outgoing("r1", "c", "h", "POST", "/x", (), b"")
+            async with self.pool.send(request, flood.instance) as answer:
+                await answer.read_all(16 * 1024 * 1024)
+
+        results = await asyncio.gather(
+            *(read() for _ in range(20)), return_exceptions=True
+        )
+        kinds = {type(result) for result in results}
+        self.assertEqual(kinds, {outbound.OutboundError})
+        bound = 2 * outbound.MAX_BUFFERED_BYTES
+        self.assertLess(tracemalloc.get_traced_memory()[1], bound)
+
 
 if __name__ == "__main__":
     unittest.main()
