Bound the answer to an order

Seen: the answer to an order (a probe, a stop, the deletion of a copy) was read whole, whatever its size; an upstream in trouble could fill a control VM's memory until the order's timeout.

Cause: send_order read with the HTTP library's read(), which has no bound.

Evidence: test_an_endless_answer_to_an_order_is_no_answer failed before: the flood got rid of all of its 67.1 MB.

Change: FramedResponse.read_body takes a bound, and an answer to an order may have 1 MiB. A larger one counts as no answer and its connection is closed.

--- a/sapphireseam/utils/framing.py
+++ b/sapphireseam/utils/framing.py
@@ -149,6 +149,19 @@
         self.check_complete()
         return body
 
+    async def read_body(self, limit: int) -> bytes:
+        """Return the body; raise `ClientError` if it's incomplete or above `limit`.
+
+        `limit` is in bytes.
+        """
+        body = bytearray()
+        async for data in self.content.iter_any():
+            body += data
+            if len(body) > limit:
+                raise MalformedAnswerError(f"more than {limit} bytes")
+        self.check_complete()
+        return bytes(body)
+
     def check_complete(self) -> None:
         """Raise `ClientPayloadError` if the body that was read isn't complete."""
         is_reset = self.connection_end is ConnectionEnd.RESET
--- a/sapphireseam/utils/outbound.py
+++ b/sapphireseam/utils/outbound.py
@@ -35,6 +35,8 @@
 READ_BYTES = 64 * 1024
 # The largest event of a stream, in bytes.
 MAX_EVENT_BYTES = 1024 * 1024
+# The largest answer to an order, in bytes.
+MAX_REPLY_BYTES = 1024 * 1024
 # Bytes of unfinished answers that one process buffers, see `BufferLimit`.
 MAX_BUFFERED_BYTES = 32 * 1024 * 1024
 # The lowest HTTP status of a failure.
@@ -418,7 +420,8 @@
                 async with session.request(method, url, data=body or None) as response:
                     if self._dialect.is_leaving(response.headers):
                         self._record_leaving(instance)
-                    return Reply(response.status, await response.read())
+                    body = await response.read_body(MAX_REPLY_BYTES)
+                    return Reply(response.status, body)
         except (aiohttp.ClientError, OSError) as failure:
             detail = {
                 "upstream": instance.id,
--- a/sapphireseam/utils/outbound_test.py
+++ b/sapphireseam/utils/outbound_test.py
@@ -215,6 +215,15 @@
         bound = 2 * outbound.MAX_BUFFERED_BYTES
         self.assertLess(tracemalloc.get_traced_memory()[1], bound)
 
+    async def test_an_endless_answer_to_an_order_is_no_answer(self):
+        flood = fakeflood.FakeFlood(HEAD + b"\r\n", b"x")
+        await flood.start()
+        self.addAsyncCleanup(flood.stop)
+        order = self.pool.send_order(flood.instance, "GET", "/x", b"", 3.0)
+        self.assertIsNone(await order)
+        await asyncio.wait_for(flood.has_closed.wait(), 1.0)
+        self.assertLess(flood.sent, ACCEPTED_BYTES)
+
 
 if __name__ == "__main__":
     unittest.main()
