Bound the pages and the size of the list of replicas

Seen: a control VM read each page of the platform's list whole, whatever its size, for up to a second and 200 times in a row; malformed entries were remembered for logging without a bound. Bytes without end would fill the VM's memory.

Cause: the page was read with the HTTP library's json(), which has no bound, and only the number of pages was limited.

Change: a page may have 2 MiB and a list 16 MiB; a larger one is refused like any list that can't be read, so the known replicas stay. At most 100 malformed entries are logged. A page nested too deeply for the JSON parser is refused as well.

--- a/sapphireseam/platform/listing.py
+++ b/sapphireseam/platform/listing.py
@@ -1,6 +1,7 @@
 """Reads the platform's list of running replicas, page by page."""
 
 import asyncio
+import json
 import logging
 from typing import Any
 
@@ -16,6 +17,11 @@
 PAGE_SECONDS = 1.0
 # A list with more pages is treated as endless.
 MAX_PAGES = 200
+# The largest page, and the largest sum of all pages, in bytes.
+MAX_PAGE_BYTES = 2 * 1024 * 1024
+MAX_LIST_BYTES = 16 * 1024 * 1024
+# Malformed entries that are logged once each; further ones aren't logged.
+MAX_LOGGED_ENTRIES = 100
 _STATES = ("ready", "draining")
 
 
@@ -31,8 +37,13 @@
         """Return the listed replicas; malformed entries are skipped."""
         found: dict[str, Instance] = {}
         page = ""
+        size = 0
         for _ in range(MAX_PAGES):
-            answer = await self._read_page(page)
+            body = await self._read_page(page)
+            size += len(body)
+            if size > MAX_LIST_BYTES:
+                break
+            answer = _decode_page(body)
             for entry in answer.get("instances") or ():
                 instance = self._read_entry(entry)
                 if instance is not None:
@@ -50,7 +61,7 @@
         if self._session is not None:
             await self._session.close()
 
-    async def _read_page(self, page: str) -> dict[str, Any]:
+    async def _read_page(self, page: str) -> bytes:
         if self._session is None:
             self._session = framing.create_session()
         parameters = {"page_token": page} if page else {}
@@ -64,20 +75,18 @@
                         f"the list of replicas answered with status {response.status}"
                     )
                     raise error.ControlError(text)
-                answer = await response.json(content_type=None)
-        except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as failure:
+                return await response.read_body(MAX_PAGE_BYTES)
+        except (TimeoutError, aiohttp.ClientError, OSError) as failure:
             text = f"cannot read the list of replicas: {type(failure).__name__}"
             raise error.ControlError(text) from None
-        if not isinstance(answer, dict):
-            raise error.ControlError("the list of replicas is not a JSON object")
-        return answer
 
     def _read_entry(self, entry: Any) -> Instance | None:
         try:
             return read_entry(entry)
         except (KeyError, TypeError, ValueError) as failure:
             text = str(entry)[:200]
-            if text not in self._logged_entries:
+            is_new = text not in self._logged_entries
+            if is_new and len(self._logged_entries) < MAX_LOGGED_ENTRIES:
                 self._logged_entries.add(text)
                 logger.warning(
                     "malformed entry in the list of replicas",
@@ -86,6 +95,17 @@
             return None
 
 
+def _decode_page(body: bytes) -> dict[str, Any]:
+    try:
+        answer = json.loads(body)
+    except (ValueError, RecursionError) as failure:
+        text = f"cannot read the list of replicas: {type(failure).__name__}"
+        raise error.ControlError(text) from None
+    if not isinstance(answer, dict):
+        raise error.ControlError("the list of replicas is not a JSON object")
+    return answer
+
+
 def read_entry(entry: dict[str, Any]) -> Instance:
     """Return the instance that an entry describes.
 
--- a/sapphireseam/platform/listing_test.py
+++ b/sapphireseam/platform/listing_test.py
@@ -1,5 +1,6 @@
 """Test reading the list of replicas, including malformed entries."""
 
+import asyncio
 import unittest
 
 from aiohttp import web
@@ -7,7 +8,10 @@
 
 from sapphireseam.core import error
 from sapphireseam.platform import listing
+from sapphireseam.utils import fakeflood
 
+# What the buffers of a connection may hold.
+SOCKET_BYTES = 6 * 1024 * 1024
 ENTRY = {
     "service": "llm",
     "addr": "10.128.0.9:8080",
@@ -50,6 +54,7 @@
     async def asyncSetUp(self):
         self.pages = {"": {"instances": [ENTRY], "next": None}}
         self.status = 200
+        self.reads = 0
         app = web.Application()
         app.router.add_get("/instances", self.answer)
         self.runner = web.AppRunner(app)
@@ -63,6 +68,7 @@
 
     async def answer(self, request):
         page = request.query.get("page_token", "")
+        self.reads += 1
         return web.json_response(self.pages[page], status=self.status)
 
     async def test_all_pages_are_read_and_malformed_entries_are_skipped(self):
@@ -79,6 +85,26 @@
         with self.assertRaises(error.ControlError):
             await self.listing.list()
 
+    async def test_a_page_without_end_is_refused(self):
+        head = b"HTTP/1.1 200 OK\r\n\r\n"
+        for start, repeated in ((head, b" "), (b"HTTP/1.1 200 OK\r\nA: ", b"x")):
+            flood = fakeflood.FakeFlood(start, repeated)
+            await flood.start()
+            self.addAsyncCleanup(flood.stop)
+            replicas = listing.Listing(flood.address)
+            self.addAsyncCleanup(replicas.stop)
+            with self.assertRaises(error.ControlError):
+                await replicas.list()
+            await asyncio.wait_for(flood.has_closed.wait(), 1.0)
+            self.assertLess(flood.sent, listing.MAX_PAGE_BYTES + SOCKET_BYTES)
+
+    async def test_pages_without_end_are_refused(self):
+        large = {"instances": ["x" * (listing.MAX_PAGE_BYTES // 2)], "next": "p-2"}
+        self.pages = {"": large, "p-2": large}
+        with self.assertRaises(error.ControlError):
+            await self.listing.list()
+        self.assertLess(self.reads, 20)
+
 
 if __name__ == "__main__":
     unittest.main()
