Break off an item whose answer never ends

Seen: an item of a bulk job read an endless stream for as long as its job was open; the control VM kept the output, and saved parts went into the replicated log. A plain answer that stalled held its item and slot for ever.

Cause: only plain answers had a size limit, and only streams had the limit of 3 s without data.

Evidence: with the two limits taken out, test_stream_of_an_item_that_never_ends_is_broken_off and test_plain_answer_of_an_item_that_stalls_is_broken_off fail: the connection is still open after 4 s, and the first flood was read to its end.

Change: an item's output, saved parts included, may have 4 MiB with 16 bytes for each event; beyond it the output is dropped and the item is retried elsewhere like after other broken answers. A plain answer has the same silence limit as a stream.

Result: both tests pass, and the item's next run at a sound upstream completes it.

--- a/sapphireseam/control/bulkrunner.py
+++ b/sapphireseam/control/bulkrunner.py
@@ -45,6 +45,9 @@
 # One command records results until they reach this many bytes in total. An answer
 # that is not streamed may have at most this many.
 MAX_RESULT_BYTES = 512 * 1024
+# The largest output of one item, in bytes, with `progress.EVENT_OVERHEAD_BYTES` for
+# each event.
+MAX_OUTPUT_BYTES = 4 * 1024 * 1024
 # Results are retained for at least this many seconds after the job was accepted.
 RETENTION_SECONDS = 120.0
 # Largest difference between the wall clocks of two VMs, in seconds. Jobs are abandoned
@@ -438,11 +441,16 @@
     ) -> None:
         if not answer.head.is_stream:
             progress.reset()
-            progress.data.append(await answer.read_all(MAX_RESULT_BYTES))
+            body = await answer.read_all(MAX_RESULT_BYTES, IDLE_TIMEOUT_SECONDS)
+            progress.data.append(body)
             return
         async for events in answer.read_events(IDLE_TIMEOUT_SECONDS):
             for received in events:
                 progress.append_event(received)
+            if progress.size > MAX_OUTPUT_BYTES:
+                progress.reset()
+                text = f"the output has more than {MAX_OUTPUT_BYTES} bytes"
+                raise outbound.OutboundError(text, False)
 
     # Recording results.
 
--- a/sapphireseam/control/bulkrunner_test.py
+++ b/sapphireseam/control/bulkrunner_test.py
@@ -3,13 +3,17 @@
 import asyncio
 import json
 import unittest
+from unittest import mock
 
 from sapphireseam.control import bulkrunner, machine as machines, placement
 from sapphireseam.core import command, error, fleet, placement as messages
 from sapphireseam.policy import allocator, limit
-from sapphireseam.utils import fakeupstream, outbound
+from sapphireseam.utils import fakeflood, fakeupstream, outbound
 from sapphireseam.utils.timer import SystemTimer
 
+# What the buffers of a connection may hold.
+SOCKET_BYTES = 6 * 1024 * 1024
+
 DOCUMENT = {
     "services": {"llm": {"tells_load": True}},
     "customers": {"c": {"contract": ""}},
@@ -254,6 +258,28 @@
         self.assertEqual(results[0].output, self.expect_output(b"i0"))
         self.assertEqual(self.upstream.runs[1].headers[fakeupstream.RESUME], "1")
 
+    async def check_broken_off(self, start, repeated, pause=0.0):
+        """Check that an item leaves an endless answer and runs at another upstream."""
+        flood = fakeflood.FakeFlood(start, repeated, pause)
+        await flood.start()
+        self.addAsyncCleanup(flood.stop)
+        self.placement.update_instances((flood.instance,))
+        await self.accept()
+        await asyncio.wait_for(flood.has_closed.wait(), 4.0)
+        self.assertLess(flood.sent, 2 * bulkrunner.MAX_OUTPUT_BYTES + SOCKET_BYTES)
+        self.placement.update_instances((self.upstream.instance,))
+        results = await self.wait_done()
+        self.assertEqual(results[0].output, self.expect_output(b"i0"))
+
+    async def test_stream_of_an_item_that_never_ends_is_broken_off(self):
+        head = b"HTTP/1.1 200 OK\r\nFake-Id: i0\r\nContent-Type: text/event-stream\r\n"
+        await self.check_broken_off(head + b"\r\n", b"data: %s\n\n" % (b"x" * 100))
+
+    async def test_plain_answer_of_an_item_that_stalls_is_broken_off(self):
+        head = b"HTTP/1.1 200 OK\r\nFake-Id: i0\r\nContent-Length: 9\r\n\r\n"
+        with mock.patch.object(bulkrunner, "IDLE_TIMEOUT_SECONDS", 0.3):
+            await self.check_broken_off(head, b"a", 30.0)
+
     async def test_item_that_always_fails_is_run_up_to_its_attempt_limit(self):
         self.upstream.behaviours = ["fail"] * 9
         await self.accept()
--- a/sapphireseam/control/progress.py
+++ b/sapphireseam/control/progress.py
@@ -7,6 +7,9 @@
 from sapphireseam.policy import origin
 from sapphireseam.utils import event
 
+# What an event takes beside its data, in bytes.
+EVENT_OVERHEAD_BYTES = 16
+
 
 class ItemProgress:
     """The output and the retry state of an item that has no result yet.
@@ -23,6 +26,8 @@
         if partial and partial.service:
             self.origin = origin.Origin(partial.service, partial.version)
         self.data: list[bytes] = []
+        # Bytes of the whole output, including the saved one and the overhead.
+        self.size = len(partial.output) if partial else 0
         # Counts how often the item restarted from the first event. Parts of the
         # output that were proposed before a restart are recognized by it.
         self.attempt = 0
@@ -54,6 +59,7 @@
     def reset(self) -> None:
         """Discard the output, so that the item starts again from the first event."""
         self.data.clear()
+        self.size = 0
         self.saved_event = self.last_event = -1
         self.attempt += 1
         self.unreachable_since = None
@@ -72,6 +78,7 @@
             self.last_event = received.number
         self.unreachable_since = None
         self.data.append(received.data)
+        self.size += len(received.data) + EVENT_OVERHEAD_BYTES
 
     def draft_part(self, job: str, item: int) -> command.LotPart:
         """Return the next part of the output to save in the log."""
--- a/sapphireseam/utils/fakeflood.py
+++ b/sapphireseam/utils/fakeflood.py
@@ -53,11 +53,11 @@
         try:
             await reader.readuntil(b"\r\n\r\n")
             await self._send(writer, self.start_bytes)
-            await asyncio.sleep(self.pause)
+            await self._pause(reader)
             count = 1 if self.pause else -(-BLOCK_BYTES // len(self.repeated))
             while self.sent < self.max_sent and not writer.is_closing():
                 await self._send(writer, self.repeated * count)
-                await asyncio.sleep(self.pause)
+                await self._pause(reader)
             await reader.read()
             self.has_closed.set()
         except (asyncio.IncompleteReadError, ConnectionError):
@@ -68,6 +68,16 @@
         finally:
             writer.close()
 
+    async def _pause(self, reader: asyncio.StreamReader) -> None:
+        """Wait; raise `IncompleteReadError` if the caller closes meanwhile."""
+        if not self.pause:
+            return
+        try:
+            async with asyncio.timeout(self.pause):
+                await reader.readuntil(b"\r\n\r\n")
+        except TimeoutError:
+            return
+
     async def _send(self, writer: asyncio.StreamWriter, data: bytes) -> None:
         writer.write(data)
         await writer.drain()
