Bound the bytes between the events of an agent's stream at an entry

Seen: an agent's upstream in trouble sent an event without end. The entry buffered it until the request's deadline, split it anew with every part, and the caller got its deadline error instead of another replica's answer.

Cause: the tracker of a resumable stream buffered an incomplete event unbounded.

Change: more than event.MAX_EVENT_BYTES without a complete event fails the attempt like any broken stream, so an idempotent request resumes at another replica. Blank lines don't count as events. The constant moved to utils/event.py, for both paths.

--- a/sapphireseam/entry/delivery.py
+++ b/sapphireseam/entry/delivery.py
@@ -11,6 +11,7 @@
 from sapphireseam.core import exchange
 from sapphireseam.entry import resume
 from sapphireseam.entry.routedrequest import RoutedRequest
+from sapphireseam.utils import event
 
 # A plain answer up to this size is buffered until it is complete.
 MAX_BUFFERED_BYTES = 1024 * 1024
@@ -80,6 +81,10 @@
         """Return whether an event stream that ended lacks its last event."""
         return self._is_streaming and not self._tracker.done
 
+    def has_endless_event(self) -> bool:
+        """Return whether an event stream has too many bytes without an event."""
+        return self._is_streaming and self._tracker.pending > event.MAX_EVENT_BYTES
+
     async def finish(self) -> None:
         """End the answer."""
         await self._flush()
--- a/sapphireseam/entry/forwarder.py
+++ b/sapphireseam/entry/forwarder.py
@@ -269,7 +269,7 @@
                 case exchange.Head():
                     self._handle_head(delivery, item)
                 case exchange.Data():
-                    await delivery.accept_data(item.body)
+                    await self._handle_data(delivery, item)
                     uncredited += len(item.body)
                     if uncredited >= CREDIT_BYTES:
                         attempt.send(exchange.Credit(attempt.number, uncredited))
@@ -298,6 +298,14 @@
             failure = error.OutcomeError(text, error.Kind.UPSTREAM_FAILED)
             raise AttemptFailed(failure, False)
 
+    async def _handle_data(self, delivery: Delivery, data: exchange.Data) -> None:
+        """Accept a part of the body; raise `AttemptFailed` if an event has no end."""
+        await delivery.accept_data(data.body)
+        if delivery.has_endless_event():
+            text = "the upstream sent an event without end"
+            failure = error.OutcomeError(text, error.Kind.UPSTREAM_FAILED)
+            raise AttemptFailed(failure, False)
+
     async def _finish_answer(self, delivery: Delivery) -> None:
         if delivery.ended_early():
             text = "the upstream ended the stream early"
--- a/sapphireseam/entry/forwarder_test.py
+++ b/sapphireseam/entry/forwarder_test.py
@@ -381,6 +381,35 @@
         self.assertNotIn(b"error", fixture.sink.body)
         self.assertEqual(failure.kind, error.Kind.UPSTREAM_FAILED)
 
+    async def answer_without_end(self, repeated):
+        """Answer the first offer without end; return all offers and the body."""
+        offers = []
+
+        def react(item, send):
+            if not isinstance(item, exchange.Offer):
+                return
+            offers.append(item)
+            if len(offers) > 1:
+                events = render_events(["a ", "b "], False, "id-1")
+                send_answer(send, b"\n\n".join(events) + b"\n\n", headers=EVENTS)
+                return
+            send(exchange.Head(0, 200, EVENTS))
+            for _ in range(64):
+                send(exchange.Data(0, repeated * 64 * 1024))
+
+        fixture = Fixture(react)
+        request = make_request(
+            fixture.timer.read_clock(), streamed=True, body=b'{"stream":true}'
+        )
+        self.assertIsNone(await fixture.run(request))
+        return offers, fixture.sink.body
+
+    def test_an_event_without_end_is_left_for_another_replica(self):
+        for repeated in (b"x", b"\n"):
+            offers, body = asyncio.run(self.answer_without_end(repeated))
+            self.assertEqual(len(offers), 2)
+            self.assertEqual(body.count(b"id-1"), 3)
+
     def test_all_events_keep_the_first_id(self):
         def second(item, send):
             done = json.loads(item.body)["seam_resume_from"]
--- a/sapphireseam/entry/resume.py
+++ b/sapphireseam/entry/resume.py
@@ -31,6 +31,8 @@
         self.tokens = 0
         self.done = False
         self.countable = True
+        # Bytes received since the last complete event.
+        self.pending = 0
         self._partial_event = b""
         self._id: str | None = None
         self._resumed = False
@@ -39,12 +41,16 @@
     def feed(self, data: bytes) -> bytes:
         """Add bytes from the upstream; return complete events for the caller."""
         *events, self._partial_event = _EVENT_END.split(self._partial_event + data)
+        self.pending += len(data)
+        if any(events):
+            self.pending = len(self._partial_event)
         processed = [self._process(event) for event in events]
         return b"".join(event + b"\n\n" for event in processed if event)
 
     def resume(self) -> None:
         """Drop an incomplete event; further bytes come from another replica."""
         self._partial_event = b""
+        self.pending = 0
         self._resumed = True
 
     def _process(self, event: bytes) -> bytes:
--- a/sapphireseam/utils/event.py
+++ b/sapphireseam/utils/event.py
@@ -8,6 +8,8 @@
 from typing import NamedTuple
 
 CONTENT_TYPE = "text/event-stream"
+# The largest event of a stream, in bytes.
+MAX_EVENT_BYTES = 1024 * 1024
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
 _MAX_END_BYTES = 4
 _LINE_BREAK = re.compile(rb"\r?\n")
--- a/sapphireseam/utils/outbound.py
+++ b/sapphireseam/utils/outbound.py
@@ -33,8 +33,6 @@
 IDLE_SECONDS = 4.0
 # Bytes of a body that are read at once.
 READ_BYTES = 64 * 1024
-# The largest event of a stream, in bytes.
-MAX_EVENT_BYTES = 1024 * 1024
 # The largest answer to an order, in bytes.
 MAX_REPLY_BYTES = 1024 * 1024
 # Bytes of unfinished answers that one process buffers, see `BufferLimit`.
@@ -184,7 +182,7 @@
         """Yield the events of the body as they arrive.
 
         Raises `OutboundError` if the body ends early, is malformed, ends inside an
-        event or has more than `MAX_EVENT_BYTES` without a complete event,
+        event or has more than `event.MAX_EVENT_BYTES` without a complete event,
         `AnswerTimeoutError` if no event is completed for `timeout` seconds, and
         `EmptyAnswerError` if the body ends with its connection before the first event.
         """
@@ -211,7 +209,7 @@
                         return events
                     size += len(data)
                     self._record_buffer(size)
-                    if size > MAX_EVENT_BYTES:
+                    if size > event.MAX_EVENT_BYTES:
                         text = f"the answer has {size} bytes without an event"
                         raise OutboundError(text, False)
         except TimeoutError:
