Bound what an agent buffers of the answers to batch items

Seen: an agent buffered the whole answer to a batch item, whatever its size, for up to the 900 s that an item may take; several items of an upstream in trouble would have filled the VM.

Cause: the answer was collected without a bound.

Evidence: test_item_whose_answers_never_end_fails fails without the two limits: the item's job hasn't ended after 30 s of test time.

Change: an answer may have 16 MiB and all unfinished ones together 32 MiB; a larger one is a failed attempt of its item, not a crash of the upstream. engine_test guards that endless heads and chunk headers count as a failure but as no crash.

--- a/sapphireseam/agent/engine_test.py
+++ b/sapphireseam/agent/engine_test.py
@@ -5,7 +5,7 @@
 
 from sapphireseam.agent import engine
 from sapphireseam.core import exchange
-from sapphireseam.utils import fakeupstream
+from sapphireseam.utils import fakeflood, fakeupstream
 from sapphireseam.utils.timer import SystemTimer
 
 
@@ -36,6 +36,26 @@
         self.assertTrue(caught.exception.broken)
         self.assertFalse(caught.exception.not_run)
 
+    async def test_bytes_without_end_are_a_failure_but_no_crash(self):
+        head = b"HTTP/1.1 200 OK\r\n"
+        chunked = head + b"Transfer-Encoding: chunked\r\n\r\n"
+        for start, repeated in (
+            (head, b"A: b\r\n"),
+            (b"", b"\r\n"),
+            (chunked, b"0"),
+            (chunked + b"1;", b"x"),
+        ):
+            flood = fakeflood.FakeFlood(start, repeated)
+            await flood.start()
+            self.addAsyncCleanup(flood.stop)
+            self.client.set_address(flood.address)
+            with self.assertRaises(engine.UpstreamError) as caught:
+                await asyncio.wait_for(self.read("well"), 3.0)
+            self.assertEqual(
+                (caught.exception.broken, caught.exception.not_run), (False, False)
+            )
+            await asyncio.wait_for(flood.has_closed.wait(), 1.0)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/sapphireseam/agent/item.py
+++ b/sapphireseam/agent/item.py
@@ -17,6 +17,7 @@
 from sapphireseam.agent.itemwork import ItemLease, ItemWork
 from sapphireseam.agent.scheduler import Scheduler
 from sapphireseam.core import command, error, message
+from sapphireseam.utils import bufferlimit
 from sapphireseam.utils.application import TaskGroup
 from sapphireseam.utils.client import ControlClient
 from sapphireseam.utils.mirror import Mirror
@@ -36,6 +37,8 @@
 STOP_SECONDS = 10.0
 # Most batch items to hold, running or waiting, per slot not used by online work.
 ITEMS_PER_SLOT = 2
+# Bytes of unfinished answers that all items may buffer together, see `BufferLimit`.
+MAX_BUFFERED_BYTES = 32 * 1024 * 1024
 
 
 class ItemRunner:
@@ -55,6 +58,7 @@
         self.upstream = upstream
         self.crash_detector = crash_detector
         self.timer = timer
+        self.buffers = bufferlimit.BufferLimit(MAX_BUFFERED_BYTES)
         self._node = node
         self._scheduler = scheduler
         self._mirror = mirror
--- a/sapphireseam/agent/item_test.py
+++ b/sapphireseam/agent/item_test.py
@@ -275,6 +275,22 @@
         kinds = [(r[0], r[3]) for r in self.list_results() if r[2]]
         self.assertEqual(kinds, [(1, error.Kind.UPSTREAM_FAILED)])
 
+    async def test_item_whose_answers_never_end_fails(self):
+        await self.submit(count=1)
+        agent = await self.start()
+        part = bytes(itemwork.MAX_ANSWER_BYTES // 4)
+        for _ in range(60):
+            if self.job.ended:
+                break
+            for exchange in agent.upstream.open:
+                exchange.begin()
+                for _ in range(5):
+                    exchange.send(part)
+            await self.timer.advance(0.5)
+        self.assertTrue(self.job.ended)
+        self.assertEqual([r[2] for r in self.list_results()], [True])
+        self.assertEqual(agent.upstream.open, [])
+
     async def test_item_that_hangs_the_upstream_fails(self):
         await self.submit(count=2)
         with mock.patch.object(itemwork, "ITEM_SECONDS", 2.0):
--- a/sapphireseam/agent/itemwork.py
+++ b/sapphireseam/agent/itemwork.py
@@ -8,12 +8,15 @@
 from sapphireseam.agent.scheduler import Completion
 from sapphireseam.core import error, exchange, message
 from sapphireseam.policy import queue
+from sapphireseam.utils import bufferlimit
 from sapphireseam.utils.timer import TimerService, wait_for
 
 # Tokens that an item is assumed to cost in addition to those of its line.
 ITEM_TOKENS = 128
 # Time limit of one item at the upstream. A longer run counts as a failed attempt.
 ITEM_SECONDS = 900.0
+# The largest answer to an item, in bytes. A larger one is a failed attempt.
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
 # Lowest status of an error that may be the fault of the upstream, not the item.
 _SERVER_ERROR = 500
 _CLIENT_ERROR = 400
@@ -77,6 +80,7 @@
     upstream: engine.UpstreamClient
     crash_detector: CrashDetector
     timer: TimerService
+    buffers: bufferlimit.BufferLimit
 
     async def mark_started(self, lease: ItemLease, item: int) -> bool:
         """Record the start of a non-idempotent item; return whether it may run."""
@@ -147,15 +151,25 @@
         )
         status = 0
         data = bytearray()
+        share = self._context.buffers.open()
         try:
             async for part in answer:
                 if isinstance(part, exchange.Head):
                     status = part.status
-                else:
-                    data += part.body
+                    continue
+                data += part.body
+                share.resize(len(data))
+                if len(data) > MAX_ANSWER_BYTES:
+                    text = f"the answer has more than {MAX_ANSWER_BYTES} bytes"
+                    raise engine.UpstreamError(text, False)
+            return status, bytes(data)
+        except bufferlimit.BufferLimitError as failure:
+            raise engine.UpstreamError(str(failure), False) from None
         finally:
+            # The traceback of an error would keep the data alive.
+            data.clear()
+            share.close()
             await answer.aclose()
-        return status, bytes(data)
 
     async def _return_failed(self, failure: engine.UpstreamError) -> None:
         """Return the item after a failed exchange.
