--- a/sapphireseam/utils/framing.py
+++ b/sapphireseam/utils/framing.py
@@ -20,11 +20,23 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.connector import Connection
-
+from aiohttp.http import RawResponseMessage
+
+# The lowest status of an answer that isn't informational.
+FINAL_STATUS = 200
+# Bytes of an answer beside its body that are always accepted: heads, chunk sizes,
+# chunk extensions and trailers.
+MAX_OVERHEAD_BYTES = 128 * 1024
+# Further bytes of this kind that are accepted for each byte of the body.
+OVERHEAD_PER_BODY_BYTE = 2
 # The value of SO_LINGER with which a close resets the connection.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
+class MalformedAnswerError(aiohttp.ClientError):
+    """The received bytes are no answer, or too many for one."""
+
+
 class Framing(enum.StrEnum):
     """What marks the end of a body."""
 
@@ -42,7 +54,7 @@
 
 
 class _Protocol(ResponseHandler):
-    """Records how its connection ends."""
+    """Records how its connection ends, and rejects malformed answers."""
 
     def __init__(
         self,
@@ -52,12 +64,71 @@
         super().__init__(loop)
         self.end = ConnectionEnd.OPEN
         self._on_open = on_open
+        # Bytes that were received since the newest request.
+        self._received = 0
+        # The body of the newest answer, and whether that answer is the final one.
+        self._body: aiohttp.StreamReader | None = None
+        self._is_answered = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Prepare the connection's socket."""
         self._on_open(transport.get_extra_info("socket"))
         super().connection_made(transport)
 
+    def set_response_params(self, **options: Any) -> None:
+        """Prepare for the answer to a new request."""
+        self._received = 0
+        self._body = None
+        self._is_answered = False
+        super().set_response_params(**options)
+
+    def feed_data(
+        self, data: tuple[RawResponseMessage, aiohttp.StreamReader], size: int = 0
+    ) -> None:
+        """Queue the head of an answer, unless the request has its answer."""
+        if self._is_answered:
+            self._abort()
+            return
+        message, self._body = data
+        self._is_answered = message.code >= FINAL_STATUS
+        super().feed_data(data, size)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes, or close the connection if none are awaited."""
+        if data and self._is_answered and self._body.is_eof():
+            self._abort()
+            return
+        super().data_received(data)
+        self._received += len(data)
+        failure = self.exception()
+        if failure is not None:
+            # The library reports malformed bytes only to a reader of the head.
+            self._break_body(f"malformed: {type(failure).__name__}")
+        elif self._has_too_much_overhead() and self.transport is not None:
+            text = f"{self._received} bytes received, hardly any of them in the body"
+            self._abort()
+            self.set_exception(MalformedAnswerError(text))
+            self._break_body(text)
+
+    def _abort(self) -> None:
+        self.force_close()
+        if self.transport is not None:
+            self.transport.abort()
+
+    def _has_too_much_overhead(self) -> bool:
+        if self._reading_paused:
+            # Some received bytes of the body are not parsed yet.
+            return False
+        size = self._body.total_bytes if self._body is not None else 0
+        overhead = self._received - size
+        return overhead > MAX_OVERHEAD_BYTES + OVERHEAD_PER_BODY_BYTE * size
+
+    def _break_body(self, text: str) -> None:
+        """Make readers of the body fail, unless it is complete or has failed."""
+        body = self._body
+        if body is not None and not body.is_eof() and body.exception() is None:
+            body.set_exception(MalformedAnswerError(text))
+
     def eof_received(self) -> None:
         """Record the end of the received data."""
         if self.transport is not None and has_pending_error(self.transport):
@@ -89,6 +160,19 @@
         self.check_complete()
         return body
 
+    async def read_body(self, limit: int) -> bytes:
+        """Return the body; raise `ClientError` if it's incomplete or above `limit`.
+
+        `limit` is in bytes.
+        """
+        body = bytearray()
+        async for data in self.content.iter_any():
+            body += data
+            if len(body) > limit:
+                raise MalformedAnswerError(f"more than {limit} bytes")
+        self.check_complete()
+        return bytes(body)
+
     def check_complete(self) -> None:
         """Raise `ClientPayloadError` if the body that was read isn't complete."""
         is_reset = self.connection_end is ConnectionEnd.RESET
--- a/sapphireseam/utils/outbound.py
+++ b/sapphireseam/utils/outbound.py
@@ -19,7 +19,7 @@
 from multidict import CIMultiDictProxy
 
 from sapphireseam.core import instance as instances
-from sapphireseam.utils import event, framing
+from sapphireseam.utils import bufferlimit, event, framing
 
 logger = logging.getLogger(__name__)
 
@@ -31,6 +31,12 @@
 TCP_USER_TIMEOUT_MS = 1500
 # How long an idle connection stays open, in seconds.
 IDLE_SECONDS = 4.0
+# Bytes of a body that are read at once.
+READ_BYTES = 64 * 1024
+# The largest answer to an order, in bytes.
+MAX_REPLY_BYTES = 1024 * 1024
+# Bytes of unfinished answers that one process buffers, see `BufferLimit`.
+MAX_BUFFERED_BYTES = 32 * 1024 * 1024
 # The lowest HTTP status of a failure.
 FAILURE_STATUS = 400
 
@@ -128,9 +134,12 @@
 class Answer:
     """An answer whose body can be read in parts, in events or at once."""
 
-    def __init__(self, head: Head, response: framing.FramedResponse):
+    def __init__(
+        self, head: Head, response: framing.FramedResponse, buffer: bufferlimit.Share
+    ):
         self.head = head
         self._response = response
+        self._buffer = buffer
         self._received = 0
 
     def describe(self) -> dict[str, object]:
@@ -141,55 +150,97 @@
             "connection": str(self._response.connection_end),
         }
 
+    async def _read(self) -> bytes:
+        """Return the next bytes, or empty bytes at the end of a complete body."""
+        try:
+            data = await self._response.content.read(READ_BYTES)
+            if not data:
+                self._response.check_complete()
+        except (aiohttp.ClientError, OSError) as failure:
+            text = f"the answer ended early: {type(failure).__name__}"
+            raise OutboundError(text, False) from None
+        self._received += len(data)
+        return data
+
     async def read_some(self, timeout: float | None = None) -> bytes:
         """Return the next bytes, or empty bytes at the end of a complete body.
 
-        Raises `OutboundError` if the body ends early, and `AnswerTimeoutError` if
-        nothing is received for `timeout` seconds.
+        Raises `OutboundError` if the body ends early or is malformed, and
+        `AnswerTimeoutError` if nothing is received for `timeout` seconds.
         """
         try:
             async with asyncio.timeout(timeout):
-                data = await self._response.content.readany()
-            if not data:
-                self._response.check_complete()
+                return await self._read()
         except TimeoutError:
             raise AnswerTimeoutError(
                 f"nothing received for {timeout:.1f} s", False
             ) from None
-        except (aiohttp.ClientError, OSError) as failure:
-            text = f"the answer ended early: {type(failure).__name__}"
-            raise OutboundError(text, False) from None
-        self._received += len(data)
-        return data
 
     async def read_events(
         self, timeout: float | None = None
     ) -> AsyncIterator[list[event.Event]]:
         """Yield the events of the body as they arrive.
 
-        Raises the same errors as `read_some`, `OutboundError` if the body ends inside
-        an event, and `EmptyAnswerError` if it ends with its connection before the
-        first event.
+        Raises `OutboundError` if the body ends early, is malformed, ends inside an
+        event or has more than `event.MAX_EVENT_BYTES` without a complete event,
+        `AnswerTimeoutError` if no event is completed for `timeout` seconds, and
+        `EmptyAnswerError` if the body ends with its connection before the first event.
         """
         splitter = event.Splitter()
         has_begun = False
-        while data := await self.read_some(timeout):
-            if events := splitter.feed(data):
-                has_begun = True
-                yield events
+        while events := await self._read_next_events(splitter, timeout):
+            has_begun = True
+            yield events
         if splitter.has_incomplete_event:
             raise OutboundError("the answer ended inside an event", False)
         if not has_begun and self._response.framing is framing.Framing.CONNECTION:
             raise EmptyAnswerError("the answer ended before its first event", False)
 
+    async def _read_next_events(
+        self, splitter: event.Splitter, timeout: float | None
+    ) -> list[event.Event]:
+        """Return the next complete events, or none at the end of the body."""
+        size = 0
+        try:
+            async with asyncio.timeout(timeout):
+                while data := await self._read():
+                    if events := splitter.feed(data):
+                        self._record_buffer(0)
+                        return events
+                    size += len(data)
+                    self._record_buffer(size)
+                    if size > event.MAX_EVENT_BYTES:
+                        text = f"the answer has {size} bytes without an event"
+                        raise OutboundError(text, False)
+        except TimeoutError:
+            raise AnswerTimeoutError(
+                f"no event received for {timeout:.1f} s", False
+            ) from None
+        return []
+
+    def _record_buffer(self, size: int) -> None:
+        try:
+            self._buffer.resize(size)
+        except bufferlimit.BufferLimitError as failure:
+            raise OutboundError(str(failure), False) from None
+
     async def read_all(self, limit: int, timeout: float | None = None) -> bytes:
-        """Return the complete body; raise if it ends early or exceeds `limit` bytes."""
+        """Return the complete body; raise if it ends early or exceeds `limit` bytes.
+
+        The body counts as buffered until the answer is closed.
+        """
         body = bytearray()
-        while data := await self.read_some(timeout):
-            body += data
-            if len(body) > limit:
-                raise OutboundError(f"the answer has more than {limit} bytes", False)
-        return bytes(body)
+        try:
+            while data := await self.read_some(timeout):
+                body += data
+                self._record_buffer(len(body))
+                if len(body) > limit:
+                    text = f"the answer has more than {limit} bytes"
+                    raise OutboundError(text, False)
+            return bytes(body)
+        finally:
+            # The traceback of an error would keep the body alive.
+            body.clear()
 
 
 class ConnectionPool:
@@ -208,6 +259,7 @@
         # Requests in progress by address.
         self._open_requests: Counter[str] = Counter()
         self._listed: frozenset[str] | None = None
+        self._buffers = bufferlimit.BufferLimit(MAX_BUFFERED_BYTES)
 
     async def start(self) -> None:
         """Do nothing; a connection is opened when it is first used."""
@@ -291,9 +343,11 @@
             raise AnswerTimeoutError(f"no answer for {timeout:.1f} s", False) from None
         if self._dialect.is_leaving(response.headers):
             self._record_leaving(instance)
+        buffer = self._buffers.open()
         try:
-            yield Answer(self._read_head(request, response), response)
+            yield Answer(self._read_head(request, response), response, buffer)
         finally:
+            buffer.close()
             # The connection of a completely read answer was already released for reuse.
             response.close()
 
@@ -350,7 +404,8 @@
                 async with session.request(method, url, data=body or None) as response:
                     if self._dialect.is_leaving(response.headers):
                         self._record_leaving(instance)
-                    return Reply(response.status, await response.read())
+                    body = await response.read_body(MAX_REPLY_BYTES)
+                    return Reply(response.status, body)
         except (aiohttp.ClientError, OSError) as failure:
             detail = {
                 "upstream": instance.id,
--- a/sapphireseam/utils/outbound_test.py
+++ b/sapphireseam/utils/outbound_test.py
@@ -1,9 +1,17 @@
 """Test when connections to upstreams are reused and closed, and how errors differ."""
 
 import asyncio
+import time
+import tracemalloc
 import unittest
 
-from sapphireseam.utils import fakeupstream, outbound
+from sapphireseam.utils import fakeflood, fakeupstream, outbound
+
+HEAD = b"HTTP/1.1 200 OK\r\nFake-Id: r1\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+# What a caller may receive before it closes a connection: its own bounds and the
+# buffers of the sockets.
+ACCEPTED_BYTES = 8 * 1024 * 1024
 
 
 class OutboundTest(unittest.IsolatedAsyncioTestCase):
@@ -103,6 +111,126 @@
         with self.assertRaises(outbound.LeavingError):
             await self.read()
 
+    async def flood(self, start, repeated, pause=0.0, timeout=3.0):
+        """Read an endless answer; return its error, the flood and the seconds."""
+        flood = fakeflood.FakeFlood(start, repeated, pause)
+        await flood.start()
+        self.addAsyncCleanup(flood.stop)
+        self.upstream = flood
+        began = time.monotonic()
+        with self.assertRaises(outbound.OutboundError) as caught:
+            await asyncio.wait_for(self.read(timeout=timeout), 6.0)
+        self.assertFalse(caught.exception.is_not_run)
+        seconds = time.monotonic() - began
+        await asyncio.wait_for(flood.has_closed.wait(), 2.0)
+        return caught.exception, flood, seconds
+
+    async def test_a_body_that_turns_malformed_fails_at_once(self):
+        for garbage in (b"zz\r\n", b"1;\0\r\na\r\n", b"0\r\nA: " + bytes(9000)):
+            with self.subTest(garbage=garbage[:8]):
+                failure, _, seconds = await self.flood(
+                    CHUNKED + b"1\r\na\r\n", garbage, 0.05
+                )
+                self.assertNotIsInstance(failure, outbound.AnswerTimeoutError)
+                self.assertLess(seconds, 1.0)
+
+    async def test_bytes_around_the_body_do_not_go_on_without_end(self):
+        cases = {
+            "blank lines": (b"", b"\r\n"),
+            "status line": (b"HTTP/1.1 200 ", b"x"),
+            "informational answers": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+            "headers": (HEAD, b"A: b\r\n"),
+            "header name": (HEAD, b"A"),
+            "header value": (HEAD + b"A: ", b"b"),
+            "spaces of a header": (HEAD + b"A:", b" "),
+            "chunk size": (CHUNKED, b"0"),
+            "chunk extension": (CHUNKED + b"1;", b"x"),
+            "chunk extensions": (CHUNKED, b"1;%s\r\na\r\n" % (b"x" * 9000)),
+            "chunks of one byte": (CHUNKED, b"1\r\na\r\n"),
+            "trailers": (CHUNKED + b"0\r\n", b"A: b\r\n"),
+        }
+        for name, (start, repeated) in cases.items():
+            with self.subTest(name):
+                failure, flood, seconds = await self.flood(start, repeated)
+                self.assertNotIsInstance(failure, outbound.AnswerTimeoutError)
+                self.assertLess(flood.sent, ACCEPTED_BYTES)
+                self.assertLess(seconds, 1.0)
+
+    async def test_a_head_that_trickles_ends_with_the_timeout(self):
+        failure, _, _ = await self.flood(HEAD, b"A: b\r\n", 0.05, timeout=0.5)
+        self.assertIsInstance(failure, outbound.AnswerTimeoutError)
+
+    async def test_bytes_after_a_whole_answer_close_its_connection(self):
+        whole = HEAD + b"Content-Length: 2\r\n\r\nab"
+        for start, repeated, pause in (
+            (whole, whole, 0.0),
+            (whole, whole, 0.05),
+            (whole, b"\r\n", 0.05),
+            (whole[:-1], b"b" + whole, 0.05),
+            (CHUNKED + b"2\r\nab\r\n", b"0\r\n\r\n" + whole, 0.05),
+        ):
+            flood = fakeflood.FakeFlood(start, repeated, pause)
+            await flood.start()
+            self.addAsyncCleanup(flood.stop)
+            self.upstream = flood
+            with self.subTest(start=start, repeated=repeated, pause=pause):
+                self.assertEqual(await self.read(), b"ab")
+                await asyncio.wait_for(flood.has_closed.wait(), 1.0)
+                self.assertLess(flood.sent, ACCEPTED_BYTES)
+
+    async def read_events(self, id="r1", timeout=None):
+        request = outbound.Outgoing(id, "c", "h", "POST", "/x", (), b"body")
+        sending = self.pool.send(request, self.upstream.instance, timeout)
+        async with sending as answer:
+            return [item async for item in answer.read_events(timeout)]
+
+    async def test_an_event_without_end_fails_its_answer(self):
+        self.read = self.read_events
+        for repeated in (b"x", b"\n", b"\r\n", b"data: x\n"):
+            with self.subTest(repeated=repeated):
+                failure, flood, seconds = await self.flood(HEAD + b"\r\n", repeated)
+                self.assertNotIsInstance(failure, outbound.AnswerTimeoutError)
+                self.assertLess(flood.sent, ACCEPTED_BYTES)
+                self.assertLess(seconds, 1.0)
+
+    async def test_an_event_that_trickles_counts_as_silence(self):
+        self.read = self.read_events
+        start = HEAD + b"\r\nid: 0\ndata: a\n\n"
+        for repeated in (b"x", b"\n"):
+            failure, _, _ = await self.flood(start, repeated, 0.05, timeout=0.5)
+            self.assertIsInstance(failure, outbound.AnswerTimeoutError)
+
+    async def test_many_bodies_without_end_share_one_bound_of_memory(self):
+        flood = fakeflood.FakeFlood(HEAD + b"\r\n", b"x")
+        flood.max_sent = 20 * fakeflood.MAX_SENT_BYTES
+        await flood.start()
+        self.addAsyncCleanup(flood.stop)
+        self.upstream = flood
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+
+        async def read():
+            request = outbound.Outgoing("r1", "c", "h", "POST", "/x", (), b"")
+            async with self.pool.send(request, flood.instance) as answer:
+                await answer.read_all(16 * 1024 * 1024)
+
+        results = await asyncio.gather(
+            *(read() for _ in range(20)), return_exceptions=True
+        )
+        kinds = {type(result) for result in results}
+        self.assertEqual(kinds, {outbound.OutboundError})
+        bound = 2 * outbound.MAX_BUFFERED_BYTES
+        self.assertLess(tracemalloc.get_traced_memory()[1], bound)
+
+    async def test_an_endless_answer_to_an_order_is_no_answer(self):
+        flood = fakeflood.FakeFlood(HEAD + b"\r\n", b"x")
+        await flood.start()
+        self.addAsyncCleanup(flood.stop)
+        order = self.pool.send_order(flood.instance, "GET", "/x", b"", 3.0)
+        self.assertIsNone(await order)
+        await asyncio.wait_for(flood.has_closed.wait(), 1.0)
+        self.assertLess(flood.sent, ACCEPTED_BYTES)
+
 
 if __name__ == "__main__":
     unittest.main()
