Judge crashes of upstreams by traits of the requests that broke

Seen: requests of one kind, no two alike, kept crashing back ends, one after the other. The control VMs know fingerprints only, so they can't recognise the next one.

Change: a crash is reported with the traits of each request that broke (its fingerprint and its prompt parts), and a pure function over a bounded log of crashes decides which trait is the cause, and which are suspects. Verdicts are replicated and come with the mirror.

`holder` names the request, not the attempt: later attempts of it keep its trial.

The decision has no tests of its own yet.

--- a/sapphireseam/control/machine.py
+++ b/sapphireseam/control/machine.py
@@ -13,6 +13,7 @@
 from sapphireseam.control import (
     bulk,
     claim,
+    crash,
     job,
     keyring,
     member,
@@ -60,6 +61,10 @@
     command.SettleClaim: claim.complete,
     command.ReportDeath: claim.record_crash,
     command.ClearSuspects: claim.clear_suspects,
+    command.ReportCrash: crash.report,
+    command.ClearTraits: crash.clear,
+    command.ClaimTrial: crash.claim_trial,
+    command.ReleaseTrial: crash.release_trial,
     command.BeginOrder: order.begin,
     command.FinishOrder: order.finish,
     command.RecordReserves: reserve.apply,
@@ -133,5 +138,5 @@
 
     def restore(self, data: bytes) -> None:
         """Replace the whole state by the state in a snapshot."""
-        self.state = _decoder.decode(data)
+        self.state = record.complete(_decoder.decode(data))
         self._notify(None, None)
--- a/sapphireseam/control/record.py
+++ b/sapphireseam/control/record.py
@@ -11,6 +11,8 @@
 
 from sapphireseam.core.command import LotItem
 from sapphireseam.core.key import Key
+from sapphireseam.core.verdict import Verdict
+from sapphireseam.policy.blame import Cause, Crash, Trial
 from sapphireseam.policy.limit import Reserve
 
 # Values of an item's byte in the marks of its job.
@@ -173,7 +175,11 @@
 
 
 class State(NamedTuple):
-    """The whole replicated state."""
+    """The whole replicated state.
+
+    The fields with defaults are missing from older snapshots; see `complete`. The keys
+    of `crashes` are the runs that ended, and those of the fields after it are traits.
+    """
 
     numbers: dict[str, int]
     texts: dict[str, str]
@@ -194,11 +200,25 @@
     reserves: dict[str, Reserve]
     lots: dict[str, Lot]
     retired: dict[str, str]
+    crashes: dict[str, Crash] = {}
+    causes: dict[str, Cause] = {}
+    verdicts: dict[str, Verdict] = {}
+    trials: dict[str, Trial] = {}
 
 
 def create() -> State:
     """Return the state before the first command."""
-    return State({"revision": 0}, {}, *({} for _ in range(17)))
+    return State({"revision": 0}, {}, *({} for _ in range(21)))
+
+
+def complete(state: State) -> State:
+    """Return a decoded state with its own dictionaries for the missing fields."""
+    return state._replace(
+        crashes=dict(state.crashes),
+        causes=dict(state.causes),
+        verdicts=dict(state.verdicts),
+        trials=dict(state.trials),
+    )
 
 
 def read_revision(state: State) -> int:
--- a/sapphireseam/control/service.py
+++ b/sapphireseam/control/service.py
@@ -45,6 +45,10 @@
     command.SettleClaim: _FLEET,
     command.ReportDeath: _FLEET,
     command.ClearSuspects: _FLEET,
+    command.ReportCrash: _FLEET,
+    command.ClearTraits: _FLEET,
+    command.ClaimTrial: _FLEET,
+    command.ReleaseTrial: _FLEET,
     command.FinishOrder: _FLEET,
 }
 
@@ -133,7 +137,7 @@
                 self._timeline.record("job_accepted", item.job, item.customer, item.key)
             case command.CancelJob():
                 self._timeline.record("job_cancelling", item.job, item.customer)
-            case command.ReportDeath():
+            case command.ReportDeath() | command.ReportCrash():
                 self._timeline.record("upstream_died", item.upstream)
             case command.MarkLeaving():
                 name = "upstream_leaving" if item.leaving else "upstream_back"
--- a/sapphireseam/control/watch.py
+++ b/sapphireseam/control/watch.py
@@ -1,7 +1,7 @@
 """Sends the shared state to every process and renews its lease.
 
 The shared state is the configuration, the keys, the leaving upstreams, and the
-suspect and quarantined requests. A process opens one watch to any control VM. It
+verdicts on traits of requests. A process opens one watch to any control VM. It
 gets the complete state once, then each change when it is applied. A lease is renewed
 only after a read index: a heartbeat round of the leader to a quorum that began after
 the process requested the renewal. Everything that was committed by then is sent
@@ -16,6 +16,7 @@
 from sapphireseam.control import claim, record
 from sapphireseam.control.machine import StateMachine
 from sapphireseam.core import command, error, fleet, message, notice
+from sapphireseam.core.verdict import Verdict
 from sapphireseam.state.replica import Replica
 from sapphireseam.utils import rpc
 from sapphireseam.utils.timeline import Timeline
@@ -56,6 +57,8 @@
         self._last_contact: dict[tuple[str, str], _Contact] = {}
         self._next = 0
         self._document: dict[str, Any] = {}
+        # The verdicts that were sent last.
+        self._verdicts: dict[str, Verdict] = {}
         machine.subscribe(self._send_change)
 
     async def serve(self, first: notice.Watch, stream: rpc.Stream) -> None:
@@ -115,6 +118,7 @@
             tuple(state.leaving),
             claim.list_fingerprints(state, claim.QUARANTINED),
             claim.list_fingerprints(state, claim.SUSPECT),
+            tuple(state.verdicts.values()),
         )
 
     def _send_change(self, item: Any, answer: Any) -> None:
@@ -130,6 +134,7 @@
         match item:
             case None:
                 self._document = record.decode_document(record.read_document(state))
+                self._verdicts = dict(state.verdicts)
                 return self._describe_state()
             case command.Publish() | command.PublishNumbered():
                 return self._describe_publish()
@@ -141,8 +146,20 @@
                 return self._describe_verdicts(item)
             case command.ClearSuspects():
                 return notice.VerdictChange((), (), item.fingerprints)
+            case command.ReportCrash() | command.ClearTraits() | command.ClaimTrial():
+                return self._describe_judgement()
         return None
 
+    def _describe_judgement(self) -> notice.VerdictChange | None:
+        """Return the verdicts that changed since the last ones were sent."""
+        former, verdicts = self._verdicts, self._machine.state.verdicts
+        changed = tuple(v for v in verdicts.values() if former.get(v.trait) != v)
+        cleared = tuple(trait for trait in former if trait not in verdicts)
+        self._verdicts = dict(verdicts)
+        if not changed and not cleared:
+            return None
+        return notice.VerdictChange((), (), cleared, changed)
+
     def _describe_publish(self) -> notice.FleetChange:
         state = self._machine.state
         document = record.decode_document(record.read_document(state))
--- a/sapphireseam/core/command.py
+++ b/sapphireseam/core/command.py
@@ -220,6 +220,46 @@
     fingerprints: tuple[str, ...]
 
 
+class ReportCrash(NamedTuple):
+    """Record that a run of an upstream ended while it ran these requests.
+
+    `run` is the same in all reports of one crash. `requests` holds the traits of each
+    request that broke and wasn't proven sound.
+    """
+
+    request: str
+    upstream: str
+    run: str
+    requests: tuple[tuple[str, ...], ...]
+    at: float
+
+
+class ClearTraits(NamedTuple):
+    """Clear traits of requests that were proven sound."""
+
+    traits: tuple[str, ...]
+    at: float = 0.0
+
+
+class ClaimTrial(NamedTuple):
+    """Claim the only run of requests with these traits that are suspects.
+
+    The answer is `Done` with the number of suspects, or `Refused` if a trait is a cause
+    or another holder has its trial. A holder that claims again keeps its trial.
+    """
+
+    request: str
+    traits: tuple[str, ...]
+    holder: str
+    at: float
+
+
+class ReleaseTrial(NamedTuple):
+    """End the trials of a holder that neither crashed nor was proven sound."""
+
+    holder: str
+
+
 class MarkLeaving(NamedTuple):
     """Add an upstream to the list of leaving upstreams, or remove it."""
 
@@ -397,6 +437,10 @@
     SettleClaim,
     ReportDeath,
     ClearSuspects,
+    ReportCrash,
+    ClearTraits,
+    ClaimTrial,
+    ReleaseTrial,
     MarkLeaving,
     IssueOrder,
     BeginOrder,
--- a/sapphireseam/core/notice.py
+++ b/sapphireseam/core/notice.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from sapphireseam.core.key import Key
+from sapphireseam.core.verdict import Verdict
 
 
 class Watch(NamedTuple):
@@ -43,6 +44,7 @@
     leaving: tuple[str, ...]
     quarantined: tuple[str, ...]
     suspects: tuple[str, ...] = ()
+    verdicts: tuple[Verdict, ...] = ()
 
 
 class FleetChange(NamedTuple):
@@ -66,11 +68,16 @@
 
 
 class VerdictChange(NamedTuple):
-    """Send fingerprints that became suspects, were quarantined or were cleared."""
+    """Send the traits whose verdict changed.
+
+    `suspects` and `quarantined` hold fingerprints of old reports. `cleared` ones have
+    no verdict any more.
+    """
 
     suspects: tuple[str, ...]
     quarantined: tuple[str, ...]
     cleared: tuple[str, ...] = ()
+    verdicts: tuple[Verdict, ...] = ()
 
 
 MESSAGES = (
--- a/sapphireseam/utils/mirror.py
+++ b/sapphireseam/utils/mirror.py
@@ -1,7 +1,7 @@
 """Mirrors the shared state of the control VMs in a process, under a lease.
 
 The shared state is the configuration, the keys, the leaving upstreams, and the
-suspect and quarantined requests. The mirror keeps one watch open to any control
+verdicts on traits of requests. The mirror keeps one watch open to any control
 VM and connects to the next one if that VM sends nothing for `SILENCE_SECONDS`.
 
 `is_confirmed` is true only while the lease is valid. A quorum renews the lease.
@@ -20,7 +20,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from sapphireseam.core import error, fleet, key, message, notice
+from sapphireseam.core import error, fleet, key, message, notice, verdict
 from sapphireseam.utils import broadcast, metric, rpc
 from sapphireseam.utils.application import TaskGroup
 from sapphireseam.utils.client import ControlClient
@@ -55,6 +55,7 @@
         self.leaving: set[str] = set()
         self.quarantined: set[str] = set()
         self.suspects: set[str] = set()
+        self.verdicts: dict[str, verdict.Verdict] = {}
         self._document: dict[str, Any] = {}
         self._node = node
         self._program = program
@@ -213,10 +214,14 @@
         self.leaving = set(item.leaving)
         self.quarantined = set(item.quarantined)
         self.suspects = set(item.suspects)
+        self.verdicts = {each.trait: each for each in item.verdicts}
         self._apply_configuration(item.revision, json.loads(item.document))
 
     def _apply_verdicts(self, item: notice.VerdictChange) -> None:
-        """Update the sets of requests that crash upstreams or are suspected of it."""
+        """Update the verdicts on requests under which upstreams crashed."""
+        for trait in item.cleared:
+            self.verdicts.pop(trait, None)
+        self.verdicts.update((each.trait, each) for each in item.verdicts)
         self.suspects.update(item.suspects)
         self.suspects.difference_update(item.cleared, item.quarantined)
         self.quarantined.update(item.quarantined)
