Let the leader set the times of crash reports, and weigh proofs and repeats

Cause: a part that only one suspect at a time may carry is seldom proven; retries of one request counted as several strikes against its parts; and two entries' clocks may be 5 s apart, so that simultaneous crashes don't look simultaneous.

Change: strikes against a part proven sound within the last minute count half, a request counts once against its parts, a cause found again keeps only the company that both times have in common, and the leader stamps the commands whose times are compared.

--- a/sapphireseam/control/application.py
+++ b/sapphireseam/control/application.py
@@ -367,6 +367,7 @@
         rate_limits,
         hub,
         timeline,
+        timer,
     )
 
     def is_operator(text: str) -> bool:
--- a/sapphireseam/control/crash.py
+++ b/sapphireseam/control/crash.py
@@ -10,6 +10,8 @@
 
 # Maximum number of traits of one request that are considered, its fingerprint first.
 TRAIT_LIMIT = 32
+# Maximum number of parts that are remembered as proven sound.
+PROOF_LIMIT = 10_000
 # A trial is over after this long, if its holder ended without a word.
 TRIAL_SECONDS = 5.0
 
@@ -50,7 +52,13 @@
         state.causes.pop(name, None)
         state.trials.pop(name, None)
     newest = max((crash.at for crash in state.crashes.values()), default=0.0)
-    _judge(state, max(item.at, newest))
+    now = max(item.at, newest)
+    for name in filter(trait.is_part, item.traits):
+        state.proofs.pop(name, None)
+        state.proofs[name] = now
+    while len(state.proofs) > PROOF_LIMIT:
+        del state.proofs[next(iter(state.proofs))]
+    _judge(state, now)
     return outcome.Done("", len(cleared))
 
 
@@ -59,7 +67,10 @@
     kept = blame.limit_log(state.crashes.values(), now)
     state.crashes.clear()
     state.crashes.update((crash.run, crash) for crash in kept)
-    causes, verdicts = blame.judge(kept, state.causes, now)
+    for name, at in list(state.proofs.items()):
+        if now - at >= blame.LOG_SECONDS:
+            del state.proofs[name]
+    causes, verdicts = blame.judge(kept, state.causes, state.proofs.keys(), now)
     state.causes.clear()
     state.causes.update(causes)
     state.verdicts.clear()
--- a/sapphireseam/control/record.py
+++ b/sapphireseam/control/record.py
@@ -204,11 +204,12 @@
     causes: dict[str, Cause] = {}
     verdicts: dict[str, Verdict] = {}
     trials: dict[str, Trial] = {}
+    proofs: dict[str, float] = {}
 
 
 def create() -> State:
     """Return the state before the first command."""
-    return State({"revision": 0}, {}, *({} for _ in range(21)))
+    return State({"revision": 0}, {}, *({} for _ in range(22)))
 
 
 def complete(state: State) -> State:
@@ -218,6 +219,7 @@
         causes=dict(state.causes),
         verdicts=dict(state.verdicts),
         trials=dict(state.trials),
+        proofs=dict(state.proofs),
     )
 
 
--- a/sapphireseam/control/service.py
+++ b/sapphireseam/control/service.py
@@ -18,6 +18,7 @@
 from sapphireseam.utils import rpc
 from sapphireseam.utils.rpc import Role
 from sapphireseam.utils.timeline import Timeline
+from sapphireseam.utils.timer import TimerService
 
 _FLEET = frozenset({Role.FLEET})
 _OPERATOR = frozenset({Role.OPERATOR})
@@ -51,6 +52,9 @@
     command.ReleaseTrial: _FLEET,
     command.FinishOrder: _FLEET,
 }
+# Times of these commands are compared with each other, and the clocks of the VMs that
+# send them differ. So the leader sets them.
+_TIMED_BY_LEADER = (command.ReportCrash, command.ClearTraits, command.ClaimTrial)
 
 
 class ControlService:
@@ -67,6 +71,7 @@
         rate_limits: RateLimitService,
         hub: WatchHub,
         timeline: Timeline,
+        timer: TimerService,
     ):
         self._node = node
         self._replica = replica
@@ -77,6 +82,7 @@
         self._rate_limits = rate_limits
         self._hub = hub
         self._timeline = timeline
+        self._timer = timer
 
     def register(self, server: rpc.Server) -> None:
         """Register the calls that this service answers."""
@@ -116,7 +122,11 @@
             raise error.AccessError(
                 f"the caller's role may not propose {name}", error.Kind.FORBIDDEN
             )
-        answer = await self._replica.propose(request.command)
+        packed = request.command
+        if isinstance(item, _TIMED_BY_LEADER):
+            item = item._replace(at=self._timer.read_wall_clock())
+            packed = command.REGISTRY.encode(item)
+        answer = await self._replica.propose(packed)
         self._record_event(item, answer)
         if isinstance(item, command.CancelJob) and isinstance(answer, outcome.Done):
             await self._dispatcher.wait_cancelled(item.job)
--- a/sapphireseam/core/command.py
+++ b/sapphireseam/core/command.py
@@ -223,6 +223,7 @@
 class ReportCrash(NamedTuple):
     """Record that a run of an upstream ended while it ran these requests.
 
+    The leader sets `at` in this command and the two after it.
     `run` is the same in all reports of one crash. `requests` holds the traits of each
     request that broke and wasn't proven sound.
     """
--- a/sapphireseam/policy/blame.py
+++ b/sapphireseam/policy/blame.py
@@ -12,7 +12,7 @@
 counts against nobody else.
 """
 
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Collection, Iterable, Iterator, Mapping
 from itertools import chain
 from typing import NamedTuple
@@ -32,6 +32,8 @@
 PART_STRIKES = 3
 SUSPECT_FINGERPRINT_STRIKES = 1
 SUSPECT_PART_STRIKES = 2
+# Strikes against a part that was proven sound a short time ago count as one.
+PROVEN_STRIKES = 2
 # How long a cause is refused at first. Each time it is found again, this doubles.
 FIRST_REFUSAL_SECONDS = 60.0
 MAX_REFUSAL_SECONDS = 3600.0
@@ -94,18 +96,27 @@
 
 
 def judge(
-    crashes: Collection[Crash], causes: Mapping[str, Cause], now: float
+    crashes: Collection[Crash],
+    causes: Mapping[str, Cause],
+    proven: Collection[str],
+    now: float,
 ) -> tuple[dict[str, Cause], list[Verdict]]:
-    """Return the causes and the verdicts after these crashes, the oldest first."""
+    """Return the causes and the verdicts after these crashes, the oldest first.
+
+    `proven` holds the parts that were proven sound a short time ago.
+    """
     settled, fresh = _split_causes(causes, now)
     found: dict[str, Cause] = {}
     while True:
-        tally = _count_strikes(crashes, settled, found)
+        tally = _count_strikes(crashes, settled, found, proven)
         pair = _find_cause(tally, found)
         if pair is None:
             break
         name, company = pair
-        cause = fresh.get(name) or _make_cause(settled.get(name), now)
+        former = settled.get(name)
+        if former is not None:
+            company = tuple(each for each in company if each in former.company)
+        cause = fresh.get(name) or _make_cause(former, now)
         found[name] = cause._replace(company=company)
     known = _limit_causes(settled | found)
     verdicts = [
@@ -163,7 +174,10 @@
 
 
 def _count_strikes(
-    crashes: Iterable[Crash], settled: Mapping[str, Cause], found: Mapping[str, Cause]
+    crashes: Iterable[Crash],
+    settled: Mapping[str, Cause],
+    found: Mapping[str, Cause],
+    proven: Collection[str],
 ) -> _Tally:
     """Count the strikes of the crashes that no cause explains.
 
@@ -171,6 +185,7 @@
     """
     causes = {**settled, **found}
     tally = _Tally(Counter(), {})
+    sources: dict[str, set[tuple[str, ...]]] = defaultdict(set)
     for event in _group_events(_list_unexplained(crashes, causes)):
         had = Counter(name for _, names in event for name in names)
         tried = Counter(
@@ -181,11 +196,23 @@
                 tally.strikes[name] += tried[name] + (count > tried[name])
         for crash, names in event:
             tally.newest.update(dict.fromkeys(names, crash))
+            for each in crash.requests:
+                for name in names.intersection(each):
+                    sources[name].add(_identify(each))
+    for name in filter(trait.is_part, tally.strikes):
+        tally.strikes[name] = min(tally.strikes[name], len(sources[name]))
+        if name in proven:
+            tally.strikes[name] //= PROVEN_STRIKES
     for name in tally.strikes.keys() & settled.keys():
         tally.strikes[name] += _count_to_find(name) - 1
     return tally
 
 
+def _identify(request: tuple[str, ...]) -> tuple[str, ...]:
+    """Return the fingerprint of a request, or all of its traits without one."""
+    return tuple(name for name in request if not trait.is_part(name)) or request
+
+
 def _list_unexplained(
     crashes: Iterable[Crash], causes: Mapping[str, Cause]
 ) -> Iterator[tuple[Crash, set[str]]]:
@@ -239,7 +266,7 @@
     candidates = [
         name
         for name, count in strikes.items()
-        if count >= _count_to_find(name) and name not in found
+        if name not in found and count >= _count_to_find(name)
     ]
     # Of equals, a fingerprint is more specific than a part.
     candidates.sort(key=lambda name: (-strikes[name], trait.is_part(name), name))
