Refuse the parts that are left to explain a crash together

A new test found that after a rare sound part and a bad one always came together, requests with the rare part alone ran unwatched, and the bad part alone was admitted after the rare one was proven sound. A judgement of 2048 traits took 0.28 s on the leader.

Cause: only one of two equal parts became a cause; the other had no verdict, so its proof was never sent. The identity of a request was computed again for each trait.

Change: parts that can't be told apart become causes that are refused only together; requests with one of them are tried. A repeated request is compared with the crashes of others, not with their strikes, which one event merges. The log holds 5000 traits.

--- a/sapphireseam/policy/blame.py
+++ b/sapphireseam/policy/blame.py
@@ -24,7 +24,7 @@
 LOG_SECONDS = 60.0
 # Maximum number of crashes in the log, and of the traits in all of them.
 LOG_LIMIT = 64
-TRAIT_LIMIT = 20_000
+TRAIT_LIMIT = 5000
 # Crashes that are reported within this time may have one cause outside.
 EVENT_SECONDS = 0.5
 # Strikes from which a trait can be a cause, and those from which it is a suspect.
@@ -116,8 +116,11 @@
         former = settled.get(name)
         if former is not None:
             company = tuple(each for each in company if each in former.company)
-        cause = fresh.get(name) or _make_cause(former, now)
-        found[name] = cause._replace(company=company)
+        # What is in its company may be the cause instead, so it is treated alike.
+        for member in (name, *company):
+            others = sorted({name, *company} - {member})
+            cause = fresh.get(member) or _make_cause(settled.get(member), now)
+            found[member] = cause._replace(company=tuple(others))
     known = _limit_causes(settled | found)
     verdicts = [
         Verdict(name, True, cause.until, cause.company) for name, cause in known.items()
@@ -131,9 +134,10 @@
 
 
 class _Tally(NamedTuple):
-    """The strikes against each trait, and the newest crash that counted."""
+    """The strikes against each trait, its crashes, and the newest of them."""
 
     strikes: Counter[str]
+    crashes: Counter[str]
     newest: dict[str, Crash]
 
 
@@ -184,7 +188,7 @@
     A settled cause needs one strike since it was found to be found again.
     """
     causes = {**settled, **found}
-    tally = _Tally(Counter(), {})
+    tally = _Tally(Counter(), Counter(), {})
     sources: dict[str, set[tuple[str, ...]]] = defaultdict(set)
     for event in _group_events(_list_unexplained(crashes, causes)):
         had = Counter(name for _, names in event for name in names)
@@ -194,11 +198,13 @@
         for name, count in had.items():
             if 2 * count > len(event):
                 tally.strikes[name] += tried[name] + (count > tried[name])
+        tally.crashes.update(had)
         for crash, names in event:
             tally.newest.update(dict.fromkeys(names, crash))
             for each in crash.requests:
+                identity = _identify(each)
                 for name in names.intersection(each):
-                    sources[name].add(_identify(each))
+                    sources[name].add(identity)
     for name in filter(trait.is_part, tally.strikes):
         tally.strikes[name] = min(tally.strikes[name], len(sources[name]))
         if name in proven:
@@ -274,7 +280,9 @@
         requests = tally.newest[name].requests
         mates = {other for each in requests if name in each for other in each}
         rivals = {other for each in requests for other in each} - mates
-        if all(strikes[rival] < strikes[name] for rival in rivals):
+        # A repeated request has few strikes, which others get in one event as well.
+        counts = strikes if trait.is_part(name) else tally.crashes
+        if all(counts[rival] < strikes[name] for rival in rivals):
             return name, _list_company(name, mates, strikes)
     return None
 
