Answer a quarantined request with 503 and Retry-After

Seen: a request that is refused because upstreams crashed under it got 422, as if the caller had to change it.

Change: the kind answers 503 with Retry-After; the gate sets what is left of the refusal.

--- a/sapphireseam/core/error.py
+++ b/sapphireseam/core/error.py
@@ -76,7 +76,7 @@
     Kind.DEADLINE_EXCEEDED: Answer(504, _SERVER, False),
     Kind.OUTCOME_UNKNOWN: Answer(502, _SERVER, False),
     Kind.UPSTREAM_FAILED: Answer(502, _SERVER, False, 1),
-    Kind.REQUEST_QUARANTINED: Answer(422, _INVALID, True),
+    Kind.REQUEST_QUARANTINED: Answer(503, _SERVER, True, 1),
     Kind.CANCELLED: Answer(499, _INVALID, False),
     Kind.STORAGE_FAILED: Answer(503, _SERVER, False, 5),
     Kind.INTERNAL: Answer(500, _SERVER, False),
--- a/sapphireseam/tools/page.py
+++ b/sapphireseam/tools/page.py
@@ -102,9 +102,9 @@
         "Retry if it may run twice; operators check the upstream.",
     ),
     Kind.REQUEST_QUARANTINED: (
-        "This request crashed upstreams and is refused everywhere. Items of batch jobs"
-        " never are.",
-        "Change the request; operators find out why it crashes the engine.",
+        "Upstreams crashed under requests with this fingerprint or prompt part. Items"
+        " of batch jobs are never refused.",
+        "Retry after `Retry-After`; operators find out what crashes the engine.",
     ),
     Kind.CANCELLED: (
         "The caller disconnected or the job was cancelled.",
