--- a/sapphireseam/entry/quarantine.py
+++ b/sapphireseam/entry/quarantine.py
@@ -23,8 +23,9 @@
 CLAIM_PAUSE_SECONDS = 0.25
 # Timeout of a claim.
 CLAIM_SECONDS = 1.0
-# A trait that was proven sound this long before it became a suspect is cleared at once.
-SOUND_SECONDS = 1.0
+# A new suspect that was proven sound within this time is cleared, once for each proof:
+# a part that begins to crash upstreams must not be cleared again and again.
+SOUND_SECONDS = 10.0
 # Maximum number of traits remembered as sound.
 SOUND_LIMIT = 10_000
 
@@ -146,13 +147,9 @@
     def _update(self) -> None:
         """Clear new suspects that were proven sound just before."""
         verdicts = self._mirror.verdicts
+        changed = [t for t, found in verdicts.items() if self._verdicts.get(t) != found]
         oldest = self._timer.read_clock() - SOUND_SECONDS
-        self._clear(
-            trait
-            for trait, found in verdicts.items()
-            if self._verdicts.get(trait) != found
-            and self._sound_times.get(trait, oldest) > oldest
-        )
+        self._clear(t for t in changed if self._sound_times.pop(t, oldest) > oldest)
         self._verdicts = dict(verdicts)
         self._changed.notify()
 
