--- a/sapphireseam/control/service.py
+++ b/sapphireseam/control/service.py
@@ -18,6 +18,7 @@
 from sapphireseam.utils import rpc
 from sapphireseam.utils.rpc import Role
 from sapphireseam.utils.timeline import Timeline
+from sapphireseam.utils.timer import TimerService
 
 _FLEET = frozenset({Role.FLEET})
 _OPERATOR = frozenset({Role.OPERATOR})
@@ -45,8 +46,15 @@
     command.SettleClaim: _FLEET,
     command.ReportDeath: _FLEET,
     command.ClearSuspects: _FLEET,
+    command.ReportCrash: _FLEET,
+    command.ClearTraits: _FLEET,
+    command.ClaimTrial: _FLEET,
+    command.ReleaseTrial: _FLEET,
     command.FinishOrder: _FLEET,
 }
+# Times of these commands are compared with each other, and the clocks of the VMs that
+# send them differ. So the leader sets them.
+_TIMED_BY_LEADER = (command.ReportCrash, command.ClearTraits, command.ClaimTrial)
 
 
 class ControlService:
@@ -63,6 +71,7 @@
         rate_limits: RateLimitService,
         hub: WatchHub,
         timeline: Timeline,
+        timer: TimerService,
     ):
         self._node = node
         self._replica = replica
@@ -73,6 +82,7 @@
         self._rate_limits = rate_limits
         self._hub = hub
         self._timeline = timeline
+        self._timer = timer
 
     def register(self, server: rpc.Server) -> None:
         """Register the calls that this service answers."""
@@ -112,7 +122,11 @@
             raise error.AccessError(
                 f"the caller's role may not propose {name}", error.Kind.FORBIDDEN
             )
-        answer = await self._replica.propose(request.command)
+        packed = request.command
+        if isinstance(item, _TIMED_BY_LEADER):
+            item = item._replace(at=self._timer.read_wall_clock())
+            packed = command.REGISTRY.encode(item)
+        answer = await self._replica.propose(packed)
         self._record_event(item, answer)
         if isinstance(item, command.CancelJob) and isinstance(answer, outcome.Done):
             await self._dispatcher.wait_cancelled(item.job)
@@ -133,7 +147,7 @@
                 self._timeline.record("job_accepted", item.job, item.customer, item.key)
             case command.CancelJob():
                 self._timeline.record("job_cancelling", item.job, item.customer)
-            case command.ReportDeath():
+            case command.ReportDeath() | command.ReportCrash():
                 self._timeline.record("upstream_died", item.upstream)
             case command.MarkLeaving():
                 name = "upstream_leaving" if item.leaving else "upstream_back"
