Tell a connection that an upstream ended from other failures of an answer

What callers saw: nothing yet; but a crash of an upstream couldn't be told from a timeout, an unreachable upstream or a malformed answer, since each was the same OutboundError.

Change: BrokenError is raised if the upstream closed or reset the connection before its answer was complete. The framing records who ended a connection: the peer, this process (after a malformed answer), or the network, when the peer became unreachable.

Evidence: outbound_test fails before the change for lack of the class; after it outbound_test and framing_test pass (13 tests, on both event loops where they use them).

--- a/sapphireseam/utils/framing.py
+++ b/sapphireseam/utils/framing.py
@@ -11,6 +11,7 @@
 
 import asyncio
 import enum
+import errno
 import functools
 import socket
 import struct
@@ -22,6 +23,8 @@
 
 # The value of SO_LINGER with which a close resets the connection.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+# Errors of a connection whose peer can't be reached. They don't come from the peer.
+_UNREACHABLE = frozenset({errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH})
 
 
 class Framing(enum.StrEnum):
@@ -33,11 +36,20 @@
 
 
 class ConnectionEnd(enum.StrEnum):
-    """How the connection of an answer has ended, if it has."""
+    """How the connection of an answer has ended, if it has.
+
+    The peer has closed or reset it, this process has dropped it, or the peer became
+    unreachable.
+    """
 
     OPEN = "open"
     CLOSED = "closed"
     RESET = "reset"
+    DROPPED = "dropped"
+    UNREACHABLE = "unreachable"
+
+
+_FAILED_ENDS = (ConnectionEnd.RESET, ConnectionEnd.UNREACHABLE)
 
 
 class _Protocol(ResponseHandler):
@@ -49,16 +61,16 @@
 
     def eof_received(self) -> None:
         """Record the end of the received data."""
-        if self.transport is not None and has_pending_error(self.transport):
-            self.end = ConnectionEnd.RESET
+        is_reset = self.transport is not None and has_pending_error(self.transport)
+        self.end = ConnectionEnd.RESET if is_reset else ConnectionEnd.CLOSED
         super().eof_received()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Record the end of the connection."""
         if exc is not None:
-            self.end = ConnectionEnd.RESET
+            self.end = classify_error(exc)
         elif self.end is ConnectionEnd.OPEN:
-            self.end = ConnectionEnd.CLOSED
+            self.end = ConnectionEnd.DROPPED
         super().connection_lost(exc)
 
 
@@ -80,8 +92,8 @@
 
     def check_complete(self) -> None:
         """Raise `ClientPayloadError` if the body that was read isn't complete."""
-        is_reset = self.connection_end is ConnectionEnd.RESET
-        if is_reset and self.framing is Framing.CONNECTION:
+        has_failed = self.connection_end in _FAILED_ENDS
+        if has_failed and self.framing is Framing.CONNECTION:
             raise aiohttp.ClientPayloadError("the connection was reset")
 
     @property
@@ -123,6 +135,13 @@
     )
 
 
+def classify_error(failure: BaseException) -> ConnectionEnd:
+    """Return how a connection has ended that raised this error."""
+    if isinstance(failure, OSError) and failure.errno in _UNREACHABLE:
+        return ConnectionEnd.UNREACHABLE
+    return ConnectionEnd.RESET
+
+
 def has_pending_error(transport: asyncio.BaseTransport) -> bool:
     """Return whether a connection whose end was reported has failed instead.
 
--- a/sapphireseam/utils/outbound.py
+++ b/sapphireseam/utils/outbound.py
@@ -35,6 +35,16 @@
 FAILURE_STATUS = 400
 
 
+# Errors of a connection that ends before the head of an answer is complete.
+_BROKEN_ERRORS = (
+    aiohttp.ServerDisconnectedError,
+    aiohttp.ClientOSError,
+    ConnectionError,
+)
+# Ends of a connection that come from the upstream.
+_BROKEN_ENDS = (framing.ConnectionEnd.CLOSED, framing.ConnectionEnd.RESET)
+
+
 class Outgoing(NamedTuple):
     """A request to an upstream.
 
@@ -114,7 +124,15 @@
     """The request wasn't sent, because its upstream has said that it is leaving."""
 
 
-class EmptyAnswerError(OutboundError):
+class BrokenError(OutboundError):
+    """The upstream ended the connection before its answer was complete.
+
+    A timeout, a refusal, an unreachable upstream or a malformed answer is no such
+    error.
+    """
+
+
+class EmptyAnswerError(BrokenError):
     """A stream ended with its connection before its first event.
 
     The upstream may have closed the connection early, or had nothing left to send.
@@ -133,6 +151,16 @@
         self._response = response
         self._received = 0
 
+    @property
+    def has_marked_end(self) -> bool:
+        """Whether the end of the body is marked by its length or its last chunk."""
+        return self._response.framing is not framing.Framing.CONNECTION
+
+    def _make_end_error(self, text: str) -> OutboundError:
+        if self._response.connection_end in _BROKEN_ENDS:
+            return BrokenError(text, False)
+        return OutboundError(text, False)
+
     def describe(self) -> dict[str, object]:
         """Return how the body is framed, the bytes read of it and its end."""
         return {
@@ -158,7 +186,7 @@
             ) from None
         except (aiohttp.ClientError, OSError) as failure:
             text = f"the answer ended early: {type(failure).__name__}"
-            raise OutboundError(text, False) from None
+            raise self._make_end_error(text) from None
         self._received += len(data)
         return data
 
@@ -178,7 +206,7 @@
                 has_begun = True
                 yield events
         if splitter.has_incomplete_event:
-            raise OutboundError("the answer ended inside an event", False)
+            raise self._make_end_error("the answer ended inside an event")
         if not has_begun and self._response.framing is framing.Framing.CONNECTION:
             raise EmptyAnswerError("the answer ended before its first event", False)
 
@@ -334,6 +362,11 @@
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as e:
             text = f"can't connect: {type(e).__name__}"
             raise OutboundError(text, True) from None
+        except _BROKEN_ERRORS as failure:
+            text = f"no answer: {type(failure).__name__}"
+            if framing.classify_error(failure) is framing.ConnectionEnd.UNREACHABLE:
+                raise OutboundError(text, False) from None
+            raise BrokenError(text, False) from None
         except (aiohttp.ClientError, OSError) as failure:
             text = f"no answer: {type(failure).__name__}"
             raise OutboundError(text, False) from None
--- a/sapphireseam/utils/outbound_test.py
+++ b/sapphireseam/utils/outbound_test.py
@@ -3,7 +3,7 @@
 import asyncio
 import unittest
 
-from sapphireseam.utils import fakeupstream, outbound
+from sapphireseam.utils import fakeupstream, framing, outbound
 
 
 class OutboundTest(unittest.IsolatedAsyncioTestCase):
@@ -56,6 +56,60 @@
             await self.read()
         self.assertFalse(caught.exception.is_not_run)
 
+    async def read_raw(self, answer, resets=False, timeout=None):
+        """Read the events of an answer that a server sends before it ends."""
+
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(answer)
+            await writer.drain()
+            if timeout is not None:
+                await reader.read()
+            if resets:
+                await asyncio.sleep(0.01)
+                framing.break_off(writer.transport)
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        instance = self.upstream.instance._replace(address=address)
+        request = outbound.Outgoing("r1", "c", "h", "GET", "/x", (), b"")
+        with self.assertRaises(outbound.OutboundError) as caught:
+            async with self.pool.send(request, instance, timeout) as received:
+                async for _ in received.read_events(timeout):
+                    pass
+        return isinstance(caught.exception, outbound.BrokenError)
+
+    async def test_only_an_end_of_the_connection_by_the_upstream_is_a_break(self):
+        head = b"HTTP/1.1 200 OK\r\nFake-Id: r1\r\n"
+        length = head + b"Content-Length: 19\r\n\r\n"
+        chunks = head + b"Transfer-Encoding: chunked\r\n\r\n"
+        for answer in (
+            b"",
+            b"HTTP/1.1 200",
+            length + b"id: 0\n",
+            chunks,
+            chunks + b"6\r\nid: 0\n\r\n",
+            chunks + b"6\r\nid:",
+            head + b"\r\n",
+            head + b"\r\nid: 0\ndata: x\n",
+        ):
+            for resets in (False, True):
+                with self.subTest(answer=answer, resets=resets):
+                    self.assertTrue(await self.read_raw(answer, resets))
+        for answer in (
+            b"HTTP/1.1 zero\r\n\r\n",
+            b"what is this\r\n\r\n",
+            chunks + b"zz\r\nid: 0\n\r\n",
+            length + b"id: 0\ndata: unended",
+        ):
+            with self.subTest(answer=answer):
+                self.assertFalse(await self.read_raw(answer))
+        for answer in (b"", chunks):
+            with self.subTest(answer=answer, is_silent=True):
+                self.assertFalse(await self.read_raw(answer, timeout=0.05))
+
     async def test_refused_connection_means_not_run(self):
         instance = self.upstream.instance
         await self.upstream.stop()
