Judge crashes of upstreams in one detector that any process can use

What callers saw: requests to upstreams that reset some plain answers but never went down were refused for good, since an agent took each lone break for a crash.

Cause: the agent judged a crash only by the other work that ran. A break under a lone request always was one.

Change: the detector moves from the agent to utils, tracks the open exchanges with each run of an upstream, and asks whether the upstream still accepts a connection before it calls a break a crash. It sends ReportCrash with the traits of each broken request that wasn't proven sound; items have no traits. A caller of a proven stream doesn't wait. The agent's scheduler refuses queued requests by the verdicts and runs alone only what holds a trial.

--- a/sapphireseam/agent/application.py
+++ b/sapphireseam/agent/application.py
@@ -4,7 +4,6 @@
 from typing import NamedTuple
 
 from sapphireseam.agent import engine
-from sapphireseam.agent.crash import CrashDetector
 from sapphireseam.agent.item import ItemRunner
 from sapphireseam.agent.order import OrderRunner
 from sapphireseam.agent.scheduler import Scheduler
@@ -14,6 +13,7 @@
 from sapphireseam.utils import metric, rpc
 from sapphireseam.utils.application import Application
 from sapphireseam.utils.client import ControlClient
+from sapphireseam.utils.crash import CrashDetector
 from sapphireseam.utils.mirror import Mirror
 from sapphireseam.utils.probe import Probe
 from sapphireseam.utils.rpc import Role
@@ -129,9 +129,8 @@
     upstream = engine.UpstreamClient(settings.upstream, timer)
     work_queue = registry.build({}, "queue")
     admission_policy = registry.build({}, "admission")
-    crash_detector = CrashDetector(settings.upstream, mirror, client, timeline, timer)
-    scheduler = Scheduler(work_queue, admission_policy, crash_detector, timer)
-    crash_detector.list_running = scheduler.list_running
+    crash_detector = CrashDetector(mirror, client, timeline, timer, upstream.has_ended)
+    scheduler = Scheduler(work_queue, admission_policy, mirror, timer)
     ConfigurationFollower(settings.upstream, mirror, upstream, scheduler)
     entry_server = EntryServer(upstream, scheduler, crash_detector, timeline, timer)
     item_runner = ItemRunner(
--- a/sapphireseam/agent/engine.py
+++ b/sapphireseam/agent/engine.py
@@ -17,7 +17,7 @@
 import yarl
 
 from sapphireseam.core import error, exchange
-from sapphireseam.utils import framing
+from sapphireseam.utils import crash, framing
 from sapphireseam.utils.application import TaskGroup
 from sapphireseam.utils.timer import TimerService, run_periodically, wait_for
 
@@ -105,6 +105,11 @@
         except (aiohttp.ClientError, TimeoutError, OSError):
             return False
 
+    async def has_ended(self, run: crash.Run) -> bool:
+        """Return whether the upstream accepts no connection any more."""
+        address = self._base_url.removeprefix("http://")
+        return not address or not await crash.can_connect(address)
+
     async def _get_health(self) -> bool:
         async with self._session.get(self._base_url + HEALTH_PATH) as response:
             return response.status < 500
--- a/sapphireseam/agent/fake.py
+++ b/sapphireseam/agent/fake.py
@@ -6,6 +6,7 @@
 
 from sapphireseam.agent import engine
 from sapphireseam.core import exchange
+from sapphireseam.utils import crash
 
 
 class FakeExchange:
@@ -51,8 +52,13 @@
     def __init__(self, name: str = "u"):
         self.name = name
         self.healthy = True
+        self.is_down = True
         self.exchanges: list[FakeExchange] = []
 
+    async def has_ended(self, run: crash.Run) -> bool:
+        """Return the value that the test set."""
+        return self.is_down
+
     @property
     def open(self) -> list[FakeExchange]:
         """Return the exchanges that are not closed."""
--- a/sapphireseam/agent/item.py
+++ b/sapphireseam/agent/item.py
@@ -13,10 +13,10 @@
 from collections.abc import Awaitable, Callable
 
 from sapphireseam.agent import engine
-from sapphireseam.agent.crash import CrashDetector
 from sapphireseam.agent.itemwork import ItemLease, ItemWork
 from sapphireseam.agent.scheduler import Scheduler
 from sapphireseam.core import command, error, message
+from sapphireseam.utils import crash
 from sapphireseam.utils.application import TaskGroup
 from sapphireseam.utils.client import ControlClient
 from sapphireseam.utils.mirror import Mirror
@@ -46,7 +46,7 @@
         node: str,
         upstream: engine.UpstreamClient,
         scheduler: Scheduler,
-        crash_detector: CrashDetector,
+        crash_detector: crash.CrashDetector,
         mirror: Mirror,
         client: ControlClient,
         timeline: Timeline,
--- a/sapphireseam/agent/item_test.py
+++ b/sapphireseam/agent/item_test.py
@@ -7,13 +7,13 @@
 from unittest import mock
 
 from sapphireseam.agent import item as items, itemwork
-from sapphireseam.agent.crash import CrashDetector
 from sapphireseam.agent.fake import FakeUpstreamClient
 from sapphireseam.agent.scheduler import Completion, Scheduler
-from sapphireseam.control import claim, dispatch, record
+from sapphireseam.control import dispatch, record
 from sapphireseam.core import command, error, message
 from sapphireseam.policy import admission, queue
 from sapphireseam.tools import fake
+from sapphireseam.utils.crash import CrashDetector
 from sapphireseam.utils.timeline import Timeline
 from sapphireseam.utils.timer import FakeTimer
 
@@ -49,13 +49,14 @@
     def __init__(self, control, mirror, timer, node="a", upstream="u"):
         self.upstream = FakeUpstreamClient(upstream)
         timeline = Timeline(node, timer)
-        self.crash_detector = CrashDetector(upstream, mirror, control, timeline, timer)
+        self.crash_detector = CrashDetector(
+            mirror, control, timeline, timer, self.upstream.has_ended
+        )
         self.scheduler = Scheduler(
-            queue.FairQueue(), admission.FixedAdmission(4), self.crash_detector, timer
+            queue.FairQueue(), admission.FixedAdmission(4), mirror, timer
         )
         self.scheduler.slots = 4
         self.scheduler.queue_limit = 9
-        self.crash_detector.list_running = self.scheduler.list_running
         self.items = items.ItemRunner(
             node,
             self.upstream,
@@ -83,7 +84,7 @@
     def __init__(self):
         self.ticket = queue.Ticket("online", "c", False, 1.0, 0.0, math.inf)
         self.alone = False
-        self.fingerprint = "online"
+        self.traits = ("online",)
         self.done = asyncio.Event()
 
     async def run(self):
@@ -228,12 +229,10 @@
     async def test_item_under_which_upstreams_crash_is_still_completed(self):
         await self.submit()
         agent = await self.start()
-        mirror, state = self.mirror, self.state
         unlucky_body = b'{"n": 2}'
         crashes = 0
         for _ in range(200):
-            mirror.suspects = set(claim.list_fingerprints(state, claim.SUSPECT))
-            mirror.quarantined = set(claim.list_fingerprints(state, claim.QUARANTINED))
+            self.mirror.verdicts = dict(self.state.verdicts)
             running = agent.upstream.open
             if crashes < 6 and any(e.body == unlucky_body for e in running):
                 crashes += 1
@@ -248,7 +247,7 @@
         self.assertEqual(crashes, 6)
         self.assertEqual((self.job.done, self.job.failed), (COUNT, 0))
         self.assertEqual(self.state.tries["j"], {})
-        self.assertEqual(state.deaths, {})
+        self.assertEqual((self.state.crashes, self.state.verdicts), ({}, {}))
 
     async def test_item_under_which_upstreams_crashed_runs_beside_online_work(self):
         await self.submit()
--- a/sapphireseam/agent/itemwork.py
+++ b/sapphireseam/agent/itemwork.py
@@ -4,10 +4,10 @@
 from typing import Any, NamedTuple, Protocol
 
 from sapphireseam.agent import engine
-from sapphireseam.agent.crash import CrashDetector
 from sapphireseam.agent.scheduler import Completion
 from sapphireseam.core import error, exchange, message
 from sapphireseam.policy import queue
+from sapphireseam.utils import crash
 from sapphireseam.utils.timer import TimerService, wait_for
 
 # Tokens that an item is assumed to cost in addition to those of its line.
@@ -75,7 +75,7 @@
     """Provide the objects that an item needs to run."""
 
     upstream: engine.UpstreamClient
-    crash_detector: CrashDetector
+    crash_detector: crash.CrashDetector
     timer: TimerService
 
     async def mark_started(self, lease: ItemLease, item: int) -> bool:
@@ -97,7 +97,7 @@
         self._document = json.loads(line)
         self._body = json.dumps(self._document["body"]).encode()
         # An item is never suspected of a crash.
-        self.fingerprint = ""
+        self.traits: tuple[str, ...] = ()
         self._lease = lease
         self._item = item
         self._context = context
@@ -119,16 +119,18 @@
         ):
             self._lease.return_item(self._item, not_run=True)
             return Completion(0.0, False)
-        try:
-            status, data = await wait_for(
-                self._context.timer, self._exchange(), ITEM_SECONDS
-            )
-        except engine.UpstreamError as failure:
-            await self._return_failed(failure)
-            return Completion(cost, False)
-        except TimeoutError:
-            self._lease.return_item(self._item, blamed=True)
-            return Completion(cost, False)
+        run = crash.Run(self._context.upstream.name)
+        with self._context.crash_detector.open(run) as running:
+            try:
+                status, data = await wait_for(
+                    self._context.timer, self._exchange(), ITEM_SECONDS
+                )
+            except engine.UpstreamError as failure:
+                await self._return_failed(failure, running)
+                return Completion(cost, False)
+            except TimeoutError:
+                self._lease.return_item(self._item, blamed=True)
+                return Completion(cost, False)
         if status >= _SERVER_ERROR and work.idempotent:
             self._lease.return_item(self._item, blamed=True)
             return Completion(cost, True)
@@ -157,7 +159,9 @@
             await answer.aclose()
         return status, bytes(data)
 
-    async def _return_failed(self, failure: engine.UpstreamError) -> None:
+    async def _return_failed(
+        self, failure: engine.UpstreamError, running: crash.Exchange
+    ) -> None:
         """Return the item after a failed exchange.
 
         After a crash this is not counted as a failed attempt, and the item isn't
@@ -165,9 +169,7 @@
         """
         has_crashed = False
         if failure.broken:
-            has_crashed = await self._context.crash_detector.detect_crash(
-                self.ticket.id, self.fingerprint
-            )
+            has_crashed = await running.detect_crash(self.traits)
         blamed = not failure.not_run and not has_crashed
         self._lease.return_item(self._item, blamed, failure.not_run)
 
--- a/sapphireseam/agent/scheduler.py
+++ b/sapphireseam/agent/scheduler.py
@@ -6,19 +6,20 @@
 admission lets it start. Online work goes first. If the admission policy requires
 it, running batch work is preempted at once.
 
-A request that is suspected of crashing upstreams runs alone, and a quarantined
-request does not run. Both conditions are checked again right before the start,
-because another copy of the request may have crashed an upstream in the meantime.
-While a suspect waits, no other work starts and running batch work is preempted. The
-suspect starts once the upstream is idle. A batch item is never suspected: it is owed
-to its job, however many upstreams crashed while it ran.
+The trial of a request that is suspected of crashing upstreams runs alone. While it
+waits, no other work starts and running batch work is preempted. The trial starts once
+the upstream is idle. The verdicts are checked again right before a start, because
+another request with the same traits may have crashed an upstream in the meantime: a
+quarantined request is refused, and a suspect without a trial, too. A batch item is
+never suspected: it is owed to its job, however many upstreams crashed while it ran.
 """
 
 import asyncio
 import logging
+from collections.abc import Mapping
 from typing import NamedTuple, Protocol
 
-from sapphireseam.core import error
+from sapphireseam.core import error, verdict
 from sapphireseam.policy import admission, dispatch, queue
 from sapphireseam.utils.application import TaskGroup
 from sapphireseam.utils.timer import TimerService, run_periodically
@@ -48,7 +49,7 @@
 
     ticket: queue.Ticket
     alone: bool
-    fingerprint: str
+    traits: tuple[str, ...]
 
     async def run(self) -> Completion:
         """Run the request or item and return its cost."""
@@ -60,17 +61,10 @@
         """Return whether the work can be cancelled and run again later."""
 
 
-class SuspectTracker(Protocol):
-    """Track the requests that are suspected of crashing upstreams."""
+class VerdictSource(Protocol):
+    """Holds the verdicts on traits of requests under which upstreams crashed."""
 
-    def is_suspect(self, fingerprint: str) -> bool:
-        """Return whether a request must run alone."""
-
-    def is_quarantined(self, fingerprint: str) -> bool:
-        """Return whether a request must not run."""
-
-    def clear_suspect(self, fingerprint: str) -> None:
-        """Clear a suspect that was answered while it ran alone."""
+    verdicts: Mapping[str, verdict.Verdict]
 
 
 class _Running(NamedTuple):
@@ -88,15 +82,15 @@
         self,
         work_queue: queue.Queue,
         admission_policy: admission.Admission,
-        suspect_tracker: SuspectTracker,
+        verdict_source: VerdictSource,
         timer: TimerService,
     ):
         self._queue = work_queue
         self._admission = admission_policy
-        self._suspect_tracker = suspect_tracker
+        self._verdict_source = verdict_source
         self._timer = timer
         self._waiting: dict[str, Work] = {}
-        self._waiting_suspects: list[Work] = []
+        self._waiting_trials: list[Work] = []
         self._running: dict[str, _Running] = {}
         # Numbers of running batch items and of running items that were started as
         # due. Counting both again at every start and end took most of the
@@ -149,8 +143,8 @@
 
     def count_waiting(self, batch: bool) -> int:
         """Return the number of waiting requests or waiting items."""
-        suspects = 0 if batch else len(self._waiting_suspects)
-        return self._queue.count(batch) + suspects
+        trials = 0 if batch else len(self._waiting_trials)
+        return self._queue.count(batch) + trials
 
     def _list_running_online(self) -> list[_Running]:
         return [r for r in self._running.values() if not r.work.ticket.batch]
@@ -168,7 +162,7 @@
             work.refuse(error.CapacityError("the upstream's queue is full"))
             return
         if work.alone:
-            self._waiting_suspects.append(work)
+            self._waiting_trials.append(work)
         else:
             self._waiting[work.ticket.id] = work
             self._queue.push(work.ticket, self._timer.read_clock())
@@ -182,9 +176,9 @@
         if self._queue.remove(work_id):
             self._waiting.pop(work_id, None)
             return True
-        for work in self._waiting_suspects:
+        for work in self._waiting_trials:
             if work.ticket.id == work_id:
-                self._waiting_suspects.remove(work)
+                self._waiting_trials.remove(work)
                 return True
         running = self._running.get(work_id)
         if running is not None:
@@ -200,9 +194,9 @@
         self._refusal = text
         self._is_final = self._is_final or final
         failure = error.CapacityError(text, error.Kind.SHUTTING_DOWN)
-        waiting = [*self._waiting.values(), *self._waiting_suspects]
+        waiting = [*self._waiting.values(), *self._waiting_trials]
         self._waiting.clear()
-        self._waiting_suspects.clear()
+        self._waiting_trials.clear()
         for work in waiting:
             self._queue.remove(work.ticket.id)
             work.refuse(failure)
@@ -227,7 +221,7 @@
         """Start the work that may start now; preempt batch work for waiting work."""
         if self._stopped:
             return
-        if self._is_suspect_running() or self._start_suspect():
+        if self._is_trial_running() or self._start_trial():
             return
         now = self._timer.read_clock()
         while len(self._running) < self.slots:
@@ -236,26 +230,25 @@
             )
             if start is None:
                 break
-            self._start_or_isolate(self._waiting.pop(start.ticket.id), start.due)
-            if self._waiting_suspects:
-                return self.schedule()
+            work = self._waiting.pop(start.ticket.id)
+            self._start_work(work, start.due, alone=False)
         self._preempt_for_online()
 
-    def _is_suspect_running(self) -> bool:
-        """Return whether a suspect runs alone."""
+    def _is_trial_running(self) -> bool:
+        """Return whether a trial runs."""
         return any(running.alone for running in self._running.values())
 
-    def _start_suspect(self) -> bool:
-        """Start a waiting suspect once the upstream is idle.
+    def _start_trial(self) -> bool:
+        """Start a waiting trial once the upstream is idle.
 
         Return whether all other work must wait for it.
         """
-        if not self._waiting_suspects:
+        if not self._waiting_trials:
             return False
         if self._running:
             self.preempt_batch()
         else:
-            self._start_work(self._waiting_suspects.pop(0), due=False, alone=True)
+            self._start_work(self._waiting_trials.pop(0), due=False, alone=True)
         return True
 
     def _count_by_kind(self) -> dispatch.StreamCounts:
@@ -280,19 +273,24 @@
         for ticket in dispatch.choose_preempted(started, count - len(self._preempted)):
             self._preempt(ticket.id)
 
-    def _start_or_isolate(self, work: Work, due: bool) -> None:
-        """Start work, or queue it to run alone if it is a suspect by now."""
-        is_online = not work.ticket.batch
-        if is_online and self._suspect_tracker.is_suspect(work.fingerprint):
-            self._waiting_suspects.append(work)
-        else:
-            self._start_work(work, due, alone=False)
+    def _find_refusal(self, work: Work, alone: bool) -> error.SeamError | None:
+        """Return why online work must not start by the verdicts known now, or None."""
+        now = self._timer.read_wall_clock()
+        verdicts = self._verdict_source.verdicts
+        cause = verdict.find_cause(verdicts, work.traits, now)
+        if cause is not None:
+            text = "upstreams crashed under requests like this one"
+            kind = error.Kind.REQUEST_QUARANTINED
+            return error.CapacityError(text, kind, cause.until - now)
+        if not alone and verdict.list_suspects(verdicts, work.traits, now):
+            return error.CapacityError("a suspect runs only as a trial")
+        return None
 
     def _start_work(self, work: Work, due: bool, alone: bool) -> None:
-        is_online = not work.ticket.batch
-        if is_online and self._suspect_tracker.is_quarantined(work.fingerprint):
-            text = "this request crashed the upstreams that ran it"
-            work.refuse(error.RequestError(text, error.Kind.REQUEST_QUARANTINED))
+        """Start work, or refuse it by the verdicts. A batch item is never refused."""
+        refusal = None if work.ticket.batch else self._find_refusal(work, alone)
+        if refusal is not None:
+            work.refuse(refusal)
             return
         now = self._timer.read_clock()
         work_id = work.ticket.id
@@ -324,8 +322,6 @@
         now = self._timer.read_clock()
         self._admission.observe_end(work_id, now)
         self._queue.correct_cost(work.ticket, completion.cost, now)
-        if running.alone and completion.answered:
-            self._suspect_tracker.clear_suspect(work.fingerprint)
         if was_preempted and not self._stopped:
             self.submit(work)
         self.schedule()
@@ -351,9 +347,9 @@
         """Refuse online work that cannot start before its deadline."""
         now = self._timer.read_clock()
         expired = [self._waiting.pop(ticket.id) for ticket in self._queue.expire(now)]
-        for work in list(self._waiting_suspects):
+        for work in list(self._waiting_trials):
             if work.ticket.deadline <= now:
-                self._waiting_suspects.remove(work)
+                self._waiting_trials.remove(work)
                 expired.append(work)
         for work in expired:
             text = "the deadline would pass before the request could start"
--- a/sapphireseam/agent/scheduler_test.py
+++ b/sapphireseam/agent/scheduler_test.py
@@ -9,25 +9,17 @@
     Completion,
     Scheduler,
 )
-from sapphireseam.core import error
+from sapphireseam.core import error, verdict
 from sapphireseam.policy import admission, queue
 from sapphireseam.utils.timer import FakeTimer
 
 
-class FakeSuspectTracker:
+class FakeVerdictSource:
     def __init__(self):
-        self.suspects: set[str] = set()
-        self.quarantined: set[str] = set()
-        self.cleared: list[str] = []
+        self.verdicts: dict[str, verdict.Verdict] = {}
 
-    def is_suspect(self, fingerprint):
-        return fingerprint in self.suspects
-
-    def is_quarantined(self, fingerprint):
-        return fingerprint in self.quarantined
-
-    def clear_suspect(self, fingerprint):
-        self.cleared.append(fingerprint)
+    def add(self, trait, is_cause=False):
+        self.verdicts[trait] = verdict.Verdict(trait, is_cause, 3000.0)
 
 
 class FakeAdmission(admission.FixedAdmission):
@@ -43,7 +35,7 @@
     def __init__(self, name, batch=False, alone=False, deadline=2000.0):
         self.ticket = queue.Ticket(name, "c", batch, 1.0, 1000.0, deadline)
         self.alone = alone
-        self.fingerprint = name.split("#")[0]
+        self.traits = (name, "part:shared")
         self.refused: list[error.SeamError] = []
         self.running = 0
         self.runs = 0
@@ -69,11 +61,11 @@
 class SchedulerTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.timer = FakeTimer()
-        self.suspect_tracker = FakeSuspectTracker()
+        self.verdict_source = FakeVerdictSource()
         self.scheduler = Scheduler(
             queue.FairQueue(),
             FakeAdmission(4),
-            self.suspect_tracker,
+            self.verdict_source,
             self.timer,
         )
         self.scheduler.slots = 4
@@ -90,7 +82,8 @@
         work.done.set()
         await self.timer.settle()
 
-    async def test_suspect_runs_alone_and_is_cleared(self):
+    async def test_trial_runs_alone(self):
+        self.verdict_source.add("x")
         first, suspect, last = FakeWork("a"), FakeWork("x", alone=True), FakeWork("b")
         await self.submit(first, suspect, last)
         self.assertEqual((first.running, suspect.running, last.running), (1, 0, 0))
@@ -98,42 +91,37 @@
         self.assertEqual((suspect.running, last.running), (1, 0))
         await self.finish(suspect)
         self.assertEqual(last.running, 1)
-        self.assertEqual(self.suspect_tracker.cleared, ["x"])
-
-    async def test_suspect_that_failed_is_not_cleared(self):
-        suspect = FakeWork("x", alone=True)
-        suspect.answered = False
-        await self.submit(suspect)
-        await self.finish(suspect)
-        self.assertEqual(self.suspect_tracker.cleared, [])
 
-    async def test_waiting_copy_is_isolated_once_suspected(self):
-        """A request that becomes a suspect while it waits must still run alone."""
-        fill = [FakeWork(f"f{number}") for number in range(4)]
-        copy = FakeWork("x")
-        await self.submit(*fill, copy)
-        self.suspect_tracker.suspects.add("x")
-        await self.finish(fill[0])
-        self.assertEqual(copy.running, 0)
-        for work in fill[1:]:
-            await self.finish(work)
-        self.assertEqual(copy.running, 1)
+    async def test_waiting_copy_is_refused_as_not_run_once_suspected(self):
+        """A request that becomes a suspect while it waits needs a trial to run."""
+        for trait in ("x", "part:shared"):
+            await self.asyncSetUp()
+            fill = [FakeWork(f"f{number}") for number in range(4)]
+            copy = FakeWork("x")
+            await self.submit(*fill, copy)
+            self.verdict_source.add(trait)
+            for work in fill:
+                await self.finish(work)
+            self.assertEqual(copy.refused[0].kind, error.Kind.OVERLOADED)
+            self.assertTrue(copy.refused[0].not_run)
+            self.assertEqual(copy.runs, 0)
 
     async def test_waiting_copy_is_refused_as_not_run_once_quarantined(self):
         fill = [FakeWork(f"f{number}") for number in range(4)]
         copy = FakeWork("x")
         await self.submit(*fill, copy)
-        self.suspect_tracker.quarantined.add("x")
+        self.verdict_source.add("x", is_cause=True)
         await self.finish(fill[0])
         self.assertEqual(copy.refused[0].kind, error.Kind.REQUEST_QUARANTINED)
+        self.assertGreater(copy.refused[0].retry_after, 0)
         self.assertTrue(copy.refused[0].not_run)
         self.assertEqual(copy.runs, 0)
 
     async def test_an_item_is_never_isolated_or_refused_for_crashes(self):
         online = FakeWork("a")
         await self.submit(online)
-        self.suspect_tracker.suspects.add("item")
-        self.suspect_tracker.quarantined.add("item")
+        self.verdict_source.add("item", is_cause=True)
+        self.verdict_source.add("part:shared")
         item, other = FakeWork("item", batch=True), FakeWork("other", batch=True)
         await self.submit(item, other)
         await self.timer.advance(2 * PREFILL_SECONDS)
@@ -141,7 +129,7 @@
         self.assertEqual(item.refused, [])
 
     async def test_online_work_preempts_an_item_that_is_suspected(self):
-        self.suspect_tracker.suspects.add("item")
+        self.verdict_source.add("item")
         item = FakeWork("item", batch=True)
         await self.submit(item)
         self.assertEqual(item.running, 1)
--- a/sapphireseam/agent/server.py
+++ b/sapphireseam/agent/server.py
@@ -13,11 +13,10 @@
 from typing import Any
 
 from sapphireseam.agent import engine
-from sapphireseam.agent.crash import CrashDetector
 from sapphireseam.agent.scheduler import Completion, Scheduler
 from sapphireseam.core import error, exchange
 from sapphireseam.policy import queue
-from sapphireseam.utils import rpc
+from sapphireseam.utils import crash, rpc
 from sapphireseam.utils.application import TaskGroup
 from sapphireseam.utils.rpc import Role
 from sapphireseam.utils.timeline import Timeline
@@ -54,7 +53,7 @@
             work_id, offer.customer, False, offer.cost, now, now + offer.remaining
         )
         self.alone = offer.alone
-        self.fingerprint = offer.fingerprint
+        self.traits = offer.traits
         self._offer = offer
         self._stream = stream
         self._server = entry_server
@@ -127,6 +126,10 @@
     async def _exchange(self) -> Completion:
         offer = self._offer
         token_timer = TokenTimer(self, self._server)
+        proof = crash.Proof(self._server.timer, lambda: None)
+        running = self._server.crash_detector.open(
+            crash.Run(self._server.upstream.name)
+        )
         size = 0
         answer = self._server.upstream.run(
             offer.method, offer.target, offer.headers, offer.body, offer.attempt
@@ -137,15 +140,19 @@
                     token_timer.begin(item)
                 else:
                     token_timer.record_part()
+                    if token_timer.is_streamed:
+                        proof.record_events()
                     size += len(item.body)
                     await self._take_credit(len(item.body))
                 await self._stream.send(item)
         except engine.UpstreamError as failure:
-            await self._report_failure(failure)
+            blamed = () if proof.is_proven else self.traits
+            await self._report_failure(failure, running, blamed)
             return Completion(offer.cost, False)
         except rpc.LinkError:
             return Completion(offer.cost, False)
         finally:
+            running.close()
             await answer.aclose()
         self._stream.post(exchange.End(offer.attempt))
         return Completion(len(offer.body) / 4 + size / 4, True)
@@ -157,13 +164,22 @@
             await self._credit_added.wait()
         self._credit -= size
 
-    async def _report_failure(self, failure: engine.UpstreamError) -> None:
-        """Report a failed exchange to the entry, and whether it was a crash."""
+    async def _report_failure(
+        self,
+        failure: engine.UpstreamError,
+        running: crash.Exchange,
+        blamed: tuple[str, ...],
+    ) -> None:
+        """Report a failed exchange to the entry, and whether it was a crash.
+
+        The caller of a proven request, which has no `blamed` traits, doesn't wait until
+        this is known.
+        """
         has_crashed = False
-        if failure.broken:
-            has_crashed = await self._server.crash_detector.detect_crash(
-                self.ticket.id, self.fingerprint
-            )
+        if failure.broken and blamed:
+            has_crashed = await running.detect_crash(blamed)
+        elif failure.broken:
+            running.record_break()
         self._stream.post(engine.make_fail(failure, self._offer.attempt, has_crashed))
 
 
@@ -178,19 +194,19 @@
     def __init__(self, work: OnlineWork, entry_server: "EntryServer"):
         self._work = work
         self._server = entry_server
-        self._streamed = False
+        self.is_streamed = False
         self._last = 0.0
 
     def begin(self, head: exchange.Head) -> None:
         """Record the start of the answer and whether it is streamed."""
         kind = next((v for n, v in head.headers if n.lower() == "content-type"), "")
-        self._streamed = kind.startswith("text/event-stream")
-        if not self._streamed and self._server.scheduler.is_service:
+        self.is_streamed = kind.startswith("text/event-stream")
+        if not self.is_streamed and self._server.scheduler.is_service:
             self._server.scheduler.observe_first_token(self._work)
 
     def record_part(self) -> None:
         """Record that a part of the answer arrived."""
-        if not self._streamed:
+        if not self.is_streamed:
             return
         now = self._server.timer.read_clock()
         if self._last:
@@ -207,7 +223,7 @@
         self,
         upstream: engine.UpstreamClient,
         scheduler: Scheduler,
-        crash_detector: CrashDetector,
+        crash_detector: crash.CrashDetector,
         timeline: Timeline,
         timer: TimerService,
     ):
--- a/sapphireseam/agent/server_test.py
+++ b/sapphireseam/agent/server_test.py
@@ -4,13 +4,13 @@
 import unittest
 
 from sapphireseam.agent import server
-from sapphireseam.agent.crash import CrashDetector
 from sapphireseam.agent.fake import FakeStream, FakeUpstreamClient
 from sapphireseam.agent.scheduler import Scheduler
-from sapphireseam.core import error, exchange
+from sapphireseam.core import command, error, exchange
 from sapphireseam.policy import admission, queue
 from sapphireseam.tools import fake
 from sapphireseam.utils import rpc
+from sapphireseam.utils.crash import PROVEN_SECONDS, CrashDetector
 from sapphireseam.utils.timeline import Timeline
 from sapphireseam.utils.timer import FakeTimer
 
@@ -36,19 +36,19 @@
         self.timer = FakeTimer()
         self.control = fake.FakeControl(self.timer)
         timeline = Timeline("a", self.timer)
+        self.upstream = FakeUpstreamClient()
+        mirror = fake.FakeMirror()
         self.crash_detector = CrashDetector(
-            "u", fake.FakeMirror(), self.control, timeline, self.timer
+            mirror, self.control, timeline, self.timer, self.upstream.has_ended
         )
         self.scheduler = Scheduler(
             queue.FairQueue(),
             admission.FixedAdmission(4),
-            self.crash_detector,
+            mirror,
             self.timer,
         )
         self.scheduler.slots = 4
         self.scheduler.queue_limit = 9
-        self.crash_detector.list_running = self.scheduler.list_running
-        self.upstream = FakeUpstreamClient()
         self.server = server.EntryServer(
             self.upstream, self.scheduler, self.crash_detector, timeline, self.timer
         )
@@ -73,6 +73,10 @@
             (stream or self.stream).inbox.put_nowait(item)
         await self.timer.settle()
 
+    def list_crashes(self):
+        crashes = [x for x in self.control.asked if isinstance(x, command.ReportCrash)]
+        return [each.requests for each in crashes]
+
     def list_fails(self):
         return self.stream.list_sent(exchange.Fail)
 
@@ -123,7 +127,7 @@
         await self.timer.advance(1.0)
         (failed,) = self.list_fails()
         self.assertEqual((failed.not_run, failed.died), (True, False))
-        self.assertEqual(self.control.machine.state.deaths, {})
+        self.assertEqual(self.list_crashes(), [])
 
     async def test_crash_under_many_requests_is_reported_once(self):
         await self.send(*[make_offer(number) for number in range(3)])
@@ -131,7 +135,32 @@
             running.fail(broken=True)
         await self.timer.advance(1.0)
         self.assertEqual([failed.died for failed in self.list_fails()], [True] * 3)
-        self.assertEqual(self.control.machine.state.deaths, {f"f{n}": 1 for n in "012"})
+        self.assertEqual(self.list_crashes(), [(("f0",), ("f1",), ("f2",))])
+
+    async def test_upstream_that_breaks_answers_but_stays_up_is_no_crash(self):
+        self.upstream.is_down = False
+        for number in range(32):
+            await self.send(make_offer(number))
+            self.upstream.exchanges[number].fail(broken=True)
+            await self.timer.advance(1.0)
+        self.assertEqual([failed.died for failed in self.list_fails()], [False] * 32)
+        self.assertEqual(self.list_crashes(), [])
+
+    async def test_only_unproven_requests_are_blamed_for_a_crash(self):
+        await self.send(make_offer(1), make_offer(2), make_offer(3))
+        headers = (("Content-Type", "text/event-stream"),)
+        for running in self.upstream.exchanges[:2]:
+            running._inbox.put_nowait(exchange.Head(0, 200, headers))
+            running.send(b"a")
+        await self.timer.advance(PROVEN_SECONDS)
+        self.upstream.exchanges[0].send(b"b")
+        await self.timer.settle()
+        for running in self.upstream.exchanges:
+            running.fail(broken=True)
+        await self.timer.settle()
+        self.assertEqual([failed.attempt for failed in self.list_fails()], [1])
+        await self.timer.advance(1.0)
+        self.assertEqual(self.list_crashes(), [(("f2",), ("f3",))])
 
     async def test_revoked_request_is_dequeued_or_cancelled(self):
         await self.send(*[make_offer(number) for number in range(5)])
--- a/sapphireseam/core/exchange.py
+++ b/sapphireseam/core/exchange.py
@@ -18,7 +18,8 @@
 
     `remaining` is the time to the caller's deadline in seconds. With `ask`, the agent
     sends the request to the upstream only after a `Go`. With `alone`, it runs while
-    no other request does. `clock` is the entry's event clock.
+    no other request does. `clock` is the entry's event clock. `parts` are the traits of
+    the prompt's parts. A request that was proven sound has no traits.
     """
 
     attempt: int
@@ -33,6 +34,12 @@
     alone: bool
     fingerprint: str
     clock: float = 0.0
+    parts: tuple[str, ...] = ()
+
+    @property
+    def traits(self) -> tuple[str, ...]:
+        """Return the traits by which requests that crash upstreams are recognised."""
+        return (self.fingerprint, *self.parts) if self.fingerprint else self.parts
 
 
 class Ready(NamedTuple):
