Ask the quarantine before each attempt at an upstream with an agent

What callers saw: a request with a prompt part that crashes upstreams ran again and again, since no two such requests have the same fingerprint; sound requests that had run beside it once had to run alone.

Change: the forwarder gives the quarantine gate the request's fingerprint and the traits of its messages before each attempt, and again before it permits a request that is sent once only. What holds a trial runs alone; the forwarder's own rule "alone after a crash" is removed. A whole 2xx answer, or a stream that goes on for some time, proves a request sound. A request that is refused before any attempt may have run says "not run" with Retry-After; after a run it gets the usual final error of an idempotent route.

--- a/sapphireseam/entry/application.py
+++ b/sapphireseam/entry/application.py
@@ -11,6 +11,7 @@
 from sapphireseam.entry.gateway import Gateway
 from sapphireseam.entry.link import AgentLink
 from sapphireseam.entry.meter import RequestMeter
+from sapphireseam.entry.quarantine import QuarantineGate
 from sapphireseam.entry.ratelimit import RateLimitClient
 from sapphireseam.policy import registry, router
 from sapphireseam.utils import metric, rpc
@@ -116,6 +117,7 @@
     def build_router(name: str) -> router.Router:
         return registry.build({"router": name}, "router", rng)
 
+    gate = QuarantineGate(mirror, client, timer)
     forwarder = Forwarder(
         settings.failure_domain,
         mirror,
@@ -124,6 +126,7 @@
         timer,
         rng,
         build_router,
+        gate,
     )
     idempotent_forwarder = IdempotentForwarder(client, timer)
     batch_api = BatchApi(client, mirror, timer)
@@ -151,6 +154,7 @@
     application.add(Probe(settings.probe, describe, mirror.is_confirmed))
     application.add(client)
     application.add(mirror)
+    application.add(gate)
     application.add(link_pool)
     application.add(rate_limits)
     application.add(gateway)
--- a/sapphireseam/entry/delivery.py
+++ b/sapphireseam/entry/delivery.py
@@ -11,11 +11,14 @@
 from sapphireseam.core import exchange
 from sapphireseam.entry import resume
 from sapphireseam.entry.routedrequest import RoutedRequest
+from sapphireseam.utils import crash
 
 # A plain answer up to this size is buffered until it is complete.
 MAX_BUFFERED_BYTES = 1024 * 1024
 EVENT_STREAM = "text/event-stream"
 _OK = 200
+# The lowest status that isn't a success.
+_FAILURE = 300
 
 
 class Sink(Protocol):
@@ -35,11 +38,20 @@
     """Pass an answer on, or buffer it while it can still be replaced.
 
     `possibly_run` says that an attempt which has ended may have run at an upstream.
-    `version` is the model version that began the answer, empty if none has.
+    `version` is the model version that began the answer, empty if none has. `proof`
+    follows the answers' progress.
     """
 
-    def __init__(self, request: RoutedRequest, sink: Sink):
+    def __init__(
+        self,
+        request: RoutedRequest,
+        sink: Sink,
+        traits: tuple[str, ...],
+        proof: crash.Proof,
+    ):
         self.request = request
+        self.traits = traits
+        self.proof = proof
         self.begun = False
         self.possibly_run = False
         self.version = ""
@@ -55,6 +67,7 @@
         if self.begun and not (has_events and self._is_streaming):
             return False
         self._head = head
+        self.proof.restart()
         self._buffer.clear()
         self._is_streaming = has_events and self.request.streamed
         if self._is_streaming and self._tracker is None:
@@ -64,6 +77,7 @@
     async def accept_data(self, data: bytes) -> None:
         """Pass bytes on, or buffer them."""
         if self._is_streaming:
+            self.proof.record_events()
             data = self._tracker.feed(data)
             if data:
                 await self._pass_on(data)
@@ -81,7 +95,9 @@
         return self._is_streaming and not self._tracker.done
 
     async def finish(self) -> None:
-        """End the answer."""
+        """End the complete answer."""
+        if self._head.status < _FAILURE:
+            self.proof.record_success()
         await self._flush()
         await self._begin()
         await self._sink.finish()
--- a/sapphireseam/entry/fake.py
+++ b/sapphireseam/entry/fake.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from sapphireseam.core import exchange, fleet
+from sapphireseam.core import error, exchange, fleet
 from sapphireseam.entry import access, link
 from sapphireseam.entry.routedrequest import RoutedRequest
 
@@ -68,6 +68,42 @@
         return [item for item in self.sent if isinstance(item, kind)]
 
 
+class FakeGate:
+    """Admit every attempt unless a test sets a refusal, and record the calls."""
+
+    def __init__(self):
+        self.asked: list[tuple[tuple[str, ...], str, bool]] = []
+        self.sound: list[tuple[str, ...]] = []
+        self.released: list[str] = []
+        self.is_trial = False
+        # Calls that are still admitted before `refusal` is raised.
+        self.admitted = 0
+        self.refusal: error.CapacityError | None = None
+
+    async def admit(
+        self, traits: tuple[str, ...], holder: str, has_crashed: bool = False
+    ) -> bool:
+        """Return whether the attempt is a trial, or raise the refusal."""
+        self.asked.append((traits, holder, has_crashed))
+        if self.refusal is not None and len(self.asked) > self.admitted:
+            raise self.refusal
+        return self.is_trial
+
+    def release(self, holder: str) -> None:
+        """Record the holder."""
+        self.released.append(holder)
+
+    def record_sound(self, traits: tuple[str, ...]) -> None:
+        """Record the traits."""
+        self.sound.append(traits)
+
+
+def make_refusal() -> error.CapacityError:
+    """Return the error with which the gate refuses a request."""
+    kind = error.Kind.REQUEST_QUARANTINED
+    return error.CapacityError("quarantined", kind, 9.0, True)
+
+
 class FakeSink:
     """Record the answer that a caller gets."""
 
--- a/sapphireseam/entry/forwarder.py
+++ b/sapphireseam/entry/forwarder.py
@@ -11,6 +11,7 @@
 """
 
 import asyncio
+import functools
 import logging
 import random
 from collections.abc import Callable
@@ -19,8 +20,10 @@
 from sapphireseam.entry import access
 from sapphireseam.entry.delivery import Delivery, Sink
 from sapphireseam.entry.link import AgentLink, Attempt, AttemptStopped, LinkLost
+from sapphireseam.entry.quarantine import QuarantineGate
 from sapphireseam.entry.routedrequest import RoutedRequest
 from sapphireseam.policy import retry, router
+from sapphireseam.utils import crash
 from sapphireseam.utils.mirror import Mirror
 from sapphireseam.utils.timeline import Timeline
 from sapphireseam.utils.timer import TimerService
@@ -75,7 +78,9 @@
         timer: TimerService,
         rng: random.Random,
         build_router: Callable[[str], router.Router],
+        gate: QuarantineGate,
     ):
+        self._gate = gate
         self._failure_domain = failure_domain
         self._mirror = mirror
         self._links = links
@@ -94,25 +99,45 @@
 
         Once `stopped` has a result, the request ends with that error.
         """
-        delivery = Delivery(request, sink)
-        budget = self._get_budget(request)
+        traits = request.make_traits()
+        record_sound = functools.partial(self._gate.record_sound, traits)
+        proof = crash.Proof(self._timer, record_sound)
+        delivery = Delivery(request, sink, traits, proof)
+        try:
+            await self._serve(delivery, stopped)
+        finally:
+            self._gate.release(request.id)
+
+    async def _serve(self, delivery: Delivery, stopped: StopFuture) -> None:
+        budget = self._get_budget(delivery.request)
         budget.record(self._timer.read_clock())
         tried: set[str] = set()
-        alone = False
+        has_crashed = False
         attempts = 0
         while True:
             attempts += 1
-            alone = alone or request.fingerprint in self._mirror.suspects
             try:
+                alone = await self._admit(delivery, has_crashed)
                 await self._attempt(delivery, tried, alone, stopped)
                 return
             except AttemptFailed as failed:
                 delivery.possibly_run = delivery.possibly_run or not failed.not_run
-                if failed.crashed and alone:
-                    failed = AttemptFailed(_make_quarantine_error(), False)
-                alone = alone or failed.crashed
+                has_crashed = failed.crashed
                 await self._plan_retry(delivery, failed, attempts, budget, stopped)
 
+    async def _admit(self, delivery: Delivery, has_crashed: bool = False) -> bool:
+        """Return whether the next attempt is a trial, which runs alone.
+
+        Raise `AttemptFailed` if the quarantine refuses it.
+        """
+        if delivery.proof.is_proven:
+            return False
+        holder = delivery.request.id
+        try:
+            return await self._gate.admit(delivery.traits, holder, has_crashed)
+        except error.CapacityError as failure:
+            raise AttemptFailed(failure, True) from None
+
     def _get_budget(self, request: RoutedRequest) -> retry.RetryBudget:
         key = request.route_name, request.route.retry_ratio
         if key not in self._budgets:
@@ -171,8 +196,11 @@
     ) -> error.SeamError:
         """Return the final error; its `not_run` covers all attempts."""
         failure.not_run = not delivery.possibly_run
+        is_refused_late = (
+            failure.kind is error.Kind.REQUEST_QUARANTINED and delivery.possibly_run
+        )
         unknown = failure.kind is error.Kind.OUTCOME_UNKNOWN
-        if unknown and delivery.request.route.idempotent:
+        if is_refused_late or (unknown and delivery.request.route.idempotent):
             kind = error.Kind.UPSTREAM_FAILED
             text = failure.message
             return error.OutcomeError(text, kind, FAILED_RETRY_SECONDS, False)
@@ -203,7 +231,7 @@
             self._timeline.record(
                 "attempt", request.id, request.caller.customer, detail=link.upstream
             )
-            await self._read_messages(delivery, attempt, stopped)
+            await self._read_messages(delivery, attempt, alone, stopped)
             complete = True
         finally:
             if delivery.begun and not delivery.version:
@@ -229,8 +257,6 @@
             failure = _make_deadline_error()
         elif not access.is_valid(self._mirror, request.caller):
             failure = access.make_invalid_key_error(self._mirror)
-        elif request.fingerprint in self._mirror.quarantined:
-            failure = _make_quarantine_error()
         if failure is not None:
             raise AttemptFailed(failure, True)
 
@@ -238,6 +264,7 @@
         self, delivery: Delivery, attempt: Attempt, alone: bool
     ) -> exchange.Offer:
         request = delivery.request
+        traits = () if delivery.proof.is_proven else delivery.traits
         return exchange.Offer(
             attempt.number,
             request.caller.customer,
@@ -249,12 +276,13 @@
             request.cost,
             not request.route.idempotent,
             alone,
-            request.fingerprint,
+            request.fingerprint if traits else "",
             self._timeline.clock.last,
+            traits[1:],
         )
 
     async def _read_messages(
-        self, delivery: Delivery, attempt: Attempt, stopped: StopFuture
+        self, delivery: Delivery, attempt: Attempt, alone: bool, stopped: StopFuture
     ) -> None:
         """Handle an attempt's messages until its answer is complete."""
         possibly_run = delivery.request.route.idempotent
@@ -263,6 +291,9 @@
             item = await attempt.receive()
             match item:
                 case exchange.Ready():
+                    if not alone:
+                        # A verdict may have come while the request waited.
+                        await self._admit(delivery)
                     self._check_may_run(delivery.request, stopped)
                     possibly_run = True
                     attempt.send(exchange.Go(attempt.number))
@@ -390,8 +421,3 @@
     text = "the request's deadline has passed"
     kind = error.Kind.DEADLINE_EXCEEDED
     return error.CapacityError(text, kind, FAILED_RETRY_SECONDS)
-
-
-def _make_quarantine_error() -> error.SeamError:
-    text = "this request crashed the upstreams that ran it"
-    return error.RequestError(text, error.Kind.REQUEST_QUARANTINED)
--- a/sapphireseam/entry/gateway.py
+++ b/sapphireseam/entry/gateway.py
@@ -315,4 +315,5 @@
             routedrequest.estimate_cost(document, len(body)),
             fingerprint.compute(caller.customer, request.method, target, body),
             request.headers.get("Idempotency-Key", ""),
+            routedrequest.list_parts(document),
         )
--- a/sapphireseam/entry/routedrequest.py
+++ b/sapphireseam/entry/routedrequest.py
@@ -5,7 +5,7 @@
 
 from aiohttp import web
 
-from sapphireseam.core import error, fleet
+from sapphireseam.core import error, fleet, trait
 from sapphireseam.entry import access
 
 # Characters per token in the estimate of a request's cost.
@@ -17,7 +17,8 @@
 class RoutedRequest(NamedTuple):
     """An authorized request for an upstream that has an agent.
 
-    `deadline` is on the entry's monotonic clock, `cost` is in tokens.
+    `deadline` is on the entry's monotonic clock, `cost` is in tokens. `parts` are the
+    parts of the prompt.
     """
 
     id: str
@@ -34,6 +35,14 @@
     cost: float
     fingerprint: str
     idempotency_key: str
+    parts: tuple[str, ...] = ()
+
+    def make_traits(self) -> tuple[str, ...]:
+        """Return the traits by which requests that crash upstreams are recognised.
+
+        The fingerprint is the first.
+        """
+        return self.fingerprint, *trait.make_part_traits(self.model, self.parts)
 
 
 def find_route(
@@ -76,6 +85,17 @@
     return name
 
 
+def list_parts(document: dict[str, Any]) -> tuple[str, ...]:
+    """Return the parts of a chat's prompt: each message, in one form of its JSON.
+
+    Other bodies have no parts.
+    """
+    messages = document.get("messages")
+    if not isinstance(messages, list):
+        return ()
+    return tuple(json.dumps(message, sort_keys=True) for message in messages)
+
+
 def estimate_cost(document: dict[str, Any], size: int) -> float:
     """Return a request's estimated cost in tokens; `size` is its body's bytes."""
     limit = document.get("max_completion_tokens") or document.get("max_tokens")
