Detect crashes and ask the quarantine for discovered upstreams, too

Cause: fingerprints, crash detection and quarantine existed only on the path with agents.

Change: the direct forwarder opens an exchange with the run of its upstream for each attempt, records breaks, waits for the report before it retries or answers an unproven request, and asks the quarantine gate before the slot and again when it has the slot. Runs that are leaving don't crash. The platform's front takes the parts of the prompt but the last, and the model, from the request's headers.

Evidence: the code before had no report or refusal on this path to test. Measured: direct_test (34 tests), crash_test (20), front_test, dialect_test pass.

--- a/sapphireseam/entry/direct.py
+++ b/sapphireseam/entry/direct.py
@@ -5,18 +5,23 @@
 So a failed attempt can be replaced or resumed within the same answer. On a route
 that does not allow repeats, the caller gets an error which says that the outcome
 is unknown.
+
+The quarantine is asked before each attempt. If the connection of an attempt breaks,
+the next attempt or the error waits until it is known whether the upstream crashed.
 """
 
 import asyncio
+import functools
 import logging
 import random
 from typing import NamedTuple
 
-from sapphireseam.core import error, fleet
+from sapphireseam.core import error, fleet, trait
 from sapphireseam.core.instance import Instance
 from sapphireseam.entry.delivery import Sink
 from sapphireseam.entry.placer import HeldSlot, Placer, SlotSpec
-from sapphireseam.utils import metric, outbound
+from sapphireseam.entry.quarantine import QuarantineGate
+from sapphireseam.utils import crash, metric, outbound
 from sapphireseam.utils.timer import TimerService
 
 logger = logging.getLogger(__name__)
@@ -41,7 +46,8 @@
 TARGETS_PER_ATTEMPT = 2.5
 # Metrics count every delivered answer under this status, whatever its own status.
 DELIVERED_STATUS = 200
-# The lowest status of a server error.
+# The lowest status that isn't a success, and the lowest one of a server error.
+FAILURE_STATUS = 300
 SERVER_ERROR_STATUS = 500
 
 
@@ -49,7 +55,8 @@
     """An authorized request for an upstream that has no agent.
 
     `headers` are sent unchanged. `arrived` and `deadline` are on the entry's
-    monotonic clock.
+    monotonic clock. `parts` are the ids of the prompt parts that other requests may
+    share.
     """
 
     id: str
@@ -70,6 +77,14 @@
     resumes: str = ""
     # Seconds that the caller had waited before this request.
     waited: float = 0.0
+    fingerprint: str = ""
+    parts: tuple[str, ...] = ()
+    model: str = ""
+
+    def make_traits(self) -> tuple[str, ...]:
+        """Return the traits by which requests that crash upstreams are recognised."""
+        parts = trait.make_part_traits(self.model or self.route_name, self.parts)
+        return (self.fingerprint, *parts) if self.fingerprint else parts
 
     @property
     def is_late(self) -> bool:
@@ -80,7 +95,13 @@
 class _Progress:
     """Track one request over its attempts."""
 
-    def __init__(self, resume_after: int):
+    def __init__(self, resume_after: int, traits: tuple[str, ...], proof: crash.Proof):
+        self.traits = traits
+        self.proof = proof
+        # Whether the last attempt was part of a crash, once this is known.
+        self.crash: asyncio.Future[bool] | None = None
+        # Whether it was one, until the quarantine has been asked again.
+        self.has_crashed = False
         self.offers = 0
         # Attempts that may have run at an upstream.
         self.runs = 0
@@ -134,7 +155,11 @@
         meter: metric.Meter,
         timer: TimerService,
         rng: random.Random,
+        gate: QuarantineGate,
+        crash_detector: crash.CrashDetector,
     ):
+        self._gate = gate
+        self._crash_detector = crash_detector
         self._meter = meter
         self._placer = placer
         self._upstreams = upstreams
@@ -147,12 +172,17 @@
         The error says whether the request may have run. Once the answer has begun
         at the sink, an error means that the answer must be aborted.
         """
-        progress = _Progress(request.resume_after)
+        traits = request.make_traits()
+        record_sound = functools.partial(self._gate.record_sound, traits)
+        proof = crash.Proof(self._timer, record_sound)
+        progress = _Progress(request.resume_after, traits, proof)
         try:
             await self._serve_in_time(request, progress, sink)
         except error.SeamError as failure:
             self._observe(request, failure.answer.status)
             raise
+        finally:
+            self._gate.release(request.id)
         self._observe(request, DELIVERED_STATUS)
 
     def _observe(self, request: DirectRequest, status: int) -> None:
@@ -173,14 +203,47 @@
         self, request: DirectRequest, progress: _Progress, sink: Sink
     ) -> None:
         while True:
-            slot = await self._acquire_slot(request, progress)
+            slot = await self._acquire_admitted(request, progress)
             progress.offers += 1
             failure = await self._attempt(request, progress, slot, sink)
             if failure is None:
                 self._log_answer(request, progress, slot.instance)
                 return
+            if progress.crash is not None and not progress.proof.is_proven:
+                # The report of a crash must precede this retry and the caller's own.
+                progress.has_crashed = await asyncio.shield(progress.crash)
             self._check_retry(request, progress, slot.instance, failure)
 
+    async def _acquire_admitted(
+        self, request: DirectRequest, progress: _Progress
+    ) -> HeldSlot:
+        """Return a slot for an attempt that the quarantine admits."""
+        is_trial = await self._admit(request, progress)
+        slot = await self._acquire_slot(request, progress)
+        try:
+            # A verdict may have come while the request waited for its slot.
+            if not is_trial:
+                await self._admit(request, progress)
+        except BaseException:
+            self._placer.release(slot)
+            raise
+        return slot
+
+    async def _admit(self, request: DirectRequest, progress: _Progress) -> bool:
+        """Return whether the next attempt is a trial, or raise if it is refused."""
+        if progress.proof.is_proven:
+            return False
+        try:
+            is_trial = await self._gate.admit(
+                progress.traits, request.id, progress.has_crashed
+            )
+        except error.CapacityError as failure:
+            if progress.runs:
+                raise _make_final_error(failure.message) from None
+            raise
+        progress.has_crashed = False
+        return is_trial
+
     def _log_answer(
         self, request: DirectRequest, progress: _Progress, instance: Instance
     ) -> None:
@@ -294,6 +357,9 @@
         # The request counts as run unless the failure proves that it did not run.
         progress.runs += 1
         progress.answer = None
+        progress.crash = None
+        progress.proof.restart()
+        running = self._crash_detector.open(crash.get_run(slot.instance))
         silence_timer = asyncio.get_running_loop().call_later(
             _get_answer_timeout(request.route),
             self._placer.report_silent,
@@ -312,6 +378,9 @@
             is_suspect = not isinstance(failure, outbound.RefusalError)
             is_refusal = not is_suspect and failure.is_not_run
             is_full = is_refusal and not isinstance(failure, outbound.LeavingError)
+            if isinstance(failure, outbound.BrokenError):
+                blamed = () if progress.proof.is_proven else progress.traits
+                progress.crash = running.record_break(blamed)
             if failure.is_not_run:
                 progress.runs -= 1
             if isinstance(failure, outbound.LeavingError):
@@ -319,6 +388,7 @@
                 self._placer.report_leaving(slot.instance)
             return failure
         finally:
+            running.close()
             silence_timer.cancel()
             self._placer.release(slot, is_suspect, interval.mean_seconds, is_full)
         return None
@@ -366,6 +436,8 @@
             interval.record(1, self._timer.read_clock())
             await sink.begin(head.status, head.headers)
             await sink.write(body)
+        if head.status < FAILURE_STATUS and answer.has_marked_end:
+            progress.proof.record_success()
         await sink.finish()
 
     async def _deliver_events(
@@ -386,6 +458,8 @@
             if not new_events:
                 continue
             interval.record(len(new_events), self._timer.read_clock())
+            if answer.head.status < FAILURE_STATUS:
+                progress.proof.record_events(len(new_events))
             progress.events += len(new_events)
             if progress.origin is None:
                 progress.origin = slot.instance
--- a/sapphireseam/entry/direct_test.py
+++ b/sapphireseam/entry/direct_test.py
@@ -4,10 +4,13 @@
 import random
 import unittest
 
-from sapphireseam.core import error, fleet
+from sapphireseam.core import command, error, fleet, trait
 from sapphireseam.entry import direct
+from sapphireseam.entry.fake import FakeGate, make_refusal
 from sapphireseam.entry.placer import HeldSlot
-from sapphireseam.utils import fakeupstream, metric, outbound
+from sapphireseam.tools import fake
+from sapphireseam.utils import crash, fakeupstream, metric, outbound
+from sapphireseam.utils.timeline import Timeline
 from sapphireseam.utils.timer import SystemTimer
 
 STREAM = fleet.Route(
@@ -83,11 +86,35 @@
         self.outbound = outbound.ConnectionPool(fakeupstream.FakeDialect())
         self.addAsyncCleanup(self.outbound.stop)
         self.timer = SystemTimer()
+        self.gate = FakeGate()
+        self.control = fake.FakeControl(self.timer)
+        self.down = set()
+        self.detector = crash.CrashDetector(
+            fake.FakeMirror(),
+            self.control,
+            Timeline("t", self.timer),
+            self.timer,
+            self.has_ended,
+        )
+        self.addAsyncCleanup(self.detector.stop)
         self.forwarder = direct.DirectForwarder(
-            self.placer, self.outbound, metric.Meter("t"), self.timer, random.Random(1)
+            self.placer,
+            self.outbound,
+            metric.Meter("t"),
+            self.timer,
+            random.Random(1),
+            self.gate,
+            self.detector,
         )
         self.sink = FakeSink()
 
+    async def has_ended(self, run):
+        return run.upstream in self.down
+
+    def list_crashes(self):
+        crashes = [x for x in self.control.asked if isinstance(x, command.ReportCrash)]
+        return [(each.run, each.requests) for each in crashes]
+
     def make_request(self, route, seconds=5.0, **fields):
         now = self.timer.read_clock()
         return direct.DirectRequest(
@@ -279,6 +306,92 @@
         remaining = float(self.upstreams[0].runs[0].headers[fakeupstream.REMAINING])
         self.assertTrue(1.5 < remaining <= 2.0)
 
+    async def test_a_crash_is_reported_before_the_caller_gets_its_error(self):
+        self.down.add("u1")
+        fields = {"fingerprint": "f", "parts": ("a", "b")}
+        traits = ("f", *trait.make_part_traits("route", "ab"))
+        for behaviour in ("drop", "unframed-empty"):
+            await self.expect(error.Kind.OUTCOME_UNKNOWN, STREAM, behaviour, **fields)
+        reported = ("u1/0", (traits,))
+        self.assertEqual(self.list_crashes(), [reported, reported])
+        self.assertEqual(self.gate.sound, [])
+
+    async def test_the_quarantine_is_asked_again_after_a_crash(self):
+        self.down.add("u1")
+        await self.serve(SAFE, "drop", fingerprint="f")
+        asked = [has_crashed for _, _, has_crashed in self.gate.asked]
+        self.assertEqual(asked, [False, False, True, False])
+        self.assertEqual(self.gate.released, ["r1"])
+
+    async def test_broken_answers_of_an_upstream_that_stays_up_blame_nobody(self):
+        for _ in range(8):
+            self.sink = FakeSink()
+            await self.serve(SAFE, "drop", fingerprint="f")
+        self.assertEqual(self.control.asked, [])
+        self.assertEqual([x[2] for x in self.gate.asked], [False] * 32)
+
+    async def test_timeouts_refusals_and_malformed_answers_are_no_crash(self):
+        self.down.add("u1")
+        for behaviour in ("silent", "refuse", "fail", "stale"):
+            self.sink = FakeSink()
+            await self.serve(SAFE, behaviour, fingerprint="f")
+        self.assertEqual(self.control.asked, [])
+
+    async def test_a_stream_that_goes_on_shows_that_its_upstream_is_up(self):
+        self.down.add("u1")
+        self.upstreams[0].event_delay = 0.1
+        running = asyncio.create_task(self.serve(STREAM))
+        await asyncio.sleep(0.05)
+        sink, self.sink = self.sink, FakeSink()
+        await self.expect(error.Kind.OUTCOME_UNKNOWN, STREAM, "drop", fingerprint="f")
+        self.assertFalse(running.done())
+        await running
+        self.assertTrue(sink.is_complete)
+        self.assertEqual(self.control.asked, [])
+
+    async def test_a_proven_stream_goes_on_elsewhere_without_delay_or_blame(self):
+        self.down.add("u1")
+        self.upstreams[0].event_delay = crash.PROVEN_SECONDS * 1.1
+        self.gate.admitted, self.gate.refusal = 2, make_refusal()
+        broken_at = 0.0
+        record_break = self.detector.record_break
+
+        def record(exchange, traits):
+            nonlocal broken_at
+            broken_at = self.timer.read_clock()
+            return record_break(exchange, traits)
+
+        self.detector.record_break = record
+        await self.serve(RESUMABLE, "cut", fingerprint="f")
+        self.assertLess(self.timer.read_clock() - broken_at, crash.COLLECT_SECONDS)
+        self.check_events()
+        await asyncio.sleep(2 * crash.COLLECT_SECONDS)
+        self.assertEqual(self.gate.sound, [("f",)])
+        self.assertEqual(self.control.asked, [])
+
+    async def test_a_refused_request_reaches_no_upstream_and_says_not_run(self):
+        for admitted in (0, 1):
+            self.gate.admitted, self.gate.refusal = admitted, make_refusal()
+            failure = await self.expect(error.Kind.REQUEST_QUARANTINED, STREAM)
+            self.assertEqual((failure.not_run, failure.retry_after), (True, 9.0))
+            self.gate.asked.clear()
+        self.assertEqual(self.count_runs(), [0, 0])
+        # The slot that was held in the second case is free again.
+        self.assertEqual(len(self.placer.released), len(self.placer.specs))
+
+    async def test_a_request_refused_after_a_run_does_not_say_not_run(self):
+        self.down.add("u1")
+        self.gate.admitted, self.gate.refusal = 2, make_refusal()
+        failure = await self.expect(error.Kind.UPSTREAM_FAILED, SAFE, "drop")
+        self.assertFalse(failure.not_run)
+        self.assertEqual(self.count_runs(), [1, 0])
+
+    async def test_an_unframed_plain_answer_proves_nothing(self):
+        await self.serve(SAFE, "unframed", fingerprint="f")
+        self.assertEqual(self.gate.sound, [])
+        await self.serve(SAFE, fingerprint="f")
+        self.assertEqual(self.gate.sound, [("f",)])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/sapphireseam/entry/discovery.py
+++ b/sapphireseam/entry/discovery.py
@@ -9,8 +9,9 @@
 from sapphireseam.entry.bulk import BulkJobClient
 from sapphireseam.entry.direct import DirectForwarder
 from sapphireseam.entry.placer import Placer
+from sapphireseam.entry.quarantine import QuarantineGate
 from sapphireseam.policy import fallback
-from sapphireseam.utils import metric, outbound, rpc
+from sapphireseam.utils import crash, metric, outbound, rpc
 from sapphireseam.utils.application import Application, Part, TaskGroup
 from sapphireseam.utils.client import ControlClient
 from sapphireseam.utils.mirror import Mirror
@@ -68,6 +69,30 @@
         self._tasks.spawn(self._upstreams.keep_only(addresses))
 
 
+class _LeavingRuns:
+    """Remember the runs of upstreams that leave, since their end is no crash.
+
+    A run never returns.
+    """
+
+    def __init__(self):
+        self._names: set[str] = set()
+
+    def update(self, instances: tuple[Instance, ...]) -> None:
+        """Add the runs that are listed as leaving."""
+        for instance in instances:
+            if instance.is_leaving:
+                self.add(instance)
+
+    def add(self, instance: Instance) -> None:
+        """Add a run that has said that it leaves."""
+        self._names.add(crash.get_run(instance).name)
+
+    async def has_ended(self, run: crash.Run) -> bool:
+        """Return whether a run has ended unexpectedly."""
+        return run.name not in self._names and not await crash.can_connect(run.address)
+
+
 def build(
     settings: Settings,
     upstreams: outbound.ConnectionPool,
@@ -92,9 +117,25 @@
         timer,
     )
     connection_closer = _ConnectionCloser(upstreams)
-    placer.on_instances = connection_closer.update
-    upstreams.on_leaving = placer.report_leaving
-    forwarder = DirectForwarder(placer, upstreams, meter, timer, random.Random())
+    leaving_runs = _LeavingRuns()
+
+    def handle_instances(instances: tuple[Instance, ...]) -> None:
+        connection_closer.update(instances)
+        leaving_runs.update(instances)
+
+    def handle_leaving(instance: Instance) -> None:
+        placer.report_leaving(instance)
+        leaving_runs.add(instance)
+
+    placer.on_instances = handle_instances
+    upstreams.on_leaving = handle_leaving
+    gate = QuarantineGate(mirror, client, timer)
+    crash_detector = crash.CrashDetector(
+        mirror, client, timeline, timer, leaving_runs.has_ended
+    )
+    forwarder = DirectForwarder(
+        placer, upstreams, meter, timer, random.Random(), gate, crash_detector
+    )
     bulk_jobs = BulkJobClient(client, timer)
     context = FrontContext(authorizer, forwarder, bulk_jobs, mirror, client, timer)
 
@@ -116,6 +157,8 @@
         mirror,
         connection_closer,
         placer,
+        gate,
+        crash_detector,
         StallDetector(timer),
         make_front(context),
     ):
--- a/sapphireseam/platform/dialect.py
+++ b/sapphireseam/platform/dialect.py
@@ -10,6 +10,9 @@
 EXPECTED_INSTANCE = "X-Expect-Instance"
 # Names the customer to a replica. The header is dropped from clients' requests.
 CUSTOMER = "X-Tenant"
+MODEL = "X-Model"
+# Lists the parts of a prompt in order, each as an id and a number of tokens.
+PARTS = "X-Prompt-Prefix"
 RESUME = "Last-Event-Id"
 # Names the client's attempt that brought the first event of a stream.
 RESUMES = "Resumes"
@@ -84,6 +87,13 @@
     return ""
 
 
+def read_parts(headers: CIMultiDictProxy[str]) -> tuple[str, ...]:
+    """Return the ids of a prompt's parts but the last, which is a request's own."""
+    listed = headers.get(PARTS, "").split(",")[:-1]
+    ids = (entry.partition(":")[0].strip() for entry in listed)
+    return tuple(id for id in ids if id)
+
+
 class ReplicaDialect:
     """Writes the headers of requests to replicas and reads the headers of answers."""
 
--- a/sapphireseam/platform/dialect_test.py
+++ b/sapphireseam/platform/dialect_test.py
@@ -51,6 +51,18 @@
         self.assertEqual(headers["Last-Event-Id"], "0")
         self.assertNotIn("Last-Event-Id", dict(render()))
 
+    def test_the_parts_of_a_prompt_are_read_without_the_last(self):
+        for text, expected in (
+            ("5c1e:800,91bd:410,e440:250", ("5c1e", "91bd")),
+            (" 5c1e:800 , 91bd", ("5c1e",)),
+            (",:7,5c1e:800,e440:250", ("5c1e",)),
+            ("e440:250", ()),
+            ("", ()),
+        ):
+            headers = make_headers(**{"X-Prompt-Prefix": text})
+            self.assertEqual(dialect.read_parts(headers), expected)
+        self.assertEqual(dialect.read_parts(make_headers()), ())
+
     def test_only_keys_of_the_token_scheme_are_read(self):
         self.assertEqual(dialect.read_key(make_headers()), "secret")
         self.assertEqual(
--- a/sapphireseam/platform/front.py
+++ b/sapphireseam/platform/front.py
@@ -9,7 +9,7 @@
 
 from aiohttp import web
 
-from sapphireseam.core import error
+from sapphireseam.core import error, fingerprint
 from sapphireseam.entry import routedrequest
 from sapphireseam.entry.direct import DirectRequest
 from sapphireseam.entry.discovery import FrontContext
@@ -151,6 +151,11 @@
             _read_last_event(request),
             request.headers.get(dialect.RESUMES, ""),
             self._estimate_wait(authorization.route_name, remaining, arrived),
+            fingerprint.compute(
+                authorization.customer, request.method, request.raw_path, body
+            ),
+            dialect.read_parts(request.headers),
+            request.headers.get(dialect.MODEL, ""),
         )
         return await self._forward(request, direct_request)
 
--- a/sapphireseam/platform/front_test.py
+++ b/sapphireseam/platform/front_test.py
@@ -181,6 +181,21 @@
             self.assertEqual((await self.post(X_Deadline_Ms=text))[0], 400)
         self.assertEqual((await self.post(X_Attempt_Id=""))[0], 400)
 
+    async def test_requests_that_share_a_prompt_part_share_its_trait(self):
+        for prefix, model, data in (
+            ("a:1,b:2,c:3", "m", b"x"),
+            ("b:2,d:3", "m", b"y"),
+            ("b:2,d:3", "n", b"y"),
+            ("b:2,d:3", "m", b"y"),
+        ):
+            await self.post(data=data, X_Prompt_Prefix=prefix, X_Model=model)
+        first, second, other_model, again = [
+            request.make_traits() for request in self.forwarder.requests
+        ]
+        self.assertEqual(set(first) & set(second), {first[2]})
+        self.assertEqual(set(second) & set(other_model), {second[0]})
+        self.assertEqual(second, again)
+
     async def test_a_client_detects_a_broken_stream(self):
         self.forwarder.breaks = True
         with self.assertRaises(aiohttp.ClientPayloadError):
--- a/sapphireseam/utils/crash_test.py
+++ b/sapphireseam/utils/crash_test.py
@@ -78,7 +78,7 @@
     async def test_upstream_that_breaks_answers_but_stays_up_blames_nobody(self):
         self.is_down = False
         for number in range(32):
-            self.open(["x"])
+            self.open("x", crash.Run("v"))
             task = self.detect_crash("x", f"f{number}", "part:shared")
             await self.timer.advance(1.0)
             self.assertFalse(task.result())
