Reproduce a prompt part that crashes one upstream after another

Callers saw requests with one prompt part crash upstreams for as long as they came. No two of these requests are alike, so the fingerprint, the only thing by which a crashing request is recognised today, is a new one each time.

The fakes now play it. A fake upstream crashes while it begins to answer a request with a bad part: it resets all its connections, loses its running requests and comes back as another run. The stand-in engine already crashed on a marker in one message; it now also tells when it crashed and when such requests arrived. Plain upstreams can reset a share of their answers without ever crashing.

--- /dev/null
+++ b/sapphireseam/tools/discovered.py
@@ -0,0 +1,244 @@
+"""Runs a fleet with discovered upstreams in one process, for tests and the soak.
+
+Control VMs, entries and the links between them are real, on loopback; upstreams are
+fakes (`utils.fakeupstream`). Callers use the entries' forwarders without HTTP.
+"""
+
+import asyncio
+from pathlib import Path
+from typing import NamedTuple
+
+from sapphireseam.control import admin, application as control, placement
+from sapphireseam.core import error, fleet
+from sapphireseam.core.instance import Instance
+from sapphireseam.entry import discovery
+from sapphireseam.entry.direct import DirectRequest
+from sapphireseam.policy import fallback
+from sapphireseam.tools import layout
+from sapphireseam.utils import event, fakeupstream, outbound
+from sapphireseam.utils.application import Application, Part
+from sapphireseam.utils.client import ControlClient
+
+# Timeout of the start of a fleet, in seconds.
+START_SECONDS = 20.0
+POLL_SECONDS = 0.02
+WARM_UP_ROUTE = fleet.Route("/s/", "llm", streamed=True)
+SLACK = fallback.Slack(20, 0.1, 5.0)
+
+
+class Request(NamedTuple):
+    """A caller's request; the last of the prompt's `parts` is never shared."""
+
+    id: str
+    route: fleet.Route
+    parts: tuple[str, ...]
+    customer: str = "c"
+    seconds: float = 4.0
+
+
+class Reply(NamedTuple):
+    """The outcome of a request; times are on the clock of the event loop.
+
+    `failure` is None if the answer is complete.
+    """
+
+    sent: float
+    ended: float
+    events: int
+    failure: error.SeamError | None
+
+
+class Sink:
+    """Records the answer to a request."""
+
+    def __init__(self):
+        self.status = 0
+        self.events: list[event.Event] = []
+        self.is_complete = False
+        self._splitter = event.Splitter()
+
+    async def begin(self, status: int, headers: outbound.Headers) -> None:
+        """Record the status."""
+        self.status = status
+
+    async def write(self, data: bytes) -> None:
+        """Record events."""
+        self.events += self._splitter.feed(data)
+
+    async def finish(self) -> None:
+        """Record the end of the complete answer."""
+        self.is_complete = True
+
+
+class _NoServer:
+    """Stands in for the servers of callers and operators."""
+
+    async def start(self) -> None:
+        """Do nothing."""
+
+    async def stop(self) -> None:
+        """Do nothing."""
+
+
+class _Entry(NamedTuple):
+    """An entry's application and the parts that callers use."""
+
+    application: Application
+    context: discovery.FrontContext
+
+
+class DiscoveredFleet:
+    """Control VMs, entries and fake upstreams of one service."""
+
+    def __init__(self, folder: Path, upstreams: int, entries: int, controls: int = 3):
+        self.upstreams = [
+            fakeupstream.FakeUpstream(f"u{number}") for number in range(upstreams)
+        ]
+        self.entries: list[_Entry] = []
+        self._folder = folder
+        self._reservation = layout.reserve_ports(2 * controls + entries)
+        addresses = [f"{layout.HOST}:{port}" for port in self._reservation.ports]
+        self._controls = addresses[:controls]
+        self._probes = addresses[controls : 2 * controls]
+        self._entry_probes = addresses[2 * controls :]
+        self._applications: list[Application] = []
+
+    async def start(self) -> None:
+        """Start everything; wait until each entry can place requests."""
+        for upstream in self.upstreams:
+            await upstream.start()
+        for number in range(len(self._controls)):
+            self._applications.append(self._build_control(number))
+        starts = [application.start() for application in self._applications]
+        await asyncio.gather(*starts)
+        for number in range(len(self._entry_probes)):
+            self.entries.append(self._build_entry(number))
+            await self.entries[-1].application.start()
+        for number in range(len(self.entries)):
+            await self._wait_placing(number)
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        for entry in self.entries:
+            await entry.application.stop()
+        stops = [application.stop() for application in self._applications]
+        await asyncio.gather(*stops)
+        for upstream in self.upstreams:
+            await upstream.stop()
+
+    async def list(self) -> tuple[Instance, ...]:
+        """Return the upstreams as the list of a platform would show them."""
+        return tuple(upstream.instance for upstream in self.upstreams)
+
+    async def restart_entry(self, number: int) -> None:
+        """Replace an entry by a new one that knows nothing."""
+        await self.entries[number].application.stop()
+        self.entries[number] = self._build_entry(number)
+        await self.entries[number].application.start()
+        await self._wait_placing(number)
+
+    async def send(self, number: int, request: Request) -> Reply:
+        """Send a request at an entry and return its outcome."""
+        clock = asyncio.get_running_loop().time
+        sent, sink, failure = clock(), Sink(), None
+        try:
+            context = self.entries[number].context
+            now = context.timer.read_clock()
+            await context.forwarder.serve(_make_direct(request, now), sink)
+        except error.SeamError as caught:
+            failure = caught
+        return Reply(sent, clock(), len(sink.events), failure)
+
+    async def _wait_placing(self, number: int) -> None:
+        """Wait until an entry has served a request."""
+        async with asyncio.timeout(START_SECONDS):
+            while True:
+                request = Request(f"warm-{number}", WARM_UP_ROUTE, ("warm",))
+                if not (await self.send(number, request)).failure:
+                    return
+                await asyncio.sleep(POLL_SECONDS)
+
+    def _build_control(self, number: int) -> Application:
+        address = self._controls[number]
+        settings = control.Settings(
+            address,
+            f"d{number}",
+            address,
+            self._probes[number],
+            self._folder / f"control-{number}",
+            layout.FLEET_SECRET,
+            tuple(control.Peer(name, name) for name in self._controls),
+            len(self._controls),
+            label=f"control-{number}",
+        )
+        integration = control.Integration(
+            self,
+            outbound.ConnectionPool(fakeupstream.FakeDialect()),
+            _probe,
+            _stop_run,
+            _make_operator_server,
+        )
+        return control.build(settings, integration=integration)
+
+    def _build_entry(self, number: int) -> _Entry:
+        contexts: list[discovery.FrontContext] = []
+
+        def make_front(context: discovery.FrontContext) -> Part:
+            contexts.append(context)
+            return _NoServer()
+
+        settings = discovery.Settings(
+            f"entry-{number}",
+            f"d{number}",
+            self._entry_probes[number],
+            tuple(self._controls),
+            layout.FLEET_SECRET,
+            3.0,
+            SLACK,
+        )
+        upstreams = outbound.ConnectionPool(fakeupstream.FakeDialect())
+        application = discovery.build(settings, upstreams, make_front)
+        return _Entry(application, contexts[0])
+
+
+def _make_direct(request: Request, now: float) -> DirectRequest:
+    shared = request.parts[:-1]
+    # Callers send the parts but the last, which is their own.
+    known = {"parts": shared} if "parts" in DirectRequest._fields else {}
+    return DirectRequest(
+        request.id,
+        request.customer,
+        0,
+        request.route.path,
+        request.route,
+        "h",
+        "POST",
+        f"{request.route.path}x",
+        ((fakeupstream.PARTS, ",".join(request.parts)),),
+        request.id.encode(),
+        now,
+        now + request.seconds,
+        **known,
+    )
+
+
+def _make_operator_server(service: admin.AdminService, client: ControlClient) -> Part:
+    return _NoServer()
+
+
+async def _probe(
+    instance: Instance, path: str, seconds: float
+) -> placement.ProbeResult | None:
+    """Return an empty result if the instance accepts a connection."""
+    host, port = instance.address.split(":")
+    try:
+        async with asyncio.timeout(seconds):
+            _, writer = await asyncio.open_connection(host, int(port))
+    except (OSError, TimeoutError):
+        return None
+    writer.close()
+    return placement.ProbeResult(())
+
+
+async def _stop_run(instance: Instance, request: str, other: Instance) -> None:
+    return None
--- a/sapphireseam/tools/listener.py
+++ b/sapphireseam/tools/listener.py
@@ -35,7 +35,8 @@
     ):
         self.host = host
         self.port = port
-        self.crashes = 0
+        # Times of the crashes on the wall clock, in seconds.
+        self.crash_times: list[float] = []
         self.down = False
         self._restart_seconds = restart_seconds
         self._timer = timer_service
@@ -67,6 +68,11 @@
         await self._site.start()
         self.port = self._runner.addresses[0][1]
 
+    @property
+    def crashes(self) -> int:
+        """Return the number of crashes."""
+        return len(self.crash_times)
+
     def count_connections(self) -> int:
         """Return how many connections are open."""
         return len(self._runner.server.connections)
@@ -76,7 +82,7 @@
         if self.down:
             return
         self.down = True
-        self.crashes += 1
+        self.crash_times.append(self._timer.read_wall_clock())
         for connection in list(self._runner.server.connections):
             if connection.transport is not None:
                 connection.transport.abort()
@@ -107,6 +113,13 @@
     raise asyncio.CancelledError
 
 
+def reset_connection(request: web.Request) -> None:
+    """Reset the request's connection without an answer."""
+    if request.transport is not None:
+        framing.break_off(request.transport)
+    raise asyncio.CancelledError
+
+
 def send_unframed(
     request: web.Request, body: bytes, content_type: str, breaks_off: bool
 ) -> None:
--- a/sapphireseam/tools/service.py
+++ b/sapphireseam/tools/service.py
@@ -23,12 +23,13 @@
 class Hooks(NamedTuple):
     """Markers that inject faults; an empty marker matches no request.
 
-    A request whose prompt or body contains `crash_marker` crashes the upstream,
-    which restarts after `restart_seconds`. A request with `fail_marker` is
-    always answered with 500. The complete answer to a request with
-    `late_marker` is delayed by `late_seconds`. Every `unframed_every`th answer of a
-    plain service ends with its connection, and every `broken_every`th of those is
-    broken off; 0 means none.
+    A request whose prompt or body contains `crash_marker`, for example in one message
+    of a chat, crashes the upstream, which restarts after `restart_seconds`. A request
+    with `fail_marker` is always answered with 500. The complete answer to a request
+    with `late_marker` is delayed by `late_seconds`. Every `unframed_every`th answer of
+    a plain service ends with its connection, and every `broken_every`th of those is
+    broken off; 0 means none. `reset_share` of the answers of a plain service, evenly
+    spread, are replaced by a reset of their connection.
     """
 
     crash_marker: str = ""
@@ -38,6 +39,7 @@
     late_seconds: engine.Seconds = 2.0
     unframed_every: int = 0
     broken_every: int = 0
+    reset_share: engine.Share = 0.0
 
 
 def render_failure(message: str, code: str, kind: str = "server_error") -> dict:
@@ -147,6 +149,9 @@
     ) -> web.Response:
         """Return a complete answer, or send one without length or chunks."""
         self._answers += 1
+        share = self._hooks.reset_share
+        if int(self._answers * share) > int((self._answers - 1) * share):
+            listener.reset_connection(request)
         every = self._hooks.unframed_every
         if every and self._answers % every == 0:
             unframed, broken_every = self._answers // every, self._hooks.broken_every
--- a/sapphireseam/tools/standin.py
+++ b/sapphireseam/tools/standin.py
@@ -2,8 +2,9 @@
 
 Besides `/v1/chat/completions`, `/v1/completions` and `/v1/models` there are
 `/health`, `/load` (delayed), `/cache_events?after=N` (late, with gaps) and
-`/orders`. Tests read digests of the received values from `/_seen` and counts of
-the requests that ran from `/_runs`.
+`/orders`. Tests read digests of the received values from `/_seen`, counts of
+the requests that ran from `/_runs`, and from `/_crashes` when the engine crashed and
+when requests with the crash marker arrived.
 
 A streamed answer has one event for each token. To resume it, the caller
 repeats the request with `seam_resume_from`, the number of tokens that it
@@ -174,6 +175,8 @@
         self._hooks = hooks
         self._timer = timer_service
         self._calls = 0
+        # Arrivals of requests with the crash marker, on the wall clock, in seconds.
+        self._marked_arrivals: list[float] = []
         self.listener = listener.Listener(
             host,
             port,
@@ -186,6 +189,7 @@
                 web.get("/cache_events", self._get_cache_events),
                 web.get("/orders", self._get_orders),
                 web.post("/orders", self._serve_order),
+                web.get("/_crashes", self._get_crashes),
                 web.get("/_runs", self._get_runs),
                 web.get("/_seen", self._get_seen),
             ],
@@ -226,6 +230,8 @@
             call = parse_call(decode_body(await request.read()), chat, call_id)
         except BadCallError as failure:
             return _respond_error(400, str(failure), "bad_request")
+        if service.match_marker(self._hooks.crash_marker, call.job.prompt):
+            self._marked_arrivals.append(self._timer.read_wall_clock())
         try:
             sequence = self.engine.submit(call.job)
         except engine.ModelNotLoadedError as failure:
@@ -372,6 +378,11 @@
             {"role": self.engine.role, "models": sorted(self.engine.models)}
         )
 
+    async def _get_crashes(self, request: web.Request) -> web.Response:
+        return _respond(
+            {"crashes": self.listener.crash_times, "arrivals": self._marked_arrivals}
+        )
+
     async def _get_runs(self, request: web.Request) -> web.Response:
         return _respond(self.runs.render())
 
--- a/sapphireseam/utils/fakeupstream.py
+++ b/sapphireseam/utils/fakeupstream.py
@@ -19,8 +19,12 @@
 CUSTOMER = "Fake-Customer"
 REMAINING = "Fake-Remaining"
 LEAVING = "Fake-Leaving"
+# Lists the parts of a request's prompt, separated by commas.
+PARTS = "Fake-Parts"
 # How long a silent upstream sends nothing, in seconds.
 SILENT_SECONDS = 30.0
+# Time before the next attempt to bind a port that isn't free yet.
+BIND_RETRY_SECONDS = 0.02
 
 
 class FakeDialect:
@@ -57,6 +61,11 @@
     headers: CIMultiDict
     body: bytes
 
+    @property
+    def parts(self) -> list[str]:
+        """Return the parts of the prompt."""
+        return self.headers.get(PARTS, "").split(",")
+
 
 class FakeUpstream:
     """Fakes an upstream on one loopback port.
@@ -69,7 +78,11 @@
     Answers without length or chunks, which end with their connection: `unframed`
     (complete), `unframed-cut` (closes within the third event), `unframed-empty`
     (closes before the first event), `unframed-reset` (resets the connection after
-    the second event).
+    the second event), `reset` (resets the connection instead of an answer).
+
+    Any request whose prompt has one of `bad_parts` crashes the upstream while it is
+    answered: the upstream resets all its connections, loses its running requests, and
+    listens again after `down_seconds` as the next run, with another `born`.
     """
 
     def __init__(
@@ -92,25 +105,64 @@
         self.event_delay = 0.0
         # Ids of the requests that were running when their connection was closed.
         self.dropped: list[str] = []
+        self.bad_parts: frozenset[str] = frozenset()
+        # Events of an answer that are sent before a bad part crashes the upstream; a
+        # negative number crashes it before the head.
+        self.events_before_crash = 0
+        # Delay of a crash after that, in seconds.
+        self.crash_delay = 0.0
+        self.down_seconds = 1.0
+        # Times of the crashes, and of the arrivals of requests with a bad part, on the
+        # clock of the event loop, in seconds.
+        self.crashes: list[float] = []
+        self.bad_arrivals: list[float] = []
+        self._port = 0
+        self._connections: set[asyncio.StreamWriter] = set()
+        self._restarting: asyncio.Task | None = None
         self._server: asyncio.Server | None = None
 
     async def start(self) -> None:
         """Start to listen."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", self._port)
+        self._port = self._server.sockets[0].getsockname()[1]
 
     async def stop(self) -> None:
         """Stop listening."""
+        if self._restarting is not None:
+            self._restarting.cancel()
+        self._server.close()
+
+    @property
+    def is_down(self) -> bool:
+        """Whether the upstream has crashed and doesn't listen yet."""
+        return self._restarting is not None and not self._restarting.done()
+
+    def crash(self) -> None:
+        """Reset all connections and listen again as the next run after a while."""
+        if self.is_down:
+            return
+        self.crashes.append(asyncio.get_running_loop().time())
         self._server.close()
+        for writer in self._connections:
+            framing.break_off(writer.transport)
+        self._restarting = asyncio.create_task(self._restart())
+
+    async def _restart(self) -> None:
+        await asyncio.sleep(self.down_seconds)
+        self.born += 1
+        while True:
+            try:
+                return await self.start()
+            except OSError:
+                await asyncio.sleep(BIND_RETRY_SECONDS)
 
     @property
     def instance(self) -> Instance:
         """Return the instance as discovery would list it."""
-        port = self._server.sockets[0].getsockname()[1]
-        address = f"127.0.0.1:{port}"
         return Instance(
             self.name,
             self.service,
-            address,
+            f"127.0.0.1:{self._port}",
             "z",
             self.slots,
             born=self.born,
@@ -121,6 +173,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self.connections += 1
+        self._connections.add(writer)
         try:
             while await self._serve_request(reader, writer):
                 pass
@@ -128,6 +181,7 @@
             # The caller closed the connection, or the test has ended.
             return
         finally:
+            self._connections.discard(writer)
             writer.close()
 
     async def _serve_request(
@@ -138,15 +192,28 @@
         behaviour = self.behaviours.pop(0) if self.behaviours else "well"
         if behaviour != "refuse":
             self.runs.append(run)
+        crashes = behaviour != "refuse" and not self.bad_parts.isdisjoint(run.parts)
+        if crashes:
+            self.bad_arrivals.append(asyncio.get_running_loop().time())
+            if self.events_before_crash < 0:
+                return await self._crash_later()
         if behaviour == "drop":
             return False
+        if behaviour == "reset":
+            framing.break_off(writer.transport)
+            return False
         if behaviour == "silent":
             await self._wait_for_close(reader, run)
             return False
         if behaviour in ("refuse", "fail", "impossible", "stale"):
             _write_short_answer(writer, behaviour, run, self._render_leaving())
             return True
-        return await self._stream_answer(reader, writer, run, behaviour)
+        return await self._stream_answer(reader, writer, run, behaviour, crashes)
+
+    async def _crash_later(self) -> bool:
+        await asyncio.sleep(self.crash_delay)
+        self.crash()
+        return False
 
     def _render_leaving(self) -> bytes:
         return f"{LEAVING}: 1\r\n".encode() if self.is_leaving else b""
@@ -165,6 +232,7 @@
         writer: asyncio.StreamWriter,
         run: Run,
         behaviour: str,
+        crashes: bool,
     ) -> bool:
         start = int(run.headers.get(RESUME, "-1")) + 1
         is_framed = not behaviour.startswith("unframed")
@@ -180,6 +248,8 @@
         if ending == "empty":
             return False
         for number in range(start, self.events):
+            if crashes and number == start + self.events_before_crash:
+                return await self._crash_later()
             if self.event_delay:
                 await asyncio.sleep(self.event_delay)
             if writer.is_closing() or reader.at_eof():
