--- a/sapphireseam/utils/bufferlimit_test.py
+++ b/sapphireseam/utils/bufferlimit_test.py
@@ -2,12 +2,19 @@
 
 import unittest
 
-from hypothesis import given, strategies as st
+from hypothesis import HealthCheck, given, settings, strategies as st
 
 from sapphireseam.utils import bufferlimit
 
 
 class BufferLimitTest(unittest.TestCase):
+    # The health check measures the speed of the machine.
+    @settings(
+        derandomize=True,
+        deadline=None,
+        database=None,
+        suppress_health_check=[HealthCheck.too_slow],
+    )
     @given(st.lists(st.tuples(st.integers(0, 9), st.integers(0, 60))))
     def test_the_sum_stays_below_twice_the_limit(self, changes):
         limit = bufferlimit.BufferLimit(100)
