Place no request of an entry that has disconnected

A slot stays taken until the next change of leader, so online requests are refused and items wait although the upstream is idle.

Cause: a request may wait for its debit from the customer's rate limit. If its entry's stream ends meanwhile, the requests of the entry are released, but their numbers stayed in the set of open ones. After the debit the request was placed for an entry that nobody reads from, and nothing releases the slot.

Evidence: the test ends the stream while a debit waits. On the code before, one slot stays taken.

Change: the numbers of a closed stream are forgotten with their slots.

Result: the test passes.

--- a/sapphireseam/control/bulkrunner_test.py
+++ b/sapphireseam/control/bulkrunner_test.py
@@ -605,6 +605,17 @@
         answers = await self.send_request(0.02, 0.03)
         self.assertIsInstance(answers[0], messages.Placed)
 
+    async def test_request_whose_entry_is_gone_after_the_wait_gets_no_slot(self):
+        self.rate_limits.waits = [0.05]
+        stream = FakeStream()
+        serving = self.placement.serve(messages.Attach("e1", "z", ()), stream)
+        task = asyncio.create_task(serving)
+        stream.put(messages.Place(6, "r6", "llm", "limited", 0, 0.2, (), True))
+        await asyncio.sleep(0.02)
+        task.cancel()
+        await asyncio.sleep(0.1)
+        self.assertEqual(self.placement.allocator.count_running("llm", False), 0)
+
     async def test_request_that_must_wait_longer_is_refused_at_once(self):
         answers = await self.send_request(0.7)
         self.assertEqual(
--- a/sapphireseam/control/placement.py
+++ b/sapphireseam/control/placement.py
@@ -202,6 +202,8 @@
         now = self._timer.read_clock()
         for number in open_numbers:
             self._send_decisions(self.allocator.release(entry.make_key(number), now))
+        # Requests that still wait for their debit aren't placed any more.
+        open_numbers.clear()
         self.on_slot_free()
 
     def _handle_message(
