Count no load that is reported after its reconciliation has ended

An upstream counts as full although it is idle, until the next change of leader or refusal there.

Cause: for some seconds after a change of leader, the leader asks upstreams what they run and counts requests that it didn't place. At the end it clears that count. An answer that was still on its way, as on a leader that stalls, set the count again, and nothing cleared it any more.

Evidence: the test ends the time of an upstream while it is asked. On the code before, all its slots stay taken.

Change: an answer after the end of the time is dropped.

--- a/sapphireseam/control/bulkrunner_test.py
+++ b/sapphireseam/control/bulkrunner_test.py
@@ -655,6 +655,21 @@
         await asyncio.sleep(placement.PROBE_PERIOD_SECONDS + 0.1)
         self.assertEqual(self.placement.allocator.count_waiting("llm"), 0)
 
+    async def test_load_that_is_reported_after_its_reconciliation_is_not_counted(self):
+        async def probe(instance, path, seconds):
+            await asyncio.sleep(0.1)
+            return placement.ProbeResult(tuple(f"x{n}" for n in range(8)))
+
+        self.placement._probe = probe
+        self.placement._reconcile_until["u1"] = self.timer.read_clock() + 0.05
+        reading = asyncio.create_task(
+            self.placement._reconcile_one(self.upstream.instance)
+        )
+        await asyncio.sleep(0.06)
+        await self.placement._reconcile_loads()
+        await reading
+        self.assertTrue(self.placement.allocator.has_batch_slot("llm"))
+
 
 class FakeStream:
     def __init__(self):
--- a/sapphireseam/control/placement.py
+++ b/sapphireseam/control/placement.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import logging
+import math
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
@@ -379,10 +380,12 @@
                 self.on_slot_free()
 
     async def _reconcile_one(self, instance: Instance) -> None:
+        until = self._reconcile_until.get(instance.id, math.inf)
         load = await self._probe_load(instance)
-        if load is None:
-            return
         now = self._timer.read_clock()
+        # Requests that are counted after the end would be counted for good.
+        if load is None or now >= until:
+            return
         external = self.allocator.list_external(instance.id, load.ids, now)
         if external:
             detail = {"upstream": instance.id, "requests": external}
