--- a/sapphireseam/control/bulkrunner_test.py
+++ b/sapphireseam/control/bulkrunner_test.py
@@ -647,6 +647,17 @@
         answers = await self.send_request(0.02, 0.03)
         self.assertIsInstance(answers[0], messages.Placed)
 
+    async def test_request_whose_entry_is_gone_after_the_wait_gets_no_slot(self):
+        self.rate_limits.waits = [0.05]
+        stream = FakeStream()
+        serving = self.placement.serve(messages.Attach("e1", "z", ()), stream)
+        task = asyncio.create_task(serving)
+        stream.put(messages.Place(6, "r6", "llm", "limited", 0, 0.2, (), True))
+        await asyncio.sleep(0.02)
+        task.cancel()
+        await asyncio.sleep(0.1)
+        self.assertEqual(self.placement.allocator.count_running("llm", False), 0)
+
     async def test_request_that_must_wait_longer_is_refused_at_once(self):
         answers = await self.send_request(0.7)
         self.assertEqual(
@@ -698,6 +709,21 @@
         await asyncio.sleep(placement.PROBE_PERIOD_SECONDS + 0.1)
         self.assertEqual(self.placement.allocator.count_waiting("llm"), 0)
 
+    async def test_load_that_is_reported_after_its_reconciliation_is_not_counted(self):
+        async def probe(instance, path, seconds):
+            await asyncio.sleep(0.1)
+            return placement.ProbeResult(tuple(f"x{n}" for n in range(8)))
+
+        self.placement._probe = probe
+        self.placement._reconcile_until["u1"] = self.timer.read_clock() + 0.05
+        reading = asyncio.create_task(
+            self.placement._reconcile_one(self.upstream.instance)
+        )
+        await asyncio.sleep(0.06)
+        await self.placement._reconcile_loads()
+        await reading
+        self.assertTrue(self.placement.allocator.has_batch_slot("llm"))
+
 
 class FakeStream:
     def __init__(self):
--- a/sapphireseam/control/placement.py
+++ b/sapphireseam/control/placement.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import logging
+import math
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
@@ -202,6 +203,8 @@
         now = self._timer.read_clock()
         for number in open_numbers:
             self._send_decisions(self.allocator.release(entry.make_key(number), now))
+        # Requests that still wait for their debit aren't placed any more.
+        open_numbers.clear()
         self.on_slot_free()
 
     def _handle_message(
@@ -378,10 +381,12 @@
                 self.on_slot_free()
 
     async def _reconcile_one(self, instance: Instance) -> None:
+        until = self._reconcile_until.get(instance.id, math.inf)
         load = await self._probe_load(instance)
-        if load is None:
-            return
         now = self._timer.read_clock()
+        # Requests that are counted after the end would be counted for good.
+        if load is None or now >= until:
+            return
         external = self.allocator.list_external(instance.id, load.ids, now)
         if external:
             detail = {"upstream": instance.id, "requests": external}
