Expect 503 with Retry-After and not run for a quarantined request

The promises test waited for 422, the status before verdicts had an end. It now asserts more: status 503, the code request_quarantined, Retry-After and the header that says not run; other 503 answers don't count as the refusal. Crashes of the repeated request stay 2, as before.

--- a/sapphireseam/tools/promise_test.py
+++ b/sapphireseam/tools/promise_test.py
@@ -173,6 +173,16 @@
         await self.processes.start(self.items[node])
         await fleet.wait_healthy(self.http, self.items[node].health)
 
+    def check_quarantined(self, reply):
+        status, headers, body = reply
+        code = json.loads(body)["error"]["code"]
+        self.assertEqual((status, code), (503, "request_quarantined"))
+        self.assertEqual(headers["X-Seam-Not-Run"], "true")
+        self.assertGreater(float(headers["Retry-After"]), 0)
+
+    def is_quarantined(self, reply):
+        return reply[0] == 503 and b'"request_quarantined"' in reply[2]
+
     async def check_crashing_request(self):
         """Resend a crashing request through all entries, beside harmless streams."""
         harmless = [
@@ -184,7 +194,7 @@
         async def is_refused():
             nonlocal last
             last = [await self.post_chat(entry, CRASH) for entry in (0, 1)]
-            return all(status == 422 for status, _, _ in last)
+            return all(map(self.is_quarantined, last))
 
         await self.wait_until(is_refused)
         for number, task in enumerate(harmless):
@@ -193,8 +203,7 @@
         await self.restart("entry-1")
         await self.restart(f"agent-{MODEL}-1")
         for entry in (0, 1):
-            status, headers, body = await self.post_chat(entry, CRASH)
-            self.assertEqual((status, headers["X-Seam-Not-Run"]), (422, "true"), body)
+            self.check_quarantined(await self.post_chat(entry, CRASH))
         self.assertEqual(await self.count_crashes(), 2)
         for number in range(6):
             text = f"beside {number}"
@@ -205,7 +214,7 @@
 
         async def is_refused():
             answers = [await self.post_chat(entry, text) for entry in (0, 1)]
-            return all(status == 422 for status, _, _ in answers)
+            return all(map(self.is_quarantined, answers))
 
         await self.wait_until(is_refused)
 
