Refuse connections at a fault proxy while nobody listens behind it

In the soak of processes an engine that had crashed still accepted connections, because the proxy in front of it did. The proxy now stops listening while its target refuses connections, as a crashed process does, and listens again with it.

--- a/sapphireseam/tools/proxy.py
+++ b/sapphireseam/tools/proxy.py
@@ -2,7 +2,8 @@
 
 A link may be slow, silent in one or both directions, or have its connections reset.
 A silent link holds bytes back and delivers them once the fault is cleared, like a
-network that was partitioned and healed.
+network that was partitioned and healed. While nobody listens at the target, the proxy
+refuses connections as well.
 """
 
 import asyncio
@@ -14,6 +15,8 @@
 CHUNK_BYTES = 64 * 1024
 # Delay of a slow link, in seconds.
 SLOW_SECONDS = 0.15
+# Time between two checks whether somebody listens at the target again, in seconds.
+CHECK_SECONDS = 0.02
 
 
 class LinkFault(enum.StrEnum):
@@ -42,14 +45,20 @@
         self._changed = asyncio.Event()
         self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
+        self._following: asyncio.Task | None = None
 
     async def start(self) -> None:
         """Start listening."""
+        await self._listen()
+
+    async def _listen(self) -> None:
         host, port = self.address.rsplit(":", 1)
         self._server = await asyncio.start_server(self._serve, host, int(port))
 
     async def stop(self) -> None:
         """Stop listening and reset every connection."""
+        if self._following is not None:
+            self._following.cancel()
         if self._server is not None:
             self._server.close()
         self.reset()
@@ -65,6 +74,27 @@
         for writer in list(self._writers):
             framing.break_off(writer.transport)
 
+    def _follow_target(self) -> None:
+        """Stop listening if nobody listens at the target, until somebody does."""
+        if self._following is None or self._following.done():
+            self._following = asyncio.create_task(self._follow())
+
+    async def _follow(self) -> None:
+        while not await self._can_connect():
+            self._server.close()
+            await asyncio.sleep(CHECK_SECONDS)
+        if not self._server.is_serving():
+            await self._listen()
+
+    async def _can_connect(self) -> bool:
+        host, port = self.target.rsplit(":", 1)
+        try:
+            _, writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            return False
+        writer.close()
+        return True
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -76,6 +106,7 @@
         except OSError:
             # Without the proxy, the caller would see a failed connection, too.
             self._close(writer)
+            self._follow_target()
             return
         self._writers.add(far_writer)
         forward = asyncio.create_task(
@@ -91,6 +122,7 @@
             backward.cancel()
             self._close(writer)
             self._close(far_writer)
+            self._follow_target()
 
     def _close(self, writer: asyncio.StreamWriter) -> None:
         self._writers.discard(writer)
