Play bad prompt parts in both soaks and across new leaders and entries

The soak of streams now plays two series of requests with a bad part beside its other faults, and replaces entries; once all entries refuse a part, it changes the leader, parts an entry and replaces one. The soak of processes plays one series beside the load. The tests of both paths also restart leaders and entries while a verdict stands.

--- a/sapphireseam/tools/discovered.py
+++ b/sapphireseam/tools/discovered.py
@@ -9,7 +9,7 @@
 from typing import NamedTuple
 
 from sapphireseam.control import admin, application as control, placement
-from sapphireseam.core import error, fleet
+from sapphireseam.core import error, fingerprint, fleet, trait
 from sapphireseam.core.instance import Instance
 from sapphireseam.entry import discovery
 from sapphireseam.entry.direct import DirectRequest
@@ -130,6 +130,14 @@
         """Return the upstreams as the list of a platform would show them."""
         return tuple(upstream.instance for upstream in self.upstreams)
 
+    async def restart_leader(self) -> None:
+        """Stop the control VM that leads, and start it again."""
+        leader = self.entries[0].context.client.pick_address()
+        number = self._controls.index(leader)
+        await self._applications[number].stop()
+        self._applications[number] = self._build_control(number)
+        await self._applications[number].start()
+
     async def restart_entry(self, number: int) -> None:
         """Replace an entry by a new one that knows nothing."""
         await self.entries[number].application.stop()
@@ -155,7 +163,7 @@
             while True:
                 request = Request(f"warm-{number}", WARM_UP_ROUTE, ("warm",))
                 if not (await self.send(number, request)).failure:
-                    return
+                    return await self.entries[number].context.mirror.refresh()
                 await asyncio.sleep(POLL_SECONDS)
 
     def _build_control(self, number: int) -> Application:
@@ -174,8 +182,8 @@
         integration = control.Integration(
             self,
             outbound.ConnectionPool(fakeupstream.FakeDialect()),
-            _probe,
-            _stop_run,
+            probe,
+            stop_run,
             _make_operator_server,
         )
         return control.build(settings, integration=integration)
@@ -202,9 +210,8 @@
 
 
 def _make_direct(request: Request, now: float) -> DirectRequest:
-    shared = request.parts[:-1]
-    # Callers send the parts but the last, which is their own.
-    known = {"parts": shared} if "parts" in DirectRequest._fields else {}
+    target, body = f"{request.route.path}x", request.id.encode()
+    service = request.route.service
     return DirectRequest(
         request.id,
         request.customer,
@@ -213,12 +220,14 @@
         request.route,
         "h",
         "POST",
-        f"{request.route.path}x",
+        target,
         ((fakeupstream.PARTS, ",".join(request.parts)),),
-        request.id.encode(),
+        body,
         now,
         now + request.seconds,
-        **known,
+        fingerprint=fingerprint.compute(request.customer, "POST", target, body),
+        # Callers send the parts but the last, which is their own.
+        parts=trait.make_part_traits(service, request.parts[:-1]),
     )
 
 
@@ -226,7 +235,7 @@
     return _NoServer()
 
 
-async def _probe(
+async def probe(
     instance: Instance, path: str, seconds: float
 ) -> placement.ProbeResult | None:
     """Return an empty result if the instance accepts a connection."""
@@ -240,5 +249,5 @@
     return placement.ProbeResult(())
 
 
-async def _stop_run(instance: Instance, request: str, other: Instance) -> None:
-    return None
+async def stop_run(instance: Instance, request: str, other: Instance) -> None:
+    """Do nothing; fake upstreams can't stop a request."""
--- a/sapphireseam/tools/promptpart_test.py
+++ b/sapphireseam/tools/promptpart_test.py
@@ -6,8 +6,10 @@
 
 import asyncio
 import contextlib
+import itertools
 import json
 import random
+import signal
 import tempfile
 import time
 import unittest
@@ -18,13 +20,15 @@
 from sapphireseam.core import fleet as configuration
 from sapphireseam.ops import session
 from sapphireseam.scripts import demo
-from sapphireseam.tools import client, discovered, fleet, layout, promptpart
+from sapphireseam.tools import discovered, fleet, layout, promptpart
+from sapphireseam.utils import loop
 
 SEED = 1
 TIMES = promptpart.Times()
 DOWN_SECONDS = 1.0
+# Requests that are sent once a verdict must be known.
+LATER = 8
 MODEL = "wording-llm"
-TOKENS = 20
 ITEMS = 60
 # Rounds of plain requests, how many are sent at once, and how many rounds differ.
 ROUNDS, AT_ONCE, DISTINCT = 40, 2, 4
@@ -39,18 +43,37 @@
 STREAM = configuration.Route("/s/", "llm", streamed=True, idempotent=False)
 
 
-class DirectPathTest(unittest.IsolatedAsyncioTestCase):
-    async def asyncSetUp(self):
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        self.fleet = discovered.DiscoveredFleet(Path(folder.name), 6, 3)
-        self.rng = random.Random(SEED)
-        for upstream in self.fleet.upstreams:
-            upstream.bad_parts = frozenset({promptpart.BAD})
-            upstream.down_seconds = DOWN_SECONDS
-            upstream.crash_delay = upstream.event_delay = 0.05
-        await self.fleet.start()
-        self.addAsyncCleanup(self.fleet.stop)
+async def crash_until_refused(send):
+    """Send requests with the bad part until one is refused for long."""
+    async with asyncio.timeout(fleet.STEP_SECONDS):
+        for number in itertools.count():
+            parts = (promptpart.SHARED, promptpart.BAD, f"unlike {number}")
+            if (await send(parts[-1], parts)).retry_after > TIMES.contact:
+                return
+            await asyncio.sleep(TIMES.bad_period)
+
+
+class DirectPathTest(unittest.TestCase):
+    """Runs on the programs' event loop, as all of them share one process."""
+
+    def run_fleet(self, work):
+        """Run a coroutine function with a running fleet."""
+
+        async def run():
+            with tempfile.TemporaryDirectory() as folder:
+                self.fleet = discovered.DiscoveredFleet(Path(folder), 6, 3)
+                self.rng = random.Random(SEED)
+                for upstream in self.fleet.upstreams:
+                    upstream.bad_parts = frozenset({promptpart.BAD})
+                    upstream.down_seconds = DOWN_SECONDS
+                    upstream.crash_delay = upstream.event_delay = 0.05
+                await self.fleet.start()
+                try:
+                    await work()
+                finally:
+                    await self.fleet.stop()
+
+        loop.run(run())
 
     async def send(self, id, parts):
         entry = self.rng.randrange(len(self.fleet.entries))
@@ -69,29 +92,50 @@
     async def read_record(self):
         upstreams = self.fleet.upstreams
         return promptpart.Record(
-            tuple(at for upstream in upstreams for at in upstream.crashes),
-            tuple(at for upstream in upstreams for at in upstream.bad_arrivals),
+            tuple(each.at for upstream in upstreams for each in upstream.crashes),
+            tuple(each.at for upstream in upstreams for each in upstream.bad_arrivals),
         )
 
-    async def test_a_prompt_part_does_not_crash_one_upstream_after_another(self):
-        play = promptpart.Play(self.send, self.read_record, TIMES, self.rng)
-        self.assertEqual(await play.run(), [], play.describe())
-
-    async def test_resets_by_upstreams_that_stay_up_get_no_request_refused(self):
-        draws = random.Random(SEED)
-        for upstream in self.fleet.upstreams:
-            upstream.behaviours = draws.choices(["reset", "well"], [4, 6], k=1000)
-        replies = []
-        for number in range(ROUNDS):
-            ids = [f"plain {number % DISTINCT} {each}" for each in range(AT_ONCE)]
-            sends = [
-                self.fleet.send(0, discovered.Request(id, PLAIN, ("shared", id)))
-                for id in ids
-            ]
-            replies += await asyncio.gather(*sends)
-        codes = {str(each.failure.kind) for each in replies if each.failure}
-        self.assertNotIn(promptpart.QUARANTINED, codes)
-        self.assertIn("upstream_failed", codes)
+    def test_a_prompt_part_does_not_crash_one_upstream_after_another(self):
+        async def play():
+            play = promptpart.Play(self.send, self.read_record, TIMES, self.rng)
+            self.assertEqual(await play.run(), [], play.describe())
+
+        self.run_fleet(play)
+
+    def test_a_verdict_is_not_forgotten_by_new_leaders_and_entries(self):
+        async def replace():
+            await crash_until_refused(self.send)
+            await self.fleet.restart_leader()
+            for number in range(len(self.fleet.entries)):
+                await self.fleet.restart_entry(number)
+            before = await self.read_record()
+            for number in range(LATER):
+                parts = (promptpart.SHARED, promptpart.BAD, f"later {number}")
+                outcome = await self.send(parts[-1], parts)
+                self.assertEqual(outcome.code, promptpart.QUARANTINED)
+            self.assertEqual(await self.read_record(), before)
+
+        self.run_fleet(replace)
+
+    def test_resets_by_upstreams_that_stay_up_get_no_request_refused(self):
+        async def reset():
+            draws = random.Random(SEED)
+            for upstream in self.fleet.upstreams:
+                upstream.behaviours = draws.choices(["reset", "well"], [4, 6], k=1000)
+            replies = []
+            for number in range(ROUNDS):
+                ids = [f"plain {number % DISTINCT} {each}" for each in range(AT_ONCE)]
+                sends = [
+                    self.fleet.send(0, discovered.Request(id, PLAIN, ("shared", id)))
+                    for id in ids
+                ]
+                replies += await asyncio.gather(*sends)
+            codes = {str(each.failure.kind) for each in replies if each.failure}
+            self.assertNotIn(promptpart.QUARANTINED, codes)
+            self.assertIn("upstream_failed", codes)
+
+        self.run_fleet(reset)
 
 
 class AgentPathTest(unittest.IsolatedAsyncioTestCase):
@@ -111,67 +155,18 @@
             settings = json.loads(item.settings.read_text()) | {"hooks": hooks}
             item.settings.write_text(json.dumps(settings))
         running = await stack.enter_async_context(fleet.run(self.plan))
-        self.http = running.http
+        self.http, self.processes = running.http, running.processes
         self.key = await session.issue_key(running.client, "grower-1", time.time())
         self.callers = [
             demo.Caller(self.http, entry, self.key.text) for entry in self.plan.entries
         ]
         for caller in self.callers:
             await caller.chat("hello", False)
-        self.rng = random.Random(SEED)
-
-    async def post(self, path, document):
-        """Return the outcome of one attempt at any entry."""
-        url = f"http://{self.rng.choice(self.plan.entries)}{path}"
-        headers = {"Authorization": f"Bearer {self.key.text}"}
-        sent, body = asyncio.get_running_loop().time(), b""
-        try:
-            async with self.http.post(url, json=document, headers=headers) as response:
-                head = response.status, response.headers
-                async for piece in response.content.iter_any():
-                    body += piece
-        except aiohttp.ClientError as failure:
-            return promptpart.Outcome(sent, bool(body), 0, type(failure).__name__)
-        if head[0] == 200:
-            return promptpart.Outcome(sent, b"data: {" in body)
-        return promptpart.Outcome(
-            sent,
-            False,
-            head[0],
-            client.read_error_code(body),
-            float(head[1].get("Retry-After", 0)),
-            head[1].get(client.NOT_RUN_HEADER) == "true",
+        rng = random.Random(SEED)
+        self.chats = promptpart.ChatCaller(
+            self.http, self.plan.entries, self.engines, self.key.text, MODEL, rng
         )
-
-    async def send(self, id, parts):
-        messages = [{"role": "system", "content": text} for text in parts[:-1]]
-        messages.append({"role": "user", "content": parts[-1]})
-        document = {
-            "model": MODEL,
-            "messages": messages,
-            "max_tokens": TOKENS,
-            "stream": True,
-        }
-        return await self.post("/v1/chat/completions", document)
-
-    async def read_record(self):
-        pages = [await self.read_crashes(base) for base in self.engines]
-        offset = time.time() - asyncio.get_running_loop().time()
-        return promptpart.Record(
-            *(
-                tuple(at - offset for page in pages for at in page[name])
-                for name in ("crashes", "arrivals")
-            )
-        )
-
-    async def read_crashes(self, base):
-        async with asyncio.timeout(fleet.STEP_SECONDS):
-            while True:
-                try:
-                    async with self.http.get(f"{base}/_crashes") as response:
-                        return await response.json()
-                except aiohttp.ClientError:
-                    await asyncio.sleep(fleet.POLL_SECONDS)
+        self.play = promptpart.Play(self.chats.send, self.chats.read_record, TIMES, rng)
 
     async def start_job(self):
         """Submit a batch job whose items share parts with the requests."""
@@ -186,7 +181,7 @@
                         {"role": "system", "content": promptpart.SHARED},
                         {"role": "user", "content": f"item {number}"},
                     ],
-                    "max_tokens": TOKENS,
+                    "max_tokens": promptpart.TOKENS,
                 },
             }
             for number in range(ITEMS)
@@ -217,18 +212,39 @@
         hooks = {"crash_marker": promptpart.BAD, "restart_seconds": DOWN_SECONDS}
         await self.start(hooks)
         job = await self.start_job()
-        play = promptpart.Play(self.send, self.read_record, TIMES, self.rng)
-        self.assertEqual(await play.run(), [], play.describe())
+        self.assertEqual(await self.play.run(), [], self.play.describe())
         counts = {"total": ITEMS, "completed": ITEMS, "failed": 0}
         self.assertEqual(await self.wait_for_job(job), counts)
 
+    async def test_a_verdict_is_not_forgotten_by_new_leaders_and_entries(self):
+        hooks = {"crash_marker": promptpart.BAD, "restart_seconds": DOWN_SECONDS}
+        await self.start(hooks)
+        await crash_until_refused(self.chats.send)
+        for item in self.plan.processes:
+            if item.program in ("seam-control", "seam-entry"):
+                await self.restart(item)
+        before = len((await self.chats.read_record()).arrivals)
+        for number in range(LATER):
+            parts = (promptpart.SHARED, promptpart.BAD, f"later {number}")
+            outcome = await self.chats.send(parts[-1], parts)
+            self.assertEqual(outcome.code, promptpart.QUARANTINED)
+        after = len((await self.chats.read_record()).arrivals)
+        self.assertEqual(after, before)
+
+    async def restart(self, item):
+        """Kill a process and start it again."""
+        self.processes.signal(item.node, signal.SIGKILL)
+        await self.processes.running[item.node].wait()
+        await self.processes.start(item)
+        await fleet.wait_healthy(self.http, item.health)
+
     async def test_resets_by_services_that_stay_up_get_no_request_refused(self):
         await self.start({"reset_share": 0.4})
         codes = set()
         for number in range(ROUNDS):
             document = {"id": f"plain {number % DISTINCT}"}
             sends = [
-                self.post("/label-store/x", document | {"number": each})
+                self.chats.post("/label-store/x", document | {"number": each})
                 for each in range(AT_ONCE)
             ]
             codes |= {each.code for each in await asyncio.gather(*sends)}
--- a/sapphireseam/tools/soak.py
+++ b/sapphireseam/tools/soak.py
@@ -8,6 +8,10 @@
 run only once runs twice, no request answered with "not run" has run, and every
 accepted item is completed once.
 
+Requests with a bad prompt part come beside the load and crash whatever engine begins to
+answer one; `tools.promptpart` checks that they stop reaching engines while sound
+requests begin.
+
 Plain services answer in part without length or chunks, and break off some of these
 answers.
 
@@ -27,9 +31,10 @@
 from pathlib import Path
 from typing import Annotated, NamedTuple
 
+import aiohttp
 import typer
 
-from sapphireseam.tools import fleet, layout, proxy
+from sapphireseam.tools import fleet, layout, promptpart, proxy
 from sapphireseam.utils import loop
 
 CUSTOMERS = ("grower-1", "grower-2")
@@ -44,6 +49,11 @@
 # Which of the answers of plain services have neither length nor chunks, and which of
 # those are broken off.
 UNFRAMED_EVERY, BROKEN_EVERY = 3, 7
+MODEL = "wording-llm"
+# How long a crashed engine is down, in seconds.
+RESTART_SECONDS = 1.0
+# Times of the requests with prompt parts; a verdict must be known after `contact`.
+PART_TIMES = promptpart.Times(contact=3.0, bad_period=0.6, sound_period=0.1, before=3.0)
 # What a control VM logs when its leadership changes, and when it starts.
 LEADER_LINES = ('"leads"', '"lost leadership"', '"started"')
 CONTROL = "seam-control"
@@ -56,7 +66,7 @@
 def describe_shape(rate: float) -> layout.Shape:
     """Return the shape of the fleet, with rate limits far above the load."""
     replicas = (
-        layout.Replicas("wording-llm", 3, slots=32),
+        layout.Replicas(MODEL, 3, slots=32),
         layout.Replicas("label-store", 2, True, 32),
         layout.Replicas("post-app", 2, True, 32),
     )
@@ -69,12 +79,14 @@
     """A fleet with a proxy in front of each control VM, agent and upstream.
 
     `links` maps the nodes of processes to their proxies. `runs` are the base URLs at
-    which the upstreams report their run counts, without a proxy in between.
+    which the upstreams report their run counts, without a proxy in between, and
+    `engines` those of the engines.
     """
 
     plan: layout.Layout
     links: dict[str, proxy.Proxy]
     runs: tuple[str, ...]
+    engines: tuple[str, ...]
 
 
 def insert_proxies(plan: layout.Layout) -> ProxiedFleet:
@@ -82,7 +94,7 @@
     proxied = [item for item in plan.processes if item.program != "seam-entry"]
     reservation = layout.reserve_ports(len(proxied))
     ports = iter(reservation.ports)
-    links, runs, processes = {}, [], []
+    links, runs, engines, processes = {}, [], [], []
     for item in plan.processes:
         if item.program == "seam-entry":
             processes.append(item)
@@ -100,6 +112,12 @@
                     "unframed_every": UNFRAMED_EVERY,
                     "broken_every": BROKEN_EVERY,
                 }
+            else:
+                settings["hooks"] = {
+                    "crash_marker": promptpart.BAD,
+                    "restart_seconds": RESTART_SECONDS,
+                }
+                engines.append(f"http://{address}")
             runs.append(f"http://{address}")
             item = item._replace(health=f"http://{address}/health")
         else:
@@ -110,7 +128,7 @@
     moved = plan._replace(
         processes=tuple(processes), reservations=(*plan.reservations, reservation)
     )
-    return ProxiedFleet(moved, links, tuple(runs))
+    return ProxiedFleet(moved, links, tuple(runs), tuple(engines))
 
 
 class FaultInjector:
@@ -130,6 +148,8 @@
         self._rng = random.Random(seed)
         # Nodes that have a fault now.
         self._faulty: set[str] = set()
+        # When a control VM had a fault, on the clock of the event loop, in seconds.
+        self._control_faults: list[tuple[float, float]] = []
         self._tasks: set[asyncio.Task] = set()
         self._actions: dict[str, Callable[[str, float], Awaitable[None]]] = {
             "kill": self._kill,
@@ -184,11 +204,22 @@
         return node not in self._faulty and same_group_faults < limit
 
     async def _run_fault(self, node: str, action: str, seconds: float) -> None:
+        clock = asyncio.get_running_loop().time
         self._faulty.add(node)
+        began = clock()
         try:
             await self._actions[action](node, seconds)
         finally:
             self._faulty.discard(node)
+            if self._items[node].program == CONTROL:
+                self._control_faults.append((began, clock()))
+
+    def was_in_touch(self, at: float) -> bool:
+        """Return whether no control VM had a fault within the time of contact."""
+        return not any(
+            began <= at <= ended + PART_TIMES.contact
+            for began, ended in self._control_faults
+        )
 
     def _make_link_fault(
         self, fault: proxy.LinkFault
@@ -229,13 +260,16 @@
 class SoakResult(NamedTuple):
     """The result of a soak; `faults` counts the faults of the system.
 
-    `counts` is the number of injected faults by program and kind.
+    `counts` is the number of injected faults by program and kind. `findings` describes
+    the faults in the play of a bad prompt part, and `parts` its outcomes.
     """
 
     seed: int
     faults: int
     counts: dict[str, int]
     report: dict
+    findings: list[str]
+    parts: str
 
 
 async def soak(
@@ -251,7 +285,7 @@
         async with fleet.run(proxied_fleet.plan) as running:
             keys = await fleet.write_keys(running.client, CUSTOMERS, folder)
             return await _run_load(
-                proxied_fleet, running.processes, profile, keys, seed
+                proxied_fleet, running.processes, profile, keys, seed, running.http
             )
     finally:
         for link in proxied_fleet.links.values():
@@ -264,6 +298,7 @@
     profile: Path,
     keys: Path,
     seed: int,
+    http: aiohttp.ClientSession,
 ) -> SoakResult:
     output = proxied_fleet.plan.folder / "report.json"
     arguments = ["--profile", str(profile), "--keys", str(keys)]
@@ -274,29 +309,40 @@
         arguments += ["--upstream", base]
     faults = FaultInjector(processes, proxied_fleet, seed)
     injecting = asyncio.create_task(faults.run())
+    rng = random.Random(seed)
+    key = json.loads(await asyncio.to_thread(keys.read_text))[CUSTOMERS[0]]
+    chats = promptpart.ChatCaller(
+        http, proxied_fleet.plan.entries, proxied_fleet.engines, key, MODEL, rng
+    )
+    play = promptpart.Play(chats.send, chats.read_record, PART_TIMES, rng)
+    play.is_judged = faults.was_in_touch
+    findings: list[str] = []
     binary = Path(sys.executable).parent / "seam-load"
     with (proxied_fleet.plan.folder / "load.log").open("wb") as log:
         process = await asyncio.create_subprocess_exec(
             binary, *arguments, stdout=log, stderr=log
         )
         try:
-            await process.wait()
+            findings += await play.run_until(process.wait)
         finally:
             injecting.cancel()
             await asyncio.gather(injecting, return_exceptions=True)
     report = json.loads(output.read_text()) if output.exists() else {}
-    faults_found = report["faults"] if report else 1
-    return SoakResult(seed, faults_found, dict(sorted(faults.counts.items())), report)
+    faults_found = (report["faults"] if report else 1) + len(findings)
+    counts = dict(sorted(faults.counts.items()))
+    return SoakResult(seed, faults_found, counts, report, findings, play.describe())
 
 
 def render(result: SoakResult, folder: Path) -> str:
     """Return one line about a soak, with details if faults were found."""
     report = result.report
     line = f"seed {result.seed}: {result.faults} faults, {report.get('verdicts')}"
+    line += f"; {result.parts}"
     if not result.faults:
         return line
     details = [f"  faults injected: {result.counts}", f"  logs: {folder}"]
     details += [f"  refusals by cause: {report.get('refusals')}"]
+    details += [f"  {text}" for text in result.findings]
     details += [f"  {line}" for line in _list_leaders(folder)]
     details += [f"  {text}" for text in report.get("troubled", ())]
     details += [f"  {text}" for text in report.get("runs", {}).get("findings", ())]
--- a/sapphireseam/tools/soak_test.py
+++ b/sapphireseam/tools/soak_test.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 from unittest import mock
 
-from sapphireseam.tools import layout, soak
+from sapphireseam.tools import layout, promptpart, soak
 
 PROFILE = Path(__file__).parents[2] / "examples" / "load" / "soak.json"
 # Seed of the short run, its requests per second and its time limit, in seconds.
@@ -88,6 +88,7 @@
                 result = await soak.soak(Path(folder), PROFILE, RATE, SEED)
             self.assertEqual(result.faults, 0, soak.render(result, Path(folder)))
             self.assertTrue(result.counts)
+            self.assertIn(promptpart.QUARANTINED, result.parts)
 
 
 if __name__ == "__main__":
--- a/sapphireseam/tools/streamsoak.py
+++ b/sapphireseam/tools/streamsoak.py
@@ -3,16 +3,20 @@
 Entries and leaders are real and run in one process; the links between them are in
 memory. Upstreams break answers off in every way that the fake knows, are replaced by
 other software versions and say that they leave; leaders change; an entry loses its
-link to the leader. Callers take broken streams up again, at any entry.
+link to the leader, or is replaced by one that knows nothing. Callers take broken
+streams up again, at any entry. Requests with a bad prompt part come in series beside
+them and crash whatever upstream begins to answer one.
 
 It checks that a stream that ended as complete has each event once, that all events of
 a stream come from one software version, that most resumptions go on while their
-version serves, and that an upstream gets nothing more from an entry to which it has
-said that it leaves.
+version serves, that an upstream gets nothing more from an entry to which it has
+said that it leaves, and that a bad part is refused after a few crashes while sound
+requests begin (`tools.promptpart`).
 """
 
 import asyncio
 import collections
+import itertools
 import random
 import sys
 from typing import Annotated, NamedTuple
@@ -20,13 +24,27 @@
 import typer
 
 from sapphireseam.control.machine import StateMachine
-from sapphireseam.control.placement import PlacementServer, ProbeResult
-from sapphireseam.core import error, fleet, placement
+from sapphireseam.control.placement import PlacementServer
+from sapphireseam.control.watch import WatchHub
+from sapphireseam.core import (
+    command,
+    error,
+    fingerprint,
+    fleet,
+    notice,
+    outcome,
+    placement,
+    trait,
+)
 from sapphireseam.entry.direct import DirectForwarder, DirectRequest
 from sapphireseam.entry.placer import Placer
+from sapphireseam.entry.quarantine import QuarantineGate
 from sapphireseam.policy import fallback
-from sapphireseam.utils import event, loop, metric, outbound, rpc
-from sapphireseam.utils.fakeupstream import FakeDialect, FakeUpstream
+from sapphireseam.tools import discovered, promptpart
+from sapphireseam.utils import crash, event, loop, metric, outbound, rpc
+from sapphireseam.utils.fakeupstream import PARTS, FakeDialect, FakeUpstream
+from sapphireseam.utils.mirror import Mirror
+from sapphireseam.utils.timeline import Timeline
 from sapphireseam.utils.timer import SystemTimer
 
 SERVICE = "llm"
@@ -57,7 +75,20 @@
 MIN_RESUMPTIONS = 12
 MIN_RESUMED_PART = 0.5
 BREAKS = ("cut", "drop", "unframed-cut", "unframed-empty", "unframed-reset", "refuse")
-FAULTS = ("break",) * 12 + ("release",) * 4 + ("lead", "part")
+# Time within which a verdict must be known at every entry, in seconds.
+CONTACT_SECONDS = 3.0
+# Number of series of bad requests, when they begin and the time between their requests,
+# in seconds.
+SERIES = 2
+FIRST_SERIES_SECONDS, LAST_SERIES_SECONDS = 1.0, 5.0
+SHORTEST_BAD_PAUSE, LONGEST_BAD_PAUSE = 0.3, 0.8
+BAD_TRIES = 2
+# How long a crashed upstream is down, how long after it began to answer it crashes, and
+# how many events it has sent by then; a negative number stands for no head.
+SHORTEST_DOWN_SECONDS, LONGEST_DOWN_SECONDS = 0.3, 2.0
+LONGEST_CRASH_DELAY = 0.1
+EVENTS_BEFORE_CRASH = (-1, 0, 0, 0, 1)
+FAULTS = ("break",) * 12 + ("release",) * 4 + ("lead", "part", "replace")
 
 
 class _Replica:
@@ -69,6 +100,10 @@
         self.term = 1
         self.members = ()
 
+    async def read_index(self) -> int:
+        """Return at once; every member has applied everything."""
+        return 0
+
 
 class _RateLimits:
     """Limits no customer."""
@@ -116,21 +151,41 @@
         """Return the channel to a leader."""
         return self
 
-    async def open(self, first: placement.Attach) -> _Link:
+    def get_channel(self, address: str) -> "_Client":
+        """Return the channel to a leader."""
+        return self
+
+    @property
+    def addresses(self) -> tuple[str, ...]:
+        """Return the address of the leader."""
+        return (self.pick_address(),)
+
+    async def propose(self, item: NamedTuple, deadline: float = 0.0) -> NamedTuple:
+        """Commit a command and return its outcome, or raise if it was refused."""
+        if self.is_parted:
+            raise error.ControlError("the leader can't be reached")
+        answer = self._soak.commit(command.REGISTRY.encode(item))
+        if isinstance(answer, outcome.Refused):
+            raise error.SeamError(answer.message, error.Kind(answer.kind))
+        return answer
+
+    async def open(self, first: placement.Attach | notice.Watch) -> _Link:
         """Open an entry's stream to the leader."""
         if self.is_parted:
             raise rpc.LinkError("the leader can't be reached")
         here, there = asyncio.Queue(), asyncio.Queue()
         link = _Link(here, there)
         self.links.append(link)
-        server = self._soak.servers[self._soak.leader]
+        is_watch = isinstance(first, notice.Watch)
+        servers = self._soak.hubs if is_watch else self._soak.servers
+        server = servers[self._soak.leader]
         self._soak.spawn(self._serve(server, first, _Link(there, here), link))
         return link
 
     async def _serve(
         self,
-        server: PlacementServer,
-        first: placement.Attach,
+        server: PlacementServer | WatchHub,
+        first: placement.Attach | notice.Watch,
         end: _Link,
         link: _Link,
     ) -> None:
@@ -160,29 +215,23 @@
 
     name: str
     client: _Client
+    mirror: Mirror
     placer: Placer
     pool: outbound.ConnectionPool
+    gate: QuarantineGate
+    detector: crash.CrashDetector
     forwarder: DirectForwarder
 
+    async def start(self) -> None:
+        """Start the parts that have tasks."""
+        for part in (self.mirror, self.placer, self.gate, self.detector):
+            await part.start()
 
-class _Sink:
-    """Records the answer to one attempt of a caller."""
-
-    def __init__(self):
-        self.events: list[event.Event] = []
-        self.is_complete = False
-        self._splitter = event.Splitter()
-
-    async def begin(self, status: int, headers: outbound.Headers) -> None:
-        """Begin the answer."""
-
-    async def write(self, data: bytes) -> None:
-        """Record events."""
-        self.events += self._splitter.feed(data)
-
-    async def finish(self) -> None:
-        """End the complete answer."""
-        self.is_complete = True
+    async def stop(self) -> None:
+        """Stop all parts."""
+        parts = (self.detector, self.gate, self.placer, self.mirror, self.pool)
+        for part in parts:
+            await part.stop()
 
 
 class SoakResult(NamedTuple):
@@ -202,6 +251,12 @@
         self.findings: list[str] = []
         self.counts: collections.Counter[str] = collections.Counter()
         self.servers: list[PlacementServer] = []
+        self.hubs: list[WatchHub] = []
+        self._machines: list[StateMachine] = []
+        self._commits = 0
+        self._series: list[promptpart.Series] = []
+        self._wrong_refusals: list[str] = []
+        self._sound: list[promptpart.Outcome] = []
         self._replicas = [_Replica() for _ in range(LEADERS)]
         self._rng = random.Random(seed)
         self._timer = SystemTimer()
@@ -211,9 +266,13 @@
         # Upstreams that the list shows as leaving.
         self._listed_leaving: set[str] = set()
         self._entries: list[_Entry] = []
+        # Entries that get no new requests. They serve on until the end.
+        self._replaced: list[_Entry] = []
         self._tasks: set[asyncio.Task] = set()
         # When a leader changed last or an entry was parted, or came back.
         self._unsettled_at = 0.0
+        # Names of parted entries and when they were parted.
+        self._partings: list[tuple[str, float]] = []
         self._version = 1
         self._names = 0
 
@@ -230,12 +289,17 @@
         callers = []
         end = self._timer.read_clock() + seconds
         injecting = self.spawn(self._inject_forever())
+        series = [self.spawn(self._play_series(n)) for n in range(SERIES)]
         while self._timer.read_clock() < end:
             callers.append(asyncio.create_task(self._call(len(callers))))
             await asyncio.sleep(STREAM_SECONDS)
         await asyncio.gather(*callers)
-        injecting.cancel()
+        for task in (injecting, *series):
+            task.cancel()
         self._check_resumptions()
+        self._check_series()
+        if wrong := self._wrong_refusals:
+            self.findings.append(f"{len(wrong)} wrong refusals, as {wrong[0]}")
         await self._stop()
         counts = dict(sorted(self.counts.items()))
         return SoakResult(self.seed, tuple(self.findings), counts)
@@ -244,23 +308,31 @@
 
     async def _start(self) -> None:
         for replica in self._replicas:
+            machine = StateMachine()
             server = PlacementServer(
-                replica, StateMachine(), _RateLimits(), _probe, _stop_run, self._timer
+                replica,
+                machine,
+                _RateLimits(),
+                discovered.probe,
+                discovered.stop_run,
+                self._timer,
             )
             await server.start()
             self.servers.append(server)
+            timeline = Timeline("control", self._timer)
+            self.hubs.append(WatchHub(replica, machine, timeline, self._timer))
+            self._machines.append(machine)
         self._replicas[0].is_leader = True
         for _ in range(UPSTREAMS):
             await self._add_upstream()
         for name in ENTRIES:
-            await self._add_entry(name)
-        self._publish()
+            self._entries.append(await self._start_entry(name))
+        self.spawn(self._publish_forever())
         await asyncio.sleep(CROSSING_SECONDS)
 
     async def _stop(self) -> None:
-        for entry in self._entries:
-            await entry.placer.stop()
-            await entry.pool.stop()
+        for entry in self._entries + self._replaced:
+            await entry.stop()
         for server in self.servers:
             await server.stop()
         for task in list(self._tasks):
@@ -269,14 +341,33 @@
         for upstream in self._upstreams + self._removed:
             await upstream.stop()
 
-    async def _add_entry(self, name: str) -> None:
+    def commit(self, data: bytes) -> NamedTuple:
+        """Apply a command at every member and return its outcome."""
+        self._commits += 1
+        answers = [each.apply(self._commits, data) for each in self._machines]
+        return answers[self.leader]
+
+    async def _has_ended(self, run: crash.Run) -> bool:
+        known = self._upstreams + self._removed
+        is_leaving = any(each.is_leaving for each in known if each.name == run.upstream)
+        return not is_leaving and not await crash.can_connect(run.address)
+
+    async def _start_entry(self, name: str) -> _Entry:
         client = _Client(self)
         meter = metric.Meter(name)
         slack = fallback.Slack(20, 0.1, 5.0)
         placer = Placer(name, "z", client, dict, slack, meter, self._timer)
         pool = outbound.ConnectionPool(FakeDialect())
         rng = random.Random(self._rng.random())
-        forwarder = DirectForwarder(placer, pool, meter, self._timer, rng)
+        timeline = Timeline(name, self._timer)
+        mirror = Mirror(name, "seam-entry", client, timeline, self._timer)
+        gate = QuarantineGate(mirror, client, self._timer)
+        detector = crash.CrashDetector(
+            mirror, client, timeline, self._timer, self._has_ended
+        )
+        forwarder = DirectForwarder(
+            placer, pool, meter, self._timer, rng, gate, detector
+        )
 
         def handle_leaving(instance) -> None:
             placer.report_leaving(instance)
@@ -285,8 +376,9 @@
             self.spawn(self._watch_leaving(name, upstream))
 
         pool.on_leaving = handle_leaving
-        await placer.start()
-        self._entries.append(_Entry(name, client, placer, pool, forwarder))
+        entry = _Entry(name, client, mirror, placer, pool, gate, detector, forwarder)
+        await entry.start()
+        return entry
 
     async def _add_upstream(self) -> None:
         self._names += 1
@@ -294,9 +386,20 @@
         upstream = FakeUpstream(f"u{self._names}", SERVICE, EVENTS, version)
         upstream.text = version
         upstream.event_delay = EVENT_SECONDS
+        upstream.bad_parts = frozenset(map(_name_part, range(SERIES)))
+        upstream.events_before_crash = self._rng.choice(EVENTS_BEFORE_CRASH)
+        upstream.crash_delay = self._rng.uniform(0.0, LONGEST_CRASH_DELAY)
+        upstream.down_seconds = self._rng.uniform(
+            SHORTEST_DOWN_SECONDS, LONGEST_DOWN_SECONDS
+        )
         await upstream.start()
         self._upstreams.append(upstream)
 
+    async def _publish_forever(self) -> None:
+        while True:
+            self._publish()
+            await asyncio.sleep(LIST_LAG_SECONDS)
+
     def _publish(self) -> None:
         """Give the leader the list of upstreams."""
         instances = tuple(
@@ -313,6 +416,7 @@
             "release": self._release,
             "lead": self._change_leader,
             "part": self._part,
+            "replace": self._replace_entry,
         }
         while True:
             pause = self._rng.uniform(SHORTEST_PAUSE, LONGEST_PAUSE)
@@ -355,11 +459,23 @@
         self._replicas[self.leader].term += LEADERS
         self._publish()
 
+    async def _replace_entry(self) -> None:
+        """Replace an entry by one that knows nothing."""
+        old = self._rng.choice(self._entries)
+        self._names += 1
+        entry = await self._start_entry(f"entry-{self._names}")
+        async with asyncio.timeout(DEADLINE_SECONDS):
+            await entry.mirror.refresh()
+        self._entries[self._entries.index(old)] = entry
+        self._replaced.append(old)
+        self._unsettled_at = self._timer.read_clock()
+
     async def _part(self) -> None:
         """Part an entry from the leader for a while."""
         entry = self._rng.choice(self._entries)
         entry.client.is_parted = True
         self._unsettled_at = self._timer.read_clock() + FAULT_SECONDS
+        self._partings.append((entry.name, asyncio.get_running_loop().time()))
         await entry.client.part()
 
         async def rejoin() -> None:
@@ -374,14 +490,20 @@
         """Read one stream as a caller, with tries after it breaks."""
         first = ""
         events: list[event.Event] = []
+        parts = (promptpart.SHARED, self._rng.choice(promptpart.OTHERS), f"s{number}")
         for attempt in range(TRIES):
             id = f"s{number}-{attempt}"
             is_resumed = bool(events)
             is_judged = self._is_settled() and (
                 not is_resumed or self._count_serving(events[0]) >= 2
             )
-            sink = _Sink()
-            await self._attempt(id, events, first, sink)
+            sink = discovered.Sink()
+            sent = asyncio.get_running_loop().time()
+            failure = await self._attempt(id, parts, events, first, sink)
+            if is_judged and not is_resumed:
+                code = str(failure.kind) if failure else ""
+                began = bool(sink.events)
+                self._sound.append(promptpart.Outcome(sent, began, code=code))
             if is_judged:
                 kind = "resumption" if is_resumed else "new stream"
                 self.counts[f"{kind}s"] += 1
@@ -399,10 +521,17 @@
             self.findings.append(f"{number}: events of {sorted(versions)}")
 
     async def _attempt(
-        self, id: str, events: list[event.Event], first: str, sink: _Sink
-    ) -> None:
+        self,
+        id: str,
+        parts: tuple[str, ...],
+        events: list[event.Event],
+        first: str,
+        sink: discovered.Sink,
+    ) -> error.SeamError | None:
+        """Send a request at any entry; return its failure, or None."""
         entry = self._rng.choice(self._entries)
         now = self._timer.read_clock()
+        body = parts[-1].encode()
         request = DirectRequest(
             id,
             "",
@@ -412,17 +541,22 @@
             "h",
             "POST",
             "/s/x",
-            (("Entry", entry.name),),
-            b"body",
+            (("Entry", entry.name), (PARTS, ",".join(parts))),
+            body,
             now,
             now + DEADLINE_SECONDS,
             events[-1].number if events else -1,
             first,
+            fingerprint=fingerprint.compute("", "POST", "/s/x", body),
+            parts=trait.make_part_traits(SERVICE, parts[:-1]),
         )
         try:
             await entry.forwarder.serve(request, sink)
-        except error.SeamError:
+        except error.SeamError as failure:
             self.counts["broken"] += 1
+            self._check_refusal(id, failure)
+            return failure
+        return None
 
     def _is_settled(self) -> bool:
         """Return whether all entries have been in touch with one leader for a while."""
@@ -432,7 +566,8 @@
         """Return how many upstreams serve at the version of an event."""
         version = began.data.split(b"-")[0].decode()
         return sum(
-            each.version == version and not each.is_leaving for each in self._upstreams
+            each.version == version and not each.is_leaving and not each.is_down
+            for each in self._upstreams
         )
 
     def _check_complete(self, id: str, events: list[event.Event]) -> None:
@@ -456,6 +591,73 @@
         if tried >= MIN_RESUMPTIONS and went_on < wanted * tried:
             self.findings.append(f"{went_on} of {tried} resumptions went on")
 
+    # Series of requests with a bad part.
+
+    async def _play_series(self, number: int) -> None:
+        """Send requests with a bad part until the end."""
+        clock = asyncio.get_running_loop().time
+        pause = self._rng.uniform(FIRST_SERIES_SECONDS, LAST_SERIES_SECONDS)
+        await asyncio.sleep(pause)
+        series = promptpart.Series(_name_part(number), clock())
+        self._series.append(series)
+        for sent in itertools.count():
+            self.spawn(self._call_bad(series, sent))
+            pause = self._rng.uniform(SHORTEST_BAD_PAUSE, LONGEST_BAD_PAUSE)
+            await asyncio.sleep(pause)
+
+    async def _call_bad(self, series: promptpart.Series, number: int) -> None:
+        """Send a request with a bad part, and again after it failed."""
+        parts = (promptpart.SHARED, series.part, f"{series.part} {number}")
+        for attempt in range(BAD_TRIES):
+            id = f"{parts[-1]}-{attempt}"
+            failure = await self._attempt(id, parts, [], "", discovered.Sink())
+            if failure and not series.shaken_at and self._is_cause(series.part):
+                series.shaken_at = asyncio.get_running_loop().time()
+                await self._change_leader()
+                await self._part()
+                await self._replace_entry()
+            await asyncio.sleep(TRY_PAUSE_SECONDS)
+
+    def _is_cause(self, part: str) -> bool:
+        """Return whether all entries refuse a part."""
+        (name,) = trait.make_part_traits(SERVICE, [part])
+        verdicts = [entry.mirror.verdicts.get(name) for entry in self._entries]
+        return all(found is not None and found.is_cause for found in verdicts)
+
+    def _check_refusal(self, id: str, failure: error.SeamError) -> None:
+        if failure.kind is not error.Kind.REQUEST_QUARANTINED:
+            return
+        self.counts["refused parts"] += 1
+        is_right = failure.answer.status == promptpart.REFUSED_STATUS
+        if not is_right or failure.retry_after <= 0 or not failure.not_run:
+            self._wrong_refusals.append(f"{id}: {failure.answer}, {failure.not_run}")
+
+    def _check_series(self) -> None:
+        """Check the bounds of all series."""
+        for series in self._series:
+            for upstream in self._upstreams + self._removed:
+                events = upstream.crashes
+                series.crashes += [e.at for e in events if series.part in e.run.parts]
+                series.arrivals += [
+                    each.at
+                    for each in upstream.bad_arrivals
+                    if series.part in each.run.parts
+                    and self._was_in_touch(each.run.headers["Entry"], each.at)
+                ]
+            self.counts["crashes"] += len(series.crashes)
+            self.findings += series.check(CONTACT_SECONDS)
+        self.findings += promptpart.check_sound(
+            self._series, self._sound, CONTACT_SECONDS
+        )
+
+    def _was_in_touch(self, entry: str, at: float) -> bool:
+        """Return whether an entry wasn't parted within the time of contact."""
+        lasted = FAULT_SECONDS + CONTACT_SECONDS
+        return not any(
+            name == entry and since <= at <= since + lasted
+            for name, since in self._partings
+        )
+
     def _count_tries(self, kind: str) -> tuple[int, int]:
         return self.counts[f"{kind}s"], self.counts[f"{kind}s that went on"]
 
@@ -464,12 +666,8 @@
     return sum(run.headers.get("Entry") == entry for run in upstream.runs)
 
 
-async def _probe(instance, path, seconds) -> ProbeResult:
-    return ProbeResult(())
-
-
-async def _stop_run(instance, request, other) -> None:
-    return None
+def _name_part(number: int) -> str:
+    return f"{promptpart.BAD}-{number}"
 
 
 app = typer.Typer(add_completion=False)
@@ -479,7 +677,7 @@
 def main(
     seed: Annotated[int, typer.Option(help="The first seed.")] = 1,
     seeds: Annotated[int, typer.Option(help="Number of seeds.")] = 1,
-    seconds: Annotated[float, typer.Option(help="Seconds of each seed.")] = 6.0,
+    seconds: Annotated[float, typer.Option(help="Seconds of each seed.")] = 16.0,
 ) -> None:
     """Run streams under faults; exit with 1 if the system was at fault.
 
--- a/sapphireseam/tools/streamsoak_test.py
+++ b/sapphireseam/tools/streamsoak_test.py
@@ -9,7 +9,7 @@
 from sapphireseam.tools import streamsoak
 
 SEED = 1
-SECONDS = 8.0
+SECONDS = 16.0
 
 
 class StreamSoakTest(unittest.IsolatedAsyncioTestCase):
@@ -18,6 +18,8 @@
         self.assertEqual(result.findings, ())
         self.assertGreater(result.counts["complete"], 0)
         self.assertGreater(result.counts["break"], 0)
+        self.assertGreater(result.counts["crashes"], 0)
+        self.assertGreater(result.counts["refused parts"], 0)
 
 
 if __name__ == "__main__":
--- a/sapphireseam/utils/fakeupstream.py
+++ b/sapphireseam/utils/fakeupstream.py
@@ -67,6 +67,16 @@
         return self.headers.get(PARTS, "").split(",")
 
 
+class Event(NamedTuple):
+    """A crash under a request with a bad part, or the arrival of such a request.
+
+    `at` is on the clock of the event loop, in seconds.
+    """
+
+    at: float
+    run: Run
+
+
 class FakeUpstream:
     """Fakes an upstream on one loopback port.
 
@@ -82,7 +92,8 @@
 
     Any request whose prompt has one of `bad_parts` crashes the upstream while it is
     answered: the upstream resets all its connections, loses its running requests, and
-    listens again after `down_seconds` as the next run, with another `born`.
+    listens again after `down_seconds` as the next run, with another `born`. A leaving
+    upstream stays down.
     """
 
     def __init__(
@@ -112,10 +123,8 @@
         # Delay of a crash after that, in seconds.
         self.crash_delay = 0.0
         self.down_seconds = 1.0
-        # Times of the crashes, and of the arrivals of requests with a bad part, on the
-        # clock of the event loop, in seconds.
-        self.crashes: list[float] = []
-        self.bad_arrivals: list[float] = []
+        self.crashes: list[Event] = []
+        self.bad_arrivals: list[Event] = []
         self._port = 0
         self._connections: set[asyncio.StreamWriter] = set()
         self._restarting: asyncio.Task | None = None
@@ -134,14 +143,14 @@
 
     @property
     def is_down(self) -> bool:
-        """Whether the upstream has crashed and doesn't listen yet."""
-        return self._restarting is not None and not self._restarting.done()
+        """Whether the upstream has crashed and doesn't listen."""
+        return not self._server.is_serving()
 
-    def crash(self) -> None:
+    def _crash(self, run: Run) -> None:
         """Reset all connections and listen again as the next run after a while."""
         if self.is_down:
             return
-        self.crashes.append(asyncio.get_running_loop().time())
+        self.crashes.append(_make_event(run))
         self._server.close()
         for writer in self._connections:
             framing.break_off(writer.transport)
@@ -149,6 +158,8 @@
 
     async def _restart(self) -> None:
         await asyncio.sleep(self.down_seconds)
+        if self.is_leaving:
+            return
         self.born += 1
         while True:
             try:
@@ -194,9 +205,9 @@
             self.runs.append(run)
         crashes = behaviour != "refuse" and not self.bad_parts.isdisjoint(run.parts)
         if crashes:
-            self.bad_arrivals.append(asyncio.get_running_loop().time())
+            self.bad_arrivals.append(_make_event(run))
             if self.events_before_crash < 0:
-                return await self._crash_later()
+                return await self._crash_later(run)
         if behaviour == "drop":
             return False
         if behaviour == "reset":
@@ -210,9 +221,9 @@
             return True
         return await self._stream_answer(reader, writer, run, behaviour, crashes)
 
-    async def _crash_later(self) -> bool:
+    async def _crash_later(self, run: Run) -> bool:
         await asyncio.sleep(self.crash_delay)
-        self.crash()
+        self._crash(run)
         return False
 
     def _render_leaving(self) -> bytes:
@@ -249,7 +260,7 @@
             return False
         for number in range(start, self.events):
             if crashes and number == start + self.events_before_crash:
-                return await self._crash_later()
+                return await self._crash_later(run)
             if self.event_delay:
                 await asyncio.sleep(self.event_delay)
             if writer.is_closing() or reader.at_eof():
@@ -275,6 +286,10 @@
         return is_framed
 
 
+def _make_event(run: Run) -> Event:
+    return Event(asyncio.get_running_loop().time(), run)
+
+
 def _write_part(writer: asyncio.StreamWriter, data: bytes, is_framed: bool) -> None:
     """Write a part of a body, as a chunk if the body is framed."""
     if is_framed:
