--- a/sapphireseam/control/watch_test.py
+++ b/sapphireseam/control/watch_test.py
@@ -3,8 +3,9 @@
 
 from sapphireseam.control import watch
 from sapphireseam.control.machine import StateMachine
-from sapphireseam.core import notice
+from sapphireseam.core import command, notice
 from sapphireseam.tools.fake import FakeReplica
+from sapphireseam.utils.mirror import Mirror
 from sapphireseam.utils.timeline import Timeline
 from sapphireseam.utils.timer import FakeTimer
 
@@ -36,5 +37,40 @@
         self.assertEqual(hub.list_watchers(), ())
 
 
+class MirrorStream(SilentStream):
+    """A stream that passes what it carries to a mirror at once."""
+
+    def __init__(self, mirror):
+        self._mirror = mirror
+
+    def post(self, item):
+        self._mirror._apply(item)
+
+
+class VerdictTest(unittest.IsolatedAsyncioTestCase):
+    async def test_mirror_has_each_verdict_and_loses_those_that_are_cleared(self):
+        timer = FakeTimer()
+        machine = StateMachine()
+        replica = FakeReplica(machine)
+        replica.read_index = replica.confirm_leadership
+        hub = watch.WatchHub(replica, machine, Timeline("control", timer), timer)
+        first = notice.Watch("entry-1", "seam-entry", 0)
+        reports = [
+            command.ReportCrash("", "u", f"u/{n}", ((f"f{n}", "part:a"),), float(n))
+            for n in range(4)
+        ]
+        mirrors = []
+        for number, item in enumerate((*reports, command.ClearTraits(("part:a",)))):
+            mirror = Mirror("entry-1", "seam-entry", None, Timeline("e", timer), timer)
+            serving = asyncio.create_task(hub.serve(first, MirrorStream(mirror)))
+            self.addCleanup(serving.cancel)
+            await timer.advance(0.0)
+            mirrors.append(mirror)
+            machine.apply(number, command.REGISTRY.encode(item))
+            for each in mirrors:
+                self.assertEqual(each.verdicts, machine.state.verdicts)
+        self.assertNotIn("part:a", mirrors[0].verdicts)
+
+
 if __name__ == "__main__":
     unittest.main()
