--- a/sapphireseam/utils/fakeupstream.py
+++ b/sapphireseam/utils/fakeupstream.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import socket
 from typing import NamedTuple
 
 from multidict import CIMultiDict, CIMultiDictProxy
@@ -23,8 +24,6 @@
 PARTS = "Fake-Parts"
 # How long a silent upstream sends nothing, in seconds.
 SILENT_SECONDS = 30.0
-# Time before the next attempt to bind a port that isn't free yet.
-BIND_RETRY_SECONDS = 0.02
 
 
 class FakeDialect:
@@ -125,6 +124,8 @@
         self.down_seconds = 1.0
         self.crashes: list[Event] = []
         self.bad_arrivals: list[Event] = []
+        # Keeps the port while the upstream is down; servers listen beside it.
+        self._reservation: socket.socket | None = None
         self._port = 0
         self._connections: set[asyncio.StreamWriter] = set()
         self._restarting: asyncio.Task | None = None
@@ -132,14 +133,19 @@
 
     async def start(self) -> None:
         """Start to listen."""
+        if self._reservation is None:
+            self._reservation = socket.socket()
+            self._reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            self._reservation.bind(("127.0.0.1", 0))
+            _, self._port = self._reservation.getsockname()
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", self._port)
-        self._port = self._server.sockets[0].getsockname()[1]
 
     async def stop(self) -> None:
         """Stop listening."""
         if self._restarting is not None:
             self._restarting.cancel()
         self._server.close()
+        self._reservation.close()
 
     @property
     def is_down(self) -> bool:
@@ -161,11 +167,7 @@
         if self.is_leaving:
             return
         self.born += 1
-        while True:
-            try:
-                return await self.start()
-            except OSError:
-                await asyncio.sleep(BIND_RETRY_SECONDS)
+        await self.start()
 
     @property
     def instance(self) -> Instance:
