Judge sound streams of the soak only while its own faults leave an upstream

A sound request is now judged only while some upstream hasn't been broken for the time after which the soak counts as settled. Crashes under a bad part still count in full.

A fake upstream also keeps its port while it is down, so that no outgoing connection can take it, and `_stream_answer` has its former parameters again, which a test of the entry overrides.

--- a/sapphireseam/tools/streamsoak.py
+++ b/sapphireseam/tools/streamsoak.py
@@ -271,6 +271,8 @@
         self._tasks: set[asyncio.Task] = set()
         # When a leader changed last or an entry was parted, or came back.
         self._unsettled_at = 0.0
+        # When the soak last let each upstream break off answers.
+        self._broken_at: dict[str, float] = {}
         # Names of parted entries and when they were parted.
         self._partings: list[tuple[str, float]] = []
         self._version = 1
@@ -429,6 +431,7 @@
         """Let an upstream break off its next answers."""
         upstream = self._rng.choice(self._upstreams)
         upstream.behaviours += self._rng.choices(BREAKS, k=3)
+        self._broken_at[upstream.name] = self._timer.read_clock()
 
     async def _release(self) -> None:
         """Replace an upstream by one of the next version, or of the same."""
@@ -499,8 +502,9 @@
             )
             sink = discovered.Sink()
             sent = asyncio.get_running_loop().time()
+            has_sound = self._has_sound_upstream()
             failure = await self._attempt(id, parts, events, first, sink)
-            if is_judged and not is_resumed:
+            if is_judged and has_sound and not is_resumed:
                 code = str(failure.kind) if failure else ""
                 began = bool(sink.events)
                 self._sound.append(promptpart.Outcome(sent, began, code=code))
@@ -562,6 +566,16 @@
         """Return whether all entries have been in touch with one leader for a while."""
         return self._timer.read_clock() - self._unsettled_at >= SETTLED_SECONDS
 
+    def _has_sound_upstream(self) -> bool:
+        """Return whether no fault but a crash stops some upstream from answering."""
+        oldest = self._timer.read_clock() - SETTLED_SECONDS
+        return any(
+            not each.is_leaving
+            and not each.behaviours
+            and self._broken_at.get(each.name, oldest) <= oldest
+            for each in self._upstreams
+        )
+
     def _count_serving(self, began: event.Event) -> int:
         """Return how many upstreams serve at the version of an event."""
         version = began.data.split(b"-")[0].decode()
--- a/sapphireseam/utils/fakeupstream.py
+++ b/sapphireseam/utils/fakeupstream.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import socket
 from typing import NamedTuple
 
 from multidict import CIMultiDict, CIMultiDictProxy
@@ -23,8 +24,6 @@
 PARTS = "Fake-Parts"
 # How long a silent upstream sends nothing, in seconds.
 SILENT_SECONDS = 30.0
-# Time before the next attempt to bind a port that isn't free yet.
-BIND_RETRY_SECONDS = 0.02
 
 
 class FakeDialect:
@@ -125,6 +124,8 @@
         self.down_seconds = 1.0
         self.crashes: list[Event] = []
         self.bad_arrivals: list[Event] = []
+        # Keeps the port while the upstream is down; servers listen beside it.
+        self._reservation: socket.socket | None = None
         self._port = 0
         self._connections: set[asyncio.StreamWriter] = set()
         self._restarting: asyncio.Task | None = None
@@ -132,14 +133,19 @@
 
     async def start(self) -> None:
         """Start to listen."""
+        if self._reservation is None:
+            self._reservation = socket.socket()
+            self._reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            self._reservation.bind(("127.0.0.1", 0))
+            _, self._port = self._reservation.getsockname()
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", self._port)
-        self._port = self._server.sockets[0].getsockname()[1]
 
     async def stop(self) -> None:
         """Stop listening."""
         if self._restarting is not None:
             self._restarting.cancel()
         self._server.close()
+        self._reservation.close()
 
     @property
     def is_down(self) -> bool:
@@ -161,11 +167,7 @@
         if self.is_leaving:
             return
         self.born += 1
-        while True:
-            try:
-                return await self.start()
-            except OSError:
-                await asyncio.sleep(BIND_RETRY_SECONDS)
+        await self.start()
 
     @property
     def instance(self) -> Instance:
@@ -203,8 +205,7 @@
         behaviour = self.behaviours.pop(0) if self.behaviours else "well"
         if behaviour != "refuse":
             self.runs.append(run)
-        crashes = behaviour != "refuse" and not self.bad_parts.isdisjoint(run.parts)
-        if crashes:
+        if behaviour != "refuse" and self._crashes_under(run):
             self.bad_arrivals.append(_make_event(run))
             if self.events_before_crash < 0:
                 return await self._crash_later(run)
@@ -219,7 +220,10 @@
         if behaviour in ("refuse", "fail", "impossible", "stale"):
             _write_short_answer(writer, behaviour, run, self._render_leaving())
             return True
-        return await self._stream_answer(reader, writer, run, behaviour, crashes)
+        return await self._stream_answer(reader, writer, run, behaviour)
+
+    def _crashes_under(self, run: Run) -> bool:
+        return not self.bad_parts.isdisjoint(run.parts)
 
     async def _crash_later(self, run: Run) -> bool:
         await asyncio.sleep(self.crash_delay)
@@ -243,8 +247,8 @@
         writer: asyncio.StreamWriter,
         run: Run,
         behaviour: str,
-        crashes: bool,
     ) -> bool:
+        crashes = self._crashes_under(run)
         start = int(run.headers.get(RESUME, "-1")) + 1
         is_framed = not behaviour.startswith("unframed")
         ending = behaviour.removeprefix("unframed-")
