--- a/sapphireseam/utils/fakeupstream.py
+++ b/sapphireseam/utils/fakeupstream.py
@@ -205,8 +205,7 @@
         behaviour = self.behaviours.pop(0) if self.behaviours else "well"
         if behaviour != "refuse":
             self.runs.append(run)
-        crashes = behaviour != "refuse" and not self.bad_parts.isdisjoint(run.parts)
-        if crashes:
+        if behaviour != "refuse" and self._crashes_under(run):
             self.bad_arrivals.append(_make_event(run))
             if self.events_before_crash < 0:
                 return await self._crash_later(run)
@@ -221,7 +220,10 @@
         if behaviour in ("refuse", "fail", "impossible", "stale", "stale-refuse"):
             _write_short_answer(writer, behaviour, run, self._render_leaving())
             return True
-        return await self._stream_answer(reader, writer, run, behaviour, crashes)
+        return await self._stream_answer(reader, writer, run, behaviour)
+
+    def _crashes_under(self, run: Run) -> bool:
+        return not self.bad_parts.isdisjoint(run.parts)
 
     async def _crash_later(self, run: Run) -> bool:
         await asyncio.sleep(self.crash_delay)
@@ -245,8 +247,8 @@
         writer: asyncio.StreamWriter,
         run: Run,
         behaviour: str,
-        crashes: bool,
     ) -> bool:
+        crashes = self._crashes_under(run)
         start = int(run.headers.get(RESUME, "-1")) + 1
         is_framed = not behaviour.startswith("unframed")
         ending = behaviour.removeprefix("unframed-")
