--- a/sapphireseam/control/claim.py
+++ b/sapphireseam/control/claim.py
@@ -1,11 +1,8 @@
-"""Applies claims of idempotency keys, and quarantines requests that crash upstreams.
-
-A request that was running when an upstream crashed is a suspect, and from then on
-it runs alone. If an upstream crashes while a suspect runs alone on it, the suspect
-is quarantined permanently: every entry refuses it. So a request is quarantined only
-after two crashes, and only if it ran alone at the second. A request that merely ran
-at the same time as the cause of a crash, however often, is served and stops being a
-suspect.
+"""Applies claims of idempotency keys, and reports of crashes in logs of former programs.
+
+Former programs reported the fingerprints of all requests that were running when an
+upstream crashed. The reports still apply, so that all members have the same state, but
+nobody is refused by them. `control.crash` applies the reports of this program.
 """
 
 from sapphireseam.control import record
