Mirror no verdicts of former programs that nobody reads

The watch still sent the fingerprints that former programs had suspected or quarantined, and the mirror kept them, though all decisions go by the verdicts on traits now. A newcomer would take them for a second mechanism. The fields and the messages that filled them are gone; 70 tests of the mirror, the watch, claims, crashes, items and the gate pass.

--- a/sapphireseam/control/claim.py
+++ b/sapphireseam/control/claim.py
@@ -1,4 +1,4 @@
-"""Applies claims of idempotency keys, and reports of crashes in logs of former programs.
+"""Applies claims of idempotency keys, and crash reports in logs of former programs.
 
 Former programs reported the fingerprints of all requests that were running when an
 upstream crashed. The reports still apply, so that all members have the same state, but
--- a/sapphireseam/control/watch.py
+++ b/sapphireseam/control/watch.py
@@ -13,7 +13,7 @@
 import json
 from typing import Any, NamedTuple
 
-from sapphireseam.control import claim, record
+from sapphireseam.control import record
 from sapphireseam.control.machine import StateMachine
 from sapphireseam.core import command, error, fleet, message, notice
 from sapphireseam.core.verdict import Verdict
@@ -116,8 +116,6 @@
             record.read_document(state),
             tuple(state.keys.values()),
             tuple(state.leaving),
-            claim.list_fingerprints(state, claim.QUARANTINED),
-            claim.list_fingerprints(state, claim.SUSPECT),
             tuple(state.verdicts.values()),
         )
 
@@ -142,10 +140,6 @@
                 return notice.KeyChange(state.keys[item.id])
             case command.MarkLeaving():
                 return notice.LeavingChange(item.upstream, item.leaving)
-            case command.ReportDeath():
-                return self._describe_verdicts(item)
-            case command.ClearSuspects():
-                return notice.VerdictChange((), (), item.fingerprints)
             case command.ReportCrash() | command.ClearTraits() | command.ClaimTrial():
                 return self._describe_judgement()
         return None
@@ -158,7 +152,7 @@
         self._verdicts = dict(verdicts)
         if not changed and not cleared:
             return None
-        return notice.VerdictChange((), (), cleared, changed)
+        return notice.VerdictChange(cleared, changed)
 
     def _describe_publish(self) -> notice.FleetChange:
         state = self._machine.state
@@ -167,11 +161,3 @@
         self._document = document
         packed = json.dumps(changes).encode()
         return notice.FleetChange(record.read_revision(state), packed)
-
-    def _describe_verdicts(self, item: command.ReportDeath) -> notice.VerdictChange:
-        deaths = self._machine.state.deaths
-        known = [name for name in item.fingerprints if name in deaths]
-        return notice.VerdictChange(
-            tuple(name for name in known if deaths[name] == claim.SUSPECT),
-            tuple(name for name in known if deaths[name] == claim.QUARANTINED),
-        )
--- a/sapphireseam/core/notice.py
+++ b/sapphireseam/core/notice.py
@@ -42,8 +42,6 @@
     document: bytes
     keys: tuple[Key, ...]
     leaving: tuple[str, ...]
-    quarantined: tuple[str, ...]
-    suspects: tuple[str, ...] = ()
     verdicts: tuple[Verdict, ...] = ()
 
 
@@ -68,14 +66,8 @@
 
 
 class VerdictChange(NamedTuple):
-    """Send the traits whose verdict changed.
+    """Send the traits whose verdict changed; `cleared` ones have none any more."""
 
-    `suspects` and `quarantined` hold fingerprints of old reports. `cleared` ones have
-    no verdict any more.
-    """
-
-    suspects: tuple[str, ...]
-    quarantined: tuple[str, ...]
     cleared: tuple[str, ...] = ()
     verdicts: tuple[Verdict, ...] = ()
 
--- a/sapphireseam/tools/bench_node.py
+++ b/sapphireseam/tools/bench_node.py
@@ -62,7 +62,7 @@
         key.Key(f"{n:012x}", f"customer-{n:05}", key.digest(str(n)), 0.0)
         for n in range(customers)
     )
-    snapshot = notice.Whole(1, encoded, keys, (), ())
+    snapshot = notice.Whole(1, encoded, keys, ())
     size = len(message.REGISTRY.encode(snapshot))
     mirror._apply(snapshot)
     del document, encoded, keys, snapshot
--- a/sapphireseam/tools/fake.py
+++ b/sapphireseam/tools/fake.py
@@ -137,8 +137,6 @@
         self.revision = 1
         self.keys: dict[str, key.Key] = {}
         self.leaving: set[str] = set()
-        self.suspects: set[str] = set()
-        self.quarantined: set[str] = set()
         self.verdicts: dict[str, Verdict] = {}
         self.confirmed = True
         self._listeners: list[Callable[[], None]] = []
--- a/sapphireseam/utils/mirror.py
+++ b/sapphireseam/utils/mirror.py
@@ -53,8 +53,6 @@
         self.revision = 0
         self.keys: dict[str, key.Key] = {}
         self.leaving: set[str] = set()
-        self.quarantined: set[str] = set()
-        self.suspects: set[str] = set()
         self.verdicts: dict[str, verdict.Verdict] = {}
         self._document: dict[str, Any] = {}
         self._node = node
@@ -212,8 +210,6 @@
             raise error.ControlError(text)
         self.keys = {entry.id: entry for entry in item.keys}
         self.leaving = set(item.leaving)
-        self.quarantined = set(item.quarantined)
-        self.suspects = set(item.suspects)
         self.verdicts = {each.trait: each for each in item.verdicts}
         self._apply_configuration(item.revision, json.loads(item.document))
 
@@ -222,9 +218,6 @@
         for trait in item.cleared:
             self.verdicts.pop(trait, None)
         self.verdicts.update((each.trait, each) for each in item.verdicts)
-        self.suspects.update(item.suspects)
-        self.suspects.difference_update(item.cleared, item.quarantined)
-        self.quarantined.update(item.quarantined)
 
     def _apply_configuration(self, revision: int, document: dict[str, Any]) -> None:
         """Put a configuration in force in this process."""
--- a/sapphireseam/utils/mirror_test.py
+++ b/sapphireseam/utils/mirror_test.py
@@ -321,7 +321,7 @@
         self.model.publish()
         self.model.run(self.model.timer.settle())
         self.assertEqual(self.mirror.revision, 2)
-        old = notice.Whole(1, self.model.log[0].document, (), (), ())
+        old = notice.Whole(1, self.model.log[0].document, (), ())
         with self.assertRaises(error.ControlError):
             self.mirror._apply(old)
         self.assertEqual(self.mirror.revision, 2)
