Count a crash against a bad part although one other upstream ended beside it

Found by an independent review of the new judgement.

Cause: crashes within half a second are one event, and a trait got a strike only if more than half of them had it. Of two crashes with different culprits, neither has more.

Change: half of them is enough. The loss of a failure domain has many crashes with different requests, so sound traits stay below that.

Evidence: the two new tests failed before (40 of 40 and 20 of 20 requests were sent) and pass now with the other tests of the module.

--- a/sapphireseam/control/crash_test.py
+++ b/sapphireseam/control/crash_test.py
@@ -310,3 +310,34 @@
         self.assertEqual(trait.make_part_traits("chat", ["b"]), first[1:])
         self.assertNotEqual(trait.make_part_traits("other", ["b"]), first[1:])
         self.assertTrue(all(map(trait.is_part, first)))
+
+
+class SeriesTest(unittest.TestCase):
+    def setUp(self):
+        self.fleet = Fleet()
+
+    def send(self, number, *parts):
+        """Return how many upstreams a request reaches; each crashes under it."""
+        request = {f"f{number}", *parts}
+        if not self.fleet.is_admitted(request):
+            return 0
+        self.fleet.report(request)
+        return 1
+
+    def test_two_bad_parts_that_crash_upstreams_in_turn_are_both_refused(self):
+        sent = 0
+        for number in range(20):
+            sent += self.send(f"a{number}", "part:a")
+            self.fleet.now += 0.4
+            sent += self.send(f"b{number}", "part:b")
+            self.fleet.now += 0.6
+        self.assertLess(sent, 16)
+
+    def test_a_bad_part_is_refused_although_other_upstreams_end_beside_it(self):
+        sent = 0
+        for number in range(20):
+            self.fleet.report({f"o{number}", f"part:o{number}"})
+            self.fleet.now += 0.1
+            sent += self.send(number, BAD)
+            self.fleet.now += 1.0
+        self.assertLess(sent, 9)
--- a/sapphireseam/policy/blame.py
+++ b/sapphireseam/policy/blame.py
@@ -2,7 +2,7 @@
 
 A crash counts as a strike against each trait of the requests that broke in it. Crashes
 within `EVENT_SECONDS` are one event: they may have one cause outside, such as the loss
-of a failure domain. So a trait gets one strike for all of them, and only if more than
+of a failure domain. So a trait gets one strike for all of them, and only if at least
 half of them had it. A crash in a trial of the trait is a strike of its own: it came
 after the earlier ones were known.
 
@@ -196,7 +196,7 @@
             name for crash, names in event for name in names & set(crash.tried)
         )
         for name, count in had.items():
-            if 2 * count > len(event):
+            if 2 * count >= len(event):
                 tally.strikes[name] += tried[name] + (count > tried[name])
         tally.crashes.update(had)
         for crash, names in event:
