Refuse a cause only in company that stands in one request with it

What callers would see: a part that crashes upstreams goes on to reach them although it was found, until a trial or a proof sorts it out.

Cause: a trait that can't be told apart from others is refused only together with them. These others were taken from all requests that had the trait in its newest crash. If sound requests share the first part, no request has all of them, so none was refused.

Change: the company are the parts that all of these requests have.

Evidence: the new test failed before (no cause found for the bad request) and passes now with the other tests of the module.

--- a/sapphireseam/control/crash_test.py
+++ b/sapphireseam/control/crash_test.py
@@ -341,3 +341,11 @@
             sent += self.send(number, BAD)
             self.fleet.now += 1.0
         self.assertLess(sent, 9)
+
+    def test_company_of_a_cause_stands_in_one_request_with_it(self):
+        for number in range(3):
+            bad = {f"b{number}", "part:first", BAD}
+            sound = {f"s{number}", "part:first", "part:document"}
+            self.fleet.report(bad, sound)
+            self.fleet.now += 1.0
+        self.assertIsNotNone(self.fleet.find_cause({"b9", "part:first", BAD}))
--- a/sapphireseam/policy/blame.py
+++ b/sapphireseam/policy/blame.py
@@ -278,25 +278,27 @@
     candidates.sort(key=lambda name: (-strikes[name], trait.is_part(name), name))
     for name in candidates:
         requests = tally.newest[name].requests
-        mates = {other for each in requests if name in each for other in each}
+        with_name = [set(each) for each in requests if name in each]
+        mates = set().union(*with_name)
         rivals = {other for each in requests for other in each} - mates
         # A repeated request has few strikes, which others get in one event as well.
         counts = strikes if trait.is_part(name) else tally.crashes
         if all(counts[rival] < strikes[name] for rival in rivals):
-            return name, _list_company(name, mates, strikes)
+            common = set.intersection(*with_name)
+            return name, _list_company(name, common, strikes)
     return None
 
 
 def _list_company(
-    name: str, mates: Collection[str], strikes: Mapping[str, int]
+    name: str, common: Collection[str], strikes: Mapping[str, int]
 ) -> tuple[str, ...]:
-    """Return the parts of the same request that may be the cause instead."""
+    """Return the parts of all requests with the trait that may be the cause instead."""
     if not trait.is_part(name):
         return ()
     return tuple(
         sorted(
             mate
-            for mate in mates
+            for mate in common
             if mate != name
             and trait.is_part(mate)
             and strikes[mate] >= SUSPECT_PART_STRIKES
