Judge the last parts of a long prompt instead of its first ones

What callers would see: a bad message behind the 31st of a chat crashes upstreams and is never refused.

Cause: the traits of a request are limited to 32 for the log of crashes, and the parts at the end were cut off. Those at the beginning are mostly shared by many requests, which prove them sound.

Change: the last parts are kept beside the fingerprint.

Evidence: the new test failed before (20 of 20 requests were sent) and passes now with the other tests of the module. A bad part before the last 31 is still not found.

--- a/sapphireseam/control/crash.py
+++ b/sapphireseam/control/crash.py
@@ -8,7 +8,8 @@
 from sapphireseam.core import command, error, outcome, trait, verdict
 from sapphireseam.policy import blame
 
-# Maximum number of traits of one request that are considered, its fingerprint first.
+# Maximum number of traits of one request that are considered: its fingerprint and the
+# last parts of its prompt, since many requests share the first ones.
 TRAIT_LIMIT = 32
 # Maximum number of parts that are remembered as proven sound.
 PROOF_LIMIT = 10_000
@@ -37,7 +38,8 @@
 
 
 def _limit_traits(traits: tuple[str, ...]) -> tuple[str, ...]:
-    return tuple(sorted(dict.fromkeys(traits), key=trait.is_part)[:TRAIT_LIMIT])
+    found = sorted(dict.fromkeys(traits), key=trait.is_part)
+    return tuple(found[:1] + found[1:][1 - TRAIT_LIMIT :])
 
 
 def clear(state: record.State, item: command.ClearTraits) -> outcome.Done:
--- a/sapphireseam/control/crash_test.py
+++ b/sapphireseam/control/crash_test.py
@@ -349,3 +349,18 @@
             self.fleet.report(bad, sound)
             self.fleet.now += 1.0
         self.assertIsNotNone(self.fleet.find_cause({"b9", "part:first", BAD}))
+
+    def test_a_bad_part_at_the_end_of_a_long_prompt_is_refused(self):
+        sent = 0
+        for number in range(20):
+            others = [f"part:{number}-{index}" for index in range(32)]
+            request = (f"f{number}", *others, BAD)
+            if self.fleet.find_cause(request):
+                continue
+            item = command.ReportCrash(
+                "", "u", f"u/{number}", (request,), self.fleet.now
+            )
+            self.fleet.apply(item)
+            sent += 1
+            self.fleet.now += 1.0
+        self.assertLess(sent, 9)
