Ask the quarantine again when a trial has its slot

What callers would see: under load, requests with a part that crashes upstreams reach one more upstream for each 5 s that they waited for a slot (BUDGET).

Cause: a request on trial wasn't asked about again once it had its slot. A trial ends after 5 s, but the wait may be longer; meanwhile another trial crashes, its part is a cause, and the first one runs all the same.

Change: every request is asked about again; a holder that claims again keeps its trial.

Evidence: the new test failed before (the request ran) and passes now with the other tests of the module.

--- a/sapphireseam/entry/direct.py
+++ b/sapphireseam/entry/direct.py
@@ -218,31 +218,27 @@
         self, request: DirectRequest, progress: _Progress
     ) -> HeldSlot:
         """Return a slot for an attempt that the quarantine admits."""
-        is_trial = await self._admit(request, progress)
+        await self._admit(request, progress)
         slot = await self._acquire_slot(request, progress)
         try:
             # A verdict may have come while the request waited for its slot.
-            if not is_trial:
-                await self._admit(request, progress)
+            await self._admit(request, progress)
         except BaseException:
             self._placer.release(slot)
             raise
         return slot
 
-    async def _admit(self, request: DirectRequest, progress: _Progress) -> bool:
-        """Return whether the next attempt is a trial, or raise if it is refused."""
+    async def _admit(self, request: DirectRequest, progress: _Progress) -> None:
+        """Raise an error if the quarantine refuses the next attempt."""
         if progress.proof.is_proven:
-            return False
+            return
         try:
-            is_trial = await self._gate.admit(
-                progress.traits, request.id, progress.has_crashed
-            )
+            await self._gate.admit(progress.traits, request.id, progress.has_crashed)
         except error.CapacityError as failure:
             if progress.runs:
                 raise _make_final_error(failure.message) from None
             raise
         progress.has_crashed = False
-        return is_trial
 
     def _log_answer(
         self, request: DirectRequest, progress: _Progress, instance: Instance
--- a/sapphireseam/entry/direct_test.py
+++ b/sapphireseam/entry/direct_test.py
@@ -392,6 +392,18 @@
         await self.serve(SAFE, fingerprint="f")
         self.assertEqual(self.gate.sound, [("f",)])
 
+    async def test_a_trial_that_waited_for_its_slot_is_refused_by_a_new_verdict(self):
+        self.gate.is_trial = True
+        place = self.placer.place
+
+        async def place_late(spec):
+            self.gate.refusal = make_refusal()
+            return await place(spec)
+
+        self.placer.place = place_late
+        await self.expect(error.Kind.REQUEST_QUARANTINED, STREAM, fingerprint="f")
+        self.assertEqual(self.count_runs(), [0, 0])
+
 
 if __name__ == "__main__":
     unittest.main()
