Eject no upstream because the buffers of this process are full

What callers would see: if many answers of medium size wait for slow callers, sound answers fail and one upstream after the other gets no more requests.

Cause: an answer that does not fit into the shared buffers ended with the same error as one that its upstream broke off, and such an upstream is ejected.

Change: it ends with the error of an upstream that did nothing wrong; the request is retried or fails as before. An answer above its own limit still ejects its upstream.

Evidence: the new test failed before (the upstream was reported as suspect) and passes now.

--- a/sapphireseam/entry/direct_test.py
+++ b/sapphireseam/entry/direct_test.py
@@ -9,7 +9,7 @@
 from sapphireseam.entry.fake import FakeGate, make_refusal
 from sapphireseam.entry.placer import HeldSlot
 from sapphireseam.tools import fake
-from sapphireseam.utils import crash, fakeupstream, metric, outbound
+from sapphireseam.utils import bufferlimit, crash, fakeupstream, metric, outbound
 from sapphireseam.utils.timeline import Timeline
 from sapphireseam.utils.timer import SystemTimer
 
@@ -404,6 +404,12 @@
         await self.expect(error.Kind.REQUEST_QUARANTINED, STREAM, fingerprint="f")
         self.assertEqual(self.count_runs(), [0, 0])
 
+    async def test_an_upstream_is_not_blamed_for_the_buffers_of_this_process(self):
+        self.outbound._buffers = bufferlimit.BufferLimit(10)
+        with self.assertRaises(error.SeamError):
+            await self.serve(UNSAFE, fingerprint="f")
+        self.assertEqual(self.placer.released, [("u1", False)])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/sapphireseam/utils/outbound.py
+++ b/sapphireseam/utils/outbound.py
@@ -250,7 +250,8 @@
         try:
             self._buffer.resize(size)
         except bufferlimit.BufferLimitError as failure:
-            raise OutboundError(str(failure), False) from None
+            # The upstream did nothing wrong.
+            raise RefusalError(str(failure), False) from None
 
     async def read_all(self, limit: int, timeout: float | None = None) -> bytes:
         """Return the complete body; raise if it ends early or exceeds `limit` bytes.
