Refuse a resumed stream when all upstreams are ejected and full

What callers would see: a stream that is resumed while all upstreams of its version are ejected and full gets no answer from the leader until its entry gives up waiting.

Cause: ejected upstreams of a version may continue its streams, so their slots count for the wait of such a request. The slots of late requests, by which the time to come back is estimated, don't count them: with all of them ejected it was divided by zero.

The new test failed before with the same error and passes now with the other tests of the allocator.

Change: the check for no slots comes after the slots of late requests.

--- a/sapphireseam/policy/allocator.py
+++ b/sapphireseam/policy/allocator.py
@@ -402,10 +402,10 @@
     def _estimate_wait(self, request: SlotRequest, ahead: int, now: float) -> float:
         """Return the expected wait in seconds of a request with `ahead` before it."""
         slots: float = self.count_slots(request.service, request.version)
-        if not slots:
-            return MAX_RETRY_SECONDS
         if request.is_late:
             slots = min(slots, self._count_late_slots(request.service, now))
+        if not slots:
+            return MAX_RETRY_SECONDS
         slot_seconds = self.estimate_slot_seconds(request.service)
         return (ahead + 1) * slot_seconds / slots
 
--- a/sapphireseam/policy/allocator_test.py
+++ b/sapphireseam/policy/allocator_test.py
@@ -72,6 +72,20 @@
         grant = self.allocator.place(make_request("any"), 0.0)
         self.assertEqual(grant.instance.id, "i2")
 
+    def test_a_resumed_stream_is_answered_while_all_upstreams_are_ejected_and_full(
+        self,
+    ):
+        names = ("i1", "i2")
+        self.allocator.update(
+            tuple(make_instance(name, slots=1, version="v1") for name in names), 0.0
+        )
+        for name in names:
+            self.allocator.eject(name)
+        for number in range(2):
+            self.allocator.place(make_request(f"r{number}", version="v1"), 0.0)
+        refusal = self.allocator.place(make_request("late", version="v1"), 0.0)
+        self.assertIsInstance(refusal, allocator.Refusal)
+
     def test_a_request_for_a_version_that_serves_no_more_is_refused_at_once(self):
         refusal = self.allocator.place(make_request("r", version="v0"), 0.0)
         self.assertTrue(refusal.has_no_upstream)
