Track no item before the new leader has caught up

What customers would see: an item of a batch job runs twice as long, as its output is dropped once.

Cause: the log line about waiting items reads the progress of each, and so makes it from the saved output. Before the leader has applied its log, that output is an older one, and what continues it is dropped later.

Change: the line is written only once the leader has caught up.

Evidence: the new test failed before and passes now.

--- a/sapphireseam/control/bulkrunner.py
+++ b/sapphireseam/control/bulkrunner.py
@@ -282,7 +282,7 @@
 
     async def _log_waiting(self) -> None:
         """Log the items that wait although their service has a free slot."""
-        if not self._replica.is_leader:
+        if not (self._replica.is_leader and self._replica.has_caught_up):
             return
         waiting = [
             f"{job.items[number].id}: {self._get_progress(job, number).describe()}"
--- a/sapphireseam/control/bulkrunner_test.py
+++ b/sapphireseam/control/bulkrunner_test.py
@@ -537,6 +537,12 @@
         self.replica.has_caught_up = True
         self.assertFalse((await self.wait_done())[0].failed)
 
+    async def test_new_leader_tracks_no_item_before_it_has_caught_up(self):
+        self.replica.has_caught_up = False
+        await self.accept()
+        await self.runner._log_waiting()
+        self.assertEqual(self.runner._progress, {})
+
     async def test_member_that_does_not_lead_runs_nothing(self):
         self.replica.is_leader = False
         await self.accept()
