Report a crash although another caller of the upstream reads slowly

Cause: an exchange that waits for its caller doesn't notice within the time of an episode that its connection broke. It counted as a survivor, so nobody asked whether the upstream was up, and nothing was reported.

Change: an exchange shows that its upstream is up only if it has received data since the first break; else the connect decides.

Two tests assumed that work which merely hasn't broken shows that the upstream is up, which is the fault; they now show work that goes on to receive data, within the time of the episode, and assert the same.

--- a/sapphireseam/agent/server.py
+++ b/sapphireseam/agent/server.py
@@ -136,6 +136,7 @@
         )
         try:
             async for item in answer:
+                running.record_received()
                 if isinstance(item, exchange.Head):
                     token_timer.begin(item)
                 else:
--- a/sapphireseam/entry/direct.py
+++ b/sapphireseam/entry/direct.py
@@ -98,6 +98,8 @@
     def __init__(self, resume_after: int, traits: tuple[str, ...], proof: crash.Proof):
         self.traits = traits
         self.proof = proof
+        # The exchange of the last attempt, for the detection of crashes.
+        self.exchange: crash.Exchange | None = None
         # Whether the last attempt was part of a crash, once this is known.
         self.crash: asyncio.Future[bool] | None = None
         # Whether it was one, until the quarantine has been asked again.
@@ -356,6 +358,7 @@
         progress.crash = None
         progress.proof.restart()
         running = self._crash_detector.open(crash.get_run(slot.instance))
+        progress.exchange = running
         silence_timer = asyncio.get_running_loop().call_later(
             _get_answer_timeout(request.route),
             self._placer.report_silent,
@@ -454,6 +457,7 @@
             if not new_events:
                 continue
             interval.record(len(new_events), self._timer.read_clock())
+            progress.exchange.record_received()
             if answer.head.status < FAILURE_STATUS:
                 progress.proof.record_events(len(new_events))
             progress.events += len(new_events)
--- a/sapphireseam/entry/direct_test.py
+++ b/sapphireseam/entry/direct_test.py
@@ -339,7 +339,7 @@
 
     async def test_a_stream_that_goes_on_shows_that_its_upstream_is_up(self):
         self.down.add("u1")
-        self.upstreams[0].event_delay = 0.1
+        self.upstreams[0].event_delay, self.upstreams[0].events = 0.03, 20
         running = asyncio.create_task(self.serve(STREAM))
         await asyncio.sleep(0.05)
         sink, self.sink = self.sink, FakeSink()
@@ -404,6 +404,29 @@
         await self.expect(error.Kind.REQUEST_QUARANTINED, STREAM, fingerprint="f")
         self.assertEqual(self.count_runs(), [0, 0])
 
+    async def test_a_crash_is_reported_although_another_caller_reads_slowly(self):
+        self.down.add("u1")
+        self.upstreams[0].bad_parts = frozenset({"bad"})
+        begun, sink = asyncio.Event(), self.sink
+
+        async def write(data):
+            begun.set()
+            await asyncio.sleep(2.0)
+
+        sink.write = write
+        slow = asyncio.create_task(self.serve(STREAM, fingerprint="s", seconds=9.0))
+        await begun.wait()
+        self.sink = FakeSink()
+        headers = ((fakeupstream.PARTS, "bad,x"),)
+        request = self.make_request(STREAM, fingerprint="f", parts=("bad",))
+        with self.assertRaises(error.SeamError):
+            await self.forwarder.serve(
+                request._replace(id="r2", headers=headers), self.sink
+            )
+        self.assertEqual(len(self.upstreams[0].crashes), 1)
+        self.assertEqual(len(self.list_crashes()), 1)
+        slow.cancel()
+
     async def test_an_upstream_is_not_blamed_for_the_buffers_of_this_process(self):
         self.outbound._buffers = bufferlimit.BufferLimit(10)
         with self.assertRaises(error.SeamError):
--- a/sapphireseam/utils/crash.py
+++ b/sapphireseam/utils/crash.py
@@ -3,15 +3,17 @@
 A process sees a crash only as broken connections, and the connections of all
 running requests break at once. The first broken exchange therefore opens an
 episode that covers all exchanges with that run of the upstream. After a short delay
-the episode is classified as a whole. If one of its exchanges goes on, or the upstream
-is still up, it is no crash and no request is suspected. Else the run has ended, and
-every request whose exchange broke is reported, unless it was proven sound. Items of
-batch jobs are part of an episode but are never reported. An agent that is lost together
-with its VM reports no crash, so no request is blamed for the loss of a VM.
+the episode is classified as a whole. If one of its exchanges has received more since,
+or the upstream is still up, it is no crash and no request is suspected. Else the run
+has ended, and every request whose exchange broke is reported, unless it was proven
+sound. Items of batch jobs are part of an episode but are never reported. An agent that
+is lost together with its VM reports no crash, so no request is blamed for the loss of a
+VM.
 """
 
 import asyncio
 import logging
+import math
 import secrets
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
@@ -113,6 +115,8 @@
 
     def __init__(self, detector: "CrashDetector", run: Run):
         self.run = run
+        # When the exchange received data last, on the detector's clock.
+        self.received_at = -math.inf
         self._detector = detector
 
     def __enter__(self) -> "Exchange":
@@ -125,6 +129,10 @@
         """Record that the exchange has ended."""
         self._detector.remove(self)
 
+    def record_received(self) -> None:
+        """Record that the upstream has sent data."""
+        self.received_at = self._detector.read_clock()
+
     def record_break(self, traits: tuple[str, ...] = ()) -> asyncio.Future[bool]:
         """Record that the connection broke, and return whether it was a crash.
 
@@ -144,14 +152,15 @@
 class _Episode:
     """Collect the broken exchanges that may belong to one crash.
 
-    `members` are the exchanges that were open at the first break, `broken` maps
-    broken ones to the traits to report, and `crashed` resolves to whether the
-    upstream crashed.
+    `members` are the exchanges that were open at the first break, which was at `began`.
+    `broken` maps broken ones to the traits to report, and `crashed` resolves to whether
+    the upstream crashed.
     """
 
-    def __init__(self, run: Run, members: frozenset[Exchange]):
+    def __init__(self, run: Run, members: frozenset[Exchange], began: float):
         self.run = run
         self.members = members
+        self.began = began
         self.broken: dict[Exchange, tuple[str, ...]] = {}
         self.crashed: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
 
@@ -209,7 +218,8 @@
                 break
         else:
             run = exchange.run
-            episode = _Episode(run, frozenset(self._open[run]))
+            members = frozenset(self._open[run])
+            episode = _Episode(run, members, self._timer.read_clock())
             self._episodes.append(episode)
             self._tasks.spawn(self._classify(episode))
         episode.broken[exchange] = traits
@@ -231,8 +241,17 @@
                 episode.crashed.set_result(has_crashed)
 
     def _has_survivors(self, episode: _Episode) -> bool:
+        """Return whether an exchange has received data since the first break.
+
+        One that waits for a slow caller doesn't notice that its connection broke.
+        """
         running = self._open.get(episode.run, set())
-        return bool(episode.members & running - episode.broken.keys())
+        survivors = episode.members & running - episode.broken.keys()
+        return any(each.received_at > episode.began for each in survivors)
+
+    def read_clock(self) -> float:
+        """Return the time of the detector's clock."""
+        return self._timer.read_clock()
 
     async def _report(self, episode: _Episode) -> None:
         upstream = episode.run.upstream
--- a/sapphireseam/utils/crash_test.py
+++ b/sapphireseam/utils/crash_test.py
@@ -64,6 +64,8 @@
 
     async def test_break_is_no_crash_while_other_work_still_runs(self):
         task = self.detect_crash("1")
+        await self.timer.advance(crash.COLLECT_SECONDS / 2)
+        self.exchanges["2"].record_received()
         await self.timer.advance(1.0)
         self.assertFalse(task.result())
         self.assertEqual(self.list_reports(), [])
