--- a/sapphireseam/control/crash_test.py
+++ b/sapphireseam/control/crash_test.py
@@ -364,3 +364,10 @@
             sent += 1
             self.fleet.now += 1.0
         self.assertLess(sent, 9)
+
+    def test_a_bad_part_that_comes_twice_a_minute_is_refused(self):
+        sent = 0
+        for number in range(20):
+            sent += self.send(number, BAD)
+            self.fleet.now += 31.0
+        self.assertLess(sent, 12)
