Begin a test's second request only once the first one streams

Traced: the fake upstream gives its next behaviour to the request that arrives first; after a fixed pause of 0.05 s the first request had not arrived, so it was dropped instead of the second. With the pause set to 0 the test fails in the same way.

--- a/sapphireseam/entry/direct_test.py
+++ b/sapphireseam/entry/direct_test.py
@@ -339,9 +339,11 @@
 
     async def test_a_stream_that_goes_on_shows_that_its_upstream_is_up(self):
         self.down.add("u1")
-        self.upstreams[0].event_delay, self.upstreams[0].events = 0.03, 20
+        self.upstreams[0].event_delay, self.upstreams[0].events = 0.01, 60
         running = asyncio.create_task(self.serve(STREAM))
-        await asyncio.sleep(0.05)
+        # Until then the first request could take the second one's behaviour.
+        while not self.sink.body:  # noqa: ASYNC110
+            await asyncio.sleep(0.001)
         sink, self.sink = self.sink, FakeSink()
         await self.expect(error.Kind.OUTCOME_UNKNOWN, STREAM, "drop", fingerprint="f")
         self.assertFalse(running.done())
