Play volleys of one request, and upstreams behind a sidecar

So stand-ins now play the two ways in which it could still happen: volleys of one request at all entries at once, with a new leader after the first volley, and upstreams behind a sidecar that accepts connections while they are down.

The volleys hold on the direct path. The stand-in fleet now probes ejected upstreams with a request, as the platform's programs do, since a connect tells nothing behind a sidecar.

--- a/sapphireseam/tools/discovered.py
+++ b/sapphireseam/tools/discovered.py
@@ -27,13 +27,17 @@
 
 
 class Request(NamedTuple):
-    """A caller's request; the last of the prompt's `parts` is never shared."""
+    """A caller's request; the last of the prompt's `parts` is never shared.
+
+    Without a `body`, its body is its id, so that it resembles no other request.
+    """
 
     id: str
     route: fleet.Route
     parts: tuple[str, ...]
     customer: str = "c"
     seconds: float = 4.0
+    body: bytes = b""
 
 
 class Reply(NamedTuple):
@@ -179,9 +183,17 @@
             len(self._controls),
             label=f"control-{number}",
         )
+        upstreams = outbound.ConnectionPool(fakeupstream.FakeDialect())
+
+        async def probe(
+            instance: Instance, path: str, seconds: float
+        ) -> placement.ProbeResult | None:
+            reply = await upstreams.send_order(instance, "GET", path, b"", seconds)
+            return placement.ProbeResult(()) if reply and reply.is_success else None
+
         integration = control.Integration(
             self,
-            outbound.ConnectionPool(fakeupstream.FakeDialect()),
+            upstreams,
             probe,
             stop_run,
             _make_operator_server,
@@ -210,7 +222,7 @@
 
 
 def _make_direct(request: Request, now: float) -> DirectRequest:
-    target, body = f"{request.route.path}x", request.id.encode()
+    target, body = f"{request.route.path}x", request.body or request.id.encode()
     service = request.route.service
     return DirectRequest(
         request.id,
@@ -235,19 +247,5 @@
     return _NoServer()
 
 
-async def probe(
-    instance: Instance, path: str, seconds: float
-) -> placement.ProbeResult | None:
-    """Return an empty result if the instance accepts a connection."""
-    host, port = instance.address.split(":")
-    try:
-        async with asyncio.timeout(seconds):
-            _, writer = await asyncio.open_connection(host, int(port))
-    except (OSError, TimeoutError):
-        return None
-    writer.close()
-    return placement.ProbeResult(())
-
-
 async def stop_run(instance: Instance, request: str, other: Instance) -> None:
     """Do nothing; fake upstreams can't stop a request."""
--- a/sapphireseam/tools/listener.py
+++ b/sapphireseam/tools/listener.py
@@ -2,7 +2,8 @@
 
 A crash drops every connection without an answer and refuses new ones until the
 restart time is over. To a client it looks like a process that crashes and is
-restarted on the same port.
+restarted on the same port. Behind a sidecar, new connections are accepted meanwhile,
+and dropped at their first request.
 """
 
 import asyncio
@@ -32,7 +33,9 @@
         routes: list[web.RouteDef],
         restart_seconds: float,
         timer_service: timer.TimerService,
+        has_sidecar: bool = False,
     ):
+        self._has_sidecar = has_sidecar
         self.host = host
         self.port = port
         # Times of the crashes on the wall clock, in seconds.
@@ -89,6 +92,10 @@
         self._tasks.spawn(self._restart())
 
     async def _restart(self) -> None:
+        if self._has_sidecar:
+            await self._timer.sleep(self._restart_seconds)
+            self.down = False
+            return
         await self._site.stop()
         await self._timer.sleep(self._restart_seconds)
         while True:
--- a/sapphireseam/tools/promptpart_test.py
+++ b/sapphireseam/tools/promptpart_test.py
@@ -30,6 +30,11 @@
 LATER = 8
 MODEL = "wording-llm"
 ITEMS = 60
+# Volleys of one request that crashes upstreams, and the time between two of them, in
+# seconds. Each is sent to all entries at once.
+VOLLEYS, VOLLEY_SECONDS = 6, 2.5
+# Crashes after which a request must be refused.
+REQUEST_CRASHES = 3
 # Rounds of plain requests, how many are sent at once, and how many rounds differ.
 ROUNDS, AT_ONCE, DISTINCT = 40, 2, 4
 SHAPE = layout.Shape(
@@ -53,6 +58,15 @@
             await asyncio.sleep(TIMES.bad_period)
 
 
+def find_late(record):
+    """Return when a request reached upstreams although it had to be refused."""
+    crashes = sorted(record.crashes)
+    if len(crashes) < REQUEST_CRASHES:
+        return []
+    since = crashes[REQUEST_CRASHES - 1] + TIMES.contact
+    return [at for at in record.arrivals if at > since]
+
+
 class DirectPathTest(unittest.TestCase):
     """Runs on the programs' event loop, as all of them share one process."""
 
@@ -103,6 +117,34 @@
 
         self.run_fleet(play)
 
+    def test_an_upstream_behind_a_sidecar_is_seen_to_crash(self):
+        async def play():
+            for upstream in self.fleet.upstreams:
+                upstream.has_sidecar = True
+            play = promptpart.Play(self.send, self.read_record, TIMES, self.rng)
+            self.assertEqual(await play.run(), [], play.describe())
+
+        self.run_fleet(play)
+
+    def test_volleys_of_one_request_crash_no_more_upstreams_under_a_new_leader(self):
+        async def send(entry, id):
+            request = discovered.Request(id, STREAM, (promptpart.BAD,), body=b"same")
+            await self.fleet.send(entry, request)
+
+        async def play():
+            entries = range(len(self.fleet.entries))
+            for volley in range(VOLLEYS):
+                sends = [send(entry, f"{volley}-{entry}") for entry in entries]
+                await asyncio.gather(*sends)
+                if volley == 0:
+                    await self.fleet.restart_leader()
+                await asyncio.sleep(VOLLEY_SECONDS)
+            record = await self.read_record()
+            self.assertGreaterEqual(len(record.crashes), REQUEST_CRASHES)
+            self.assertLessEqual(len(find_late(record)), promptpart.MAX_LATE)
+
+        self.run_fleet(play)
+
     def test_a_verdict_is_not_forgotten_by_new_leaders_and_entries(self):
         async def replace():
             await crash_until_refused(self.send)
@@ -162,12 +204,15 @@
         ]
         for caller in self.callers:
             await caller.chat("hello", False)
+        self.chats = self.make_chats(self.plan.entries)
         rng = random.Random(SEED)
-        self.chats = promptpart.ChatCaller(
-            self.http, self.plan.entries, self.engines, self.key.text, MODEL, rng
-        )
         self.play = promptpart.Play(self.chats.send, self.chats.read_record, TIMES, rng)
 
+    def make_chats(self, entries):
+        return promptpart.ChatCaller(
+            self.http, entries, self.engines, self.key.text, MODEL, random.Random(SEED)
+        )
+
     async def start_job(self):
         """Submit a batch job whose items share parts with the requests."""
         lines = [
@@ -216,6 +261,23 @@
         counts = {"total": ITEMS, "completed": ITEMS, "failed": 0}
         self.assertEqual(await self.wait_for_job(job), counts)
 
+    async def test_an_upstream_behind_a_sidecar_is_seen_to_crash(self):
+        hooks = {"crash_marker": promptpart.BAD, "restart_seconds": DOWN_SECONDS}
+        await self.start(hooks | {"has_sidecar": True})
+        self.assertEqual(await self.play.run(), [], self.play.describe())
+
+    async def test_volleys_of_one_request_crash_no_more_upstreams(self):
+        hooks = {"crash_marker": promptpart.BAD, "restart_seconds": DOWN_SECONDS}
+        await self.start(hooks)
+        at_entries = [self.make_chats([entry]) for entry in self.plan.entries]
+        for _ in range(VOLLEYS):
+            sends = [chats.send("", (promptpart.BAD,)) for chats in at_entries]
+            await asyncio.gather(*sends)
+            await asyncio.sleep(VOLLEY_SECONDS)
+        record = await self.chats.read_record()
+        self.assertGreaterEqual(len(record.crashes), REQUEST_CRASHES)
+        self.assertLessEqual(len(find_late(record)), promptpart.MAX_LATE)
+
     async def test_a_verdict_is_not_forgotten_by_new_leaders_and_entries(self):
         hooks = {"crash_marker": promptpart.BAD, "restart_seconds": DOWN_SECONDS}
         await self.start(hooks)
--- a/sapphireseam/tools/service.py
+++ b/sapphireseam/tools/service.py
@@ -29,7 +29,8 @@
     with `late_marker` is delayed by `late_seconds`. Every `unframed_every`th answer of
     a plain service ends with its connection, and every `broken_every`th of those is
     broken off; 0 means none. `reset_share` of the answers of a plain service, evenly
-    spread, are replaced by a reset of their connection.
+    spread, are replaced by a reset of their connection. With a sidecar, connections are
+    accepted while the upstream is down.
     """
 
     crash_marker: str = ""
@@ -40,6 +41,7 @@
     unframed_every: int = 0
     broken_every: int = 0
     reset_share: engine.Share = 0.0
+    has_sidecar: bool = False
 
 
 def render_failure(message: str, code: str, kind: str = "server_error") -> dict:
@@ -98,6 +100,7 @@
             ],
             hooks.restart_seconds,
             timer_service,
+            hooks.has_sidecar,
         )
 
     async def start(self) -> None:
--- a/sapphireseam/tools/standin.py
+++ b/sapphireseam/tools/standin.py
@@ -195,6 +195,7 @@
             ],
             hooks.restart_seconds,
             timer_service,
+            hooks.has_sidecar,
         )
         self.engine = engine.Engine(
             models,
--- a/sapphireseam/utils/fakeupstream.py
+++ b/sapphireseam/utils/fakeupstream.py
@@ -22,6 +22,7 @@
 LEAVING = "Fake-Leaving"
 # Lists the parts of a request's prompt, separated by commas.
 PARTS = "Fake-Parts"
+HEALTH_PATH = "/"
 # How long a silent upstream sends nothing, in seconds.
 SILENT_SECONDS = 30.0
 
@@ -92,7 +93,10 @@
     Any request whose prompt has one of `bad_parts` crashes the upstream while it is
     answered: the upstream resets all its connections, loses its running requests, and
     listens again after `down_seconds` as the next run, with another `born`. A leaving
-    upstream stays down.
+    upstream stays down. With a sidecar, connections are accepted while the upstream is
+    down, and are closed without an answer once a request has arrived.
+
+    A request for `HEALTH_PATH` is no run; it gets an empty answer.
     """
 
     def __init__(
@@ -122,6 +126,7 @@
         # Delay of a crash after that, in seconds.
         self.crash_delay = 0.0
         self.down_seconds = 1.0
+        self.has_sidecar = False
         self.crashes: list[Event] = []
         self.bad_arrivals: list[Event] = []
         # Keeps the port while the upstream is down; servers listen beside it.
@@ -129,6 +134,7 @@
         self._port = 0
         self._connections: set[asyncio.StreamWriter] = set()
         self._restarting: asyncio.Task | None = None
+        self._is_down = False
         self._server: asyncio.Server | None = None
 
     async def start(self) -> None:
@@ -149,15 +155,17 @@
 
     @property
     def is_down(self) -> bool:
-        """Whether the upstream has crashed and doesn't listen."""
-        return not self._server.is_serving()
+        """Whether the upstream has crashed and serves nothing."""
+        return self._is_down
 
     def _crash(self, run: Run) -> None:
         """Reset all connections and listen again as the next run after a while."""
         if self.is_down:
             return
         self.crashes.append(_make_event(run))
-        self._server.close()
+        self._is_down = True
+        if not self.has_sidecar:
+            self._server.close()
         for writer in self._connections:
             framing.break_off(writer.transport)
         self._restarting = asyncio.create_task(self._restart())
@@ -167,7 +175,9 @@
         if self.is_leaving:
             return
         self.born += 1
-        await self.start()
+        self._is_down = False
+        if not self.has_sidecar:
+            await self.start()
 
     @property
     def instance(self) -> Instance:
@@ -202,6 +212,11 @@
     ) -> bool:
         """Answer one request; return false if the connection must be closed."""
         run = await _read_request(reader)
+        if self.is_down:
+            return False
+        if run.path == HEALTH_PATH:
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+            return True
         behaviour = self.behaviours.pop(0) if self.behaviours else "well"
         if behaviour != "refuse":
             self.runs.append(run)
