See an upstream behind a sidecar crash by its missing answer

Cause: the detector took an accepted connection for an upstream that is up. A sidecar accepts connections for an upstream that is down and then breaks them, so no crash was ever reported. The class: a sign of life that comes from something else than what must be alive.

The detector now sends a health check. The upstream is down if it accepts no connection, breaks it without an answer, or if the status is a proxy's (502, 503, 504) and no header shows that the upstream itself sent it. The test of the former connect check is replaced by one with the same three cases (accepts, ignores, refuses), and tests of answers are added.

--- a/sapphireseam/agent/engine.py
+++ b/sapphireseam/agent/engine.py
@@ -106,9 +106,9 @@
             return False
 
     async def has_ended(self, run: crash.Run) -> bool:
-        """Return whether the upstream accepts no connection any more."""
+        """Return whether the upstream answers no health check any more."""
         address = self._base_url.removeprefix("http://")
-        return not address or not await crash.can_connect(address)
+        return not address or await crash.is_down(address, HEALTH_PATH)
 
     async def _get_health(self) -> bool:
         async with self._session.get(self._base_url + HEALTH_PATH) as response:
--- a/sapphireseam/entry/discovery.py
+++ b/sapphireseam/entry/discovery.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from sapphireseam.core import fleet
 from sapphireseam.core.instance import Instance
 from sapphireseam.entry.authorizer import Authorizer
 from sapphireseam.entry.bulk import BulkJobClient
@@ -69,13 +70,16 @@
         self._tasks.spawn(self._upstreams.keep_only(addresses))
 
 
-class _LeavingRuns:
-    """Remember the runs of upstreams that leave, since their end is no crash.
+class _RunMonitor:
+    """Tell whether a run of an upstream has ended unexpectedly.
 
-    A run never returns.
+    The end of a run that leaves is no crash. A run never returns.
     """
 
-    def __init__(self):
+    def __init__(self, mirror: Mirror, upstreams: outbound.ConnectionPool):
+        self._mirror = mirror
+        self._upstreams = upstreams
+        # The names of the runs that leave.
         self._names: set[str] = set()
 
     def update(self, instances: tuple[Instance, ...]) -> None:
@@ -90,7 +94,12 @@
 
     async def has_ended(self, run: crash.Run) -> bool:
         """Return whether a run has ended unexpectedly."""
-        return run.name not in self._names and not await crash.can_connect(run.address)
+        if run.name in self._names:
+            return False
+        service = self._mirror.fleet.services.get(run.service, fleet.Service())
+        return await crash.is_down(
+            run.address, service.probe_path, self._upstreams.is_signed
+        )
 
 
 def build(
@@ -117,21 +126,21 @@
         timer,
     )
     connection_closer = _ConnectionCloser(upstreams)
-    leaving_runs = _LeavingRuns()
+    run_monitor = _RunMonitor(mirror, upstreams)
 
     def handle_instances(instances: tuple[Instance, ...]) -> None:
         connection_closer.update(instances)
-        leaving_runs.update(instances)
+        run_monitor.update(instances)
 
     def handle_leaving(instance: Instance) -> None:
         placer.report_leaving(instance)
-        leaving_runs.add(instance)
+        run_monitor.add(instance)
 
     placer.on_instances = handle_instances
     upstreams.on_leaving = handle_leaving
     gate = QuarantineGate(mirror, client, timer)
     crash_detector = crash.CrashDetector(
-        mirror, client, timeline, timer, leaving_runs.has_ended
+        mirror, client, timeline, timer, run_monitor.has_ended
     )
     forwarder = DirectForwarder(
         placer, upstreams, meter, timer, random.Random(), gate, crash_detector
--- a/sapphireseam/platform/dialect.py
+++ b/sapphireseam/platform/dialect.py
@@ -19,6 +19,8 @@
 NOT_RUN = "X-Not-Executed"
 SIGNATURE = "X-Response-Signature"
 WAIT = "X-Wait-Ms"
+# Names the replica in its answers to health checks.
+INSTANCE = "X-Instance-Id"
 LEAVING = "Server-Leaving"
 LEAVING_VALUE = "1"
 KEY = "Authorization"
@@ -125,3 +127,7 @@
     def is_leaving(self, headers: CIMultiDictProxy[str]) -> bool:
         """Return whether the replica says that it is leaving."""
         return headers.get(LEAVING, "").strip() == LEAVING_VALUE
+
+    def is_signed(self, headers: CIMultiDictProxy[str]) -> bool:
+        """Return whether an answer has a header that only replicas send."""
+        return any(name in headers for name in (INSTANCE, NOT_RUN, SIGNATURE))
--- a/sapphireseam/tools/streamsoak.py
+++ b/sapphireseam/tools/streamsoak.py
@@ -42,7 +42,12 @@
 from sapphireseam.policy import fallback
 from sapphireseam.tools import discovered, promptpart
 from sapphireseam.utils import crash, event, loop, metric, outbound, rpc
-from sapphireseam.utils.fakeupstream import PARTS, FakeDialect, FakeUpstream
+from sapphireseam.utils.fakeupstream import (
+    HEALTH_PATH,
+    PARTS,
+    FakeDialect,
+    FakeUpstream,
+)
 from sapphireseam.utils.mirror import Mirror
 from sapphireseam.utils.timeline import Timeline
 from sapphireseam.utils.timer import SystemTimer
@@ -355,7 +360,7 @@
     async def _has_ended(self, run: crash.Run) -> bool:
         known = self._upstreams + self._removed
         is_leaving = any(each.is_leaving for each in known if each.name == run.upstream)
-        return not is_leaving and not await crash.can_connect(run.address)
+        return not is_leaving and await crash.is_down(run.address, HEALTH_PATH)
 
     async def _start_entry(self, name: str) -> _Entry:
         client = _Client(self)
--- a/sapphireseam/utils/crash.py
+++ b/sapphireseam/utils/crash.py
@@ -4,11 +4,12 @@
 running requests break at once. The first broken exchange therefore opens an
 episode that covers all exchanges with that run of the upstream. After a short delay
 the episode is classified as a whole. If one of its exchanges has received more since,
-or the upstream is still up, it is no crash and no request is suspected. Else the run
+or the upstream still answers, it is no crash and no request is suspected. Else the run
 has ended, and every request whose exchange broke is reported, unless it was proven
-sound. Items of batch jobs are part of an episode but are never reported. An agent that
-is lost together with its VM reports no crash, so no request is blamed for the loss of a
-VM.
+sound. A connection alone is no sign of life: a sidecar accepts it for an upstream that
+is down. Items of batch jobs are part of an episode but are never reported. An agent
+that is lost together with its VM reports no crash, so no request is blamed for the loss
+of a VM.
 """
 
 import asyncio
@@ -18,9 +19,11 @@
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
+import aiohttp
+from multidict import CIMultiDictProxy
+
 from sapphireseam.core import command, error
 from sapphireseam.core.instance import Instance
-from sapphireseam.utils import probe
 from sapphireseam.utils.application import TaskGroup
 from sapphireseam.utils.client import ControlClient
 from sapphireseam.utils.mirror import Mirror
@@ -33,6 +36,10 @@
 COLLECT_SECONDS = 0.1
 # An upstream that accepts no connection within this time is down.
 CONNECT_SECONDS = 0.3
+# An upstream that has sent no answer after this time may be busy, so it isn't down.
+ANSWER_SECONDS = 0.3
+# Statuses that a sidecar answers for an upstream that is down.
+PROXY_STATUSES = frozenset({502, 503, 504})
 # Failed requests wait at most this long for the crash report to be accepted before
 # their callers get an answer.
 REPORT_SECONDS = 2.0
@@ -56,24 +63,44 @@
     upstream: str
     name: str = ""
     address: str = ""
+    service: str = ""
 
 
 def get_run(instance: Instance) -> Run:
     """Return the run of an instance that was found by discovery."""
     name = f"{instance.id}/{instance.born}"
-    return Run(instance.id, name, instance.address)
+    return Run(instance.id, name, instance.address, instance.service)
+
 
+async def is_down(
+    address: str,
+    path: str,
+    is_signed: Callable[[CIMultiDictProxy[str]], bool] = lambda headers: False,
+) -> bool:
+    """Return whether an upstream is down, by a request for `path`.
 
-async def can_connect(address: str) -> bool:
-    """Return whether a server accepts a connection within CONNECT_SECONDS."""
-    host, port = probe.split_address(address)
+    It is down if it accepts no connection or breaks it without an answer. It is down
+    as well if the answer may be a sidecar's, by its status, and `is_signed` says that
+    none of its headers shows otherwise.
+    """
+    timeout = aiohttp.ClientTimeout(sock_connect=CONNECT_SECONDS)
     try:
-        async with asyncio.timeout(CONNECT_SECONDS):
-            _, writer = await asyncio.open_connection(host, port)
-    except (OSError, TimeoutError):
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            # The library's own timeout covers the time to connect only.
+            answering = session.get(f"http://{address}{path}", allow_redirects=False)
+            async with asyncio.timeout(CONNECT_SECONDS + ANSWER_SECONDS):
+                async with answering as response:
+                    is_proxy_status = response.status in PROXY_STATUSES
+                    return is_proxy_status and not is_signed(response.headers)
+    except aiohttp.ConnectionTimeoutError:
+        return True
+    except TimeoutError:
+        return False
+    except aiohttp.ClientResponseError:
+        # Something answers, although it isn't valid.
         return False
-    writer.close()
-    return True
+    except (aiohttp.ClientError, OSError):
+        return True
 
 
 class Proof:
--- a/sapphireseam/utils/crash_test.py
+++ b/sapphireseam/utils/crash_test.py
@@ -213,19 +213,49 @@
         self.assertTrue(self.proof.is_proven)
 
 
-class ConnectTest(unittest.IsolatedAsyncioTestCase):
+class DownTest(unittest.IsolatedAsyncioTestCase):
+    async def start(self, answer):
+        """Start a server that sends these bytes to each request, then closes."""
+
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(answer)
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        host, port = server.sockets[0].getsockname()
+        return f"{host}:{port}"
+
     async def test_an_upstream_is_down_if_it_refuses_or_ignores_connections(self):
         with socket.create_server(("127.0.0.1", 0), backlog=0) as server:
             address = f"127.0.0.1:{server.getsockname()[1]}"
-            self.assertTrue(await crash.can_connect(address))
+            self.assertFalse(await crash.is_down(address, "/"))
             # A full backlog drops further connections silently.
             waiting = [socket.socket() for _ in range(4)]
             for each in waiting:
                 self.addCleanup(each.close)
                 each.setblocking(False)
                 each.connect_ex(server.getsockname())
-            self.assertFalse(await crash.can_connect(address))
-        self.assertFalse(await crash.can_connect(address))
+            self.assertTrue(await crash.is_down(address, "/"))
+        self.assertTrue(await crash.is_down(address, "/"))
+
+    async def test_a_sidecar_that_accepts_connections_shows_no_upstream_up(self):
+        for status in (502, 503, 504):
+            head = f"HTTP/1.1 {status} X\r\nContent-Length: 0\r\n\r\n".encode()
+            self.assertTrue(await crash.is_down(await self.start(head), "/"))
+        self.assertTrue(await crash.is_down(await self.start(b""), "/"))
+
+    async def test_an_upstream_that_answers_is_up(self):
+        def is_signed(headers):
+            return "Signed" in headers
+
+        for status in (200, 404, 429, 500):
+            head = f"HTTP/1.1 {status} X\r\nContent-Length: 0\r\n\r\n".encode()
+            self.assertFalse(await crash.is_down(await self.start(head), "/"))
+        head = b"HTTP/1.1 503 X\r\nSigned: 1\r\nContent-Length: 0\r\n\r\n"
+        self.assertFalse(await crash.is_down(await self.start(head), "/", is_signed))
+        self.assertFalse(await crash.is_down(await self.start(b"what\r\n\r\n"), "/"))
 
 
 if __name__ == "__main__":
--- a/sapphireseam/utils/fakeupstream.py
+++ b/sapphireseam/utils/fakeupstream.py
@@ -52,6 +52,10 @@
         """Return whether the upstream says that it is leaving."""
         return LEAVING in headers
 
+    def is_signed(self, headers: CIMultiDictProxy[str]) -> bool:
+        """Return whether the answer is that of a fake upstream."""
+        return ID in headers
+
 
 class Run(NamedTuple):
     """A request that an upstream has received."""
--- a/sapphireseam/utils/outbound.py
+++ b/sapphireseam/utils/outbound.py
@@ -113,6 +113,9 @@
     def is_leaving(self, headers: CIMultiDictProxy[str]) -> bool:
         """Return whether an answer says that its upstream is leaving."""
 
+    def is_signed(self, headers: CIMultiDictProxy[str]) -> bool:
+        """Return whether an answer has a header that only upstreams send."""
+
 
 class OutboundError(Exception):
     """A request failed; `is_not_run` is true if it certainly didn't run."""
@@ -380,6 +383,10 @@
             # The connection of a completely read answer was already released for reuse.
             response.close()
 
+    def is_signed(self, headers: CIMultiDictProxy[str]) -> bool:
+        """Return whether an answer has a header that only upstreams send."""
+        return self._dialect.is_signed(headers)
+
     def _record_leaving(self, instance: instances.Instance) -> None:
         run = (instance.id, instance.born)
         if run not in self._leaving:
