--- a/sapphireseam/tools/discovered.py
+++ b/sapphireseam/tools/discovered.py
@@ -184,17 +184,10 @@
             label=f"control-{number}",
         )
         upstreams = outbound.ConnectionPool(fakeupstream.FakeDialect())
-
-        async def probe(
-            instance: Instance, path: str, seconds: float
-        ) -> placement.ProbeResult | None:
-            reply = await upstreams.send_order(instance, "GET", path, b"", seconds)
-            return placement.ProbeResult(()) if reply and reply.is_success else None
-
         integration = control.Integration(
             self,
             upstreams,
-            probe,
+            make_probe(upstreams),
             stop_run,
             _make_operator_server,
         )
@@ -247,5 +240,17 @@
     return _NoServer()
 
 
+def make_probe(upstreams: outbound.ConnectionPool) -> placement.Probe:
+    """Return a probe that gives an empty result if the instance answers."""
+
+    async def probe(
+        instance: Instance, path: str, seconds: float
+    ) -> placement.ProbeResult | None:
+        reply = await upstreams.send_order(instance, "GET", path, b"", seconds)
+        return placement.ProbeResult(()) if reply and reply.is_success else None
+
+    return probe
+
+
 async def stop_run(instance: Instance, request: str, other: Instance) -> None:
     """Do nothing; fake upstreams can't stop a request."""
--- a/sapphireseam/tools/streamsoak.py
+++ b/sapphireseam/tools/streamsoak.py
@@ -259,6 +259,7 @@
         self.findings: list[str] = []
         self.counts: collections.Counter[str] = collections.Counter()
         self.servers: list[PlacementServer] = []
+        self._pools: list[outbound.ConnectionPool] = []
         self.hubs: list[WatchHub] = []
         self._machines: list[StateMachine] = []
         self._commits = 0
@@ -319,11 +320,13 @@
     async def _start(self) -> None:
         for replica in self._replicas:
             machine = StateMachine()
+            upstreams = outbound.ConnectionPool(FakeDialect())
+            self._pools.append(upstreams)
             server = PlacementServer(
                 replica,
                 machine,
                 _RateLimits(),
-                discovered.probe,
+                discovered.make_probe(upstreams),
                 discovered.stop_run,
                 self._timer,
             )
@@ -348,6 +351,8 @@
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        for pool in self._pools:
+            await pool.stop()
         for upstream in self._upstreams + self._removed:
             await upstream.stop()
 
