Refuse a part or request that crashes an upstream once a minute

One request that crashes an upstream every 70 s was never refused either.

Cause: a crash counted for 60 s, so the third strike of a part, or the second of a request, came after the first had been forgotten. The class: a memory that is shorter than the period of what it must recognise.

A crash now counts for 240 s. What is sound is still cleared by its first complete answer, so only what never completes stays suspect for longer. How long a proof of soundness weighs is a constant of its own now and stays 60 s.

--- a/sapphireseam/control/crash.py
+++ b/sapphireseam/control/crash.py
@@ -70,7 +70,7 @@
     state.crashes.clear()
     state.crashes.update((crash.run, crash) for crash in kept)
     for name, at in list(state.proofs.items()):
-        if now - at >= blame.LOG_SECONDS:
+        if now - at >= blame.PROOF_SECONDS:
             del state.proofs[name]
     causes, verdicts = blame.judge(kept, state.causes, state.proofs.keys(), now)
     state.causes.clear()
--- a/sapphireseam/control/crash_test.py
+++ b/sapphireseam/control/crash_test.py
@@ -220,8 +220,13 @@
         self.fleet.now = self.found.until + 0.1
         self.assertEqual(self.fleet.claim({"g", BAD}).number, 1)
         self.fleet.prove({"g", BAD})
-        self.assertEqual(self.fleet.state.verdicts, {})
+        # The requests that broke may still be the cause themselves.
+        self.assertEqual(set(self.fleet.state.verdicts), {"f0", "f1", "f2"})
+        self.assertEqual(self.fleet.list_causes(), set())
         self.assertEqual(self.fleet.claim({"h", BAD}).number, 0)
+        self.fleet.now += blame.LOG_SECONDS
+        self.fleet.prove({"f0"})
+        self.assertEqual(self.fleet.state.verdicts, {})
 
     def test_next_leader_has_the_verdict_from_the_snapshot_and_from_the_log(self):
         next_leader = machine.StateMachine()
@@ -365,6 +370,16 @@
             self.fleet.now += 1.0
         self.assertLess(sent, 9)
 
+    def test_a_request_that_crashes_upstreams_once_a_minute_is_refused(self):
+        sent = 0
+        for _ in range(20):
+            request = {"f", "part:a"}
+            if self.fleet.is_admitted(request):
+                self.fleet.report(request)
+                sent += 1
+            self.fleet.now += 70.0
+        self.assertLess(sent, 9)
+
     def test_a_bad_part_that_comes_twice_a_minute_is_refused(self):
         sent = 0
         for number in range(20):
--- a/sapphireseam/policy/blame.py
+++ b/sapphireseam/policy/blame.py
@@ -20,8 +20,9 @@
 from sapphireseam.core import trait
 from sapphireseam.core.verdict import Verdict
 
-# A crash counts for this long.
-LOG_SECONDS = 60.0
+# A crash counts for this long. A part that crashes upstreams less than once in half of
+# this time is never a cause.
+LOG_SECONDS = 240.0
 # Maximum number of crashes in the log, and of the traits in all of them.
 LOG_LIMIT = 64
 TRAIT_LIMIT = 5000
@@ -32,8 +33,10 @@
 PART_STRIKES = 3
 SUSPECT_FINGERPRINT_STRIKES = 1
 SUSPECT_PART_STRIKES = 2
-# Strikes against a part that was proven sound a short time ago count as one.
+# This many strikes against a part that was proven sound within `PROOF_SECONDS` count as
+# one.
 PROVEN_STRIKES = 2
+PROOF_SECONDS = 60.0
 # How long a cause is refused at first. Each time it is found again, this doubles.
 FIRST_REFUSAL_SECONDS = 60.0
 MAX_REFUSAL_SECONDS = 3600.0
