--- a/sapphireseam/utils/fakeupstream.py
+++ b/sapphireseam/utils/fakeupstream.py
@@ -20,6 +20,7 @@
 CUSTOMER = "Fake-Customer"
 REMAINING = "Fake-Remaining"
 LEAVING = "Fake-Leaving"
+CEILING = "Fake-Ceiling"
 # Lists the parts of a request's prompt, separated by commas.
 PARTS = "Fake-Parts"
 HEALTH_PATH = "/"
@@ -119,6 +120,10 @@
         self.born = 0
         # Whether every answer says that the upstream is leaving.
         self.is_leaving = False
+        # The requests per second that every answer names, none if empty.
+        self.ceiling = ""
+        # The arrival times of all requests, on the clock of the event loop.
+        self.arrivals: list[float] = []
         # Delay before each event, in seconds.
         self.event_delay = 0.0
         # Ids of the requests that were running when their connection was closed.
@@ -221,6 +226,7 @@
         if run.path == HEALTH_PATH:
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
             return True
+        self.arrivals.append(asyncio.get_running_loop().time())
         behaviour = self.behaviours.pop(0) if self.behaviours else "well"
         if behaviour != "refuse":
             self.runs.append(run)
@@ -237,7 +243,7 @@
             await self._wait_for_close(reader, run)
             return False
         if behaviour in ("refuse", "fail", "impossible", "stale", "stale-refuse"):
-            _write_short_answer(writer, behaviour, run, self._render_leaving())
+            _write_short_answer(writer, behaviour, run, self._render_state())
             return True
         return await self._stream_answer(reader, writer, run, behaviour)
 
@@ -249,8 +255,11 @@
         self._crash(run)
         return False
 
-    def _render_leaving(self) -> bytes:
-        return f"{LEAVING}: 1\r\n".encode() if self.is_leaving else b""
+    def _render_state(self) -> bytes:
+        """Return the headers of every answer that tell the upstream's state."""
+        leaving = f"{LEAVING}: 1\r\n" if self.is_leaving else ""
+        ceiling = f"{CEILING}: {self.ceiling}\r\n" if self.ceiling else ""
+        return (leaving + ceiling).encode()
 
     async def _wait_for_close(self, reader: asyncio.StreamReader, run: Run) -> None:
         try:
@@ -276,7 +285,7 @@
             b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
             + f"{ID}: {run.id}\r\nFake-By: {self.name}\r\n".encode()
             + coding
-            + self._render_leaving()
+            + self._render_state()
             + b"\r\n"
         )
         if ending == "empty":
