Keep the limits that discovered upstreams name

Cause: nothing read the limit that an upstream names in its answers. The class: a bound that is set outside the configuration and is not part of any decision.

The limit is a ceiling now. Each process hears it in the answers it gets (utils/ceiling.py) and reports it; the control VMs replicate it, so the next leader has it, and every process gets it with its watch, so a restarted entry has it, too. The leader's allocator spreads the requests of all entries and the items of batch jobs below it with a small token bucket that starts empty (policy/ceiling.py), online before batch; trials, retries and the leader's own probes are counted. An entry that places alone uses its part. What the other upstreams can't take is refused with a time to come back that follows from the ceilings. The first answer that names none ends it, unless its request was sent before the ceiling was known. Invalid values are logged and change nothing.

--- a/sapphireseam/control/bulkrunner.py
+++ b/sapphireseam/control/bulkrunner.py
@@ -232,7 +232,7 @@
         full_services = {
             name
             for name in {_choose_service(self._fleet.routes[job.route]) for job in jobs}
-            if not self._placement.allocator.has_batch_slot(name)
+            if not self._placement.allocator.has_batch_slot(name, now)
         }
         for urgency in bulk.Urgency:
             for job in jobs:
@@ -284,12 +284,13 @@
         """Log the items that wait although their service has a free slot."""
         if not (self._replica.is_leader and self._replica.has_caught_up):
             return
+        now = self._timer.read_clock()
         waiting = [
             f"{job.items[number].id}: {self._get_progress(job, number).describe()}"
             for job in self._machine.state.lots.values()
             if job.is_open and job.route in self._fleet.routes
             if self._placement.allocator.has_batch_slot(
-                _choose_service(self._fleet.routes[job.route])
+                _choose_service(self._fleet.routes[job.route]), now
             )
             for number in range(len(job.items))
             if number not in job.listed and not self._is_busy((job.id, number))
--- a/sapphireseam/control/bulkrunner_test.py
+++ b/sapphireseam/control/bulkrunner_test.py
@@ -728,7 +728,7 @@
         await asyncio.sleep(0.06)
         await self.placement._reconcile_loads()
         await reading
-        self.assertTrue(self.placement.allocator.has_batch_slot("llm"))
+        self.assertTrue(self.placement.allocator.has_batch_slot("llm", 0.0))
 
 
 class FakeStream:
--- a/sapphireseam/control/machine.py
+++ b/sapphireseam/control/machine.py
@@ -12,6 +12,7 @@
 
 from sapphireseam.control import (
     bulk,
+    ceiling,
     claim,
     crash,
     job,
@@ -62,6 +63,7 @@
     command.ReportDeath: claim.record_crash,
     command.ClearSuspects: claim.clear_suspects,
     command.ReportCrash: crash.report,
+    command.ReportCeiling: ceiling.report,
     command.ClearTraits: crash.clear,
     command.ClaimTrial: crash.claim_trial,
     command.ReleaseTrial: crash.release_trial,
--- a/sapphireseam/control/meter.py
+++ b/sapphireseam/control/meter.py
@@ -1,5 +1,6 @@
 """Registers and computes the metrics of a control VM."""
 
+import time
 from collections import Counter
 from pathlib import Path
 
@@ -56,6 +57,10 @@
     meter.read_many(metric.SERVICE_SLOTS, lambda: count_slots(allocator, replica))
     meter.read_many(metric.EJECTED, lambda: count_ejected(allocator, replica))
     meter.read_many(metric.BULK_ITEMS, lambda: count_bulk_items(machine.state))
+    meter.read_ceilings(
+        lambda: machine.state.ceilings.values() if replica.is_leader else (),
+        time.time,
+    )
 
 
 def count_slots(allocator: SlotAllocator, replica: Replica) -> list[metric.Value]:
--- a/sapphireseam/control/placement.py
+++ b/sapphireseam/control/placement.py
@@ -20,7 +20,7 @@
 from sapphireseam.core.instance import Instance
 from sapphireseam.policy import allocator, origin
 from sapphireseam.state.replica import Replica
-from sapphireseam.utils import rpc
+from sapphireseam.utils import ceiling, rpc
 from sapphireseam.utils.application import TaskGroup
 from sapphireseam.utils.timer import TimerService, run_periodically
 
@@ -89,6 +89,11 @@
         timer: TimerService,
     ):
         self.allocator = allocator.SlotAllocator()
+        # Knows the ceilings that this control VM hears itself, beside the replicated.
+        self.ceiling_monitor = ceiling.CeilingMonitor(
+            lambda: machine.state.ceilings, self._propose_ceiling, timer
+        )
+        self.ceiling_monitor.on_heard = self._apply_ceilings
         # Called with the key of a bulk item that is preempted.
         self.on_evicted: Callable[[str], None] = lambda key: None
         # Called whenever a slot may have become free.
@@ -126,6 +131,7 @@
         """Tell every entry to connect to the new leader."""
         self._redirect_entries()
         await self._tasks.cancel()
+        await self.ceiling_monitor.stop()
 
     def register(self, server: rpc.Server) -> None:
         """Register the handler of the entries' streams with the server."""
@@ -137,6 +143,31 @@
             found, _ = fleet.parse(record.decode_document(document))
             self._services = found.services if found else {}
             self._contracts = self._rate_limits.contracts
+        if item is None:
+            self._apply_ceilings()
+        if isinstance(item, command.ReportCeiling):
+            self._log_ceiling(item)
+            self._apply_ceilings()
+
+    async def _propose_ceiling(self, item: command.ReportCeiling) -> None:
+        await self._replica.propose(command.REGISTRY.encode(item))
+
+    def _log_ceiling(self, item: command.ReportCeiling) -> None:
+        """Log the ceiling that the fleet keeps from now on, and since when."""
+        known = self._machine.state.ceilings.get(item.run)
+        detail = {
+            "upstream": item.upstream,
+            "run": item.run,
+            "requests_per_second": item.rate,
+            "age": round(item.at - known.since, 3) if known is not None else 0.0,
+        }
+        text = "upstream names a limit" if known else "upstream names no limit any more"
+        logger.info(text, extra=detail)
+
+    def _apply_ceilings(self) -> None:
+        rates = self.ceiling_monitor.read_rates()
+        now = self._timer.read_clock()
+        self._send_decisions(self.allocator.set_ceilings(rates, now))
 
     def update_instances(self, instances: tuple[Instance, ...]) -> None:
         """Replace the known instances by those that discovery found."""
@@ -146,6 +177,8 @@
         now = self._timer.read_clock()
         if self._replica.term != self._term:
             self._term = self._replica.term
+            # The former leader and the entries may just have sent as much as allowed.
+            self.allocator.drain_ceilings(now)
             for instance in instances:
                 self._reconcile_until[instance.id] = now + RECONCILE_SECONDS
             self._tasks.spawn(self._reconcile_loads())
@@ -363,6 +396,7 @@
 
     async def _probe_load(self, instance: Instance) -> ProbeResult | None:
         service = self._services.get(instance.service, fleet.Service())
+        self.allocator.count_sent(instance.id, self._timer.read_clock())
         return await self._probe(instance, service.probe_path, PROBE_TIMEOUT_SECONDS)
 
     async def _reconcile_loads(self) -> None:
@@ -452,7 +486,9 @@
         )
 
     async def _expire_waiting(self) -> None:
-        self._send_decisions(self.allocator.expire(self._timer.read_clock()))
+        now = self._timer.read_clock()
+        self._send_decisions(self.allocator.retry_waiting(now))
+        self._send_decisions(self.allocator.expire(now))
 
     async def _send_heartbeats(self) -> None:
         if self._entries and not self._replica.is_leader:
--- a/sapphireseam/control/record.py
+++ b/sapphireseam/control/record.py
@@ -9,6 +9,7 @@
 import json
 from typing import Any, NamedTuple
 
+from sapphireseam.core.ceiling import Ceiling
 from sapphireseam.core.command import LotItem
 from sapphireseam.core.key import Key
 from sapphireseam.core.verdict import Verdict
@@ -180,7 +181,8 @@
     """The whole replicated state.
 
     The fields with defaults are missing from older snapshots; see `complete`. The keys
-    of `crashes` are the runs that ended, and those of the fields after it are traits.
+    of `crashes` are the runs that ended, those of `ceilings` all runs that name one,
+    and those of the fields between them are traits.
     """
 
     numbers: dict[str, int]
@@ -207,11 +209,12 @@
     verdicts: dict[str, Verdict] = {}
     trials: dict[str, Trial] = {}
     proofs: dict[str, float] = {}
+    ceilings: dict[str, Ceiling] = {}
 
 
 def create() -> State:
     """Return the state before the first command."""
-    return State({"revision": 0}, {}, *({} for _ in range(22)))
+    return State({"revision": 0}, {}, *({} for _ in range(23)))
 
 
 def complete(state: State) -> State:
@@ -222,6 +225,7 @@
         verdicts=dict(state.verdicts),
         trials=dict(state.trials),
         proofs=dict(state.proofs),
+        ceilings=dict(state.ceilings),
     )
 
 
--- a/sapphireseam/control/service.py
+++ b/sapphireseam/control/service.py
@@ -47,6 +47,7 @@
     command.ReportDeath: _FLEET,
     command.ClearSuspects: _FLEET,
     command.ReportCrash: _FLEET,
+    command.ReportCeiling: _FLEET,
     command.ClearTraits: _FLEET,
     command.ClaimTrial: _FLEET,
     command.ReleaseTrial: _FLEET,
@@ -54,7 +55,12 @@
 }
 # Times of these commands are compared with each other, and the clocks of the VMs that
 # send them differ. So the leader sets them.
-_TIMED_BY_LEADER = (command.ReportCrash, command.ClearTraits, command.ClaimTrial)
+_TIMED_BY_LEADER = (
+    command.ReportCrash,
+    command.ReportCeiling,
+    command.ClearTraits,
+    command.ClaimTrial,
+)
 
 
 class ControlService:
--- a/sapphireseam/control/watch.py
+++ b/sapphireseam/control/watch.py
@@ -1,11 +1,11 @@
 """Sends the shared state to every process and renews its lease.
 
-The shared state is the configuration, the keys, the leaving upstreams, and the
-verdicts on traits of requests. A process opens one watch to any control VM. It
-gets the complete state once, then each change when it is applied. A lease is renewed
-only after a read index: a heartbeat round of the leader to a quorum that began after
-the process requested the renewal. Everything that was committed by then is sent
-before the renewal. A process counts its lease from the time of its request. So while
+The shared state is the configuration, the keys, the leaving upstreams, the verdicts
+on traits of requests, and the ceilings of upstreams. A process opens one watch to any
+control VM. It gets the complete state once, then each change when it is applied. A
+lease is renewed only after a read index: a heartbeat round of the leader to a quorum
+that began after the process requested the renewal. Everything that was committed by
+then is sent before the renewal. A process counts its lease from the time of its request. So while
 the lease is valid, the process has missed nothing that was acknowledged before that
 request, even if clocks differ.
 """
@@ -117,6 +117,7 @@
             tuple(state.keys.values()),
             tuple(state.leaving),
             tuple(state.verdicts.values()),
+            tuple(state.ceilings.values()),
         )
 
     def _send_change(self, item: Any, answer: Any) -> None:
@@ -142,6 +143,8 @@
                 return notice.LeavingChange(item.upstream, item.leaving)
             case command.ReportCrash() | command.ClearTraits() | command.ClaimTrial():
                 return self._describe_judgement()
+            case command.ReportCeiling():
+                return notice.CeilingChange(tuple(state.ceilings.values()))
         return None
 
     def _describe_judgement(self) -> notice.VerdictChange | None:
--- a/sapphireseam/core/command.py
+++ b/sapphireseam/core/command.py
@@ -235,6 +235,18 @@
     at: float
 
 
+class ReportCeiling(NamedTuple):
+    """Record the requests per second that a run of an upstream takes; 0 ends it.
+
+    The leader sets `at`.
+    """
+
+    upstream: str
+    run: str
+    rate: float
+    at: float
+
+
 class ClearTraits(NamedTuple):
     """Clear traits of requests that were proven sound."""
 
@@ -443,6 +455,7 @@
     ReportDeath,
     ClearSuspects,
     ReportCrash,
+    ReportCeiling,
     ClearTraits,
     ClaimTrial,
     ReleaseTrial,
--- a/sapphireseam/core/instance.py
+++ b/sapphireseam/core/instance.py
@@ -20,3 +20,12 @@
     is_leaving: bool = False
     born: int = 0
     version: str = ""
+
+
+def get_run_name(instance: Instance) -> str:
+    """Return the name of an instance's run, which all processes use.
+
+    >>> get_run_name(Instance("i-1", "llm", "10.0.0.1:80", "z", 8, born=7))
+    'i-1/7'
+    """
+    return f"{instance.id}/{instance.born}"
--- a/sapphireseam/core/notice.py
+++ b/sapphireseam/core/notice.py
@@ -8,6 +8,7 @@
 
 from typing import NamedTuple
 
+from sapphireseam.core.ceiling import Ceiling
 from sapphireseam.core.key import Key
 from sapphireseam.core.verdict import Verdict
 
@@ -43,6 +44,7 @@
     keys: tuple[Key, ...]
     leaving: tuple[str, ...]
     verdicts: tuple[Verdict, ...] = ()
+    ceilings: tuple[Ceiling, ...] = ()
 
 
 class FleetChange(NamedTuple):
@@ -72,6 +74,12 @@
     verdicts: tuple[Verdict, ...] = ()
 
 
+class CeilingChange(NamedTuple):
+    """Send all ceilings, since one of them has changed."""
+
+    ceilings: tuple[Ceiling, ...]
+
+
 MESSAGES = (
     Watch,
     Ping,
@@ -81,4 +89,5 @@
     KeyChange,
     LeavingChange,
     VerdictChange,
+    CeilingChange,
 )
--- a/sapphireseam/entry/discovery.py
+++ b/sapphireseam/entry/discovery.py
@@ -14,6 +14,7 @@
 from sapphireseam.policy import fallback
 from sapphireseam.utils import crash, metric, outbound, rpc
 from sapphireseam.utils.application import Application, Part, TaskGroup
+from sapphireseam.utils.ceiling import CeilingMonitor
 from sapphireseam.utils.client import ControlClient
 from sapphireseam.utils.mirror import Mirror
 from sapphireseam.utils.probe import Probe
@@ -116,6 +117,8 @@
     client = ControlClient(settings.control, credential, timer)
     mirror = Mirror(settings.node, "seam-entry", client, timeline, timer)
     authorizer = Authorizer(mirror, settings.max_stale_seconds)
+    ceiling_monitor = CeilingMonitor(lambda: mirror.ceilings, client.propose, timer)
+    upstreams.ceiling_monitor = ceiling_monitor
     placer = Placer(
         settings.node,
         settings.failure_domain,
@@ -124,6 +127,7 @@
         settings.slack,
         meter,
         timer,
+        ceiling_monitor.read_rates,
     )
     connection_closer = _ConnectionCloser(upstreams)
     run_monitor = _RunMonitor(mirror, upstreams)
@@ -168,6 +172,7 @@
         placer,
         gate,
         crash_detector,
+        ceiling_monitor,
         StallDetector(timer),
         make_front(context),
     ):
--- a/sapphireseam/entry/placer.py
+++ b/sapphireseam/entry/placer.py
@@ -3,7 +3,8 @@
 One stream to the leader carries all slot requests. While no leader answers, the
 entry places requests by the last instance list that it received and by the
 requests that it has running itself. Each customer then gets no more than the
-deployment's fallback limits allow. Without this, all requests would be refused
+deployment's fallback limits allow, and each upstream that names a ceiling no more
+than this entry's part of it. Without this, all requests would be refused
 for the second that an election takes.
 """
 
@@ -82,8 +83,10 @@
         slack: fallback.Slack,
         meter: metric.Meter,
         timer: TimerService,
+        read_ceilings: Callable[[], Mapping[str, float]] = dict,
     ):
         self._meter = meter
+        self._read_ceilings = read_ceilings
         self.on_instances: Callable[[tuple[Instance, ...]], None] = lambda _: None
         self._node = node
         self._domain = domain
@@ -165,6 +168,7 @@
                 receiving = stream.receive()
                 item = await wait_for(self._timer, receiving, SILENCE_SECONDS)
                 self._last_contact = self._timer.read_clock()
+                self._allocator.drain_ceilings(self._last_contact)
                 if isinstance(item, placement.View) and self._stream is None:
                     self._use_stream(stream, reported)
                     self._client.record_leader(address)
@@ -315,6 +319,7 @@
             if wait > 0.0:
                 text = "the limits have no owner, and the fallback limit is used up"
                 raise error.CapacityError(text, error.Kind.RATE_LIMITED, wait, True)
+        self.update_ceilings()
         result = self._allocator.place(self._make_slot_request(number, spec), now)
         if not isinstance(result, allocator.Grant):
             text = f"this entry found no free slot at service {spec.service}"
@@ -335,6 +340,11 @@
         )
         return slot
 
+    def update_ceilings(self) -> None:
+        """Use this entry's part of each ceiling for what it places itself."""
+        now, share = self._timer.read_clock(), 1.0 / self._entry_count
+        self._allocator.set_ceilings(self._read_ceilings(), now, share)
+
     def release(
         self,
         slot: HeldSlot,
--- a/sapphireseam/platform/dialect.py
+++ b/sapphireseam/platform/dialect.py
@@ -23,6 +23,8 @@
 INSTANCE = "X-Instance-Id"
 LEAVING = "Server-Leaving"
 LEAVING_VALUE = "1"
+# The requests per second that a replica takes from all machines together.
+CEILING = "Server-Limit"
 KEY = "Authorization"
 KEY_SCHEME = "token "
 
@@ -128,6 +130,10 @@
         """Return whether the replica says that it is leaving."""
         return headers.get(LEAVING, "").strip() == LEAVING_VALUE
 
+    def read_ceiling(self, status: int, headers: CIMultiDictProxy[str]) -> str | None:
+        """Return the limit that a replica names; None from another replica."""
+        return None if status == MISDIRECTED_STATUS else headers.get(CEILING, "")
+
     def is_signed(self, headers: CIMultiDictProxy[str]) -> bool:
         """Return whether an answer has a header that only replicas send."""
         return any(name in headers for name in (INSTANCE, NOT_RUN, SIGNATURE))
--- a/sapphireseam/policy/allocator.py
+++ b/sapphireseam/policy/allocator.py
@@ -17,14 +17,19 @@
 late. Late requests get only the slots that the other requests are expected to
 leave free, as estimated from the recent arrival rate of those (policy/demand.py).
 
+An upstream that names a ceiling gets no more requests a second than that, online
+requests before batch requests (policy/ceiling.py). The other upstreams take the rest.
+
 Times are in seconds of one monotonic clock. The allocator does no I/O and never
 blocks. Its methods return the requests that got a slot.
 """
 
 from collections import Counter
+from collections.abc import Mapping
 from typing import NamedTuple
 
-from sapphireseam.core.instance import Instance
+from sapphireseam.core.instance import Instance, get_run_name
+from sapphireseam.policy.ceiling import CeilingBucket
 from sapphireseam.policy.demand import ArrivalMeter
 from sapphireseam.policy.occupancy import PlacedRequest, UpstreamLoad, compute_score
 
@@ -88,6 +93,9 @@
     """Tracks the slots of all upstreams and the requests that wait for one."""
 
     def __init__(self):
+        # The ceilings by run, and the part of them that this process may use.
+        self._rates: Mapping[str, float] = {}
+        self._ceiling_share = 1.0
         self._loads: dict[str, UpstreamLoad] = {}
         self._by_service: dict[str, list[UpstreamLoad]] = {}
         # Online requests that hold a slot, by service and customer.
@@ -112,6 +120,7 @@
             known.instance = instance
             self._loads[instance.id] = known
         self._index()
+        self._apply_rates(now)
         for key, name in list(self._placements.items()):
             load = self._loads.get(name)
             if load is None or key not in load.requests:
@@ -134,6 +143,49 @@
         """Return all known instances."""
         return tuple(load.instance for load in self._loads.values())
 
+    def set_ceilings(
+        self, rates: Mapping[str, float], now: float, share: float = 1.0
+    ) -> list[Grant]:
+        """Set the ceilings by run, of which this allocator may use `share`.
+
+        Return new grants.
+        """
+        self._rates, self._ceiling_share = dict(rates), share
+        self._apply_rates(now)
+        return self._place_waiting(now)
+
+    def _apply_rates(self, now: float) -> None:
+        for load in self._loads.values():
+            rate = self._rates.get(get_run_name(load.instance))
+            if rate is None:
+                load.ceiling = None
+            elif load.ceiling is None:
+                load.ceiling = CeilingBucket(rate, now, self._ceiling_share)
+            else:
+                load.ceiling.configure(rate, now, self._ceiling_share)
+
+    def drain_ceilings(self, now: float) -> None:
+        """Begin to count the requests below the ceilings anew, without a burst."""
+        for load in self._list_limited():
+            load.ceiling.drain(now)
+
+    def count_sent(self, name: str, now: float) -> None:
+        """Count a request to an instance that holds no slot, such as a probe."""
+        load = self._loads.get(name)
+        if load is not None and load.ceiling is not None:
+            load.ceiling.take(now)
+
+    def _list_limited(self) -> list[UpstreamLoad]:
+        return [load for load in self._loads.values() if load.ceiling is not None]
+
+    def retry_waiting(self, now: float) -> list[Grant]:
+        """Place the requests for which a ceiling has room by now."""
+        return self._place_waiting(now) if self._list_limited() else []
+
+    def read_ceilings(self) -> dict[str, float]:
+        """Return the ceilings in force, in requests per second by instance."""
+        return {load.instance.id: load.ceiling.rate for load in self._list_limited()}
+
     def eject(self, name: str) -> bool:
         """Place nothing more at an instance until `restore` is called.
 
@@ -195,7 +247,7 @@
         """Add a request that another process placed at an instance."""
         load = self._loads.get(name)
         if load is not None:
-            self._occupy(load, request, False, request.arrived)
+            self._occupy(load, request, False, request.arrived, is_sent=False)
 
     def place(self, request: SlotRequest, now: float) -> Grant | Refusal | None:
         """Place or refuse a request, or queue it and return None."""
@@ -209,19 +261,20 @@
             self._waiting.append(request)
         return refusal
 
-    def has_batch_slot(self, service: str) -> bool:
+    def has_batch_slot(self, service: str, now: float) -> bool:
         """Return whether a slot is free for batch work of a service."""
         if self.count_waiting(service):
             return False
         return any(
-            load.is_usable and load.free_slots > 0 for load in self._list_loads(service)
+            load.is_usable and load.can_take(now, is_batch=True)
+            for load in self._list_loads(service)
         )
 
     def place_batch(self, request: SlotRequest) -> Grant | None:
         """Place a batch request, unless no slot is free or online requests wait."""
         if self.count_waiting(request.service):
             return None
-        load = self._find_free(request)
+        load = self._find_free(request, request.arrived, is_batch=True)
         if load is None or load.is_ejected:
             return None
         self._occupy(load, request, True, request.arrived)
@@ -333,8 +386,11 @@
         allowed = [load for load in loads if load.instance.id not in request.excluded]
         return allowed or loads
 
-    def _find_free(self, request: SlotRequest) -> UpstreamLoad | None:
-        loads = [load for load in self._list_candidates(request) if load.free_slots > 0]
+    def _find_free(
+        self, request: SlotRequest, now: float, is_batch: bool = False
+    ) -> UpstreamLoad | None:
+        candidates = self._list_candidates(request)
+        loads = [load for load in candidates if load.can_take(now, is_batch)]
         if not loads:
             return None
         paces = [load.pace for load in loads if load.pace]
@@ -346,7 +402,7 @@
             late = sum(load.late_count for load in self._list_loads(request.service))
             if late >= self._count_late_slots(request.service, now):
                 return None
-        load = self._find_free(request)
+        load = self._find_free(request, now)
         if load is not None:
             self._occupy(load, request, False, now)
             return Grant(request, load.instance)
@@ -358,6 +414,7 @@
             (placed.placed_at, key, load)
             for load in self._list_candidates(request)
             if load.batch_count
+            if load.ceiling is None or load.ceiling.can_take(now)
             for key, placed in load.requests.items()
             if placed.is_batch
         ]
@@ -371,16 +428,24 @@
 
     def _count_late_slots(self, service: str, now: float) -> float:
         """Return how many slots late requests may have."""
-        slots = self.count_slots(service)
         slot_seconds = self.estimate_slot_seconds(service)
+        usable = self._list_usable(service, "")
+        slots = sum(load.estimate_capacity(slot_seconds) for load in usable)
         left_over = slots - self._arrivals.measure_rate(service, now) * slot_seconds
         if not self._arrivals.has_full_window(now):
             left_over = min(left_over, slots * STARTUP_LATE_SHARE)
         return max(left_over, slots * MIN_LATE_SHARE)
 
     def _occupy(
-        self, load: UpstreamLoad, request: SlotRequest, is_batch: bool, now: float
+        self,
+        load: UpstreamLoad,
+        request: SlotRequest,
+        is_batch: bool,
+        now: float,
+        is_sent: bool = True,
     ) -> None:
+        if is_sent and load.ceiling is not None:
+            load.ceiling.take(now)
         placed = PlacedRequest(
             request.request_id, request.customer, now, is_batch, request.is_late
         )
@@ -401,12 +466,13 @@
 
     def _estimate_wait(self, request: SlotRequest, ahead: int, now: float) -> float:
         """Return the expected wait in seconds of a request with `ahead` before it."""
-        slots: float = self.count_slots(request.service, request.version)
+        slot_seconds = self.estimate_slot_seconds(request.service)
+        usable = self._list_usable(request.service, request.version)
+        slots = sum(load.estimate_capacity(slot_seconds) for load in usable)
         if request.is_late:
             slots = min(slots, self._count_late_slots(request.service, now))
         if not slots:
             return MAX_RETRY_SECONDS
-        slot_seconds = self.estimate_slot_seconds(request.service)
         return (ahead + 1) * slot_seconds / slots
 
     def _check_wait(self, request: SlotRequest, now: float) -> Refusal | None:
--- a/sapphireseam/policy/occupancy.py
+++ b/sapphireseam/policy/occupancy.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from sapphireseam.core.instance import Instance
+from sapphireseam.policy.ceiling import CeilingBucket
 
 # Maximum age of an upstream's load report plus the time that an upstream may take to
 # drop a request whose connection was closed. A released request that is reported
@@ -49,6 +50,8 @@
         self.external = 0
         # Release times of requests that the upstream may still report.
         self._released: dict[str, float] = {}
+        # Spreads the requests while the instance names a ceiling.
+        self.ceiling: CeilingBucket | None = None
 
     def mark_leaving(self) -> None:
         """Record that the instance has said that it is leaving.
@@ -72,6 +75,19 @@
         """Return the number of free slots."""
         return self.instance.slots - len(self.requests) - self.external
 
+    def can_take(self, now: float, is_batch: bool = False) -> bool:
+        """Return whether one more request may be placed at the instance now."""
+        if self.free_slots <= 0:
+            return False
+        return self.ceiling is None or self.ceiling.can_take(now, is_batch)
+
+    def estimate_capacity(self, slot_seconds: float) -> float:
+        """Return how many requests of this duration run at once at the most."""
+        slots: float = self.instance.slots
+        if self.ceiling is None:
+            return slots
+        return min(slots, self.ceiling.rate * slot_seconds)
+
     def add(self, key: str, request: PlacedRequest) -> None:
         """Add a placed request."""
         self.requests[key] = request
@@ -101,10 +117,12 @@
     def describe(self) -> str:
         """Return the load as `online+batch+external/slots`, for the log.
 
-        " leaving" and " benched" (ejected) are appended where they apply.
+        " leaving", " benched" (ejected) and the ceiling are appended where they apply.
         """
         mark = " leaving" if self.is_leaving else ""
         mark += " benched" if self.is_ejected else ""
+        if self.ceiling is not None:
+            mark += f" {self.ceiling.rate:.3g}/s"
         online = len(self.requests) - self.batch_count
         return (
             f"{online}+{self.batch_count}+{self.external}/{self.instance.slots}{mark}"
--- a/sapphireseam/tools/discovered.py
+++ b/sapphireseam/tools/discovered.py
@@ -167,8 +167,13 @@
             while True:
                 request = Request(f"warm-{number}", WARM_UP_ROUTE, ("warm",))
                 if not (await self.send(number, request)).failure:
-                    return await self.entries[number].context.mirror.refresh()
+                    break
                 await asyncio.sleep(POLL_SECONDS)
+            while True:
+                try:
+                    return await self.entries[number].context.mirror.refresh()
+                except error.ControlError:
+                    await asyncio.sleep(POLL_SECONDS)
 
     def _build_control(self, number: int) -> Application:
         address = self._controls[number]
--- a/sapphireseam/tools/fake.py
+++ b/sapphireseam/tools/fake.py
@@ -13,6 +13,7 @@
 from sapphireseam.control.machine import StateMachine
 from sapphireseam.control.orderdispatch import OrderDispatcher
 from sapphireseam.core import command, error, fleet, key, message, outcome
+from sapphireseam.core.ceiling import Ceiling
 from sapphireseam.core.verdict import Verdict
 from sapphireseam.utils import rpc
 from sapphireseam.utils.timeline import Timeline
@@ -138,6 +139,7 @@
         self.keys: dict[str, key.Key] = {}
         self.leaving: set[str] = set()
         self.verdicts: dict[str, Verdict] = {}
+        self.ceilings: dict[str, Ceiling] = {}
         self.confirmed = True
         self._listeners: list[Callable[[], None]] = []
 
--- a/sapphireseam/utils/crash.py
+++ b/sapphireseam/utils/crash.py
@@ -23,7 +23,7 @@
 from multidict import CIMultiDictProxy
 
 from sapphireseam.core import command, error
-from sapphireseam.core.instance import Instance
+from sapphireseam.core.instance import Instance, get_run_name
 from sapphireseam.utils.application import TaskGroup
 from sapphireseam.utils.client import ControlClient
 from sapphireseam.utils.mirror import Mirror
@@ -68,7 +68,7 @@
 
 def get_run(instance: Instance) -> Run:
     """Return the run of an instance that was found by discovery."""
-    name = f"{instance.id}/{instance.born}"
+    name = get_run_name(instance)
     return Run(instance.id, name, instance.address, instance.service)
 
 
--- a/sapphireseam/utils/fakeupstream.py
+++ b/sapphireseam/utils/fakeupstream.py
@@ -53,6 +53,10 @@
         """Return whether the upstream says that it is leaving."""
         return LEAVING in headers
 
+    def read_ceiling(self, status: int, headers: CIMultiDictProxy[str]) -> str | None:
+        """Return the requests per second that the upstream names."""
+        return headers.get(CEILING, "")
+
     def is_signed(self, headers: CIMultiDictProxy[str]) -> bool:
         """Return whether the answer is that of a fake upstream."""
         return ID in headers
--- a/sapphireseam/utils/metric.py
+++ b/sapphireseam/utils/metric.py
@@ -16,6 +16,8 @@
 from opentelemetry.metrics import CallbackOptions, Histogram, Observation
 from opentelemetry.sdk.metrics import MeterProvider
 
+from sapphireseam.core.ceiling import Ceiling
+
 # Upper bounds of the histogram buckets, in seconds.
 SYNC_BUCKETS = (0.0001, 0.0003, 0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1.0)
 REQUEST_BUCKETS = (0.003, 0.01, 0.03, 0.1, 0.2, 0.34, 0.6, 1.0, 3.0, 10.0, 30.0, 60.0)
@@ -193,6 +195,27 @@
     "Stays above 0: a replica doesn't answer; its platform should replace it.",
     is_discovery=True,
 )
+CEILING = Metric(
+    "seam.ceiling.rate",
+    Form.GAUGE,
+    "",
+    ("upstream",),
+    _CONTROL + _AGENT,
+    "Requests per second that an upstream says in its answers that it takes from all"
+    " senders together; the fleet sends no more. Upstreams that name no limit are not"
+    " listed. The leader and the upstream's agent export it.",
+    "Stays for long: the upstream is overloaded or impaired; add replicas or look at"
+    " its own logs.",
+)
+CEILING_AGE = Metric(
+    "seam.ceiling.age",
+    Form.GAUGE,
+    "s",
+    ("upstream",),
+    _CONTROL + _AGENT,
+    "Time since the upstream named its present limit for the first time.",
+    "As for `seam_ceiling_rate`.",
+)
 BULK_ITEMS = Metric(
     "seam.lot.items",
     Form.GAUGE,
@@ -297,6 +320,8 @@
     PLACEMENT,
     SERVICE_SLOTS,
     EJECTED,
+    CEILING,
+    CEILING_AGE,
     BULK_ITEMS,
     LEADER,
     TERM,
@@ -391,6 +416,24 @@
         self._registered.append(item)
         self._registry.readers[item.name][self._node] = reader
 
+    def read_ceilings(
+        self, reader: Callable[[], Iterable[Ceiling]], clock: Callable[[], float]
+    ) -> None:
+        """Register a reader of the ceilings; `clock` reads the wall clock."""
+        self.read_many(
+            CEILING, lambda: [(each.rate, _label(each)) for each in reader()]
+        )
+        self.read_many(
+            CEILING_AGE,
+            lambda: [
+                (max(clock() - each.since, 0.0), _label(each)) for each in reader()
+            ],
+        )
+
     def read(self, item: Metric, reader: Callable[[], float]) -> None:
         """Register a reader that returns one value at each scrape."""
         self.read_many(item, lambda: [(float(reader()), {})])
+
+
+def _label(ceiling: Ceiling) -> dict[str, str]:
+    return {"upstream": ceiling.upstream}
--- a/sapphireseam/utils/mirror.py
+++ b/sapphireseam/utils/mirror.py
@@ -1,8 +1,9 @@
 """Mirrors the shared state of the control VMs in a process, under a lease.
 
-The shared state is the configuration, the keys, the leaving upstreams, and the
-verdicts on traits of requests. The mirror keeps one watch open to any control
-VM and connects to the next one if that VM sends nothing for `SILENCE_SECONDS`.
+The shared state is the configuration, the keys, the leaving upstreams, the verdicts
+on traits of requests, and the ceilings of upstreams. The mirror keeps one watch open to
+any control VM and connects to the next one if that VM sends nothing for
+`SILENCE_SECONDS`.
 
 `is_confirmed` is true only while the lease is valid. A quorum renews the lease.
 The lease counts from the moment when this process sent the ping, on the clock of
@@ -20,7 +21,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from sapphireseam.core import error, fleet, key, message, notice, verdict
+from sapphireseam.core import ceiling, error, fleet, key, message, notice, verdict
 from sapphireseam.utils import broadcast, metric, rpc
 from sapphireseam.utils.application import TaskGroup
 from sapphireseam.utils.client import ControlClient
@@ -54,6 +55,7 @@
         self.keys: dict[str, key.Key] = {}
         self.leaving: set[str] = set()
         self.verdicts: dict[str, verdict.Verdict] = {}
+        self.ceilings: dict[str, ceiling.Ceiling] = {}
         self._document: dict[str, Any] = {}
         self._node = node
         self._program = program
@@ -187,6 +189,8 @@
                 change(item.upstream)
             case notice.VerdictChange():
                 self._apply_verdicts(item)
+            case notice.CeilingChange():
+                self.ceilings = {each.run: each for each in item.ceilings}
             case message.Failure():
                 raise rpc.unpack_failure(item)
         for listener in self._listeners:
@@ -211,6 +215,7 @@
         self.keys = {entry.id: entry for entry in item.keys}
         self.leaving = set(item.leaving)
         self.verdicts = {each.trait: each for each in item.verdicts}
+        self.ceilings = {each.run: each for each in item.ceilings}
         self._apply_configuration(item.revision, json.loads(item.document))
 
     def _apply_verdicts(self, item: notice.VerdictChange) -> None:
--- a/sapphireseam/utils/outbound.py
+++ b/sapphireseam/utils/outbound.py
@@ -20,6 +20,7 @@
 
 from sapphireseam.core import instance as instances
 from sapphireseam.utils import bufferlimit, event, framing
+from sapphireseam.utils.ceiling import CeilingMonitor
 
 logger = logging.getLogger(__name__)
 
@@ -113,6 +114,12 @@
     def is_leaving(self, headers: CIMultiDictProxy[str]) -> bool:
         """Return whether an answer says that its upstream is leaving."""
 
+    def read_ceiling(self, status: int, headers: CIMultiDictProxy[str]) -> str | None:
+        """Return the requests per second that an answer names, "" if it names none.
+
+        Return None if the answer isn't of the upstream to which the request was sent.
+        """
+
     def is_signed(self, headers: CIMultiDictProxy[str]) -> bool:
         """Return whether an answer has a header that only upstreams send."""
 
@@ -284,6 +291,8 @@
 
     def __init__(self, dialect: Dialect):
         self.on_leaving: Callable[[instances.Instance], None] = lambda _: None
+        # Hears the ceilings that upstreams name, if it is set.
+        self.ceiling_monitor: CeilingMonitor | None = None
         self._dialect = dialect
         # Ids and start times of the instances that are leaving. A run never returns.
         self._leaving: set[tuple[str, int]] = set()
@@ -368,6 +377,7 @@
         instance: instances.Instance,
         timeout: float | None,
     ) -> AsyncIterator[Answer]:
+        rate = self._find_rate(instance)
         try:
             async with asyncio.timeout(timeout):
                 response = await self._open(request, instance)
@@ -377,12 +387,31 @@
             self._record_leaving(instance)
         buffer = self._buffers.open()
         try:
-            yield Answer(self._read_head(request, response), response, buffer)
+            head = self._read_head(request, response)
+            self._record_ceiling(instance, response, rate)
+            yield Answer(head, response, buffer)
         finally:
             buffer.close()
             # The connection of a completely read answer was already released for reuse.
             response.close()
 
+    def _find_rate(self, instance: instances.Instance) -> float:
+        """Return the known ceiling of an instance, 0 if it has none."""
+        if self.ceiling_monitor is None:
+            return 0.0
+        return self.ceiling_monitor.find_rate(instances.get_run_name(instance))
+
+    def _record_ceiling(
+        self,
+        instance: instances.Instance,
+        response: framing.FramedResponse,
+        rate_at_sending: float,
+    ) -> None:
+        named = self._dialect.read_ceiling(response.status, response.headers)
+        if self.ceiling_monitor is not None and named is not None:
+            run = instances.get_run_name(instance)
+            self.ceiling_monitor.record_answer(instance.id, run, named, rate_at_sending)
+
     def is_signed(self, headers: CIMultiDictProxy[str]) -> bool:
         """Return whether an answer has a header that only upstreams send."""
         return self._dialect.is_signed(headers)
