Keep the limits that upstreams with agents name

An upstream behind an agent that names a limit in its answers, in X-Seam-Request-Limit, got requests as before: a plain service that named 3 requests a second got 114 in 8 s, with 46 allowed.

Cause: as on the direct path, nothing read the limit. The own interface had no such header.

The agent, which alone sends to its upstream, hears the limit and reports it as an entry does, so a restarted agent has it again with its watch. Its scheduler starts work below it, online work before batch items, trials counted. Online work that would wait longer than 0.3 s is refused at once as not run, with the time to come back, and its entry offers it elsewhere. The rate and the age of each limit are metrics of the leader and of the agent.

--- a/sapphireseam/agent/application.py
+++ b/sapphireseam/agent/application.py
@@ -12,6 +12,7 @@
 from sapphireseam.policy import registry
 from sapphireseam.utils import metric, rpc
 from sapphireseam.utils.application import Application
+from sapphireseam.utils.ceiling import CeilingMonitor
 from sapphireseam.utils.client import ControlClient
 from sapphireseam.utils.crash import CrashDetector
 from sapphireseam.utils.mirror import Mirror
@@ -127,10 +128,13 @@
     client = ControlClient(settings.control, credential, timer)
     mirror = Mirror(settings.node, "seam-agent", client, timeline, timer)
     upstream = engine.UpstreamClient(settings.upstream, timer)
+    ceiling_monitor = CeilingMonitor(lambda: mirror.ceilings, client.propose, timer)
+    upstream.ceiling_monitor = ceiling_monitor
     work_queue = registry.build({}, "queue")
     admission_policy = registry.build({}, "admission")
     crash_detector = CrashDetector(mirror, client, timeline, timer, upstream.has_ended)
     scheduler = Scheduler(work_queue, admission_policy, mirror, timer)
+    scheduler.find_ceiling = upstream.find_ceiling
     ConfigurationFollower(settings.upstream, mirror, upstream, scheduler)
     entry_server = EntryServer(upstream, scheduler, crash_detector, timeline, timer)
     item_runner = ItemRunner(
@@ -168,6 +172,10 @@
     mirror.report(meter)
     timeline.report(meter)
     register_metrics(meter, scheduler, upstream)
+    meter.read_ceilings(
+        lambda: [c for c in mirror.ceilings.values() if c.run == settings.upstream],
+        timer.read_wall_clock,
+    )
 
     application = Application("seam-agent")
     application.add(meter)
@@ -176,6 +184,7 @@
     application.add(upstream)
     application.add(mirror)
     application.add(crash_detector)
+    application.add(ceiling_monitor)
     application.add(scheduler)
     application.add(server)
     application.add(item_runner)
--- a/sapphireseam/agent/engine.py
+++ b/sapphireseam/agent/engine.py
@@ -10,7 +10,7 @@
 """
 
 import logging
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 from typing import Any
 
 import aiohttp
@@ -19,11 +19,14 @@
 from sapphireseam.core import error, exchange
 from sapphireseam.utils import crash, framing
 from sapphireseam.utils.application import TaskGroup
+from sapphireseam.utils.ceiling import CeilingMonitor
 from sapphireseam.utils.timer import TimerService, run_periodically, wait_for
 
 logger = logging.getLogger(__name__)
 
 HEALTH_PATH = "/health"
+# Names, in any answer, how many requests a second the upstream takes.
+CEILING_HEADER = "X-Seam-Request-Limit"
 ORDER_PATH = "/orders"
 HEALTH_SECONDS = 0.5
 HEALTH_TIMEOUT_SECONDS = 2.0
@@ -62,6 +65,8 @@
     def __init__(self, name: str, timer: TimerService):
         self.name = name
         self.healthy = False
+        # Hears the ceilings that the upstream names, if it is set.
+        self.ceiling_monitor: CeilingMonitor | None = None
         self._timer = timer
         self._base_url = ""
         self._session: aiohttp.ClientSession | None = None
@@ -139,6 +144,21 @@
         except ValueError:
             raise UpstreamError("the request path is not valid", True) from None
 
+    def find_ceiling(self) -> float:
+        """Return the requests per second that the upstream takes, 0 for no limit."""
+        if self.ceiling_monitor is None:
+            return 0.0
+        return self.ceiling_monitor.find_rate(self.name)
+
+    def _record_ceiling(
+        self, headers: Mapping[str, str], rate_at_sending: float
+    ) -> None:
+        if self.ceiling_monitor is not None:
+            named = headers.get(CEILING_HEADER, "")
+            self.ceiling_monitor.record_answer(
+                self.name, self.name, named, rate_at_sending
+            )
+
     async def run(
         self,
         method: str,
@@ -153,12 +173,14 @@
         the upstream.
         """
         url = self._make_url(target)
+        rate = self.find_ceiling()
         started = False
         try:
             async with self._session.request(
                 method, url, headers=headers, data=body or None, allow_redirects=False
             ) as response:
                 started = True
+                self._record_ceiling(response.headers, rate)
                 yield exchange.Head(
                     attempt, response.status, _remove_hop_headers(response.headers)
                 )
--- a/sapphireseam/agent/scheduler.py
+++ b/sapphireseam/agent/scheduler.py
@@ -12,15 +12,20 @@
 another request with the same traits may have crashed an upstream in the meantime: a
 quarantined request is refused, and a suspect without a trial, too. A batch item is
 never suspected: it is owed to its job, however many upstreams crashed while it ran.
+
+While the upstream names a ceiling, work starts no faster than that, online work before
+batch work. Online work that would wait for it too long is refused at once, so that
+another upstream can take it.
 """
 
 import asyncio
 import logging
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import NamedTuple, Protocol
 
 from sapphireseam.core import error, verdict
 from sapphireseam.policy import admission, dispatch, queue
+from sapphireseam.policy.ceiling import CeilingBucket
 from sapphireseam.utils.application import TaskGroup
 from sapphireseam.utils.timer import TimerService, run_periodically
 
@@ -33,6 +38,8 @@
 # Time after the deadline in which the entry can still revoke running work. The
 # agent cancels the work after that.
 OVERDUE_SECONDS = 5.0
+# Online work is refused if it would wait longer for the upstream's ceiling.
+CEILING_WAIT_SECONDS = 0.3
 # Polling interval of a stop that waits for running work.
 IDLE_SECONDS = 0.05
 
@@ -105,6 +112,9 @@
         self._stopped = False
         self.slots = 1
         self.queue_limit = 1
+        # Returns the requests per second that the upstream takes, 0 for no limit.
+        self.find_ceiling: Callable[[], float] = lambda: 0.0
+        self._ceiling: CeilingBucket | None = None
         # Whether the upstream is a plain service, whose answers have no tokens.
         self.is_service = False
 
@@ -161,6 +171,11 @@
         if not work.ticket.batch and self.count_waiting(False) >= self.queue_limit:
             work.refuse(error.CapacityError("the upstream's queue is full"))
             return
+        wait = 0.0 if work.ticket.batch else self._estimate_ceiling_wait()
+        if wait > CEILING_WAIT_SECONDS:
+            text = "the upstream takes no more requests now"
+            work.refuse(error.CapacityError(text, retry_after=wait))
+            return
         if work.alone:
             self._waiting_trials.append(work)
         else:
@@ -168,6 +183,29 @@
             self._queue.push(work.ticket, self._timer.read_clock())
         self.schedule()
 
+    def _update_ceiling(self) -> CeilingBucket | None:
+        """Return the bucket of the upstream's ceiling, None if it names none."""
+        rate, now = self.find_ceiling(), self._timer.read_clock()
+        if not rate:
+            self._ceiling = None
+        elif self._ceiling is None:
+            self._ceiling = CeilingBucket(rate, now)
+        else:
+            self._ceiling.configure(rate, now)
+        return self._ceiling
+
+    def _estimate_ceiling_wait(self) -> float:
+        """Return the seconds until more online work may start under the ceiling."""
+        ceiling = self._update_ceiling()
+        if ceiling is None:
+            return 0.0
+        return ceiling.compute_wait(self._timer.read_clock(), self.count_waiting(False))
+
+    def _can_start(self, is_batch: bool) -> bool:
+        """Return whether the upstream's ceiling allows one more start now."""
+        ceiling = self._update_ceiling()
+        return ceiling is None or ceiling.can_take(self._timer.read_clock(), is_batch)
+
     def remove(self, work_id: str) -> bool:
         """Remove waiting work from the queue, or cancel running work for good.
 
@@ -225,6 +263,8 @@
             return
         now = self._timer.read_clock()
         while len(self._running) < self.slots:
+            if not self._can_start(is_batch=self._queue.count(False) == 0):
+                return
             start = dispatch.choose_start(
                 self._queue, self._admission, self._count_by_kind(), now
             )
@@ -247,7 +287,7 @@
             return False
         if self._running:
             self.preempt_batch()
-        else:
+        elif self._can_start(is_batch=False):
             self._start_work(self._waiting_trials.pop(0), due=False, alone=True)
         return True
 
@@ -294,6 +334,8 @@
             return
         now = self._timer.read_clock()
         work_id = work.ticket.id
+        if self._ceiling is not None:
+            self._ceiling.take(now)
         self._admission.observe_start(work_id, work.ticket.batch, now)
         task = self._tasks.spawn(work.run())
         self._running[work_id] = _Running(work, task, due, alone, now)
--- a/sapphireseam/agent/scheduler_test.py
+++ b/sapphireseam/agent/scheduler_test.py
@@ -10,7 +10,7 @@
     Scheduler,
 )
 from sapphireseam.core import error, verdict
-from sapphireseam.policy import admission, queue
+from sapphireseam.policy import admission, ceiling, queue
 from sapphireseam.utils.timer import FakeTimer
 
 
@@ -212,3 +212,33 @@
         await self.submit(work)
         await self.timer.advance(5.0 + OVERDUE_SECONDS + 1.0)
         self.assertEqual((work.running, self.scheduler.count_running()), (0, 0))
+
+
+class CeilingTest(unittest.IsolatedAsyncioTestCase):
+    asyncSetUp = SchedulerTest.asyncSetUp
+    submit = SchedulerTest.submit
+
+    async def start_under_ceiling(self, rate):
+        self.scheduler.find_ceiling = lambda: rate
+        self.scheduler.schedule()
+        await self.timer.advance(2.0)
+
+    async def test_work_starts_no_faster_than_the_ceiling_of_its_upstream(self):
+        await self.start_under_ceiling(4.0)
+        works = [FakeWork(f"w{number}") for number in range(8)]
+        await self.submit(*works)
+        self.assertEqual(sum(work.runs for work in works), ceiling.MIN_BURST)
+        refusals = [work.refused[0] for work in works if work.refused]
+        self.assertEqual(len(refusals), 5)
+        self.assertTrue(all(each.retry_after > 0.0 for each in refusals))
+        await self.timer.advance(0.5)
+        self.assertEqual(sum(work.runs for work in works), ceiling.MIN_BURST + 1)
+
+    async def test_batch_work_leaves_the_ceiling_to_online_work(self):
+        await self.start_under_ceiling(4.0)
+        items = [FakeWork(f"b{number}", batch=True) for number in range(4)]
+        await self.submit(*items)
+        self.assertEqual(sum(item.runs for item in items), 1)
+        online = FakeWork("o")
+        await self.submit(online)
+        self.assertEqual(online.runs, 1)
--- a/sapphireseam/control/watch.py
+++ b/sapphireseam/control/watch.py
@@ -5,9 +5,9 @@
 control VM. It gets the complete state once, then each change when it is applied. A
 lease is renewed only after a read index: a heartbeat round of the leader to a quorum
 that began after the process requested the renewal. Everything that was committed by
-then is sent before the renewal. A process counts its lease from the time of its request. So while
-the lease is valid, the process has missed nothing that was acknowledged before that
-request, even if clocks differ.
+then is sent before the renewal. A process counts its lease from the time of its
+request. So while the lease is valid, the process has missed nothing that was
+acknowledged before that request, even if clocks differ.
 """
 
 import json
--- a/sapphireseam/tools/ceiling_test.py
+++ b/sapphireseam/tools/ceiling_test.py
@@ -5,14 +5,19 @@
 """
 
 import asyncio
+import contextlib
 import itertools
+import json
 import random
 import tempfile
+import time
 import unittest
 from pathlib import Path
 
 from sapphireseam.core import fleet as configuration
-from sapphireseam.tools import discovered
+from sapphireseam.ops import session
+from sapphireseam.scripts import demo
+from sapphireseam.tools import discovered, fleet, layout
 from sapphireseam.utils import loop
 
 STREAM = configuration.Route("/s/", "llm", streamed=True, target=1.0)
@@ -26,6 +31,16 @@
 RATE = 60.0
 NAMED_SECONDS = 7.0
 ENTRIES = 3
+# The limit that a service with an agent names, and the requests per second to three.
+SERVICE_RATE = 3.0
+SERVICE_LOAD = 30.0
+SHAPE = layout.Shape(
+    "ie-south",
+    (layout.Replicas("wording-llm", 1), layout.Replicas("label-store", 3, True)),
+    ("grower-1",),
+    rate=2000.0,
+    burst=4000.0,
+)
 # Share of the requests that the upstreams must serve that name no limit.
 MIN_SERVED = 0.9
 
@@ -128,5 +143,50 @@
                 self.play(seed, with_restarts=True)
 
 
+class AgentPathTest(unittest.IsolatedAsyncioTestCase):
+    async def start(self):
+        """Start a fleet in which one of three upstreams names a limit."""
+        stack = contextlib.AsyncExitStack()
+        self.addAsyncCleanup(stack.aclose)
+        folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
+        plan = layout.lay_out(folder, SHAPE)
+        upstreams = [p for p in plan.processes if p.program == "seam-upstream"]
+        self.upstreams = [each for each in upstreams if "label-store" in each.node]
+        settings = json.loads(self.upstreams[0].settings.read_text())
+        settings["hooks"] = {"ceiling": str(SERVICE_RATE)}
+        self.upstreams[0].settings.write_text(json.dumps(settings))
+        running = await stack.enter_async_context(fleet.run(plan))
+        self.http = running.http
+        key = await session.issue_key(running.client, "grower-1", time.time())
+        self.callers = [
+            demo.Caller(self.http, entry, key.text) for entry in plan.entries
+        ]
+
+    async def count_runs(self, number):
+        base = self.upstreams[number].health.removesuffix("/health")
+        async with self.http.get(f"{base}/_runs") as response:
+            runs = await response.json()
+        return sum(each["started"] for each in runs.values())
+
+    async def test_an_upstream_gets_no_more_than_the_limit_it_names(self):
+        await self.start()
+        rng = random.Random(1)
+
+        async def send(number):
+            path = f"/label-store/labels/{number}.png"
+            await rng.choice(self.callers).call("GET", path)
+
+        async with asyncio.TaskGroup() as tasks:
+            for number in range(int(SERVICE_LOAD * WINDOW_SECONDS * 2)):
+                tasks.create_task(send(number))
+                await asyncio.sleep(1 / SERVICE_LOAD)
+        counts = [await self.count_runs(number) for number in range(3)]
+        # Two windows, with what was sent before the limit was known.
+        allowed = ALLOWED_SHARE * SERVICE_RATE * WINDOW_SECONDS + ALLOWED_REQUESTS
+        self.assertLessEqual(counts[0], 2 * allowed)
+        self.assertGreater(counts[0], SERVICE_RATE * WINDOW_SECONDS)
+        self.assertGreaterEqual(sum(counts), SERVICE_LOAD * WINDOW_SECONDS * 2)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/sapphireseam/tools/service.py
+++ b/sapphireseam/tools/service.py
@@ -14,6 +14,7 @@
 
 from aiohttp import web
 
+from sapphireseam.agent import engine as engine_client
 from sapphireseam.tools import answer, engine, listener, record
 from sapphireseam.utils import application, timer
 
@@ -30,7 +31,8 @@
     a plain service ends with its connection, and every `broken_every`th of those is
     broken off; 0 means none. `reset_share` of the answers of a plain service, evenly
     spread, are replaced by a reset of their connection. With a sidecar, connections are
-    accepted while the upstream is down.
+    accepted while the upstream is down. Every answer names `ceiling` as the requests
+    per second that the upstream takes, if it isn't empty.
     """
 
     crash_marker: str = ""
@@ -42,6 +44,7 @@
     broken_every: int = 0
     reset_share: engine.Share = 0.0
     has_sidecar: bool = False
+    ceiling: str = ""
 
 
 def render_failure(message: str, code: str, kind: str = "server_error") -> dict:
@@ -160,7 +163,9 @@
             unframed, broken_every = self._answers // every, self._hooks.broken_every
             breaks_off = bool(broken_every) and unframed % broken_every == 0
             listener.send_unframed(request, body, content_type, breaks_off)
-        return web.Response(body=body, content_type=content_type)
+        named = {engine_client.CEILING_HEADER: self._hooks.ceiling}
+        headers = named if self._hooks.ceiling else None
+        return web.Response(body=body, content_type=content_type, headers=headers)
 
     async def _run(self, request: web.Request, content: bytes) -> web.Response | None:
         """Do the work and count it; return an error answer only if the work failed.
--- a/sapphireseam/utils/metric.py
+++ b/sapphireseam/utils/metric.py
@@ -420,20 +420,20 @@
         self, reader: Callable[[], Iterable[Ceiling]], clock: Callable[[], float]
     ) -> None:
         """Register a reader of the ceilings; `clock` reads the wall clock."""
-        self.read_many(
-            CEILING, lambda: [(each.rate, _label(each)) for each in reader()]
-        )
-        self.read_many(
-            CEILING_AGE,
-            lambda: [
-                (max(clock() - each.since, 0.0), _label(each)) for each in reader()
-            ],
-        )
+
+        def read_rates() -> list[Value]:
+            return [(each.rate, {"upstream": each.upstream}) for each in reader()]
+
+        def read_ages() -> list[Value]:
+            now = clock()
+            return [
+                (max(now - each.since, 0.0), {"upstream": each.upstream})
+                for each in reader()
+            ]
+
+        self.read_many(CEILING, read_rates)
+        self.read_many(CEILING_AGE, read_ages)
 
     def read(self, item: Metric, reader: Callable[[], float]) -> None:
         """Register a reader that returns one value at each scrape."""
         self.read_many(item, lambda: [(float(reader()), {})])
-
-
-def _label(ceiling: Ceiling) -> dict[str, str]:
-    return {"upstream": ceiling.upstream}
