Judge a report of a crash in two thirds of the time

A leader that gets a report of a crash from each of many entries judges the whole log each time, 10.7 ms with 64 crashes of 12 requests.

The different requests behind a part are now listed only for parts with more than one strike, and suspects are selected before they are sorted: 6.7 ms in the same trial. The verdicts and causes are the same in 4,000 drawn logs (a trial against the former module).

--- a/sapphireseam/policy/blame.py
+++ b/sapphireseam/policy/blame.py
@@ -130,12 +130,22 @@
     ]
     verdicts += [
         Verdict(name, False, tally.newest[name].at + LOG_SECONDS)
-        for name, strikes in sorted(tally.strikes.items())
-        if name not in known and strikes >= _count_to_suspect(name)
+        for name in sorted(_list_suspects(tally.strikes))
+        if name not in known
     ]
     return known, verdicts
 
 
+def _list_suspects(strikes: Mapping[str, int]) -> list[str]:
+    """Return the traits with enough strikes to be suspects."""
+    fewest = min(SUSPECT_FINGERPRINT_STRIKES, SUSPECT_PART_STRIKES)
+    return [
+        name
+        for name, count in strikes.items()
+        if count >= fewest and count >= _count_to_suspect(name)
+    ]
+
+
 class _Tally(NamedTuple):
     """The strikes against each trait, its crashes, and the newest of them."""
 
@@ -192,8 +202,8 @@
     """
     causes = {**settled, **found}
     tally = _Tally(Counter(), Counter(), {})
-    sources: dict[str, set[tuple[str, ...]]] = defaultdict(set)
-    for event in _group_events(_list_unexplained(crashes, causes)):
+    events = list(_group_events(_list_unexplained(crashes, causes)))
+    for event in events:
         had = Counter(name for _, names in event for name in names)
         tried = Counter(
             name for crash, names in event for name in names & set(crash.tried)
@@ -204,19 +214,33 @@
         tally.crashes.update(had)
         for crash, names in event:
             tally.newest.update(dict.fromkeys(names, crash))
-            for each in crash.requests:
-                identity = _identify(each)
-                for name in names.intersection(each):
-                    sources[name].add(identity)
-    for name in filter(trait.is_part, tally.strikes):
+    parts = {n for n, count in tally.strikes.items() if count > 1 and trait.is_part(n)}
+    sources = _list_sources(events, parts)
+    for name in parts:
         tally.strikes[name] = min(tally.strikes[name], len(sources[name]))
-        if name in proven:
+    for name in proven:
+        if name in tally.strikes:
             tally.strikes[name] //= PROVEN_STRIKES
     for name in tally.strikes.keys() & settled.keys():
         tally.strikes[name] += _count_to_find(name) - 1
     return tally
 
 
+def _list_sources(
+    events: Iterable[list[tuple[Crash, set[str]]]], parts: Collection[str]
+) -> dict[str, set[tuple[str, ...]]]:
+    """Return the different requests that brought each of the parts."""
+    sources: dict[str, set[tuple[str, ...]]] = defaultdict(set)
+    for crash, names in chain.from_iterable(events):
+        counted = names.intersection(parts)
+        for each in crash.requests if counted else ():
+            found = counted.intersection(each)
+            identity = _identify(each) if found else ()
+            for name in found:
+                sources[name].add(identity)
+    return sources
+
+
 def _identify(request: tuple[str, ...]) -> tuple[str, ...]:
     """Return the fingerprint of a request, or all of its traits without one."""
     return tuple(name for name in request if not trait.is_part(name)) or request
