Report a changed limit of an upstream at once, and export limits on all fleets

A limit that changed within a second of the one before reached the leader up to a second late, since the report of the first waited for the watch to settle before the next was sent; the new test of quick changes fails so. A report is over once it is accepted now, and what was heard is kept for a second beside it.

Agents now always export the limit of their upstream, 0 while it names none, and the leader those of discovered upstreams. The leader alone logs a limit. The allocator keeps a list of limited upstreams, since an entry drains their buckets at each message of the leader.

--- a/sapphireseam/agent/application.py
+++ b/sapphireseam/agent/application.py
@@ -172,10 +172,13 @@
     mirror.report(meter)
     timeline.report(meter)
     register_metrics(meter, scheduler, upstream)
-    meter.read_ceilings(
-        lambda: [c for c in mirror.ceilings.values() if c.run == settings.upstream],
-        timer.read_wall_clock,
-    )
+    meter.read(metric.UPSTREAM_CEILING, upstream.find_ceiling)
+
+    def read_ceiling_age() -> float:
+        named = mirror.ceilings.get(settings.upstream)
+        return timer.read_wall_clock() - named.since if named is not None else 0.0
+
+    meter.read(metric.UPSTREAM_CEILING_AGE, read_ceiling_age)
 
     application = Application("seam-agent")
     application.add(meter)
--- a/sapphireseam/control/placement.py
+++ b/sapphireseam/control/placement.py
@@ -146,7 +146,8 @@
         if item is None:
             self._apply_ceilings()
         if isinstance(item, command.ReportCeiling):
-            self._log_ceiling(item)
+            if self._replica.is_leader:
+                self._log_ceiling(item)
             self._apply_ceilings()
 
     async def _propose_ceiling(self, item: command.ReportCeiling) -> None:
--- a/sapphireseam/policy/allocator.py
+++ b/sapphireseam/policy/allocator.py
@@ -96,6 +96,8 @@
         # The ceilings by run, and the part of them that this process may use.
         self._rates: Mapping[str, float] = {}
         self._ceiling_share = 1.0
+        # The upstreams that have a ceiling.
+        self._limited: list[UpstreamLoad] = []
         self._loads: dict[str, UpstreamLoad] = {}
         self._by_service: dict[str, list[UpstreamLoad]] = {}
         # Online requests that hold a slot, by service and customer.
@@ -163,10 +165,12 @@
                 load.ceiling = CeilingBucket(rate, now, self._ceiling_share)
             else:
                 load.ceiling.configure(rate, now, self._ceiling_share)
+        loads = self._loads.values()
+        self._limited = [load for load in loads if load.ceiling is not None]
 
     def drain_ceilings(self, now: float) -> None:
         """Begin to count the requests below the ceilings anew, without a burst."""
-        for load in self._list_limited():
+        for load in self._limited:
             load.ceiling.drain(now)
 
     def count_sent(self, name: str, now: float) -> None:
@@ -175,16 +179,13 @@
         if load is not None and load.ceiling is not None:
             load.ceiling.take(now)
 
-    def _list_limited(self) -> list[UpstreamLoad]:
-        return [load for load in self._loads.values() if load.ceiling is not None]
-
     def retry_waiting(self, now: float) -> list[Grant]:
         """Place the requests for which a ceiling has room by now."""
-        return self._place_waiting(now) if self._list_limited() else []
+        return self._place_waiting(now) if self._limited else []
 
     def read_ceilings(self) -> dict[str, float]:
         """Return the ceilings in force, in requests per second by instance."""
-        return {load.instance.id: load.ceiling.rate for load in self._list_limited()}
+        return {load.instance.id: load.ceiling.rate for load in self._limited}
 
     def eject(self, name: str) -> bool:
         """Place nothing more at an instance until `restore` is called.
--- a/sapphireseam/utils/ceiling.py
+++ b/sapphireseam/utils/ceiling.py
@@ -101,21 +101,21 @@
             del self._invalid[next(iter(self._invalid))]
 
     async def _report(self, run: str) -> None:
-        """Report what was heard of a run until the newest is accepted."""
+        """Report what was heard of a run until the newest is accepted or too old."""
         end = self._timer.read_clock() + MAX_AGE_SECONDS
-        try:
-            while self._timer.read_clock() < end:
-                heard = self._heard[run]
-                if not await self._send(heard):
-                    await self._timer.sleep(RETRY_SECONDS)
-                    continue
-                await self._timer.sleep(SETTLE_SECONDS)
-                if self._heard[run] is heard:
-                    break
-                end = self._timer.read_clock() + MAX_AGE_SECONDS
-        finally:
-            self._reporting.discard(run)
-            self._heard.pop(run, None)
+        while True:
+            heard = self._heard[run]
+            is_accepted = await self._send(heard)
+            if self._timer.read_clock() >= end:
+                break
+            if not is_accepted:
+                await self._timer.sleep(RETRY_SECONDS)
+            elif self._heard[run] is heard:
+                break
+        self._reporting.discard(run)
+        await self._timer.sleep(SETTLE_SECONDS)
+        if self._heard.get(run) is heard:
+            del self._heard[run]
 
     async def _send(self, heard: Ceiling) -> bool:
         """Return whether a report was accepted."""
--- a/sapphireseam/utils/ceiling_test.py
+++ b/sapphireseam/utils/ceiling_test.py
@@ -51,6 +51,12 @@
             self.assertEqual(self.monitor.find_rate("u/1"), rate)
         self.assertEqual(self.list_rates(), [2.5, 4.0, 0.0, 1.0])
 
+    async def test_a_limit_that_changes_at_once_is_reported_at_once(self):
+        for text in ("2.5", "4", "3"):
+            await self.hear(text)
+            await self.timer.advance(0.1)
+        self.assertEqual(self.list_rates(), [2.5, 4.0, 3.0])
+
     async def test_an_answer_from_before_the_limit_does_not_end_it(self):
         await self.hear("2.5")
         await self.hear("", rate_at_sending=0.0)
--- a/sapphireseam/utils/metric.py
+++ b/sapphireseam/utils/metric.py
@@ -195,26 +195,46 @@
     "Stays above 0: a replica doesn't answer; its platform should replace it.",
     is_discovery=True,
 )
+UPSTREAM_CEILING = Metric(
+    "seam.upstream_ceiling",
+    Form.GAUGE,
+    "",
+    (),
+    _AGENT,
+    "Requests per second that the upstream says in its answers that it takes; the agent"
+    " sends it no more. 0 while it names no limit.",
+    "Above 0 for long: the upstream is overloaded or impaired; add replicas or look at"
+    " its own logs.",
+)
+UPSTREAM_CEILING_AGE = Metric(
+    "seam.upstream_ceiling.age",
+    Form.GAUGE,
+    "s",
+    (),
+    _AGENT,
+    "Time since the upstream named its present limit for the first time.",
+    "As for `seam_upstream_ceiling`.",
+)
 CEILING = Metric(
-    "seam.ceiling.rate",
+    "seam.ceiling",
     Form.GAUGE,
     "",
     ("upstream",),
-    _CONTROL + _AGENT,
-    "Requests per second that an upstream says in its answers that it takes from all"
-    " senders together; the fleet sends no more. Upstreams that name no limit are not"
-    " listed. The leader and the upstream's agent export it.",
-    "Stays for long: the upstream is overloaded or impaired; add replicas or look at"
-    " its own logs.",
+    _CONTROL,
+    "Requests per second that a discovered upstream says in its answers that it takes"
+    " from all senders together; the fleet sends no more. Only the leader exports it.",
+    "As for `seam_upstream_ceiling`.",
+    is_discovery=True,
 )
 CEILING_AGE = Metric(
     "seam.ceiling.age",
     Form.GAUGE,
     "s",
     ("upstream",),
-    _CONTROL + _AGENT,
+    _CONTROL,
     "Time since the upstream named its present limit for the first time.",
-    "As for `seam_ceiling_rate`.",
+    "As for `seam_upstream_ceiling`.",
+    is_discovery=True,
 )
 BULK_ITEMS = Metric(
     "seam.lot.items",
@@ -320,6 +340,8 @@
     PLACEMENT,
     SERVICE_SLOTS,
     EJECTED,
+    UPSTREAM_CEILING,
+    UPSTREAM_CEILING_AGE,
     CEILING,
     CEILING_AGE,
     BULK_ITEMS,
