Send a call to another control VM while one starts or stops

Cause: a control VM listens before its log is loaded and answers calls with shutting_down until then. The client took that for final, though another VM, or the same one shortly after, would answer. The class: a passing state of one process reported as the outcome of the whole.

The client sends the call again now, as after a lost answer; that it may have run is kept in the final error. The new test fails without the change. recovery_test passes.

--- a/sapphireseam/utils/client.py
+++ b/sapphireseam/utils/client.py
@@ -25,6 +25,8 @@
         error.Kind.CONTROL_UNREACHABLE,
         error.Kind.OUTCOME_UNKNOWN,
         error.Kind.STORAGE_FAILED,
+        # The member is starting or stopping.
+        error.Kind.SHUTTING_DOWN,
     }
 )
 
--- a/sapphireseam/utils/client_test.py
+++ b/sapphireseam/utils/client_test.py
@@ -38,6 +38,12 @@
         failure = await self.get_failure(lost, error.NotLeaderError("no"))
         self.assertFalse(failure.not_run)
 
+    async def test_call_to_a_member_that_starts_is_sent_again(self):
+        starting = error.ControlError("not running", error.Kind.SHUTTING_DOWN)
+        failure = await self.get_failure(starting, error.NotLeaderError("no"))
+        self.assertIsNot(failure, starting)
+        self.assertFalse(failure.not_run)
+
 
 class HangingChannel:
     async def call(self, request, timeout):
