Send learners the log in batches, at most ten times a second

Callers saw: on the large deployment requests wait for the leader, which sends each entry, each commit index and each round of a read index to all 29 other members at once, although 25 of them are learners that no quorum counts.

Cause: a peer is served in the same way whether it is a voter or a learner, so the leader's requests grow with commands and reads times the number of members.

Change: a learner that has caught up gets entries, or a heartbeat if there are none, once per Options.learner_interval (0.1 s). A learner that returns as a voter, or that is behind, is served as before.

--- a/sapphireseam/state/membership_test.py
+++ b/sapphireseam/state/membership_test.py
@@ -6,7 +6,7 @@
 import unittest
 
 from sapphireseam.core import error
-from sapphireseam.state import cluster
+from sapphireseam.state import cluster, message, option
 
 
 def async_test(test):
@@ -138,6 +138,57 @@
         self.check(sim)
         await sim.close()
 
+    async def count_requests(self, learners):
+        """Return how many requests the leader sends for 100 commands and reads."""
+        sim = await self.make_cluster()
+        for name in "defghijklmnopqr"[:learners]:
+            await sim.start(name)
+            await self.announce(sim, name)
+        await sim.advance(2.0)
+        leader = await sim.wait_leader()
+        sent = []
+        record_request = sim.record_request
+
+        def count_request(source, request):
+            if source == leader and not isinstance(request, message.VoteRequest):
+                sent.append(request)
+            record_request(source, request)
+
+        sim.record_request = count_request
+        begin = sim.timer.read_clock()
+        for number in range(100):
+            await sim.run(sim.propose(leader, b"%d" % number))
+            await sim.run(sim.replicas[leader].confirm_leadership())
+        seconds = sim.timer.read_clock() - begin
+        await sim.wait_converged()
+        self.check(sim)
+        await sim.close()
+        return len(sent), seconds
+
+    @async_test
+    async def test_requests_of_the_leader_grow_little_with_the_learners(self):
+        """Each learner gets one batch in each interval, and sometimes a heartbeat."""
+        few, _ = await self.count_requests(1)
+        many, seconds = await self.count_requests(15)
+        intervals = seconds / option.Options().learner_interval + 1
+        self.assertLess(many - few, 14 * 1.5 * intervals)
+
+    @async_test
+    async def test_learner_applies_a_command_within_three_intervals(self):
+        sim = await self.make_cluster()
+        await sim.start("d")
+        await self.announce(sim, "d")
+        await sim.advance(2.0)
+        leader = await sim.wait_leader()
+        index = await sim.run(sim.propose(leader, b"late"))
+        begin = sim.timer.read_clock()
+        while sim.replicas["d"].applied < index:
+            await sim.advance(0.01)
+        interval = option.Options().learner_interval
+        delays = 4 * cluster.DISK_DELAY_MAX + 4 * sim.link_delay_max
+        self.assertLess(sim.timer.read_clock() - begin, 3 * interval + delays)
+        await sim.close()
+
     @async_test
     async def test_silent_learner_is_removed(self):
         sim = await self.make_cluster()
--- a/sapphireseam/state/option.py
+++ b/sapphireseam/state/option.py
@@ -15,7 +15,8 @@
     With `voters` above 0 the leader maintains that number of voters: it promotes
     learners, and replaces a voter that was silent for `replace_after`. It
     removes a learner that was silent for `forget_after`. With 0 an operator
-    makes these changes.
+    makes these changes. Learners get entries or a heartbeat every
+    `learner_interval`, which is shorter than half of `election_min`.
 
     `predecessor_ended` is a time on this member's clock at which the process
     that last used this folder had certainly ended: the leases that it granted
@@ -29,6 +30,7 @@
     lease: float = 0.8
     call_timeout: float = 0.4
     append_timeout: float = 5.0
+    learner_interval: float = 0.1
     snapshot_entries: int = 1000
     snapshot_bytes: int = 64 << 20
     trailing_entries: int = 200
--- a/sapphireseam/state/peer.py
+++ b/sapphireseam/state/peer.py
@@ -62,6 +62,11 @@
         is_leading = node.role is nodes.Role.LEADER and node.term == self._term
         return is_leading and node.peers.get(self.member.name) is self
 
+    @property
+    def _is_paced(self) -> bool:
+        """Return whether the peer is a learner that no promotion waits for."""
+        return not (self.member.voter or self.member.returning)
+
     async def _run_heartbeats(self) -> None:
         missed = False
         while self.is_active:
@@ -105,12 +110,26 @@
         if missed:
             await node.timer.sleep(node.options.heartbeat)
             return
+        if self._is_paced:
+            await self._wait_for_pace()
+            return
         try:
             due = self._heartbeat_due.wait_until(is_due)
             await timers.wait_for(node.timer, due, node.options.heartbeat)
         except TimeoutError:
             pass
 
+    async def _wait_for_pace(self) -> None:
+        """Wait until a learner has acknowledged nothing for an interval.
+
+        A batch of entries reports the leader and its commit index as a heartbeat does.
+        """
+        node = self._node
+        interval = node.options.learner_interval
+        await node.timer.sleep(interval)
+        while self.is_active and node.timer.read_clock() - self.acked_at < interval:
+            await node.timer.sleep(interval)
+
     def _process_reply(self, reply, sent_at: float, sent_round: int) -> bool:
         """Record a reply's term and folder; return whether it accepts this leader."""
         node = self._node
@@ -135,6 +154,8 @@
                 await node.timer.sleep(node.options.heartbeat)
                 continue
             await self._entries_due.wait_until(self._has_entries_due)
+            if self._is_paced and self.is_caught_up:
+                await node.timer.sleep(node.options.learner_interval)
             if self.is_active and not await self._send_next():
                 await node.timer.sleep(node.options.heartbeat)
 
