Let requests wait for the first configuration of an entry

Cause: a request was refused at once whenever no configuration was confirmed, also in the first moments of a process.

Change: an entry that was never ready lets a request wait for the first renewal of its lease, 0.5 s at most. An entry that was ready and has lost the control VMs refuses at once as before.

--- a/sapphireseam/entry/authorizer.py
+++ b/sapphireseam/entry/authorizer.py
@@ -13,6 +13,9 @@
 
 # How long the control VMs usually take to answer again after a start or an outage.
 RECOVERY_SECONDS = 0.8
+# How long a request waits for the first configuration of an entry that has just
+# started. It usually comes sooner than a refused caller would.
+FIRST_WAIT_SECONDS = 0.5
 
 
 class Authorization(NamedTuple):
@@ -36,6 +39,7 @@
         self._max_stale_seconds = max_stale_seconds
         self._customer_by_digest: dict[str, str] = {}
         self._contracts: dict[str, fleet.Contract] = {}
+        self._has_been_ready = False
         mirror.subscribe(self._index_customers)
 
     def _index_customers(self) -> None:
@@ -75,7 +79,7 @@
         the request, and `ControlError` if this entry has no recent configuration
         or can't refresh it.
         """
-        self._check_ready()
+        await self._wait_ready()
         try:
             return self._authorize_cached(host, path, key_text)
         except (error.RequestError, error.AccessError):
@@ -83,7 +87,15 @@
             await self._mirror.refresh()
             return self._authorize_cached(host, path, key_text)
 
-    def _check_ready(self) -> None:
+    async def _wait_ready(self) -> None:
+        """Return once this entry is ready, or raise `ControlError`.
+
+        Only an entry that has just started waits: one that was ready before has lost
+        the control VMs, perhaps for long.
+        """
+        if not self.is_ready and not self._has_been_ready:
+            await self._mirror.wait_confirmed(FIRST_WAIT_SECONDS)
+        self._has_been_ready = self._has_been_ready or self.is_ready
         if not self.is_ready:
             text = "this entry has no recent configuration"
             raise error.ControlError(text, retry_after=RECOVERY_SECONDS)
@@ -109,7 +121,7 @@
 
     async def identify_with_refresh(self, key_text: str) -> str:
         """Return the customer of a key; refresh the configuration if needed."""
-        self._check_ready()
+        await self._wait_ready()
         try:
             return self.identify(key_text)
         except error.AccessError:
--- a/sapphireseam/utils/mirror.py
+++ b/sapphireseam/utils/mirror.py
@@ -72,6 +72,7 @@
         self._stream: rpc.Stream | None = None
         self._pending_refreshes: dict[int, asyncio.Future[None]] = {}
         self._refreshes = broadcast.Coalescer(self._refresh, self._tasks)
+        self._confirmed = broadcast.Broadcast()
 
     def subscribe(self, listener: Callable[[], None]) -> None:
         """Call the listener after every change."""
@@ -90,6 +91,14 @@
         """Return whether the lease is valid or ended less than `seconds` ago."""
         return self._timer.read_clock() < self._lease_end + seconds
 
+    async def wait_confirmed(self, seconds: float) -> None:
+        """Wait until the lease is valid, at most for some seconds."""
+        confirmed = self._confirmed.wait_until(self.is_confirmed)
+        try:
+            await wait_for(self._timer, confirmed, seconds)
+        except TimeoutError:
+            return
+
     async def refresh(self) -> None:
         """Return once all changes committed before the call are mirrored.
 
@@ -204,6 +213,7 @@
         for nonce in [n for n in self._ping_times if n < item.nonce]:
             del self._ping_times[nonce]
         self._lease_end = max(self._lease_end, sent_at + LEASE_SECONDS)
+        self._confirmed.notify()
         future = self._pending_refreshes.get(item.nonce)
         if future is not None and not future.done():
             future.set_result(None)
