Place requests that continue a stream before all others

Cause: new requests took all slots within milliseconds, and a resumed stream counted as a late request: it had to leave slots to those that can be on time, its place in the queue came after them, and its wait was 0.3 of its remaining time. An entry without a leader refused it at once if it had not begun the stream itself.

Change: the allocator places requests that continue a stream first, whatever their rank, and doesn't count them against the share of late requests; they wait for half of their remaining time. An entry that has no leader waits for one before it refuses a stream that it doesn't know. The version that began the stream is still required, and an unknown attempt is still refused, as not run.

--- a/sapphireseam/control/placement.py
+++ b/sapphireseam/control/placement.py
@@ -286,6 +286,7 @@
             message.request,
             message.is_late,
             target.version,
+            message.is_resumed,
         )
         decision = self.allocator.place(request, now)
         self._log_decision(entry, message, decision)
--- a/sapphireseam/core/placement.py
+++ b/sapphireseam/core/placement.py
@@ -50,7 +50,8 @@
     id of the caller's request, for the log. `is_late` says that the answer can no
     longer be on time. A request with a `version` gets an upstream of that software
     version. One that `resumes` the stream of an earlier attempt gets an upstream like
-    the one that began it, if that is of one of `services`.
+    the one that began it, if that is of one of `services`. One that `is_resumed`
+    continues a stream, of an earlier attempt or of its own.
     """
 
     number: int
@@ -65,6 +66,7 @@
     version: str = ""
     resumes: str = ""
     services: tuple[str, ...] = ()
+    is_resumed: bool = False
 
 
 class Placed(NamedTuple):
--- a/sapphireseam/entry/direct.py
+++ b/sapphireseam/entry/direct.py
@@ -37,6 +37,8 @@
 SLOT_WAIT_SECONDS = 0.5
 # Share of the time to its deadline that a late request may wait for a slot.
 LATE_WAIT_SHARE = 0.3
+# Share of the time to its deadline that a request which continues a stream may wait.
+RESUMED_WAIT_SHARE = 0.5
 # An upstream that sends nothing on a stream for this long is treated as lost, and a
 # resumable stream continues at another one.
 STREAM_SILENCE_SECONDS = 1.0
@@ -265,11 +267,14 @@
     ) -> HeldSlot:
         now = self._timer.read_clock()
         patience = request.route.target * SLOT_WAIT_SHARE - (now - request.arrived)
-        if not request.route.target or progress.offers:
+        began = progress.origin
+        is_resumed = request.resume_after >= 0 or began is not None
+        if is_resumed:
+            patience = (request.deadline - now) * RESUMED_WAIT_SHARE
+        elif not request.route.target or progress.offers:
             patience = SLOT_WAIT_SECONDS
         elif request.is_late:
             patience = (request.deadline - now) * LATE_WAIT_SHARE
-        began = progress.origin
         spec = SlotSpec(
             request.id,
             began.service if began else self._choose_service(request.route),
@@ -280,7 +285,7 @@
             not progress.is_counted,
             request.is_late,
             began.version if began else "",
-            request.resume_after >= 0,
+            is_resumed,
             request.resumes,
             _list_services(request.route),
         )
--- a/sapphireseam/entry/direct_test.py
+++ b/sapphireseam/entry/direct_test.py
@@ -291,6 +291,21 @@
         await self.serve(RESUMABLE, resume_after=1)
         self.assertEqual(self.sink.body.count(b"data"), 2)
 
+    async def test_a_request_that_continues_a_stream_may_wait_longer(self):
+        specs = []
+        place = self.placer.place
+
+        async def record_spec(spec):
+            specs.append(spec)
+            return await place(spec)
+
+        self.placer.place = record_spec
+        await self.serve(RESUMABLE, seconds=2.0)
+        await self.serve(RESUMABLE, resume_after=1, seconds=2.0)
+        self.assertEqual([spec.is_resumed for spec in specs], [False, True])
+        self.assertGreater(specs[1].patience, 0.9)
+        self.assertLess(specs[0].patience, 0.6)
+
     async def test_a_caller_that_disconnects_ends_the_run(self):
         self.upstreams[0].event_delay = 0.05
         task = asyncio.create_task(self.serve(STREAM))
--- a/sapphireseam/entry/placer.py
+++ b/sapphireseam/entry/placer.py
@@ -255,6 +255,9 @@
     async def _place(self, spec: SlotSpec) -> tuple[HeldSlot, str]:
         """Return a slot and the outcome for the metrics."""
         number = next(self._numbers)
+        if spec.resumes:
+            # Only a leader knows the streams of other entries.
+            await self._wait_for_leader(spec.patience)
         if not self.has_leader:
             return self._place_locally(number, spec), LOCAL
         future = asyncio.get_running_loop().create_future()
@@ -275,6 +278,12 @@
             raise error.CapacityError(answer.message, kind, answer.retry_after, True)
         return self._add_running(number, spec, answer.instance), PLACED
 
+    async def _wait_for_leader(self, seconds: float) -> None:
+        """Wait until there is a leader, at most for some seconds."""
+        end = self._timer.read_clock() + seconds
+        while not self.has_leader and self._timer.read_clock() < end:
+            await self._timer.sleep(CHECK_SECONDS)
+
     async def _wait_for_answer(
         self, future: asyncio.Future, patience: float
     ) -> placement.Placed | placement.Turned | None:
@@ -305,13 +314,13 @@
             spec.excluded,
             is_late=spec.is_late,
             version=spec.version,
+            is_resumed=spec.is_resumed,
         )
 
     def _place_locally(self, number: int, spec: SlotSpec) -> HeldSlot:
         """Place a request by the instances and requests that this entry has seen."""
         now = self._timer.read_clock()
         if spec.resumes:
-            # Only a leader knows the streams of other entries.
             self._origins.require(spec.resumes, spec.services, now)
         contract = self._contracts().get(spec.customer)
         if spec.is_counted and contract is not None:
@@ -383,4 +392,5 @@
         spec.version,
         spec.resumes,
         spec.services,
+        spec.is_resumed,
     )
--- a/sapphireseam/entry/placer_test.py
+++ b/sapphireseam/entry/placer_test.py
@@ -156,6 +156,19 @@
             await self.placer.place(self.make_resumption(resumes="b0"))
         self.assertTrue(caught.exception.not_run)
 
+    async def test_a_stream_of_another_entry_waits_for_the_leader(self):
+        """All entries have just started again, and their callers come back."""
+        self.leader.fail()
+        await asyncio.sleep(0.05)
+        spec = self.make_resumption(resumes="b0", patience=1.0)
+        task = asyncio.create_task(self.placer.place(spec))
+        await asyncio.sleep(0.1)
+        self.leader.is_up = True
+        slot = await task
+        self.assertEqual(slot.instance, INSTANCES[0])
+        place = self.leader.received[-1]
+        self.assertEqual((place.resumes, place.is_resumed), ("b0", True))
+
     async def test_a_new_leader_learns_the_streams_that_it_did_not_place(self):
         self.leader.fail()
         await asyncio.sleep(0.05)
--- a/sapphireseam/policy/allocator.py
+++ b/sapphireseam/policy/allocator.py
@@ -13,6 +13,10 @@
 request that can't get a slot in time is refused at once, with the time after which
 to retry.
 
+A request that continues a stream goes before all others: most of its work is done, its
+caller has waited longest, and only upstreams of one version can serve it. So streams
+go on after an outage, although new requests fill all slots at once.
+
 After an outage many callers retry at the same time, and their requests are already
 late. Late requests get only the slots that the other requests are expected to
 leave free, as estimated from the recent arrival rate of those (policy/demand.py).
@@ -53,7 +57,7 @@
     `key` identifies it in the allocator and `request_id` at the upstream. It may wait
     until `wait_until`. A request that `is_late` can't meet its deadline any more, even
     if it starts now. One with a `version` is placed only at upstreams of that software
-    version.
+    version. One that `is_resumed` continues a stream that has begun.
     """
 
     key: str
@@ -67,6 +71,7 @@
     request_id: str = ""
     is_late: bool = False
     version: str = ""
+    is_resumed: bool = False
 
 
 class Grant(NamedTuple):
@@ -399,7 +404,7 @@
         return min(loads, key=lambda load: compute_score(load, request.domain, fastest))
 
     def _try_place(self, request: SlotRequest, now: float) -> Grant | None:
-        if request.is_late:
+        if request.is_late and not request.is_resumed:
             late = sum(load.late_count for load in self._list_loads(request.service))
             if late >= self._count_late_slots(request.service, now):
                 return None
@@ -470,7 +475,7 @@
         slot_seconds = self.estimate_slot_seconds(request.service)
         usable = self._list_usable(request.service, request.version)
         slots = sum(load.estimate_capacity(slot_seconds) for load in usable)
-        if request.is_late:
+        if request.is_late and not request.is_resumed:
             slots = min(slots, self._count_late_slots(request.service, now))
         if not slots:
             return MAX_RETRY_SECONDS
@@ -499,7 +504,7 @@
     def _place_waiting(self, now: float) -> list[Grant]:
         """Place waiting requests by rank, then evenly among customers."""
         grants = []
-        blocked: set[tuple[str, bool, str]] = set()
+        blocked: set[tuple[str, bool, bool, str]] = set()
         while True:
             waiting = [
                 request
@@ -516,19 +521,19 @@
             self._waiting.remove(request)
             grants.append(grant)
 
-    def _get_sort_key(self, request: SlotRequest) -> tuple[int, bool, int, float]:
+    def _get_sort_key(self, request: SlotRequest) -> tuple[bool, int, bool, int, float]:
         running = self._online_counts[request.service, request.customer]
         return (*_get_precedence(request), running, request.arrived)
 
 
-def _get_precedence(request: SlotRequest) -> tuple[int, bool]:
+def _get_precedence(request: SlotRequest) -> tuple[bool, int, bool]:
     """Return the part of the sort key that doesn't depend on running requests.
 
     The lowest key is placed first.
     """
-    return (request.rank, request.is_late)
+    return (not request.is_resumed, request.rank, request.is_late)
 
 
-def _get_block_key(request: SlotRequest) -> tuple[str, bool, str]:
+def _get_block_key(request: SlotRequest) -> tuple[str, bool, bool, str]:
     """Return the key that requests share if none of them can be placed."""
-    return (request.service, request.is_late, request.version)
+    return (request.service, request.is_late, request.is_resumed, request.version)
--- a/sapphireseam/policy/allocator_test.py
+++ b/sapphireseam/policy/allocator_test.py
@@ -127,6 +127,14 @@
         (grant,) = self.allocator.release("r0", 2.2)
         self.assertEqual(grant.request.key, "late")
 
+    def test_a_resumed_stream_goes_before_all_other_requests(self):
+        self.fill(4)
+        self.allocator.place(make_request("urgent", rank=-1, patience=1.0), 0.0)
+        stream = make_request("s", rank=2, patience=1.0, is_late=True, is_resumed=True)
+        self.assertIsNone(self.allocator.place(stream, 0.1))
+        (grant,) = self.allocator.release("r0", 0.2)
+        self.assertEqual(grant.request.key, "s")
+
     def test_late_requests_leave_slots_for_requests_that_can_be_on_time(self):
         self.allocator.update((make_instance("i1", 8),), 0.0)
         for number in range(9):
@@ -323,6 +331,55 @@
         self.assertGreater(placed, placed_unmarked * 1.3)
         self.assertLess(max(waits), 0.25)
 
+    def test_streams_go_on_after_all_entries_lost_power(self):
+        """Streams of two versions come back late, after new requests took all slots."""
+        tested = allocator.SlotAllocator()
+        versions = ("old", "new", "new", "new")
+        tested.update(
+            tuple(
+                make_instance(f"i{n}", 8, version=version)
+                for n, version in enumerate(versions)
+            ),
+            0.0,
+        )
+        ends, resumed, refused, number = {}, {}, [], 0
+        for tick in range(200):
+            now = tick * self.STEP
+            grants = []
+            for key in [key for key, end in ends.items() if end <= now]:
+                del ends[key]
+                grants += tested.release(key, now)
+            requests = [
+                make_request(f"n{number + n}", now=now, patience=0.2) for n in range(4)
+            ]
+            number += 4
+            if 20 <= tick < 45:
+                version = versions[tick % 2]
+                request = make_request(
+                    f"s{tick}",
+                    rank=3,
+                    now=now,
+                    patience=1.0,
+                    version=version,
+                    is_late=True,
+                    is_resumed=True,
+                )
+                requests.append(request)
+            outcomes = [tested.place(request, now) for request in requests]
+            for outcome in [*outcomes, *tested.expire(now)]:
+                if isinstance(outcome, allocator.Refusal):
+                    refused.append(outcome.request.key)
+                elif outcome is not None:
+                    grants.append(outcome)
+            for grant in grants:
+                ends[grant.request.key] = now + 0.3
+                if grant.request.is_resumed:
+                    resumed[grant.request.key] = grant
+        self.assertEqual([key for key in refused if key.startswith("s")], [])
+        self.assertEqual(len(resumed), 25)
+        for grant in resumed.values():
+            self.assertEqual(grant.instance.version, grant.request.version)
+
 
 class PropertyTest(unittest.TestCase):
     @given(st.lists(st.tuples(st.integers(0, 3), st.integers(0, 30)), max_size=120))
