Compress large commands and configurations on their way

Callers saw: on the large deployment everything that the leader sends waits behind a publish.

Cause: a configuration with a thousand routes takes 0.5 MB in the log (the document and the operator's text), and the leader sends it to 29 members, most of them in other failure domains; each entry that starts gets the document as it is over its slow link.

Change: commands from 4 KB on are compressed where they are encoded, so in the log, on the wire and on disk; so are the document and the changes of a watch, once for all watches. The history keeps 2 MB. Decoders accept data that isn't compressed and refuse damaged or boundless data.

--- a/sapphireseam/control/publish.py
+++ b/sapphireseam/control/publish.py
@@ -11,7 +11,7 @@
 
 # Maximum number and total size of the revisions held for history and rollback.
 HISTORY_LIMIT = 200
-HISTORY_BYTES = 16 * 1024 * 1024
+HISTORY_BYTES = 2 * 1024 * 1024
 
 
 def check(state: record.State, document: bytes) -> list[fleet.Finding]:
--- a/sapphireseam/control/watch.py
+++ b/sapphireseam/control/watch.py
@@ -15,7 +15,7 @@
 
 from sapphireseam.control import record
 from sapphireseam.control.machine import StateMachine
-from sapphireseam.core import command, error, fleet, message, notice
+from sapphireseam.core import codec, command, error, fleet, message, notice
 from sapphireseam.core.verdict import Verdict
 from sapphireseam.state.replica import Replica
 from sapphireseam.utils import rpc
@@ -57,6 +57,8 @@
         self._last_contact: dict[tuple[str, str], _Contact] = {}
         self._next = 0
         self._document: dict[str, Any] = {}
+        # The same as it is sent.
+        self._compressed = b"{}"
         # The verdicts that were sent last.
         self._verdicts: dict[str, Verdict] = {}
         machine.subscribe(self._send_change)
@@ -113,7 +115,7 @@
         state = self._machine.state
         return notice.Whole(
             record.read_revision(state),
-            record.read_document(state),
+            self._compressed,
             tuple(state.keys.values()),
             tuple(state.leaving),
             tuple(state.verdicts.values()),
@@ -132,7 +134,7 @@
         state = self._machine.state
         match item:
             case None:
-                self._document = record.decode_document(record.read_document(state))
+                self._load_document()
                 self._verdicts = dict(state.verdicts)
                 return self._describe_state()
             case command.Publish() | command.PublishNumbered():
@@ -158,9 +160,14 @@
         return notice.VerdictChange(cleared, changed)
 
     def _describe_publish(self) -> notice.FleetChange:
-        state = self._machine.state
-        document = record.decode_document(record.read_document(state))
-        changes = fleet.diff(self._document, document)
-        self._document = document
-        packed = json.dumps(changes).encode()
-        return notice.FleetChange(record.read_revision(state), packed)
+        former = self._document
+        self._load_document()
+        changes = json.dumps(fleet.diff(former, self._document)).encode()
+        revision = record.read_revision(self._machine.state)
+        return notice.FleetChange(revision, codec.compress(changes))
+
+    def _load_document(self) -> None:
+        """Read the configuration in force and compress it once for all watches."""
+        document = record.read_document(self._machine.state)
+        self._document = record.decode_document(document)
+        self._compressed = codec.compress(document)
--- a/sapphireseam/core/command.py
+++ b/sapphireseam/core/command.py
@@ -466,4 +466,4 @@
     RecordReserves,
 )
 
-REGISTRY = codec.Registry(COMMANDS)
+REGISTRY = codec.Registry(COMMANDS, compresses=True)
--- a/sapphireseam/core/notice.py
+++ b/sapphireseam/core/notice.py
@@ -37,7 +37,7 @@
 
 
 class Whole(NamedTuple):
-    """Send the complete shared state."""
+    """Send the complete shared state; `document` may be compressed."""
 
     revision: int
     document: bytes
@@ -48,7 +48,10 @@
 
 
 class FleetChange(NamedTuple):
-    """Send the difference between two revisions as JSON; see `fleet.diff`."""
+    """Send the difference between two revisions as JSON; see `fleet.diff`.
+
+    It may be compressed.
+    """
 
     revision: int
     changes: bytes
--- a/sapphireseam/utils/mirror.py
+++ b/sapphireseam/utils/mirror.py
@@ -21,7 +21,16 @@
 from collections.abc import Callable
 from typing import Any
 
-from sapphireseam.core import ceiling, error, fleet, key, message, notice, verdict
+from sapphireseam.core import (
+    ceiling,
+    codec,
+    error,
+    fleet,
+    key,
+    message,
+    notice,
+    verdict,
+)
 from sapphireseam.utils import broadcast, metric, rpc
 from sapphireseam.utils.application import TaskGroup
 from sapphireseam.utils.client import ControlClient
@@ -187,7 +196,7 @@
             case notice.Whole():
                 self._replace(item)
             case notice.FleetChange():
-                changes = json.loads(item.changes)
+                changes = json.loads(codec.decompress(item.changes))
                 self._apply_configuration(
                     item.revision, fleet.patch(self._document, changes)
                 )
@@ -226,7 +235,9 @@
         self.leaving = set(item.leaving)
         self.verdicts = {each.trait: each for each in item.verdicts}
         self.ceilings = {each.run: each for each in item.ceilings}
-        self._apply_configuration(item.revision, json.loads(item.document))
+        self._apply_configuration(
+            item.revision, json.loads(codec.decompress(item.document))
+        )
 
     def _apply_verdicts(self, item: notice.VerdictChange) -> None:
         """Update the verdicts on requests under which upstreams crashed."""
