Test what callers get below the limits that upstreams name

In simulated time the fleet serves all requests at 0.85 of what it can take, and at 1.3 of it uses more than 0.95 of the limits and of the other upstreams, with batch work in the free slots: the bucket costs callers nothing of the pace.

--- a/sapphireseam/policy/ceiling_test.py
+++ b/sapphireseam/policy/ceiling_test.py
@@ -91,5 +91,66 @@
         self.assertEqual(self.allocator.read_ceilings(), {})
 
 
+class LimitedFleetTest(unittest.TestCase):
+    """Seven of ten upstreams name half of their pace; batch work fills free slots."""
+
+    SECONDS = 10.0
+    STEP = 0.005
+    SLOTS = 8
+    SLOT_SECONDS = 0.35
+    PACE = SLOTS / SLOT_SECONDS
+
+    def play(self, load):
+        """Return the requests sent, and those served at limited and other upstreams.
+
+        `load` is the traffic as a share of what the fleet can take.
+        """
+        tested = allocator.SlotAllocator()
+        names = [f"i{number}" for number in range(10)]
+        limited = set(names[:7])
+        instances = [
+            Instance(name, "llm", "10.0.0.1:80", "z", self.SLOTS, born=1)
+            for name in names
+        ]
+        tested.update(tuple(instances), 0.0)
+        limits = {f"{name}/1": self.PACE / 2 for name in limited}
+        tested.set_ceilings(limits, 0.0)
+        rate = load * self.PACE * (3 + 7 / 2)
+        ends, served, number, due = {}, {True: 0, False: 0}, 0, 0.0
+        for tick in range(int(self.SECONDS / self.STEP)):
+            now = tick * self.STEP
+            grants = []
+            for key in [key for key, end in ends.items() if end <= now]:
+                del ends[key]
+                grants += tested.release(key, now)
+            due += rate * self.STEP
+            while due >= 1.0:
+                due -= 1.0
+                number += 1
+                request = make_request(f"r{number}", now, 0.18)
+                grants.append(tested.place(request, now))
+            if not tick % 4:
+                grants += tested.retry_waiting(now)
+                tested.expire(now)
+                while grant := tested.place_batch(make_request(f"b{tick}", now)):
+                    ends[grant.request.key] = now + 2.0
+                    break
+            for grant in grants:
+                if isinstance(grant, allocator.Grant):
+                    ends.pop(grant.evicted, None)
+                    ends[grant.request.key] = now + self.SLOT_SECONDS
+                    served[grant.instance.id in limited] += 1
+        return number, served[True], served[False]
+
+    def test_all_requests_are_served_below_what_the_fleet_can_take(self):
+        sent, limited, others = self.play(0.85)
+        self.assertGreaterEqual(limited + others, sent - 2)
+
+    def test_an_overloaded_fleet_uses_its_limits_and_all_other_slots(self):
+        _, limited, others = self.play(1.3)
+        self.assertGreater(limited, 0.95 * 7 * self.PACE / 2 * self.SECONDS)
+        self.assertGreater(others, 0.95 * 3 * self.PACE * self.SECONDS)
+
+
 if __name__ == "__main__":
     unittest.main()
