Decide about slots in a time that doesn't grow with the fleet

Cause: each decision looked at every upstream and every waiting request, and each queued or refused request logged the load of every upstream of its service.

Change: policy/upstreampool.py files the upstreams of a service by version, occupancy and failure domain in order of pace, and keeps counts; policy/waitlist.py keeps the waiting requests in lines of equal precedence. Upstreams that name a ceiling are still looked at one by one.

--- a/sapphireseam/policy/allocator.py
+++ b/sapphireseam/policy/allocator.py
@@ -24,18 +24,29 @@
 An upstream that names a ceiling gets no more requests a second than that, online
 requests before batch requests (policy/ceiling.py). The other upstreams take the rest.
 
+The upstreams (policy/upstreampool.py) and the waiting requests (policy/waitlist.py) of
+a service are kept in order, so a decision takes about the same time in a small and in a
+large fleet.
+
 Times are in seconds of one monotonic clock. The allocator does no I/O and never
 blocks. Its methods return the requests that got a slot.
 """
 
 from collections import Counter
-from collections.abc import Mapping
-from typing import NamedTuple
+from collections.abc import Collection, Mapping
 
 from sapphireseam.core.instance import Instance, get_run_name
 from sapphireseam.policy.ceiling import CeilingBucket
 from sapphireseam.policy.demand import ArrivalMeter
-from sapphireseam.policy.occupancy import PlacedRequest, UpstreamLoad, compute_score
+from sapphireseam.policy.occupancy import PlacedRequest, UpstreamLoad
+from sapphireseam.policy.slot import Grant, Refusal, SlotRequest
+from sapphireseam.policy.upstreampool import UpstreamPool
+from sapphireseam.policy.waitlist import (
+    LineKey,
+    Waitlist,
+    get_line_key,
+    get_precedence,
+)
 
 # Weight of a new measurement in the moving averages.
 MEAN_WEIGHT = 0.1
@@ -51,49 +62,6 @@
 STARTUP_LATE_SHARE = 0.5
 
 
-class SlotRequest(NamedTuple):
-    """A request for a slot.
-
-    `key` identifies it in the allocator and `request_id` at the upstream. It may wait
-    until `wait_until`. A request that `is_late` can't meet its deadline any more, even
-    if it starts now. One with a `version` is placed only at upstreams of that software
-    version. One that `is_resumed` continues a stream that has begun.
-    """
-
-    key: str
-    service: str
-    customer: str
-    rank: int
-    domain: str
-    arrived: float
-    wait_until: float
-    excluded: frozenset[str] = frozenset()
-    request_id: str = ""
-    is_late: bool = False
-    version: str = ""
-    is_resumed: bool = False
-
-
-class Grant(NamedTuple):
-    """A slot for a request; `evicted` is the key of batch work to stop for it."""
-
-    request: SlotRequest
-    instance: Instance
-    evicted: str = ""
-
-
-class Refusal(NamedTuple):
-    """A refused request, which may be retried after `retry_after` seconds.
-
-    `has_no_upstream` means that the service has no usable upstream, or none of the
-    requested version.
-    """
-
-    request: SlotRequest
-    retry_after: float
-    has_no_upstream: bool
-
-
 class SlotAllocator:
     """Tracks the slots of all upstreams and the requests that wait for one."""
 
@@ -104,10 +72,10 @@
         # The upstreams that have a ceiling.
         self._limited: list[UpstreamLoad] = []
         self._loads: dict[str, UpstreamLoad] = {}
-        self._by_service: dict[str, list[UpstreamLoad]] = {}
+        self._pools: dict[str, UpstreamPool] = {}
         # Online requests that hold a slot, by service and customer.
         self._online_counts: Counter[tuple[str, str]] = Counter()
-        self._waiting: list[SlotRequest] = []
+        self._waitlists: dict[str, Waitlist] = {}
         # Instance id by key of the request that holds a slot there.
         self._placements: dict[str, str] = {}
         # Mean time for which an online request holds its slot, by service.
@@ -135,15 +103,35 @@
         return self._place_waiting(now)
 
     def _index(self) -> None:
-        """Rebuild the lists and counts by service from the instances."""
-        self._by_service = {}
+        """Rebuild the pools and the counts by customer from the instances."""
+        by_service: dict[str, list[UpstreamLoad]] = {}
+        former = list(self._online_counts)
         self._online_counts.clear()
         for load in self._loads.values():
             service = load.instance.service
-            self._by_service.setdefault(service, []).append(load)
+            by_service.setdefault(service, []).append(load)
             for placed in load.requests.values():
                 if not placed.is_batch:
                     self._online_counts[service, placed.customer] += 1
+        self._pools = {name: UpstreamPool(loads) for name, loads in by_service.items()}
+        for service, customer in {*former, *self._online_counts}:
+            self._update_running(service, customer)
+
+    def _get_pool(self, service: str) -> UpstreamPool:
+        return self._pools.get(service) or UpstreamPool(())
+
+    def _get_waitlist(self, service: str) -> Waitlist:
+        return self._waitlists.setdefault(service, Waitlist())
+
+    def _refresh(self, load: UpstreamLoad) -> None:
+        self._pools[load.instance.service].refresh(load)
+
+    def _update_running(self, service: str, customer: str) -> None:
+        """Bring a customer's place among the waiting requests up to date."""
+        waitlist = self._waitlists.get(service)
+        if waitlist:
+            running = self._online_counts[service, customer]
+            waitlist.update_running(customer, running)
 
     @property
     def instances(self) -> tuple[Instance, ...]:
@@ -170,6 +158,7 @@
                 load.ceiling = CeilingBucket(rate, now, self._ceiling_share)
             else:
                 load.ceiling.configure(rate, now, self._ceiling_share)
+            self._refresh(load)
         loads = self._loads.values()
         self._limited = [load for load in loads if load.ceiling is not None]
 
@@ -201,6 +190,7 @@
         if load is None or load.is_ejected:
             return False
         load.is_ejected = True
+        self._refresh(load)
         return True
 
     def restore(self, name: str, now: float) -> list[Grant]:
@@ -208,6 +198,7 @@
         load = self._loads.get(name)
         if load is not None:
             load.is_ejected = False
+            self._refresh(load)
         return self._place_waiting(now)
 
     def mark_leaving(self, name: str, born: int) -> None:
@@ -215,6 +206,7 @@
         load = self._loads.get(name)
         if load is not None and load.instance.born == born:
             load.mark_leaving()
+            self._refresh(load)
 
     def list_ejected(self) -> list[Instance]:
         """Return the ejected instances."""
@@ -230,6 +222,7 @@
         if load is None:
             return []
         load.external = min(len(load.list_external(ids, now)), load.instance.slots)
+        self._refresh(load)
         return self._place_waiting(now)
 
     def list_external(self, name: str, ids: tuple[str, ...], now: float) -> list[str]:
@@ -246,6 +239,7 @@
         load = self._loads.get(name)
         if load is not None and pace > 0.0:
             load.pace += (pace - load.pace) * (MEAN_WEIGHT if load.pace else 1.0)
+            self._refresh(load)
 
     # Requests.
 
@@ -264,23 +258,22 @@
             return grant
         refusal = self._check_wait(request, now)
         if refusal is None:
-            self._waiting.append(request)
+            running = self._online_counts[request.service, request.customer]
+            self._get_waitlist(request.service).add(request, running)
         return refusal
 
     def has_batch_slot(self, service: str, now: float) -> bool:
         """Return whether a slot is free for batch work of a service."""
         if self.count_waiting(service):
             return False
-        return any(
-            load.is_usable and load.can_take(now, is_batch=True)
-            for load in self._list_loads(service)
-        )
+        return self._get_pool(service).has_batch_slot(now)
 
     def place_batch(self, request: SlotRequest) -> Grant | None:
         """Place a batch request, unless no slot is free or online requests wait."""
         if self.count_waiting(request.service):
             return None
-        load = self._find_free(request, request.arrived, is_batch=True)
+        pool = self._get_pool(request.service)
+        load = pool.find_free(request, request.arrived, is_batch=True)
         if load is None or load.is_ejected:
             return None
         self._occupy(load, request, True, request.arrived)
@@ -288,26 +281,32 @@
 
     def release(self, key: str, now: float) -> list[Grant]:
         """Release a request's slot or remove it from the queue; return new grants."""
-        self._waiting = [request for request in self._waiting if request.key != key]
+        for service, waitlist in self._waitlists.items():
+            request = waitlist.get(key)
+            if request is not None:
+                waitlist.remove(key, self._online_counts[service, request.customer])
         name = self._placements.pop(key, None)
         load = self._loads.get(name) if name is not None else None
         if load is None:
             return []
-        placed = load.remove(key, now)
+        service = load.instance.service
+        placed = self._pools[service].remove_request(load, key, now)
         if placed is not None and not placed.is_batch:
-            service = load.instance.service
             self._online_counts[service, placed.customer] -= 1
+            self._update_running(service, placed.customer)
             self._record_slot_time(service, now - placed.placed_at)
         return self._place_waiting(now)
 
     def expire(self, now: float) -> list[Refusal]:
         """Refuse the requests that have waited for too long."""
-        expired = [request for request in self._waiting if request.wait_until <= now]
-        if not expired:
-            return []
-        self._waiting = [
-            request for request in self._waiting if request.wait_until > now
+        expired = [
+            request
+            for waitlist in self._waitlists.values()
+            for request in waitlist.list_expired(now)
         ]
+        for request in expired:
+            running = self._online_counts[request.service, request.customer]
+            self._waitlists[request.service].remove(request.key, running)
         return [self._refuse(request, now) for request in expired]
 
     def find_instance(self, key: str) -> str:
@@ -316,21 +315,21 @@
 
     def count_running(self, service: str, is_batch: bool) -> int:
         """Return how many online or batch requests of a service hold a slot."""
-        loads = self._list_loads(service)
-        batch = sum(load.batch_count for load in loads)
-        return batch if is_batch else sum(len(load.requests) for load in loads) - batch
+        pool = self._get_pool(service)
+        return pool.batch_count if is_batch else pool.online_count
 
     def count_waiting(self, service: str) -> int:
         """Return how many requests wait for a slot of a service."""
-        return sum(request.service == service for request in self._waiting)
+        waitlist = self._waitlists.get(service)
+        return len(waitlist) if waitlist else 0
 
     def count_slots(self, service: str, version: str = "") -> int:
         """Return how many slots the usable upstreams of a service have.
 
-        With a `version`, only upstreams of that software version count.
+        With a `version`, only upstreams of that software version count. If all of
+        those are ejected, they count as a last resort.
         """
-        loads = self._list_usable(service, version)
-        return sum(load.instance.slots for load in loads)
+        return self._get_pool(service).count_slots(version)
 
     def has_free_slot(self, service: str, version: str, excluded: str) -> bool:
         """Return whether an upstream of a version, except `excluded`, has a slot."""
@@ -344,7 +343,7 @@
 
     def list_versions(self, service: str) -> set[str]:
         """Return the software versions of a service's known upstreams."""
-        return {load.instance.version for load in self._list_loads(service)}
+        return self._get_pool(service).list_versions()
 
     def find_least_loaded(self, service: str, excluded: str) -> Instance | None:
         """Return a service's upstream with the most free slots, except `excluded`.
@@ -361,54 +360,21 @@
             return None
         return max(loads, key=lambda load: (load.is_usable, load.free_slots)).instance
 
-    def describe(self, service: str) -> dict[str, str]:
-        """Return each upstream's load for the log; see `UpstreamLoad.describe`."""
-        loads = self._list_loads(service)
-        return {load.instance.id: load.describe() for load in loads}
+    def describe(self, service: str) -> dict[str, object]:
+        """Return a summary of a service's load for the log, of bounded size."""
+        return self._get_pool(service).describe()
 
     # Placement.
 
-    def _list_loads(self, service: str) -> list[UpstreamLoad]:
-        return self._by_service.get(service, [])
-
-    def _list_usable(self, service: str, version: str) -> list[UpstreamLoad]:
-        """Return the upstreams where requests for a version, if any, may be placed.
-
-        If all upstreams of a version are ejected, they are used as a last resort,
-        since no other upstream can continue a stream.
-        """
-        loads = [
-            load
-            for load in self._list_loads(service)
-            if version in ("", load.instance.version)
-        ]
-        usable = [load for load in loads if load.is_usable]
-        if usable or not version:
-            return usable
-        return [load for load in loads if not load.is_leaving]
-
-    def _list_candidates(self, request: SlotRequest) -> list[UpstreamLoad]:
-        loads = self._list_usable(request.service, request.version)
-        allowed = [load for load in loads if load.instance.id not in request.excluded]
-        return allowed or loads
-
-    def _find_free(
-        self, request: SlotRequest, now: float, is_batch: bool = False
-    ) -> UpstreamLoad | None:
-        candidates = self._list_candidates(request)
-        loads = [load for load in candidates if load.can_take(now, is_batch)]
-        if not loads:
-            return None
-        paces = [load.pace for load in loads if load.pace]
-        fastest = min(paces, default=0.0)
-        return min(loads, key=lambda load: compute_score(load, request.domain, fastest))
+    def _list_loads(self, service: str) -> Collection[UpstreamLoad]:
+        return self._get_pool(service).loads.values()
 
     def _try_place(self, request: SlotRequest, now: float) -> Grant | None:
+        pool = self._get_pool(request.service)
         if request.is_late and not request.is_resumed:
-            late = sum(load.late_count for load in self._list_loads(request.service))
-            if late >= self._count_late_slots(request.service, now):
+            if pool.late_count >= self._count_late_slots(request.service, now):
                 return None
-        load = self._find_free(request, now)
+        load = pool.find_free(request, now)
         if load is not None:
             self._occupy(load, request, False, now)
             return Grant(request, load.instance)
@@ -416,18 +382,12 @@
 
     def _evict_for(self, request: SlotRequest, now: float) -> Grant | None:
         """Place a request in the slot of the batch request that was placed last."""
-        candidates = [
-            (placed.placed_at, key, load)
-            for load in self._list_candidates(request)
-            if load.batch_count
-            if load.ceiling is None or load.ceiling.can_take(now)
-            for key, placed in load.requests.items()
-            if placed.is_batch
-        ]
-        if not candidates:
+        pool = self._get_pool(request.service)
+        found = pool.find_evictable(request, now)
+        if found is None:
             return None
-        _, key, load = max(candidates, key=lambda item: item[:2])
-        load.remove(key, now)
+        key, load = found
+        pool.remove_request(load, key, now)
         self._placements.pop(key, None)
         self._occupy(load, request, False, now)
         return Grant(request, load.instance, key)
@@ -435,8 +395,7 @@
     def _count_late_slots(self, service: str, now: float) -> float:
         """Return how many slots late requests may have."""
         slot_seconds = self.estimate_slot_seconds(service)
-        usable = self._list_usable(service, "")
-        slots = sum(load.estimate_capacity(slot_seconds) for load in usable)
+        slots = self._get_pool(service).estimate_capacity("", slot_seconds)
         left_over = slots - self._arrivals.measure_rate(service, now) * slot_seconds
         if not self._arrivals.has_full_window(now):
             left_over = min(left_over, slots * STARTUP_LATE_SHARE)
@@ -455,10 +414,12 @@
         placed = PlacedRequest(
             request.request_id, request.customer, now, is_batch, request.is_late
         )
-        load.add(request.key, placed)
+        service = load.instance.service
+        self._pools[service].add_request(load, request.key, placed)
         self._placements[request.key] = load.instance.id
         if not is_batch:
-            self._online_counts[load.instance.service, request.customer] += 1
+            self._online_counts[service, request.customer] += 1
+            self._update_running(service, request.customer)
 
     # Waiting and refusals.
 
@@ -473,8 +434,8 @@
     def _estimate_wait(self, request: SlotRequest, ahead: int, now: float) -> float:
         """Return the expected wait in seconds of a request with `ahead` before it."""
         slot_seconds = self.estimate_slot_seconds(request.service)
-        usable = self._list_usable(request.service, request.version)
-        slots = sum(load.estimate_capacity(slot_seconds) for load in usable)
+        pool = self._get_pool(request.service)
+        slots = pool.estimate_capacity(request.version, slot_seconds)
         if request.is_late and not request.is_resumed:
             slots = min(slots, self._count_late_slots(request.service, now))
         if not slots:
@@ -482,11 +443,8 @@
         return (ahead + 1) * slot_seconds / slots
 
     def _check_wait(self, request: SlotRequest, now: float) -> Refusal | None:
-        precedence = _get_precedence(request)
-        ahead = sum(
-            each.service == request.service and _get_precedence(each) <= precedence
-            for each in self._waiting
-        )
+        waitlist = self._get_waitlist(request.service)
+        ahead = waitlist.count_ahead(get_precedence(request))
         has_slots = self.count_slots(request.service, request.version) > 0
         wait = self._estimate_wait(request, ahead, now)
         if has_slots and now + wait < request.wait_until:
@@ -502,38 +460,23 @@
         return Refusal(request, bounded, has_no_upstream)
 
     def _place_waiting(self, now: float) -> list[Grant]:
-        """Place waiting requests by rank, then evenly among customers."""
+        """Place waiting requests in order of precedence, then evenly by customer."""
+        return [
+            grant
+            for service, waitlist in self._waitlists.items()
+            if waitlist
+            for grant in self._place_from(service, waitlist, now)
+        ]
+
+    def _place_from(self, service: str, waitlist: Waitlist, now: float) -> list[Grant]:
         grants = []
-        blocked: set[tuple[str, bool, bool, str]] = set()
-        while True:
-            waiting = [
-                request
-                for request in self._waiting
-                if _get_block_key(request) not in blocked
-            ]
-            if not waiting:
-                return grants
-            request = min(waiting, key=self._get_sort_key)
+        blocked: set[LineKey] = set()
+        while (request := waitlist.find_first(blocked)) is not None:
             grant = self._try_place(request, now)
             if grant is None:
-                blocked.add(_get_block_key(request))
+                blocked.add(get_line_key(request))
                 continue
-            self._waiting.remove(request)
+            running = self._online_counts[service, request.customer]
+            waitlist.remove(request.key, running)
             grants.append(grant)
-
-    def _get_sort_key(self, request: SlotRequest) -> tuple[bool, int, bool, int, float]:
-        running = self._online_counts[request.service, request.customer]
-        return (*_get_precedence(request), running, request.arrived)
-
-
-def _get_precedence(request: SlotRequest) -> tuple[bool, int, bool]:
-    """Return the part of the sort key that doesn't depend on running requests.
-
-    The lowest key is placed first.
-    """
-    return (not request.is_resumed, request.rank, request.is_late)
-
-
-def _get_block_key(request: SlotRequest) -> tuple[str, bool, bool, str]:
-    """Return the key that requests share if none of them can be placed."""
-    return (request.service, request.is_late, request.is_resumed, request.version)
+        return grants
--- /dev/null
+++ b/sapphireseam/policy/waitlist.py
@@ -0,0 +1,153 @@
+"""Keeps the requests that wait for a slot of one service in order of precedence.
+
+Continued streams go first, then the lowest rank, then those that can still be on time.
+Among these, requests of the customer with fewer running requests go first, then those
+that arrived first.
+
+Requests that differ only in their customer and rank form a line: if the first of them
+can't be placed, none of the line can. Finding the next request takes time in the
+number of lines, which is small, and not in the number of waiting requests.
+"""
+
+import itertools
+from typing import NamedTuple
+
+from sortedcontainers import SortedList
+
+from sapphireseam.policy.slot import SlotRequest
+
+
+class LineKey(NamedTuple):
+    """What requests share if none of them can be placed."""
+
+    is_resumed: bool
+    is_late: bool
+    version: str
+
+
+class Precedence(NamedTuple):
+    """The order of requests, whatever their customers; the lowest goes first."""
+
+    is_new: bool
+    rank: int
+    is_late: bool
+
+
+def get_line_key(request: SlotRequest) -> LineKey:
+    """Return the key of the line in which a request waits."""
+    return LineKey(request.is_resumed, request.is_late, request.version)
+
+
+def get_precedence(request: SlotRequest) -> Precedence:
+    """Return the part of a request's order that doesn't change while it waits."""
+    return Precedence(not request.is_resumed, request.rank, request.is_late)
+
+
+class _Line:
+    """The requests of one line and rank, by customer."""
+
+    def __init__(self):
+        # Each customer's requests by their number, the first to arrive first.
+        self._requests: dict[str, dict[int, SlotRequest]] = {}
+        # The position of each customer: its running requests, then the number of its
+        # first waiting one.
+        self._positions: dict[str, tuple[int, int, str]] = {}
+        self._order: SortedList = SortedList()
+
+    def add(self, number: int, request: SlotRequest, running: int) -> None:
+        self._requests.setdefault(request.customer, {})[number] = request
+        self.place(request.customer, running)
+
+    def remove(self, number: int, request: SlotRequest, running: int) -> None:
+        del self._requests[request.customer][number]
+        self.place(request.customer, running)
+
+    def place(self, customer: str, running: int) -> None:
+        """Update the position of a customer, if any of its requests waits here."""
+        requests = self._requests.get(customer)
+        if requests is None:
+            return
+        former = self._positions.pop(customer, None)
+        if former is not None:
+            self._order.remove(former)
+        if not requests:
+            del self._requests[customer]
+            return
+        position = (running, next(iter(requests)), customer)
+        self._positions[customer] = position
+        self._order.add(position)
+
+    def find_first(self) -> tuple[int, int, SlotRequest] | None:
+        """Return the first request behind its sort key, or None."""
+        if not self._order:
+            return None
+        running, number, customer = self._order[0]
+        return running, number, self._requests[customer][number]
+
+
+class Waitlist:
+    """The requests that wait for a slot of one service."""
+
+    def __init__(self):
+        self._numbers = itertools.count()
+        # All requests with their numbers, in order of arrival.
+        self._requests: dict[str, tuple[int, SlotRequest]] = {}
+        self._lines: dict[tuple[LineKey, int], _Line] = {}
+        self._counts: dict[Precedence, int] = {}
+
+    def __len__(self) -> int:
+        return len(self._requests)
+
+    def get(self, key: str) -> SlotRequest | None:
+        """Return the waiting request with a key, or None."""
+        _, request = self._requests.get(key, (0, None))
+        return request
+
+    def add(self, request: SlotRequest, running: int) -> None:
+        """Add a request of a customer with so many running requests."""
+        number = next(self._numbers)
+        self._requests[request.key] = (number, request)
+        line = self._lines.setdefault((get_line_key(request), request.rank), _Line())
+        line.add(number, request, running)
+        precedence = get_precedence(request)
+        self._counts[precedence] = self._counts.get(precedence, 0) + 1
+
+    def remove(self, key: str, running: int) -> None:
+        """Remove a request."""
+        number, request = self._requests.pop(key)
+        self._lines[get_line_key(request), request.rank].remove(
+            number, request, running
+        )
+        precedence = get_precedence(request)
+        self._counts[precedence] -= 1
+        if not self._counts[precedence]:
+            del self._counts[precedence]
+
+    def update_running(self, customer: str, running: int) -> None:
+        """Record how many requests of a customer are running."""
+        for line in self._lines.values():
+            line.place(customer, running)
+
+    def count_ahead(self, precedence: Precedence) -> int:
+        """Return how many requests go before a new one of this precedence."""
+        return sum(
+            count for other, count in self._counts.items() if other <= precedence
+        )
+
+    def find_first(self, blocked: set[LineKey]) -> SlotRequest | None:
+        """Return the request that is placed next, except those of blocked lines."""
+        best = None
+        for (line_key, _), line in self._lines.items():
+            first = None if line_key in blocked else line.find_first()
+            if first is None:
+                continue
+            running, number, request = first
+            order = (get_precedence(request), running, number)
+            if best is None or order < best[0]:
+                best = (order, request)
+        return best[1] if best is not None else None
+
+    def list_expired(self, now: float) -> list[SlotRequest]:
+        """Return the requests that have waited for too long."""
+        requests = (request for _, request in self._requests.values())
+        return [request for request in requests if request.wait_until <= now]
