Send the view to each entry once when many attach to a new leader

Callers saw: while a new leader takes over a large fleet, requests wait for it or are placed by entries alone.

Cause: each entry that attached made the leader send all instances to all entries, so 60 entries cost it 1,890 messages with all instances just when they all need it; each change of the list cost as many messages as there are entries, beside ten heartbeats a second to each.

Change: an entry that attaches gets the view at once, the others with the next heartbeat, in its place. A heartbeat is left out if the entry got a message in the last 0.05 s; the longest silence stays below LEADER_STALE_SECONDS.

--- a/sapphireseam/control/placement.py
+++ b/sapphireseam/control/placement.py
@@ -28,6 +28,8 @@
 
 # How often the leader tells each entry that it still leads, in seconds.
 HEARTBEAT_PERIOD_SECONDS = 0.1
+# A message within this time before a heartbeat shows the same.
+HEARTBEAT_SKIP_SECONDS = 0.05
 # How often waiting requests are checked for expiry, in seconds.
 EXPIRE_PERIOD_SECONDS = 0.02
 # Probe period and timeout, in seconds, for ejected upstreams and for load checks.
@@ -65,11 +67,29 @@
 class _EntrySession:
     """The stream of one connected entry."""
 
-    def __init__(self, first: placement.Attach, stream: rpc.Stream, session: int):
+    def __init__(
+        self,
+        first: placement.Attach,
+        stream: rpc.Stream,
+        session: int,
+        timer: TimerService,
+    ):
         self.name = first.entry
         self.domain = first.domain
-        self.stream = stream
         self.session = session
+        self._stream = stream
+        self._timer = timer
+        self._posted_at = -math.inf
+
+    def post(self, item: object) -> None:
+        """Send a message."""
+        self._posted_at = self._timer.read_clock()
+        self._stream.post(item)
+
+    @property
+    def silence(self) -> float:
+        """Return the seconds since the last message to the entry."""
+        return self._timer.read_clock() - self._posted_at
 
     def make_key(self, number: int) -> str:
         """Return the allocator's key of one of the entry's requests."""
@@ -108,6 +128,8 @@
         self._timer = timer
         self._entries: dict[int, _EntrySession] = {}
         self._next_session = 0
+        # Whether the entries get the view with the next heartbeat.
+        self._is_view_due = False
         self._origins = origin.StreamOrigins()
         # The time until which each instance's load is reconciled.
         self._reconcile_until: dict[str, float] = {}
@@ -184,7 +206,7 @@
                 self._reconcile_until[instance.id] = now + RECONCILE_SECONDS
             self._tasks.spawn(self._reconcile_loads())
         self._send_decisions(self.allocator.update(instances, now))
-        self._send_view()
+        self._is_view_due = True
         self.on_slot_free()
 
     # Entries' streams.
@@ -193,11 +215,13 @@
         """Serve one entry until either side closes the stream."""
         self._require_leader()
         self._next_session += 1
-        entry = _EntrySession(first, stream, self._next_session)
+        entry = _EntrySession(first, stream, self._next_session, self._timer)
         self._entries[entry.session] = entry
         open_numbers: set[int] = set()
         self._add_running(entry, first, open_numbers)
-        self._send_view()
+        entry.post(self._make_view())
+        # The others learn only how many entries there are.
+        self._is_view_due = True
         logger.info("entry attached", extra={"entry": entry.name})
         try:
             while True:
@@ -461,7 +485,7 @@
             if entry is None:
                 continue
             if isinstance(decision, allocator.Grant):
-                entry.stream.post(placement.Placed(int(number), decision.instance))
+                entry.post(placement.Placed(int(number), decision.instance))
             else:
                 failure = _make_error(decision)
                 self._send_refusal(
@@ -481,7 +505,7 @@
                 "retry_after": failure.retry_after,
             },
         )
-        entry.stream.post(
+        entry.post(
             placement.Turned(
                 number, str(failure.kind), failure.message, failure.retry_after
             )
@@ -495,8 +519,15 @@
     async def _send_heartbeats(self) -> None:
         if self._entries and not self._replica.is_leader:
             self._redirect_entries()
+        is_view_due, self._is_view_due = self._is_view_due, False
+        if is_view_due:
+            view = self._make_view()
+            for entry in self._entries.values():
+                entry.post(view)
+            return
         for entry in self._entries.values():
-            entry.stream.post(placement.Beat())
+            if entry.silence >= HEARTBEAT_SKIP_SECONDS:
+                entry.post(placement.Beat())
 
     def _redirect_entries(self) -> None:
         """Tell every entry to connect to another leader."""
@@ -504,14 +535,11 @@
         text = "this control VM is no longer the leader"
         failure = rpc.pack_failure(error.NotLeaderError(text, leader))
         for entry in self._entries.values():
-            entry.stream.post(failure)
+            entry.post(failure)
 
-    def _send_view(self) -> None:
+    def _make_view(self) -> placement.View:
         control = tuple(member.address for member in self._replica.members)
-        count = len(self._entries)
-        view = placement.View(self.allocator.instances, control, count)
-        for entry in self._entries.values():
-            entry.stream.post(view)
+        return placement.View(self.allocator.instances, control, len(self._entries))
 
 
 def _get_origin(item: placement.Began) -> origin.Origin:
--- /dev/null
+++ b/sapphireseam/control/placement_test.py
@@ -0,0 +1,101 @@
+"""Test what the leader sends to the entries."""
+
+import asyncio
+import itertools
+import unittest
+
+from sapphireseam.control import placement as placements
+from sapphireseam.control.machine import StateMachine
+from sapphireseam.core import placement
+from sapphireseam.core.instance import Instance
+from sapphireseam.tools.fake import FakeReplica
+from sapphireseam.utils.timer import FakeTimer
+
+INSTANCE = Instance("i1", "llm", "10.0.0.1:80", "z", 4)
+
+
+class EntryStream:
+    """Record what the leader sends to an entry."""
+
+    def __init__(self, timer):
+        self.timer = timer
+        self.received = []
+        self.times = []
+
+    def post(self, item):
+        self.received.append(item)
+        self.times.append(self.timer.read_clock())
+
+    async def receive(self):
+        await asyncio.get_running_loop().create_future()
+
+
+class PlacementServerTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.timer = FakeTimer()
+        machine = StateMachine()
+        replica = FakeReplica(machine)
+        replica.leader, replica.members = "", ()
+        self.server = placements.PlacementServer(
+            replica, machine, None, None, None, self.timer
+        )
+        await self.server.start()
+        self.addAsyncCleanup(self.server.stop)
+
+    async def attach(self, count):
+        streams = [EntryStream(self.timer) for _ in range(count)]
+        for number, stream in enumerate(streams):
+            first = placement.Attach(f"e{number}", "z", ())
+            serving = asyncio.create_task(self.server.serve(first, stream))
+            self.addCleanup(serving.cancel)
+        await self.timer.advance(0.0)
+        return streams
+
+    async def advance(self, seconds):
+        for _ in range(round(seconds / 0.02)):
+            await self.timer.advance(0.02)
+
+    def count_views(self, streams):
+        return sum(
+            isinstance(item, placement.View)
+            for stream in streams
+            for item in stream.received
+        )
+
+    async def test_views_do_not_grow_with_the_square_of_the_entries(self):
+        """All entries attach to a new leader at about the same time."""
+        streams = await self.attach(60)
+        self.server.update_instances((INSTANCE,))
+        await self.advance(0.3)
+        self.assertLessEqual(self.count_views(streams), 3 * len(streams))
+        for stream in streams:
+            views = [
+                item for item in stream.received if isinstance(item, placement.View)
+            ]
+            self.assertEqual(views[-1], placement.View((INSTANCE,), (), len(streams)))
+
+    async def test_every_entry_hears_from_the_leader_often_enough(self):
+        streams = await self.attach(3)
+        await self.advance(2.0)
+        for stream in streams:
+            pauses = [b - a for a, b in itertools.pairwise(stream.times)]
+            self.assertLess(max(pauses), 0.2)
+
+    async def test_a_message_replaces_a_heartbeat(self):
+        (stream,) = await self.attach(1)
+        await self.advance(0.3)
+        before = len(stream.received)
+        (entry,) = self.server._entries.values()
+        for _ in range(50):
+            entry.post(placement.Placed(1, INSTANCE))
+            await self.timer.advance(0.02)
+        beats = [
+            item
+            for item in stream.received[before:]
+            if isinstance(item, placement.Beat)
+        ]
+        self.assertLessEqual(len(beats), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
