Confirm the leadership once for the reads of many members

Cause: each process that watches a control VM pings it twice a second, each ping makes the VM ask the leader for a read index, and each of these began a heartbeat round of its own: with 59 entries up to 118 rounds a second to each voter.

Change: the leader waits 0.04 s (0.02 s by default) and confirms all reads of other members that have arrived with one round. Its own reads don't wait.

--- a/sapphireseam/control/application.py
+++ b/sapphireseam/control/application.py
@@ -94,6 +94,7 @@
     "election_max": 0.6,
     "lease": 0.3,
     "call_timeout": 0.2,
+    "read_pause": 0.04,
     "snapshot_bytes": 4 << 20,
     "trailing_entries": 50,
 }
--- a/sapphireseam/state/membership_test.py
+++ b/sapphireseam/state/membership_test.py
@@ -24,8 +24,8 @@
         logging.disable(logging.CRITICAL)
         self.addCleanup(logging.disable, logging.NOTSET)
 
-    async def make_cluster(self, seed=0):
-        sim = cluster.Cluster("abc", seed, voters=3)
+    async def make_cluster(self, seed=0, **options):
+        sim = cluster.Cluster("abc", seed, voters=3, **options)
         await sim.start_all()
         return sim
 
@@ -173,6 +173,41 @@
         intervals = seconds / option.Options().learner_interval + 1
         self.assertLess(many - few, 14 * 1.5 * intervals)
 
+    @async_test
+    async def test_heartbeats_grow_little_with_the_members_that_read(self):
+        """Each process that watches a member makes it read twice a second."""
+        options = option.Options(read_pause=0.04)
+        sim = await self.make_cluster(read_pause=options.read_pause)
+        sim.link_delay_max = 0.001
+        learners = "defghijk"
+        for name in learners:
+            await sim.start(name)
+            await self.announce(sim, name)
+        await sim.advance(2.0)
+        leader = await sim.wait_leader()
+        sent = []
+        record_request = sim.record_request
+
+        def count_request(source, request):
+            if source == leader and isinstance(request, message.HeartbeatRequest):
+                sent.append(request)
+            record_request(source, request)
+
+        async def read(name):
+            for _ in range(20):
+                await sim.timer.sleep(sim.rng.uniform(0.05, 0.15))
+                await sim.replicas[name].read_index()
+
+        sim.record_request = count_request
+        begin = sim.timer.read_clock()
+        await sim.run(asyncio.gather(*(read(name) for name in learners)))
+        seconds = sim.timer.read_clock() - begin
+        voters = 2 * (1 / options.read_pause + 1 / options.heartbeat) * seconds
+        paced = len(learners) / options.learner_interval * seconds
+        self.assertLess(len(sent), 1.1 * (voters + paced))
+        self.check(sim)
+        await sim.close()
+
     @async_test
     async def test_learner_applies_a_command_within_three_intervals(self):
         sim = await self.make_cluster()
--- a/sapphireseam/state/option.py
+++ b/sapphireseam/state/option.py
@@ -18,6 +18,9 @@
     makes these changes. Learners get entries or a heartbeat every
     `learner_interval`, which is shorter than half of `election_min`.
 
+    The leader confirms its leadership once for all reads on other members that arrive
+    within `read_pause`.
+
     `predecessor_ended` is a time on this member's clock at which the process
     that last used this folder had certainly ended: the leases that it granted
     count from this time. Without it they count from the time the folder is read.
@@ -31,6 +34,7 @@
     call_timeout: float = 0.4
     append_timeout: float = 5.0
     learner_interval: float = 0.1
+    read_pause: float = 0.02
     snapshot_entries: int = 1000
     snapshot_bytes: int = 64 << 20
     trailing_entries: int = 200
--- a/sapphireseam/state/replica.py
+++ b/sapphireseam/state/replica.py
@@ -68,6 +68,13 @@
         self._read_index_calls = broadcast.Coalescer(
             self._fetch_read_index, self._node.tasks
         )
+        # The reads on all other members share heartbeat rounds, so that the leader's
+        # work doesn't grow with the members and the processes that watch them.
+        self._confirm_calls = broadcast.Coalescer(
+            self._confirm_index,
+            self._node.tasks,
+            lambda: timer.sleep(options.read_pause),
+        )
         self._node.on_become_leader = self._membership.refresh_peers
         self._node.on_members_changed = self._membership.refresh_peers
 
@@ -198,7 +205,7 @@
 
     async def _answer_read_index(self) -> message.ReadIndexReply:
         try:
-            index = await self._confirm_index()
+            index = await self._confirm_calls.run()
         except error.NotLeaderError as failure:
             return message.ReadIndexReply(False, 0, failure.leader)
         return message.ReadIndexReply(True, index, self._node.name)
--- a/sapphireseam/utils/broadcast.py
+++ b/sapphireseam/utils/broadcast.py
@@ -36,12 +36,17 @@
     """Combines all requests that arrive during a call into the next call.
 
     A request never shares a call that began before the request, so the result
-    is never older than the request.
+    is never older than the request. `pause`, if given, is awaited before each call, so
+    that more requests share it.
     """
 
     def __init__(
-        self, call: Callable[[], Awaitable[Any]], tasks: application.TaskGroup
+        self,
+        call: Callable[[], Awaitable[Any]],
+        tasks: application.TaskGroup,
+        pause: Callable[[], Awaitable[None]] | None = None,
     ):
+        self._pause = pause
         self._call = call
         self._tasks = tasks
         self._next: asyncio.Future | None = None
@@ -59,6 +64,8 @@
     async def _run_calls(self) -> None:
         try:
             while self._next is not None:
+                if self._pause is not None:
+                    await self._pause()
                 future, self._next = self._next, None
                 await self._run_call(future)
         finally:
