Drop the lines of the waiting requests that are empty

Nobody saw it yet: a process that lives through many software versions kept a line for each version, rank and kind of request that ever waited, and looked at all of them for each release.

Change: a line goes with its last request.

--- a/sapphireseam/policy/waitlist.py
+++ b/sapphireseam/policy/waitlist.py
@@ -115,9 +115,11 @@
     def remove(self, key: str, running: int) -> None:
         """Remove a request."""
         number, request = self._requests.pop(key)
-        self._lines[get_line_key(request), request.rank].remove(
-            number, request, running
-        )
+        line_name = (get_line_key(request), request.rank)
+        line = self._lines[line_name]
+        line.remove(number, request, running)
+        if line.find_first() is None:
+            del self._lines[line_name]
         precedence = get_precedence(request)
         self._counts[precedence] -= 1
         if not self._counts[precedence]:
