Refuse waiting streams at once when their version is gone

Cause: only a request that arrives is checked for upstreams of its version.

Change: the check for expired requests refuses those whose version has no upstream any more, as not run and with no upstream left. The test failed before (nothing refused). A second one shows that an upstream which is listed twice has its slots once; it passed before, too.

--- a/sapphireseam/policy/allocator.py
+++ b/sapphireseam/policy/allocator.py
@@ -298,17 +298,31 @@
         return self._place_waiting(now)
 
     def expire(self, now: float) -> list[Refusal]:
-        """Refuse the requests that have waited for too long."""
+        """Refuse the requests that have waited for too long.
+
+        Those whose version serves no more are refused at once.
+        """
         expired = [
             request
-            for waitlist in self._waitlists.values()
-            for request in waitlist.list_expired(now)
+            for service, waitlist in self._waitlists.items()
+            if waitlist
+            for request in waitlist.list_expired(
+                now, self._list_gone_versions(service, waitlist)
+            )
         ]
         for request in expired:
             running = self._online_counts[request.service, request.customer]
             self._waitlists[request.service].remove(request.key, running)
         return [self._refuse(request, now) for request in expired]
 
+    def _list_gone_versions(self, service: str, waitlist: Waitlist) -> set[str]:
+        """Return the versions for which requests wait without any upstream."""
+        return {
+            version
+            for version in waitlist.list_versions()
+            if version and not self.count_slots(service, version)
+        }
+
     def find_instance(self, key: str) -> str:
         """Return the id of the instance where a request holds a slot, or ""."""
         return self._placements.get(key, "")
--- a/sapphireseam/policy/allocator_test.py
+++ b/sapphireseam/policy/allocator_test.py
@@ -157,6 +157,34 @@
         outcome = empty.place(make_request("r"), 0.0)
         self.assertTrue(outcome.has_no_upstream)
 
+    def test_waiting_streams_are_refused_once_their_version_is_gone(self):
+        versions = (("i1", "v1"), ("i2", "v2"))
+        instances = tuple(
+            make_instance(name, slots=1, version=version) for name, version in versions
+        )
+        self.allocator.update(instances, 0.0)
+        for version in ("v1", "v2"):
+            self.allocator.place(make_request(version, version=version), 0.0)
+            stream = make_request(
+                f"s-{version}", patience=9.0, version=version, is_resumed=True
+            )
+            self.assertIsNone(self.allocator.place(stream, 0.0))
+        self.assertEqual(self.allocator.expire(0.1), [])
+        self.allocator.update(instances[1:], 0.2)
+        (refusal,) = self.allocator.expire(0.3)
+        self.assertEqual(refusal.request.key, "s-v1")
+        self.assertTrue(refusal.has_no_upstream)
+        self.assertEqual(self.allocator.count_waiting("llm"), 1)
+
+    def test_an_upstream_that_is_listed_twice_has_its_slots_once(self):
+        instance = make_instance("i1")
+        self.allocator.update((instance, instance), 0.0)
+        self.assertEqual(self.allocator.count_slots("llm"), 2)
+        self.fill(2)
+        self.assertIsNone(self.allocator.place(make_request("w", patience=1.0), 0.0))
+        (grant,) = self.allocator.release("r0", 0.1)
+        self.assertEqual(grant.request.key, "w")
+
     def test_request_that_waited_too_long_is_refused(self):
         self.fill(4)
         self.allocator.place(make_request("late", patience=0.3), 0.0)
--- a/sapphireseam/policy/waitlist.py
+++ b/sapphireseam/policy/waitlist.py
@@ -10,6 +10,7 @@
 """
 
 import itertools
+from collections.abc import Set
 from typing import NamedTuple
 
 from sortedcontainers import SortedList
@@ -149,7 +150,18 @@
                 best = (order, request)
         return best[1] if best is not None else None
 
-    def list_expired(self, now: float) -> list[SlotRequest]:
-        """Return the requests that have waited for too long."""
+    def list_versions(self) -> set[str]:
+        """Return the versions for which requests wait; an empty one means any."""
+        return {line_key.version for line_key, _ in self._lines}
+
+    def list_expired(self, now: float, gone: Set[str]) -> list[SlotRequest]:
+        """Return the requests that have waited for too long.
+
+        Those for a version that is gone have, too.
+        """
         requests = (request for _, request in self._requests.values())
-        return [request for request in requests if request.wait_until <= now]
+        return [
+            request
+            for request in requests
+            if request.wait_until <= now or request.version in gone
+        ]
