Send heartbeats to a learner again once it is a voter

Callers would see: reads and configurations that hang while a quorum needs a member that was promoted under load.

A learner gets no heartbeat while it acknowledges entries; one that was promoted meanwhile stayed in that wait for as long as entries came, so it confirmed no heartbeat round.

Change: the wait ends when the peer isn't a learner any more. Found by reading; the new test, with a voter promoted under load and another one lost, failed before (the leadership wasn't confirmed within 0.5 s).

--- a/sapphireseam/state/membership_test.py
+++ b/sapphireseam/state/membership_test.py
@@ -208,6 +208,33 @@
         self.check(sim)
         await sim.close()
 
+    @async_test
+    async def test_reads_go_on_with_a_voter_that_was_promoted_under_load(self):
+        """A quorum needs the new voter, which gets entries all the time."""
+        sim = await self.make_cluster(learner_interval=0.3)
+        await sim.start("d")
+        await self.announce(sim, "d")
+        await sim.advance(1.0)
+        leader = await sim.wait_leader()
+        first, second = sorted({"a", "b", "c"} - {leader})
+
+        async def propose_forever():
+            number = 0
+            while True:
+                number += 1
+                await sim.propose(leader, b"%d" % number)
+
+        sim.link_delay_max = 0.001
+        work = sim.spawn(propose_forever())
+        await sim.kill(first)
+        await self.wait_voters(sim, sorted({leader, second, "d"}), 6.0)
+        await sim.kill(second)
+        for _ in range(5):
+            await sim.run(sim.replicas[leader].confirm_leadership(), 0.5)
+        work.cancel()
+        self.check(sim)
+        await sim.close()
+
     @async_test
     async def test_learner_applies_a_command_within_three_intervals(self):
         sim = await self.make_cluster()
--- a/sapphireseam/state/peer.py
+++ b/sapphireseam/state/peer.py
@@ -127,7 +127,11 @@
         node = self._node
         interval = node.options.learner_interval
         await node.timer.sleep(interval)
-        while self.is_active and node.timer.read_clock() - self.acked_at < interval:
+        while (
+            self.is_active
+            and self._is_paced
+            and node.timer.read_clock() - self.acked_at < interval
+        ):
             await node.timer.sleep(interval)
 
     def _process_reply(self, reply, sent_at: float, sent_round: int) -> bool:
