Log and count answers that are cut, and when a configuration comes into force

What callers saw: a stream that had begun ended early. The entry's log said only "request failed", as for a refusal: not whether the answer had begun, what ended its last attempt, for how long its upstream had been silent, or whether the configuration changed meanwhile, so the hypotheses couldn't be told apart.

Now the entry logs "answer cut" with the cause of the last attempt, the seconds of silence and the revision by which the request was authorized, counts these answers by cause (seam_cut_answers_total), and logs each revision as it comes into force. No decision changes. The new test fails without the change; it passes for a broken and for a stalled stream.

--- a/sapphireseam/entry/authorizer.py
+++ b/sapphireseam/entry/authorizer.py
@@ -25,6 +25,8 @@
     route: fleet.Route
     customer: str
     rank: int
+    # The revision of the configuration that allowed the request.
+    revision: int = 0
 
 
 class Authorizer:
@@ -103,12 +105,11 @@
     def _authorize_cached(self, host: str, path: str, key_text: str) -> Authorization:
         name, route = routedrequest.find_route(self._mirror.fleet, path, host)
         if route.open:
-            return Authorization(name, route, "", route.rank)
+            return Authorization(name, route, "", route.rank, self._mirror.revision)
         customer = self.identify(key_text)
         rank = self._mirror.fleet.customers[customer].rank
-        return Authorization(
-            name, route, customer, route.rank if rank is None else rank
-        )
+        rank = route.rank if rank is None else rank
+        return Authorization(name, route, customer, rank, self._mirror.revision)
 
     def identify(self, key_text: str) -> str:
         """Return the customer of a key, or raise `AccessError`."""
--- a/sapphireseam/entry/direct.py
+++ b/sapphireseam/entry/direct.py
@@ -14,6 +14,8 @@
 import functools
 import logging
 import random
+from collections import Counter
+from enum import StrEnum
 from typing import NamedTuple
 
 from sapphireseam.core import error, fleet, trait
@@ -82,6 +84,8 @@
     fingerprint: str = ""
     parts: tuple[str, ...] = ()
     model: str = ""
+    # The revision of the configuration by which the request was authorized.
+    revision: int = 0
 
     def make_traits(self) -> tuple[str, ...]:
         """Return the traits by which requests that crash upstreams are recognised."""
@@ -94,6 +98,16 @@
         return 0.0 < self.route.target < self.waited
 
 
+class CutCause(StrEnum):
+    """What ended the last attempt of an answer that was cut."""
+
+    SILENT = "silent"
+    BROKEN = "broken"
+    REFUSED = "refused"
+    MALFORMED = "malformed"
+    DEADLINE = "deadline"
+
+
 class _Progress:
     """Track one request over its attempts."""
 
@@ -117,8 +131,12 @@
         self.origin: Instance | None = None
         # Events that were passed on, over all attempts.
         self.events = 0
+        # When events were passed on last, on the entry's monotonic clock.
+        self.event_at = 0.0
         # The answer of the newest attempt.
         self.answer: outbound.Answer | None = None
+        # Why the last failed attempt failed.
+        self.failure: outbound.OutboundError | None = None
 
     def describe(self) -> dict[str, object]:
         """Return what was received, for the log."""
@@ -169,6 +187,11 @@
         self._upstreams = upstreams
         self._timer = timer
         self._rng = rng
+        self._cuts: Counter[CutCause] = Counter()
+        meter.read_many(
+            metric.CUT,
+            lambda: [(self._cuts[each], {"cause": str(each)}) for each in CutCause],
+        )
 
     async def serve(self, request: DirectRequest, sink: Sink) -> None:
         """Deliver the complete answer, or raise the final error.
@@ -184,6 +207,8 @@
             await self._serve_in_time(request, progress, sink)
         except error.SeamError as failure:
             self._observe(request, failure.answer.status)
+            if progress.has_begun:
+                self._record_cut(request, progress, failure)
             raise
         finally:
             self._gate.release(request.id)
@@ -194,6 +219,26 @@
         labels = {"route": request.route_name, "status": str(status)}
         self._meter.observe(metric.REQUEST, took, **labels)
 
+    def _record_cut(
+        self, request: DirectRequest, progress: _Progress, failure: error.SeamError
+    ) -> None:
+        """Count and log an answer that ends early."""
+        cause = _classify_cut(progress, failure)
+        self._cuts[cause] += 1
+        now = self._timer.read_clock()
+        logger.warning(
+            "answer cut",
+            extra={
+                "request": request.id,
+                "route": request.route_name,
+                "revision": request.revision,
+                "cause": str(cause),
+                "silent": round(now - progress.event_at, 3),
+                "took": round(now - request.arrived, 3),
+                **progress.describe(),
+            },
+        )
+
     async def _serve_in_time(
         self, request: DirectRequest, progress: _Progress, sink: Sink
     ) -> None:
@@ -213,6 +258,7 @@
             if failure is None:
                 self._log_answer(request, progress, slot.instance)
                 return
+            progress.failure = failure
             if progress.crash is not None and not progress.proof.is_proven:
                 # The report of a crash must precede this retry and the caller's own.
                 progress.has_crashed = await asyncio.shield(progress.crash)
@@ -461,7 +507,8 @@
             ]
             if not new_events:
                 continue
-            interval.record(len(new_events), self._timer.read_clock())
+            progress.event_at = self._timer.read_clock()
+            interval.record(len(new_events), progress.event_at)
             progress.exchange.record_received()
             if answer.head.status < FAILURE_STATUS:
                 progress.proof.record_events(len(new_events))
@@ -491,6 +538,20 @@
     return route.target * TARGETS_PER_ATTEMPT or route.timeout
 
 
+def _classify_cut(progress: _Progress, failure: error.SeamError) -> CutCause:
+    """Return what ended the last attempt of an answer that was cut."""
+    if failure.kind is error.Kind.DEADLINE_EXCEEDED:
+        return CutCause.DEADLINE
+    match progress.failure:
+        case outbound.AnswerTimeoutError():
+            return CutCause.SILENT
+        case outbound.BrokenError():
+            return CutCause.BROKEN
+        case outbound.RefusalError():
+            return CutCause.REFUSED
+    return CutCause.MALFORMED
+
+
 def _make_deadline_error(progress: _Progress) -> error.SeamError:
     if progress.runs:
         return error.SeamError("the deadline has passed", error.Kind.DEADLINE_EXCEEDED)
--- a/sapphireseam/entry/direct_test.py
+++ b/sapphireseam/entry/direct_test.py
@@ -188,6 +188,16 @@
         self.assertFalse(self.sink.is_complete)
         self.assertEqual(self.count_runs(), [1, 0])
 
+    async def test_a_cut_answer_is_logged_and_counted_with_its_cause(self):
+        for behaviour, cause in (("cut", "broken"), ("stall", "deadline")):
+            with self.subTest(behaviour), self.assertLogs(direct.logger) as logs:
+                with self.assertRaises(error.SeamError):
+                    await self.serve(STREAM, behaviour, revision=7, seconds=0.3)
+                cut = logs.records[-1]
+                self.assertEqual(cut.getMessage(), "answer cut")
+                self.assertEqual((cut.cause, cut.revision), (cause, 7))
+                self.assertEqual(self.forwarder._cuts[cause], 1)
+
     async def test_an_unframed_stream_is_passed_on(self):
         await self.serve(STREAM, "unframed")
         self.check_events()
--- a/sapphireseam/platform/front.py
+++ b/sapphireseam/platform/front.py
@@ -156,6 +156,7 @@
             ),
             dialect.read_parts(request.headers),
             request.headers.get(dialect.MODEL, ""),
+            authorization.revision,
         )
         return await self._forward(request, direct_request)
 
--- a/sapphireseam/utils/metric.py
+++ b/sapphireseam/utils/metric.py
@@ -162,6 +162,20 @@
     "1 if the upstream answers its health check, else 0.",
     "0: restart the upstream, or drain it and remove it from the configuration.",
 )
+CUT = Metric(
+    "seam.cut_answers",
+    Form.COUNTER,
+    "",
+    ("cause",),
+    _ENTRY,
+    "Answers of discovered upstreams that were cut after they had begun, by what ended"
+    " the last attempt: `silent` (the upstream sent nothing for too long), `broken`"
+    " (it broke the connection), `refused` (it didn't continue the answer),"
+    " `malformed` or `deadline`.",
+    "Rises: look up `answer cut` in the entry's log; `revision` there tells whether"
+    " the configuration changed meanwhile.",
+    is_discovery=True,
+)
 PLACEMENT = Metric(
     "seam.place.duration",
     Form.HISTOGRAM,
@@ -337,6 +351,7 @@
     WAITING,
     SLOTS,
     HEALTHY,
+    CUT,
     PLACEMENT,
     SERVICE_SLOTS,
     EJECTED,
--- a/sapphireseam/utils/mirror.py
+++ b/sapphireseam/utils/mirror.py
@@ -254,6 +254,8 @@
             raise error.ConfigurationError(fleet.render_findings(findings))
         if revision > self.revision:
             self._timeline.record("in_force", revision=revision)
+            detail = {"revision": revision, "former": self.revision}
+            logger.info("configuration in force", extra=detail)
         self._document = document
         self.fleet = parsed
         self.revision = revision
