Show that a pause of a sound upstream ends begun streams

What callers saw: a stream that had begun ended early, or a request ended with an error, because its upstream sent nothing for a second, although it was sound and went on 0.3 s later. These six tests play a pause of 1.3 s before the head, before the first event and between events: with each upstream pausing, in the only or last attempt, and with no free slot or no upstream of the version elsewhere.

--- a/sapphireseam/entry/direct_test.py
+++ b/sapphireseam/entry/direct_test.py
@@ -32,6 +32,8 @@
         self.streams = []
         self.leaving = []
         self.refusal = None
+        # The only upstream that has free slots, if it is set.
+        self.only = ""
 
     async def place(self, spec):
         self.specs.append(spec)
@@ -41,6 +43,10 @@
         fitting = [u for u in self.upstreams if version in ("", u.version)]
         if not fitting:
             raise error.CapacityError("no upstream of this version")
+        if self.only:
+            if self.only in spec.excluded:
+                raise error.CapacityError("no free slot")
+            fitting = [u for u in fitting if u.name == self.only]
         usable = [u for u in fitting if u.name not in spec.excluded]
         chosen = (usable or fitting)[0]
         return HeldSlot(len(self.specs), "r", chosen.instance, spec.customer)
@@ -76,7 +82,7 @@
         self.is_complete = True
 
 
-class DirectForwarderTest(unittest.IsolatedAsyncioTestCase):
+class DirectForwarderTestCase(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.upstreams = [fakeupstream.FakeUpstream(name) for name in ("u1", "u2")]
         for upstream in self.upstreams:
@@ -140,6 +146,8 @@
         self.assertEqual(self.sink.body, expected)
         self.assertTrue(self.sink.is_complete)
 
+
+class DirectForwarderTest(DirectForwarderTestCase):
     async def test_a_stream_is_passed_on(self):
         await self.serve(STREAM)
         self.check_events()
@@ -461,5 +469,45 @@
         self.assertEqual(self.placer.released, [("u1", False)])
 
 
+class PauseTest(DirectForwarderTestCase):
+    """A sound upstream may send nothing for a while and then go on."""
+
+    async def serve_paused(self, route, *behaviours, seconds=6.0):
+        self.sink = FakeSink()
+        for upstream, behaviour in zip(self.upstreams, behaviours, strict=False):
+            upstream.behaviours = [behaviour]
+        await self.forwarder.serve(self.make_request(route, seconds), self.sink)
+        self.check_events()
+
+    async def test_a_stream_isnt_cut_if_each_upstream_pauses_between_events(self):
+        await self.serve_paused(RESUMABLE, "pause", "pause")
+
+    async def test_a_stream_isnt_refused_if_each_upstream_pauses_before_it_begins(self):
+        for behaviour in ("pause-head", "pause-start"):
+            await self.serve_paused(RESUMABLE, behaviour, behaviour)
+
+    async def test_a_pause_in_the_last_attempt_doesnt_end_it(self):
+        for behaviour in ("pause-head", "pause-start", "pause"):
+            await self.serve_paused(RESUMABLE._replace(attempts=1), behaviour)
+            self.assertEqual(self.count_runs()[1], 0)
+
+    async def test_a_paused_stream_isnt_cut_if_no_other_upstream_is_free(self):
+        self.placer.only = "u1"
+        for behaviour in ("pause-head", "pause-start", "pause"):
+            before = self.count_runs()
+            await self.serve_paused(RESUMABLE, behaviour)
+            self.assertEqual(self.count_runs(), [before[0] + 1, 0])
+
+    async def test_a_paused_stream_isnt_cut_if_no_other_upstream_has_its_version(self):
+        self.upstreams[0].version, self.upstreams[1].version = "v1", "v2"
+        await self.serve_paused(RESUMABLE, "pause")
+        self.assertEqual(self.count_runs(), [1, 0])
+
+    async def test_a_paused_plain_answer_isnt_lost_if_no_other_upstream_is_free(self):
+        self.placer.only = "u1"
+        await self.serve_paused(SAFE, "pause-head")
+        self.assertEqual(self.count_runs(), [1, 0])
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/sapphireseam/utils/fakeupstream.py
+++ b/sapphireseam/utils/fakeupstream.py
@@ -26,6 +26,8 @@
 HEALTH_PATH = "/"
 # How long a silent upstream sends nothing, in seconds.
 SILENT_SECONDS = 30.0
+# How long an upstream that pauses sends nothing before it goes on, in seconds.
+PAUSE_SECONDS = 1.3
 
 
 class FakeDialect:
@@ -93,6 +95,9 @@
     `impossible` (422), `drop` (closes without an answer), `silent` (no answer),
     `cut` (closes within the third event), `stall` (sends nothing after the second
     event), `stale` (answers another request), `stale-refuse` (refuses another one).
+    A sound upstream may pause for `PAUSE_SECONDS` and then go on: `pause-head` (before
+    the head of its answer), `pause-start` (before the first event), `pause` (after the
+    first event).
 
     Answers without length or chunks, which end with their connection: `unframed`
     (complete), `unframed-cut` (closes within the third event), `unframed-empty`
@@ -285,6 +290,8 @@
         is_framed = not behaviour.startswith("unframed")
         ending = behaviour.removeprefix("unframed-")
         coding = b"Transfer-Encoding: chunked\r\n" if is_framed else b""
+        if behaviour == "pause-head":
+            await asyncio.sleep(PAUSE_SECONDS)
         writer.write(
             b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
             + f"{ID}: {run.id}\r\nFake-By: {self.name}\r\n".encode()
@@ -299,6 +306,8 @@
                 return await self._crash_later(run)
             if self.event_delay:
                 await asyncio.sleep(self.event_delay)
+            if number - start == {"pause-start": 0, "pause": 1}.get(behaviour):
+                await asyncio.sleep(PAUSE_SECONDS)
             if writer.is_closing() or reader.at_eof():
                 self.dropped.append(run.id)
                 return False
