Leave a silent upstream only for a slot at another one

What callers saw: a resumable stream was cut, or a request that may be repeated got an error, because its upstream sent nothing for a second, although it was sound, went on 0.3 s later, and nothing else could answer: no attempt was left, no slot was free, or no other upstream had the version.

Cause: silence was taken for the loss of the upstream. The attempt was given up first, and only then was it asked whether the request may go on elsewhere.

Now the entry goes on listening while it looks for a slot at another upstream. If data comes first, the search is dropped. If the slot comes first, the silent run is closed and the request goes on there, as before. Without a further attempt nothing is looked for. So silence alone ends no answer any more; the deadline does.

--- a/sapphireseam/control/bulkrunner.py
+++ b/sapphireseam/control/bulkrunner.py
@@ -31,6 +31,7 @@
 REVIEW_SECONDS = 0.25
 # An item's connection is closed after this many seconds without data.
 IDLE_TIMEOUT_SECONDS = 3.0
+IDLE_PATIENCE = outbound.limit_silence(IDLE_TIMEOUT_SECONDS)
 # Delay before an item is retried, in seconds. It doubles with each broken connection
 # of the item, this many times. A refused or failed item waits for the minimum.
 MIN_BACKOFF_SECONDS = 0.2
@@ -466,9 +467,8 @@
             resume_after=progress.last_event,
         )
         started_at, events_before = self._timer.read_clock(), progress.event_count
-        async with self._upstreams.send(
-            request, instance, IDLE_TIMEOUT_SECONDS
-        ) as answer:
+        exchange = self._upstreams.send(request, instance, IDLE_PATIENCE)
+        async with exchange as answer:
             if answer.head.is_not_run:
                 raise outbound.RefusalError("the upstream refused the item", True)
             if answer.head.status != STATUS_DONE:
@@ -506,10 +506,10 @@
     ) -> None:
         if not answer.head.is_stream:
             progress.reset()
-            body = await answer.read_all(MAX_RESULT_BYTES, IDLE_TIMEOUT_SECONDS)
+            body = await answer.read_all(MAX_RESULT_BYTES, IDLE_PATIENCE)
             progress.data.append(body)
             return
-        async for events in answer.read_events(IDLE_TIMEOUT_SECONDS):
+        async for events in answer.read_events(IDLE_PATIENCE):
             for received in events:
                 progress.append_event(received)
             if progress.size > MAX_OUTPUT_BYTES:
--- a/sapphireseam/entry/direct.py
+++ b/sapphireseam/entry/direct.py
@@ -23,6 +23,7 @@
 from sapphireseam.entry.delivery import Sink
 from sapphireseam.entry.placer import HeldSlot, Placer, SlotSpec
 from sapphireseam.entry.quarantine import QuarantineGate
+from sapphireseam.entry.silence import SilenceWatch
 from sapphireseam.utils import crash, metric, outbound
 from sapphireseam.utils.timer import TimerService
 
@@ -41,12 +42,12 @@
 LATE_WAIT_SHARE = 0.3
 # Share of the time to its deadline that a request which continues a stream may wait.
 RESUMED_WAIT_SHARE = 0.5
-# An upstream that sends nothing on a stream for this long is treated as lost, and a
-# resumable stream continues at another one.
+# An upstream that sends nothing on a stream for this long is silent: a resumable stream
+# continues at another one, if that has a free slot.
 STREAM_SILENCE_SECONDS = 1.0
 # An upstream that sends nothing of a plain answer for this multiple of the route's
-# target is treated as silent, and an idempotent request may be retried at another
-# one.
+# target is silent: an idempotent request is retried at another one, if that has a free
+# slot.
 TARGETS_PER_ATTEMPT = 2.5
 # Metrics count every delivered answer under this status, whatever its own status.
 DELIVERED_STATUS = 200
@@ -127,6 +128,8 @@
         self.is_counted = False
         self.has_begun = False
         self.last_event = resume_after
+        # The slot for which a silent upstream was left.
+        self.next_slot: HeldSlot | None = None
         # The upstream at which the stream began or went on.
         self.origin: Instance | None = None
         # Events that were passed on, over all attempts.
@@ -138,6 +141,11 @@
         # Why the last failed attempt failed.
         self.failure: outbound.OutboundError | None = None
 
+    def take_slot(self) -> HeldSlot | None:
+        """Return the slot for which a silent upstream was left, if any."""
+        slot, self.next_slot = self.next_slot, None
+        return slot
+
     def describe(self) -> dict[str, object]:
         """Return what was received, for the log."""
         answer = self.answer.describe() if self.answer is not None else {}
@@ -211,6 +219,8 @@
                 self._record_cut(request, progress, failure)
             raise
         finally:
+            if (slot := progress.take_slot()) is not None:
+                self._placer.release(slot)
             self._gate.release(request.id)
         self._observe(request, DELIVERED_STATUS)
 
@@ -252,7 +262,9 @@
         self, request: DirectRequest, progress: _Progress, sink: Sink
     ) -> None:
         while True:
-            slot = await self._acquire_admitted(request, progress)
+            slot = progress.take_slot()
+            if slot is None:
+                slot = await self._acquire_admitted(request, progress)
             progress.offers += 1
             failure = await self._attempt(request, progress, slot, sink)
             if failure is None:
@@ -415,16 +427,17 @@
             self._placer.report_silent,
             slot.instance,
         )
+        watch = self._watch_silence(request, progress, slot.instance)
         try:
-            silence_limit = self._choose_silence_limit(request, progress)
-            exchange = self._upstreams.send(outgoing, slot.instance, silence_limit)
+            exchange = self._upstreams.send(outgoing, slot.instance, watch.wait)
             async with exchange as answer:
                 silence_timer.cancel()
                 progress.answer = answer
                 await self._deliver_answer(
-                    request, progress, slot, answer, sink, interval, silence_limit
+                    request, progress, slot, answer, sink, interval, watch.wait
                 )
         except outbound.OutboundError as failure:
+            progress.next_slot = watch.take_slot()
             is_suspect = not isinstance(failure, outbound.RefusalError)
             is_refusal = not is_suspect and failure.is_not_run
             is_full = is_refusal and not isinstance(failure, outbound.LeavingError)
@@ -443,15 +456,41 @@
             self._placer.release(slot, is_suspect, interval.mean_seconds, is_full)
         return None
 
+    def _watch_silence(
+        self, request: DirectRequest, progress: _Progress, instance: Instance
+    ) -> SilenceWatch:
+        """Return the watch over an attempt's upstream."""
+        return SilenceWatch(
+            self._choose_silence_limit(request, progress),
+            functools.partial(self._find_other_slot, request, progress, instance),
+            self._placer.release,
+            self._timer,
+        )
+
+    async def _find_other_slot(
+        self, request: DirectRequest, progress: _Progress, silent: Instance
+    ) -> HeldSlot:
+        """Return a slot at another upstream than a silent one, or raise an error."""
+        progress.excluded.add(silent.id)
+        slot = await self._acquire_admitted(request, progress)
+        if slot.instance.id == silent.id:
+            self._placer.release(slot)
+            raise error.CapacityError("no other upstream is free")
+        return slot
+
     def _choose_silence_limit(
         self, request: DirectRequest, progress: _Progress
     ) -> float | None:
-        """Return the seconds that the upstream may be silent, or None for no limit."""
-        if not request.route.idempotent:
+        """Return the seconds of silence after which another upstream is looked for.
+
+        None means that the request can't be sent to another one.
+        """
+        is_last = (
+            progress.runs >= request.route.attempts or progress.offers >= MAX_OFFERS
+        )
+        if is_last or not request.route.idempotent:
             return None
-        if request.route.streamed:
-            return STREAM_SILENCE_SECONDS
-        if not request.route.target or progress.runs >= request.route.attempts:
+        if not request.route.streamed and not request.route.target:
             return None
         return _get_answer_timeout(request.route)
 
@@ -463,7 +502,7 @@
         answer: outbound.Answer,
         sink: Sink,
         interval: _EventInterval,
-        silence_limit: float | None,
+        patience: outbound.Patience,
     ) -> None:
         head = answer.head
         if head.is_not_run:
@@ -476,11 +515,9 @@
         if head.status >= SERVER_ERROR_STATUS and may_retry:
             raise outbound.RefusalError(f"the upstream answered {head.status}", False)
         if head.is_stream and request.route.streamed:
-            await self._deliver_events(
-                progress, slot, answer, sink, interval, silence_limit
-            )
+            await self._deliver_events(progress, slot, answer, sink, interval, patience)
         else:
-            body = await answer.read_all(MAX_BUFFERED_BYTES, silence_limit)
+            body = await answer.read_all(MAX_BUFFERED_BYTES, patience)
             # For a plain answer, the interval is the time since the request arrived.
             interval.record(1, request.arrived)
             interval.record(1, self._timer.read_clock())
@@ -497,9 +534,9 @@
         answer: outbound.Answer,
         sink: Sink,
         interval: _EventInterval,
-        silence_limit: float | None,
+        patience: outbound.Patience,
     ) -> None:
-        async for events in answer.read_events(silence_limit):
+        async for events in answer.read_events(patience):
             new_events = [
                 item
                 for item in events
--- a/sapphireseam/utils/outbound.py
+++ b/sapphireseam/utils/outbound.py
@@ -7,11 +7,12 @@
 """
 
 import asyncio
+import functools
 import logging
 import socket
 from collections import Counter
 from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from contextlib import AbstractAsyncContextManager, asynccontextmanager
 from typing import NamedTuple, Protocol
 
 import aiohttp
@@ -25,6 +26,9 @@
 logger = logging.getLogger(__name__)
 
 Headers = tuple[tuple[str, str], ...]
+# Makes a context for one wait for data from an upstream. `TimeoutError` in the context
+# means that the upstream is given up.
+Patience = Callable[[], AbstractAsyncContextManager[object]]
 
 # Timeout for opening a connection, in seconds.
 CONNECT_SECONDS = 0.5
@@ -159,6 +163,15 @@
     """An upstream accepted a request but sent nothing in time."""
 
 
+def limit_silence(seconds: float | None) -> Patience:
+    """Return the patience that gives an upstream up after seconds without data."""
+    return functools.partial(asyncio.timeout, seconds)
+
+
+# Never gives an upstream up.
+ENDLESS_PATIENCE = limit_silence(None)
+
+
 class Answer:
     """An answer whose body can be read in parts, in events or at once."""
 
@@ -200,33 +213,31 @@
         self._received += len(data)
         return data
 
-    async def read_some(self, timeout: float | None = None) -> bytes:
+    async def read_some(self, patience: Patience = ENDLESS_PATIENCE) -> bytes:
         """Return the next bytes, or empty bytes at the end of a complete body.
 
         Raises `OutboundError` if the body ends early or is malformed, and
-        `AnswerTimeoutError` if nothing is received for `timeout` seconds.
+        `AnswerTimeoutError` if nothing is received in time.
         """
         try:
-            async with asyncio.timeout(timeout):
+            async with patience():
                 return await self._read()
         except TimeoutError:
-            raise AnswerTimeoutError(
-                f"nothing received for {timeout:.1f} s", False
-            ) from None
+            raise AnswerTimeoutError("nothing received in time", False) from None
 
     async def read_events(
-        self, timeout: float | None = None
+        self, patience: Patience = ENDLESS_PATIENCE
     ) -> AsyncIterator[list[event.Event]]:
         """Yield the events of the body as they arrive.
 
         Raises `OutboundError` if the body ends early, is malformed, ends inside an
         event or has more than `event.MAX_EVENT_BYTES` without a complete event,
-        `AnswerTimeoutError` if no event is completed for `timeout` seconds, and
+        `AnswerTimeoutError` if no event is completed in time, and
         `EmptyAnswerError` if the body ends with its connection before the first event.
         """
         splitter = event.Splitter()
         has_begun = False
-        while events := await self._read_next_events(splitter, timeout):
+        while events := await self._read_next_events(splitter, patience):
             has_begun = True
             yield events
         if splitter.has_incomplete_event:
@@ -235,12 +246,12 @@
             raise EmptyAnswerError("the answer ended before its first event", False)
 
     async def _read_next_events(
-        self, splitter: event.Splitter, timeout: float | None
+        self, splitter: event.Splitter, patience: Patience
     ) -> list[event.Event]:
         """Return the next complete events, or none at the end of the body."""
         size = 0
         try:
-            async with asyncio.timeout(timeout):
+            async with patience():
                 while data := await self._read():
                     if events := splitter.feed(data):
                         self._record_buffer(0)
@@ -251,9 +262,7 @@
                         text = f"the answer has {size} bytes without an event"
                         raise OutboundError(text, False)
         except TimeoutError:
-            raise AnswerTimeoutError(
-                f"no event received for {timeout:.1f} s", False
-            ) from None
+            raise AnswerTimeoutError("no event received in time", False) from None
         return []
 
     def _record_buffer(self, size: int) -> None:
@@ -263,14 +272,16 @@
             # The upstream did nothing wrong.
             raise RefusalError(str(failure), False) from None
 
-    async def read_all(self, limit: int, timeout: float | None = None) -> bytes:
+    async def read_all(
+        self, limit: int, patience: Patience = ENDLESS_PATIENCE
+    ) -> bytes:
         """Return the complete body; raise if it ends early or exceeds `limit` bytes.
 
         The body counts as buffered until the answer is closed.
         """
         body = bytearray()
         try:
-            while data := await self.read_some(timeout):
+            while data := await self.read_some(patience):
                 body += data
                 self._record_buffer(len(body))
                 if len(body) > limit:
@@ -350,21 +361,21 @@
         self,
         request: Outgoing,
         instance: instances.Instance,
-        timeout: float | None = None,
+        patience: Patience = ENDLESS_PATIENCE,
     ) -> AsyncIterator[Answer]:
         """Send a request and yield its answer.
 
         The connection is closed if the caller doesn't read the answer to its end.
 
         Raises `OutboundError` if no answer to this request is received,
-        `AnswerTimeoutError` if none has begun after `timeout` seconds, and
+        `AnswerTimeoutError` if none has begun in time, and
         `LeavingError` if the upstream has said that it is leaving.
         """
         if (instance.id, instance.born) in self._leaving:
             raise LeavingError("the upstream is leaving", True)
         self._open_requests[instance.address] += 1
         try:
-            async with self._exchange(request, instance, timeout) as answer:
+            async with self._exchange(request, instance, patience) as answer:
                 yield answer
         finally:
             self._open_requests[instance.address] -= 1
@@ -375,14 +386,14 @@
         self,
         request: Outgoing,
         instance: instances.Instance,
-        timeout: float | None,
+        patience: Patience,
     ) -> AsyncIterator[Answer]:
         rate = self._find_rate(instance)
         try:
-            async with asyncio.timeout(timeout):
+            async with patience():
                 response = await self._open(request, instance)
         except TimeoutError:
-            raise AnswerTimeoutError(f"no answer for {timeout:.1f} s", False) from None
+            raise AnswerTimeoutError("no answer in time", False) from None
         if self._dialect.is_leaving(response.headers):
             self._record_leaving(instance)
         buffer = self._buffers.open()
--- a/sapphireseam/utils/outbound_test.py
+++ b/sapphireseam/utils/outbound_test.py
@@ -24,9 +24,11 @@
 
     async def read(self, id="r1", timeout=None):
         request = outbound.Outgoing(id, "c", "h", "POST", "/x", (), b"body")
-        sending = self.pool.send(request, self.upstream.instance, timeout)
+        sending = self.pool.send(
+            request, self.upstream.instance, outbound.limit_silence(timeout)
+        )
         async with sending as answer:
-            return await answer.read_all(1 << 20, timeout)
+            return await answer.read_all(1 << 20, outbound.limit_silence(timeout))
 
     async def test_unlisted_upstream_finishes_its_requests(self):
         self.upstream.event_delay = 0.05
@@ -83,9 +85,10 @@
         address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
         instance = self.upstream.instance._replace(address=address)
         request = outbound.Outgoing("r1", "c", "h", "GET", "/x", (), b"")
+        patience = outbound.limit_silence(timeout)
         with self.assertRaises(outbound.OutboundError) as caught:
-            async with self.pool.send(request, instance, timeout) as received:
-                async for _ in received.read_events(timeout):
+            async with self.pool.send(request, instance, patience) as received:
+                async for _ in received.read_events(patience):
                     pass
         return isinstance(caught.exception, outbound.BrokenError)
 
@@ -234,9 +237,14 @@
 
     async def read_events(self, id="r1", timeout=None):
         request = outbound.Outgoing(id, "c", "h", "POST", "/x", (), b"body")
-        sending = self.pool.send(request, self.upstream.instance, timeout)
+        sending = self.pool.send(
+            request, self.upstream.instance, outbound.limit_silence(timeout)
+        )
         async with sending as answer:
-            return [item async for item in answer.read_events(timeout)]
+            return [
+                item
+                async for item in answer.read_events(outbound.limit_silence(timeout))
+            ]
 
     async def test_an_event_without_end_fails_its_answer(self):
         self.read = self.read_events
