Release the slot that was found for a request as it ended

If a request was cancelled in the very moment in which a slot at another upstream had been found for it, the slot was released by nobody and stayed taken until its entry's stream to the leader ended.

Cause: the wait counts as timed out, so the slot was left to the attempt, which only takes it after an error of the upstream and not after a cancellation.

Now the attempt gives back what it hasn't taken.

--- a/sapphireseam/entry/direct.py
+++ b/sapphireseam/entry/direct.py
@@ -451,6 +451,7 @@
                 self._placer.report_leaving(slot.instance)
             return failure
         finally:
+            watch.close()
             running.close()
             silence_timer.cancel()
             self._placer.release(slot, is_suspect, interval.mean_seconds, is_full)
--- a/sapphireseam/entry/silence.py
+++ b/sapphireseam/entry/silence.py
@@ -46,6 +46,11 @@
         slot, self._slot = self._slot, None
         return slot
 
+    def close(self) -> None:
+        """Release a slot that wasn't taken."""
+        if (slot := self.take_slot()) is not None:
+            self._release(slot)
+
     @contextlib.asynccontextmanager
     async def wait(self) -> AsyncIterator[None]:
         """Wait for data from the upstream.
@@ -69,8 +74,8 @@
             handle.cancel()
             for task in searching:
                 task.cancel()
-            if not scope.expired() and (slot := self.take_slot()) is not None:
-                self._release(slot)
+            if not scope.expired():
+                self.close()
 
     async def _search(self, scope: asyncio.Timeout) -> None:
         """Look for a slot until there is one, then end the wait."""
