Show that pauses end neither batch items nor answers behind agents

What callers could have seen: an item of a batch job run again, or an answer behind an agent that fails, because its upstream sends nothing for 1.3 s, as on the direct path. Looked for as the same cause elsewhere. Both hold on the code as it was: the runner of bulk jobs waits for 3 s without data, and an agent has no such limit.

--- a/sapphireseam/agent/engine_test.py
+++ b/sapphireseam/agent/engine_test.py
@@ -30,6 +30,10 @@
     async def test_an_unframed_answer_ends_with_its_connection(self):
         self.assertEqual((await self.read("unframed")).count(b"data"), 4)
 
+    async def test_an_upstream_that_pauses_is_waited_for(self):
+        for behaviour in ("pause-head", "pause-start", "pause"):
+            self.assertEqual((await self.read(behaviour)).count(b"data"), 4)
+
     async def test_an_unframed_answer_whose_connection_is_reset_is_not_complete(self):
         with self.assertRaises(engine.UpstreamError) as caught:
             await self.read("unframed-reset")
--- a/sapphireseam/control/bulkrunner_test.py
+++ b/sapphireseam/control/bulkrunner_test.py
@@ -168,6 +168,17 @@
                 self.assertEqual(results[0].output, self.expect_output(b"i0"))
                 del self.machine.state.lots["l"]
 
+    async def test_an_upstream_that_pauses_keeps_its_item(self):
+        for behaviour in ("pause-head", "pause-start", "pause"):
+            with self.subTest(behaviour):
+                self.upstream.behaviours = [behaviour]
+                before = len(self.upstream.runs)
+                await self.accept()
+                results = await self.wait_done()
+                self.assertEqual(results[0].output, self.expect_output(b"i0"))
+                self.assertEqual(len(self.upstream.runs), before + 1)
+                del self.machine.state.lots["l"]
+
     async def test_output_of_an_item_never_mixes_two_software_versions(self):
         self.upstream.version, self.other.version = "v1", "v2"
         self.placement.update_instances((self.upstream.instance, self.other.instance))
