Let a stream go back to a silent upstream if others refuse it

What callers saw: a begun stream is cut although its upstream only paused: it was left for a slot at another upstream, which refused the request, and no third one had a slot.

Cause: an upstream that was left for its silence was excluded from the rest of the request like one that had failed, so the search ended with "no free slot" even once the paused upstream was free and answered probes again. Found by asking what can still cut a stream after the pause of a sound upstream.

Evidence: the new test, in which the other upstream refuses, ended with "no free slot" before; now the stream is whole, with a second run at the first upstream.

A refusal now takes back the exclusion of upstreams that were only silent.

--- a/sapphireseam/entry/direct.py
+++ b/sapphireseam/entry/direct.py
@@ -125,6 +125,8 @@
         # Attempts that may have run at an upstream.
         self.runs = 0
         self.excluded: set[str] = set()
+        # Upstreams that were left only because they were silent.
+        self.silent: set[str] = set()
         self.is_counted = False
         self.has_begun = False
         self.last_event = resume_after
@@ -383,6 +385,11 @@
                 **progress.describe(),
             },
         )
+        if isinstance(failure, outbound.AnswerTimeoutError):
+            progress.silent.add(instance.id)
+        elif failure.is_not_run:
+            # Those that were left for this one may be sound.
+            progress.excluded -= progress.silent
         progress.excluded.add(instance.id)
         if progress.has_begun and not request.route.idempotent:
             raise error.OutcomeError("the stream ended early and can't be resumed")
--- a/sapphireseam/entry/direct_test.py
+++ b/sapphireseam/entry/direct_test.py
@@ -32,6 +32,8 @@
         self.streams = []
         self.leaving = []
         self.refusal = None
+        # Whether requests with all upstreams excluded are refused.
+        self.is_strict = False
         # The only upstream that has free slots, if it is set.
         self.only = ""
 
@@ -48,6 +50,8 @@
                 raise error.CapacityError("no free slot")
             fitting = [u for u in fitting if u.name == self.only]
         usable = [u for u in fitting if u.name not in spec.excluded]
+        if not usable and self.is_strict:
+            raise error.CapacityError("no free slot")
         chosen = (usable or fitting)[0]
         return HeldSlot(len(self.specs), "r", chosen.instance, spec.customer)
 
@@ -503,6 +507,12 @@
         await self.serve_paused(RESUMABLE, "pause")
         self.assertEqual(self.count_runs(), [1, 0])
 
+    async def test_a_paused_stream_goes_on_where_it_was_if_another_refuses_it(self):
+        self.placer.is_strict = True
+        self.upstreams[1].behaviours = ["refuse"]
+        await self.serve_paused(RESUMABLE, "pause")
+        self.assertEqual(self.count_runs(), [2, 0])
+
     async def test_a_paused_plain_answer_isnt_lost_if_no_other_upstream_is_free(self):
         self.placer.only = "u1"
         await self.serve_paused(SAFE, "pause-head")
