Never let the HTTP library send a request twice by itself

What callers saw: a request with PUT, DELETE or GET on a route that isn't idempotent could run twice at an upstream that broke the connection without an answer, and its caller got the answer of the second run. The path through agents did the same, although each request has a connection of its own there.

Cause: aiohttp sends a request of these methods once more if its connection ends before the answer, on new connections too. The method says nothing about the route.

Evidence: the two new tests failed before, since no error came: the library had sent the request again. Now the sessions switch these retries off, and one run is counted for each of the three methods.

--- a/sapphireseam/agent/engine_test.py
+++ b/sapphireseam/agent/engine_test.py
@@ -20,10 +20,10 @@
         await self.client.start()
         self.addAsyncCleanup(self.client.stop)
 
-    async def read(self, behaviour):
+    async def read(self, behaviour, method="POST"):
         await asyncio.sleep(0.05)
         self.upstream.behaviours = [behaviour]
-        answer = self.client.run("POST", "/x", (), b"b")
+        answer = self.client.run(method, "/x", (), b"b")
         parts = [item async for item in answer]
         return b"".join(item.body for item in parts if isinstance(item, exchange.Data))
 
@@ -40,6 +40,13 @@
         self.assertTrue(caught.exception.broken)
         self.assertFalse(caught.exception.not_run)
 
+    async def test_a_request_whose_connection_breaks_is_never_sent_again(self):
+        for method in ("PUT", "DELETE", "GET"):
+            before = len(self.upstream.runs)
+            with self.assertRaises(engine.UpstreamError):
+                await self.read("drop", method)
+            self.assertEqual(len(self.upstream.runs), before + 1)
+
     async def test_bytes_without_end_are_a_failure_but_no_crash(self):
         head = b"HTTP/1.1 200 OK\r\n"
         chunked = head + b"Transfer-Encoding: chunked\r\n\r\n"
--- a/sapphireseam/entry/direct_test.py
+++ b/sapphireseam/entry/direct_test.py
@@ -253,6 +253,16 @@
         self.assertFalse(failure.not_run)
         self.assertEqual(self.count_runs(), [2, 1])
 
+    async def test_a_request_whose_connection_breaks_is_never_sent_again_unasked(self):
+        for method in ("PUT", "DELETE", "GET"):
+            await self.serve(UNSAFE)
+            before = sum(self.count_runs())
+            self.upstreams[0].behaviours = ["drop"]
+            request = self.make_request(UNSAFE)._replace(method=method)
+            with self.assertRaises(error.OutcomeError):
+                await self.forwarder.serve(request, FakeSink())
+            self.assertEqual(sum(self.count_runs()), before + 1)
+
     async def test_attempts_are_bounded(self):
         self.upstreams[1].behaviours = ["drop"] * 9
         await self.expect(error.Kind.UPSTREAM_FAILED, SAFE, *["drop"] * 9)
--- a/sapphireseam/utils/framing.py
+++ b/sapphireseam/utils/framing.py
@@ -261,13 +261,18 @@
 ) -> aiohttp.ClientSession:
     """Return a session whose answers are `FramedResponse` objects.
 
+    It never sends a request twice by itself, whatever its method.
+
     `on_open` is called with the socket of each new connection. `connector_options` are
     those of `aiohttp.TCPConnector`, and `options` those of `aiohttp.ClientSession`.
     """
     connector = _Connector(on_open, **(connector_options or {}))
-    return aiohttp.ClientSession(
+    session = aiohttp.ClientSession(
         connector=connector, response_class=FramedResponse, **options
     )
+    # The library has no public way to switch off its own retries.
+    session._retry_connection = False
+    return session
 
 
 def classify_error(failure: BaseException) -> ConnectionEnd:
