Send no request again on a connection on which it was refused

What callers saw: a request that isn't idempotent ran twice, or its caller was told "not run, try again" (503) while an upstream ran it. An upstream refused the request on a kept connection, other upstreams refused it, too, it came to the first one again on that connection, and the upstream wrote its first refusal once more before it answered.

Cause: an answer is matched to its request by the id alone. It names the request, not the sending, so the copy was taken for the answer to the second sending.

Now a connection remembers the ids that it has answered with a failure and isn't used for them again, so on each connection an id stands for one sending. It is closed if it would be chosen; another idle one, or a new one, takes its place. After 100 failures it is closed, which bounds the memory. Weighed: never to keep a connection after a refusal costs a new connection for each refusal, while upstreams are full and limit connections; not to believe a second refusal on a connection tells callers "may have run" for true refusals; not to offer a request twice to an upstream wastes slots that become free. The path through agents opens a connection for each request.

--- a/sapphireseam/entry/direct_test.py
+++ b/sapphireseam/entry/direct_test.py
@@ -242,6 +242,21 @@
             self.assertTrue(self.sink.is_complete)
         self.assertEqual(self.count_runs(), [0, 4])
 
+    async def test_a_repeated_refusal_never_makes_a_request_run_twice(self):
+        for number, route in enumerate((STREAM, RESUMABLE, SAFE, UNSAFE), 1):
+            with self.subTest(route=route):
+                self.sink = FakeSink()
+                self.upstreams[1].behaviours = ["refuse"]
+                await self.serve(route, "refuse", "repeat-refusal")
+                self.assertTrue(self.sink.is_complete)
+                self.assertEqual(self.count_runs(), [number, 0])
+
+    async def test_a_repeated_refusal_of_a_running_request_never_says_not_run(self):
+        self.upstreams[1].behaviours = ["refuse"] * 9
+        await self.serve(UNSAFE, "refuse", "repeat-refusal", *["refuse"] * 9)
+        self.assertTrue(self.sink.is_complete)
+        self.assertEqual(self.count_runs(), [1, 0])
+
     async def test_only_the_first_offer_counts_against_the_limit(self):
         await self.serve(SAFE, "refuse")
         self.assertEqual([s.is_counted for s in self.placer.specs], [True, False])
--- a/sapphireseam/platform/dialect.py
+++ b/sapphireseam/platform/dialect.py
@@ -1,5 +1,7 @@
 """Reads and writes the HTTP headers that the platform defines."""
 
+from collections.abc import Mapping
+
 from multidict import CIMultiDictProxy
 
 from sapphireseam.core.instance import Instance
@@ -118,8 +120,8 @@
             headers.append((RESUME, str(request.resume_after)))
         return headers
 
-    def read_id(self, headers: CIMultiDictProxy[str]) -> str:
-        """Return the id of the request that an answer belongs to."""
+    def read_id(self, headers: Mapping[str, str]) -> str:
+        """Return the id of a request, or of the request that an answer belongs to."""
         return headers.get(ATTEMPT, "")
 
     def is_not_run(self, status: int, headers: CIMultiDictProxy[str]) -> bool:
--- a/sapphireseam/utils/fakeupstream.py
+++ b/sapphireseam/utils/fakeupstream.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import socket
+from collections.abc import Mapping
 from typing import NamedTuple
 
 from multidict import CIMultiDict, CIMultiDictProxy
@@ -43,8 +44,8 @@
             headers.append((RESUME, str(request.resume_after)))
         return headers
 
-    def read_id(self, headers: CIMultiDictProxy[str]) -> str:
-        """Return the id of the answered request."""
+    def read_id(self, headers: Mapping[str, str]) -> str:
+        """Return the id of a request or of the answered request."""
         return headers.get(ID, "")
 
     def is_not_run(self, status: int, headers: CIMultiDictProxy[str]) -> bool:
@@ -94,7 +95,9 @@
     Behaviours: `well` (complete answer), `refuse` (not run), `fail` (500),
     `impossible` (422), `drop` (closes without an answer), `silent` (no answer),
     `cut` (closes within the third event), `stall` (sends nothing after the second
-    event), `stale` (answers another request), `stale-refuse` (refuses another one).
+    event), `stale` (answers another request), `stale-refuse` (refuses another one),
+    `repeat-refusal` (complete answer, after the newest refusal on the connection, once
+    more).
     A sound upstream may pause for `PAUSE_SECONDS` and then go on: `pause-head` (before
     the head of its answer), `pause-start` (before the first event), `pause` (after the
     first event).
@@ -151,6 +154,8 @@
         self._reservation: socket.socket | None = None
         self._port = 0
         self._connections: set[asyncio.StreamWriter] = set()
+        # The newest refusal on each open connection.
+        self._refusals: dict[asyncio.StreamWriter, bytes] = {}
         self._restarting: asyncio.Task | None = None
         self._is_down = False
         self._server: asyncio.Server | None = None
@@ -223,6 +228,7 @@
             return
         finally:
             self._connections.discard(writer)
+            self._refusals.pop(writer, None)
             writer.close()
 
     async def _serve_request(
@@ -252,8 +258,13 @@
             await self._wait_for_close(reader, run)
             return False
         if behaviour in ("refuse", "fail", "impossible", "stale", "stale-refuse"):
-            _write_short_answer(writer, behaviour, run, self._render_state())
+            answer = _render_short_answer(behaviour, run, self._render_state())
+            if behaviour == "refuse":
+                self._refusals[writer] = answer
+            writer.write(answer)
             return True
+        if behaviour == "repeat-refusal":
+            writer.write(self._refusals.get(writer, b""))
         return await self._stream_answer(reader, writer, run, behaviour)
 
     def _crashes_under(self, run: Run) -> bool:
@@ -342,19 +353,14 @@
     writer.write(data)
 
 
-def _write_short_answer(
-    writer: asyncio.StreamWriter, behaviour: str, run: Run, extra: bytes
-) -> None:
+def _render_short_answer(behaviour: str, run: Run, extra: bytes) -> bytes:
     kind = behaviour.removeprefix("stale-")
     status = {"refuse": 503, "fail": 500, "impossible": 422, "stale": 200}[kind]
     id = "another" if behaviour.startswith("stale") else run.id
     if kind == "refuse":
         extra += f"{NOT_RUN}: 1\r\n".encode()
-    writer.write(
-        f"HTTP/1.1 {status} X\r\n{ID}: {id}\r\n".encode()
-        + extra
-        + b"Content-Length: 2\r\n\r\nno"
-    )
+    head = f"HTTP/1.1 {status} X\r\n{ID}: {id}\r\n".encode()
+    return head + extra + b"Content-Length: 2\r\n\r\nno"
 
 
 async def _read_request(reader: asyncio.StreamReader) -> Run:
--- a/sapphireseam/utils/framing.py
+++ b/sapphireseam/utils/framing.py
@@ -7,6 +7,10 @@
 
     async with framing.create_session() as http, http.get(url) as response:
         body = await response.read()  # raises ClientPayloadError after a reset
+
+A server may write an answer once more before the next one. Only the id of its request
+tells such a copy from the next answer. So a connection that has answered a request with
+a failure, after which the request may be sent again, isn't used for this request again.
 """
 
 import asyncio
@@ -15,16 +19,21 @@
 import functools
 import socket
 import struct
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.connector import Connection
 from aiohttp.http import RawResponseMessage
+from aiohttp.tracing import Trace
 
 # The lowest status of an answer that isn't informational.
 FINAL_STATUS = 200
+# The lowest status of an answer after which a request may be sent again.
+FAILURE_STATUS = 300
+# A connection is closed once it has answered this many requests with a failure.
+MAX_FAILED_IDS = 100
 # Bytes of an answer beside its body that are always accepted: heads, chunk sizes,
 # chunk extensions and trailers.
 MAX_OVERHEAD_BYTES = 128 * 1024
@@ -64,6 +73,9 @@
 
 _FAILED_ENDS = (ConnectionEnd.RESET, ConnectionEnd.UNREACHABLE)
 
+# Returns the id of a request from its headers, or an empty string.
+IdReader = Callable[[Mapping[str, str]], str]
+
 
 class _Protocol(ResponseHandler):
     """Records how its connection ends, and rejects malformed answers."""
@@ -81,6 +93,14 @@
         # The body of the newest answer, and whether that answer is the final one.
         self._body: aiohttp.StreamReader | None = None
         self._is_answered = False
+        self._request_id = ""
+        # Ids of the requests that were answered with a failure.
+        self._failed_ids: set[str] = set()
+
+    def begin_request(self, id: str) -> bool:
+        """Expect the answer to a request; return false if it can't be sent here."""
+        self._request_id = id
+        return id not in self._failed_ids
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Prepare the connection's socket."""
@@ -103,8 +123,15 @@
             return
         message, self._body = data
         self._is_answered = message.code >= FINAL_STATUS
+        if message.code >= FAILURE_STATUS and self._request_id:
+            self._record_failure()
         super().feed_data(data, size)
 
+    def _record_failure(self) -> None:
+        self._failed_ids.add(self._request_id)
+        if len(self._failed_ids) >= MAX_FAILED_IDS:
+            self.force_close()
+
     def data_received(self, data: bytes) -> None:
         """Parse received bytes, or close the connection if none are awaited."""
         if data and self._is_answered and self._body.is_eof():
@@ -215,11 +242,31 @@
     close the descriptor again, when it may already belong to another connection.
     """
 
-    def __init__(self, on_open: Callable[[socket.socket], None], **options: Any):
+    def __init__(
+        self,
+        on_open: Callable[[socket.socket], None],
+        read_id: IdReader,
+        **options: Any,
+    ):
         super().__init__(**options)
+        self._read_id = read_id
         # The library has no public way to choose the protocol class.
         self._factory = functools.partial(_Protocol, self._loop, on_open)
 
+    async def connect(
+        self,
+        req: aiohttp.ClientRequest,
+        traces: list[Trace],
+        timeout: aiohttp.ClientTimeout,
+    ) -> Connection:
+        """Return a connection that has answered the request with no failure."""
+        id = self._read_id(req.headers)
+        while True:
+            connection = await super().connect(req, traces, timeout)
+            if connection.protocol.begin_request(id):
+                return connection
+            connection.close()
+
     # The library has no public way to replace this either.
     async def _wrap_create_connection(
         self,
@@ -257,16 +304,18 @@
 def create_session(
     connector_options: dict[str, Any] | None = None,
     on_open: Callable[[socket.socket], None] = lambda _: None,
+    read_id: IdReader = lambda _: "",
     **options: Any,
 ) -> aiohttp.ClientSession:
     """Return a session whose answers are `FramedResponse` objects.
 
     It never sends a request twice by itself, whatever its method.
 
-    `on_open` is called with the socket of each new connection. `connector_options` are
-    those of `aiohttp.TCPConnector`, and `options` those of `aiohttp.ClientSession`.
+    `on_open` is called with the socket of each new connection, and `read_id` with the
+    headers of each request. `connector_options` are those of `aiohttp.TCPConnector`,
+    and `options` those of `aiohttp.ClientSession`.
     """
-    connector = _Connector(on_open, **(connector_options or {}))
+    connector = _Connector(on_open, read_id, **(connector_options or {}))
     session = aiohttp.ClientSession(
         connector=connector, response_class=FramedResponse, **options
     )
--- a/sapphireseam/utils/outbound.py
+++ b/sapphireseam/utils/outbound.py
@@ -11,7 +11,7 @@
 import logging
 import socket
 from collections import Counter
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Mapping
 from contextlib import AbstractAsyncContextManager, asynccontextmanager
 from typing import NamedTuple, Protocol
 
@@ -109,8 +109,8 @@
     ) -> list[tuple[str, str]]:
         """Return the headers of a request to an instance."""
 
-    def read_id(self, headers: CIMultiDictProxy[str]) -> str:
-        """Return the id of the answered request, or an empty string."""
+    def read_id(self, headers: Mapping[str, str]) -> str:
+        """Return the request's id from its headers or those of its answer, or ""."""
 
     def is_not_run(self, status: int, headers: CIMultiDictProxy[str]) -> bool:
         """Return whether an answer guarantees that the request hasn't run."""
@@ -348,6 +348,7 @@
             session = framing.create_session(
                 connector_options,
                 _limit_unacknowledged,
+                self._dialect.read_id,
                 timeout=timeout,
                 auto_decompress=False,
                 cookie_jar=aiohttp.DummyCookieJar(),
--- a/sapphireseam/utils/outbound_test.py
+++ b/sapphireseam/utils/outbound_test.py
@@ -137,6 +137,21 @@
         self.assertFalse(caught.exception.is_not_run)
         self.assertEqual(await self.read(), b"no")
 
+    async def test_connection_never_carries_a_request_again_that_it_refused(self):
+        self.upstream.behaviours = ["refuse", "well", "refuse", "refuse"]
+        for id in ("r1", "r2", "r3", "r1"):
+            await self.read(id)
+        self.assertEqual(self.upstream.connections, 2)
+        self.upstream.behaviours = ["repeat-refusal"]
+        self.assertEqual((await self.read("r1")).count(b"data"), 4)
+        self.assertEqual(self.upstream.connections, 3)
+
+    async def test_connections_that_refused_many_requests_are_closed(self):
+        self.upstream.behaviours = ["refuse"] * framing.MAX_FAILED_IDS
+        for number in range(framing.MAX_FAILED_IDS + 1):
+            await self.read(f"r{number}")
+        self.assertEqual(self.upstream.connections, 2)
+
     async def test_leaving_upstream_gets_nothing_more_until_it_runs_anew(self):
         leaving = []
         self.pool.on_leaving = leaving.append
