Believe a refusal without an id only on a new connection

What callers saw: a request that isn't idempotent ran at a second upstream, or its caller was told "not run", when an upstream wrote a refusal that bore no request's id on a kept connection before it answered.

Cause: a "not run" without an id was believed on any connection. On one that has carried other requests or orders it may belong to any of them.

Now such a refusal is believed only if its connection has carried nothing before. There it can answer nothing else. On a used connection the request may have run: the caller of a route that isn't idempotent gets an error that says so. The platform's replicas echo the id in every other refusal. Never to believe one was weighed; it would turn true refusals of requests that the upstream can't read into unknown outcomes.

--- a/sapphireseam/entry/direct_test.py
+++ b/sapphireseam/entry/direct_test.py
@@ -257,6 +257,15 @@
         self.assertTrue(self.sink.is_complete)
         self.assertEqual(self.count_runs(), [1, 0])
 
+    async def test_a_refusal_of_no_known_request_never_says_not_run(self):
+        for route in (STREAM, UNSAFE):
+            with self.subTest(route=route):
+                await self.serve(SAFE)
+                kind = error.Kind.OUTCOME_UNKNOWN
+                failure = await self.expect(kind, route, "unnamed-refusal")
+                self.assertFalse(failure.not_run)
+                self.assertEqual(self.count_runs()[1], 0)
+
     async def test_only_the_first_offer_counts_against_the_limit(self):
         await self.serve(SAFE, "refuse")
         self.assertEqual([s.is_counted for s in self.placer.specs], [True, False])
--- a/sapphireseam/utils/fakeupstream.py
+++ b/sapphireseam/utils/fakeupstream.py
@@ -25,6 +25,9 @@
 # Lists the parts of a request's prompt, separated by commas.
 PARTS = "Fake-Parts"
 HEALTH_PATH = "/"
+UNNAMED_REFUSAL = (
+    f"HTTP/1.1 400 X\r\n{NOT_RUN}: 1\r\nContent-Length: 2\r\n\r\nno".encode()
+)
 # How long a silent upstream sends nothing, in seconds.
 SILENT_SECONDS = 30.0
 # How long an upstream that pauses sends nothing before it goes on, in seconds.
@@ -97,7 +100,7 @@
     `cut` (closes within the third event), `stall` (sends nothing after the second
     event), `stale` (answers another request), `stale-refuse` (refuses another one),
     `repeat-refusal` (complete answer, after the newest refusal on the connection, once
-    more).
+    more), `unnamed-refusal` (complete answer, after a refusal without an id).
     A sound upstream may pause for `PAUSE_SECONDS` and then go on: `pause-head` (before
     the head of its answer), `pause-start` (before the first event), `pause` (after the
     first event).
@@ -265,6 +268,8 @@
             return True
         if behaviour == "repeat-refusal":
             writer.write(self._refusals.get(writer, b""))
+        if behaviour == "unnamed-refusal":
+            writer.write(UNNAMED_REFUSAL)
         return await self._stream_answer(reader, writer, run, behaviour)
 
     def _crashes_under(self, run: Run) -> bool:
--- a/sapphireseam/utils/framing.py
+++ b/sapphireseam/utils/framing.py
@@ -94,12 +94,15 @@
         self._body: aiohttp.StreamReader | None = None
         self._is_answered = False
         self._request_id = ""
+        # Requests that were sent, including the newest.
+        self.request_count = 0
         # Ids of the requests that were answered with a failure.
         self._failed_ids: set[str] = set()
 
     def begin_request(self, id: str) -> bool:
         """Expect the answer to a request; return false if it can't be sent here."""
         self._request_id = id
+        self.request_count += 1
         return id not in self._failed_ids
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -187,10 +190,13 @@
     """An answer that isn't complete if it ends with the reset of its connection."""
 
     _framed_protocol: _Protocol
+    # Whether the connection carried no request before this one.
+    is_on_new_connection: bool
 
     async def start(self, connection: Connection) -> aiohttp.ClientResponse:
         """Read the head of the answer."""
         self._framed_protocol = connection.protocol
+        self.is_on_new_connection = connection.protocol.request_count == 1
         return await super().start(connection)
 
     async def read(self) -> bytes:
--- a/sapphireseam/utils/outbound.py
+++ b/sapphireseam/utils/outbound.py
@@ -464,7 +464,9 @@
         headers = response.headers
         id = self._dialect.read_id(headers)
         is_not_run = self._dialect.is_not_run(response.status, headers)
-        if id != request.id and (id or not is_not_run):
+        # Without an id, only a new connection shows which request was refused.
+        is_unnamed_refusal = not id and is_not_run and response.is_on_new_connection
+        if id != request.id and not is_unnamed_refusal:
             # This is a late answer to an earlier request on the same connection.
             raise OutboundError("the answer belongs to another request", False)
         is_stream = headers.get("Content-Type", "").startswith(event.CONTENT_TYPE)
--- a/sapphireseam/utils/outbound_test.py
+++ b/sapphireseam/utils/outbound_test.py
@@ -152,6 +152,20 @@
             await self.read(f"r{number}")
         self.assertEqual(self.upstream.connections, 2)
 
+    async def test_refusal_without_an_id_is_believed_only_on_a_new_connection(self):
+        self.upstream.behaviours = ["unnamed-refusal", "well", "unnamed-refusal"]
+        self.assertEqual(await self.read(), b"no")
+        await self.read("r2")
+        with self.assertRaises(outbound.OutboundError) as caught:
+            await self.read("r3")
+        self.assertFalse(caught.exception.is_not_run)
+        await self.pool.stop()
+        await self.pool.send_order(self.upstream.instance, "GET", "/x", b"", 1.0)
+        self.upstream.behaviours = ["unnamed-refusal"]
+        with self.assertRaises(outbound.OutboundError) as caught:
+            await self.read("r4")
+        self.assertFalse(caught.exception.is_not_run)
+
     async def test_leaving_upstream_gets_nothing_more_until_it_runs_anew(self):
         leaving = []
         self.pool.on_leaving = leaving.append
