Close a connection that brought the answer to another request

What callers saw: after an upstream had answered another request than the one it was sent, the next request on that connection failed as well, with "the answer belongs to another request": 502 on a route that isn't idempotent, although its upstream was sound by then. A further request of the same id could even have taken the late answer for its own.

Cause: such an answer was rejected, but if it was complete, its connection had already gone back to the pool. The answer that was still to come met the next request.

Now the connection notices while it reads the head that the answer bears another id than its newest request, or none, and is closed after it instead of being kept. Answers to orders bear no id, as orders don't, so their connections are kept as before.

--- a/sapphireseam/utils/framing.py
+++ b/sapphireseam/utils/framing.py
@@ -84,8 +84,10 @@
         self,
         loop: asyncio.AbstractEventLoop,
         on_open: Callable[[socket.socket], None],
+        read_id: IdReader,
     ):
         super().__init__(loop)
+        self._read_id = read_id
         self.end = ConnectionEnd.OPEN
         self._on_open = on_open
         # Bytes that were received since the newest request.
@@ -126,7 +128,10 @@
             return
         message, self._body = data
         self._is_answered = message.code >= FINAL_STATUS
-        if message.code >= FAILURE_STATUS and self._request_id:
+        if self._is_answered and self._read_id(message.headers) != self._request_id:
+            # The answer to this request may follow.
+            self.force_close()
+        elif message.code >= FAILURE_STATUS and self._request_id:
             self._record_failure()
         super().feed_data(data, size)
 
@@ -257,7 +262,7 @@
         super().__init__(**options)
         self._read_id = read_id
         # The library has no public way to choose the protocol class.
-        self._factory = functools.partial(_Protocol, self._loop, on_open)
+        self._factory = functools.partial(_Protocol, self._loop, on_open, read_id)
 
     async def connect(
         self,
--- a/sapphireseam/utils/outbound_test.py
+++ b/sapphireseam/utils/outbound_test.py
@@ -1,8 +1,10 @@
 """Test when connections to upstreams are reused and closed, and how errors differ."""
 
 import asyncio
+import contextlib
 import time
 import tracemalloc
+import types
 import unittest
 
 from sapphireseam.utils import fakeflood, fakeupstream, framing, outbound
@@ -166,6 +168,39 @@
             await self.read("r4")
         self.assertFalse(caught.exception.is_not_run)
 
+    async def start_script(self, *answers):
+        """Answer requests in turn, each with bytes and with pauses in seconds."""
+        remaining = iter(answers)
+
+        async def serve(reader, writer):
+            with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+                while True:
+                    await reader.readuntil(b"\r\n\r\n")
+                    for part in next(remaining):
+                        if isinstance(part, float):
+                            await asyncio.sleep(part)
+                        else:
+                            writer.write(part)
+                            await writer.drain()
+                    await reader.readexactly(len(b"body"))
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        self.upstream = types.SimpleNamespace(
+            instance=self.upstream.instance._replace(address=address)
+        )
+
+    async def test_connection_that_brought_anothers_answer_is_closed(self):
+        whole = HEAD + b"Content-Length: 2\r\n\r\nab"
+        stale = whole.replace(b"r1", b"r0")
+        await self.start_script((stale, 0.02, whole), (whole.replace(b"r1", b"r2"),))
+        with self.assertRaises(outbound.OutboundError) as caught:
+            await self.read()
+        self.assertFalse(caught.exception.is_not_run)
+        self.assertEqual(await self.read("r2"), b"ab")
+
     async def test_leaving_upstream_gets_nothing_more_until_it_runs_anew(self):
         leaving = []
         self.pool.on_leaving = leaving.append
