Test the moments at which a copy of a refusal can arrive

The test sends a request, which is refused, and then the same or another request, and lets a copy of the refusal arrive in one packet with it, right after it, while the connection is idle, and after the next request was sent, whole or in two packets, with the statuses 400, 421, 429 and 503.

The next answer must be the next request's own, or its outcome unknown: never a refusal.

--- a/sapphireseam/utils/outbound_test.py
+++ b/sapphireseam/utils/outbound_test.py
@@ -192,6 +192,37 @@
             instance=self.upstream.instance._replace(address=address)
         )
 
+    async def test_copy_of_a_refusal_is_never_taken_for_the_next_answer(self):
+        for status in (400, 421, 429, 503):
+            refusal = (
+                f"HTTP/1.1 {status} X\r\nFake-Id: r1\r\nFake-Not-Run: 1\r\n"
+                "Content-Length: 2\r\n\r\nno"
+            ).encode()
+            first, last = refusal[:30], refusal[30:]
+            for answer, pause in (
+                ((refusal + refusal,), 0.0),
+                ((refusal, refusal), 0.0),
+                ((refusal, 0.01, refusal), 0.0),
+                ((refusal, 0.01, refusal), 0.03),
+                ((refusal, 0.01, first, 0.02, last), 0.0),
+                ((refusal, 0.01, first, 0.02, last), 0.02),
+                ((refusal + first, 0.02, last), 0.0),
+            ):
+                for id in ("r1", "r2"):
+                    with self.subTest(status=status, answer=answer, id=id):
+                        await self.check_second_answer(answer, pause, id)
+
+    async def check_second_answer(self, first_answer, pause, id):
+        """Send a request after one that was refused, with a pause between them."""
+        second = b"HTTP/1.1 200 OK\r\nFake-Id: %s\r\nContent-Length: 2\r\n\r\nab"
+        await self.start_script(first_answer, (second % id.encode(),))
+        self.assertEqual(await self.read(), b"no")
+        await asyncio.sleep(pause)
+        try:
+            self.assertEqual(await self.read(id), b"ab")
+        except outbound.OutboundError as failure:
+            self.assertFalse(failure.is_not_run)
+
     async def test_connection_that_brought_anothers_answer_is_closed(self):
         whole = HEAD + b"Content-Length: 2\r\n\r\nab"
         stale = whole.replace(b"r1", b"r0")
