Close the connections of the scripted server at the end of a test

What callers saw: nothing; this concerns tests only. The server that plays scripted answers in the tests of the connection pool left connections open at the end of a test, and Python then printed "unclosed transport" and "Event loop is closed" into the output of whichever test came next.

Now each connection is closed with the test. Run twice with all warnings shown, the two tests that use the server print none; before they did in both of two runs.

--- a/sapphireseam/utils/outbound_test.py
+++ b/sapphireseam/utils/outbound_test.py
@@ -173,6 +173,7 @@
         remaining = iter(answers)
 
         async def serve(reader, writer):
+            self.addCleanup(writer.close)
             with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
                 while True:
                     await reader.readuntil(b"\r\n\r\n")
@@ -183,7 +184,6 @@
                             writer.write(part)
                             await writer.drain()
                     await reader.readexactly(len(b"body"))
-            writer.close()
 
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
         self.addCleanup(server.close)
