Never pass on a status that promises "not run" for a request that may have run

What callers saw: a replica answered a request 408, 429 or 503 without saying that it hadn't run it, and the client of a route that isn't idempotent got that status. To clients these statuses, and 421, promise that the request has not run and won't, so they send it again.

Cause: a replica's answer was passed on unchanged. That its status says more to a client than it does from a replica was heeded only for errors of our own.

Now the sink of a client refuses such a head where the request must not run again, and the client gets 502 without the replica's signature: the outcome is unknown.

--- a/sapphireseam/platform/answer.py
+++ b/sapphireseam/platform/answer.py
@@ -45,12 +45,14 @@
 class ClientSink:
     """Writes a replica's answer to one client.
 
-    A stream is passed on as it arrives. A plain answer is buffered until its end.
+    A stream is passed on as it arrives. A plain answer is buffered until its end. The
+    answer to a request that must not run again may not say that it hasn't run.
     """
 
-    def __init__(self, request: web.BaseRequest, is_streamed: bool):
+    def __init__(self, request: web.BaseRequest, is_streamed: bool, may_repeat: bool):
         self._request = request
         self._is_streamed = is_streamed
+        self._may_repeat = may_repeat
         self._status = 0
         self._headers: Headers = ()
         self._body = bytearray()
@@ -64,6 +66,8 @@
 
     async def begin(self, status: int, headers: Headers) -> None:
         """Send the head of a stream, or store the head of a plain answer."""
+        if status in NOT_RUN_STATUSES and not self._may_repeat:
+            raise error.OutcomeError(f"the replica answered {status} and may have run")
         self._status = status
         self._headers = dialect.strip_answer(headers)
         if self._is_streamed:
--- a/sapphireseam/platform/front.py
+++ b/sapphireseam/platform/front.py
@@ -169,7 +169,8 @@
     async def _forward(
         self, request: web.BaseRequest, direct_request: DirectRequest
     ) -> web.StreamResponse:
-        sink = answer.ClientSink(request, direct_request.route.streamed)
+        route = direct_request.route
+        sink = answer.ClientSink(request, route.streamed, route.idempotent)
         sink.is_closing = self._is_closing
         try:
             await self._context.forwarder.serve(direct_request, sink)
--- a/sapphireseam/platform/front_test.py
+++ b/sapphireseam/platform/front_test.py
@@ -39,6 +39,7 @@
         self.requests = []
         self.failure = None
         self.breaks = False
+        self.status = 200
         self.gate = asyncio.Event()
         self.gate.set()
         self.ended = 0
@@ -49,7 +50,7 @@
             await self.gate.wait()
             if self.failure is not None:
                 raise self.failure
-            await sink.begin(200, SIGNED)
+            await sink.begin(self.status, SIGNED)
             await sink.write(b"id: 0\n\n")
             if self.breaks:
                 raise error.OutcomeError("cut")
@@ -135,6 +136,26 @@
         names = [name.lower() for name, _ in request.headers]
         self.assertNotIn("authorization", names)
 
+    async def test_a_replicas_status_never_says_not_run_for_a_request_that_ran(self):
+        for status in (408, 421, 429, 503):
+            self.forwarder.status = status
+            for is_streamed in (False, True):
+                with self.subTest(status=status, is_streamed=is_streamed):
+                    self.authorizer.route = ROUTE._replace(
+                        streamed=is_streamed, idempotent=False
+                    )
+                    answered, _, headers = await self.post()
+                    self.assertEqual(answered, 502)
+                    self.assertNotIn("X-Response-Signature", headers)
+
+    async def test_a_replicas_failure_reaches_the_client_unchanged(self):
+        for status, is_idempotent in ((503, True), (500, False), (504, False)):
+            self.authorizer.route = ROUTE._replace(idempotent=is_idempotent)
+            self.forwarder.status = status
+            answered, _, headers = await self.post()
+            self.assertEqual(answered, status)
+            self.assertIn("X-Response-Signature", headers)
+
     async def test_a_client_names_the_attempt_that_began_its_stream(self):
         await self.post(Last_Event_Id="4", Resumes="a0")
         (request,) = self.forwarder.requests
