Take no answer to a request for the answer to an order

What callers saw: nothing directly. When an upstream wrote a refusal of a request once more on a kept connection, the next order on it, as the probe of its load or the move of an orphaned run, took the copy for its own answer. A move that was answered 503 counts as done, so an orphaned run could go on beside its successor; a copied success would end the ejection of an upstream that is down.

Cause: orders share the connections of requests, and their answers weren't matched to them at all.

Now an answer that bears the id of a request is no answer to an order, which has none, and its connection is closed. A copy of the answer to an earlier order can't be told, but orders are safe to send again. That such a copy ends an ejection is by reading; only the reply itself is shown.

The tests pass, as do those of the modules outbound, platform.report and control.placement (32 tests).

--- a/sapphireseam/utils/outbound.py
+++ b/sapphireseam/utils/outbound.py
@@ -488,6 +488,8 @@
                 async with session.request(method, url, data=body or None) as response:
                     if self._dialect.is_leaving(response.headers):
                         self._record_leaving(instance)
+                    if self._dialect.read_id(response.headers):
+                        raise framing.MalformedAnswerError("it belongs to a request")
                     body = await response.read_body(MAX_REPLY_BYTES)
                     return Reply(response.status, body)
         except (aiohttp.ClientError, OSError) as failure:
--- a/sapphireseam/utils/outbound_test.py
+++ b/sapphireseam/utils/outbound_test.py
@@ -254,6 +254,12 @@
         self.upstream.behaviours = ["silent"]
         self.assertIsNone(await self.pool.send_order(instance, "GET", "/x", b"", 0.1))
 
+    async def test_an_order_never_takes_the_answer_to_a_request_for_its_own(self):
+        self.upstream.behaviours = ["refuse", "repeat-refusal"]
+        await self.read()
+        instance = self.upstream.instance
+        self.assertIsNone(await self.pool.send_order(instance, "GET", "/x", b"", 1.0))
+
     async def test_an_answer_to_an_order_that_says_leaving_is_heeded(self):
         leaving = []
         self.pool.on_leaving = leaving.append
