Show that no copy of a refusal reaches another request through an agent

What callers saw: nothing; an agent's client opens a connection for each request, so an upstream has no earlier refusal to repeat on it, and an agent says "not run" only if it couldn't connect.

--- a/sapphireseam/agent/engine_test.py
+++ b/sapphireseam/agent/engine_test.py
@@ -47,6 +47,10 @@
                 await self.read("drop", method)
             self.assertEqual(len(self.upstream.runs), before + 1)
 
+    async def test_a_repeated_refusal_reaches_no_other_request(self):
+        self.assertEqual(await self.read("refuse"), b"no")
+        self.assertEqual((await self.read("repeat-refusal")).count(b"data"), 4)
+
     async def test_bytes_without_end_are_a_failure_but_no_crash(self):
         head = b"HTTP/1.1 200 OK\r\n"
         chunked = head + b"Transfer-Encoding: chunked\r\n\r\n"
