Let an agent follow a configuration in which a customer has no contract

What callers saw: once a configuration was published in which a customer had no contract, which means that it has no rate limit, no agent followed the configuration any more. An upstream that was marked as leaving still took new requests, and changed slots, policies and verdicts had no effect there.

Cause: the agent looked up the weight of the empty contract. The KeyError left the mirror's listener and ended the agent's watch; only errors of the system's own kinds open another one.

Evidence: the new test failed before with KeyError: '' in `_apply_weights`. What follows from it for the watch is from reading `Mirror._watch_forever`.

A customer without a contract now has no weight of its own, so queues use the usual 1. The test passes: the agent takes the new slots and refuses work once it is leaving.

--- a/sapphireseam/agent/application.py
+++ b/sapphireseam/agent/application.py
@@ -91,7 +91,8 @@
     def _apply_weights(self, current: fleet.Fleet) -> None:
         self._weights.clear()
         for name, customer in current.customers.items():
-            self._weights[name] = current.contracts[customer.contract].weight
+            if customer.contract:
+                self._weights[name] = current.contracts[customer.contract].weight
 
     def _rebuild(self, policy: fleet.Policy, target: fleet.Upstream) -> None:
         names = {"queue": policy.queue, "admission": policy.admission}
