Refuse a request whose customer was removed while it waited for its debit

What callers saw: a request that had been accepted by its key while a new configuration removed its customer, or took its contract away, got a bare 500 as text, without an id, without a time to retry and without the promise that it had not run. Its connection was closed.

Cause: the owner of the rate limits answers with an infinite wait for a customer that it doesn't know. The entry rendered this as Retry-After, and the OverflowError left the handler of errors.

Evidence: the new test failed before with "cannot convert float infinity to integer"; the same error in a trial with the gateway gave the 500 above.

The entry now reports at most 60 s, so the caller gets the usual 429. The test passes.

--- a/sapphireseam/entry/ratelimit.py
+++ b/sapphireseam/entry/ratelimit.py
@@ -16,6 +16,9 @@
 
 # How long a grant may be used after its call was sent.
 GRANT_SECONDS = 1.0
+# Longest retry delay that is reported to a customer. The owner names none for a
+# customer that it doesn't know.
+MAX_RETRY_AFTER_SECONDS = 60.0
 # How long an entry retries a debit before it refuses the requests.
 DEBIT_TIMEOUT_SECONDS = 3.0
 
@@ -57,7 +60,8 @@
         granted, retry_after = await future
         if granted < amount:
             text = f"customer {customer} is over its rate limit"
-            raise error.CapacityError(text, error.Kind.RATE_LIMITED, retry_after)
+            wait = min(retry_after, MAX_RETRY_AFTER_SECONDS)
+            raise error.CapacityError(text, error.Kind.RATE_LIMITED, wait)
 
     async def _send_forever(self) -> None:
         while True:
