Set no limit for a customer that has no contract

What callers saw: on an entry whose upstreams have agents, each request of a customer without a contract was refused as over its rate, although the configuration then sets no limit. With discovered upstreams, so was a request that waited for its debit while a change took the limit away; it was told to come back in 5 s.

Cause: the owner of the rate limits knew only contracts. A customer without one got the answer for an unknown customer, or for a bucket that never fills.

The owner now keeps the names of the customers without a contract and grants what they ask, also to debits that already wait, as these are tried again. A customer that isn't in the configuration gets nothing, as before.

--- a/sapphireseam/control/ratelimit.py
+++ b/sapphireseam/control/ratelimit.py
@@ -63,6 +63,8 @@
         self._is_stopped = False
         self._limiter = reserve.ReservedLimiter(0.0, {})
         self._contracts: dict[str, fleet.Contract] = {}
+        # The customers that have no contract, and so no limit.
+        self._unlimited: frozenset[str] = frozenset()
         self._waiting_amounts: dict[str, float] = {}
         self._wake = asyncio.Event()
         self._commit_done = asyncio.Event()
@@ -154,8 +156,9 @@
 
     def _configure(self) -> None:
         """Configure the buckets for the contracts in force."""
-        document = record.read_document(self._machine.state)
-        contracts = read_contracts(document)
+        found = _read_fleet(record.read_document(self._machine.state))
+        contracts = _list_contracts(found)
+        self._unlimited = frozenset(found.customers.keys() - contracts.keys())
         now = self._timer.read_clock()
         for customer in self._contracts.keys() - contracts.keys():
             self._limiter.remove(customer)
@@ -167,7 +170,7 @@
     @property
     def contracts(self) -> dict[str, fleet.Contract]:
         """Return the contracts by customer in the configuration applied here."""
-        return read_contracts(record.read_document(self._machine.state))
+        return _list_contracts(_read_fleet(record.read_document(self._machine.state)))
 
     @property
     def is_ready(self) -> bool:
@@ -220,6 +223,8 @@
             raise error.CapacityError(text, retry_after=wait)
 
     def _try_debit(self, customer: str, amount: float) -> limit.Grant | None:
+        if customer in self._unlimited:
+            return limit.Grant(amount, 0.0)
         now = self._timer.read_clock()
         grant = self._limiter.debit(customer, amount, now)
         if grant is None or self._limiter.is_low(customer):
@@ -240,13 +245,15 @@
     return sum(amount for name, amount in requested if name == customer)
 
 
-def read_contracts(document: bytes) -> dict[str, fleet.Contract]:
-    """Return each customer's contract in a published configuration."""
+def _read_fleet(document: bytes) -> fleet.Fleet:
     found, _ = fleet.parse(record.decode_document(document))
-    if found is None:
-        return {}
+    return found or fleet.Fleet()
+
+
+def _list_contracts(found: fleet.Fleet) -> dict[str, fleet.Contract]:
+    """Return each customer's contract in a published configuration."""
     return {
         name: found.contracts[customer.contract]
         for name, customer in found.customers.items()
-        if customer.contract and customer.contract in found.contracts
+        if customer.contract in found.contracts
     }
--- a/sapphireseam/control/ratelimit_test.py
+++ b/sapphireseam/control/ratelimit_test.py
@@ -41,8 +41,9 @@
         await self.service.start()
         self.addAsyncCleanup(self.service.stop)
 
-    def publish(self, base):
-        packed = json.dumps(DOCUMENT).encode()
+    def publish(self, base, customers=None):
+        document = DOCUMENT if customers is None else {"customers": customers}
+        packed = json.dumps(document).encode()
         item = command.Publish(f"publish-{base}", base, packed, 0.0)
         self.machine.apply(base + 1, command.REGISTRY.encode(item))
 
@@ -117,6 +118,15 @@
         with self.assertRaises(error.NotLeaderError):
             await waiting
 
+    async def test_a_customer_that_loses_its_contract_has_no_limit(self):
+        self.publish(0)
+        self.replica.is_leader = True
+        await self.timer.advance(5.0)
+        self.publish(1, {"grower": {"contract": ""}})
+        self.assertEqual(await self.count_granted(100), 100.0)
+        self.publish(2, {})
+        self.assertEqual(await self.count_granted(1), 0.0)
+
     async def test_steady_use_commits_about_one_command_a_second(self):
         self.publish(0)
         self.replica.is_leader = True
