Give items all their attempts although their route takes no more jobs

What callers saw: an item of an accepted batch job was listed as a dead letter after a single answer of 500, although its route allows more attempts, once a change of the configuration had turned the route into one that takes no batch jobs. The job and its route were still there.

Cause: the limit of failed attempts was read from the settings for jobs, and was 1 for a route without them.

Evidence: the new test failed before: the result was failed and empty after one run.

Such a route's own limit now holds; it is the one that the operator set for both kinds.

--- a/sapphireseam/control/bulkrunner.py
+++ b/sapphireseam/control/bulkrunner.py
@@ -487,7 +487,7 @@
         """Record a failed attempt; return True if it was the last one, else None."""
         progress.failures += 1
         progress.reset()
-        max_attempts = route.batch.attempts if route.batch else 1
+        max_attempts = route.batch.attempts if route.batch else route.attempts
         is_final = status == STATUS_IMPOSSIBLE or progress.failures >= max_attempts
         logger.info(
             "item failed, no more attempts" if is_final else "item failed, will retry",
--- a/sapphireseam/control/bulkrunner_test.py
+++ b/sapphireseam/control/bulkrunner_test.py
@@ -549,6 +549,22 @@
         await asyncio.sleep(0.4)
         self.assertEqual(self.upstream.runs, [])
 
+    async def publish_route(self, number, **changes):
+        """Publish the route with changes, or without it if there are none."""
+        routes = {"r": DOCUMENT["routes"]["r"] | changes} if changes else {}
+        services = {"llm": {"tells_load": True}, "other": {}}
+        document = DOCUMENT | {"routes": routes, "services": services}
+        await self.apply(
+            command.PublishNumbered(number, json.dumps(document).encode(), b"", 1.0)
+        )
+
+    async def test_item_has_its_attempts_although_its_route_takes_no_more_jobs(self):
+        await self.publish_route(2, batch=None, attempts=2)
+        self.upstream.behaviours = ["fail"]
+        await self.accept()
+        results = await self.wait_done()
+        self.assertEqual(results[0].output, self.expect_output(b"i0"))
+
     async def test_items_of_a_removed_route_are_abandoned(self):
         self.placement.allocator.update((), 0.0)
         await self.accept(2)
