--- a/sapphireseam/control/bulkrunner_test.py
+++ b/sapphireseam/control/bulkrunner_test.py
@@ -558,6 +558,20 @@
             command.PublishNumbered(number, json.dumps(document).encode(), b"", 1.0)
         )
 
+    async def test_a_running_item_ends_whole_although_its_route_changes(self):
+        changes = ({"service": "other"}, {}, {"batch": None})
+        self.upstream.event_delay = 0.1
+        for number, change in enumerate(changes):
+            with self.subTest(change):
+                await self.publish_route(2 * number + 2, timeout=9)
+                await self.accept()
+                await self.wait_event(1)
+                await self.publish_route(2 * number + 3, **change)
+                results = await self.wait_done()
+                self.assertEqual(results[0].output, self.expect_output(b"i0"))
+                del self.machine.state.lots["l"]
+        self.assertEqual(len(self.upstream.runs), len(changes))
+
     async def test_item_has_its_attempts_although_its_route_takes_no_more_jobs(self):
         await self.publish_route(2, batch=None, attempts=2)
         self.upstream.behaviours = ["fail"]
