Run nothing at an upstream that has come to serve something else

What callers saw: after a change of the configuration that gave an upstream another service or model version, requests and batch items that already waited at its agent ran there all the same. Callers got the answer of another service, and an item of an accepted job ended with it, often as failed.

Cause: the entry, or the lease, chose the upstream by the former configuration, and the agent sent what waited to whatever the upstream served when its turn came.

Evidence: both new tests failed before. A second item ran ("2 != 1"), and without the agent's check none of three waiting requests was refused ("[] != [True, True, True]").

An offer and a lease now say which version or service they are for. The agent compares this just before it sends, when no waiting is left, and otherwise reports "not run", so the entry tries another upstream and the item returns to its job. An offer of an entry that doesn't say it is run as before.

--- a/sapphireseam/agent/application.py
+++ b/sapphireseam/agent/application.py
@@ -78,8 +78,10 @@
         target = current.upstreams.get(self._name)
         if target is None:
             self._upstream.set_address("")
+            self._upstream.served = ""
             return
         self._upstream.set_address(target.address)
+        self._upstream.served = target.version or target.service
         self._scheduler.slots = target.slots
         self._scheduler.queue_limit = current.policy.queue_limit
         self._apply_weights(current)
--- a/sapphireseam/agent/engine.py
+++ b/sapphireseam/agent/engine.py
@@ -65,6 +65,8 @@
     def __init__(self, name: str, timer: TimerService):
         self.name = name
         self.healthy = False
+        # The version or service that the upstream has by the configuration.
+        self.served = ""
         # Hears the ceilings that the upstream names, if it is set.
         self.ceiling_monitor: CeilingMonitor | None = None
         self._timer = timer
--- a/sapphireseam/agent/item.py
+++ b/sapphireseam/agent/item.py
@@ -143,13 +143,14 @@
 
     async def _pull(self, model: str, service: str, count: int) -> None:
         sent_at = self.timer.read_clock()
+        served = self.upstream.served
         work = await self._client.call(
             message.Pull(self._node, self.upstream.name, model, service, count),
             CALL_SECONDS,
         )
         if not work.lease:
             return
-        lease = ItemLease(work, sent_at + LEASE_SECONDS)
+        lease = ItemLease(work, sent_at + LEASE_SECONDS, served)
         self._leases[work.lease] = lease
         if self._stopping or self.timer.read_clock() >= lease.expires_at:
             self._release(lease)
--- a/sapphireseam/agent/item_test.py
+++ b/sapphireseam/agent/item_test.py
@@ -180,6 +180,20 @@
         await self.answer_all(first)
         self.assertEqual(self.job.status, record.COMPLETED)
 
+    async def test_no_leased_item_runs_once_its_upstream_serves_something_else(self):
+        await self.submit()
+        agent = await self.start()
+        agent.scheduler.slots = 1
+        await self.timer.advance(0.5)
+        self.assertGreater(agent.scheduler.count_waiting(True), 0)
+        agent.upstream.served = "other"
+        agent.upstream.healthy = False
+        agent.upstream.exchanges[0].answer(b"{}")
+        await self.timer.advance(1.0)
+        self.assertEqual(len(agent.upstream.exchanges), 1)
+        await self.answer_all(await self.start("b"))
+        self.assertEqual(len(self.list_results()), COUNT)
+
     async def test_result_from_before_the_lease_expired_is_still_sent(self):
         await self.submit()
         agent = await self.start()
--- a/sapphireseam/agent/itemwork.py
+++ b/sapphireseam/agent/itemwork.py
@@ -33,11 +33,12 @@
     """Track one lease: its items, their results and its expiry time.
 
     An item is open until it has a result here or is returned. Later results for
-    it are ignored.
+    it are ignored. `served` is the version or service for which it was leased.
     """
 
-    def __init__(self, work: message.Work, expires_at: float):
+    def __init__(self, work: message.Work, expires_at: float, served: str):
         self.work = work
+        self.served = served
         self.expires_at = expires_at
         self.open_items = {number for number, _ in work.items}
         self.results: list[Result] = []
@@ -122,6 +123,10 @@
         ):
             self._lease.return_item(self._item, not_run=True)
             return Completion(0.0, False)
+        if self._lease.served != self._context.upstream.served:
+            # The configuration has changed since the item was leased.
+            self._lease.return_item(self._item, not_run=True)
+            return Completion(0.0, False)
         run = crash.Run(self._context.upstream.name)
         with self._context.crash_detector.open(run) as running:
             try:
--- a/sapphireseam/agent/server.py
+++ b/sapphireseam/agent/server.py
@@ -95,6 +95,10 @@
                 text = "the entry did not permit sending the request in time"
                 self.refuse(error.CapacityError(text))
                 return Completion(0.0, False)
+            if self._offer.served not in ("", self._server.upstream.served):
+                text = "the upstream serves something else now"
+                self.refuse(error.CapacityError(text, error.Kind.NO_UPSTREAM))
+                return Completion(0.0, False)
             was_sent = True
             return await self._exchange()
         except Exception:
--- a/sapphireseam/agent/server_test.py
+++ b/sapphireseam/agent/server_test.py
@@ -107,6 +107,17 @@
         self.assertTrue(failed.not_run)
         self.assertEqual(self.upstream.exchanges, [])
 
+    async def test_no_request_runs_once_its_upstream_serves_something_else(self):
+        self.upstream.served = "v1"
+        self.scheduler.slots = 1
+        offers = [make_offer(n)._replace(served="v1") for n in range(3)]
+        await self.send(*offers, make_offer(3, ask=True)._replace(served="v1"))
+        self.upstream.served = "v2"
+        self.upstream.exchanges[0].answer(b"a")
+        await self.send(exchange.Go(3))
+        self.assertEqual([f.not_run for f in self.list_fails()], [True] * 3)
+        self.assertEqual(len(self.upstream.exchanges), 1)
+
     async def test_repeated_permission_sends_the_request_once(self):
         await self.send(make_offer(ask=True), exchange.Go(1), exchange.Go(1))
         self.assertEqual(len(self.upstream.exchanges), 1)
--- a/sapphireseam/core/exchange.py
+++ b/sapphireseam/core/exchange.py
@@ -19,7 +19,8 @@
     `remaining` is the time to the caller's deadline in seconds. With `ask`, the agent
     sends the request to the upstream only after a `Go`. With `alone`, it runs while
     no other request does. `clock` is the entry's event clock. `parts` are the traits of
-    the prompt's parts. A request that was proven sound has no traits.
+    the prompt's parts. A request that was proven sound has no traits. `served` is the
+    version or service that the upstream must have, an empty string for any.
     """
 
     attempt: int
@@ -35,6 +36,7 @@
     fingerprint: str
     clock: float = 0.0
     parts: tuple[str, ...] = ()
+    served: str = ""
 
     @property
     def traits(self) -> tuple[str, ...]:
--- a/sapphireseam/entry/forwarder.py
+++ b/sapphireseam/entry/forwarder.py
@@ -212,7 +212,8 @@
         request = delivery.request
         self._check_may_run(request, stopped)
         link = self._choose_link(delivery, tried, alone)
-        version = self._mirror.fleet.upstreams[link.upstream].version
+        upstream = self._mirror.fleet.upstreams[link.upstream]
+        version = upstream.version
         try:
             attempt = link.open_attempt()
         except error.SeamError as failure:
@@ -227,7 +228,8 @@
         deadline_task = asyncio.ensure_future(self._enqueue_deadline(request, attempt))
         complete = False
         try:
-            attempt.send(self._make_offer(delivery, attempt, alone))
+            served = version or upstream.service
+            attempt.send(self._make_offer(delivery, attempt, alone, served))
             self._timeline.record(
                 "attempt", request.id, request.caller.customer, detail=link.upstream
             )
@@ -261,7 +263,7 @@
             raise AttemptFailed(failure, True)
 
     def _make_offer(
-        self, delivery: Delivery, attempt: Attempt, alone: bool
+        self, delivery: Delivery, attempt: Attempt, alone: bool, served: str
     ) -> exchange.Offer:
         request = delivery.request
         traits = () if delivery.proof.is_proven else delivery.traits
@@ -279,6 +281,7 @@
             request.fingerprint if traits else "",
             self._timeline.clock.last,
             traits[1:],
+            served,
         )
 
     async def _read_messages(
