Test that answers of agents outlive their route, customer and upstream

What callers might see: an answer that is cut, or a connection that is closed, because the configuration no longer has the route, the customer or the upstream of the request.

The forwarder looks upstreams up again for each attempt, and the sink checks the key at each write, so a publish in between could have ended the answer. Neither test ever failed: an attempt that has begun needs nothing more from the configuration, and the key alone decides whether its answer goes on. They are here to keep it so.

--- a/sapphireseam/entry/forwarder_test.py
+++ b/sapphireseam/entry/forwarder_test.py
@@ -201,6 +201,26 @@
         await fixture.timer.advance(0.1)
         self.assertFalse(task.exception().not_run)
 
+    async def test_a_running_answer_outlives_its_upstream_in_the_configuration(self):
+        senders = []
+
+        def react(item, send):
+            if isinstance(item, exchange.Offer):
+                send(exchange.Head(0, 200, ()))
+                senders.append(send)
+
+        fixture = Fixture(react)
+        task = fixture.serve(make_request(fixture.timer.read_clock()))
+        await fixture.timer.settle()
+        fixture.mirror.fleet = fake.FakeMirror({}).fleet
+        fixture.mirror.notify()
+        fixture.links.clear()
+        senders[0](exchange.Data(0, b"whole"))
+        senders[0](exchange.End(0))
+        await fixture.timer.settle()
+        self.assertIsNone(task.exception())
+        self.assertEqual(fixture.sink.body, b"whole")
+
     async def test_stop_between_attempts_ends_the_request(self):
         fixture = Fixture(lambda item, send: send(REFUSED))
         task = fixture.serve(make_request(fixture.timer.read_clock()))
--- a/sapphireseam/entry/gateway_test.py
+++ b/sapphireseam/entry/gateway_test.py
@@ -211,6 +211,23 @@
             with self.assertRaises(aiohttp.ClientError):
                 await response.read()
 
+    async def test_answer_outlives_its_route_and_its_customer(self):
+        published = self.mirror.fleet
+
+        async def answer(request, sink, stopped):
+            await sink.begin(200, ())
+            self.mirror.fleet = published._replace(routes={}, customers={})
+            self.mirror.notify()
+            await sink.write(b"whole")
+            await sink.finish()
+
+        self.forwarder.answer = answer
+        for _ in range(2):
+            response, body = await self.post()
+            self.assertEqual((response.status, body), (200, b"whole"))
+            self.assertNotEqual(response.headers.get("Connection"), "close")
+            self.mirror.fleet = published
+
     async def test_key_withdrawn_during_a_run_is_not_reported_as_not_run(self):
         async def answer(request, sink, stopped):
             found = self.mirror.keys[self.secret.id]
