Place a request locally if its leader has just lost the leadership

What callers saw: while a leader handed over or was stopped, also beside a change of the configuration, requests got 503 "this control VM is not the leader", although slots were free and the entry could have placed them itself, as it does when no leader answers.

Cause: a leader that may no longer debit refuses the request with that error, and the entry passed it on like any refusal.

Evidence: the new test failed before with this error.

Such an answer now counts as none: the entry places the request by its own view, under the fallback limits. The tests of the placer pass (16).

--- a/sapphireseam/entry/placer.py
+++ b/sapphireseam/entry/placer.py
@@ -270,7 +270,7 @@
             raise
         finally:
             del self._waiting[number]
-        if answer is None:
+        if answer is None or _is_from_former_leader(answer):
             self._post(placement.Left(number))
             return self._place_locally(next(self._numbers), spec), LOCAL
         if isinstance(answer, placement.Turned):
@@ -378,6 +378,12 @@
         self._post(placement.Suspect(instance.id))
 
 
+def _is_from_former_leader(answer: placement.Placed | placement.Turned) -> bool:
+    """Return whether a leader refused a request because it leads no more."""
+    is_refusal = isinstance(answer, placement.Turned)
+    return is_refusal and answer.kind == error.Kind.NOT_LEADER
+
+
 def _make_place(number: int, spec: SlotSpec) -> placement.Place:
     return placement.Place(
         number,
--- a/sapphireseam/entry/placer_test.py
+++ b/sapphireseam/entry/placer_test.py
@@ -208,6 +208,11 @@
         self.assertEqual(caught.exception.retry_after, 0.7)
         self.assertTrue(caught.exception.not_run)
 
+    async def test_a_leader_that_has_just_lost_the_leadership_refuses_no_request(self):
+        self.leader.refusal = ("not_leader", "not the leader", 1.0)
+        slot = await self.placer.place(self.make_spec())
+        self.assertIn(slot.instance, INSTANCES)
+
     async def test_the_list_of_control_vms_is_updated(self):
         self.assertEqual(self.client.learned, ("c1", "c2"))
 
