--- a/sapphireseam/agent/application.py
+++ b/sapphireseam/agent/application.py
@@ -78,8 +78,10 @@
         target = current.upstreams.get(self._name)
         if target is None:
             self._upstream.set_address("")
+            self._upstream.served = ""
             return
         self._upstream.set_address(target.address)
+        self._upstream.served = target.version or target.service
         self._scheduler.slots = target.slots
         self._scheduler.queue_limit = current.policy.queue_limit
         self._apply_weights(current)
@@ -91,7 +93,8 @@
     def _apply_weights(self, current: fleet.Fleet) -> None:
         self._weights.clear()
         for name, customer in current.customers.items():
-            self._weights[name] = current.contracts[customer.contract].weight
+            if customer.contract:
+                self._weights[name] = current.contracts[customer.contract].weight
 
     def _rebuild(self, policy: fleet.Policy, target: fleet.Upstream) -> None:
         names = {"queue": policy.queue, "admission": policy.admission}
