Continue a begun stream only with the events that follow

What callers saw: a stream had begun and broke off, and the next upstream's answer was no continuation of it. The text of an error or of a whole head stood in the middle of their stream, an event was missing, or the stream ended as complete after 2 of 4 events.

Cause: the entry checked only that the next answer's status is below 300. A plain body was written into the stream, 204 and a stream without an event ended it, and blocks without an id, from the start again or with a gap passed the filter against repeats.

Now only an answer with status 200 that is a stream continues a begun one, and its first event must have the number after the last one that the caller has, and so on. Comments are left out. Any other answer is a failed attempt: the request goes on elsewhere, or the stream is aborted. The same holds for the stream that a caller resumes itself. A stream without ids is never begun again in the same answer.

An answer without an event doesn't end a begun stream, though an upstream that was cut after its last event has nothing left to send. Such a stream is aborted, and its caller can resume it: that answer is whole by itself, and is passed on if each attempt has no event. So a complete stream may look broken, but not the other way round.

--- a/sapphireseam/entry/direct.py
+++ b/sapphireseam/entry/direct.py
@@ -128,6 +128,8 @@
         self.is_counted = False
         self.has_begun = False
         self.last_event = resume_after
+        # Whether the caller's position in the stream is known.
+        self.is_resumable = True
         # The slot for which a silent upstream was left.
         self.next_slot: HeldSlot | None = None
         # The upstream at which the stream began or went on.
@@ -384,7 +386,8 @@
             },
         )
         progress.excluded.add(instance.id)
-        if progress.has_begun and not request.route.idempotent:
+        may_resume = request.route.idempotent and progress.is_resumable
+        if progress.has_begun and not may_resume:
             raise error.OutcomeError("the stream ended early and can't be resumed")
         if not failure.is_not_run and not request.route.idempotent:
             raise error.OutcomeError(
@@ -471,6 +474,8 @@
         self, request: DirectRequest, progress: _Progress, silent: Instance
     ) -> HeldSlot:
         """Return a slot at another upstream than a silent one, or raise an error."""
+        if not progress.is_resumable:
+            raise error.CapacityError("the stream can't be resumed")
         progress.excluded.add(silent.id)
         slot = await self._acquire_admitted(request, progress)
         if slot.instance.id == silent.id:
@@ -507,15 +512,20 @@
         head = answer.head
         if head.is_not_run:
             raise outbound.RefusalError("the upstream refused the request", True)
-        if progress.has_begun and head.status >= 300:
-            raise outbound.RefusalError(
-                f"the upstream did not resume the stream: {head.status}", False
-            )
         may_retry = request.route.idempotent and progress.runs < request.route.attempts
         if head.status >= SERVER_ERROR_STATUS and may_retry:
             raise outbound.RefusalError(f"the upstream answered {head.status}", False)
-        if head.is_stream and request.route.streamed:
-            await self._deliver_events(progress, slot, answer, sink, interval, patience)
+        is_stream = head.is_stream and head.status == outbound.STREAM_STATUS
+        if progress.has_begun or (is_stream and request.route.streamed):
+            try:
+                await self._deliver_events(
+                    request, progress, slot, answer, sink, interval, patience
+                )
+            except outbound.NothingLeftError:
+                # A caller that resumes may have every event, but not the end.
+                if progress.has_begun or may_retry:
+                    raise
+            await self._begin_stream(progress, answer, sink)
         else:
             body = await answer.read_all(MAX_BUFFERED_BYTES, patience)
             # For a plain answer, the interval is the time since the request arrived.
@@ -529,6 +539,7 @@
 
     async def _deliver_events(
         self,
+        request: DirectRequest,
         progress: _Progress,
         slot: HeldSlot,
         answer: outbound.Answer,
@@ -536,7 +547,11 @@
         interval: _EventInterval,
         patience: outbound.Patience,
     ) -> None:
-        async for events in answer.read_events(patience):
+        if progress.has_begun or request.resume_after >= 0:
+            received = answer.read_continuation(progress.last_event, patience)
+        else:
+            received = answer.read_events(patience)
+        async for events in received:
             new_events = [
                 item
                 for item in events
@@ -547,17 +562,21 @@
             progress.event_at = self._timer.read_clock()
             interval.record(len(new_events), progress.event_at)
             progress.exchange.record_received()
-            if answer.head.status < FAILURE_STATUS:
-                progress.proof.record_events(len(new_events))
+            progress.proof.record_events(len(new_events))
             progress.events += len(new_events)
             if progress.origin is None:
                 progress.origin = slot.instance
                 self._placer.record_stream(slot)
-            if not progress.has_begun:
-                progress.has_begun = True
-                await sink.begin(answer.head.status, answer.head.headers)
+            if any(item.number < 0 and not item.is_comment for item in new_events):
+                progress.is_resumable = False
+            await self._begin_stream(progress, answer, sink)
             await sink.write(b"".join(item.raw for item in new_events))
             progress.last_event = max(progress.last_event, new_events[-1].number)
+
+    async def _begin_stream(
+        self, progress: _Progress, answer: outbound.Answer, sink: Sink
+    ) -> None:
+        """Begin the caller's stream, unless it has begun."""
         if not progress.has_begun:
             progress.has_begun = True
             await sink.begin(answer.head.status, answer.head.headers)
--- a/sapphireseam/entry/direct_test.py
+++ b/sapphireseam/entry/direct_test.py
@@ -1,6 +1,7 @@
 """Test the answers to callers and the requests to upstreams while upstreams fail."""
 
 import asyncio
+import gzip
 import random
 import unittest
 
@@ -10,6 +11,7 @@
 from sapphireseam.entry.placer import HeldSlot
 from sapphireseam.tools import fake
 from sapphireseam.utils import bufferlimit, crash, fakeupstream, metric, outbound
+from sapphireseam.utils.fakeupstream import make_raw
 from sapphireseam.utils.timeline import Timeline
 from sapphireseam.utils.timer import SystemTimer
 
@@ -19,6 +21,27 @@
 RESUMABLE = STREAM._replace(idempotent=True, attempts=2)
 SAFE = fleet.Route("/w/", "llm", idempotent=True, target=0.2, attempts=3)
 UNSAFE = SAFE._replace(idempotent=False)
+THIRD, FOURTH = b"id: 2\ndata: r1-2\n\n", b"id: 3\ndata: r1-3\n\n"
+# Whole answers that don't continue a stream after its second event.
+FOREIGN_ANSWERS = {
+    "text": make_raw(b"sorry", content_type=b"text/plain"),
+    "json": make_raw(b'{"error": "sorry"}', content_type=b"application/json"),
+    "no content": make_raw(b"", b"204 No Content"),
+    "partial content": make_raw(THIRD + FOURTH, b"206 Partial Content"),
+    "empty": make_raw(b""),
+    "comments": make_raw(b": sorry\n\n: sorry\n\n"),
+    "no id": make_raw(b"data: sorry\n\n"),
+    "no id at last": make_raw(THIRD + b"data: sorry\n\n"),
+    "head": make_raw(b"HTTP/1.1 500 X\r\nContent-Length: 5\r\n\r\nsorry\n\n"),
+    "head at last": make_raw(THIRD + b"HTTP/1.1 500 X\r\nLength: 0\r\n\r\n"),
+    "from the start": make_raw(b"id: 0\ndata: x\n\nid: 1\ndata: y\n\n" + THIRD),
+    "gap": make_raw(FOURTH),
+    "gap at last": make_raw(THIRD + b"id: 4\ndata: r1-4\n\n"),
+    "repeated": make_raw(THIRD + THIRD + FOURTH),
+    "encoded": make_raw(
+        gzip.compress(THIRD + FOURTH), extra=b"Content-Encoding: gzip\r\n"
+    ),
+}
 
 
 class FakePlacer:
@@ -66,12 +89,14 @@
 
 class FakeSink:
     def __init__(self):
+        self.begun = 0
         self.status = 0
         self.headers = ()
         self.body = b""
         self.is_complete = False
 
     async def begin(self, status, headers):
+        self.begun += 1
         self.status = status
         self.headers = dict(headers)
 
@@ -469,6 +494,69 @@
         self.assertEqual(self.placer.released, [("u1", False)])
 
 
+class ContinuationTest(DirectForwarderTestCase):
+    """A stream has begun and broken off after its second event."""
+
+    async def test_an_answer_that_is_no_continuation_never_enters_a_begun_stream(self):
+        for name, answer in FOREIGN_ANSWERS.items():
+            with self.subTest(name):
+                self.sink = FakeSink()
+                self.upstreams[1].behaviours = [answer]
+                await self.expect(error.Kind.UPSTREAM_FAILED, RESUMABLE, "cut")
+                self.assertEqual(self.sink.begun, 1)
+                self.assertFalse(self.sink.is_complete)
+                self.sink.is_complete = True
+                self.check_events(self.sink.body.count(b"id: "))
+
+    async def test_a_stream_goes_on_elsewhere_after_an_answer_that_is_no_continuation(
+        self,
+    ):
+        third = fakeupstream.FakeUpstream("u3")
+        await third.start()
+        self.addAsyncCleanup(third.stop)
+        self.upstreams.append(third)
+        for name, answer in FOREIGN_ANSWERS.items():
+            with self.subTest(name):
+                self.sink = FakeSink()
+                self.upstreams[1].behaviours = [answer]
+                await self.serve(RESUMABLE._replace(attempts=3), "cut")
+                self.check_events()
+
+    async def test_a_stream_whose_end_alone_is_missing_is_not_ended_as_complete(self):
+        self.upstreams[1].events = 2
+        await self.expect(error.Kind.UPSTREAM_FAILED, RESUMABLE, "cut")
+        self.assertFalse(self.sink.is_complete)
+
+    async def test_comments_in_a_continuation_are_left_out(self):
+        body = b": x\n\n" + THIRD + b": y\n:\n\n" + FOURTH
+        self.upstreams[1].behaviours = [make_raw(body)]
+        await self.serve(RESUMABLE, "cut")
+        self.check_events()
+
+    async def test_a_begun_stream_without_ids_is_never_begun_again(self):
+        whole = make_raw(b"data: a\n\ndata: b\n\n")
+        cut = whole._replace(data=whole.data.removesuffix(b"b\n\n"))
+        await self.expect(error.Kind.OUTCOME_UNKNOWN, RESUMABLE, cut)
+        self.assertEqual(self.sink.body, b"data: a\n\n")
+        self.assertEqual((self.count_runs(), self.sink.is_complete), ([1, 0], False))
+
+    async def test_a_callers_own_resumption_gets_only_a_continuation(self):
+        for name in ("no id", "from the start", "gap", "empty"):
+            with self.subTest(name):
+                self.sink = FakeSink()
+                answer = FOREIGN_ANSWERS[name]
+                await self.serve(RESUMABLE, answer, resume_after=1)
+                self.assertEqual(self.sink.body, THIRD + FOURTH)
+
+    async def test_a_callers_own_resumption_may_have_nothing_left(self):
+        for answer in (FOREIGN_ANSWERS["empty"], FOREIGN_ANSWERS["comments"]):
+            self.sink = FakeSink()
+            self.upstreams[1].behaviours = [answer]
+            await self.serve(RESUMABLE, answer, resume_after=3)
+            self.assertEqual((self.sink.begun, self.sink.is_complete), (1, True))
+        self.assertEqual(self.count_runs(), [2, 2])
+
+
 class PauseTest(DirectForwarderTestCase):
     """A sound upstream may send nothing for a while and then go on."""
 
--- a/sapphireseam/utils/event.py
+++ b/sapphireseam/utils/event.py
@@ -25,6 +25,12 @@
     number: int
     data: bytes
 
+    @property
+    def is_comment(self) -> bool:
+        """Whether it has only comments, which callers don't take for an event."""
+        lines = self.raw.splitlines()
+        return all(line.startswith(b":") for line in lines if line)
+
 
 class Splitter:
     """Buffer the bytes of a stream and return each event once it is complete.
--- a/sapphireseam/utils/event_test.py
+++ b/sapphireseam/utils/event_test.py
@@ -34,6 +34,7 @@
     def test_further_blank_lines_are_no_events(self):
         events = event.Splitter().feed(b"\n\ndata: a\n\n\r\n\r\n\n\n: b\n\n")
         self.assertEqual([item.raw for item in events], [b"data: a\n\n", b": b\n\n"])
+        self.assertEqual([item.is_comment for item in events], [False, True])
 
 
 if __name__ == "__main__":
--- a/sapphireseam/utils/fakeupstream.py
+++ b/sapphireseam/utils/fakeupstream.py
@@ -78,6 +78,16 @@
         return self.headers.get(PARTS, "").split(",")
 
 
+class Raw(NamedTuple):
+    """Bytes that are sent as an answer; the connection is closed or reset after them.
+
+    Each `{id}` in the bytes is replaced by the id of the request.
+    """
+
+    data: bytes
+    resets: bool = False
+
+
 class Event(NamedTuple):
     """A crash under a request with a bad part, or the arrival of such a request.
 
@@ -104,6 +114,8 @@
     (closes before the first event), `unframed-reset` (resets the connection after
     the second event), `reset` (resets the connection instead of an answer).
 
+    A behaviour that is a `Raw` object is sent instead of an answer.
+
     Any request whose prompt has one of `bad_parts` crashes the upstream while it is
     answered: the upstream resets all its connections, loses its running requests, and
     listens again after `down_seconds` as the next run, with another `born`. A leaving
@@ -120,7 +132,7 @@
         self.version = version
         self.service = service
         self.events = events
-        self.behaviours: list[str] = []
+        self.behaviours: list[str | Raw] = []
         # The data of each event begins with it, or with the request's id if empty.
         self.text = ""
         self.runs: list[Run] = []
@@ -243,6 +255,8 @@
             self.bad_arrivals.append(_make_event(run))
             if self.events_before_crash < 0:
                 return await self._crash_later(run)
+        if isinstance(behaviour, Raw):
+            return await _send_raw(writer, behaviour, run)
         if behaviour == "drop":
             return False
         if behaviour == "reset":
@@ -342,6 +356,31 @@
     writer.write(data)
 
 
+async def _send_raw(writer: asyncio.StreamWriter, raw: Raw, run: Run) -> bool:
+    """Send the bytes and return false, which closes the connection."""
+    writer.write(raw.data.replace(b"{id}", run.id.encode()))
+    await writer.drain()
+    if raw.resets:
+        framing.break_off(writer.transport)
+    return False
+
+
+def make_raw(
+    body: bytes,
+    status: bytes = b"200 OK",
+    content_type: bytes = b"text/event-stream",
+    extra: bytes = b"",
+) -> Raw:
+    """Return a whole answer with a length; `extra` holds further lines of its head."""
+    head = b"HTTP/1.1 %s\r\n%s: {id}\r\nContent-Type: %s\r\n%s" % (
+        status,
+        ID.encode(),
+        content_type,
+        extra,
+    )
+    return Raw(b"%sContent-Length: %d\r\n\r\n%s" % (head, len(body), body))
+
+
 def _write_short_answer(
     writer: asyncio.StreamWriter, behaviour: str, run: Run, extra: bytes
 ) -> None:
--- a/sapphireseam/utils/outbound.py
+++ b/sapphireseam/utils/outbound.py
@@ -44,6 +44,8 @@
 MAX_BUFFERED_BYTES = 32 * 1024 * 1024
 # The lowest HTTP status of a failure.
 FAILURE_STATUS = 400
+# The HTTP status of an answer that is a stream of the requested events.
+STREAM_STATUS = 200
 
 
 # Errors of a connection that ends before the head of an answer is complete.
@@ -140,6 +142,17 @@
     """An upstream answered, but didn't deliver the requested result."""
 
 
+class NotResumedError(RefusalError):
+    """An upstream answered, but its answer doesn't continue the stream."""
+
+
+class NothingLeftError(NotResumedError):
+    """An answer that should continue a stream has no event.
+
+    The upstream doesn't have the rest of the stream, or had nothing left to send.
+    """
+
+
 class LeavingError(RefusalError):
     """The request wasn't sent, because its upstream has said that it is leaving."""
 
@@ -245,6 +258,33 @@
         if not has_begun and self._response.framing is framing.Framing.CONNECTION:
             raise EmptyAnswerError("the answer ended before its first event", False)
 
+    async def read_continuation(
+        self, last_event: int, patience: Patience = ENDLESS_PATIENCE
+    ) -> AsyncIterator[list[event.Event]]:
+        """Yield the events that continue a stream after the event `last_event`.
+
+        Comments are left out. Raises `NotResumedError` if the answer is no stream, or
+        at an event whose number doesn't follow that of the one before,
+        `NothingLeftError` if there is no event, and the errors of `read_events`.
+        """
+        if self.head.status != STREAM_STATUS or not self.head.is_stream:
+            text = f"the upstream did not resume the stream: {self.head.status}"
+            raise NotResumedError(text, False)
+        number = last_event
+        async for events in self.read_events(patience):
+            pieces = [item for item in events if not item.is_comment]
+            count = 0
+            while count < len(pieces) and pieces[count].number == number + 1:
+                number += 1
+                count += 1
+            if count:
+                yield pieces[:count]
+            if count < len(pieces):
+                text = f"event {pieces[count].number} doesn't follow event {number}"
+                raise NotResumedError(text, False)
+        if number == last_event:
+            raise NothingLeftError("the continuation has no event", False)
+
     async def _read_next_events(
         self, splitter: event.Splitter, patience: Patience
     ) -> list[event.Event]:
