Resume after the newest event even if a comment follows it

What callers saw: an event stood twice in a stream that broke off and went on at another upstream, if a comment had arrived together with the event.

Cause: the position in the stream was taken from the last block of those that arrived at once. A comment has no id, so the event before it didn't count, and the next upstream was asked to repeat it.

Evidence: before the fix, the new test got "id: 0" before and after the comment, from two upstreams, where it expects it once.

Now the position is the highest number of all blocks that arrived. Comments come and go without a change of it.

--- a/sapphireseam/entry/direct.py
+++ b/sapphireseam/entry/direct.py
@@ -571,7 +571,8 @@
                 progress.is_resumable = False
             await self._begin_stream(progress, answer, sink)
             await sink.write(b"".join(item.raw for item in new_events))
-            progress.last_event = max(progress.last_event, new_events[-1].number)
+            numbers = [item.number for item in new_events]
+            progress.last_event = max(progress.last_event, *numbers)
 
     async def _begin_stream(
         self, progress: _Progress, answer: outbound.Answer, sink: Sink
--- a/sapphireseam/entry/direct_test.py
+++ b/sapphireseam/entry/direct_test.py
@@ -533,6 +533,13 @@
         await self.serve(RESUMABLE, "cut")
         self.check_events()
 
+    async def test_an_event_before_a_comment_is_not_repeated_by_the_continuation(self):
+        whole = make_raw(b"id: 0\ndata: r1-0\n\n: x\n\nid: 1\n\n")
+        cut = whole._replace(data=whole.data.removesuffix(b"id: 1\n\n"))
+        await self.serve(RESUMABLE, cut)
+        self.sink.body = self.sink.body.replace(b": x\n\n", b"")
+        self.check_events()
+
     async def test_a_begun_stream_without_ids_is_never_begun_again(self):
         whole = make_raw(b"data: a\n\ndata: b\n\n")
         cut = whole._replace(data=whole.data.removesuffix(b"b\n\n"))
