Continue an item's output only with the events that follow

What callers saw: the text of a completed item wasn't its output. After a broken run, the next upstream's answer was no continuation, and the item was listed with the text of an error, with two of four events, or with an event missing.

Cause: the runner of bulk jobs checked only the status of the next answer. A plain body replaced the output, a stream without an event ended it, and blocks without an id or after a gap were added. Only an unframed stream without an event was recognised.

Evidence: before the fix, 10 of the test's 11 kinds of answers were listed as the result: "sorry", '{"error": 1}', "i0-0\ni0-1", "i0-0\ni0-1\nsorry", "i0-0\ni0-1\ni0-3" and others; only events that come twice were recognised.

Now the runner reads such an answer as the entry does for streams: it must be a stream, and its events must follow. Otherwise the output so far is dropped and the item starts again from its first event, because an upstream that can't continue it, or has nothing left, might answer in the same way for ever.

--- a/sapphireseam/control/bulkrunner.py
+++ b/sapphireseam/control/bulkrunner.py
@@ -430,8 +430,8 @@
         progress.excluded = frozenset({instance.id})
         is_refusal = isinstance(failure, outbound.RefusalError)
         progress.unreachable = "" if is_refusal else instance.id
-        if isinstance(failure, outbound.EmptyAnswerError):
-            # Resumed after its last event, the item would never end.
+        if isinstance(failure, outbound.EmptyAnswerError | outbound.NotResumedError):
+            # Resumed after its last event again, the item might never end.
             progress.reset()
         if isinstance(failure, outbound.LeavingError):
             # It may have been listed anew since it said so.
@@ -504,12 +504,16 @@
     async def _read_output(
         self, answer: outbound.Answer, progress: ItemProgress
     ) -> None:
-        if not answer.head.is_stream:
+        if progress.last_event >= 0:
+            parts = answer.read_continuation(progress.last_event, IDLE_PATIENCE)
+        elif answer.head.is_stream:
+            parts = answer.read_events(IDLE_PATIENCE)
+        else:
             progress.reset()
             body = await answer.read_all(MAX_RESULT_BYTES, IDLE_PATIENCE)
             progress.data.append(body)
             return
-        async for events in answer.read_events(IDLE_PATIENCE):
+        async for events in parts:
             for received in events:
                 progress.append_event(received)
             if progress.size > MAX_OUTPUT_BYTES:
--- a/sapphireseam/control/bulkrunner_test.py
+++ b/sapphireseam/control/bulkrunner_test.py
@@ -9,6 +9,7 @@
 from sapphireseam.core import command, error, fleet, placement as messages
 from sapphireseam.policy import allocator, limit
 from sapphireseam.utils import fakeflood, fakeupstream, outbound
+from sapphireseam.utils.fakeupstream import make_raw
 from sapphireseam.utils.timer import SystemTimer
 
 # What the buffers of a connection may hold.
@@ -190,6 +191,28 @@
         resumed = [fakeupstream.RESUME in run.headers for run in self.upstream.runs]
         self.assertEqual(resumed, [False, True, False])
 
+    async def test_output_is_continued_only_by_the_events_that_follow(self):
+        third, fourth = b"id: 2\ndata: i0-2\n\n", b"id: 3\ndata: i0-3\n\n"
+        for name, answer in {
+            "text": make_raw(b"sorry", content_type=b"text/plain"),
+            "json": make_raw(b'{"error": 1}', content_type=b"application/json"),
+            "empty": make_raw(b""),
+            "comments": make_raw(b": sorry\n\n"),
+            "no id": make_raw(b"data: sorry\n\n"),
+            "no id at last": make_raw(third + b"data: sorry\n\n"),
+            "head": make_raw(b"HTTP/1.1 500 X\r\ndata: sorry\r\n\r\n"),
+            "from the start": make_raw(b"id: 0\ndata: x\n\n" + third),
+            "gap": make_raw(fourth),
+            "gap at last": make_raw(third + b"id: 4\ndata: x\n\n"),
+            "repeated": make_raw(third + third + fourth),
+        }.items():
+            with self.subTest(name):
+                self.upstream.behaviours = ["cut", answer]
+                await self.accept()
+                results = await self.wait_done()
+                del self.machine.state.lots["l"]
+                self.assertEqual(results[0].output, self.expect_output(b"i0"))
+
     async def test_item_whose_version_serves_no_more_starts_again(self):
         self.upstream.version, self.other.version = "v1", "v2"
         self.placement.update_instances((self.upstream.instance,))
