Leave comments in a stream out of an item's output

What callers saw: if an upstream keeps its connection awake with comments, the text of a completed item had an empty line for each of them, so it wasn't the data of all events in order. An item whose run broke off after a comment started again from its first event.

Cause: the runner of bulk jobs took each block of a stream for an event. A comment has no data and no id, so it added an empty line and made the output one that can't be resumed.

Evidence: before the fix, the new test got b'\ni0-0\n\ni0-1\n\ni0-2\n\ni0-3' in place of the four events' data, from a stream with a comment before each event.

Now the runner skips comments, as `text/event-stream` asks of its readers. The test passes for a whole stream and for one that breaks off and is resumed.

--- a/sapphireseam/control/bulkrunner.py
+++ b/sapphireseam/control/bulkrunner.py
@@ -515,7 +515,8 @@
             return
         async for events in parts:
             for received in events:
-                progress.append_event(received)
+                if not received.is_comment:
+                    progress.append_event(received)
             if progress.size > MAX_OUTPUT_BYTES:
                 progress.reset()
                 text = f"the output has more than {MAX_OUTPUT_BYTES} bytes"
--- a/sapphireseam/control/bulkrunner_test.py
+++ b/sapphireseam/control/bulkrunner_test.py
@@ -213,6 +213,18 @@
                 del self.machine.state.lots["l"]
                 self.assertEqual(results[0].output, self.expect_output(b"i0"))
 
+    async def test_comments_in_a_stream_are_no_part_of_the_output(self):
+        events = [b": x\n\nid: %d\ndata: i0-%d\n\n" % (n, n) for n in range(4)]
+        whole = make_raw(b"".join(events))
+        cut = whole._replace(data=whole.data.removesuffix(b"".join(events[1:])))
+        for behaviour in (whole, cut):
+            self.upstream.behaviours = [behaviour]
+            await self.accept()
+            results = await self.wait_done()
+            del self.machine.state.lots["l"]
+            self.assertEqual(results[0].output, self.expect_output(b"i0"))
+        self.assertEqual(self.upstream.runs[2].headers[fakeupstream.RESUME], "0")
+
     async def test_item_whose_version_serves_no_more_starts_again(self):
         self.upstream.version, self.other.version = "v1", "v2"
         self.placement.update_instances((self.upstream.instance,))
