Give an item up only after failed runs

What callers saw: an item was listed as a dead letter though no upstream had failed to run it. Two answers with another status, such as 204, 302, 404 or a proxy's 502, were enough on a route with two attempts.

Cause: the runner of bulk jobs counted each status but 200 as a failed run. By the protocol only 500 is one, and only 422 says that an item can never be done.

Now another status ends the run as a refusal does: the output so far is dropped, and the item is sent again after the usual pause, elsewhere if possible, until its job expires. Answers of 500 and 422 count as before.

--- a/sapphireseam/control/bulkrunner.py
+++ b/sapphireseam/control/bulkrunner.py
@@ -58,8 +58,10 @@
 # Largest difference between the wall clocks of two VMs, in seconds. Jobs are abandoned
 # and deleted this much later, so that a clock that runs ahead never does it too early.
 CLOCK_SKEW_SECONDS = 5.0
-# HTTP statuses of an answer: the item succeeded, or it can never succeed.
+# HTTP statuses of an answer: the item succeeded, its run failed, or it can never
+# succeed.
 STATUS_DONE = 200
+STATUS_FAILED = 500
 STATUS_IMPOSSIBLE = 422
 
 _ItemKey = tuple[str, int]
@@ -471,10 +473,12 @@
         async with exchange as answer:
             if answer.head.is_not_run:
                 raise outbound.RefusalError("the upstream refused the item", True)
-            if answer.head.status != STATUS_DONE:
-                return self._record_failure(
-                    item.id, progress, route, answer.head.status
-                )
+            status = answer.head.status
+            if status in (STATUS_FAILED, STATUS_IMPOSSIBLE):
+                return self._record_failure(item.id, progress, route, status)
+            if status != STATUS_DONE:
+                progress.reset()
+                raise outbound.RefusalError(f"the upstream answered {status}", False)
             await self._read_output(answer, progress)
         elapsed = self._timer.read_clock() - started_at
         self._estimator.record_run(progress.event_count - events_before, elapsed)
--- a/sapphireseam/control/bulkrunner_test.py
+++ b/sapphireseam/control/bulkrunner_test.py
@@ -225,6 +225,16 @@
             self.assertEqual(results[0].output, self.expect_output(b"i0"))
         self.assertEqual(self.upstream.runs[2].headers[fakeupstream.RESUME], "0")
 
+    async def test_only_a_failed_run_counts_as_a_failure(self):
+        for status in (b"204 No Content", b"302 Found", b"404 X", b"502 Bad Gateway"):
+            with self.subTest(status):
+                answer = make_raw(b"", status)
+                self.upstream.behaviours = [answer, "cut", answer, answer]
+                await self.accept()
+                results = await self.wait_done()
+                del self.machine.state.lots["l"]
+                self.assertEqual(results[0].output, self.expect_output(b"i0"))
+
     async def test_item_whose_version_serves_no_more_starts_again(self):
         self.upstream.version, self.other.version = "v1", "v2"
         self.placement.update_instances((self.upstream.instance,))
