Never send the head of an answer twice

What callers saw: after a begun stream broke off, a second head stood in the middle of it if the entry began the answer again, as it did when the next upstream answered 204. A plain answer would have held the bodies of both.

Cause: the sinks that write answers sent another head whenever they were asked. Nothing but the forwarders' own care kept an answer from beginning twice.

Evidence: before the fix, the new tests count 2 heads in one stream, at the platform's front and at the gateway, and get 200 for the plain answer that begins twice.

Now a second begin is an error in both sinks, which aborts a begun stream and gives 500 for a plain answer. Another test shows that any fault in a begun stream aborts it without the text of another answer; it passed before, too.

--- a/sapphireseam/entry/gateway_test.py
+++ b/sapphireseam/entry/gateway_test.py
@@ -328,6 +328,20 @@
         self.assertIn(b"outcome_unknown", got)
         self.assertNotIn(b"[DONE]", got)
 
+    async def test_no_answer_has_two_heads(self):
+        async def answer(request, sink, stopped):
+            for _ in range(2):
+                await sink.begin(200, (("Content-Type", "text/event-stream"),))
+                await sink.write(b"data: 1\n\n")
+            await sink.finish()
+
+        self.forwarder.answer = answer
+        auth = f"Authorization: Bearer {self.secret.text}\r\n"
+        lines = f"Host: h\r\n{auth}Connection: close\r\nContent-Length: 0\r\n\r\n"
+        received = await self.send_raw(f"POST /post/x HTTP/1.1\r\n{lines}".encode())
+        self.assertEqual(received.count(b"HTTP/1."), 1)
+        self.assertFalse(received.endswith(b"0\r\n\r\n"))
+
 
 class AbortOnUvloopTest(AbortTest):
     """The programs run on uvloop, which sends what is written a moment later."""
--- a/sapphireseam/entry/response.py
+++ b/sapphireseam/entry/response.py
@@ -108,6 +108,8 @@
 
     async def begin(self, status: int, headers: tuple[tuple[str, str], ...]) -> None:
         """Send the answer's head."""
+        if self.response is not None:
+            raise RuntimeError("the answer has already begun")
         self._check()
         response = web.StreamResponse(status=status)
         for name, value in headers:
--- a/sapphireseam/platform/answer.py
+++ b/sapphireseam/platform/answer.py
@@ -64,6 +64,8 @@
 
     async def begin(self, status: int, headers: Headers) -> None:
         """Send the head of a stream, or store the head of a plain answer."""
+        if self._status:
+            raise RuntimeError("the answer has already begun")
         self._status = status
         self._headers = dialect.strip_answer(headers)
         if self._is_streamed:
--- a/sapphireseam/platform/front_test.py
+++ b/sapphireseam/platform/front_test.py
@@ -39,6 +39,9 @@
         self.requests = []
         self.failure = None
         self.breaks = False
+        # Raised once the answer has begun, before anything is written.
+        self.fault = None
+        self.begins_twice = False
         self.gate = asyncio.Event()
         self.gate.set()
         self.ended = 0
@@ -50,7 +53,11 @@
             if self.failure is not None:
                 raise self.failure
             await sink.begin(200, SIGNED)
+            if self.fault is not None:
+                raise self.fault
             await sink.write(b"id: 0\n\n")
+            if self.begins_twice:
+                await sink.begin(200, SIGNED)
             if self.breaks:
                 raise error.OutcomeError("cut")
             await sink.finish()
@@ -123,6 +130,30 @@
         waited = [request.waited for request in self.forwarder.requests]
         self.assertEqual(waited, [0.0, 0.0, 0.0])
 
+    async def test_no_answer_has_two_heads(self):
+        self.forwarder.begins_twice = True
+        for is_streamed, status in ((True, b"200"), (False, b"500")):
+            self.authorizer.route = ROUTE._replace(streamed=is_streamed)
+            reader, writer = await asyncio.open_connection(
+                "127.0.0.1", int(self.base.rpartition(":")[2])
+            )
+            writer.write(
+                b"GET /s/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a1\r\n"
+                b"Connection: close\r\n\r\n"
+            )
+            received = await reader.read()
+            writer.close()
+            with self.subTest(is_streamed):
+                self.assertEqual(received.count(b"HTTP/1."), 1)
+                self.assertTrue(received.startswith(b"HTTP/1.1 " + status))
+                self.assertFalse(received.endswith(b"0\r\n\r\n"))
+
+    async def test_a_fault_in_a_begun_stream_aborts_it_without_another_answer(self):
+        for fault in (RuntimeError("fault"), error.OutcomeError("cut")):
+            self.forwarder.fault = fault
+            with self.subTest(fault), self.assertRaises(aiohttp.ClientError):
+                await self.post()
+
     async def test_a_stream_keeps_its_signature(self):
         status, body, headers = await self.post(X_Deadline_Ms="1500")
         self.assertEqual((status, body), (200, b"id: 0\n\n"))
