Resume a stream through agents only with parts of its answer

What callers saw: a stream had begun and broke off, and the next upstream behind an agent answered 200 with an error as an event, with text or with a whole head as events. That text stood in the middle of their stream. A stream that brought only "[DONE]" ended as complete after one of two tokens.

Cause: the tracker of streams looked only at events that are parts of an answer, to count their tokens. It passed on all others unread, and took "[DONE]" for the end in any place. A plain answer, 204, another status and a missing "[DONE]" were recognised before.

Now each event of a resumed stream must be a part of an answer, which has choices, and "[DONE]" counts only after the finish reason. Otherwise the attempt fails, and the stream goes on elsewhere or is aborted. Comments of the further upstreams are left out; those of the first one don't hinder.

An upstream that ignores the request to resume and sends its answer from the start still can't be told from one that goes on, because parts have no numbers.

--- a/sapphireseam/entry/delivery.py
+++ b/sapphireseam/entry/delivery.py
@@ -98,6 +98,10 @@
         """Return whether an event stream has too many bytes without an event."""
         return self._is_streaming and self._tracker.pending > event.MAX_EVENT_BYTES
 
+    def has_foreign_event(self) -> bool:
+        """Return whether a resumed event stream has an event of another answer."""
+        return self._is_streaming and self._tracker.has_foreign_event
+
     async def finish(self) -> None:
         """End the complete answer."""
         if self._head.status < _FAILURE:
--- a/sapphireseam/entry/forwarder.py
+++ b/sapphireseam/entry/forwarder.py
@@ -330,10 +330,17 @@
             raise AttemptFailed(failure, False)
 
     async def _handle_data(self, delivery: Delivery, data: exchange.Data) -> None:
-        """Accept a part of the body; raise `AttemptFailed` if an event has no end."""
+        """Accept a part of the body, or raise `AttemptFailed`.
+
+        It is raised if an event has no end or doesn't belong to a resumed answer.
+        """
         await delivery.accept_data(data.body)
+        text = ""
         if delivery.has_endless_event():
             text = "the upstream sent an event without end"
+        elif delivery.has_foreign_event():
+            text = "the upstream did not resume the stream"
+        if text:
             failure = error.OutcomeError(text, error.Kind.UPSTREAM_FAILED)
             raise AttemptFailed(failure, False)
 
--- a/sapphireseam/entry/forwarder_test.py
+++ b/sapphireseam/entry/forwarder_test.py
@@ -419,6 +419,49 @@
         self.assertNotIn(b"error", fixture.sink.body)
         self.assertEqual(failure.kind, error.Kind.UPSTREAM_FAILED)
 
+    def test_answer_that_is_no_continuation_never_reaches_the_stream(self):
+        rest = b"\n\n".join(render_events(["a ", "b "], False, "id-1")[1:]) + b"\n\n"
+        for name, status, headers, body in (
+            ("text", 200, (("Content-Type", "text/plain"),), b"sorry"),
+            ("json", 200, (), b'{"error": "sorry"}'),
+            ("no content", 204, (), b""),
+            ("error event", 200, EVENTS, b'data: {"error": "sorry"}\n\n' + rest),
+            ("no json", 200, EVENTS, b"data: sorry\n\n" + rest),
+            ("text as an event", 200, EVENTS, b"sorry\n\n" + rest),
+            ("head", 200, EVENTS, b"HTTP/1.1 500 sorry\r\nA: b\r\n\r\n" + rest),
+            ("empty", 200, EVENTS, b""),
+            ("comments", 200, EVENTS, b": sorry\n\n"),
+            ("only the end", 200, EVENTS, b"data: [DONE]\n\n"),
+            ("no end", 200, EVENTS, rest[:9]),
+        ):
+
+            def second(item, send, s=status, h=headers, b=body):
+                send_answer(send, b, s, h)
+
+            with self.subTest(name):
+                fixture, failure = asyncio.run(self.resume(second))
+                self.assertNotIn(b"sorry", fixture.sink.body)
+                self.assertFalse(fixture.sink.is_complete)
+                self.assertEqual(failure.kind, error.Kind.UPSTREAM_FAILED)
+
+    def test_stream_goes_on_after_an_answer_that_is_no_continuation(self):
+        events = render_events(["a ", "b "], True, "id-0")
+        answers = [(b"data: sorry\n\n", EVENTS), (b"sorry", ())]
+
+        def second(item, send):
+            if answers:
+                body, headers = answers.pop()
+                send_answer(send, body, headers=headers)
+                return
+            done = json.loads(item.body)["seam_resume_from"]
+            rest = b": x\n\n" + b"\n\n".join(events[done:]) + b"\n\n"
+            send_answer(send, rest, headers=EVENTS)
+
+        fixture, failure = asyncio.run(self.resume(second))
+        self.assertIsNone(failure)
+        got = [event for event in fixture.sink.body.split(b"\n\n") if event]
+        self.assertEqual(got, events)
+
     async def answer_without_end(self, repeated):
         """Answer the first offer without end; return all offers and the body."""
         offers = []
@@ -530,6 +573,33 @@
 
         asyncio.run(check())
 
+    async def cut(self, begun):
+        """Cut a stream after `begun`; return the offers and the body."""
+        events = render_events(["a ", "b "], False, "id-0")
+
+        def react(item, send):
+            if fixture.sink.body:
+                done = json.loads(item.body).get("seam_resume_from", 0)
+                rest = b"\n\n".join(events[done:]) + b"\n\n"
+                send_answer(send, rest, headers=EVENTS)
+                return
+            send(exchange.Head(0, 200, EVENTS))
+            send(exchange.Data(0, begun.replace(b"EVENT", events[0])))
+            send(BROKEN)
+
+        fixture = Fixture(react)
+        body = b'{"stream":true}'
+        request = make_request(fixture.timer.read_clock(), streamed=True, body=body)
+        await fixture.run(request)
+        return len(fixture.list_sent(exchange.Offer)), fixture.sink.body
+
+    def test_comments_and_empty_lines_in_a_stream_do_not_prevent_its_resumption(self):
+        for begun in (b": x\n\nEVENT\n\n", b"EVENT\n\n\n\n: y\n\n"):
+            offers, body = asyncio.run(self.cut(begun))
+            self.assertEqual(
+                (offers, body.count(b'"a "'), body.count(b'"b "')), (2, 1, 1)
+            )
+
     def test_plain_answer_to_a_streamed_request_is_complete(self):
         async def check():
             fixture = Fixture(lambda item, send: send_answer(send, b'{"a": 1}'))
--- a/sapphireseam/entry/resume.py
+++ b/sapphireseam/entry/resume.py
@@ -8,7 +8,8 @@
 several times.
 
 An answer can be resumed only if its tokens can be counted: it must have a
-single choice that contains only text.
+single choice that contains only text. For the same reason each further event of a
+resumed answer must be a part of one, and it must not end before its finish reason.
 """
 
 import json
@@ -18,6 +19,7 @@
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
 _DATA = b"data: "
 _DONE = b"data: [DONE]"
+_COMMENT = b":"
 
 RESUME_FIELD = "seam_resume_from"
 # Fields of a delta that don't prevent its tokens from being counted.
@@ -31,6 +33,8 @@
         self.tokens = 0
         self.done = False
         self.countable = True
+        # Whether an event of a resumed answer doesn't belong to it.
+        self.has_foreign_event = False
         # Bytes received since the last complete event.
         self.pending = 0
         self._partial_event = b""
@@ -39,7 +43,10 @@
         self._sent_kinds: set[str] = set()
 
     def feed(self, data: bytes) -> bytes:
-        """Add bytes from the upstream; return complete events for the caller."""
+        """Add bytes from the upstream; return complete events for the caller.
+
+        Nothing is returned from the first foreign event on.
+        """
         *events, self._partial_event = _EVENT_END.split(self._partial_event + data)
         self.pending += len(data)
         if any(events):
@@ -52,20 +59,23 @@
         self._partial_event = b""
         self.pending = 0
         self._resumed = True
+        self.has_foreign_event = False
 
     def _process(self, event: bytes) -> bytes:
         """Return the event for the caller, or empty bytes if it must be left out."""
+        is_continued = self._resumed and bool(self._sent_kinds)
+        if self.has_foreign_event:
+            return b""
+        if is_comment(event):
+            return b"" if is_continued else event
         if event.startswith(_DONE):
-            self.done = True
-            return event
-        if not event.startswith(_DATA):
-            return event
-        try:
-            document = json.loads(event[len(_DATA) :])
-        except ValueError:
-            return event
-        if not isinstance(document, dict):
-            return event
+            self.has_foreign_event = is_continued and "finish" not in self._sent_kinds
+            self.done = not self.has_foreign_event
+            return event if self.done else b""
+        document = parse_part(event)
+        if document is None:
+            self.has_foreign_event = is_continued
+            return b"" if is_continued else event
         if not is_countable(document):
             self.countable = False
         tokens = count_tokens(document)
@@ -85,6 +95,23 @@
         return _DATA + json.dumps(document).encode()
 
 
+def is_comment(event: bytes) -> bool:
+    """Return whether an event has only comments or empty lines."""
+    return all(line.startswith(_COMMENT) for line in event.splitlines() if line)
+
+
+def parse_part(event: bytes) -> dict[str, Any] | None:
+    """Return the document of an event that is a part of an answer, else None."""
+    if not event.startswith(_DATA):
+        return None
+    try:
+        document = json.loads(event[len(_DATA) :])
+    except ValueError:
+        return None
+    is_part = isinstance(document, dict) and isinstance(document.get("choices"), list)
+    return document if is_part else None
+
+
 def classify(document: dict[str, Any]) -> str:
     """Return an event's type: "finish", "usage", or "part" for any other event."""
     choices = document.get("choices") or []
