Don't resume a stream whose tokens the entry couldn't read

What callers saw: a token stood twice in a stream through agents that broke off and went on, if its event began with another line than "data: ", such as a comment or an id.

Cause: the tracker counts only the tokens of events that it can read. It passed on the others uncounted, and the next upstream was asked to go on after fewer tokens than the caller had. An answer with several choices was already marked as one that can't be counted; such an event was not.

Now an event that is neither a comment nor a readable part makes the answer one that can't be resumed, so a broken stream is aborted.

--- a/sapphireseam/entry/forwarder_test.py
+++ b/sapphireseam/entry/forwarder_test.py
@@ -593,6 +593,11 @@
         await fixture.run(request)
         return len(fixture.list_sent(exchange.Offer)), fixture.sink.body
 
+    def test_stream_with_events_that_cannot_be_counted_is_cut_not_garbled(self):
+        for begun in (b": x\nEVENT\n\n", b"id: 3\nEVENT\n\n", b"retry: 3\n\nEVENT\n\n"):
+            offers, body = asyncio.run(self.cut(begun))
+            self.assertEqual((offers, body.count(b'"a "')), (1, 1))
+
     def test_comments_and_empty_lines_in_a_stream_do_not_prevent_its_resumption(self):
         for begun in (b": x\n\nEVENT\n\n", b"EVENT\n\n\n\n: y\n\n"):
             offers, body = asyncio.run(self.cut(begun))
--- a/sapphireseam/entry/resume.py
+++ b/sapphireseam/entry/resume.py
@@ -74,6 +74,7 @@
             return event if self.done else b""
         document = parse_part(event)
         if document is None:
+            self.countable = self.countable and is_continued
             self.has_foreign_event = is_continued
             return b"" if is_continued else event
         if not is_countable(document):
