--- a/sapphireseam/control/bulkrunner.py
+++ b/sapphireseam/control/bulkrunner.py
@@ -58,8 +58,10 @@
 # Largest difference between the wall clocks of two VMs, in seconds. Jobs are abandoned
 # and deleted this much later, so that a clock that runs ahead never does it too early.
 CLOCK_SKEW_SECONDS = 5.0
-# HTTP statuses of an answer: the item succeeded, or it can never succeed.
+# HTTP statuses of an answer: the item succeeded, its run failed, or it can never
+# succeed.
 STATUS_DONE = 200
+STATUS_FAILED = 500
 STATUS_IMPOSSIBLE = 422
 
 _ItemKey = tuple[str, int]
@@ -430,8 +432,8 @@
         progress.excluded = frozenset({instance.id})
         is_refusal = isinstance(failure, outbound.RefusalError)
         progress.unreachable = "" if is_refusal else instance.id
-        if isinstance(failure, outbound.EmptyAnswerError):
-            # Resumed after its last event, the item would never end.
+        if isinstance(failure, outbound.EmptyAnswerError | outbound.NotResumedError):
+            # Resumed after its last event again, the item might never end.
             progress.reset()
         if isinstance(failure, outbound.LeavingError):
             # It may have been listed anew since it said so.
@@ -471,10 +473,12 @@
         async with exchange as answer:
             if answer.head.is_not_run:
                 raise outbound.RefusalError("the upstream refused the item", True)
-            if answer.head.status != STATUS_DONE:
-                return self._record_failure(
-                    item.id, progress, route, answer.head.status
-                )
+            status = answer.head.status
+            if status in (STATUS_FAILED, STATUS_IMPOSSIBLE):
+                return self._record_failure(item.id, progress, route, status)
+            if status != STATUS_DONE:
+                progress.reset()
+                raise outbound.RefusalError(f"the upstream answered {status}", False)
             await self._read_output(answer, progress)
         elapsed = self._timer.read_clock() - started_at
         self._estimator.record_run(progress.event_count - events_before, elapsed)
@@ -504,14 +508,19 @@
     async def _read_output(
         self, answer: outbound.Answer, progress: ItemProgress
     ) -> None:
-        if not answer.head.is_stream:
+        if progress.last_event >= 0:
+            parts = answer.read_continuation(progress.last_event, IDLE_PATIENCE)
+        elif answer.head.is_stream:
+            parts = answer.read_events(IDLE_PATIENCE)
+        else:
             progress.reset()
             body = await answer.read_all(MAX_RESULT_BYTES, IDLE_PATIENCE)
             progress.data.append(body)
             return
-        async for events in answer.read_events(IDLE_PATIENCE):
+        async for events in parts:
             for received in events:
-                progress.append_event(received)
+                if not received.is_comment:
+                    progress.append_event(received)
             if progress.size > MAX_OUTPUT_BYTES:
                 progress.reset()
                 text = f"the output has more than {MAX_OUTPUT_BYTES} bytes"
--- a/sapphireseam/platform/answer.py
+++ b/sapphireseam/platform/answer.py
@@ -66,6 +66,8 @@
 
     async def begin(self, status: int, headers: Headers) -> None:
         """Send the head of a stream, or store the head of a plain answer."""
+        if self._status:
+            raise RuntimeError("the answer has already begun")
         if status in NOT_RUN_STATUSES and not self._may_repeat:
             raise error.OutcomeError(f"the replica answered {status} and may have run")
         self._status = status
