Keep a connection for others that can't carry a request again

What callers saw: nothing wrong, but a request that an upstream had refused before closed the connection on which it was refused, and opened another. With few connections to each upstream that was one new connection for nearly every offer that was repeated, while upstreams are full and limit their connections.

Evidence: the new test printed "101 != 3" connections for 50 requests that are refused three times each.

Now such a connection is set aside while another one is looked for, and goes back to the pool. As many stay open as one request was offered to an upstream. The library counts the idle time from the last return to the pool, so the connector itself ends one that has been idle since its last data for too long; without that the second new test finds 2 connections open instead of 1.

--- a/sapphireseam/utils/framing.py
+++ b/sapphireseam/utils/framing.py
@@ -98,14 +98,18 @@
         self._request_id = ""
         # Requests that were sent, including the newest.
         self.request_count = 0
+        # When data was received last, on the clock of the event loop.
+        self.received_at = loop.time()
         # Ids of the requests that were answered with a failure.
         self._failed_ids: set[str] = set()
 
     def begin_request(self, id: str) -> bool:
         """Expect the answer to a request; return false if it can't be sent here."""
+        if id in self._failed_ids:
+            return False
         self._request_id = id
         self.request_count += 1
-        return id not in self._failed_ids
+        return True
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Prepare the connection's socket."""
@@ -147,6 +151,7 @@
             return
         super().data_received(data)
         self._received += len(data)
+        self.received_at = self._loop.time()
         failure = self.exception()
         if failure is not None:
             # The library reports malformed bytes only to a reader of the head.
@@ -272,11 +277,27 @@
     ) -> Connection:
         """Return a connection that has answered the request with no failure."""
         id = self._read_id(req.headers)
-        while True:
-            connection = await super().connect(req, traces, timeout)
-            if connection.protocol.begin_request(id):
-                return connection
-            connection.close()
+        unfit: list[Connection] = []
+        try:
+            while True:
+                connection = await super().connect(req, traces, timeout)
+                if self._has_expired(connection.protocol):
+                    connection.close()
+                elif connection.protocol.begin_request(id):
+                    return connection
+                else:
+                    unfit.append(connection)
+        finally:
+            for connection in unfit:
+                connection.release()
+
+    def _has_expired(self, protocol: _Protocol) -> bool:
+        """Return whether a connection has been idle for too long.
+
+        The library counts from the last release, which needn't follow a request here.
+        """
+        idle = self._loop.time() - protocol.received_at
+        return self._keepalive_timeout is not None and idle > self._keepalive_timeout
 
     # The library has no public way to replace this either.
     async def _wrap_create_connection(
--- a/sapphireseam/utils/outbound_test.py
+++ b/sapphireseam/utils/outbound_test.py
@@ -6,6 +6,7 @@
 import tracemalloc
 import types
 import unittest
+from unittest import mock
 
 from sapphireseam.utils import fakeflood, fakeupstream, framing, outbound
 
@@ -148,6 +149,24 @@
         self.assertEqual((await self.read("r1")).count(b"data"), 4)
         self.assertEqual(self.upstream.connections, 3)
 
+    async def test_few_connections_are_enough_if_requests_are_refused_again(self):
+        self.upstream.behaviours = ["refuse"] * 150
+        for number in range(50):
+            for _ in range(3):
+                await self.read(f"r{number}")
+        self.assertEqual(self.upstream.connections, 3)
+
+    async def test_connection_that_is_kept_for_others_expires_as_if_it_were_not(self):
+        self.upstream.behaviours = ["refuse"] * 2
+        with mock.patch.object(outbound, "IDLE_SECONDS", 1.0):
+            for _ in range(2):
+                await self.read("r1")
+                await asyncio.sleep(0.6)
+            await self.read("r2")
+        self.assertEqual(self.upstream.connections, 2)
+        await asyncio.sleep(0.05)
+        self.assertEqual(len(self.upstream._connections), 1)
+
     async def test_connections_that_refused_many_requests_are_closed(self):
         self.upstream.behaviours = ["refuse"] * framing.MAX_FAILED_IDS
         for number in range(framing.MAX_FAILED_IDS + 1):
