Show that a repeated failure of a batch item counts once

What callers saw: an item of a batch job could be listed as failed for good before it had failed as often as its route allows. An upstream answered it 500, it came to the same upstream again on the kept connection, and the upstream wrote the 500 once more before it answered. The copy was counted as a second failure while the item ran.

Evidence: with the pool and the framing of the new test printed "True is not false" for an item that may fail twice and had failed once. The stand-in's behaviour that writes an answer once more does so for a 500, too, and is called `repeat` now.

--- a/sapphireseam/agent/engine_test.py
+++ b/sapphireseam/agent/engine_test.py
@@ -49,7 +49,7 @@
 
     async def test_a_repeated_refusal_reaches_no_other_request(self):
         self.assertEqual(await self.read("refuse"), b"no")
-        self.assertEqual((await self.read("repeat-refusal")).count(b"data"), 4)
+        self.assertEqual((await self.read("repeat")).count(b"data"), 4)
 
     async def test_bytes_without_end_are_a_failure_but_no_crash(self):
         head = b"HTTP/1.1 200 OK\r\n"
--- a/sapphireseam/control/bulkrunner_test.py
+++ b/sapphireseam/control/bulkrunner_test.py
@@ -376,11 +376,17 @@
         self.assertFalse((await self.wait_done())[0].failed)
 
     async def test_repeated_refusal_does_not_run_an_item_twice(self):
-        self.upstream.behaviours = ["refuse", "repeat-refusal"]
+        self.upstream.behaviours = ["refuse", "repeat"]
         await self.accept()
         self.assertFalse((await self.wait_done())[0].failed)
         self.assertEqual(len(self.upstream.runs), 1)
 
+    async def test_repeated_failure_of_an_item_counts_once(self):
+        self.upstream.behaviours = ["fail", "repeat"]
+        await self.accept()
+        self.assertFalse((await self.wait_done())[0].failed)
+        self.assertEqual(len(self.upstream.runs), 2)
+
     async def test_ended_job_is_stopped_at_its_upstream(self):
         self.upstream.event_delay = 0.2
         await self.accept()
--- a/sapphireseam/entry/direct_test.py
+++ b/sapphireseam/entry/direct_test.py
@@ -272,13 +272,13 @@
             with self.subTest(route=route):
                 self.sink = FakeSink()
                 self.upstreams[1].behaviours = ["refuse"]
-                await self.serve(route, "refuse", "repeat-refusal")
+                await self.serve(route, "refuse", "repeat")
                 self.assertTrue(self.sink.is_complete)
                 self.assertEqual(self.count_runs(), [number, 0])
 
     async def test_a_repeated_refusal_of_a_running_request_never_says_not_run(self):
         self.upstreams[1].behaviours = ["refuse"] * 9
-        await self.serve(UNSAFE, "refuse", "repeat-refusal", *["refuse"] * 9)
+        await self.serve(UNSAFE, "refuse", "repeat", *["refuse"] * 9)
         self.assertTrue(self.sink.is_complete)
         self.assertEqual(self.count_runs(), [1, 0])
 
--- a/sapphireseam/utils/fakeupstream.py
+++ b/sapphireseam/utils/fakeupstream.py
@@ -109,7 +109,7 @@
     `impossible` (422), `drop` (closes without an answer), `silent` (no answer),
     `cut` (closes within the third event), `stall` (sends nothing after the second
     event), `stale` (answers another request), `stale-refuse` (refuses another one),
-    `repeat-refusal` (complete answer, after the newest refusal on the connection, once
+    `repeat` (complete answer, after the newest refusal or 500 on the connection, once
     more), `unnamed-refusal` (complete answer, after a refusal without an id).
     A sound upstream may pause for `PAUSE_SECONDS` and then go on: `pause-head` (before
     the head of its answer), `pause-start` (before the first event), `pause` (after the
@@ -169,8 +169,8 @@
         self._reservation: socket.socket | None = None
         self._port = 0
         self._connections: set[asyncio.StreamWriter] = set()
-        # The newest refusal on each open connection.
-        self._refusals: dict[asyncio.StreamWriter, bytes] = {}
+        # The newest refusal or 500 on each open connection.
+        self._failures: dict[asyncio.StreamWriter, bytes] = {}
         self._restarting: asyncio.Task | None = None
         self._is_down = False
         self._server: asyncio.Server | None = None
@@ -243,7 +243,7 @@
             return
         finally:
             self._connections.discard(writer)
-            self._refusals.pop(writer, None)
+            self._failures.pop(writer, None)
             writer.close()
 
     async def _serve_request(
@@ -276,12 +276,12 @@
             return False
         if behaviour in ("refuse", "fail", "impossible", "stale", "stale-refuse"):
             answer = _render_short_answer(behaviour, run, self._render_state())
-            if behaviour == "refuse":
-                self._refusals[writer] = answer
+            if behaviour in ("refuse", "fail"):
+                self._failures[writer] = answer
             writer.write(answer)
             return True
-        if behaviour == "repeat-refusal":
-            writer.write(self._refusals.get(writer, b""))
+        if behaviour == "repeat":
+            writer.write(self._failures.get(writer, b""))
         if behaviour == "unnamed-refusal":
             writer.write(UNNAMED_REFUSAL)
         return await self._stream_answer(reader, writer, run, behaviour)
--- a/sapphireseam/utils/outbound_test.py
+++ b/sapphireseam/utils/outbound_test.py
@@ -145,7 +145,7 @@
         for id in ("r1", "r2", "r3", "r1"):
             await self.read(id)
         self.assertEqual(self.upstream.connections, 2)
-        self.upstream.behaviours = ["repeat-refusal"]
+        self.upstream.behaviours = ["repeat"]
         self.assertEqual((await self.read("r1")).count(b"data"), 4)
         self.assertEqual(self.upstream.connections, 3)
 
@@ -274,7 +274,7 @@
         self.assertIsNone(await self.pool.send_order(instance, "GET", "/x", b"", 0.1))
 
     async def test_an_order_never_takes_the_answer_to_a_request_for_its_own(self):
-        self.upstream.behaviours = ["refuse", "repeat-refusal"]
+        self.upstream.behaviours = ["refuse", "repeat"]
         await self.read()
         instance = self.upstream.instance
         self.assertIsNone(await self.pool.send_order(instance, "GET", "/x", b"", 1.0))
