Serve entries from a new leader only once it has the list of upstreams

What callers saw: shortly after a change of leader requests were refused as if their service had no upstream, and a stream that had begun and had to move then was cut, since a stream whose version is gone is refused at once. If the list couldn't be read then, this went on until it could. The streams that ran were not counted either, so the new leader gave their slots away once more.

Cause: the leader let entries attach before it had read the list in its term. It sent them an empty one, which replaced theirs, and dropped the running requests that they reported, because it didn't know their upstreams.

Evidence: the new test failed before: the entry got View(instances=()).

An entry that attaches now waits for the list. Until then it places requests by the last list that it had, as without a leader. Two tests whose leader never had a list give it one.

--- a/sapphireseam/control/placement.py
+++ b/sapphireseam/control/placement.py
@@ -30,6 +30,8 @@
 HEARTBEAT_PERIOD_SECONDS = 0.1
 # A message within this time before a heartbeat shows the same.
 HEARTBEAT_SKIP_SECONDS = 0.05
+# How often an entry that attaches checks whether the list of instances was read.
+LIST_CHECK_SECONDS = 0.02
 # How often waiting requests are checked for expiry, in seconds.
 EXPIRE_PERIOD_SECONDS = 0.02
 # Probe period and timeout, in seconds, for ejected upstreams and for load checks.
@@ -194,11 +196,11 @@
 
     def update_instances(self, instances: tuple[Instance, ...]) -> None:
         """Replace the known instances by those that discovery found."""
-        is_new_term = self._replica.term != self._term
+        is_new_term = not self._has_list
         if instances == self.allocator.instances and not is_new_term:
             return
         now = self._timer.read_clock()
-        if self._replica.term != self._term:
+        if is_new_term:
             self._term = self._replica.term
             # The former leader and the entries may just have sent as much as allowed.
             self.allocator.drain_ceilings(now)
@@ -209,11 +211,19 @@
         self._is_view_due = True
         self.on_slot_free()
 
+    @property
+    def _has_list(self) -> bool:
+        """Whether the list of instances was read since this VM leads."""
+        return self._replica.term == self._term
+
     # Entries' streams.
 
     async def serve(self, first: placement.Attach, stream: rpc.Stream) -> None:
-        """Serve one entry until either side closes the stream."""
-        self._require_leader()
+        """Serve one entry until either side closes the stream.
+
+        Without a list of instances an entry goes on with the last one that it had.
+        """
+        await self._wait_for_list()
         self._next_session += 1
         entry = _EntrySession(first, stream, self._next_session, self._timer)
         self._entries[entry.session] = entry
@@ -231,6 +241,13 @@
             self._release_all(entry, open_numbers)
             logger.info("entry detached", extra={"entry": entry.name})
 
+    async def _wait_for_list(self) -> None:
+        """Return once the list was read since this VM leads; raise if it doesn't."""
+        self._require_leader()
+        while not self._has_list:
+            await self._timer.sleep(LIST_CHECK_SECONDS)
+            self._require_leader()
+
     def _require_leader(self) -> None:
         if not self._replica.is_leader:
             leader = self._replica.leader
--- a/sapphireseam/control/placement_test.py
+++ b/sapphireseam/control/placement_test.py
@@ -74,7 +74,21 @@
             ]
             self.assertEqual(views[-1], placement.View((INSTANCE,), (), len(streams)))
 
+    async def test_a_new_leader_serves_no_entry_before_it_has_the_list(self):
+        running = placement.Running(1, "r", INSTANCE.id, "c")
+        stream = EntryStream(self.timer)
+        first = placement.Attach("e", "z", (running,))
+        serving = asyncio.create_task(self.server.serve(first, stream))
+        self.addCleanup(serving.cancel)
+        await self.advance(1.0)
+        self.assertEqual(stream.received, [])
+        self.server.update_instances((INSTANCE,))
+        await self.advance(0.04)
+        self.assertEqual(stream.received, [placement.View((INSTANCE,), (), 1)])
+        self.assertEqual(self.server.allocator.count_running("llm", False), 1)
+
     async def test_every_entry_hears_from_the_leader_often_enough(self):
+        self.server.update_instances((INSTANCE,))
         streams = await self.attach(3)
         await self.advance(2.0)
         for stream in streams:
@@ -82,6 +96,7 @@
             self.assertLess(max(pauses), 0.2)
 
     async def test_a_message_replaces_a_heartbeat(self):
+        self.server.update_instances((INSTANCE,))
         (stream,) = await self.attach(1)
         await self.advance(0.3)
         before = len(stream.received)
