Expose the count of cut answers in the test of all metrics

Cause: the test plays the entry's side itself, and nobody told it of the new metric.

The entry of the test now counts a cut answer as the forwarder does, so its name and its labels are checked like those of all others. Nothing is left out. The test passes.

--- a/sapphireseam/control/meter_test.py
+++ b/sapphireseam/control/meter_test.py
@@ -36,7 +36,9 @@
         control = metric.Meter("control-m")
         replica = types.SimpleNamespace(is_leader=True)
         meter.report_slots(control, slots, machine, replica)
-        metric.Meter("entry-m").observe(metric.PLACEMENT, 0.01, outcome="placed")
+        entry = metric.Meter("entry-m")
+        entry.observe(metric.PLACEMENT, 0.01, outcome="placed")
+        entry.read_many(metric.CUT, lambda: [(1, {"cause": "silent"})])
         found = self.scrape()
         for item in metric.METRICS:
             if not item.is_discovery:
