Let a request that waits for another upstream hold back no other

What callers saw: while a stream waited for a slot at another upstream than the one that was silent, other requests of the same kind got none of the slots that became free at that upstream. They waited until the stream went on, or were refused.

The cause: the waitlist tries only the first request of a line, since none of a line can be placed if the first one can't. But the upstreams that a request excludes weren't part of what a line shares. Since requests look for another slot while they still listen to a silent upstream, they wait so far more often.

The evidence: on the unfixed code the new test prints "AssertionError: Lists differ: [] != ['o']": the free slot stayed empty.

The change: a line shares the excluded upstreams as well, so a request is passed over only if one with the same choice was refused just before.

--- a/sapphireseam/policy/allocator_test.py
+++ b/sapphireseam/policy/allocator_test.py
@@ -111,6 +111,17 @@
         self.fill(5)
         self.assertIsNone(self.allocator.place_batch(make_request("b")))
 
+    def test_a_request_that_waits_for_another_upstream_holds_back_no_other(self):
+        self.fill(4)
+        names = (self.allocator.find_instance(f"r{number}") for number in range(4))
+        held = next(n for n, name in enumerate(names) if name == "i1")
+        excluded = frozenset({"i1"})
+        moving = make_request("m", rank=-1, patience=9.0, excluded=excluded)
+        self.assertIsNone(self.allocator.place(moving, 0.0))
+        self.assertIsNone(self.allocator.place(make_request("o", patience=9.0), 0.1))
+        grants = self.allocator.release(f"r{held}", 0.2)
+        self.assertEqual([grant.request.key for grant in grants], ["o"])
+
     def test_request_that_can_be_on_time_goes_before_a_late_one(self):
         self.fill(4)
         self.allocator.place(make_request("late", patience=1.0, is_late=True), 0.0)
--- a/sapphireseam/policy/waitlist.py
+++ b/sapphireseam/policy/waitlist.py
@@ -6,7 +6,8 @@
 
 Requests that differ only in their customer and rank form a line: if the first of them
 can't be placed, none of the line can. Finding the next request takes time in the
-number of lines, which is small, and not in the number of waiting requests.
+number of lines, which is small, and not in the number of waiting requests. It grows
+only with the sets of upstreams that some waiting requests exclude.
 """
 
 import itertools
@@ -24,6 +25,7 @@
     is_resumed: bool
     is_late: bool
     version: str
+    excluded: frozenset[str]
 
 
 class Precedence(NamedTuple):
@@ -36,7 +38,9 @@
 
 def get_line_key(request: SlotRequest) -> LineKey:
     """Return the key of the line in which a request waits."""
-    return LineKey(request.is_resumed, request.is_late, request.version)
+    return LineKey(
+        request.is_resumed, request.is_late, request.version, request.excluded
+    )
 
 
 def get_precedence(request: SlotRequest) -> Precedence:
