Order the lines of waiting requests once for each slot that is given

What callers saw: nothing yet. Lines differ by the excluded upstreams, too, so there may be as many of them as upstreams that are silent at a time.

The cause: to find the next request, all lines were compared again after each one that couldn't be placed, so the time of a release grew with the square of their number.

The change: the first requests of all lines are put in order once, and again only after one of them got a slot. The order of the grants is the same.

--- a/sapphireseam/policy/allocator.py
+++ b/sapphireseam/policy/allocator.py
@@ -485,12 +485,21 @@
     def _place_from(self, service: str, waitlist: Waitlist, now: float) -> list[Grant]:
         grants = []
         blocked: set[LineKey] = set()
-        while (request := waitlist.find_first(blocked)) is not None:
-            grant = self._try_place(request, now)
-            if grant is None:
-                blocked.add(get_line_key(request))
-                continue
-            running = self._online_counts[service, request.customer]
-            waitlist.remove(request.key, running)
+        while (grant := self._place_first(service, waitlist, blocked, now)) is not None:
             grants.append(grant)
         return grants
+
+    def _place_first(
+        self, service: str, waitlist: Waitlist, blocked: set[LineKey], now: float
+    ) -> Grant | None:
+        """Place the next request that can be placed, and block the lines before it."""
+        for request in waitlist.list_firsts():
+            line_key = get_line_key(request)
+            if line_key in blocked:
+                continue
+            if (grant := self._try_place(request, now)) is not None:
+                running = self._online_counts[service, request.customer]
+                waitlist.remove(request.key, running)
+                return grant
+            blocked.add(line_key)
+        return None
--- a/sapphireseam/policy/waitlist.py
+++ b/sapphireseam/policy/waitlist.py
@@ -141,18 +141,14 @@
             count for other, count in self._counts.items() if other <= precedence
         )
 
-    def find_first(self, blocked: set[LineKey]) -> SlotRequest | None:
-        """Return the request that is placed next, except those of blocked lines."""
-        best = None
-        for (line_key, _), line in self._lines.items():
-            first = None if line_key in blocked else line.find_first()
-            if first is None:
-                continue
-            running, number, request = first
-            order = (get_precedence(request), running, number)
-            if best is None or order < best[0]:
-                best = (order, request)
-        return best[1] if best is not None else None
+    def list_firsts(self) -> list[SlotRequest]:
+        """Return the first request of each line, the one that is placed next first."""
+        firsts = []
+        for line in self._lines.values():
+            running, number, request = line.find_first()
+            firsts.append((get_precedence(request), running, number, request))
+        # No two requests have the same number.
+        return [request for *_, request in sorted(firsts)]
 
     def list_versions(self) -> set[str]:
         """Return the versions for which requests wait; an empty one means any."""
