Give a request that looks elsewhere no slot at the upstream where it runs

What callers saw: batch items were evicted again and again, five times a second for each silent stream whose upstream was the only one of its version, and requests of an upstream with a ceiling were used up, although nothing could come of it.

The cause: upstreams at which a request failed are used if there are no others. A search for a slot elsewhere excludes the silent upstream in the same way, so it got a slot just there, if need be that of a batch item, and gave it back. It could also wait in the queue for the silent upstream alone, and no batch item is placed while one waits.

The evidence: on the unfixed code the new test of the allocator fails with "Grant(... instance=Instance(id='i1' ...), evicted='b') is an instance of Grant".

The change: the search names the upstream where the request is held. The allocators never place it there, and refuse it at once if no other upstream could take it. A request that is held nowhere is placed as before.

--- a/sapphireseam/control/placement.py
+++ b/sapphireseam/control/placement.py
@@ -311,6 +311,7 @@
             message.is_late,
             target.version,
             message.is_resumed,
+            message.held,
         )
         decision = self.allocator.place(request, now)
         self._log_decision(entry, message, decision)
--- a/sapphireseam/core/placement.py
+++ b/sapphireseam/core/placement.py
@@ -51,7 +51,8 @@
     longer be on time. A request with a `version` gets an upstream of that software
     version. One that `resumes` the stream of an earlier attempt gets an upstream like
     the one that began it, if that is of one of `services`. One that `is_resumed`
-    continues a stream, of an earlier attempt or of its own.
+    continues a stream, of an earlier attempt or of its own. One that is `held` by an
+    upstream still runs there and gets no slot there.
     """
 
     number: int
@@ -67,6 +68,7 @@
     resumes: str = ""
     services: tuple[str, ...] = ()
     is_resumed: bool = False
+    held: str = ""
 
 
 class Placed(NamedTuple):
--- a/sapphireseam/entry/direct.py
+++ b/sapphireseam/entry/direct.py
@@ -279,11 +279,14 @@
             self._check_retry(request, progress, slot.instance, failure)
 
     async def _acquire_admitted(
-        self, request: DirectRequest, progress: _Progress
+        self, request: DirectRequest, progress: _Progress, held: str = ""
     ) -> HeldSlot:
-        """Return a slot for an attempt that the quarantine admits."""
+        """Return a slot for an attempt that the quarantine admits.
+
+        The slot isn't at the upstream where the request is `held`.
+        """
         await self._admit(request, progress)
-        slot = await self._acquire_slot(request, progress)
+        slot = await self._acquire_slot(request, progress, held)
         try:
             # A verdict may have come while the request waited for its slot.
             await self._admit(request, progress)
@@ -323,7 +326,7 @@
         )
 
     async def _acquire_slot(
-        self, request: DirectRequest, progress: _Progress
+        self, request: DirectRequest, progress: _Progress, held: str
     ) -> HeldSlot:
         now = self._timer.read_clock()
         patience = request.route.target * SLOT_WAIT_SHARE - (now - request.arrived)
@@ -348,6 +351,7 @@
             is_resumed,
             request.resumes,
             _list_services(request.route),
+            held,
         )
         try:
             slot = await self._placer.place(spec)
@@ -480,11 +484,7 @@
     ) -> HeldSlot:
         """Return a slot at another upstream than a silent one, or raise an error."""
         progress.excluded.add(silent.id)
-        slot = await self._acquire_admitted(request, progress)
-        if slot.instance.id == silent.id:
-            self._placer.release(slot)
-            raise error.CapacityError("no other upstream is free")
-        return slot
+        return await self._acquire_admitted(request, progress, silent.id)
 
     def _choose_silence_limit(
         self, request: DirectRequest, progress: _Progress
--- a/sapphireseam/entry/direct_test.py
+++ b/sapphireseam/entry/direct_test.py
@@ -42,7 +42,11 @@
         if self.refusal is not None:
             raise self.refusal
         version = getattr(spec, "version", "")
-        fitting = [u for u in self.upstreams if version in ("", u.version)]
+        fitting = [
+            upstream
+            for upstream in self.upstreams
+            if version in ("", upstream.version) and upstream.name != spec.held
+        ]
         if not fitting:
             raise error.CapacityError("no upstream of this version")
         if self.only:
--- a/sapphireseam/entry/placer.py
+++ b/sapphireseam/entry/placer.py
@@ -60,6 +60,7 @@
     is_resumed: bool = False
     resumes: str = ""
     services: tuple[str, ...] = ()
+    held: str = ""
 
 
 class HeldSlot(NamedTuple):
@@ -315,6 +316,7 @@
             is_late=spec.is_late,
             version=spec.version,
             is_resumed=spec.is_resumed,
+            held=spec.held,
         )
 
     def _place_locally(self, number: int, spec: SlotSpec) -> HeldSlot:
@@ -393,4 +395,5 @@
         spec.resumes,
         spec.services,
         spec.is_resumed,
+        spec.held,
     )
--- a/sapphireseam/entry/placer_test.py
+++ b/sapphireseam/entry/placer_test.py
@@ -130,6 +130,16 @@
             slot = await self.placer.place(self.make_spec())
             self.assertEqual(slot.instance.id, INSTANCES[1].id)
 
+    async def test_a_held_request_gets_no_slot_where_it_is_held(self):
+        held = INSTANCES[1].id
+        await self.placer.place(self.make_spec(held=held))
+        self.assertEqual(self.leader.received[-1].held, held)
+        self.leader.fail()
+        await asyncio.sleep(0.05)
+        await self.placer.place(self.make_spec(held=held))
+        with self.assertRaises(error.CapacityError):
+            await self.placer.place(self.make_spec(held=held))
+
     def make_resumption(self, **fields):
         return self.make_spec(is_resumed=True, services=("llm",), **fields)
 
--- a/sapphireseam/policy/allocator.py
+++ b/sapphireseam/policy/allocator.py
@@ -459,9 +459,9 @@
     def _check_wait(self, request: SlotRequest, now: float) -> Refusal | None:
         waitlist = self._get_waitlist(request.service)
         ahead = waitlist.count_ahead(get_precedence(request))
-        has_slots = self.count_slots(request.service, request.version) > 0
+        has_choice = self._get_pool(request.service).has_choice(request)
         wait = self._estimate_wait(request, ahead, now)
-        if has_slots and now + wait < request.wait_until:
+        if has_choice and now + wait < request.wait_until:
             return None
         return self._refuse(request, now)
 
--- a/sapphireseam/policy/allocator_test.py
+++ b/sapphireseam/policy/allocator_test.py
@@ -122,6 +122,23 @@
         grants = self.allocator.release(f"r{held}", 0.2)
         self.assertEqual([grant.request.key for grant in grants], ["o"])
 
+    def test_a_held_request_neither_evicts_nor_gets_a_slot_where_it_is_held(self):
+        versions = (("i1", "v1"), ("i2", "v2"))
+        self.allocator.update(
+            tuple(make_instance(name, version=version) for name, version in versions),
+            0.0,
+        )
+        self.allocator.place(make_request("s", version="v1"), 0.0)
+        self.allocator.place_batch(make_request("b", version="v1"))
+        fields = {"version": "v1", "is_resumed": True, "held": "i1"}
+        moving = make_request("m", excluded=frozenset({"i1"}), **fields)
+        for action in (lambda: None, lambda: self.allocator.eject("i1")):
+            action()
+            found = self.allocator.place(moving, 0.0)
+            self.assertNotIsInstance(found, allocator.Grant)
+            self.assertEqual(self.allocator.find_instance("b"), "i1")
+            self.allocator.release("m", 0.0)
+
     def test_request_that_can_be_on_time_goes_before_a_late_one(self):
         self.fill(4)
         self.allocator.place(make_request("late", patience=1.0, is_late=True), 0.0)
--- a/sapphireseam/policy/slot.py
+++ b/sapphireseam/policy/slot.py
@@ -11,7 +11,8 @@
     `key` identifies it in the allocator and `request_id` at the upstream. It may wait
     until `wait_until`. A request that `is_late` can't meet its deadline any more, even
     if it starts now. One with a `version` is placed only at upstreams of that software
-    version. One that `is_resumed` continues a stream that has begun.
+    version. One that `is_resumed` continues a stream that has begun. One that is `held`
+    by an upstream still runs there, so it is never placed there.
     """
 
     key: str
@@ -26,6 +27,7 @@
     is_late: bool = False
     version: str = ""
     is_resumed: bool = False
+    held: str = ""
 
 
 class Grant(NamedTuple):
--- a/sapphireseam/policy/upstreampool.py
+++ b/sapphireseam/policy/upstreampool.py
@@ -191,6 +191,15 @@
             return sum(load.instance.slots for load in self._list_last_resorts(version))
         return self._slots[version] if version else self._slots.total()
 
+    def has_choice(self, request: SlotRequest) -> bool:
+        """Return whether a request may get a slot once one is free."""
+        version, held = request.version, request.held
+        if not held:
+            return self.count_slots(version) > 0
+        if self._are_all_ejected(version):
+            return bool(self._list_last_resorts(version, held=held))
+        return self._count_usable(version, frozenset({held})) > 0
+
     def estimate_capacity(self, version: str, slot_seconds: float) -> float:
         """Return how many requests of this duration run at once at the most."""
         if version and not self._usable_counts[version]:
@@ -242,7 +251,7 @@
         """Return the upstream with a free slot that is best for a request, if any."""
         version = request.version
         if self._are_all_ejected(version):
-            loads = self._list_last_resorts(version, request.excluded)
+            loads = self._list_last_resorts(version, request.excluded, request.held)
             takers = [load for load in loads if load.can_take(now, is_batch)]
             return self._find_best(takers, request.domain, _find_fastest(takers))
         excluded = self._choose_excluded(request)
@@ -269,7 +278,7 @@
         version = request.version
         last_resorts = None
         if self._are_all_ejected(version):
-            loads = self._list_last_resorts(version, request.excluded)
+            loads = self._list_last_resorts(version, request.excluded, request.held)
             last_resorts = {load.instance.id for load in loads}
         excluded = self._choose_excluded(request)
         for _, key, name in reversed(self._batch):
@@ -291,27 +300,34 @@
     def _choose_excluded(self, request: SlotRequest) -> frozenset[str]:
         """Return the upstreams at which a request must not be placed.
 
-        Those at which it failed are used only if there are no others.
+        Those at which it failed are used only if there are no others, but never the one
+        where it is held.
         """
-        if not request.excluded:
-            return request.excluded
-        counts, version = self._usable_counts, request.version
+        held = frozenset({request.held} if request.held else ())
+        excluded = request.excluded | held
+        if excluded and self._count_usable(request.version, excluded) == 0:
+            return held
+        return excluded
+
+    def _count_usable(self, version: str, excluded: frozenset[str]) -> int:
+        """Return how many usable upstreams, of a version if any, aren't excluded."""
+        counts = self._usable_counts
         usable = counts[version] if version else counts.total()
-        filings = [self._filings.get(name) for name in request.excluded]
-        failed = sum(
+        filings = [self._filings.get(name) for name in excluded]
+        return usable - sum(
             filing is not None and filing.is_usable and version in ("", filing.version)
             for filing in filings
         )
-        return request.excluded if failed < usable else frozenset()
 
     def _list_last_resorts(
-        self, version: str, excluded: frozenset[str] = frozenset()
+        self, version: str, excluded: frozenset[str] = frozenset(), held: str = ""
     ) -> list[UpstreamLoad]:
         """Return the upstreams that may continue a stream if all are ejected."""
         loads = [
             load
             for load in self.loads.values()
             if load.instance.version == version and not load.is_leaving
+            if load.instance.id != held
         ]
         return [load for load in loads if load.instance.id not in excluded] or loads
 
--- a/sapphireseam/policy/waitlist.py
+++ b/sapphireseam/policy/waitlist.py
@@ -26,6 +26,7 @@
     is_late: bool
     version: str
     excluded: frozenset[str]
+    held: str
 
 
 class Precedence(NamedTuple):
@@ -39,7 +40,11 @@
 def get_line_key(request: SlotRequest) -> LineKey:
     """Return the key of the line in which a request waits."""
     return LineKey(
-        request.is_resumed, request.is_late, request.version, request.excluded
+        request.is_resumed,
+        request.is_late,
+        request.version,
+        request.excluded,
+        request.held,
     )
 
 
