--- a/sapphireseam/policy/waitlist.py
+++ b/sapphireseam/policy/waitlist.py
@@ -6,7 +6,8 @@
 
 Requests that differ only in their customer and rank form a line: if the first of them
 can't be placed, none of the line can. Finding the next request takes time in the
-number of lines, which is small, and not in the number of waiting requests.
+number of lines, which is small, and not in the number of waiting requests. It grows
+only with the sets of upstreams that some waiting requests exclude.
 """
 
 import itertools
@@ -24,6 +25,8 @@
     is_resumed: bool
     is_late: bool
     version: str
+    excluded: frozenset[str]
+    held: str
 
 
 class Precedence(NamedTuple):
@@ -36,7 +39,13 @@
 
 def get_line_key(request: SlotRequest) -> LineKey:
     """Return the key of the line in which a request waits."""
-    return LineKey(request.is_resumed, request.is_late, request.version)
+    return LineKey(
+        request.is_resumed,
+        request.is_late,
+        request.version,
+        request.excluded,
+        request.held,
+    )
 
 
 def get_precedence(request: SlotRequest) -> Precedence:
@@ -137,18 +146,14 @@
             count for other, count in self._counts.items() if other <= precedence
         )
 
-    def find_first(self, blocked: set[LineKey]) -> SlotRequest | None:
-        """Return the request that is placed next, except those of blocked lines."""
-        best = None
-        for (line_key, _), line in self._lines.items():
-            first = None if line_key in blocked else line.find_first()
-            if first is None:
-                continue
-            running, number, request = first
-            order = (get_precedence(request), running, number)
-            if best is None or order < best[0]:
-                best = (order, request)
-        return best[1] if best is not None else None
+    def list_firsts(self) -> list[SlotRequest]:
+        """Return the first request of each line, the one that is placed next first."""
+        firsts = []
+        for line in self._lines.values():
+            running, number, request = line.find_first()
+            firsts.append((get_precedence(request), running, number, request))
+        # No two requests have the same number.
+        return [request for *_, request in sorted(firsts)]
 
     def list_versions(self) -> set[str]:
         """Return the versions for which requests wait; an empty one means any."""
