Keep a process's watch open if one of its parts can't follow a change

What callers saw: after a change of the configuration one process could go on by the old one for good: its watch had ended, so no later change, withdrawn key or leaving upstream reached it.

Cause: an unexpected error of one listener left the task that watches the control VMs, which opens another watch only after errors of the system's own kinds.

Evidence: the new test failed before with KeyError: 'gone' out of the watch, and no second revision was taken. Now the error is logged and the other parts follow the change.

--- a/sapphireseam/utils/mirror.py
+++ b/sapphireseam/utils/mirror.py
@@ -212,7 +212,11 @@
             case message.Failure():
                 raise rpc.unpack_failure(item)
         for listener in self._listeners:
-            listener()
+            try:
+                listener()
+            except Exception:
+                # The others, and the watch, must not end with it.
+                logger.exception("a part could not follow a change")
 
     def _renew(self, item: notice.Renewal) -> None:
         self._timeline.clock.update(item.clock)
--- a/sapphireseam/utils/mirror_test.py
+++ b/sapphireseam/utils/mirror_test.py
@@ -326,6 +326,20 @@
             self.mirror._apply(old)
         self.assertEqual(self.mirror.revision, 2)
 
+    def test_a_fault_of_one_listener_ends_neither_the_watch_nor_the_others(self):
+        calls = []
+
+        def fail():
+            raise KeyError("gone")
+
+        self.mirror.subscribe(fail)
+        self.mirror.subscribe(lambda: calls.append(self.mirror.revision))
+        with self.assertLogs(mirror.logger, "ERROR"):
+            for _ in range(2):
+                self.model.publish()
+                self.model.run(self.model.timer.settle())
+        self.assertEqual((self.mirror.revision, calls), (3, [2, 3]))
+
     def test_watch_of_a_control_vm_without_quorum(self):
         """The mirror is never confirmed, even after a long time."""
         self.model.connect_to_minority("e1", "c1")
