--- a/sapphireseam/control/bulkrunner.py
+++ b/sapphireseam/control/bulkrunner.py
@@ -31,7 +31,7 @@
 REVIEW_SECONDS = 0.25
 # An item's connection is closed after this many seconds without data.
 IDLE_TIMEOUT_SECONDS = 3.0
-IDLE_PATIENCE = outbound.limit_silence(IDLE_TIMEOUT_SECONDS)
+IDLE_WAIT = outbound.limit_silence(IDLE_TIMEOUT_SECONDS)
 # Delay before an item is retried, in seconds. It doubles with each broken connection
 # of the item, this many times. A refused or failed item waits for the minimum.
 MIN_BACKOFF_SECONDS = 0.2
@@ -469,7 +469,7 @@
             resume_after=progress.last_event,
         )
         started_at, events_before = self._timer.read_clock(), progress.event_count
-        exchange = self._upstreams.send(request, instance, IDLE_PATIENCE)
+        exchange = self._upstreams.send(request, instance, IDLE_WAIT)
         async with exchange as answer:
             if answer.head.is_not_run:
                 raise outbound.RefusalError("the upstream refused the item", True)
@@ -509,12 +509,12 @@
         self, answer: outbound.Answer, progress: ItemProgress
     ) -> None:
         if progress.last_event >= 0:
-            parts = answer.read_continuation(progress.last_event, IDLE_PATIENCE)
+            parts = answer.read_continuation(progress.last_event, IDLE_WAIT)
         elif answer.head.is_stream:
-            parts = answer.read_events(IDLE_PATIENCE)
+            parts = answer.read_events(IDLE_WAIT)
         else:
             progress.reset()
-            body = await answer.read_all(MAX_RESULT_BYTES, IDLE_PATIENCE)
+            body = await answer.read_all(MAX_RESULT_BYTES, IDLE_WAIT)
             progress.data.append(body)
             return
         async for events in parts:
--- a/sapphireseam/entry/direct.py
+++ b/sapphireseam/entry/direct.py
@@ -515,7 +515,7 @@
         answer: outbound.Answer,
         sink: Sink,
         interval: _EventInterval,
-        patience: outbound.Patience,
+        wait_scope: outbound.WaitScope,
     ) -> None:
         head = answer.head
         if head.is_not_run:
@@ -527,7 +527,7 @@
         if progress.has_begun or (is_stream and request.route.streamed):
             try:
                 await self._deliver_events(
-                    request, progress, slot, answer, sink, interval, patience
+                    request, progress, slot, answer, sink, interval, wait_scope
                 )
             except outbound.NothingLeftError:
                 # A caller that resumes may have every event, but not the end.
@@ -535,7 +535,7 @@
                     raise
             await self._begin_stream(progress, answer, sink)
         else:
-            body = await answer.read_all(MAX_BUFFERED_BYTES, patience)
+            body = await answer.read_all(MAX_BUFFERED_BYTES, wait_scope)
             # For a plain answer, the interval is the time since the request arrived.
             interval.record(1, request.arrived)
             interval.record(1, self._timer.read_clock())
@@ -553,12 +553,12 @@
         answer: outbound.Answer,
         sink: Sink,
         interval: _EventInterval,
-        patience: outbound.Patience,
+        wait_scope: outbound.WaitScope,
     ) -> None:
         if progress.has_begun or request.resume_after >= 0:
-            received = answer.read_continuation(progress.last_event, patience)
+            received = answer.read_continuation(progress.last_event, wait_scope)
         else:
-            received = answer.read_events(patience)
+            received = answer.read_events(wait_scope)
         async for events in received:
             new_events = [
                 item
--- a/sapphireseam/utils/outbound.py
+++ b/sapphireseam/utils/outbound.py
@@ -26,9 +26,9 @@
 logger = logging.getLogger(__name__)
 
 Headers = tuple[tuple[str, str], ...]
-# Makes a context for one wait for data from an upstream. `TimeoutError` in the context
-# means that the upstream is given up.
-Patience = Callable[[], AbstractAsyncContextManager[object]]
+# Opens a scope for one wait for an upstream's data. `TimeoutError` in the scope means
+# that the upstream is given up.
+WaitScope = Callable[[], AbstractAsyncContextManager[object]]
 
 # Timeout for opening a connection, in seconds.
 CONNECT_SECONDS = 0.5
@@ -176,13 +176,13 @@
     """An upstream accepted a request but sent nothing in time."""
 
 
-def limit_silence(seconds: float | None) -> Patience:
-    """Return the patience that gives an upstream up after seconds without data."""
+def limit_silence(seconds: float | None) -> WaitScope:
+    """Return the scope that gives an upstream up after seconds without data."""
     return functools.partial(asyncio.timeout, seconds)
 
 
 # Never gives an upstream up.
-ENDLESS_PATIENCE = limit_silence(None)
+ENDLESS_WAIT = limit_silence(None)
 
 
 class Answer:
@@ -226,20 +226,20 @@
         self._received += len(data)
         return data
 
-    async def read_some(self, patience: Patience = ENDLESS_PATIENCE) -> bytes:
+    async def read_some(self, wait_scope: WaitScope = ENDLESS_WAIT) -> bytes:
         """Return the next bytes, or empty bytes at the end of a complete body.
 
         Raises `OutboundError` if the body ends early or is malformed, and
         `AnswerTimeoutError` if nothing is received in time.
         """
         try:
-            async with patience():
+            async with wait_scope():
                 return await self._read()
         except TimeoutError:
             raise AnswerTimeoutError("nothing received in time", False) from None
 
     async def read_events(
-        self, patience: Patience = ENDLESS_PATIENCE
+        self, wait_scope: WaitScope = ENDLESS_WAIT
     ) -> AsyncIterator[list[event.Event]]:
         """Yield the events of the body as they arrive.
 
@@ -250,7 +250,7 @@
         """
         splitter = event.Splitter()
         has_begun = False
-        while events := await self._read_next_events(splitter, patience):
+        while events := await self._read_next_events(splitter, wait_scope):
             has_begun = True
             yield events
         if splitter.has_incomplete_event:
@@ -259,7 +259,7 @@
             raise EmptyAnswerError("the answer ended before its first event", False)
 
     async def read_continuation(
-        self, last_event: int, patience: Patience = ENDLESS_PATIENCE
+        self, last_event: int, wait_scope: WaitScope = ENDLESS_WAIT
     ) -> AsyncIterator[list[event.Event]]:
         """Yield the events that continue a stream after the event `last_event`.
 
@@ -271,7 +271,7 @@
             text = f"the upstream did not resume the stream: {self.head.status}"
             raise NotResumedError(text, False)
         number = last_event
-        async for events in self.read_events(patience):
+        async for events in self.read_events(wait_scope):
             pieces = [item for item in events if not item.is_comment]
             count = 0
             while count < len(pieces) and pieces[count].number == number + 1:
@@ -286,12 +286,12 @@
             raise NothingLeftError("the continuation has no event", False)
 
     async def _read_next_events(
-        self, splitter: event.Splitter, patience: Patience
+        self, splitter: event.Splitter, wait_scope: WaitScope
     ) -> list[event.Event]:
         """Return the next complete events, or none at the end of the body."""
         size = 0
         try:
-            async with patience():
+            async with wait_scope():
                 while data := await self._read():
                     if events := splitter.feed(data):
                         self._record_buffer(0)
@@ -312,16 +312,14 @@
             # The upstream did nothing wrong.
             raise RefusalError(str(failure), False) from None
 
-    async def read_all(
-        self, limit: int, patience: Patience = ENDLESS_PATIENCE
-    ) -> bytes:
+    async def read_all(self, limit: int, wait_scope: WaitScope = ENDLESS_WAIT) -> bytes:
         """Return the complete body; raise if it ends early or exceeds `limit` bytes.
 
         The body counts as buffered until the answer is closed.
         """
         body = bytearray()
         try:
-            while data := await self.read_some(patience):
+            while data := await self.read_some(wait_scope):
                 body += data
                 self._record_buffer(len(body))
                 if len(body) > limit:
@@ -402,7 +400,7 @@
         self,
         request: Outgoing,
         instance: instances.Instance,
-        patience: Patience = ENDLESS_PATIENCE,
+        wait_scope: WaitScope = ENDLESS_WAIT,
     ) -> AsyncIterator[Answer]:
         """Send a request and yield its answer.
 
@@ -416,7 +414,7 @@
             raise LeavingError("the upstream is leaving", True)
         self._open_requests[instance.address] += 1
         try:
-            async with self._exchange(request, instance, patience) as answer:
+            async with self._exchange(request, instance, wait_scope) as answer:
                 yield answer
         finally:
             self._open_requests[instance.address] -= 1
@@ -427,11 +425,11 @@
         self,
         request: Outgoing,
         instance: instances.Instance,
-        patience: Patience,
+        wait_scope: WaitScope,
     ) -> AsyncIterator[Answer]:
         rate = self._find_rate(instance)
         try:
-            async with patience():
+            async with wait_scope():
                 response = await self._open(request, instance)
         except TimeoutError:
             raise AnswerTimeoutError("no answer in time", False) from None
--- a/sapphireseam/utils/outbound_test.py
+++ b/sapphireseam/utils/outbound_test.py
@@ -88,10 +88,10 @@
         address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
         instance = self.upstream.instance._replace(address=address)
         request = outbound.Outgoing("r1", "c", "h", "GET", "/x", (), b"")
-        patience = outbound.limit_silence(timeout)
+        wait_scope = outbound.limit_silence(timeout)
         with self.assertRaises(outbound.OutboundError) as caught:
-            async with self.pool.send(request, instance, patience) as received:
-                async for _ in received.read_events(patience):
+            async with self.pool.send(request, instance, wait_scope) as received:
+                async for _ in received.read_events(wait_scope):
                     pass
         return isinstance(caught.exception, outbound.BrokenError)
 
