Read the list of replicas again if its connection was just closed

What callers saw: nothing yet. Since the sessions send no request again by themselves, a poll of the list failed if the platform had just closed the kept connection, and leaving replicas were heard of half a second later.

Cause: the list is read over such a session, too, though to read it again is harmless.

--- a/sapphireseam/platform/listing.py
+++ b/sapphireseam/platform/listing.py
@@ -63,7 +63,7 @@
 
     async def _read_page(self, page: str) -> bytes:
         if self._session is None:
-            self._session = framing.create_session()
+            self._session = framing.create_session(may_resend=True)
         parameters = {"page_token": page} if page else {}
         try:
             async with (
--- a/sapphireseam/platform/listing_test.py
+++ b/sapphireseam/platform/listing_test.py
@@ -85,6 +85,25 @@
         with self.assertRaises(error.ControlError):
             await self.listing.list()
 
+    async def test_the_list_is_read_although_its_kept_connection_was_just_closed(self):
+        async def close_second(request):
+            if request.protocol in self.used:
+                request.transport.abort()
+            self.used.append(request.protocol)
+            return await self.answer(request)
+
+        self.used = []
+        runner = web.ServerRunner(web.Server(close_second))
+        await runner.setup()
+        self.addAsyncCleanup(runner.cleanup)
+        site = web.TCPSite(runner, "127.0.0.1", 0)
+        await site.start()
+        port = site._server.sockets[0].getsockname()[1]
+        replicas = listing.Listing(f"127.0.0.1:{port}")
+        self.addAsyncCleanup(replicas.stop)
+        for _ in range(2):
+            self.assertEqual(len(await replicas.list()), 1)
+
     async def test_a_page_without_end_is_refused(self):
         head = b"HTTP/1.1 200 OK\r\n\r\n"
         for start, repeated in ((head, b" "), (b"HTTP/1.1 200 OK\r\nA: ", b"x")):
--- a/sapphireseam/utils/framing.py
+++ b/sapphireseam/utils/framing.py
@@ -337,11 +337,13 @@
     connector_options: dict[str, Any] | None = None,
     on_open: Callable[[socket.socket], None] = lambda _: None,
     read_id: IdReader = lambda _: "",
+    may_resend: bool = False,
     **options: Any,
 ) -> aiohttp.ClientSession:
     """Return a session whose answers are `FramedResponse` objects.
 
-    It never sends a request twice by itself, whatever its method.
+    It sends no request twice by itself, whatever its method, unless `may_resend` is
+    set. Then a GET is sent again if its connection has just been closed.
 
     `on_open` is called with the socket of each new connection, and `read_id` with the
     headers of each request. `connector_options` are those of `aiohttp.TCPConnector`,
@@ -352,7 +354,7 @@
         connector=connector, response_class=FramedResponse, **options
     )
     # The library has no public way to switch off its own retries.
-    session._retry_connection = False
+    session._retry_connection = may_resend
     return session
 
 
