Show that the head of an answer that is cut is no answer

What callers of systems like this one saw: an upstream stopped in the middle of its answer's head and closed, and they got a 200 with an empty or short body, framed as whole.

A head is cut at every byte, with a length, with chunks and with neither, and the connection is closed or reset, on the default loop and on uvloop. Thirteen places and an informational head alone are tried, each with a close and a reset, on each kind of route without agents (an error or another upstream's answer, and never a second head or an end in a begun stream) and at the agents' client, both on both loops; and for items of bulk jobs (the whole output), for orders and probes (no answer) and for the check whether an upstream is down (it is), on the default loop.

The test at every byte sends POST. With GET, the HTTP library sends the request again by itself and waits for an answer that never comes, which is another fault.

--- a/sapphireseam/agent/engine_test.py
+++ b/sapphireseam/agent/engine_test.py
@@ -3,6 +3,8 @@
 import asyncio
 import unittest
 
+import uvloop
+
 from sapphireseam.agent import engine
 from sapphireseam.core import exchange
 from sapphireseam.utils import fakeflood, fakeupstream
@@ -51,6 +53,14 @@
         self.assertEqual(await self.read("refuse"), b"no")
         self.assertEqual((await self.read("repeat")).count(b"data"), 4)
 
+    async def test_a_cut_head_is_a_broken_answer(self):
+        for raw in fakeupstream.list_cut_heads():
+            with self.subTest(raw), self.assertRaises(engine.UpstreamError) as caught:
+                await self.read(raw)
+            self.assertEqual(
+                (caught.exception.broken, caught.exception.not_run), (True, False)
+            )
+
     async def test_bytes_without_end_are_a_failure_but_no_crash(self):
         head = b"HTTP/1.1 200 OK\r\n"
         chunked = head + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -72,5 +82,14 @@
             await asyncio.wait_for(flood.has_closed.wait(), 1.0)
 
 
+class UpstreamClientOnUvloopTest(UpstreamClientTest):
+    """The programs run on uvloop, which reports the end of a connection differently."""
+
+    @classmethod
+    def setUpClass(cls):
+        asyncio.set_event_loop_policy(uvloop.EventLoopPolicy())
+        cls.addClassCleanup(asyncio.set_event_loop_policy, None)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/sapphireseam/control/bulkrunner_test.py
+++ b/sapphireseam/control/bulkrunner_test.py
@@ -224,6 +224,17 @@
                 del self.machine.state.lots["l"]
                 self.assertEqual(results[0].output, self.expect_output(b"i0"))
 
+    async def test_cut_head_is_no_output_of_an_item(self):
+        cut_heads = fakeupstream.list_cut_heads()
+        with mock.patch.object(bulkrunner, "MIN_BACKOFF_SECONDS", 0.0):
+            for number, raw in enumerate(cut_heads):
+                self.upstream.behaviours = ["cut"] * (number % 4 > 1) + [raw]
+                await self.accept()
+                results = await self.wait_done()
+                del self.machine.state.lots["l"]
+                with self.subTest(raw):
+                    self.assertEqual(results[0].output, self.expect_output(b"i0"))
+
     async def test_comments_in_a_stream_are_no_part_of_the_output(self):
         events = [b": x\n\nid: %d\ndata: i0-%d\n\n" % (n, n) for n in range(4)]
         whole = make_raw(b"".join(events))
--- a/sapphireseam/entry/direct_test.py
+++ b/sapphireseam/entry/direct_test.py
@@ -5,6 +5,8 @@
 import random
 import unittest
 
+import uvloop
+
 from sapphireseam.core import command, error, fleet, trait
 from sapphireseam.entry import direct
 from sapphireseam.entry.fake import FakeGate, make_refusal
@@ -606,6 +608,42 @@
         self.assertEqual(self.count_runs(), [2, 2])
 
 
+class CutHeadTest(DirectForwarderTestCase):
+    """An upstream stops in the head of its answer."""
+
+    async def test_a_cut_head_is_no_answer_on_any_route(self):
+        for raw in fakeupstream.list_cut_heads():
+            for route in (STREAM, UNSAFE):
+                with self.subTest(raw, route=route.path):
+                    self.sink = FakeSink()
+                    await self.expect(error.Kind.OUTCOME_UNKNOWN, route, raw)
+                    self.assertEqual(self.sink.begun, 0)
+            for route in (RESUMABLE, SAFE):
+                with self.subTest(raw, route=route.path):
+                    self.sink = FakeSink()
+                    await self.serve(route, raw)
+                    self.check_events()
+                    self.assertEqual(self.sink.headers["Fake-By"], "u2")
+
+    async def test_a_cut_head_never_continues_a_begun_stream(self):
+        for raw in fakeupstream.list_cut_heads():
+            with self.subTest(raw):
+                self.sink = FakeSink()
+                self.upstreams[1].behaviours = [raw]
+                await self.expect(error.Kind.UPSTREAM_FAILED, RESUMABLE, "cut")
+                self.assertEqual((self.sink.begun, self.sink.is_complete), (1, False))
+                self.assertEqual(self.sink.body.count(b"id: "), 2)
+
+
+class CutHeadOnUvloopTest(CutHeadTest):
+    """The programs run on uvloop, which reports the end of a connection differently."""
+
+    @classmethod
+    def setUpClass(cls):
+        asyncio.set_event_loop_policy(uvloop.EventLoopPolicy())
+        cls.addClassCleanup(asyncio.set_event_loop_policy, None)
+
+
 class PauseTest(DirectForwarderTestCase):
     """A sound upstream may send nothing for a while and then go on."""
 
--- a/sapphireseam/utils/crash_test.py
+++ b/sapphireseam/utils/crash_test.py
@@ -7,7 +7,7 @@
 from sapphireseam.core import command, error
 from sapphireseam.core.instance import Instance
 from sapphireseam.tools import fake
-from sapphireseam.utils import crash
+from sapphireseam.utils import crash, fakeupstream
 from sapphireseam.utils.timeline import Timeline
 from sapphireseam.utils.timer import FakeTimer
 
@@ -246,6 +246,15 @@
             self.assertTrue(await crash.is_down(await self.start(head), "/"))
         self.assertTrue(await crash.is_down(await self.start(b""), "/"))
 
+    async def test_an_upstream_that_stops_in_the_head_of_its_answer_is_down(self):
+        upstream = fakeupstream.FakeUpstream("u1")
+        await upstream.start()
+        self.addAsyncCleanup(upstream.stop)
+        for raw in fakeupstream.list_cut_heads():
+            upstream.behaviours = [raw, raw]
+            with self.subTest(raw):
+                self.assertTrue(await crash.is_down(upstream.instance.address, "/x"))
+
     async def test_an_upstream_that_answers_is_up(self):
         def is_signed(headers):
             return "Signed" in headers
--- a/sapphireseam/utils/fakeupstream.py
+++ b/sapphireseam/utils/fakeupstream.py
@@ -28,6 +28,7 @@
 UNNAMED_REFUSAL = (
     f"HTTP/1.1 400 X\r\n{NOT_RUN}: 1\r\nContent-Length: 2\r\n\r\nno".encode()
 )
+TRANSFER_LINE = b"Transfer-Encoding: chunked\r\n"
 # How long a silent upstream sends nothing, in seconds.
 SILENT_SECONDS = 30.0
 # How long an upstream that pauses sends nothing before it goes on, in seconds.
@@ -319,7 +320,7 @@
         start = int(run.headers.get(RESUME, "-1")) + 1
         is_framed = not behaviour.startswith("unframed")
         ending = behaviour.removeprefix("unframed-")
-        coding = b"Transfer-Encoding: chunked\r\n" if is_framed else b""
+        coding = TRANSFER_LINE if is_framed else b""
         if behaviour == "pause-head":
             await asyncio.sleep(PAUSE_SECONDS)
         writer.write(
@@ -397,6 +398,23 @@
     return Raw(b"%sContent-Length: %d\r\n\r\n%s" % (head, len(body), body))
 
 
+def list_cut_heads() -> list[Raw]:
+    """Return heads of successful answers that end early, by a close and by a reset.
+
+    They end in the status line, in a name, in a value, between two headers, before and
+    in the empty line, with a length, with chunks and with neither.
+    """
+    start = b"HTTP/1.1 200 OK\r\n%s: {id}\r\nContent-Type: text/" % ID.encode()
+    places = [b"HTTP/1.1 2", b"HTTP/1.1 200 OK\r\n", start[:20], start]
+    for framing_line in (b"", b"Content-Length: 40\r\n", TRANSFER_LINE):
+        head = start + b"event-stream\r\n" + framing_line
+        places += [head, head + b"\r"]
+    places += [head[:-1], head[:-4], start + b"event-stream\r\nContent-Length: 4"]
+    # An informational head isn't an answer either.
+    places += [b"HTTP/1.1 103 Early Hints\r\n\r\n"]
+    return [Raw(place, resets) for place in places for resets in (False, True)]
+
+
 def _render_short_answer(behaviour: str, run: Run, extra: bytes) -> bytes:
     kind = behaviour.removeprefix("stale-")
     status = {"refuse": 503, "fail": 500, "impossible": 422, "stale": 200}[kind]
--- a/sapphireseam/utils/framing_test.py
+++ b/sapphireseam/utils/framing_test.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import gc
+import itertools
 import os
 import socket
 import struct
@@ -50,12 +51,12 @@
 
 
 class FramingTest(unittest.TestCase):
-    def read(self, run, server, blocks):
+    def read(self, run, server, blocks, method="GET"):
         """Return the body; `blocks` polls the answer and its end at once."""
 
         async def read():
             async with framing.create_session() as http:
-                task = asyncio.ensure_future(http.get(server.url))
+                task = asyncio.ensure_future(http.request(method, server.url))
                 while blocks and not server.ended.is_set():
                     await asyncio.sleep(0)
                     time.sleep(0.01)  # noqa: ASYNC251
@@ -86,6 +87,18 @@
                     ):
                         self.read(run, server, blocks)
 
+    def test_a_head_that_is_cut_at_any_byte_is_no_answer(self):
+        for run in (asyncio.run, uvloop.run):
+            for head in HEADS.values():
+                end = head.index(b"\r\n\r\n") + 3
+                for size, resets in itertools.product(range(end + 1), (False, True)):
+                    server = Server(head[:size], b"", resets)
+                    with (
+                        self.subTest(run=run.__module__, head=head[:size]),
+                        self.assertRaises(aiohttp.ClientError),
+                    ):
+                        self.read(run, server, False, "POST")
+
     def test_a_whole_answer_with_a_length_is_complete_after_a_reset(self):
         server = Server(HEADS["length"], b"abcde", True)
         self.assertEqual(self.read(uvloop.run, server, True)[0], b"abcde")
--- a/sapphireseam/utils/outbound_test.py
+++ b/sapphireseam/utils/outbound_test.py
@@ -69,6 +69,14 @@
             await self.read()
         self.assertFalse(caught.exception.is_not_run)
 
+    async def test_a_cut_head_is_no_answer_to_an_order_or_a_probe(self):
+        for raw in fakeupstream.list_cut_heads():
+            self.upstream.behaviours = [raw]
+            instance = self.upstream.instance
+            reply = await self.pool.send_order(instance, "POST", "/x", b"", 1.0)
+            with self.subTest(raw):
+                self.assertIsNone(reply)
+
     async def read_raw(self, answer, resets=False, timeout=None):
         """Read the events of an answer that a server sends before it ends."""
 
