Test that no search and no slot outlives the wait for a silent upstream

What callers saw: nothing; the code is right. But two of its lines could be taken out without a failing test, and each of them keeps slots from being held in vain.

The evidence, with mutations of the code: without the end of the search once data arrives, the new test in entry/silence_test.py prints "AssertionError: 1 != 0"; without the close of the watch after an attempt, the one in entry/direct_test.py prints "Lists differ: ['u1'] != ['u1', 'u2']". The earlier tests passed with both mutations.

The change: a test lets an upstream go on during a search that would end later. Another lets a caller leave just after the wait was ended for a slot, before the next attempt takes it. Both pass on the unchanged code.

--- a/sapphireseam/entry/direct_test.py
+++ b/sapphireseam/entry/direct_test.py
@@ -527,6 +527,22 @@
         await self.serve_paused(RESUMABLE, "pause")
         self.assertEqual(self.count_runs(), [2, 0])
 
+    async def test_a_slot_that_is_found_as_the_caller_leaves_is_released(self):
+        place, loop = self.placer.place, asyncio.get_running_loop()
+
+        async def place_as_the_caller_leaves(spec):
+            if spec.held:
+                # The caller leaves between the end of the wait and the next attempt.
+                loop.call_soon(loop.call_soon, serving.cancel)
+            return await place(spec)
+
+        self.placer.place = place_as_the_caller_leaves
+        serving = asyncio.create_task(self.serve_paused(RESUMABLE, "pause"))
+        (end,) = await asyncio.gather(serving, return_exceptions=True)
+        self.assertIsInstance(end, asyncio.CancelledError)
+        names = [name for name, _ in self.placer.released]
+        self.assertEqual(sorted(names), ["u1", "u2"])
+
     async def test_a_paused_plain_answer_isnt_lost_if_no_other_upstream_is_free(self):
         self.placer.only = "u1"
         await self.serve_paused(SAFE, "pause-head")
--- a/sapphireseam/entry/silence_test.py
+++ b/sapphireseam/entry/silence_test.py
@@ -60,6 +60,12 @@
         self.assertIsNone(self.watch.take_slot())
         self.assertEqual(self.searches, 0)
 
+    async def test_the_search_ends_once_the_upstream_goes_on(self):
+        self.search_seconds = 4 * LIMIT
+        await self.wait(2 * LIMIT)
+        await asyncio.sleep(6 * LIMIT)
+        self.assertEqual(self.searches, 0)
+
     async def test_a_slot_found_as_the_request_ends_is_released(self):
         waiting = asyncio.create_task(self.wait(1.0))
         await self.has_searched.wait()
