Let batch work run while a silent upstream's requests look elsewhere

What callers saw: while one stream waited for a slot at another upstream than the silent one where it still ran, no batch item of the service was placed, although slots were free that the stream couldn't use. Items came later than they might have.

The cause: batch work gets no slot while online requests wait. Requests that are held by an upstream wait as well since they look for a slot before they leave, but whatever slot is free then is one that they may not have, or they would have got it.

The evidence: on the unfixed code the new test fails at has_batch_slot with "AssertionError: False is not true".

The change: only requests that run nowhere keep batch work from getting slots. A held one still evicts a batch item where it may go.

--- a/sapphireseam/policy/allocator.py
+++ b/sapphireseam/policy/allocator.py
@@ -264,13 +264,16 @@
 
     def has_batch_slot(self, service: str, now: float) -> bool:
         """Return whether a slot is free for batch work of a service."""
-        if self.count_waiting(service):
+        if self._do_requests_wait(service):
             return False
         return self._get_pool(service).has_batch_slot(now)
 
     def place_batch(self, request: SlotRequest) -> Grant | None:
-        """Place a batch request, unless no slot is free or online requests wait."""
-        if self.count_waiting(request.service):
+        """Place a batch request, unless no slot is free or online requests wait.
+
+        Those that are held by an upstream don't count, as they couldn't use the slot.
+        """
+        if self._do_requests_wait(request.service):
             return None
         pool = self._get_pool(request.service)
         load = pool.find_free(request, request.arrived, is_batch=True)
@@ -337,6 +340,11 @@
         waitlist = self._waitlists.get(service)
         return len(waitlist) if waitlist else 0
 
+    def _do_requests_wait(self, service: str) -> bool:
+        """Return whether online requests wait that run nowhere."""
+        waitlist = self._waitlists.get(service)
+        return waitlist is not None and waitlist.has_unheld
+
     def count_slots(self, service: str, version: str = "") -> int:
         """Return how many slots the usable upstreams of a service have.
 
--- a/sapphireseam/policy/allocator_test.py
+++ b/sapphireseam/policy/allocator_test.py
@@ -139,6 +139,15 @@
             self.assertEqual(self.allocator.find_instance("b"), "i1")
             self.allocator.release("m", 0.0)
 
+    def test_batch_work_gets_slots_while_only_held_requests_wait_for_others(self):
+        names = [grant.instance.id for grant in self.fill(4)]
+        moving = make_request("m", patience=9.0, held=names[0])
+        self.assertIsNone(self.allocator.place(moving, 0.0))
+        self.assertEqual(self.allocator.release("r0", 0.1), [])
+        self.assertTrue(self.allocator.has_batch_slot("llm", 0.1))
+        grant = self.allocator.place_batch(make_request("b"))
+        self.assertEqual(grant.instance.id, names[0])
+
     def test_request_that_can_be_on_time_goes_before_a_late_one(self):
         self.fill(4)
         self.allocator.place(make_request("late", patience=1.0, is_late=True), 0.0)
--- a/sapphireseam/policy/waitlist.py
+++ b/sapphireseam/policy/waitlist.py
@@ -104,10 +104,17 @@
         self._requests: dict[str, tuple[int, SlotRequest]] = {}
         self._lines: dict[tuple[LineKey, int], _Line] = {}
         self._counts: dict[Precedence, int] = {}
+        # How many of them still run at an upstream.
+        self._held_count = 0
 
     def __len__(self) -> int:
         return len(self._requests)
 
+    @property
+    def has_unheld(self) -> bool:
+        """Whether requests wait that run nowhere."""
+        return len(self) > self._held_count
+
     def get(self, key: str) -> SlotRequest | None:
         """Return the waiting request with a key, or None."""
         _, request = self._requests.get(key, (0, None))
@@ -117,6 +124,7 @@
         """Add a request of a customer with so many running requests."""
         number = next(self._numbers)
         self._requests[request.key] = (number, request)
+        self._held_count += bool(request.held)
         line = self._lines.setdefault((get_line_key(request), request.rank), _Line())
         line.add(number, request, running)
         precedence = get_precedence(request)
@@ -125,6 +133,7 @@
     def remove(self, key: str, running: int) -> None:
         """Remove a request."""
         number, request = self._requests.pop(key)
+        self._held_count -= bool(request.held)
         line_name = (get_line_key(request), request.rank)
         line = self._lines[line_name]
         line.remove(number, request, running)
