Give no health check of an agent the answer that a test has set

Cause: a race of the test. The agent's client checks its upstream's health each 0.5 s, on a path that the stand-in took for a request, so a health check could get the cut head and the request the next answer, a whole one.

Evidence: with a health check each 0.03 s (a trial) the module's tests failed (4 failures and 2 errors of 14 tests); with this change all 14 passed. The stand-in answers these checks like those of discovered upstreams; the tests are as strict as before.

--- a/sapphireseam/utils/fakeupstream.py
+++ b/sapphireseam/utils/fakeupstream.py
@@ -25,6 +25,8 @@
 # Lists the parts of a request's prompt, separated by commas.
 PARTS = "Fake-Parts"
 HEALTH_PATH = "/"
+# Agents check their upstream's health here.
+AGENT_HEALTH_PATH = "/health"
 UNNAMED_REFUSAL = (
     f"HTTP/1.1 400 X\r\n{NOT_RUN}: 1\r\nContent-Length: 2\r\n\r\nno".encode()
 )
@@ -129,7 +131,7 @@
     upstream stays down. With a sidecar, connections are accepted while the upstream is
     down, and are closed without an answer once a request has arrived.
 
-    A request for `HEALTH_PATH` is no run; it gets an empty answer.
+    A request for `HEALTH_PATH` or `AGENT_HEALTH_PATH` is no run; its answer is empty.
     """
 
     def __init__(
@@ -254,7 +256,7 @@
         run = await _read_request(reader)
         if self.is_down:
             return False
-        if run.path == HEALTH_PATH:
+        if run.path in (HEALTH_PATH, AGENT_HEALTH_PATH):
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
             return True
         self.arrivals.append(asyncio.get_running_loop().time())
