Preempt the item of a test only once it has an event

Cause: a race of the test. It preempted the item after 0.13 s, whether or not an event had arrived; an item without an event starts again, as it should.

Evidence: with 0.03 s in place of 0.13 the test fails with the same message; now it waits for the first event and passed three times. It checks the same as before.

--- a/sapphireseam/control/bulkrunner_test.py
+++ b/sapphireseam/control/bulkrunner_test.py
@@ -147,6 +147,12 @@
         while ("l", 0) not in tracked or tracked["l", 0].last_event != number:  # noqa: ASYNC110
             await asyncio.sleep(0.005)
 
+    async def wait_begun(self):
+        """Wait until the item's run has received an event."""
+        tracked = self.runner._progress
+        while ("l", 0) not in tracked or tracked["l", 0].last_event < 0:  # noqa: ASYNC110
+            await asyncio.sleep(0.005)
+
     def expect_output(self, item):
         return b"\n".join(b"%s-%d" % (item, number) for number in range(4))
 
@@ -507,7 +513,7 @@
         self.upstream.event_delay = 0.05
         self.placement.update_instances((self.upstream.instance,))
         await self.accept()
-        await asyncio.sleep(0.13)
+        await self.wait_begun()
         now = self.timer.read_clock()
         request = allocator.SlotRequest("9:1", "llm", "c", 0, "z", now, now)
         grant = self.placement.allocator.place(request, now)
