Refuse a committed document that is nested too deep on each member

What callers saw: after one publish of a document that is nested 200,000 deep every control VM stops, and again after each restart, since the entry is committed. Cause: the state machine parsed the document with a parser that counts the nesting against the depth of its own stack; RecursionError isn't a ValueError, so the member stopped as one that can't apply its log, and the depth that was accepted differed from place to place. Evidence: publish_test fails on the former code with RecursionError. Change: core/jsontext is the one reader of JSON that others wrote, with one limit of depth, size and numbers, counted in the text before it is parsed; publishes, stored documents and the watch use it.

--- a/sapphireseam/control/publish.py
+++ b/sapphireseam/control/publish.py
@@ -4,10 +4,8 @@
 that it was edited from, or carries a number of its own.
 """
 
-import json
-
 from sapphireseam.control import record
-from sapphireseam.core import command, error, fleet, outcome
+from sapphireseam.core import command, error, fleet, jsontext, outcome
 
 # Maximum number and total size of the revisions held for history and rollback.
 HISTORY_LIMIT = 200
@@ -17,8 +15,8 @@
 def check(state: record.State, document: bytes) -> list[fleet.Finding]:
     """Return all findings on a configuration, including conflicts with live keys."""
     try:
-        parsed = json.loads(document)
-    except ValueError as failure:
+        parsed = jsontext.parse(document)
+    except jsontext.JsonError as failure:
         return [fleet.Finding("(whole)", f"isn't JSON: {failure}", "")]
     result, findings = fleet.parse(parsed)
     if result is None:
--- a/sapphireseam/control/record.py
+++ b/sapphireseam/control/record.py
@@ -6,9 +6,9 @@
 """
 
 import functools
-import json
 from typing import Any, NamedTuple
 
+from sapphireseam.core import jsontext
 from sapphireseam.core.ceiling import Ceiling
 from sapphireseam.core.command import LotItem
 from sapphireseam.core.key import Key
@@ -243,4 +243,4 @@
 @functools.lru_cache(maxsize=4)
 def decode_document(document: bytes) -> dict[str, Any]:
     """Return a published configuration as JSON objects, which must not be changed."""
-    return json.loads(document)
+    return jsontext.parse(document)
--- a/sapphireseam/utils/mirror.py
+++ b/sapphireseam/utils/mirror.py
@@ -15,7 +15,6 @@
 
 import asyncio
 import itertools
-import json
 import logging
 import random
 from collections.abc import Callable
@@ -26,6 +25,7 @@
     codec,
     error,
     fleet,
+    jsontext,
     key,
     message,
     notice,
@@ -196,7 +196,7 @@
             case notice.Whole():
                 self._replace(item)
             case notice.FleetChange():
-                changes = json.loads(codec.decompress(item.changes))
+                changes = jsontext.parse(codec.decompress(item.changes))
                 self._apply_configuration(
                     item.revision, fleet.patch(self._document, changes)
                 )
@@ -240,7 +240,7 @@
         self.verdicts = {each.trait: each for each in item.verdicts}
         self.ceilings = {each.run: each for each in item.ceilings}
         self._apply_configuration(
-            item.revision, json.loads(codec.decompress(item.document))
+            item.revision, jsontext.parse(codec.decompress(item.document))
         )
 
     def _apply_verdicts(self, item: notice.VerdictChange) -> None:
