Read no number from a header or an event that no message can hold

What callers saw: a request whose Last-Event-Id has 5,000 digits, or a superscript two, got a bare 500; an upstream's event with such an id ended the answer; so did a completion window of superscript digits. Cause: isdigit accepts what int refuses. Evidence: event_test and front_test fail on the former code.

--- a/sapphireseam/entry/batch.py
+++ b/sapphireseam/entry/batch.py
@@ -16,6 +16,7 @@
 from aiohttp import BodyPartReader, web
 
 from sapphireseam.core import command, error, fleet, key, message
+from sapphireseam.core.number import parse_count
 from sapphireseam.entry import routedrequest
 from sapphireseam.entry.access import Caller
 from sapphireseam.utils import upload
@@ -325,8 +326,10 @@
 def parse_window(text: Any) -> float:
     """Return the seconds of a completion window such as `24h` or `30m`."""
     units = {"h": HOUR_SECONDS, "m": 60.0, "s": 1.0}
-    if isinstance(text, str) and text[:-1].isdigit() and text[-1:] in units:
-        return int(text[:-1]) * units[text[-1]]
+    if isinstance(text, str) and text[-1:] in units:
+        count = parse_count(text[:-1])
+        if count is not None:
+            return count * units[text[-1]]
     raise error.RequestError("'completion_window' must look like '24h' or '30m'")
 
 
--- a/sapphireseam/platform/front.py
+++ b/sapphireseam/platform/front.py
@@ -9,7 +9,7 @@
 
 from aiohttp import web
 
-from sapphireseam.core import error, fingerprint
+from sapphireseam.core import error, fingerprint, number
 from sapphireseam.entry import routedrequest
 from sapphireseam.entry.direct import DirectRequest
 from sapphireseam.entry.discovery import FrontContext
@@ -205,7 +205,8 @@
 def _read_last_event(request: web.BaseRequest) -> int:
     """Return the event after which the client resumes a stream, or -1 for none."""
     text = request.headers.get(dialect.RESUME, "")
-    return int(text) if text.isdigit() else -1
+    count = number.parse_count(text)
+    return -1 if count is None else count
 
 
 def _log_failure(attempt_id: str, failure: error.SeamError) -> None:
--- a/sapphireseam/platform/front_test.py
+++ b/sapphireseam/platform/front_test.py
@@ -231,6 +231,10 @@
     async def test_bad_headers(self):
         for text in ("soon", "nan", "inf"):
             self.assertEqual((await self.post(X_Deadline_Ms=text))[0], 400)
+        for text in ("\u00b2", "9" * 5000, "-1", "x"):
+            status, _, _ = await self.post(Last_Event_Id=text)
+            self.assertEqual(status, 200, text)
+            self.assertEqual(self.forwarder.requests[-1].resume_after, -1)
         self.assertEqual((await self.post(X_Attempt_Id=""))[0], 400)
 
     async def test_requests_that_share_a_prompt_part_share_its_trait(self):
--- a/sapphireseam/utils/event.py
+++ b/sapphireseam/utils/event.py
@@ -7,6 +7,8 @@
 import re
 from typing import NamedTuple
 
+from sapphireseam.core.number import parse_count
+
 CONTENT_TYPE = "text/event-stream"
 # The largest event of a stream, in bytes.
 MAX_EVENT_BYTES = 1024 * 1024
@@ -68,8 +70,8 @@
     for line in _LINE_BREAK.split(raw):
         name, _, value = line.partition(b":")
         value = value.removeprefix(b" ")
-        if name == b"id" and value.isdigit():
-            number = int(value)
+        if name == b"id" and (count := parse_count(value)) is not None:
+            number = count
         elif name == b"data":
             data.append(value)
     return Event(raw, number, b"\n".join(data))
--- a/sapphireseam/utils/event_test.py
+++ b/sapphireseam/utils/event_test.py
@@ -28,8 +28,9 @@
         self.assertTrue(splitter.has_incomplete_event)
 
     def test_an_id_that_is_not_a_number(self):
-        (item,) = event.Splitter().feed(b"id: x7\n\n")
-        self.assertEqual(item.number, -1)
+        for text in (b"x7", b"-7", b"7_0", b"", b"\xb2", b"9" * 5000, b"9" * 19):
+            (item,) = event.Splitter().feed(b"id: %b\n\n" % text)
+            self.assertEqual(item.number, -1, text)
 
     def test_further_blank_lines_are_no_events(self):
         events = event.Splitter().feed(b"\n\ndata: a\n\n\r\n\r\n\n\n: b\n\n")
