Follow the list of replicas beside an odd entry

What callers saw: as long as one entry of the list was nested too deep, had a number of 5,000 digits or bytes that aren't UTF-8, nobody followed the list: requests went to replicas that had left and none to new ones. Slots or a start of 2**64, half of a surrogate pair or a line end in an id were taken over, and broke the leader's messages or a request's headers later. Cause: a page was parsed as a whole, and entries were checked for the types of their fields alone. Change: if a page can't be read whole, its entries are separated first and read one by one, in a thread, and a long one that stands is remembered; fields have ranges; a page that is itself malformed is refused at once. Result: each odd entry of the tests leaves the sound ones in force.

--- a/sapphireseam/platform/listing.py
+++ b/sapphireseam/platform/listing.py
@@ -1,13 +1,15 @@
 """Reads the platform's list of running replicas, page by page."""
 
 import asyncio
-import json
 import logging
-from typing import Any
+import re
+from collections import deque
+from collections.abc import Iterator
+from typing import Any, NamedTuple
 
 import aiohttp
 
-from sapphireseam.core import error
+from sapphireseam.core import error, jsontext, number
 from sapphireseam.core.instance import Instance
 from sapphireseam.utils import framing
 
@@ -22,7 +24,29 @@
 MAX_LIST_BYTES = 16 * 1024 * 1024
 # Malformed entries that are logged once each; further ones aren't logged.
 MAX_LOGGED_ENTRIES = 100
+# The newest entries that can't be read are remembered, from this size in bytes on:
+# to find their end takes time.
+MIN_REMEMBERED_BYTES = 1024
+MAX_REMEMBERED_ENTRIES = 16
+# The most requests that one replica can run at once.
+MAX_SLOTS = 65_536
+# Values from which on a count doesn't fit into a message.
+COUNT_LIMIT = 2**63
+MAX_TEXT_LENGTH = 255
+
 _STATES = ("ready", "draining")
+_ADDRESS = re.compile(
+    r"(?:[A-Za-z0-9._-]{1,253}|\[[0-9A-Fa-f:.]{2,45}\]):[0-9]{1,5}", re.ASCII
+)
+# An id is sent as the value of a header.
+_ID = re.compile(r"[!-~]+", re.ASCII)
+
+
+class Page(NamedTuple):
+    """One page of the list: its readable entries, and the name of the next page."""
+
+    entries: list[Any]
+    next: str | None
 
 
 class Listing:
@@ -32,25 +56,26 @@
         self._url = f"http://{address}/instances"
         self._session: aiohttp.ClientSession | None = None
         self._logged_entries: set[str] = set()
+        self._unreadable: deque[bytes] = deque(maxlen=MAX_REMEMBERED_ENTRIES)
 
     async def list(self) -> tuple[Instance, ...]:
         """Return the listed replicas; malformed entries are skipped."""
         found: dict[str, Instance] = {}
-        page = ""
+        name = ""
         size = 0
         for _ in range(MAX_PAGES):
-            body = await self._read_page(page)
+            body = await self._request_page(name)
             size += len(body)
             if size > MAX_LIST_BYTES:
                 break
-            answer = _decode_page(body)
-            for entry in answer.get("instances") or ():
+            page = await self._read_page(body)
+            for entry in page.entries:
                 instance = self._read_entry(entry)
                 if instance is not None:
                     found[instance.id] = instance
-            page = answer.get("next")
-            if not page:
+            if not page.next:
                 return tuple(sorted(found.values()))
+            name = page.next
         raise error.ControlError("the list of replicas does not end")
 
     async def start(self) -> None:
@@ -61,10 +86,10 @@
         if self._session is not None:
             await self._session.close()
 
-    async def _read_page(self, page: str) -> bytes:
+    async def _request_page(self, name: str) -> bytes:
         if self._session is None:
             self._session = framing.create_session(may_resend=True)
-        parameters = {"page_token": page} if page else {}
+        parameters = {"page_token": name} if name else {}
         try:
             async with (
                 asyncio.timeout(PAGE_SECONDS),
@@ -80,30 +105,61 @@
             text = f"cannot read the list of replicas: {type(failure).__name__}"
             raise error.ControlError(text) from None
 
+    async def _read_page(self, body: bytes) -> Page:
+        """Return a page; raise `ControlError` if more than its entries is malformed."""
+        for entry in self._unreadable:
+            body = body.replace(entry, b"null")
+        try:
+            try:
+                document = jsontext.parse(body)
+            except jsontext.JsonError:
+                # A long page takes longer than the loop may stand still.
+                document = await asyncio.to_thread(self._read_members, body)
+        except jsontext.JsonError as failure:
+            text = f"cannot read the list of replicas: {failure}"
+            raise error.ControlError(text) from None
+        if not isinstance(document, dict):
+            raise error.ControlError("the list of replicas is not a JSON object")
+        entries, following = document.get("instances"), document.get("next")
+        if not isinstance(entries, list) or not isinstance(following, str | None):
+            raise error.ControlError("a page of the list of replicas is malformed")
+        return Page(entries, following)
+
+    def _read_members(self, body: bytes) -> dict[str, Any]:
+        """Return a page without those of its entries that can't be read."""
+        return {
+            name: list(self._read_elements(value))
+            if name == "instances"
+            else jsontext.parse(value)
+            for name, value in jsontext.split_object(body)
+        }
+
+    def _read_elements(self, value: bytes) -> Iterator[Any]:
+        for element in jsontext.split_array(value):
+            try:
+                yield jsontext.parse(element)
+            except jsontext.JsonError as failure:
+                self._log_malformed(
+                    element[:MAX_TEXT_LENGTH].decode("latin-1"), failure
+                )
+                if len(element) >= MIN_REMEMBERED_BYTES:
+                    self._unreadable.append(element)
+
     def _read_entry(self, entry: Any) -> Instance | None:
         try:
             return read_entry(entry)
         except (KeyError, TypeError, ValueError) as failure:
-            text = str(entry)[:200]
-            is_new = text not in self._logged_entries
-            if is_new and len(self._logged_entries) < MAX_LOGGED_ENTRIES:
-                self._logged_entries.add(text)
-                logger.warning(
-                    "malformed entry in the list of replicas",
-                    extra={"cause": repr(failure)},
-                )
+            self._log_malformed(str(entry)[:MAX_TEXT_LENGTH], failure)
             return None
 
-
-def _decode_page(body: bytes) -> dict[str, Any]:
-    try:
-        answer = json.loads(body)
-    except (ValueError, RecursionError) as failure:
-        text = f"cannot read the list of replicas: {type(failure).__name__}"
-        raise error.ControlError(text) from None
-    if not isinstance(answer, dict):
-        raise error.ControlError("the list of replicas is not a JSON object")
-    return answer
+    def _log_malformed(self, text: str, cause: Exception) -> None:
+        is_new = text not in self._logged_entries
+        if is_new and len(self._logged_entries) < MAX_LOGGED_ENTRIES:
+            self._logged_entries.add(text)
+            logger.warning(
+                "malformed entry in the list of replicas",
+                extra={"cause": repr(cause)[:MAX_TEXT_LENGTH]},
+            )
 
 
 def read_entry(entry: dict[str, Any]) -> Instance:
@@ -115,19 +171,31 @@
     if state not in _STATES:
         raise ValueError(f"state is {state!r}")
     texts = [entry[name] for name in ("id", "service", "addr", "zone", "version")]
-    if not all(isinstance(text, str) and text for text in texts):
-        raise TypeError("id, service, addr, zone or version is empty or no string")
-    host, _, port = entry["addr"].rpartition(":")
-    if not host or not 0 < int(port) < 65536:
-        raise ValueError(f"addr is {entry['addr']!r}")
+    if not all(_is_name(text) for text in texts):
+        raise TypeError("id, service, addr, zone or version is no short text")
+    name, service, address, zone, version = texts
+    if not _ID.fullmatch(name):
+        raise ValueError(f"id is {name!r}")
+    port = number.parse_count(address.rpartition(":")[2])
+    if not _ADDRESS.fullmatch(address) or not 0 < port < 65536:
+        raise ValueError(f"addr is {address!r}")
     slots = entry["slots"]
     born = entry.get("born", 0)
-    if not _is_count(slots) or slots < 1 or not _is_count(born):
+    if not _is_count(slots) or not 1 <= slots <= MAX_SLOTS or not _is_count(born):
         raise TypeError("slots or born is not a whole number in its range")
-    name, service, address, zone, version = texts
     is_leaving = state == "draining"
     return Instance(name, service, address, zone, slots, is_leaving, born, version)
 
 
+def _is_name(value: Any) -> bool:
+    """Return whether a value is a text that each process can send and log."""
+    return (
+        isinstance(value, str)
+        and 0 < len(value) <= MAX_TEXT_LENGTH
+        and value.isprintable()
+    )
+
+
 def _is_count(value: Any) -> bool:
-    return isinstance(value, int) and not isinstance(value, bool) and value >= 0
+    is_whole = isinstance(value, int) and not isinstance(value, bool)
+    return is_whole and 0 <= value < COUNT_LIMIT
--- a/sapphireseam/platform/listing_test.py
+++ b/sapphireseam/platform/listing_test.py
@@ -1,12 +1,15 @@
 """Test reading the list of replicas, including malformed entries."""
 
 import asyncio
+import json
 import unittest
+from unittest import mock
 
 from aiohttp import web
 from hypothesis import given, strategies as st
 
-from sapphireseam.core import error
+from sapphireseam.core import codec, error, jsontext
+from sapphireseam.core.instance import Instance
 from sapphireseam.platform import listing
 from sapphireseam.utils import fakeflood
 
@@ -23,6 +26,36 @@
     "id": "i-1",
 }
 _JSON = st.none() | st.booleans() | st.integers() | st.text() | st.lists(st.integers())
+_NUMBERS = st.integers(-(2**70), 2**70) | st.floats() | st.booleans()
+_MESSAGES = codec.Registry([Instance])
+# Text of one entry, beside a sound one.
+ODD_ENTRIES = {
+    "deep array": b"[" * 200_000 + b"]" * 200_000,
+    "deep object": b'{"a":' * 200_000 + b"1" + b"}" * 200_000,
+    "deep field": b'{"id":"i-3","a":' + b"[" * 100_000 + b"]" * 100_000 + b"}",
+    "long number": b'{"id":"i-3","slots":' + b"9" * 5000 + b"}",
+    "no number": b'{"id":"i-3","slots":NaN}',
+    "no text": b'{"id":"\xff\xfe","service":"llm"}',
+    "half of a pair": b'{"id":"\\ud800"}',
+    "no JSON": b"i-3 is gone",
+    "nothing": b"",
+}
+ODD_FIELDS = {
+    "slots": (0, 2**31, 2**63, 2**64, 10**200, 8.0, True, "8", None),
+    "born": (-1, 2**63, 2**64, 10**200, 0.5, True, "0", None),
+    "id": ("", "i 3", "i-3\r\nX: 1", "\u00e9", "i" * 70_000, 3, None),
+    "service": ("", "a\x00b", "s" * 70_000, [], None),
+    "zone": ("", "a\nb", 1),
+    "version": ("", "v" * 70_000, 1),
+    "addr": tuple(
+        f"10.128.0.9:{port}"
+        for port in ("0", "65536", "-1", "8_2", "+82", " 82", "82 ", "\u0668\u0662", "")
+    )
+    + tuple(
+        f"{host}:82"
+        for host in ("", "a b", "a/b", "u@a", "a\n", "a\x00", "a" * 70_000, "a:b")
+    ),
+}
 
 
 class EntryTest(unittest.TestCase):
@@ -43,6 +76,25 @@
         self.assertIs(type(value), type(ENTRY[name]))
         self.assertTrue(instance.id and instance.service and instance.slots > 0)
 
+    @given(st.sampled_from(["slots", "born"]), _NUMBERS)
+    def test_an_entry_that_is_read_can_be_sent(self, name, value):
+        try:
+            instance = listing.read_entry(ENTRY | {name: value})
+        except (TypeError, ValueError):
+            return
+        self.assertEqual(_MESSAGES.decode(_MESSAGES.encode(instance)), instance)
+
+    def test_an_entry_with_a_field_out_of_its_range_is_malformed(self):
+        for name, values in ODD_FIELDS.items():
+            for value in values:
+                with self.assertRaises((TypeError, ValueError), msg=(name, value)):
+                    listing.read_entry(ENTRY | {name: value})
+
+    def test_names_and_numbers_of_addresses_are_read(self):
+        for address in ("node-1.example:1", "[::1]:65535", "10.0.0.1:080"):
+            instance = listing.read_entry(ENTRY | {"addr": address})
+            self.assertEqual(instance.address, address)
+
     def test_an_entry_with_a_missing_field_is_malformed(self):
         for name in ("id", "service", "addr", "zone", "version", "slots", "state"):
             malformed = {key: value for key, value in ENTRY.items() if key != name}
@@ -69,6 +121,8 @@
     async def answer(self, request):
         page = request.query.get("page_token", "")
         self.reads += 1
+        if isinstance(self.pages[page], bytes):
+            return web.Response(body=self.pages[page])
         return web.json_response(self.pages[page], status=self.status)
 
     async def test_all_pages_are_read_and_malformed_entries_are_skipped(self):
@@ -80,6 +134,41 @@
         found = await self.listing.list()
         self.assertEqual([instance.id for instance in found], ["i-1", "i-2"])
 
+    async def test_an_odd_entry_costs_no_other_entry(self):
+        sound = json.dumps(ENTRY).encode(), json.dumps(ENTRY | {"id": "i-2"}).encode()
+        for name, odd in ODD_ENTRIES.items():
+            page = b'{"next":null,"instances":[%b,%b,%b]}' % (sound[0], odd, sound[1])
+            self.pages = {"": page}
+            for _ in range(2):
+                found = await self.listing.list()
+                self.assertEqual([each.id for each in found], ["i-1", "i-2"], name)
+
+    async def test_a_standing_odd_entry_is_looked_through_once(self):
+        odd = ODD_ENTRIES["deep object"]
+        self.pages = {"": b'{"instances":[%b],"next":null}' % odd}
+        with mock.patch.object(jsontext, "split_array", wraps=jsontext.split_array):
+            for _ in range(3):
+                await self.listing.list()
+            jsontext.split_array.assert_called_once()
+
+    async def test_a_malformed_page_is_refused_and_reads_no_other(self):
+        for page in (
+            {"instances": 3, "next": None},
+            {"instances": {"0": ENTRY}, "next": None},
+            {"next": None},
+            {"instances": [ENTRY], "next": 7},
+            {"instances": [ENTRY], "next": True},
+            {"instances": [ENTRY], "next": {"a": "p-2"}},
+            [ENTRY],
+            b'{"instances":[' + json.dumps(ENTRY).encode(),
+            b'{"instances":[%b],"next":"\\ud800"}' % json.dumps(ENTRY).encode(),
+        ):
+            self.pages = {"": page}
+            self.reads = 0
+            with self.assertRaises(error.ControlError, msg=page):
+                await self.listing.list()
+            self.assertEqual(self.reads, 1, page)
+
     async def test_a_rate_limited_read_raises_instead_of_listing_nothing(self):
         self.status = 429
         with self.assertRaises(error.ControlError):
