Read the list of upstreams again after any error

What callers saw: once one read of the list, or what sends it to the entries, raised an unforeseen error, the list wasn't followed until another leader. Cause: the poller's task ended with any error but SeamError. Evidence: two tests of poller_test fail on the former code, with an error of the source and one of the callback. Change: the error is logged and the list is read again. Result: both tests pass.

--- a/sapphireseam/control/poller.py
+++ b/sapphireseam/control/poller.py
@@ -65,4 +65,7 @@
                 logger.warning(
                     "can't read the list of upstreams", extra={"cause": failure.message}
                 )
+            except Exception:
+                # The next list may be sound, and nobody else follows it.
+                logger.exception("can't follow the list of upstreams")
             await self._timer.sleep(POLL_SECONDS)
