Go on with a periodic task after an error

What callers saw: nothing, until the work of a periodic task was missed: an agent whose pull met one line that it couldn't read pulled no item again. Cause: run_periodically ended with the first error, which nobody awaits. Change: the error is logged and the next call follows. Result: three calls of a task that always fails.

--- a/sapphireseam/utils/timer.py
+++ b/sapphireseam/utils/timer.py
@@ -9,11 +9,14 @@
 import asyncio
 import heapq
 import itertools
+import logging
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import AbstractAsyncContextManager, asynccontextmanager
 from typing import Protocol, TypeVar
 
+logger = logging.getLogger(__name__)
+
 T = TypeVar("T")
 
 
@@ -52,10 +55,16 @@
 async def run_periodically(
     timer: TimerService, period: float, callback: Callable[[], Awaitable[None]]
 ) -> None:
-    """Call back every `period` seconds, forever, in the caller's task."""
+    """Call back every `period` seconds, forever, in the caller's task.
+
+    An error of one call is logged and doesn't end the later ones.
+    """
     while True:
         await timer.sleep(period)
-        await callback()
+        try:
+            await callback()
+        except Exception:
+            logger.exception("a periodic task failed")
 
 
 async def wait_for(timer: TimerService, awaitable: Awaitable[T], seconds: float) -> T:
--- a/sapphireseam/utils/timer_test.py
+++ b/sapphireseam/utils/timer_test.py
@@ -20,6 +20,19 @@
         with self.assertRaises(TimeoutError):
             await task
 
+    async def test_a_periodic_task_goes_on_after_an_error(self):
+        fake = timer.FakeTimer(start=0.0)
+        call_times = []
+
+        async def fail():
+            call_times.append(fake.read_clock())
+            raise ValueError("odd input")
+
+        subscription = fake.subscribe(0.5, fail)
+        await fake.advance(1.6)
+        subscription.cancel()
+        self.assertEqual(call_times, [0.5, 1.0, 1.5])
+
     async def test_periodic_calls_at_their_times(self):
         fake = timer.FakeTimer(start=0.0)
         call_times = []
