Fail an item that can't be read, and only that one

What callers saw: a job with one line that is nested too deep never ended, and its agent ran no items. Files that were stored by former programs, or whose lines exceed a limit that was raised meanwhile, can hold one. Cause: the line was parsed when its work was made and when its error line is written, without regard to an error. Evidence: the new test of item_test fails on the former code. Change: such an item is returned as failed, and its error line has no custom_id; answers of upstreams are read with the same limits. Result: the job of the test completes with that item failed.

--- a/sapphireseam/agent/item.py
+++ b/sapphireseam/agent/item.py
@@ -15,7 +15,7 @@
 from sapphireseam.agent import engine
 from sapphireseam.agent.itemwork import ItemLease, ItemWork
 from sapphireseam.agent.scheduler import Scheduler
-from sapphireseam.core import command, error, message
+from sapphireseam.core import command, error, jsontext, message
 from sapphireseam.utils import bufferlimit, crash
 from sapphireseam.utils.application import TaskGroup
 from sapphireseam.utils.client import ControlClient
@@ -156,7 +156,13 @@
             self._release(lease)
             return
         for number, line in work.items:
-            self._scheduler.submit(ItemWork(lease, number, line, self))
+            try:
+                item = ItemWork(lease, number, line, self)
+            except (jsontext.JsonError, KeyError, TypeError):
+                logger.warning("an item can't be read", extra={"job": work.job})
+                lease.return_item(number, blamed=True)
+            else:
+                self._scheduler.submit(item)
 
     async def renew_leases(self) -> None:
         """Renew the leases; drop those that the leader reports as dropped."""
--- a/sapphireseam/agent/item_test.py
+++ b/sapphireseam/agent/item_test.py
@@ -123,6 +123,14 @@
         job = command.SubmitJob("j", "j", "c", "k", "f", url, due, 0.0)
         await self.control.propose(job)
 
+    async def replace_line(self, number, line):
+        """Replace one line of the job's file."""
+        blob = self.job.blob
+        lines = self.control.store.read(blob).split(b"\n")
+        lines[number] = line
+        changed = await self.control.store.write(b"\n".join(lines))
+        self.state.jobs["j"] = self.job._replace(blob=changed)
+
     async def start(self, node="a", upstream="u"):
         agent = Agent(self.control, self.mirror, self.timer, node, upstream)
         await agent.start()
@@ -288,6 +296,15 @@
         kinds = [(r[0], r[3]) for r in self.list_results() if r[2]]
         self.assertEqual(kinds, [(1, error.Kind.UPSTREAM_FAILED)])
 
+    async def test_an_item_that_cannot_be_read_fails_and_holds_up_no_other(self):
+        await self.submit()
+        nested = b"[" * 200_000 + b"]" * 200_000
+        await self.replace_line(0, b'{"custom_id":' + nested + b"}")
+        agent = await self.start()
+        await self.answer_all(agent, rounds=120)
+        self.assertEqual(self.job.status, record.COMPLETED)
+        self.assertEqual([r[0] for r in self.list_results() if r[2]], [0])
+
     async def test_item_whose_answers_never_end_fails(self):
         await self.submit(count=1)
         agent = await self.start()
--- a/sapphireseam/agent/itemwork.py
+++ b/sapphireseam/agent/itemwork.py
@@ -5,7 +5,7 @@
 
 from sapphireseam.agent import engine
 from sapphireseam.agent.scheduler import Completion
-from sapphireseam.core import error, exchange, message
+from sapphireseam.core import error, exchange, jsontext, message
 from sapphireseam.policy import queue
 from sapphireseam.utils import bufferlimit, crash
 from sapphireseam.utils.timer import TimerService, wait_for
@@ -98,7 +98,7 @@
             f"item/{work.lease}/{item}", work.customer, True, cost, now, now + remaining
         )
         self.alone = False
-        self._document = json.loads(line)
+        self._document = jsontext.parse(line)
         self._body = json.dumps(self._document["body"]).encode()
         # An item is never suspected of a crash.
         self.traits: tuple[str, ...] = ()
@@ -197,8 +197,8 @@
 ) -> bytes:
     """Return an item's output line in OpenAI's format, without a newline."""
     try:
-        body = json.loads(data)
-    except ValueError:
+        body = jsontext.parse(data)
+    except jsontext.JsonError:
         body = data.decode("utf-8", "replace")
     response = {
         "status_code": status,
--- a/sapphireseam/control/dispatch.py
+++ b/sapphireseam/control/dispatch.py
@@ -13,7 +13,7 @@
 
 from sapphireseam.control import blob, record
 from sapphireseam.control.machine import StateMachine
-from sapphireseam.core import command, error, message, outcome
+from sapphireseam.core import command, error, jsontext, message, outcome
 from sapphireseam.policy import batch
 from sapphireseam.state.replica import Replica
 from sapphireseam.utils.application import TaskGroup
@@ -172,7 +172,7 @@
         lines = self._read_lines(job.blob)
         rendered = []
         for number, _, _, kind in results:
-            custom_id = json.loads(lines[number]).get("custom_id", "")
+            custom_id = _read_custom_id(lines[number])
             failure = {"code": kind, "message": UNANSWERED_MESSAGES[kind]}
             line = {
                 "id": f"{job.id}-{number}",
@@ -281,3 +281,12 @@
                 now = self._timer.read_wall_clock()
                 await self.propose(command.FinishCancel(job.id, now))
                 self._timeline.record("job_cancelled", job.id, job.customer)
+
+
+def _read_custom_id(line: bytes) -> str:
+    """Return the caller's id of an item, or an empty string if it can't be read."""
+    try:
+        document = jsontext.parse(line)
+    except jsontext.JsonError:
+        return ""
+    return document.get("custom_id", "") if isinstance(document, dict) else ""
