Answer a body that can't be read with the caller's error

What callers saw: a body nested 200,000 deep got a bare 500, text with half of a surrogate pair failed later, and one declared answer length of 300 digits emptied the precision of the fair queue's tags, so that one customer was served before all others. Cause: RecursionError isn't a ValueError, and the estimated cost had no limit. Change: bodies are read by core/jsontext, and a declared length counts up to a million tokens.

--- a/sapphireseam/entry/gateway_test.py
+++ b/sapphireseam/entry/gateway_test.py
@@ -7,7 +7,7 @@
 import uvloop
 from aiohttp import web
 
-from sapphireseam.core import error, key
+from sapphireseam.core import error, fleet, key
 from sapphireseam.entry import claim, gateway
 from sapphireseam.tools import fake, layout
 from sapphireseam.utils.timeline import Timeline
@@ -177,6 +177,21 @@
         self.assertEqual((routed.target, routed.body), ("/post/x?a=1", b"hi"))
         self.assertNotIn(text, str(routed.headers))
 
+    async def test_a_body_that_cannot_be_read_is_the_callers_error(self):
+        routes = {"chat": {"path": "/v1/chat/completions"}}
+        self.mirror.fleet = fleet.require(DOCUMENT | {"routes": routes})
+        for body in (
+            b"[" * 200_000,
+            b'{"model":' * 200_000,
+            b'{"model":"m","seed":' + b"9" * 5000 + b"}",
+            b'{"model":"\\ud800"}',
+            b'{"model":"\xff"}',
+            b'{"model":"m","temperature":NaN}',
+            '{"model":"m"}'.encode("utf-16"),
+        ):
+            response, _ = await self.post("/v1/chat/completions", data=body)
+            self.assertEqual(response.status, 400, body[:40])
+
     async def test_errors_contain_no_key(self):
         text = self.secret.text
         for path in (f"/nowhere/{text}", f"/post/{text}", f"/nowhere?q={text}"):
--- a/sapphireseam/entry/routedrequest.py
+++ b/sapphireseam/entry/routedrequest.py
@@ -5,13 +5,15 @@
 
 from aiohttp import web
 
-from sapphireseam.core import error, fleet, trait
+from sapphireseam.core import error, fleet, jsontext, trait
 from sapphireseam.entry import access
 
 # Characters per token in the estimate of a request's cost.
 CHARACTERS_PER_TOKEN = 4
 # Estimated tokens of an answer if the request sets no limit.
 DEFAULT_ANSWER_TOKENS = 128
+# The largest cost that counts for an answer, in tokens.
+MAX_ANSWER_TOKENS = 1_000_000
 
 
 class RoutedRequest(NamedTuple):
@@ -65,8 +67,8 @@
 def parse_body(body: bytes) -> dict[str, Any]:
     """Return a body as a JSON object, or raise with the position of the error."""
     try:
-        document = json.loads(body)
-    except ValueError as failure:
+        document = jsontext.parse(body)
+    except jsontext.JsonError as failure:
         raise error.RequestError(f"the body isn't JSON: {failure}") from None
     if not isinstance(document, dict):
         raise error.RequestError("the body must be a JSON object")
@@ -99,7 +101,8 @@
 def estimate_cost(document: dict[str, Any], size: int) -> float:
     """Return a request's estimated cost in tokens; `size` is its body's bytes."""
     limit = document.get("max_completion_tokens") or document.get("max_tokens")
-    answer = limit if isinstance(limit, int) and limit > 0 else DEFAULT_ANSWER_TOKENS
+    is_limit = isinstance(limit, int) and limit > 0
+    answer = min(limit, MAX_ANSWER_TOKENS) if is_limit else DEFAULT_ANSWER_TOKENS
     return size / CHARACTERS_PER_TOKEN + answer
 
 
