Find an escaped key in a body that can't be read as JSON

What callers saw: a caller's key, escaped as \u0073eam-..., reached the upstream if the body also had a number of 5,000 digits, was nested deep, or was lines of JSON. Cause: the body was searched for escaped keys only if it could be parsed. Evidence: the new test of access_test fails on the former code. Change: escapes are replaced in the text, whether or not it is JSON here. Result: each body of the test is refused.

--- a/sapphireseam/entry/access.py
+++ b/sapphireseam/entry/access.py
@@ -8,7 +8,7 @@
 never forwarded. A key is valid only while the mirror is confirmed; see `Mirror`.
 """
 
-import json
+import re
 from typing import NamedTuple
 from urllib.parse import parse_qsl, unquote_plus
 
@@ -18,6 +18,8 @@
 from sapphireseam.utils.mirror import Mirror
 
 BEARER = "bearer "
+# A character escaped by its number, or another escape.
+_ESCAPE = re.compile(r"\\(?:u([0-9a-fA-F]{4})|.)", re.DOTALL)
 
 # Headers that apply to a single connection (RFC 9110, section 7.6.1), and headers
 # that the next hop sets itself.
@@ -108,19 +110,24 @@
     """Raise if the path or the body contains a key, which can't be removed there."""
     if key.is_in(path):
         raise error.RequestError("the path holds a key; send it as a header")
-    # A JSON document may escape any character of a key.
-    is_escaped = b"\\u" in body and is_in_json(body)
-    if is_escaped or key.is_in(body.decode("latin-1")):
+    text = body.decode("latin-1")
+    if key.is_in(text) or ("\\u" in text and key.is_in(unescape(text))):
         raise error.RequestError("the body holds a key; send it as a header")
 
 
-def is_in_json(body: bytes) -> bool:
-    """Return whether a JSON document contains a key after decoding."""
-    try:
-        document = json.loads(body)
-    except ValueError:
-        return False
-    return key.is_in(json.dumps(document, ensure_ascii=False))
+def unescape(text: str) -> str:
+    """Return a text with the characters that JSON escapes by their number.
+
+    The text needn't be JSON: what can't be read here may be readable upstream.
+
+    >>> unescape(r"\u0073eam-1 \\u0073")
+    'seam-1 \\\\u0073'
+    """
+    return _ESCAPE.sub(_read_escape, text)
+
+
+def _read_escape(found: re.Match[str]) -> str:
+    return chr(int(found[1], 16)) if found[1] else found[0]
 
 
 def strip_headers(
--- a/sapphireseam/entry/access_test.py
+++ b/sapphireseam/entry/access_test.py
@@ -74,6 +74,22 @@
             self.assertTrue(caught.exception.not_run)
             self.assertNotIn(KEY, caught.exception.message)
 
+    def test_an_escaped_key_is_found_in_a_body_that_cannot_be_read(self):
+        escaped = json.dumps({"a": KEY}).encode().replace(b"s", b"\\u0073")
+        deep = b"[" * 200_000 + escaped + b"]" * 200_000
+        number = b'{"n":' + b"9" * 5000 + b',"k":' + escaped + b"}"
+        lines = escaped + b"\n" + escaped
+        for body in (
+            deep,
+            number,
+            lines,
+            b"\xff" + escaped,
+            escaped[:-1],
+            b"[NaN]" + escaped,
+        ):
+            with self.assertRaises(error.RequestError, msg=body[:20]):
+                access.check_path_and_body("/x", body)
+
     @FAST
     @given(FORMS, st.sampled_from(["url", "body", "custom_id"]))
     def test_batch_line_with_a_key_is_refused(self, text, field):
