Pass on a stream with odd events

What callers saw: a stream was cut with an internal error if an event had a choice that is no object, or a part that is nested too deep. Cause: the shape of an upstream's event was taken for granted. Evidence: the new test of forwarder_test fails on the former code. Change: what isn't a part by its shape is passed on as an event that can't be counted, as text already was. Result: the six events of the test reach the caller.

--- a/sapphireseam/entry/forwarder_test.py
+++ b/sapphireseam/entry/forwarder_test.py
@@ -613,6 +613,31 @@
         await fixture.run(request)
         return len(fixture.list_sent(exchange.Offer)), fixture.sink.body
 
+    def test_a_stream_with_odd_events_is_passed_on(self):
+        odd = (
+            b'data: {"choices":[null]}',
+            b'data: {"choices":[{"delta":"a"}]}',
+            b'data: {"choices":[{"delta":7}]}',
+            b'data: {"choices":' + b"[" * 200_000 + b"]" * 200_000 + b"}",
+            b'data: {"choices":[{"text":"\\ud800"}]}',
+            b'data: {"choices":[],"id":' + b"9" * 5000 + b"}",
+        )
+        for event in odd:
+
+            def react(item, send, data=event):
+                send(exchange.Head(0, 200, EVENTS))
+                send(exchange.Data(0, data + b"\n\ndata: [DONE]\n\n"))
+                send(exchange.End(0))
+
+            async def check(script=react, data=event):
+                fixture = Fixture(script)
+                now = fixture.timer.read_clock()
+                request = make_request(now, streamed=True, body=b'{"stream":true}')
+                self.assertIsNone(await fixture.run(request))
+                self.assertIn(data, fixture.sink.body)
+
+            asyncio.run(check())
+
     def test_stream_with_events_that_cannot_be_counted_is_cut_not_garbled(self):
         for begun in (b": x\nEVENT\n\n", b"id: 3\nEVENT\n\n", b"retry: 3\n\nEVENT\n\n"):
             offers, body = asyncio.run(self.cut(begun))
--- a/sapphireseam/entry/resume.py
+++ b/sapphireseam/entry/resume.py
@@ -16,6 +16,8 @@
 import re
 from typing import Any
 
+from sapphireseam.core import jsontext
+
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
 _DATA = b"data: "
 _DONE = b"data: [DONE]"
@@ -106,11 +108,18 @@
     if not event.startswith(_DATA):
         return None
     try:
-        document = json.loads(event[len(_DATA) :])
-    except ValueError:
+        document = jsontext.parse(event[len(_DATA) :])
+    except jsontext.JsonError:
         return None
-    is_part = isinstance(document, dict) and isinstance(document.get("choices"), list)
-    return document if is_part else None
+    return document if _is_part(document) else None
+
+
+def _is_part(document: Any) -> bool:
+    choices = document.get("choices") if isinstance(document, dict) else None
+    return isinstance(choices, list) and all(
+        isinstance(choice, dict) and isinstance(choice.get("delta"), dict | None)
+        for choice in choices
+    )
 
 
 def classify(document: dict[str, Any]) -> str:
@@ -144,12 +153,12 @@
 
 def may_resume(body: bytes) -> bool:
     """Return whether a request's parameters allow its answer to be resumed."""
-    document = json.loads(body)
+    document = jsontext.parse(body)
     return document.get("n") in (None, 1) and not document.get("echo")
 
 
 def render_resumed_body(body: bytes, tokens: int) -> bytes:
     """Return a request body that asks to continue after a number of tokens."""
-    document = json.loads(body)
+    document = jsontext.parse(body)
     document[RESUME_FIELD] = tokens
     return json.dumps(document).encode()
