Refuse a typed document that exceeds the limits of all others

What callers saw: a configuration or batch job with a deeply nested unknown field, or a number that no message can hold, got a bare 500 and was sent again and again; a configuration with bytes that aren't UTF-8 in an unknown field was accepted and given back. Cause: msgspec raises RecursionError, too, skips what the type leaves out, and has integers of any size. Evidence: four tests fail on the former code. Change: typed documents pass the same check before they are decoded; versions and tokens have ranges. Result: the operator and the client get the final refusal at once.

--- a/sapphireseam/platform/batch.py
+++ b/sapphireseam/platform/batch.py
@@ -6,11 +6,12 @@
 
 import base64
 import binascii
+from typing import Annotated
 
 import msgspec
 from aiohttp import web
 
-from sapphireseam.core import command, error, message
+from sapphireseam.core import command, error, jsontext, message, number
 from sapphireseam.entry.authorizer import Authorization
 from sapphireseam.entry.discovery import FrontContext
 from sapphireseam.platform import answer, dialect
@@ -19,6 +20,8 @@
 ITEMS_PATH = "/items/"
 ACCEPTED_STATUS = 202
 MAX_ITEMS = 200
+# The most tokens that an item may declare.
+MAX_TOKENS = 10**9
 # Maximum time that a read waits for new results.
 MAX_WAIT_SECONDS = 1.0
 # States of a result.
@@ -32,7 +35,7 @@
     id: str
     path: str
     # Tokens of the prompt plus the maximum tokens of the output.
-    tokens: int
+    tokens: Annotated[int, msgspec.Meta(ge=0, le=MAX_TOKENS)]
     headers: dict[str, str] = {}
     body: str = ""
 
@@ -120,9 +123,9 @@
 def read_submission(body: bytes) -> tuple[command.LotItem, ...]:
     """Return the items in a submission, or raise `RequestError`."""
     try:
-        submission = _decoder.decode(body)
+        submission = jsontext.decode(body, _decoder)
         items = tuple(_read_item(item) for item in submission.requests)
-    except (msgspec.MsgspecError, binascii.Error) as failure:
+    except (jsontext.JsonError, binascii.Error) as failure:
         text = f"invalid batch job: {failure}"
         raise error.RequestError(text) from None
     if not 0 < len(items) <= MAX_ITEMS:
@@ -148,6 +151,7 @@
 
 
 def _parse_count(text: str) -> int:
-    if not text.isdigit():
+    count = number.parse_count(text)
+    if count is None:
         raise error.RequestError(f"{text[:40]!r} is not a whole number")
-    return int(text)
+    return count
--- a/sapphireseam/platform/batch_test.py
+++ b/sapphireseam/platform/batch_test.py
@@ -32,11 +32,24 @@
             (ITEM, ITEM),
             (ITEM | {"body": "*"},),
             (ITEM | {"tokens": "many"},),
+            (ITEM | {"tokens": -1},),
+            (ITEM | {"tokens": 2**64},),
             tuple(ITEM | {"id": str(n)} for n in range(201)),
         ):
             with self.assertRaises(error.RequestError):
                 read(*items)
 
+    def test_a_submission_that_cannot_be_read_is_refused(self):
+        item = json.dumps(ITEM).encode()
+        for odd in (
+            b"[" * 200_000,
+            b'{"requests":[%b],"a":%b}' % (item, b"[" * 200_000 + b"]" * 200_000),
+            b'{"requests":[%b],"a":%b}' % (item, b"9" * 5000),
+            b'{"requests":[%b],"a":"\xff"}' % item,
+        ):
+            with self.assertRaises(error.RequestError, msg=odd[:60]):
+                batch.read_submission(odd)
+
 
 class PageTest(unittest.TestCase):
     def test_next_is_the_position_after_the_page(self):
--- a/sapphireseam/platform/document.py
+++ b/sapphireseam/platform/document.py
@@ -5,15 +5,17 @@
 """
 
 import json
-from typing import Any, NamedTuple
+from typing import Annotated, Any, NamedTuple
 
 import msgspec
 
-from sapphireseam.core import error, key
+from sapphireseam.core import error, jsontext, key
 
 MILLISECONDS_PER_SECOND = 1000.0
 # Engines answer this path immediately and without using a slot.
 ENGINE_PROBE_PATH = "/report"
+# The largest number that fits into a message.
+MAX_VERSION = 2**63 - 1
 METHODS = ("GET", "POST", "PUT", "DELETE")
 
 SAFE = "safe"
@@ -84,7 +86,7 @@
 class Document(msgspec.Struct):
     """A complete configuration."""
 
-    version: int
+    version: Annotated[int, msgspec.Meta(ge=0, le=MAX_VERSION)]
     routes: tuple[Route, ...]
     services: tuple[Service, ...]
     limits: Limits = msgspec.field(default_factory=Limits)
@@ -108,8 +110,8 @@
     conflicts between its objects are checked when it is published.
     """
     try:
-        configuration = _decoder.decode(source)
-    except msgspec.MsgspecError as failure:
+        configuration = jsontext.decode(source, _decoder)
+    except jsontext.JsonError as failure:
         raise error.ConfigurationError(f"invalid configuration: {failure}") from None
     findings = _find_problems(configuration)
     if findings:
--- a/sapphireseam/platform/document_test.py
+++ b/sapphireseam/platform/document_test.py
@@ -117,6 +117,23 @@
             with self.assertRaises(error.ConfigurationError):
                 document.translate(text[:size])
 
+    def test_documents_that_exceed_a_limit(self):
+        text = json.dumps(make_configuration()).encode()
+        for odd in (
+            b"[" * 200_000 + b"]" * 200_000,
+            b'{"a":' * 200_000 + b"1" + b"}" * 200_000,
+            b"9" * 5000,
+            b'"\xff"',
+        ):
+            source = text[:-1] + b',"unknown":' + odd + b"}"
+            with self.assertRaises(error.ConfigurationError, msg=odd[:20]):
+                document.translate(source)
+
+    def test_versions_that_no_message_can_hold(self):
+        for version in (-1, 2**63, 2**64, 10**30):
+            with self.assertRaises(error.ConfigurationError, msg=version):
+                translate(make_configuration(version=version))
+
     def test_without_a_version(self):
         configuration = make_configuration()
         del configuration["version"]
--- a/sapphireseam/platform/report.py
+++ b/sapphireseam/platform/report.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from sapphireseam.control.placement import ProbeResult
+from sapphireseam.core import jsontext
 from sapphireseam.core.instance import Instance
 from sapphireseam.utils.outbound import ConnectionPool
 
@@ -60,8 +61,8 @@
     ()
     """
     try:
-        report = _decoder.decode(body)
-    except msgspec.MsgspecError:
+        report = jsontext.decode(body, _decoder)
+    except jsontext.JsonError:
         logger.debug("answer has no list of running requests")
         return ProbeResult(())
     return ProbeResult(
@@ -84,8 +85,8 @@
     if reply is None or reply.status not in (MOVED_STATUS, NO_SPACE_STATUS):
         return
     try:
-        handle = _moved_decoder.decode(reply.body).handle
-    except msgspec.MsgspecError:
+        handle = jsontext.decode(reply.body, _moved_decoder).handle
+    except jsontext.JsonError:
         logger.warning(
             "answer to the move request is malformed", extra={"upstream": instance.id}
         )
