Read settings and configuration files by the common reader

What operators saw: a traceback for a file that is nested too deep, and a configuration file with NaN that the command took and the control VM refused. Cause: each program read JSON by itself. Evidence: by reading; the reader's own tests cover it. Change: settings, seam-ctl and the demonstration use core/jsontext. Result: the same refusal in the command line and in the fleet.

--- a/sapphireseam/ops/configuration.py
+++ b/sapphireseam/ops/configuration.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
-from sapphireseam.core import error, fleet, message, outcome
+from sapphireseam.core import error, fleet, jsontext, message, outcome
 from sapphireseam.ops import session
 from sapphireseam.ops.operator import Operator
 
@@ -50,10 +50,10 @@
 def read_file(path: Path) -> dict[str, Any]:
     """Return a configuration file's document."""
     try:
-        document = json.loads(path.read_text())
+        document = jsontext.parse(path.read_bytes())
     except OSError as failure:
         raise error.SettingsError(f"{path}: {failure.strerror}") from None
-    except ValueError as failure:
+    except jsontext.JsonError as failure:
         text = f"{path}: not JSON: {failure}"
         raise error.ConfigurationError(text) from None
     if not isinstance(document, dict):
@@ -68,7 +68,7 @@
 
 def write_file(path: Path, view: message.FleetView) -> None:
     """Write a configuration to a file for editing and record its revision."""
-    document = json.loads(view.document)
+    document = jsontext.parse(view.document)
     path.write_text(json.dumps(document, indent=2) + "\n")
     record_base(path, view.revision)
 
@@ -145,14 +145,14 @@
     view = await read(operator)
     if base is None:
         base = read_base(path, view.revision)
-    changes = compare(json.loads(view.document), document)
+    changes = compare(jsontext.parse(view.document), document)
     return Review(base, view.revision, changes, await check(operator, document))
 
 
 async def compare_revisions(operator: Operator, old: int, new: int) -> list[Change]:
     """Return the differences between two revisions; 0 is the one in force."""
-    before = json.loads((await read(operator, old)).document)
-    after = json.loads((await read(operator, new)).document)
+    before = jsontext.parse((await read(operator, old)).document)
+    after = jsontext.parse((await read(operator, new)).document)
     return compare(before, after)
 
 
--- a/sapphireseam/ops/status.py
+++ b/sapphireseam/ops/status.py
@@ -7,11 +7,10 @@
 """
 
 import asyncio
-import json
 from collections import Counter
 from typing import Any, NamedTuple
 
-from sapphireseam.core import error, event, message
+from sapphireseam.core import error, event, jsontext, message
 from sapphireseam.ops import job as jobs
 from sapphireseam.ops.operator import Operator
 from sapphireseam.utils.mirror import LEASE_SECONDS
@@ -235,7 +234,7 @@
     except error.SeamError as failure:
         unknown.append(f"upstreams in the configuration: {failure.message}")
         return 0
-    return len(json.loads(view.document).get("upstreams", {}))
+    return len(jsontext.parse(view.document).get("upstreams", {}))
 
 
 async def _read_jobs(operator: Operator, unknown: list[str]) -> list[Job]:
--- a/sapphireseam/ops/upstream.py
+++ b/sapphireseam/ops/upstream.py
@@ -1,9 +1,8 @@
 """Marks upstreams as leaving, so that they get no new work, and removes the mark."""
 
-import json
 import secrets
 
-from sapphireseam.core import command, error
+from sapphireseam.core import command, error, jsontext
 from sapphireseam.ops import configuration
 from sapphireseam.ops.operator import Operator
 
@@ -11,7 +10,7 @@
 async def require(operator: Operator, upstream: str) -> None:
     """Raise an error that lists the known names if the upstream is unknown."""
     view = await configuration.read(operator)
-    known = json.loads(view.document).get("upstreams", {})
+    known = jsontext.parse(view.document).get("upstreams", {})
     if upstream not in known:
         text = f"unknown upstream {upstream!r}; known: {', '.join(known) or 'none'}"
         raise error.RequestError(text, error.Kind.OBJECT_UNKNOWN)
--- a/sapphireseam/scripts/ctl_configuration.py
+++ b/sapphireseam/scripts/ctl_configuration.py
@@ -1,12 +1,11 @@
 """Commands that check, compare, publish and list configurations."""
 
-import json
 from pathlib import Path
 from typing import Annotated
 
 import typer
 
-from sapphireseam.core import error
+from sapphireseam.core import error, jsontext
 from sapphireseam.ops import configuration, operator, table
 
 FileArgument = Annotated[Path, typer.Argument(help="The configuration's JSON file.")]
@@ -96,7 +95,7 @@
             return await configuration.compare_revisions(connection, old, new)
         document = configuration.read_file(file)
         view = await configuration.read(connection, old)
-        return configuration.compare(json.loads(view.document), document)
+        return configuration.compare(jsontext.parse(view.document), document)
 
     _write_changes(operator.run(context.obj, work), as_json)
 
@@ -204,7 +203,7 @@
 
     view = operator.run(context.obj, work)
     if output is None:
-        table.write_json(json.loads(view.document))
+        table.write_json(jsontext.parse(view.document))
         return
     try:
         configuration.write_file(output, view)
@@ -231,8 +230,8 @@
     async def work(connection: operator.Operator):
         wanted = await configuration.read(connection, revision)
         current = await configuration.read(connection)
-        document = json.loads(wanted.document)
-        changes = configuration.compare(json.loads(current.document), document)
+        document = jsontext.parse(wanted.document)
+        changes = configuration.compare(jsontext.parse(current.document), document)
         _write_findings(await configuration.check(connection, document), False)
         _write_changes(changes, False)
         if not changes:
--- a/sapphireseam/scripts/demo.py
+++ b/sapphireseam/scripts/demo.py
@@ -14,7 +14,7 @@
 import aiohttp
 import typer
 
-from sapphireseam.core import message
+from sapphireseam.core import jsontext, message
 from sapphireseam.ops import session
 from sapphireseam.scripts import option
 from sapphireseam.tools import fleet, layout
@@ -67,7 +67,7 @@
         }
         body = await self.call("POST", "/v1/chat/completions", json=document)
         if not stream:
-            return json.loads(body)["choices"][0]["message"]["content"]
+            return jsontext.parse(body)["choices"][0]["message"]["content"]
         return "".join(read_event(line) for line in body.split(b"\n\n"))
 
 
@@ -75,7 +75,7 @@
     """Return the text of one event of a stream."""
     if not event.startswith(b"data: {"):
         return ""
-    choices = json.loads(event[len(b"data: ") :])["choices"]
+    choices = jsontext.parse(event[len(b"data: ") :])["choices"]
     return "".join(choice["delta"].get("content", "") for choice in choices)
 
 
@@ -103,20 +103,20 @@
     form = aiohttp.FormData()
     form.add_field("purpose", "batch")
     form.add_field("file", render_batch(texts), filename="sheets.jsonl")
-    file = json.loads(await caller.call("POST", "/v1/files", data=form))
+    file = jsontext.parse(await caller.call("POST", "/v1/files", data=form))
     document = {
         "input_file_id": file["id"],
         "endpoint": "/v1/chat/completions",
         "completion_window": "24h",
     }
-    job = json.loads(await caller.call("POST", "/v1/batches", json=document))
+    job = jsontext.parse(await caller.call("POST", "/v1/batches", json=document))
     async with asyncio.timeout(fleet.STEP_SECONDS):
         while job["status"] != "completed":
             await asyncio.sleep(fleet.POLL_SECONDS)
-            job = json.loads(await caller.call("GET", f"/v1/batches/{job['id']}"))
+            job = jsontext.parse(await caller.call("GET", f"/v1/batches/{job['id']}"))
     path = f"/v1/files/{job['output_file_id']}/content"
     lines = (await caller.call("GET", path)).splitlines()
-    return {line["custom_id"]: line for line in map(json.loads, lines)}
+    return {line["custom_id"]: line for line in map(jsontext.parse, lines)}
 
 
 async def make_calls(caller: Caller) -> None:
--- a/sapphireseam/utils/setting.py
+++ b/sapphireseam/utils/setting.py
@@ -11,7 +11,7 @@
 
 from pydantic import Field, TypeAdapter, ValidationError
 
-from sapphireseam.core import error
+from sapphireseam.core import error, jsontext
 
 T = TypeVar("T")
 
@@ -61,10 +61,10 @@
     invalid value. The message names the field, the value and what was expected.
     """
     try:
-        document = json.loads(path.read_text())
+        document = jsontext.parse(path.read_bytes())
     except OSError as failure:
         raise error.SettingsError(f"{path}: {failure.strerror}") from None
-    except ValueError as failure:
+    except jsontext.JsonError as failure:
         raise error.SettingsError(f"{path}: not JSON: {failure}") from None
     return parse(kind, document, str(path))
 
