Refuse a request whose id or key isn't UTF-8

What callers saw: a request whose X-Attempt-Id has a byte that isn't UTF-8 got a bare 500 with a leader. Without one it was placed by its entry, whose next message to the leader then couldn't be encoded: by reading, the task that keeps the connection ended, and the entry had no leader for good. Cause: such bytes are kept as surrogates, which no message can hold. Change: the path, and the headers that are read, must be UTF-8; others go on as before. Result: the answer is 400.

--- a/sapphireseam/entry/access.py
+++ b/sapphireseam/entry/access.py
@@ -18,6 +18,9 @@
 from sapphireseam.utils.mirror import Mirror
 
 BEARER = "bearer "
+KEY_HEADERS = ("X-Api-Key", "Api-Key")
+# Headers whose text is sent to other processes or compared.
+READ_HEADERS = ("Authorization", *KEY_HEADERS, "Idempotency-Key")
 # A character escaped by its number, or another escape.
 _ESCAPE = re.compile(r"\\(?:u([0-9a-fA-F]{4})|.)", re.DOTALL)
 
@@ -55,7 +58,7 @@
     authorization = headers.get("Authorization", "")
     if authorization.lower().startswith(BEARER):
         return authorization[len(BEARER) :].strip()
-    for name in ("X-Api-Key", "Api-Key"):
+    for name in KEY_HEADERS:
         if headers.get(name):
             return headers[name].strip()
     for name, value in parse_qsl(query):
--- a/sapphireseam/entry/gateway.py
+++ b/sapphireseam/entry/gateway.py
@@ -159,6 +159,7 @@
             with self._track():
                 try:
                     self._check_draining()
+                    routedrequest.check_text(request, access.READ_HEADERS)
                     text = access.find_key(request.headers, request.query_string)
                     caller = await access.identify(self.mirror, text)
                     response = await handler(request, caller)
@@ -278,6 +279,7 @@
     async def _read_request(
         self, request: web.Request, request_id: str
     ) -> routedrequest.RoutedRequest:
+        routedrequest.check_text(request, access.READ_HEADERS)
         path = request.rel_url.raw_path
         access.check_path_and_body(path, b"")
         name, route = await self._find_route(request.path)
--- a/sapphireseam/entry/gateway_test.py
+++ b/sapphireseam/entry/gateway_test.py
@@ -192,6 +192,21 @@
             response, _ = await self.post("/v1/chat/completions", data=body)
             self.assertEqual(response.status, 400, body[:40])
 
+    async def test_text_that_is_not_utf_8_is_the_callers_error(self):
+        for path, header in (
+            (b"/post/x", b"Idempotency-Key: \xff"),
+            (b"/post/x", b"X-Api-Key: \xff"),
+            (b"/post/\xff", b"X-Other: a"),
+            (b"/v1/batches", b"Idempotency-Key: \xff"),
+        ):
+            answer = await self.send_raw(
+                b"POST %b HTTP/1.1\r\nHost: h\r\nConnection: close\r\n" % path
+                + b"Authorization: Bearer %b\r\n" % self.secret.text.encode()
+                + header
+                + b"\r\nContent-Length: 0\r\n\r\n"
+            )
+            self.assertIn(b" 400 ", answer.split(b"\r\n")[0], header)
+
     async def test_errors_contain_no_key(self):
         text = self.secret.text
         for path in (f"/nowhere/{text}", f"/post/{text}", f"/nowhere?q={text}"):
--- a/sapphireseam/entry/routedrequest.py
+++ b/sapphireseam/entry/routedrequest.py
@@ -64,6 +64,19 @@
     return max(matching, key=lambda pair: len(pair[1].path))
 
 
+def check_text(request: web.BaseRequest, headers: tuple[str, ...]) -> None:
+    """Raise `RequestError` if the path or one of some headers isn't UTF-8.
+
+    Such text can't be sent to another process.
+    """
+    values = (request.headers.get(name, "") for name in headers)
+    for text in (request.raw_path, *values):
+        try:
+            text.encode()
+        except UnicodeEncodeError:
+            raise error.RequestError("the path, the key or an id isn't UTF-8") from None
+
+
 def parse_body(body: bytes) -> dict[str, Any]:
     """Return a body as a JSON object, or raise with the position of the error."""
     try:
--- a/sapphireseam/platform/dialect.py
+++ b/sapphireseam/platform/dialect.py
@@ -29,6 +29,8 @@
 CEILING = "Server-Limit"
 KEY = "Authorization"
 KEY_SCHEME = "token "
+# Headers of a client's request whose text is sent to other processes or compared.
+READ_HEADERS = ("Host", ATTEMPT, MODEL, PARTS, RESUMES, KEY)
 
 MISDIRECTED_STATUS = 421
 MILLISECONDS_PER_SECOND = 1000.0
--- a/sapphireseam/platform/front.py
+++ b/sapphireseam/platform/front.py
@@ -107,6 +107,7 @@
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         attempt_id = request.headers.get(dialect.ATTEMPT, "")
         try:
+            routedrequest.check_text(request, dialect.READ_HEADERS)
             if batch.is_job_path(request.path):
                 return await self._batch.answer(request)
             return await self._route(request, attempt_id)
--- a/sapphireseam/platform/front_test.py
+++ b/sapphireseam/platform/front_test.py
@@ -237,6 +237,27 @@
             self.assertEqual(self.forwarder.requests[-1].resume_after, -1)
         self.assertEqual((await self.post(X_Attempt_Id=""))[0], 400)
 
+    async def test_text_that_is_not_utf_8_is_refused(self):
+        for line, header in (
+            (b"/s/x", b"X-Attempt-Id: \xff"),
+            (b"/s/x", b"X-Attempt-Id: a\r\nAuthorization: Token \xff"),
+            (b"/s/x", b"X-Attempt-Id: a\r\nX-Prompt-Prefix: \xff:3"),
+            (b"/s/\xff", b"X-Attempt-Id: a"),
+            (b"/lots/\xff", b"X-Attempt-Id: a"),
+        ):
+            head = b"POST %b HTTP/1.1\r\nHost: h\r\n%b\r\n" % (line, header)
+            answer = await self.send_raw(head + b"Content-Length: 0\r\n\r\n")
+            self.assertIn(b" 400 ", answer.split(b"\r\n")[0], header)
+        self.assertEqual(self.forwarder.requests, [])
+
+    async def send_raw(self, data):
+        """Return the first line of the answer on a new connection."""
+        host, _, port = self.base.removeprefix("http://").partition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        self.addCleanup(writer.close)
+        writer.write(data)
+        return await asyncio.wait_for(reader.readline(), 5.0)
+
     async def test_requests_that_share_a_prompt_part_share_its_trait(self):
         for prefix, model, data in (
             ("a:1,b:2,c:3", "m", b"x"),
