Start a background task again that failed

What callers saw: by reading, a process whose task met one unforeseen error kept running without it until it was restarted: an entry without a leader or without its watch, a control VM that schedules no items or sends one member nothing. Cause: loops that must never end caught the errors that were foreseen, and nobody awaits them. Evidence: the poller's and the periodic tasks' tests; the same loops elsewhere by reading. Change: TaskGroup.keep logs the error and starts the work again after 0.2 s; debits that were being sent are failed. The tasks that write and apply a member's log aren't kept: after an error they have no sound state to go on from.

--- a/sapphireseam/control/bulkrunner.py
+++ b/sapphireseam/control/bulkrunner.py
@@ -104,8 +104,8 @@
 
     async def start(self) -> None:
         """Start to schedule items."""
-        self._tasks.spawn(self._schedule_forever())
-        self._tasks.spawn(self._append_results_forever())
+        self._tasks.keep(self._schedule_forever)
+        self._tasks.keep(self._append_results_forever)
         for period, callback in (
             (REVIEW_SECONDS, self._review),
             (SAVE_PARTS_SECONDS, self._save_parts),
--- a/sapphireseam/control/membership.py
+++ b/sapphireseam/control/membership.py
@@ -38,7 +38,7 @@
 
     async def start(self) -> None:
         """Start to announce this VM."""
-        self._tasks.spawn(self._announce_forever())
+        self._tasks.keep(self._announce_forever)
 
     async def stop(self) -> None:
         """Stop the announcements."""
--- a/sapphireseam/control/ratelimit.py
+++ b/sapphireseam/control/ratelimit.py
@@ -74,7 +74,7 @@
     async def start(self) -> None:
         """Start to check whether this control VM has become the leader."""
         self._tasks.spawn(run_periodically(self._timer, POLL_SECONDS, self._poll))
-        self._tasks.spawn(self._commit_forever())
+        self._tasks.keep(self._commit_forever)
 
     async def stop(self) -> None:
         """Grant nothing more and stop the periodic tasks."""
--- a/sapphireseam/entry/application.py
+++ b/sapphireseam/entry/application.py
@@ -68,7 +68,7 @@
 
     async def start(self) -> None:
         """Start to follow changes of the configuration."""
-        self._tasks.spawn(self._follow())
+        self._tasks.keep(self._follow)
 
     async def stop(self) -> None:
         """Close every link."""
--- a/sapphireseam/entry/link.py
+++ b/sapphireseam/entry/link.py
@@ -102,7 +102,7 @@
 
     async def start(self) -> None:
         """Start connecting."""
-        self._tasks.spawn(self._connect_forever())
+        self._tasks.keep(self._connect_forever)
 
     async def stop(self) -> None:
         """Close the link; open attempts are lost."""
--- a/sapphireseam/entry/placer.py
+++ b/sapphireseam/entry/placer.py
@@ -109,7 +109,7 @@
 
     async def start(self) -> None:
         """Start connecting to the leader."""
-        self._tasks.spawn(self._connect_forever())
+        self._tasks.keep(self._connect_forever)
 
     async def stop(self) -> None:
         """Disconnect from the leader."""
--- a/sapphireseam/entry/ratelimit.py
+++ b/sapphireseam/entry/ratelimit.py
@@ -42,7 +42,7 @@
 
     async def start(self) -> None:
         """Start to send debits."""
-        self._tasks.spawn(self._send_forever())
+        self._tasks.keep(self._send_forever)
 
     async def stop(self) -> None:
         """Stop sending; pending debits are never answered."""
@@ -74,9 +74,10 @@
             try:
                 await self._send(debits)
             except error.SeamError as failure:
-                for debit in debits:
-                    if not debit.future.done():
-                        debit.future.set_exception(failure)
+                _fail(debits, failure)
+            except Exception as failure:
+                _fail(debits, error.ControlError(f"the debit failed: {failure!r}"))
+                raise
 
     async def _send(self, debits: list[_PendingDebit]) -> None:
         """Send the debits until the owner answers in time."""
@@ -101,3 +102,9 @@
         for debit, grant in zip(debits, reply.grants, strict=True):
             if not debit.future.done():
                 debit.future.set_result(grant)
+
+
+def _fail(debits: list[_PendingDebit], failure: error.SeamError) -> None:
+    for debit in debits:
+        if not debit.future.done():
+            debit.future.set_exception(failure)
--- a/sapphireseam/state/peer.py
+++ b/sapphireseam/state/peer.py
@@ -41,8 +41,8 @@
 
     def start(self) -> None:
         """Start the peer's two tasks, which end with the leadership."""
-        self._node.tasks.spawn(self._run_heartbeats())
-        self._node.tasks.spawn(self._run_entries())
+        self._node.tasks.keep(self._run_heartbeats)
+        self._node.tasks.keep(self._run_entries)
 
     def wake(self) -> None:
         """Make both tasks check again whether there is something to send."""
--- a/sapphireseam/utils/application.py
+++ b/sapphireseam/utils/application.py
@@ -9,13 +9,16 @@
 import gc
 import logging
 import signal
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any, Protocol
 
 from sapphireseam.utils import startup
 
 logger = logging.getLogger(__name__)
 
+# Pause before a background task that failed is started again, in seconds.
+RESTART_SECONDS = 0.2
+
 
 class Part(Protocol):
     """Define the interface of a part, which is started once and stopped once."""
@@ -43,6 +46,21 @@
         task.add_done_callback(self._finish)
         return task
 
+    def keep(self, work: Callable[[], Coroutine[Any, Any, None]]) -> asyncio.Task:
+        """Start a background task that is started again after an error.
+
+        So one message or input that it can't handle doesn't end its work for good.
+        """
+        return self.spawn(self._run_again(work))
+
+    async def _run_again(self, work: Callable[[], Coroutine[Any, Any, None]]) -> None:
+        while True:
+            try:
+                return await work()
+            except Exception:
+                logger.exception("background task failed; it is started again")
+            await asyncio.sleep(RESTART_SECONDS)
+
     def _finish(self, task: asyncio.Task) -> None:
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
--- a/sapphireseam/utils/mirror.py
+++ b/sapphireseam/utils/mirror.py
@@ -14,6 +14,7 @@
 """
 
 import asyncio
+import functools
 import itertools
 import logging
 import random
@@ -131,7 +132,7 @@
 
     async def start(self) -> None:
         """Start to watch."""
-        self._tasks.spawn(self._watch_forever())
+        self._tasks.keep(self._watch_forever)
 
     async def stop(self) -> None:
         """Stop watching."""
@@ -160,7 +161,7 @@
         stream = await wait_for(self._timer, opening, SILENCE_SECONDS)
         self._ping_times.clear()
         self._stream = stream
-        pings = self._tasks.spawn(self._ping_forever(stream))
+        pings = self._tasks.keep(functools.partial(self._ping_forever, stream))
         try:
             while True:
                 item = await wait_for(self._timer, stream.receive(), SILENCE_SECONDS)
--- a/sapphireseam/utils/stall.py
+++ b/sapphireseam/utils/stall.py
@@ -25,7 +25,7 @@
 
     async def start(self) -> None:
         """Start the periodic checks."""
-        self._tasks.spawn(self._check_forever())
+        self._tasks.keep(self._check_forever)
 
     async def stop(self) -> None:
         """Stop the checks."""
