Stop a member whose own work met an unexpected error

What callers saw: a control VM whose task of writing, applying or electing met an error other than a storage failure kept running, and as leader kept sending heartbeats, while every change stayed unanswered for good. Cause: the tasks were spawned and nobody looked at their end; only StorageError stopped the member.

--- a/sapphireseam/state/node.py
+++ b/sapphireseam/state/node.py
@@ -11,8 +11,8 @@
 import logging
 import math
 import random
-from collections.abc import Awaitable, Callable, Mapping, Sequence
-from typing import Protocol, TypeVar
+from collections.abc import Awaitable, Callable, Coroutine, Mapping, Sequence
+from typing import Any, Protocol, TypeVar
 
 from sapphireseam.core import error
 from sapphireseam.state import (
@@ -219,12 +219,47 @@
             self.election_timer_start = self.timer.read_clock()
 
     async def run_storage(self, operation: Awaitable[T]) -> T:
-        """Await a storage operation; if it fails, stop this member permanently."""
+        """Await a storage operation; if it fails, stop this member permanently.
+
+        Every failure is raised as a `StorageError`: after an unforeseen one, too, it is
+        unknown what the folder and the memory hold.
+        """
         try:
             return await operation
         except error.StorageError as failure:
             self.fail(failure)
             raise
+        except Exception as failure:
+            raise self._fail_unexpectedly(failure) from failure
+
+    def restore(self, data: bytes) -> None:
+        """Replace the state by that of a snapshot; if this fails, stop this member."""
+        try:
+            self.machine.restore(data)
+        except Exception as failure:
+            raise self._fail_unexpectedly(failure) from failure
+
+    def spawn_vital(self, work: Coroutine[Any, Any, None]) -> None:
+        """Start a task without which the member would only seem to run.
+
+        If it fails, the member stops permanently, so that another can lead.
+        """
+        self.tasks.spawn(self._run_vital(work))
+
+    async def _run_vital(self, work: Coroutine[Any, Any, None]) -> None:
+        try:
+            await work
+        except error.StorageError as failure:
+            self.fail(failure)
+        except Exception as failure:
+            self._fail_unexpectedly(failure)
+
+    def _fail_unexpectedly(self, failure: Exception) -> error.StorageError:
+        logger.error("unexpected error in a member", exc_info=failure)
+        text = f"the member's state is unknown: {type(failure).__name__}: {failure}"
+        stopped = error.StorageError(text)
+        self.fail(stopped)
+        return stopped
 
     def adopt_term(self, term: int) -> None:
         """Move to a higher term, as a follower that has not voted in it."""
--- a/sapphireseam/state/receiver.py
+++ b/sapphireseam/state/receiver.py
@@ -246,7 +246,7 @@
                 return
             await node.run_storage(node.store.save_snapshot(mark, data))
             if mark.index > node.applied:
-                node.machine.restore(data)
+                node.restore(data)
                 node.applied = mark.index
                 node.set_commit(mark.index)
             node.snapshot = mark
--- a/sapphireseam/state/replica.py
+++ b/sapphireseam/state/replica.py
@@ -93,9 +93,9 @@
             self._applier.run_snapshots(),
             self._election.run(),
             self._bootstrapper.run(),
-            self._membership.run(),
         ):
-            node.tasks.spawn(coroutine)
+            node.spawn_vital(coroutine)
+        node.tasks.keep(self._membership.run)
 
     async def stop(self) -> None:
         """Cancel every task and close the data folder."""
--- a/sapphireseam/state/replica_test.py
+++ b/sapphireseam/state/replica_test.py
@@ -421,6 +421,50 @@
             self.check(sim)
             await sim.close()
 
+    @async_test
+    async def test_member_whose_background_work_fails_stops_leading(self):
+        for target in ("flush", "_check_timeout", "wait_until"):
+            sim = await self.make_cluster()
+            first = sim.find_leader()
+            member = sim.replicas[first]
+            parts = {
+                "flush": member._node.log,
+                "_check_timeout": member._election,
+                "wait_until": member._node.commit_grew,
+            }
+            setattr(parts[target], target, self.raise_odd_error)
+            sim.spawn(sim.propose(first, b"lost"))
+            await sim.advance(5)
+            self.assertIsNotNone(member.fatal, target)
+            await sim.wait_leader()
+            self.assertNotEqual(sim.find_leader(), first, target)
+            await sim.kill(first)
+            await sim.start(first)
+            await self.propose(sim, 2)
+            await sim.wait_converged()
+            self.check(sim)
+            await sim.close()
+
+    async def raise_odd_error(self, *_):
+        raise RuntimeError("odd")
+
+    @async_test
+    async def test_snapshot_that_cant_be_restored_stops_the_member(self):
+        sim = await self.make_cluster(snapshot_entries=5, trailing_entries=0)
+        leader = sim.find_leader()
+        behind = next(name for name in sim.replicas if name != leader)
+        await sim.kill(behind)
+        await self.propose(sim, 12)
+        await sim.start(behind)
+        with mock.patch.object(sim.machines[behind], "restore", side_effect=KeyError):
+            await sim.advance(2)
+        self.assertIsInstance(sim.replicas[behind].fatal, error.StorageError)
+        await sim.kill(behind)
+        await sim.start(behind)
+        await sim.wait_converged()
+        self.check(sim)
+        await sim.close()
+
     @async_test
     async def test_restart_reads_few_entries_after_a_snapshot(self):
         sim = await self.make_cluster(snapshot_entries=100, trailing_entries=10)
