--- a/sapphireseam/state/applier.py
+++ b/sapphireseam/state/applier.py
@@ -25,6 +25,8 @@
     def __init__(self, node: nodes.Node):
         self._node = node
         self.subscribers: list[Subscriber] = []
+        # The last index up to which the state was encoded, or failed to be encoded.
+        self._encoded = 0
 
     async def run_writes(self) -> None:
         """Sync the entries appended to the log, in batches."""
@@ -92,11 +94,25 @@
 
     def _is_snapshot_due(self) -> bool:
         node = self._node
-        newer = node.applied - node.snapshot.index
+        newer = node.applied - max(node.snapshot.index, self._encoded)
         is_large = node.applied_bytes >= node.options.snapshot_bytes
         is_long = newer >= node.options.snapshot_entries
         return node.fatal is not None or (newer > 0 and (is_large or is_long))
 
+    def _encode(self, index: int) -> bytes | None:
+        """Return the state machine's encoded state, or None if it can't be encoded.
+
+        The log is then kept until the next snapshot is due. No member stops for it,
+        as all of them have this state.
+        """
+        self._encoded = index
+        self._node.applied_bytes = 0
+        try:
+            return self._node.machine.encode()
+        except Exception:
+            logger.exception("can't encode the state for a snapshot")
+            return None
+
     async def _write_snapshot(self) -> None:
         node = self._node
         async with node.snapshot_lock:
@@ -106,8 +122,9 @@
             index = node.applied
             members = node.roster.read(index)
             mark = stores.Mark(index, node.log.read_term(index), members)
-            data = node.machine.encode()
-            node.applied_bytes = 0
+            data = self._encode(index)
+            if data is None:
+                return
             await node.wait_synced(index)
             await node.run_storage(node.store.save_snapshot(mark, data))
             node.snapshot = mark
--- a/sapphireseam/state/replica_test.py
+++ b/sapphireseam/state/replica_test.py
@@ -448,6 +448,22 @@
     async def raise_odd_error(self, *_):
         raise RuntimeError("odd")
 
+    @async_test
+    async def test_state_that_cant_be_encoded_ends_no_later_snapshot(self):
+        sim = await self.make_cluster(snapshot_entries=5)
+        leader = await self.propose(sim)
+        machine, node = sim.machines[leader], sim.replicas[leader]._node
+        with mock.patch.object(machine, "encode", side_effect=OverflowError) as encode:
+            for _ in range(12):
+                await self.propose(sim)
+        self.assertIn(encode.call_count, (2, 3))
+        self.assertEqual((node.fatal, node.snapshot.index), (None, 0))
+        await self.propose(sim, 12)
+        await sim.advance(1)
+        self.assertGreater(node.snapshot.index, 12)
+        self.check(sim)
+        await sim.close()
+
     @async_test
     async def test_snapshot_that_cant_be_restored_stops_the_member(self):
         sim = await self.make_cluster(snapshot_entries=5, trailing_entries=0)
