Don't forget a stop while a control VM is rebuilt

What the operator saw: a control VM that got SIGTERM while its disk was full went on and tried to start again and again, until it was killed. Cause: the application was rebuilt after a storage failure although a stop had been requested during its start or its stop; and in the pause between two applications uvloop's handlers of the closed loop were still in place and did nothing. Evidence: on the former code a second application was built after SIGTERM or SIGINT in either moment, and in the pause SIGTERM had a handler of the closed loop. Change: a requested stop wins over a failure, and an application removes its handlers, so that SIGTERM in the pause ends the process.

--- a/sapphireseam/platform/reload.py
+++ b/sapphireseam/platform/reload.py
@@ -40,7 +40,9 @@
         self._tasks.spawn(run_periodically(self._timer, POLL_SECONDS, self._poll))
 
     async def stop(self) -> None:
-        """Stop the periodic checks."""
+        """Stop the periodic checks; a SIGHUP has no effect from then on."""
+        asyncio.get_running_loop().remove_signal_handler(signal.SIGHUP)
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
         await self._tasks.cancel()
 
     async def _poll(self) -> None:
--- a/sapphireseam/utils/application.py
+++ b/sapphireseam/utils/application.py
@@ -16,6 +16,7 @@
 
 logger = logging.getLogger(__name__)
 
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 # Pause before a background task that failed is started again, in seconds.
 RESTART_SECONDS = 0.2
 
@@ -82,6 +83,7 @@
         self._parts: list[Part] = []
         self._started: list[Part] = []
         self._stopping = asyncio.Event()
+        self._is_stop_requested = False
         self._failure: Exception | None = None
 
     def add(self, part: Part) -> None:
@@ -91,6 +93,7 @@
     def request_stop(self) -> None:
         """Make `run` stop the parts and return."""
         logger.info("stopping", extra={"program": self.name})
+        self._is_stop_requested = True
         self._stopping.set()
 
     def fail(self, failure: Exception) -> None:
@@ -121,10 +124,25 @@
         logger.info("stopped", extra={"program": self.name})
 
     async def run(self) -> None:
-        """Run until SIGTERM, SIGINT or `request_stop`."""
+        """Run until SIGTERM, SIGINT or `request_stop`.
+
+        Raises the failure of a part, unless a stop was requested before or since.
+        """
         loop = asyncio.get_running_loop()
-        for signal_number in (signal.SIGTERM, signal.SIGINT):
+        for signal_number in STOP_SIGNALS:
             loop.add_signal_handler(signal_number, self.request_stop)
+        try:
+            await self._run_parts()
+        except Exception:
+            if not self._is_stop_requested:
+                raise
+            logger.exception("failed while a stop was requested")
+        finally:
+            # uvloop would leave its handlers in place, which do nothing any more.
+            for signal_number in STOP_SIGNALS:
+                loop.remove_signal_handler(signal_number)
+
+    async def _run_parts(self) -> None:
         await self.start()
         # Objects loaded so far live until the process ends. Scanning them again in
         # each full garbage collection would block the loop for tens of milliseconds.
--- a/sapphireseam/utils/program_test.py
+++ b/sapphireseam/utils/program_test.py
@@ -1,14 +1,18 @@
 """Test that a program is rebuilt after a storage failure if `restarts` is set."""
 
+import asyncio
 import json
+import os
+import signal
 import tempfile
+import time
 import unittest
 from pathlib import Path
 from typing import NamedTuple
 from unittest import mock
 
 from sapphireseam.core import error
-from sapphireseam.utils import program
+from sapphireseam.utils import application, program
 
 
 class Settings(NamedTuple):
@@ -24,8 +28,29 @@
             raise self._failures.pop(0)
 
 
+class FailingPart:
+    """Fail at the start or while it runs, and send signals before it does."""
+
+    def __init__(self, owner, moment="", signal_number=None):
+        self.owner = owner
+        self.moment = moment
+        self.signal_number = signal_number
+
+    async def start(self):
+        if self.moment == "start":
+            os.kill(os.getpid(), self.signal_number)
+            await asyncio.sleep(0.05)
+            raise error.StorageError("no space left")
+        self.owner.fail(error.StorageError("no space left"))
+
+    async def stop(self):
+        if self.moment == "stop":
+            os.kill(os.getpid(), self.signal_number)
+            await asyncio.sleep(0.05)
+
+
 class RunTest(unittest.TestCase):
-    def run_daemon(self, failures, **options):
+    def run_daemon(self, build, **options):
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder) / "settings.json"
             path.write_text(json.dumps({"node": "n"}))
@@ -36,7 +61,7 @@
                 program.run_daemon(
                     "seam-test",
                     Settings,
-                    lambda settings: FakeApplication(failures),
+                    lambda settings: build(),
                     path,
                     **options,
                 )
@@ -44,20 +69,45 @@
     def test_restarts_until_a_full_disk_has_space(self):
         failures = [error.StorageError("no space left")] * 3
         with self.assertLogs(program.logger, "ERROR") as logs:
-            self.run_daemon(failures, restarts=True)
+            self.run_daemon(lambda: FakeApplication(failures), restarts=True)
         self.assertEqual(len(logs.records), 3)
         self.assertEqual(failures, [])
 
     def test_exits_without_restarts(self):
         with self.assertLogs(program.logger, "ERROR"):
             with self.assertRaises(SystemExit) as caught:
-                self.run_daemon([error.StorageError("no space left")])
+                failures = [error.StorageError("no space left")]
+                self.run_daemon(lambda: FakeApplication(failures))
         self.assertEqual(caught.exception.code, program.FAILED_EXIT)
 
     def test_exits_on_other_failures(self):
         with self.assertLogs(program.logger, "ERROR"):
             with self.assertRaises(SystemExit):
-                self.run_daemon([error.SettingsError("taken")], restarts=True)
+                failures = [error.SettingsError("taken")]
+                self.run_daemon(lambda: FakeApplication(failures), restarts=True)
+
+    def make_application(self, *arguments):
+        made = application.Application("test")
+        made.add(FailingPart(made, *arguments))
+        return made
+
+    def test_a_stop_during_a_rebuild_is_not_forgotten(self):
+        for moment in ("start", "stop"):
+            for number in (signal.SIGTERM, signal.SIGINT):
+                builds = iter([self.make_application(moment, number)])
+                with self.assertLogs():
+                    self.run_daemon(lambda: next(builds), restarts=True)  # noqa: B023
+
+    def test_a_stop_in_the_pause_before_a_rebuild_ends_the_process(self):
+        builds = iter([self.make_application(), FakeApplication([])])
+        found = []
+
+        def pause(seconds):
+            found.append(signal.getsignal(signal.SIGTERM))
+
+        with self.assertLogs(), mock.patch.object(time, "sleep", pause):
+            self.run_daemon(lambda: next(builds), restarts=True)
+        self.assertEqual(found, [signal.SIG_DFL])
 
 
 if __name__ == "__main__":
