Free the former application before a control VM is rebuilt

What the operator saw: each rebuild after a full disk added the whole former state and log to the process's memory, until it reached its limit. Evidence: with a control VM of discovered upstreams that fails three times, 1, 2 and 3 state machines were left on the former code, after a full collection. Change: objects are unfrozen and collected in the pause.

--- a/sapphireseam/utils/program.py
+++ b/sapphireseam/utils/program.py
@@ -5,6 +5,7 @@
 reason logs the cause and exits with 1.
 """
 
+import gc
 import logging
 import sys
 import time
@@ -50,11 +51,14 @@
             logger.error("storage failed", extra={"cause": failure.message})
             if not restarts:
                 sys.exit(FAILED_EXIT)
-            time.sleep(RESTART_SECONDS)
         except error.SeamError as failure:
             logger.error("can't run", extra={"cause": failure.message})
             is_settings_error = failure.kind is error.Kind.BAD_SETTINGS
             sys.exit(BAD_SETTINGS_EXIT if is_settings_error else FAILED_EXIT)
+        # The application that ended and its state are garbage now, but frozen.
+        gc.unfreeze()
+        gc.collect()
+        time.sleep(RESTART_SECONDS)
 
 
 async def build_and_run(build: Callable[[Any], Application], settings: Any) -> None:
--- a/sapphireseam/utils/program_test.py
+++ b/sapphireseam/utils/program_test.py
@@ -1,12 +1,14 @@
 """Test that a program is rebuilt after a storage failure if `restarts` is set."""
 
 import asyncio
+import gc
 import json
 import os
 import signal
 import tempfile
 import time
 import unittest
+import weakref
 from pathlib import Path
 from typing import NamedTuple
 from unittest import mock
@@ -109,6 +111,21 @@
             self.run_daemon(lambda: next(builds), restarts=True)
         self.assertEqual(found, [signal.SIG_DFL])
 
+    def test_an_application_that_failed_is_freed_before_the_next_is_built(self):
+        self.addCleanup(gc.unfreeze)
+        former = []
+
+        def build():
+            if former:
+                self.assertIsNone(former[0]())
+                return FakeApplication([])
+            made = self.make_application()
+            former.append(weakref.ref(made))
+            return made
+
+        with self.assertLogs():
+            self.run_daemon(build, restarts=True)
+
 
 if __name__ == "__main__":
     unittest.main()
