Leave nothing of a blob that a full disk refused

What callers saw: a file or batch was refused while the disk of a control VM was full, and more after it had room again. Cause: each failed write left a partial file with a new name, and a refused command's blob is fetched again each heartbeat, so the attempts filled the disk themselves; the last piece of an upload couldn't be sent again; a blob whose folder wasn't synced counted as present, so entries were acknowledged whose blob a power loss could take; and a full disk at the start raised a bare OSError, which ended the process with a traceback. Change: partial files are removed, a blob counts once its name is durable, the start syncs the folder, and its errors are storage errors, after which the member is rebuilt.

--- a/sapphireseam/control/blob.py
+++ b/sapphireseam/control/blob.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 import hashlib
 import os
 from pathlib import Path
@@ -21,20 +22,27 @@
     def __init__(self, folder: Path):
         self._folder = folder
         self._uploads: dict[str, bytearray] = {}
+        # Blobs whose files may not be durable yet.
+        self._unsynced: set[str] = set()
 
     async def start(self) -> None:
-        """Create the folder and delete partial files that a crash left behind."""
-        self._folder.mkdir(parents=True, exist_ok=True)
-        for partial in self._folder.glob("*.part"):
-            partial.unlink()
+        """Create the folder; delete what a crash left behind, and sync the rest."""
+        try:
+            self._folder.mkdir(parents=True, exist_ok=True)
+            for partial in self._folder.glob("*.part"):
+                partial.unlink()
+            await asyncio.to_thread(self._sync_folder)
+        except OSError as failure:
+            text = f"can't prepare the folder of blobs: {failure}"
+            raise error.StorageError(text) from None
 
     async def stop(self) -> None:
         """Drop unfinished uploads."""
         self._uploads.clear()
 
     def has(self, blob: str) -> bool:
-        """Return whether this member has a blob."""
-        return self._path(blob).exists()
+        """Return whether this member has a blob, durably."""
+        return blob not in self._unsynced and self._path(blob).exists()
 
     def _path(self, blob: str) -> Path:
         if not blob.isalnum():
@@ -50,19 +58,27 @@
 
     def _write_file(self, blob: str, data: bytes) -> None:
         part = self._folder / f"{blob}.{os.urandom(4).hex()}.part"
+        self._unsynced.add(blob)
         try:
             with part.open("wb") as file:
                 file.write(data)
                 file.flush()
                 os.fsync(file.fileno())
             part.replace(self._path(blob))
-            folder = os.open(self._folder, os.O_RDONLY)
-            try:
-                os.fsync(folder)
-            finally:
-                os.close(folder)
+            self._sync_folder()
         except OSError as failure:
+            # A partial file would take room until the next start.
+            with contextlib.suppress(OSError):
+                part.unlink(missing_ok=True)
             raise error.StorageError(f"can't store a blob: {failure}") from None
+        self._unsynced.discard(blob)
+
+    def _sync_folder(self) -> None:
+        folder = os.open(self._folder, os.O_RDONLY)
+        try:
+            os.fsync(folder)
+        finally:
+            os.close(folder)
 
     async def write_piece(
         self, upload: str, offset: int, data: bytes, last: bool
@@ -74,8 +90,9 @@
         pieces[offset:] = data
         if not last:
             return ""
-        del self._uploads[upload]
-        return await self.write(bytes(pieces))
+        name = await self.write(bytes(pieces))
+        self._uploads.pop(upload, None)
+        return name
 
     def read(self, blob: str) -> bytes:
         """Return a blob; raise `StorageError` if it is missing or damaged."""
