End seam-control when its disk fails

What callers saw: after one write that the disk refused, a control VM whose upstreams are in its configuration kept running and did nothing more, with room again or not; after a second one no change was taken any more, while all processes ran. Cause: the part that ends the program after a storage failure was added only for upstreams found by discovery. Evidence: with a disk that refuses to append, the program still ran after 5 s on the former code. Change: the part belongs to every control VM, so that the program exits with 1 and its supervisor starts it again. Result: the new test passes, it ends with the failure.

--- a/sapphireseam/control/application.py
+++ b/sapphireseam/control/application.py
@@ -423,8 +423,8 @@
             settings, replica, machine, rate_limits, server, meter, timer
         )
         add_discovery(application, shared, integration)
-        application.add(StorageMonitor(replica, application, timer))
         application.add(StallDetector(timer))
+    application.add(StorageMonitor(replica, application, timer))
     application.add(LeadershipTransfer(replica))
     return application
 
--- a/sapphireseam/control/application_test.py
+++ b/sapphireseam/control/application_test.py
@@ -1,10 +1,17 @@
-"""Tests that a control VM's program ends when its storage fails."""
+"""Tests what a control VM does when its disk is full."""
 
+import asyncio
+import errno
+import pathlib
+import tempfile
 import types
 import unittest
+from unittest import mock
 
 from sapphireseam.control import application as control
 from sapphireseam.core import error
+from sapphireseam.state import disk
+from sapphireseam.tools import layout
 from sapphireseam.utils.application import Application
 from sapphireseam.utils.timer import SystemTimer
 
@@ -19,6 +26,19 @@
         with self.assertRaises(error.StorageError):
             await application.run()
 
+    async def test_a_full_disk_ends_the_program_with_upstreams_from_its_settings(self):
+        folder = pathlib.Path(self.enterContext(tempfile.TemporaryDirectory()))
+        reservation = layout.reserve_ports(2)
+        address, probe = (f"{layout.HOST}:{port}" for port in reservation.ports)
+        peers = (control.Peer("a", address),)
+        settings = control.Settings("a", "d", address, probe, folder, "s" * 32, peers)
+        full = mock.Mock(side_effect=OSError(errno.ENOSPC, "full"), __name__="append")
+        with (
+            mock.patch.object(disk.FileDisk, "_append", full),
+            self.assertRaises(error.StorageError),
+        ):
+            await asyncio.wait_for(control.build(settings).run(), 5.0)
+
 
 if __name__ == "__main__":
     unittest.main()
