Store the operator key whole or not at all

What the operator saw: if the disk was full while the first leader stored the operator key, the fleet stayed without an operator for good: no change could be made with any key, while all processes ran. Cause: the file was created before it was written, so a refused write left it empty or cut, the task of issuing ended with the bare OSError, and the next start issued the empty text as the key. Change: the key is written and synced beside its file and then renamed; a refusal is logged and tried again; an empty file is replaced.

--- a/sapphireseam/control/application.py
+++ b/sapphireseam/control/application.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import os
 import random
 from collections.abc import Callable
 from pathlib import Path
@@ -31,7 +32,7 @@
 from sapphireseam.control.service import ControlService
 from sapphireseam.control.watch import WatchHub
 from sapphireseam.core import codec, command, error, fleet, key, message, outcome
-from sapphireseam.state import link, message as log_message, option
+from sapphireseam.state import disk, link, message as log_message, option
 from sapphireseam.state.replica import Replica
 from sapphireseam.utils import metric, outbound, rpc
 from sapphireseam.utils.application import Application, Part, TaskGroup
@@ -244,7 +245,13 @@
                 await self._try_issue()
 
     async def _try_issue(self) -> None:
-        text = self._load_or_create()
+        try:
+            text = await asyncio.to_thread(self._load_or_create)
+        except OSError as failure:
+            logger.error(
+                "can't store the operator key; retrying", extra={"cause": str(failure)}
+            )
+            return
         digest = key.digest(text)
         request = f"operator-{digest[:16]}"
         item = command.SetOperator(request, digest)
@@ -262,11 +269,19 @@
         logger.info("operator key issued", extra={"file": str(self._path)})
 
     def _load_or_create(self) -> str:
-        if self._path.exists():
-            return self._path.read_text().strip()
+        if self._path.exists() and (text := self._path.read_text().strip()):
+            return text
         text = key.generate(OPERATOR_PREFIX).text
-        self._path.touch(mode=0o600)
-        self._path.write_text(text + "\n")
+        part = self._path.with_suffix(".part")
+        try:
+            handle = os.open(part, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
+            with open(handle, "wb", buffering=0) as file:
+                disk.write_all(handle, f"{text}\n".encode())
+                os.fsync(file.fileno())
+            part.replace(self._path)
+        except OSError:
+            part.unlink(missing_ok=True)
+            raise
         return text
 
 
--- a/sapphireseam/state/disk.py
+++ b/sapphireseam/state/disk.py
@@ -136,7 +136,7 @@
             handle = os.open(self._folder / name, flags, 0o600)
             self._handles[name] = handle
             self._new_files.add(name)
-        _write_all(handle, data)
+        write_all(handle, data)
 
     def _sync(self, name: str) -> None:
         os.fdatasync(self._handles[name])
@@ -160,7 +160,7 @@
         temporary = self._folder / (name + _TEMPORARY_SUFFIX)
         handle = os.open(temporary, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
         try:
-            _write_all(handle, data)
+            write_all(handle, data)
             os.fsync(handle)
         finally:
             os.close(handle)
@@ -186,7 +186,8 @@
             os.close(handle)
 
 
-def _write_all(handle: int, data: bytes) -> None:
+def write_all(handle: int, data: bytes) -> None:
+    """Write all of the data to an open file, or raise `OSError`."""
     view = memoryview(data)
     while view:
         view = view[os.write(handle, view) :]
