Leave no file and no lock behind when a folder fails

Cause: replace and close gave up at the first error. Change: a refused replacement is removed, and so is what a crash left of one; each file is closed whatever the others do; a state that can't be restored at the start is a storage error, too, so that the folder is closed.

--- a/sapphireseam/state/disk.py
+++ b/sapphireseam/state/disk.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import concurrent.futures
+import contextlib
 import fcntl
 import os
 from collections.abc import Callable, Sequence
@@ -121,11 +122,15 @@
         self._folder.mkdir(parents=True, exist_ok=True)
         self._lock = os.open(self._folder / _LOCK_NAME, os.O_RDWR | os.O_CREAT, 0o600)
         fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        for path in self._folder.glob(f"*{_TEMPORARY_SUFFIX}"):
+            path.unlink()
 
     def _close(self) -> None:
         for handle in (*self._handles.values(), self._lock):
-            if handle >= 0:
-                os.close(handle)
+            # An error of one file must not leave the folder locked.
+            with contextlib.suppress(OSError):
+                if handle >= 0:
+                    os.close(handle)
         self._handles.clear()
         self._lock = -1
 
@@ -158,13 +163,14 @@
     def _replace(self, name: str, data: bytes) -> None:
         self._close_file(name)
         temporary = self._folder / (name + _TEMPORARY_SUFFIX)
-        handle = os.open(temporary, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
         try:
-            write_all(handle, data)
-            os.fsync(handle)
-        finally:
-            os.close(handle)
-        os.replace(temporary, self._folder / name)
+            _write_new(temporary, data)
+            os.replace(temporary, self._folder / name)
+        except OSError:
+            # It would take the room that the next start needs.
+            with contextlib.suppress(OSError):
+                temporary.unlink(missing_ok=True)
+            raise
         self._sync_folder()
 
     def _remove(self, name: str) -> None:
@@ -186,6 +192,15 @@
             os.close(handle)
 
 
+def _write_new(path: Path, data: bytes) -> None:
+    handle = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
+    try:
+        write_all(handle, data)
+        os.fsync(handle)
+    finally:
+        os.close(handle)
+
+
 def write_all(handle: int, data: bytes) -> None:
     """Write all of the data to an open file, or raise `OSError`."""
     view = memoryview(data)
--- a/sapphireseam/state/disk_test.py
+++ b/sapphireseam/state/disk_test.py
@@ -1,5 +1,7 @@
 import asyncio
+import errno
 import os
+import pathlib
 import tempfile
 import unittest
 from unittest import mock
@@ -52,6 +54,33 @@
             with self.assertRaises(error.StorageError):
                 await work
 
+    async def test_a_refused_replacement_leaves_no_file_that_takes_room(self):
+        full = OSError(errno.ENOSPC, "no space left")
+        with mock.patch.object(os, "fsync", side_effect=full):
+            with self.assertRaises(error.StorageError):
+                await self.disk.replace("snapshot", b"large")
+        self.assertEqual(os.listdir(self.folder), ["lock"])
+
+    async def test_what_a_crash_left_of_a_replacement_is_removed_at_the_start(self):
+        await self.disk.close()
+        (pathlib.Path(self.folder) / "snapshot.new").write_bytes(b"large")
+        self.disk = disk.FileDisk(self.folder)
+        await self.disk.open()
+        self.assertEqual(os.listdir(self.folder), ["lock"])
+
+    async def test_a_file_that_cant_be_closed_doesnt_keep_the_folder_locked(self):
+        await self.disk.append("log", b"one")
+        close = os.close
+
+        def close_badly(handle):
+            close(handle)
+            raise OSError(errno.EIO, "I/O error")
+
+        with mock.patch.object(os, "close", close_badly):
+            await self.disk.close()
+        self.disk = disk.FileDisk(self.folder)
+        await self.disk.open()
+
     async def test_event_loop_is_not_blocked_by_a_sync(self):
         await self.disk.append("log", b"one")
         loop = asyncio.get_running_loop()
--- a/sapphireseam/state/node.py
+++ b/sapphireseam/state/node.py
@@ -188,7 +188,7 @@
         await self.log.load(self.snapshot.index, self.snapshot.term)
         self.load_members(self.snapshot.index, members)
         if state is not None:
-            self.machine.restore(state)
+            self.restore(state)
         self.commit = self.applied = self.snapshot.index
         if self.identity.cluster:
             # The previous process may have extended a leader's lease.
