Go on if a member was removed before its folder is recorded

What callers saw: nothing at once; the leader then replaced, promoted and removed no member until another led. Cause: the edit of the member list raised StopIteration, which a coroutine turns into RuntimeError, so the handler for it was never reached and the task of maintenance ended. Evidence: recording the folder of a member that is gone raised RuntimeError on the former code. Change: it is a conflict like the others, after which the next run checks again. Result: the new test passes.

--- a/sapphireseam/state/membership.py
+++ b/sapphireseam/state/membership.py
@@ -123,7 +123,9 @@
         """Record a member's new folder and make the member a learner."""
 
         def edit(members: nodes.Members) -> nodes.Members:
-            member = next(item for item in members if item.name == name)
+            member = next((item for item in members if item.name == name), None)
+            if member is None:
+                raise _make_conflict(f"{name} is no longer a member")
             if member.folder == folder:
                 return members
             is_returning = member.voter or member.returning
@@ -150,7 +152,7 @@
                     await self.promote(name)
             if self._node.options.voters:
                 await self._maintain_voters()
-        except (error.SeamError, StopIteration):
+        except error.SeamError:
             # Leadership was lost or the member was removed; the next run checks again.
             return
 
--- a/sapphireseam/state/membership_test.py
+++ b/sapphireseam/state/membership_test.py
@@ -262,6 +262,14 @@
         self.assertNotIn("d", [member.name for member in leader.members])
         await sim.close()
 
+    @async_test
+    async def test_a_member_removed_before_its_folder_is_recorded_ends_no_task(self):
+        sim = await self.make_cluster()
+        leader = sim.replicas[sim.find_leader()]
+        with self.assertRaises(error.ControlError):
+            await sim.run(leader._membership.record_folder("gone", "folder"))
+        await sim.close()
+
 
 if __name__ == "__main__":
     unittest.main()
