Log a known failure during a stop in one line

What the operator saw: a stop while the disk was full left a traceback in the log, as if the program had an error of its own. Cause: the log record of a failure after a requested stop always had one. Change: an error of ours is logged by its cause.

--- a/sapphireseam/utils/application.py
+++ b/sapphireseam/utils/application.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any, Protocol
 
+from sapphireseam.core import error
 from sapphireseam.utils import startup
 
 logger = logging.getLogger(__name__)
@@ -133,10 +134,15 @@
             loop.add_signal_handler(signal_number, self.request_stop)
         try:
             await self._run_parts()
-        except Exception:
+        except Exception as failure:
             if not self._is_stop_requested:
                 raise
-            logger.exception("failed while a stop was requested")
+            is_known = isinstance(failure, error.SeamError)
+            logger.error(
+                "failed while a stop was requested",
+                extra={"cause": str(failure)},
+                exc_info=None if is_known else failure,
+            )
         finally:
             # uvloop would leave its handlers in place, which do nothing any more.
             for signal_number in STOP_SIGNALS:
