--- a/sapphireseam/utils/application.py
+++ b/sapphireseam/utils/application.py
@@ -12,10 +12,12 @@
 from collections.abc import Callable, Coroutine
 from typing import Any, Protocol
 
+from sapphireseam.core import error
 from sapphireseam.utils import startup
 
 logger = logging.getLogger(__name__)
 
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 # Pause before a background task that failed is started again, in seconds.
 RESTART_SECONDS = 0.2
 
@@ -82,6 +84,7 @@
         self._parts: list[Part] = []
         self._started: list[Part] = []
         self._stopping = asyncio.Event()
+        self._is_stop_requested = False
         self._failure: Exception | None = None
 
     def add(self, part: Part) -> None:
@@ -91,6 +94,7 @@
     def request_stop(self) -> None:
         """Make `run` stop the parts and return."""
         logger.info("stopping", extra={"program": self.name})
+        self._is_stop_requested = True
         self._stopping.set()
 
     def fail(self, failure: Exception) -> None:
@@ -121,10 +125,30 @@
         logger.info("stopped", extra={"program": self.name})
 
     async def run(self) -> None:
-        """Run until SIGTERM, SIGINT or `request_stop`."""
+        """Run until SIGTERM, SIGINT or `request_stop`.
+
+        Raises the failure of a part, unless a stop was requested before or since.
+        """
         loop = asyncio.get_running_loop()
-        for signal_number in (signal.SIGTERM, signal.SIGINT):
+        for signal_number in STOP_SIGNALS:
             loop.add_signal_handler(signal_number, self.request_stop)
+        try:
+            await self._run_parts()
+        except Exception as failure:
+            if not self._is_stop_requested:
+                raise
+            is_known = isinstance(failure, error.SeamError)
+            logger.error(
+                "failed while a stop was requested",
+                extra={"cause": str(failure)},
+                exc_info=None if is_known else failure,
+            )
+        finally:
+            # uvloop would leave its handlers in place, which do nothing any more.
+            for signal_number in STOP_SIGNALS:
+                loop.remove_signal_handler(signal_number)
+
+    async def _run_parts(self) -> None:
         await self.start()
         # Objects loaded so far live until the process ends. Scanning them again in
         # each full garbage collection would block the loop for tens of milliseconds.
