Go back to a silent upstream if the next one fails

Callers lost an answer, or got an error, after a pause of a sound upstream: the stream was moved to another one, which answered 500, broke off or sent something else in the last attempt, and the entry ended the answer, although the upstream that had only been silent was sound and had gone on.

The cause is the one of the silence limit: what one has is given up before there is something better, as a slot is no acceptance. The connection to the silent upstream isn't kept meanwhile: the request would run at two upstreams at once. The attempts of a route bound the upstreams at which a request runs, so one more run at an upstream that it left only for its silence is within them. A request whose last attempt fails returns there once, and never gets a third upstream: a slot can be requested at one upstream alone, also if that is ejected.

--- a/sapphireseam/control/placement.py
+++ b/sapphireseam/control/placement.py
@@ -329,6 +329,7 @@
             target.version,
             message.is_resumed,
             message.held,
+            message.returns_to,
         )
         decision = self.allocator.place(request, now)
         self._log_decision(entry, message, decision)
--- a/sapphireseam/core/placement.py
+++ b/sapphireseam/core/placement.py
@@ -52,7 +52,8 @@
     version. One that `resumes` the stream of an earlier attempt gets an upstream like
     the one that began it, if that is of one of `services`. One that `is_resumed`
     continues a stream, of an earlier attempt or of its own. One that is `held` by an
-    upstream still runs there and gets no slot there.
+    upstream still runs there and gets no slot there. One that `returns_to` an upstream,
+    which it left only because that was silent, gets a slot there or none.
     """
 
     number: int
@@ -69,6 +70,7 @@
     services: tuple[str, ...] = ()
     is_resumed: bool = False
     held: str = ""
+    returns_to: str = ""
 
 
 class Placed(NamedTuple):
--- a/sapphireseam/entry/direct.py
+++ b/sapphireseam/entry/direct.py
@@ -125,8 +125,10 @@
         # Attempts that may have run at an upstream.
         self.runs = 0
         self.excluded: set[str] = set()
-        # Upstreams that were left only because they were silent.
-        self.silent: set[str] = set()
+        # Upstreams that were left only because they were silent, by their ids.
+        self.silent: dict[str, Instance] = {}
+        # The one of these to which the request returns, if any.
+        self.returns_to: Instance | None = None
         self.is_counted = False
         self.has_begun = False
         self.last_event = resume_after
@@ -333,8 +335,12 @@
         now = self._timer.read_clock()
         patience = request.route.target * SLOT_WAIT_SHARE - (now - request.arrived)
         began = progress.origin
+        returns_to = progress.returns_to
+        placed = returns_to or began
         is_resumed = request.resume_after >= 0 or began is not None
-        if is_resumed:
+        if returns_to is not None:
+            patience = SLOT_WAIT_SECONDS
+        elif is_resumed:
             patience = (request.deadline - now) * RESUMED_WAIT_SHARE
         elif not request.route.target or progress.offers:
             patience = SLOT_WAIT_SECONDS
@@ -342,7 +348,7 @@
             patience = (request.deadline - now) * LATE_WAIT_SHARE
         spec = SlotSpec(
             request.id,
-            began.service if began else self._choose_service(request.route),
+            placed.service if placed else self._choose_service(request.route),
             request.customer,
             request.rank,
             max(patience, 0.0),
@@ -354,6 +360,7 @@
             request.resumes,
             _list_services(request.route),
             held,
+            returns_to.id if returns_to else "",
         )
         try:
             slot = await self._placer.place(spec)
@@ -392,10 +399,12 @@
             },
         )
         if isinstance(failure, outbound.AnswerTimeoutError):
-            progress.silent.add(instance.id)
-        elif failure.is_not_run:
-            # Those that were left for this one may be sound.
-            progress.excluded -= progress.silent
+            progress.silent[instance.id] = instance
+        else:
+            progress.silent.pop(instance.id, None)
+            if failure.is_not_run:
+                # Those that were left for this one may be sound.
+                progress.excluded -= progress.silent.keys()
         progress.excluded.add(instance.id)
         may_resume = request.route.idempotent and progress.is_resumable
         if progress.has_begun and not may_resume:
@@ -405,7 +414,10 @@
                 f"the upstream may have run the request: {failure}"
             )
         if progress.runs >= request.route.attempts:
-            raise _make_final_error(str(failure))
+            # Another run there adds no upstream to those at which the request ran.
+            if not progress.silent:
+                raise _make_final_error(str(failure))
+            _, progress.returns_to = progress.silent.popitem()
         if progress.offers >= MAX_OFFERS:
             if progress.runs:
                 raise _make_final_error(str(failure))
@@ -520,7 +532,8 @@
         head = answer.head
         if head.is_not_run:
             raise outbound.RefusalError("the upstream refused the request", True)
-        may_retry = request.route.idempotent and progress.runs < request.route.attempts
+        is_last = progress.runs >= request.route.attempts and not progress.silent
+        may_retry = request.route.idempotent and not is_last
         if head.status >= SERVER_ERROR_STATUS and may_retry:
             raise outbound.RefusalError(f"the upstream answered {head.status}", False)
         is_stream = head.is_stream and head.status == outbound.STREAM_STATUS
--- a/sapphireseam/entry/direct_test.py
+++ b/sapphireseam/entry/direct_test.py
@@ -72,6 +72,8 @@
             for upstream in self.upstreams
             if version in ("", upstream.version) and upstream.name != spec.held
         ]
+        if former := getattr(spec, "returns_to", ""):
+            fitting = [upstream for upstream in fitting if upstream.name == former]
         if not fitting:
             raise error.CapacityError("no upstream of this version")
         if self.only:
@@ -684,6 +686,35 @@
         await self.serve_paused(RESUMABLE, "pause")
         self.assertEqual(self.count_runs(), [2, 0])
 
+    async def add_third_upstream(self):
+        third = fakeupstream.FakeUpstream("u3")
+        await third.start()
+        self.addAsyncCleanup(third.stop)
+        self.upstreams.append(third)
+
+    async def test_a_stream_goes_back_where_it_paused_if_the_next_upstream_fails(self):
+        await self.add_third_upstream()
+        foreign = FOREIGN_ANSWERS["text"], FOREIGN_ANSWERS["gap at last"]
+        failures = ("fail", "drop", *foreign)
+        for count, failure in enumerate(failures, 1):
+            with self.subTest(failure):
+                await self.serve_paused(RESUMABLE, "pause", failure)
+                self.assertEqual(self.count_runs(), [2 * count, count, 0])
+
+    async def test_a_request_goes_back_where_it_paused_if_the_next_upstream_fails(self):
+        for route in (RESUMABLE, SAFE._replace(attempts=2)):
+            for failure in ("fail", "drop"):
+                with self.subTest(failure, route=route.path):
+                    await self.serve_paused(route, "pause-head", failure)
+
+    async def test_a_request_goes_back_once_to_an_upstream_that_then_fails(self):
+        await self.add_third_upstream()
+        self.upstreams[0].behaviours = ["pause", "drop"]
+        self.upstreams[1].behaviours = ["drop"]
+        with self.assertRaises(error.SeamError):
+            await self.forwarder.serve(self.make_request(RESUMABLE, 6.0), self.sink)
+        self.assertEqual(self.count_runs(), [2, 1, 0])
+
     async def test_a_slot_that_is_found_as_the_caller_leaves_is_released(self):
         place, loop = self.placer.place, asyncio.get_running_loop()
 
--- a/sapphireseam/entry/placer.py
+++ b/sapphireseam/entry/placer.py
@@ -61,6 +61,7 @@
     resumes: str = ""
     services: tuple[str, ...] = ()
     held: str = ""
+    returns_to: str = ""
 
 
 class HeldSlot(NamedTuple):
@@ -317,6 +318,7 @@
             version=spec.version,
             is_resumed=spec.is_resumed,
             held=spec.held,
+            returns_to=spec.returns_to,
         )
 
     def _place_locally(self, number: int, spec: SlotSpec) -> HeldSlot:
@@ -402,4 +404,5 @@
         spec.services,
         spec.is_resumed,
         spec.held,
+        spec.returns_to,
     )
--- a/sapphireseam/policy/allocator_test.py
+++ b/sapphireseam/policy/allocator_test.py
@@ -139,6 +139,27 @@
             self.assertEqual(self.allocator.find_instance("b"), "i1")
             self.allocator.release("m", 0.0)
 
+    def test_a_request_that_returns_to_an_upstream_never_gets_another_one(self):
+        fields = {"excluded": frozenset({"i1"}), "returns_to": "i1", "patience": 1.0}
+        self.allocator.eject("i1")
+        for number in range(2):
+            grant = self.allocator.place(make_request(f"r{number}", **fields), 0.0)
+            self.assertEqual(grant.instance.id, "i1")
+        self.assertIsNone(self.allocator.place(make_request("w", **fields), 0.0))
+        (grant,) = self.allocator.release("r0", 0.1)
+        self.assertEqual((grant.request.key, grant.instance.id), ("w", "i1"))
+        self.allocator.mark_leaving("i1", 0)
+        refusal = self.allocator.place(make_request("x", **fields), 0.1)
+        self.assertIsInstance(refusal, allocator.Refusal)
+
+    def test_a_request_that_returns_to_an_upstream_evicts_only_batch_work_there(self):
+        for number in range(4):
+            self.allocator.place_batch(make_request(f"b{number}"))
+        request = make_request("r", returns_to="i1")
+        grant = self.allocator.place(request, 0.0)
+        self.assertEqual(grant.instance.id, "i1")
+        self.assertNotEqual(grant.evicted, "")
+
     def test_batch_work_gets_slots_while_only_held_requests_wait_for_others(self):
         names = [grant.instance.id for grant in self.fill(4)]
         moving = make_request("m", patience=9.0, held=names[0])
--- a/sapphireseam/policy/slot.py
+++ b/sapphireseam/policy/slot.py
@@ -12,7 +12,8 @@
     until `wait_until`. A request that `is_late` can't meet its deadline any more, even
     if it starts now. One with a `version` is placed only at upstreams of that software
     version. One that `is_resumed` continues a stream that has begun. One that is `held`
-    by an upstream still runs there, so it is never placed there.
+    by an upstream still runs there, so it is never placed there. One that `returns_to`
+    an upstream is placed only there, even if that is ejected.
     """
 
     key: str
@@ -28,6 +29,7 @@
     version: str = ""
     is_resumed: bool = False
     held: str = ""
+    returns_to: str = ""
 
 
 class Grant(NamedTuple):
--- a/sapphireseam/policy/upstreampool.py
+++ b/sapphireseam/policy/upstreampool.py
@@ -194,6 +194,8 @@
     def has_choice(self, request: SlotRequest) -> bool:
         """Return whether a request may get a slot once one is free."""
         version, held = request.version, request.held
+        if request.returns_to:
+            return self._find_former(request) is not None
         if not held:
             return self.count_slots(version) > 0
         if self._are_all_ejected(version):
@@ -250,6 +252,10 @@
     ) -> UpstreamLoad | None:
         """Return the upstream with a free slot that is best for a request, if any."""
         version = request.version
+        if request.returns_to:
+            former = self._find_former(request)
+            can_take = former is not None and former.can_take(now, is_batch)
+            return former if can_take else None
         if self._are_all_ejected(version):
             loads = self._list_last_resorts(version, request.excluded, request.held)
             takers = [load for load in loads if load.can_take(now, is_batch)]
@@ -277,7 +283,10 @@
         """Return the batch request that was placed last where this one may run."""
         version = request.version
         last_resorts = None
-        if self._are_all_ejected(version):
+        if request.returns_to:
+            former = self._find_former(request)
+            last_resorts = {former.instance.id} if former is not None else set()
+        elif self._are_all_ejected(version):
             loads = self._list_last_resorts(version, request.excluded, request.held)
             last_resorts = {load.instance.id for load in loads}
         excluded = self._choose_excluded(request)
@@ -297,6 +306,13 @@
         """Return whether a request for a version can only have a last resort."""
         return version != "" and not self._usable_counts[version]
 
+    def _find_former(self, request: SlotRequest) -> UpstreamLoad | None:
+        """Return the upstream to which a request returns, unless that is leaving."""
+        load = self.loads.get(request.returns_to)
+        if load is None or load.is_leaving:
+            return None
+        return load if request.version in ("", load.instance.version) else None
+
     def _choose_excluded(self, request: SlotRequest) -> frozenset[str]:
         """Return the upstreams at which a request must not be placed.
 
--- a/sapphireseam/policy/waitlist.py
+++ b/sapphireseam/policy/waitlist.py
@@ -27,6 +27,7 @@
     version: str
     excluded: frozenset[str]
     held: str
+    returns_to: str
 
 
 class Precedence(NamedTuple):
@@ -45,6 +46,7 @@
         request.version,
         request.excluded,
         request.held,
+        request.returns_to,
     )
 
 
