Repeat the search for a slot after an unexpected error

Callers of a silent upstream would be held until their deadlines: an error of the search for another slot that isn't a SeamError ended the task of the search, and with it any way to leave the upstream, without a sign in the log. No such error is known; the class is tasks that end by themselves. The search is repeated now, and the error logged with its trace.

--- a/sapphireseam/entry/silence.py
+++ b/sapphireseam/entry/silence.py
@@ -7,12 +7,15 @@
 
 import asyncio
 import contextlib
+import logging
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 from sapphireseam.core import error
 from sapphireseam.entry.placer import HeldSlot
 from sapphireseam.utils.timer import TimerService
 
+logger = logging.getLogger(__name__)
+
 # Shortest pause between two searches for a slot, in seconds.
 SEARCH_PAUSE_SECONDS = 0.2
 
@@ -85,4 +88,8 @@
             except error.SeamError as failure:
                 pause = max(failure.retry_after, SEARCH_PAUSE_SECONDS)
                 await self._timer.sleep(pause)
+            except Exception:
+                # Without a search the request would be held until its deadline.
+                logger.exception("search for a slot failed; it is repeated")
+                await self._timer.sleep(SEARCH_PAUSE_SECONDS)
         scope.reschedule(asyncio.get_running_loop().time())
--- a/sapphireseam/entry/silence_test.py
+++ b/sapphireseam/entry/silence_test.py
@@ -54,6 +54,15 @@
             await self.wait(2.0)
         self.assertEqual(self.searches, 2)
 
+    async def test_an_unexpected_error_of_a_search_does_not_end_the_search(self):
+        self.found.insert(0, ValueError("unexpected"))
+        with (
+            self.assertLogs("sapphireseam.entry.silence"),
+            self.assertRaises(TimeoutError),
+        ):
+            await self.wait(2.0)
+        self.assertEqual(self.searches, 2)
+
     async def test_an_upstream_that_goes_on_during_the_search_is_kept(self):
         self.search_seconds = 1.0
         await self.wait(4 * LIMIT)
