Follow a change of the limit of headers

Callers got a bare 400 for a header within the configuration's limit: the entry read the limit once, as it started, so that a raised one was never in force there, and an entry that started before it knew a configuration kept the default of 16 KiB until its end.

The limit in force is checked for each request now, on kept connections as well, and a refusal has the form of every other one. The HTTP parser itself reads lines up to 1 MiB. An entry that knows no recent configuration still answers 503.

The test failed before, with 400 instead of 200 for a header of 20,000 bytes under a limit of 60,000; now 20,000 and 50,000 pass and 70,000 gets a 400, and the 29 tests of the front, of its parts and of changes pass.

--- a/sapphireseam/entry/routedrequest.py
+++ b/sapphireseam/entry/routedrequest.py
@@ -12,6 +12,8 @@
 CHARACTERS_PER_TOKEN = 4
 # Estimated tokens of an answer if the request sets no limit.
 DEFAULT_ANSWER_TOKENS = 128
+# The largest line of a request's head that is read at all.
+MAX_HEAD_BYTES = 1024 * 1024
 # The largest cost that counts for an answer, in tokens.
 MAX_ANSWER_TOKENS = 1_000_000
 
@@ -64,6 +66,17 @@
     return max(matching, key=lambda pair: len(pair[1].path))
 
 
+def check_head(request: web.BaseRequest, limit: int) -> None:
+    """Raise `RequestError` if the path or a header is larger than the limit in force.
+
+    The limit may change while a connection is open.
+    """
+    fields = (len(name) + len(value) for name, value in request.raw_headers)
+    if max(len(request.raw_path), *fields) > limit:
+        text = f"the path and each header may have at most {limit} bytes"
+        raise error.RequestError(text)
+
+
 def check_text(request: web.BaseRequest, headers: tuple[str, ...]) -> None:
     """Raise `RequestError` if the path or one of some headers isn't UTF-8.
 
--- a/sapphireseam/platform/change_test.py
+++ b/sapphireseam/platform/change_test.py
@@ -126,6 +126,18 @@
             with self.subTest(changes):
                 await self.serve_beside(*changes)
 
+    async def test_headers_are_accepted_up_to_a_limit_that_was_raised(self):
+        await self.publish()
+        await self.post("/safe/x", "a0")
+        await self.publish(limits={"max_header_bytes": 60_000})
+        for size, status in ((20_000, 200), (50_000, 200), (70_000, 400)):
+            headers = {"Host": "h", "X-Attempt-Id": f"a{size}", "X-Long": "x" * size}
+            headers["Authorization"] = f"Token {self.key}"
+            async with self.http.post(
+                self.base + "/safe/x", data=b"b", headers=headers
+            ) as answer:
+                self.assertEqual(answer.status, status)
+
     async def test_a_pause_beside_a_change_ends_no_answer(self):
         await self.publish()
         for behaviour in ("pause-head", "pause"):
--- a/sapphireseam/platform/front.py
+++ b/sapphireseam/platform/front.py
@@ -50,15 +50,14 @@
 
     async def start(self) -> None:
         """Start serving."""
-        header_bytes = self._context.authorizer.bounds.header_bytes
         callers = web.Server(
             self._serve,
             handler_cancellation=True,
             access_log=None,
             keepalive_timeout=KEEPALIVE_SECONDS,
             auto_decompress=False,
-            max_line_size=header_bytes,
-            max_field_size=header_bytes,
+            max_line_size=routedrequest.MAX_HEAD_BYTES,
+            max_field_size=routedrequest.MAX_HEAD_BYTES,
         )
         ready = web.Server(self._answer_ready, access_log=None)
         for server, address in (
@@ -107,6 +106,9 @@
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         attempt_id = request.headers.get(dialect.ATTEMPT, "")
         try:
+            if self._context.authorizer.is_ready:
+                header_bytes = self._context.authorizer.bounds.header_bytes
+                routedrequest.check_head(request, header_bytes)
             routedrequest.check_text(request, dialect.READ_HEADERS)
             if batch.is_job_path(request.path):
                 return await self._batch.answer(request)
