Don't count a search for another slot as an arrival

Late requests were refused although slots were free: each search of a request that is held by a silent upstream counted as one more arrival at its service, and searches repeat several times a second, so a few silent streams looked like much demand, and late requests kept only their smallest share of the slots.

A held request has arrived before, so it isn't counted again. It still counts among those that wait, as it goes before new requests once a slot is free.

--- a/sapphireseam/policy/allocator.py
+++ b/sapphireseam/policy/allocator.py
@@ -251,7 +251,8 @@
 
     def place(self, request: SlotRequest, now: float) -> Grant | Refusal | None:
         """Place or refuse a request, or queue it and return None."""
-        if not request.is_late:
+        # One that is held has arrived before.
+        if not request.is_late and not request.held:
             self._arrivals.record(request.service, now)
         grant = self._try_place(request, now)
         if grant is not None:
--- a/sapphireseam/policy/allocator_test.py
+++ b/sapphireseam/policy/allocator_test.py
@@ -176,6 +176,21 @@
         (grant,) = self.allocator.release("r0", 0.2)
         self.assertEqual(grant.request.key, "fresh")
 
+    def test_repeated_searches_of_held_requests_leave_late_requests_their_slots(self):
+        versions = (("i1", "v1"), ("i2", "v2"))
+        self.allocator.update(
+            tuple(make_instance(name, version=version) for name, version in versions),
+            0.0,
+        )
+        fields = {"version": "v1", "is_resumed": True, "held": "i1"}
+        for number in range(40):
+            search = make_request(f"s{number}", now=number / 20, **fields)
+            found = self.allocator.place(search, number / 20)
+            self.assertIsInstance(found, allocator.Refusal)
+        for number in range(2):
+            late = make_request(f"l{number}", now=2.0, is_late=True, version="v2")
+            self.assertIsInstance(self.allocator.place(late, 2.0), allocator.Grant)
+
     def test_rank_counts_more_than_lateness(self):
         self.allocator.update((make_instance("i1"),), 0.0)
         self.fill(2)
