Ignore a SIGHUP while a program starts

A SIGHUP that came while a machine was starting ended its process: until the part that reloads the settings had started, the last of all, the signal had its default action. So a planned change of the settings beside a restart took an entry or a control VM away, and could cut the first requests, which an entry takes before that part starts. The class: processes that end by themselves.

The signal is ignored from the first lines of a program on. Nothing is lost, as the settings are read after that.

The test failed before for both programs: "a hangup would end the program", as the kernel's mask of ignored signals never had it.

--- a/sapphireseam/platform/start.py
+++ b/sapphireseam/platform/start.py
@@ -7,6 +7,7 @@
 """
 
 import gc
+import signal
 import sys
 
 from sapphireseam.utils import startup  # noqa: F401  # Records the start time.
@@ -21,6 +22,8 @@
     if arguments not in ([CONTROL], [ENTRY]):
         sys.exit(USAGE)
     gc.disable()
+    # The settings are read after this, so there is nothing to reload yet.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     if arguments == [CONTROL]:
         from sapphireseam.platform import control as program
     else:
