--- a/sapphireseam/policy/allocator_test.py
+++ b/sapphireseam/policy/allocator_test.py
@@ -139,6 +139,27 @@
             self.assertEqual(self.allocator.find_instance("b"), "i1")
             self.allocator.release("m", 0.0)
 
+    def test_a_request_that_returns_to_an_upstream_never_gets_another_one(self):
+        fields = {"excluded": frozenset({"i1"}), "returns_to": "i1", "patience": 1.0}
+        self.allocator.eject("i1")
+        for number in range(2):
+            grant = self.allocator.place(make_request(f"r{number}", **fields), 0.0)
+            self.assertEqual(grant.instance.id, "i1")
+        self.assertIsNone(self.allocator.place(make_request("w", **fields), 0.0))
+        (grant,) = self.allocator.release("r0", 0.1)
+        self.assertEqual((grant.request.key, grant.instance.id), ("w", "i1"))
+        self.allocator.mark_leaving("i1", 0)
+        refusal = self.allocator.place(make_request("x", **fields), 0.1)
+        self.assertIsInstance(refusal, allocator.Refusal)
+
+    def test_a_request_that_returns_to_an_upstream_evicts_only_batch_work_there(self):
+        for number in range(4):
+            self.allocator.place_batch(make_request(f"b{number}"))
+        request = make_request("r", returns_to="i1")
+        grant = self.allocator.place(request, 0.0)
+        self.assertEqual(grant.instance.id, "i1")
+        self.assertNotEqual(grant.evicted, "")
+
     def test_batch_work_gets_slots_while_only_held_requests_wait_for_others(self):
         names = [grant.instance.id for grant in self.fill(4)]
         moving = make_request("m", patience=9.0, held=names[0])
@@ -155,6 +176,21 @@
         (grant,) = self.allocator.release("r0", 0.2)
         self.assertEqual(grant.request.key, "fresh")
 
+    def test_repeated_searches_of_held_requests_leave_late_requests_their_slots(self):
+        versions = (("i1", "v1"), ("i2", "v2"))
+        self.allocator.update(
+            tuple(make_instance(name, version=version) for name, version in versions),
+            0.0,
+        )
+        fields = {"version": "v1", "is_resumed": True, "held": "i1"}
+        for number in range(40):
+            search = make_request(f"s{number}", now=number / 20, **fields)
+            found = self.allocator.place(search, number / 20)
+            self.assertIsInstance(found, allocator.Refusal)
+        for number in range(2):
+            late = make_request(f"l{number}", now=2.0, is_late=True, version="v2")
+            self.assertIsInstance(self.allocator.place(late, 2.0), allocator.Grant)
+
     def test_rank_counts_more_than_lateness(self):
         self.allocator.update((make_instance("i1"),), 0.0)
         self.fill(2)
