Fail an item that no upstream can be sent

What callers saw: a batch job whose item had a path without a slash, a control character in its id, path or a header, or a header without a name was accepted with 202. The item ran again without a pause and never ended; one that the replica's parser refused ejected one upstream after another, from requests of others, too. A path like `@host/` was even sent to that host. Cause: the text of items went into the log unchecked, and the client library's ValueError wasn't an error of the exchange. Change: what can't stand in a request is refused with 400, as are a target and headers above the configured limit; an item of an older log that can't be sent fails at once, and blames no upstream.

--- a/sapphireseam/control/bulkrunner.py
+++ b/sapphireseam/control/bulkrunner.py
@@ -407,6 +407,10 @@
         """
         try:
             return await self._exchange(job, item, route, progress, instance)
+        except outbound.UnsendableError as failure:
+            detail = {"request": item.id, "cause": str(failure)}
+            logger.warning("item can't be sent, no more attempts", extra=detail)
+            return True
         except outbound.OutboundError as failure:
             self._handle_exchange_error(item.id, progress, instance, failure)
             return None
--- a/sapphireseam/control/bulkrunner_test.py
+++ b/sapphireseam/control/bulkrunner_test.py
@@ -120,10 +120,10 @@
 
 
 class BulkRunnerTest(LeaderTest):
-    async def accept(self, count=1, abandon=60.0):
+    async def accept(self, count=1, abandon=60.0, target="/b/x", header=("H", "v")):
         now = self.timer.read_wall_clock()
         items = tuple(
-            command.LotItem(f"i{n}", "/b/x", (("H", "v"),), b"body", 10)
+            command.LotItem(f"i{n}", target, (header,), b"body", 10)
             for n in range(count)
         )
         job = command.AcceptLot("l", "c", "r", items, 0, now, now + 18, now + abandon)
@@ -387,6 +387,13 @@
         self.assertTrue((await self.wait_done())[0].failed)
         self.assertEqual(len(self.upstream.runs), 1)
 
+    async def test_item_that_no_upstream_can_be_sent_fails(self):
+        for odd in ({"target": "x:y"}, {"header": ("H", "a\r\nb")}):
+            self.machine.state.lots.clear()
+            await self.accept(**odd)
+            self.assertTrue((await self.wait_done())[0].failed, odd)
+        self.assertTrue(self.placement.allocator.count_slots("llm", ""))
+
     async def test_refusal_is_not_counted_as_failure(self):
         self.upstream.behaviours = ["refuse"] * 3
         await self.accept()
--- a/sapphireseam/platform/batch.py
+++ b/sapphireseam/platform/batch.py
@@ -6,6 +6,7 @@
 
 import base64
 import binascii
+import re
 from typing import Annotated
 
 import msgspec
@@ -24,6 +25,13 @@
 MAX_TOKENS = 10**9
 # Maximum time that a read waits for new results.
 MAX_WAIT_SECONDS = 1.0
+MAX_ID_LENGTH = 255
+# What a request to a replica can hold: its target, and the names and values of headers.
+_ID = re.compile(r"[!-~]+")
+_TARGET = re.compile(r"/[!-~]*")
+_HEADER_NAME = re.compile(r"[A-Za-z0-9!#$%&'*+.^_`|~-]+")
+_HEADER_VALUE = re.compile(r"[^\x00-\x08\x0a-\x1f\x7f]*")
+
 # States of a result.
 COMPLETED = "completed"
 DEAD_LETTER = "dead_letter"
@@ -91,7 +99,7 @@
             authorization.customer,
             authorization.route_name,
             authorization.route,
-            read_submission(body),
+            read_submission(body, self._context.authorizer.bounds.header_bytes),
         )
         return web.Response(status=ACCEPTED_STATUS, headers={dialect.ATTEMPT: job_id})
 
@@ -120,8 +128,12 @@
         return answer.render_json(render_page(view, after))
 
 
-def read_submission(body: bytes) -> tuple[command.LotItem, ...]:
-    """Return the items in a submission, or raise `RequestError`."""
+def read_submission(body: bytes, header_bytes: int) -> tuple[command.LotItem, ...]:
+    """Return the items in a submission, or raise `RequestError`.
+
+    An item that no replica could be sent is refused, as is one whose target and headers
+    have more than `header_bytes`.
+    """
     try:
         submission = jsontext.decode(body, _decoder)
         items = tuple(_read_item(item) for item in submission.requests)
@@ -132,9 +144,29 @@
         raise error.RequestError(f"a batch job must have 1 to {MAX_ITEMS} items")
     if len({item.id for item in items}) < len(items):
         raise error.RequestError("two items have the same id")
+    for position, item in enumerate(items):
+        if not _is_sendable(item, header_bytes):
+            text = f"item {position} of the batch job is no request that can be sent"
+            raise error.RequestError(text)
     return items
 
 
+def _is_sendable(item: command.LotItem, header_bytes: int) -> bool:
+    size = len(item.target) + sum(
+        len(name) + len(value) for name, value in item.headers
+    )
+    return (
+        size <= header_bytes
+        and len(item.id) <= MAX_ID_LENGTH
+        and _ID.fullmatch(item.id) is not None
+        and _TARGET.fullmatch(item.target) is not None
+        and all(
+            _HEADER_NAME.fullmatch(name) and _HEADER_VALUE.fullmatch(value)
+            for name, value in item.headers
+        )
+    )
+
+
 def _read_item(item: Item) -> command.LotItem:
     body = base64.b64decode(item.body, validate=True)
     headers = dialect.strip_item(item.headers)
--- a/sapphireseam/platform/batch_test.py
+++ b/sapphireseam/platform/batch_test.py
@@ -16,7 +16,7 @@
 
 
 def read(*items):
-    return batch.read_submission(json.dumps({"requests": list(items)}).encode())
+    return batch.read_submission(json.dumps({"requests": list(items)}).encode(), 1024)
 
 
 class SubmissionTest(unittest.TestCase):
@@ -39,6 +39,16 @@
             with self.assertRaises(error.RequestError):
                 read(*items)
 
+    def test_an_item_that_no_replica_can_be_sent_is_refused(self):
+        for odd in (
+            *({"id": text} for text in ("", "a\nb", " a", "\u00e9", "a" * 256)),
+            *({"path": text} for text in ("", "p", "@h/p", "/a b", "/\n", "/\u00e9")),
+            *({"headers": {name: "a"}} for name in ("", "X A:", "X\nB", "X-\u00e9")),
+            *({"headers": {"X": text}} for text in ("a\r\nB: c", "\x00", "a" * 2000)),
+        ):
+            with self.assertRaises(error.RequestError, msg=odd):
+                read(ITEM | odd)
+
     def test_a_submission_that_cannot_be_read_is_refused(self):
         item = json.dumps(ITEM).encode()
         for odd in (
@@ -48,7 +58,7 @@
             b'{"requests":[%b],"a":"\xff"}' % item,
         ):
             with self.assertRaises(error.RequestError, msg=odd[:60]):
-                batch.read_submission(odd)
+                batch.read_submission(odd, 1024)
 
 
 class PageTest(unittest.TestCase):
--- a/sapphireseam/utils/outbound.py
+++ b/sapphireseam/utils/outbound.py
@@ -157,6 +157,10 @@
     """The request wasn't sent, because its upstream has said that it is leaving."""
 
 
+class UnsendableError(RefusalError):
+    """The request has a target or header that no upstream can be sent."""
+
+
 class BrokenError(OutboundError):
     """The upstream ended the connection before its answer was complete.
 
@@ -476,9 +480,11 @@
     async def _open(
         self, request: Outgoing, instance: instances.Instance
     ) -> framing.FramedResponse:
-        url = yarl.URL(f"http://{instance.address}{request.target}", encoded=True)
+        if not request.target.startswith("/"):
+            raise UnsendableError("the target has no slash at its start", True)
         headers = self._dialect.render(request, instance)
         try:
+            url = yarl.URL(f"http://{instance.address}{request.target}", encoded=True)
             return await self._get_session(instance.address).request(
                 request.method,
                 url,
@@ -497,6 +503,8 @@
         except (aiohttp.ClientError, OSError) as failure:
             text = f"no answer: {type(failure).__name__}"
             raise OutboundError(text, False) from None
+        except ValueError as failure:
+            raise UnsendableError(f"can't be sent: {failure}", False) from None
 
     def _read_head(self, request: Outgoing, response: framing.FramedResponse) -> Head:
         headers = response.headers
