Answer a request that can't be sent with the caller's error

What callers saw: a request line with a whole URL in place of its path matched a route by its path and was placed; the replica's address and the URL made no address, and the ValueError gave a bare 500 with a slot taken meanwhile. Cause: errors of the client library that aren't errors of a connection weren't foreseen between the placement and the upstream. Evidence: both new tests fail on the former code, with ValueError and with the request passed on. Change: the platform's front takes only paths, and a request that no upstream can be sent is refused with 400; its upstream counts as neither suspect nor full.

--- a/sapphireseam/entry/direct.py
+++ b/sapphireseam/entry/direct.py
@@ -391,6 +391,8 @@
                 **progress.describe(),
             },
         )
+        if isinstance(failure, outbound.UnsendableError):
+            raise error.RequestError(str(failure))
         if isinstance(failure, outbound.AnswerTimeoutError):
             progress.silent.add(instance.id)
         elif failure.is_not_run:
@@ -454,7 +456,9 @@
             progress.next_slot = watch.take_slot()
             is_suspect = not isinstance(failure, outbound.RefusalError)
             is_refusal = not is_suspect and failure.is_not_run
-            is_full = is_refusal and not isinstance(failure, outbound.LeavingError)
+            is_full = is_refusal and not isinstance(
+                failure, outbound.LeavingError | outbound.UnsendableError
+            )
             if isinstance(failure, outbound.BrokenError):
                 blamed = () if progress.proof.is_proven else progress.traits
                 progress.crash = running.record_break(blamed)
--- a/sapphireseam/entry/direct_test.py
+++ b/sapphireseam/entry/direct_test.py
@@ -318,6 +318,13 @@
                 await self.forwarder.serve(request, FakeSink())
             self.assertEqual(sum(self.count_runs()), before + 1)
 
+    async def test_a_request_that_no_upstream_can_be_sent_is_the_callers_error(self):
+        for odd in ({"target": "x:y"}, {"headers": (("H", "a\r\nb"),)}):
+            request = self.make_request(SAFE)._replace(**odd)
+            with self.assertRaises(error.RequestError, msg=odd):
+                await self.forwarder.serve(request, self.sink)
+        self.assertEqual(self.placer.released, [("u1", False)] * 2)
+
     async def test_attempts_are_bounded(self):
         self.upstreams[1].behaviours = ["drop"] * 9
         await self.expect(error.Kind.UPSTREAM_FAILED, SAFE, *["drop"] * 9)
--- a/sapphireseam/platform/front.py
+++ b/sapphireseam/platform/front.py
@@ -122,6 +122,8 @@
         self, request: web.BaseRequest, attempt_id: str
     ) -> web.StreamResponse:
         arrived = self._context.timer.read_clock()
+        if not request.raw_path.startswith("/"):
+            raise error.RequestError("the request's target is no path")
         host = request.headers.get("Host", "")
         key = dialect.read_key(request.headers)
         authorization = await self._context.authorizer.authorize(
--- a/sapphireseam/platform/front_test.py
+++ b/sapphireseam/platform/front_test.py
@@ -250,6 +250,14 @@
             self.assertIn(b" 400 ", answer.split(b"\r\n")[0], header)
         self.assertEqual(self.forwarder.requests, [])
 
+    async def test_target_that_is_no_path_is_refused(self):
+        for target in (b"http://h/s/x", b"*", b"h:80"):
+            method = b"CONNECT" if target == b"h:80" else b"OPTIONS"
+            head = b"%b %b HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a\r\n\r\n"
+            answer = await self.send_raw(head % (method, target))
+            self.assertIn(b" 400 ", answer.split(b"\r\n")[0], target)
+        self.assertEqual(self.forwarder.requests, [])
+
     async def send_raw(self, data):
         """Return the first line of the answer on a new connection."""
         host, _, port = self.base.removeprefix("http://").partition(":")
