Read the configuration in the state machine with its types

What callers saw: an operator publishes `"parallel_loads": "2"`, and all findings pass. Cause: the check accepts texts for numbers and lists for objects, as the parser does, but the state machine read the document itself. Change: one cached function reads the configuration in force with its types, for the state machine and the leader's parts; objects written as lists are refused when published, and distances, targets and pauses are finite.

--- a/sapphireseam/control/bulkrunner.py
+++ b/sapphireseam/control/bulkrunner.py
@@ -119,10 +119,7 @@
 
     def _on_applied(self, item: object, answer: object) -> None:
         if item is None or isinstance(item, command.Publish | command.PublishNumbered):
-            found, _ = fleet.parse(
-                record.decode_document(record.read_document(self._machine.state))
-            )
-            self._fleet = found or fleet.Fleet()
+            self._fleet = record.read_fleet(self._machine.state)
         if isinstance(item, command.EndLot):
             self._stop_job(item.lot)
         if isinstance(item, command.ListResults):
--- a/sapphireseam/control/job.py
+++ b/sapphireseam/control/job.py
@@ -100,13 +100,9 @@
 
 def find_route(state: record.State, path: str) -> fleet.Route | None:
     """Return the configured route with the longest path that matches this one."""
-    routes = (
-        record.decode_document(record.read_document(state)).get("routes", {}).values()
-    )
-    matching = [r for r in routes if fleet.path_matches(r["path"], path)]
-    if not matching:
-        return None
-    return fleet.Route(**max(matching, key=lambda route: len(route["path"])))
+    routes = record.read_fleet(state).routes.values()
+    matching = [route for route in routes if fleet.path_matches(route.path, path)]
+    return max(matching, key=lambda route: len(route.path), default=None)
 
 
 def lease(
--- a/sapphireseam/control/keyring.py
+++ b/sapphireseam/control/keyring.py
@@ -18,8 +18,7 @@
     state: record.State, item: command.IssueKey
 ) -> outcome.Done | outcome.Refused:
     """Add a key for a customer that the configuration names."""
-    customers = record.decode_document(record.read_document(state)).get("customers", {})
-    if item.customer not in customers:
+    if item.customer not in record.read_fleet(state).customers:
         message = f"no customer {item.customer!r} in the configuration in force"
         return outcome.Refused(error.Kind.OBJECT_UNKNOWN, message)
     if item.id in state.keys:
--- a/sapphireseam/control/order.py
+++ b/sapphireseam/control/order.py
@@ -13,8 +13,6 @@
 # Maximum number of orders. At the limit a new order evicts an ended one.
 ORDER_LIMIT = 10_000
 LOAD = "load"
-# Default of `fleet.Policy.parallel_loads`.
-PARALLEL_LOADS = 2
 
 
 def issue(
@@ -92,8 +90,7 @@
 
 def read_load_limit(state: record.State) -> int:
     """Return how many weight loads the configuration in force allows at once."""
-    document = record.decode_document(record.read_document(state))
-    return document.get("policy", {}).get("parallel_loads", PARALLEL_LOADS)
+    return record.read_fleet(state).policy.parallel_loads
 
 
 def finish(
--- a/sapphireseam/control/placement.py
+++ b/sapphireseam/control/placement.py
@@ -163,9 +163,7 @@
 
     def _on_applied(self, item: object, answer: object) -> None:
         if item is None or isinstance(item, command.Publish | command.PublishNumbered):
-            document = record.read_document(self._machine.state)
-            found, _ = fleet.parse(record.decode_document(document))
-            self._services = found.services if found else {}
+            self._services = record.read_fleet(self._machine.state).services
             self._contracts = self._rate_limits.contracts
         if item is None:
             self._apply_ceilings()
--- a/sapphireseam/control/publish.py
+++ b/sapphireseam/control/publish.py
@@ -21,7 +21,7 @@
     result, findings = fleet.parse(parsed)
     if result is None:
         return findings
-    return findings + check_keys(state, result)
+    return fleet.check_objects(parsed, result) + findings + check_keys(state, result)
 
 
 def check_keys(state: record.State, result: fleet.Fleet) -> list[fleet.Finding]:
--- a/sapphireseam/control/publish_test.py
+++ b/sapphireseam/control/publish_test.py
@@ -92,6 +92,36 @@
             }
             self.assertEqual(len(answers), 1, depth)
 
+    def test_configuration_whose_objects_have_no_names_is_refused(self):
+        for document in (
+            b"[]",
+            b'[{"a":{"region":"r"}}]',
+            b'{"routes":{"r":["/b"]}}',
+            b'{"services":{"s":{}},"routes":{"r":{"path":"/b","shares":[["s"]]}}}',
+            b'{"policy":["fair"]}',
+        ):
+            findings = publish.check(self.machine.state, document)
+            self.assertEqual([item.message for item in findings], ["must be an object"])
+
+    def test_values_of_another_type_stop_no_member(self):
+        document = {
+            "services": {"s": {}},
+            "customers": {"c": {"contract": ""}},
+            "routes": {"r": {"path": "/b", "service": "s", "idempotent": "false"}},
+            "policy": {"parallel_loads": "2"},
+        }
+        for item in (
+            command.Publish("p", 0, json.dumps(document).encode(), 0.0),
+            command.CreateFile("f", "f", "c", "n", "batch", "b", 1, 1, "/b", "m", 0.0),
+            command.SubmitJob("j", "j", "c", "k", "f", "/b", 9.0, 0.0),
+            command.IssueOrder("o", "u", "load", "", 0.0),
+            command.BeginOrder(4, "a", 1.0),
+        ):
+            self.apply(item)
+        self.machine.restore(self.machine.encode())
+        self.assertIs(self.machine.state.jobs["j"].idempotent, False)
+        self.assertTrue(self.machine.state.orders[4])
+
     @settings(deadline=None, derandomize=True, database=None)
     @given(DOCUMENTS)
     def test_any_document_gets_an_answer_that_can_be_sent(self, document):
--- a/sapphireseam/control/ratelimit.py
+++ b/sapphireseam/control/ratelimit.py
@@ -156,7 +156,7 @@
 
     def _configure(self) -> None:
         """Configure the buckets for the contracts in force."""
-        found = _read_fleet(record.read_document(self._machine.state))
+        found = record.read_fleet(self._machine.state)
         contracts = _list_contracts(found)
         self._unlimited = frozenset(found.customers.keys() - contracts.keys())
         now = self._timer.read_clock()
@@ -170,7 +170,7 @@
     @property
     def contracts(self) -> dict[str, fleet.Contract]:
         """Return the contracts by customer in the configuration applied here."""
-        return _list_contracts(_read_fleet(record.read_document(self._machine.state)))
+        return _list_contracts(record.read_fleet(self._machine.state))
 
     @property
     def is_ready(self) -> bool:
@@ -245,11 +245,6 @@
     return sum(amount for name, amount in requested if name == customer)
 
 
-def _read_fleet(document: bytes) -> fleet.Fleet:
-    found, _ = fleet.parse(record.decode_document(document))
-    return found or fleet.Fleet()
-
-
 def _list_contracts(found: fleet.Fleet) -> dict[str, fleet.Contract]:
     """Return each customer's contract in a published configuration."""
     return {
--- a/sapphireseam/control/record.py
+++ b/sapphireseam/control/record.py
@@ -8,7 +8,7 @@
 import functools
 from typing import Any, NamedTuple
 
-from sapphireseam.core import jsontext
+from sapphireseam.core import fleet, jsontext
 from sapphireseam.core.ceiling import Ceiling
 from sapphireseam.core.command import LotItem
 from sapphireseam.core.key import Key
@@ -244,3 +244,17 @@
 def decode_document(document: bytes) -> dict[str, Any]:
     """Return a published configuration as JSON objects, which must not be changed."""
     return jsontext.parse(document)
+
+
+def read_fleet(state: State) -> fleet.Fleet:
+    """Return the configuration in force.
+
+    Its values have their types, while a document may have, for example, "2" for 2.
+    """
+    return _decode_fleet(read_document(state))
+
+
+@functools.lru_cache(maxsize=4)
+def _decode_fleet(document: bytes) -> fleet.Fleet:
+    found, _ = fleet.parse(decode_document(document))
+    return found or fleet.Fleet()
--- a/sapphireseam/core/fleet.py
+++ b/sapphireseam/core/fleet.py
@@ -6,6 +6,7 @@
 an operator edits has the same structure as the types here.
 """
 
+import itertools
 from typing import Annotated, Any, Literal, NamedTuple, TypeVar
 
 from pydantic import Field, TypeAdapter, ValidationError
@@ -17,6 +18,7 @@
 Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
 Address = Annotated[str, Field(pattern=r"^[0-9a-fA-F.:\[\]]+:[0-9]{1,5}$")]
 Positive = Annotated[float, Field(gt=0, allow_inf_nan=False)]
+Time = Annotated[float, Field(ge=0, allow_inf_nan=False)]
 Digest = Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
 # Requests of a lower rank are placed first; 0 is the lowest.
 Rank = Annotated[int, Field(ge=0, le=1000)]
@@ -31,7 +33,7 @@
     """
 
     region: Name
-    distances: dict[Name, Annotated[float, Field(ge=0)]] = {}
+    distances: dict[Name, Time] = {}
 
 
 class Contract(NamedTuple):
@@ -134,8 +136,8 @@
     shares: tuple[Share, ...] = ()
     streamed: bool = False
     batch: Batch | None = None
-    target: Annotated[float, Field(ge=0)] = 0.0
-    pause: Annotated[float, Field(ge=0)] = 0.0
+    target: Time = 0.0
+    pause: Time = 0.0
     attempts: Annotated[int, Field(ge=1, le=100)] = 3
     rank: Rank = 0
     methods: tuple[Literal["GET", "POST", "PUT", "DELETE"], ...] = ("GET", "POST")
@@ -253,6 +255,29 @@
     ]
 
 
+def check_objects(document: Any, value: Any, source: str = "(whole)") -> list[Finding]:
+    """Return a finding for each object that a document lists without its names.
+
+    `value` is what was parsed from the document. The parser takes such lists, but the
+    differences between two documents are found by the names.
+    """
+    if hasattr(value, "_asdict"):
+        if not isinstance(document, dict):
+            return [Finding(source, "must be an object", document)]
+        value = value._asdict()
+    if isinstance(value, dict):
+        pairs = [(name, each, value[name]) for name, each in document.items()]
+    elif isinstance(value, tuple):
+        pairs = list(zip(itertools.count(), document, value))
+    else:
+        return []
+    return [
+        finding
+        for name, each, parsed in pairs
+        for finding in check_objects(each, parsed, f"{source}.{name}")
+    ]
+
+
 def require(document: Any) -> Fleet:
     """Return the fleet in a document; raise an error with every finding if any."""
     fleet, findings = parse(document)
