Keep a control VM whose part can't follow a command

What callers saw: by reading, an error of any part that follows committed commands (rate limits, placement, watches, batch items) was raised inside the state machine and stopped the member for good; as all members apply the same command, each of them, and again after each restart. Cause: the parts were called unguarded in `machine.apply`, although the command had already taken effect. Evidence: both new tests fail with the part's error on the former code. Change: the error is logged, the other parts follow; a watch that missed a change is aborted, so its process reads the whole state again. Result: machine_test and watch_test pass.

--- a/sapphireseam/control/machine.py
+++ b/sapphireseam/control/machine.py
@@ -106,7 +106,11 @@
 
     def _notify(self, item: Any, answer: Any) -> None:
         for listener in self._listeners:
-            listener(item, answer)
+            try:
+                listener(item, answer)
+            except Exception:
+                # The command has taken effect, whoever can't follow it.
+                logger.exception("a part could not follow a command")
 
     def apply(self, index: int, data: bytes) -> Any:
         """Apply one command and return its answer."""
--- a/sapphireseam/control/machine_test.py
+++ b/sapphireseam/control/machine_test.py
@@ -108,6 +108,18 @@
 )
 
 
+class ListenerTest(unittest.TestCase):
+    def test_part_that_cannot_follow_a_command_stops_no_member(self):
+        state_machine = machine.StateMachine()
+        followed = []
+        state_machine.subscribe(lambda item, answer: followed.index(item))
+        state_machine.subscribe(lambda item, answer: followed.append(item))
+        item = command.SetOperator("a", "b")
+        with self.assertLogs(machine.logger, "ERROR"):
+            answer = state_machine.apply(1, command.REGISTRY.encode(item))
+        self.assertEqual((answer, followed), (outcome.Done(), [item]))
+
+
 class ResendTest(unittest.TestCase):
     def test_job_refused_without_its_file_is_accepted_once_it_exists(self):
         state_machine = machine.StateMachine()
--- a/sapphireseam/control/watch.py
+++ b/sapphireseam/control/watch.py
@@ -124,11 +124,17 @@
 
     def _send_change(self, item: Any, answer: Any) -> None:
         """Send the change that a command made to each watcher."""
-        change = self._describe_change(item)
-        if change is None:
-            return
-        for watcher in self._watchers.values():
-            watcher.stream.post(change)
+        try:
+            change = self._describe_change(item)
+            if change is None:
+                return
+            for watcher in self._watchers.values():
+                watcher.stream.post(change)
+        except Exception:
+            # Without this change, a process must read the whole state again.
+            for watcher in self._watchers.values():
+                watcher.stream.abort()
+            raise
 
     def _describe_change(self, item: Any) -> Any:
         state = self._machine.state
--- a/sapphireseam/control/watch_test.py
+++ b/sapphireseam/control/watch_test.py
@@ -47,6 +47,37 @@
         self._mirror._apply(item)
 
 
+class BrokenStream(SilentStream):
+    """A stream that can carry no change."""
+
+    def __init__(self):
+        self.is_aborted = False
+
+    def post(self, item):
+        if not isinstance(item, notice.Whole):
+            raise ValueError("can't be encoded")
+
+    def abort(self):
+        self.is_aborted = True
+
+
+class LostChangeTest(unittest.IsolatedAsyncioTestCase):
+    async def test_watch_that_missed_a_change_ends(self):
+        timer = FakeTimer()
+        machine = StateMachine()
+        replica = FakeReplica(machine)
+        replica.read_index = replica.confirm_leadership
+        hub = watch.WatchHub(replica, machine, Timeline("control", timer), timer)
+        stream = BrokenStream()
+        first = notice.Watch("entry-1", "seam-entry", 0)
+        serving = asyncio.create_task(hub.serve(first, stream))
+        self.addCleanup(serving.cancel)
+        await timer.advance(0.0)
+        item = command.MarkLeaving("m", "u", True, 0.0)
+        machine.apply(1, command.REGISTRY.encode(item))
+        self.assertTrue(stream.is_aborted)
+
+
 class VerdictTest(unittest.IsolatedAsyncioTestCase):
     async def test_mirror_has_each_verdict_and_loses_those_that_are_cleared(self):
         timer = FakeTimer()
