Tell new leaders and other entries which upstreams leave

An upstream that had said in an answer that it leaves got requests again after a change of leader, until the platform's list showed it: an entry told only the leader of that moment, the next one didn't know, and placed requests of all other entries there. Each of them was a run at an upstream that may end at any time.

An entry now keeps what listed runs have said, tells it to each leader when it attaches (also what was said while the stream was opened, or before the run was listed), and the leader tells it to all entries. So a new leader knows it from whichever entry attaches first.

In entry.placer_test an instance that says it leaves before it is listed was used without a leader.

--- a/sapphireseam/control/placement.py
+++ b/sapphireseam/control/placement.py
@@ -228,8 +228,10 @@
         entry = _EntrySession(first, stream, self._next_session, self._timer)
         self._entries[entry.session] = entry
         open_numbers: set[int] = set()
-        self._add_running(entry, first, open_numbers)
+        self._add_known(entry, first, open_numbers)
         entry.post(self._make_view())
+        for instance in self.allocator.list_leaving():
+            entry.post(placement.Leaving(instance.id, instance.born))
         # The others learn only how many entries there are.
         self._is_view_due = True
         logger.info("entry attached", extra={"entry": entry.name})
@@ -253,12 +255,15 @@
             leader = self._replica.leader
             raise error.NotLeaderError("this control VM is not the leader", leader)
 
-    def _add_running(
+    def _add_known(
         self, entry: _EntrySession, first: placement.Attach, open_numbers: set[int]
     ) -> None:
+        """Add what an entry knows: its requests, its streams, and who leaves."""
         now = self._timer.read_clock()
         for each in first.origins:
             self._origins.record(each.request, _get_origin(each), now)
+        for leaving in first.leaving:
+            self._mark_leaving(leaving)
         for each in first.running:
             open_numbers.add(each.number)
             key = entry.make_key(each.number)
@@ -298,7 +303,7 @@
             case placement.Suspect():
                 self._eject(message.instance, entry.name)
             case placement.Leaving():
-                self.allocator.mark_leaving(message.instance, message.born)
+                self._mark_leaving(message)
 
     async def _place(
         self, entry: _EntrySession, open_numbers: set[int], message: placement.Place
@@ -416,7 +421,13 @@
 
     def mark_leaving(self, instance: Instance) -> None:
         """Stop sending requests to a run of an instance that says that it leaves."""
-        self.allocator.mark_leaving(instance.id, instance.born)
+        self._mark_leaving(placement.Leaving(instance.id, instance.born))
+
+    def _mark_leaving(self, item: placement.Leaving) -> None:
+        """Place nothing more at a run, and let the entries tell the next leader."""
+        if self.allocator.mark_leaving(item.instance, item.born):
+            for entry in self._entries.values():
+                entry.post(item)
 
     def eject(self, instance_id: str) -> None:
         """Stop sending requests to an instance until a probe succeeds."""
--- a/sapphireseam/control/placement_test.py
+++ b/sapphireseam/control/placement_test.py
@@ -87,6 +87,18 @@
         self.assertEqual(stream.received, [placement.View((INSTANCE,), (), 1)])
         self.assertEqual(self.server.allocator.count_running("llm", False), 1)
 
+    async def test_a_new_leader_places_nothing_where_an_entry_knows_of_leaving(self):
+        leaving = placement.Leaving(INSTANCE.id, INSTANCE.born)
+        former = INSTANCE._replace(id="i2", born=2)
+        first = placement.Attach(
+            "e", "z", (), leaving=(leaving, placement.Leaving(former.id, 1))
+        )
+        self.server.update_instances((INSTANCE, former))
+        serving = asyncio.create_task(self.server.serve(first, EntryStream(self.timer)))
+        self.addCleanup(serving.cancel)
+        await self.timer.advance(0.0)
+        self.assertEqual(self.server.allocator.count_slots("llm"), former.slots)
+
     async def test_every_entry_hears_from_the_leader_often_enough(self):
         self.server.update_instances((INSTANCE,))
         streams = await self.attach(3)
--- a/sapphireseam/core/placement.py
+++ b/sapphireseam/core/placement.py
@@ -29,16 +29,28 @@
     version: str
 
 
+class Leaving(NamedTuple):
+    """Report that a run of an upstream has said that it is leaving.
+
+    An entry tells it to the leader, which tells it to all entries.
+    """
+
+    instance: str
+    born: int
+
+
 class Attach(NamedTuple):
     """Open an entry's stream; `domain` is the entry's failure domain.
 
-    `origins` are the streams that began recently.
+    `origins` are the streams that began recently. `leaving` are the runs of listed
+    upstreams that are known to have said that they are leaving.
     """
 
     entry: str
     domain: str
     running: tuple[Running, ...]
     origins: tuple[Began, ...] = ()
+    leaving: tuple[Leaving, ...] = ()
 
 
 class Place(NamedTuple):
@@ -109,13 +121,6 @@
     instance: str
 
 
-class Leaving(NamedTuple):
-    """Report that a run of an upstream has said that it is leaving."""
-
-    instance: str
-    born: int
-
-
 class View(NamedTuple):
     """Send all instances, the control VMs and how many entries are connected."""
 
--- a/sapphireseam/entry/placer.py
+++ b/sapphireseam/entry/placer.py
@@ -102,6 +102,8 @@
         self._origins = origin.StreamOrigins()
         self._numbers = itertools.count(1)
         self._running: dict[int, HeldSlot] = {}
+        # Runs of upstreams that have said that they leave, until they are unlisted.
+        self._leaving: set[placement.Leaving] = set()
         self._waiting: dict[int, asyncio.Future] = {}
         self._stream: rpc.Stream | None = None
         self._last_contact = 0.0
@@ -150,18 +152,18 @@
             placement.Began(attempt, *each)
             for attempt, each in self._origins.list(self._timer.read_clock())
         )
-        first = placement.Attach(self._node, self._domain, running, origins)
-        reported = {item.number for item in running}
+        leaving = tuple(sorted(self._leaving))
+        first = placement.Attach(self._node, self._domain, running, origins, leaving)
         channel = self._client.open_channel(address)
         try:
             opening = channel.open(first)
             stream = await wait_for(self._timer, opening, SILENCE_SECONDS)
-            await self._read_messages(address, stream, reported)
+            await self._read_messages(address, stream, first)
         finally:
             await channel.close()
 
     async def _read_messages(
-        self, address: str, stream: rpc.Stream, reported: set[int]
+        self, address: str, stream: rpc.Stream, first: placement.Attach
     ) -> None:
         """Handle the leader's messages until it falls silent."""
         try:
@@ -171,17 +173,20 @@
                 self._last_contact = self._timer.read_clock()
                 self._allocator.drain_ceilings(self._last_contact)
                 if isinstance(item, placement.View) and self._stream is None:
-                    self._use_stream(stream, reported)
+                    self._use_stream(stream, first)
                     self._client.record_leader(address)
                 self._handle(item)
         finally:
             await stream.close()
 
-    def _use_stream(self, stream: rpc.Stream, reported: set[int]) -> None:
-        """Use a new stream; report the requests that ended while it was opened."""
+    def _use_stream(self, stream: rpc.Stream, first: placement.Attach) -> None:
+        """Use a new stream; report what has changed while it was opened."""
         self._stream = stream
+        reported = {item.number for item in first.running}
         for number in reported - self._running.keys():
             stream.post(placement.Left(number))
+        for item in self._leaving.difference(first.leaving):
+            stream.post(item)
 
     def _disconnect(self) -> None:
         self._stream = None
@@ -192,15 +197,25 @@
     def _handle(self, item: object) -> None:
         match item:
             case placement.View():
-                self._allocator.update(item.instances, self._timer.read_clock())
+                self._update_instances(item.instances)
                 self._entry_count = max(item.entries, 1)
                 self._client.update_addresses(item.control)
                 self.on_instances(item.instances)
             case placement.Placed() | placement.Turned():
                 self._resolve(item)
+            case placement.Leaving():
+                self._mark_leaving(item)
             case message.Failure():
                 raise rpc.unpack_failure(item)
 
+    def _update_instances(self, instances: tuple[Instance, ...]) -> None:
+        """Use a list, which may not show yet which instances leave."""
+        self._allocator.update(instances, self._timer.read_clock())
+        listed = {placement.Leaving(each.id, each.born) for each in instances}
+        self._leaving &= listed
+        for item in self._leaving:
+            self._allocator.mark_leaving(item.instance, item.born)
+
     def _resolve(self, item: placement.Placed | placement.Turned) -> None:
         future = self._waiting.get(item.number)
         if future is not None and not future.done():
@@ -372,8 +387,13 @@
 
     def report_leaving(self, instance: Instance) -> None:
         """Report to the leader that an instance has said that it is leaving."""
-        self._allocator.mark_leaving(instance.id, instance.born)
-        self._post(placement.Leaving(instance.id, instance.born))
+        item = placement.Leaving(instance.id, instance.born)
+        self._mark_leaving(item)
+        self._post(item)
+
+    def _mark_leaving(self, item: placement.Leaving) -> None:
+        self._leaving.add(item)
+        self._allocator.mark_leaving(item.instance, item.born)
 
     def report_silent(self, instance: Instance) -> None:
         """Report to the leader that an instance is silent."""
--- a/sapphireseam/entry/placer_test.py
+++ b/sapphireseam/entry/placer_test.py
@@ -43,11 +43,15 @@
         self.is_up = True
         self.answers = True
         self.refusal = None
+        # Delays the opening of a stream until it is set.
+        self.opening = None
 
     async def open(self, first):
         if not self.is_up:
             raise rpc.LinkError("unreachable")
         self.attached.append(first)
+        if self.opening is not None:
+            await self.opening.wait()
         stream = FakeStream(self)
         self.streams.append(stream)
         stream.inbox.put_nowait(placement.View(INSTANCES, ("c1", "c2"), 4))
@@ -130,6 +134,44 @@
             slot = await self.placer.place(self.make_spec())
             self.assertEqual(slot.instance.id, INSTANCES[1].id)
 
+    async def test_a_new_leader_learns_which_instances_have_said_that_they_leave(self):
+        leaving = INSTANCES[1]
+        self.placer.report_leaving(leaving)
+        self.placer.report_leaving(leaving._replace(id="unlisted"))
+        self.leader.streams[-1].inbox.put_nowait(placement.View(INSTANCES, (), 1))
+        await asyncio.sleep(0.02)
+        self.leader.fail()
+        await asyncio.sleep(0.05)
+        self.leader.is_up = True
+        await asyncio.sleep(0.2)
+        told = placement.Leaving(leaving.id, leaving.born)
+        self.assertEqual(self.leader.attached[-1].leaving, (told,))
+
+    async def test_a_new_leader_learns_what_leaves_while_the_entry_attaches(self):
+        self.leader.fail()
+        self.leader.opening = asyncio.Event()
+        self.leader.is_up = True
+        await asyncio.sleep(0.1)
+        self.placer.report_leaving(INSTANCES[0])
+        self.assertEqual(self.leader.attached[-1].leaving, ())
+        self.leader.opening.set()
+        await asyncio.sleep(0.05)
+        told = placement.Leaving(INSTANCES[0].id, INSTANCES[0].born)
+        self.assertIn(told, self.leader.received)
+
+    async def test_an_instance_that_leaves_before_it_is_listed_is_not_used(self):
+        added = INSTANCES[0]._replace(id="i3", slots=9)
+        self.placer.report_leaving(added)
+        self.leader.streams[-1].inbox.put_nowait(
+            placement.View((*INSTANCES, added), (), 1)
+        )
+        await asyncio.sleep(0.02)
+        self.leader.fail()
+        await asyncio.sleep(0.05)
+        for _ in range(4):
+            slot = await self.placer.place(self.make_spec())
+            self.assertIn(slot.instance, INSTANCES)
+
     async def test_a_held_request_gets_no_slot_where_it_is_held(self):
         held = INSTANCES[1].id
         await self.placer.place(self.make_spec(held=held))
--- a/sapphireseam/policy/allocator.py
+++ b/sapphireseam/policy/allocator.py
@@ -201,12 +201,21 @@
             self._refresh(load)
         return self._place_waiting(now)
 
-    def mark_leaving(self, name: str, born: int) -> None:
-        """Place nothing more at a run of an instance, which has said that it leaves."""
+    def mark_leaving(self, name: str, born: int) -> bool:
+        """Place nothing more at a run of an instance, which has said that it leaves.
+
+        Return false if the run isn't listed or this is known.
+        """
         load = self._loads.get(name)
-        if load is not None and load.instance.born == born:
-            load.mark_leaving()
-            self._refresh(load)
+        if load is None or load.instance.born != born or load.has_said_leaving:
+            return False
+        load.has_said_leaving = True
+        self._refresh(load)
+        return True
+
+    def list_leaving(self) -> list[Instance]:
+        """Return the instances that have said that they leave."""
+        return [load.instance for load in self._loads.values() if load.has_said_leaving]
 
     def list_ejected(self) -> list[Instance]:
         """Return the ejected instances."""
--- a/sapphireseam/policy/occupancy.py
+++ b/sapphireseam/policy/occupancy.py
@@ -42,7 +42,9 @@
         self.batch_count = 0
         self.late_count = 0
         self.is_ejected = False
-        self._has_said_leaving = False
+        # Whether the instance itself has said that it is leaving, which the list of
+        # instances may not tell yet.
+        self.has_said_leaving = False
         # Mean seconds per event, 0 before the first measurement.
         self.pace = 0.0
         # Number of reported requests that this process didn't place, such as those
@@ -53,17 +55,10 @@
         # Spreads the requests while the instance names a ceiling.
         self.ceiling: CeilingBucket | None = None
 
-    def mark_leaving(self) -> None:
-        """Record that the instance has said that it is leaving.
-
-        The list of instances may not tell it yet.
-        """
-        self._has_said_leaving = True
-
     @property
     def is_leaving(self) -> bool:
         """Return whether the instance is leaving."""
-        return self._has_said_leaving or self.instance.is_leaving
+        return self.has_said_leaving or self.instance.is_leaving
 
     @property
     def is_usable(self) -> bool:
--- /dev/null
+++ b/sapphireseam/tools/discovered_test.py
@@ -0,0 +1,60 @@
+"""Tests what a fleet knows about its upstreams beside the list of a platform."""
+
+import tempfile
+import unittest
+from pathlib import Path
+
+from sapphireseam.core import fleet
+from sapphireseam.tools import discovered
+from sapphireseam.utils import loop
+
+ROUTE = fleet.Route("/s/", "llm", streamed=True, target=0.3, attempts=2)
+REQUESTS = 8
+
+
+class DiscoveredFleetTest(unittest.TestCase):
+    """Runs on the programs' event loop, as all of them share one process."""
+
+    def run_fleet(self, work, upstreams, entries):
+        """Run a coroutine function with a running fleet."""
+
+        async def run():
+            with tempfile.TemporaryDirectory() as folder:
+                self.fleet = discovered.DiscoveredFleet(
+                    Path(folder), upstreams, entries
+                )
+                await self.fleet.start()
+                try:
+                    await work()
+                finally:
+                    await self.fleet.stop()
+
+        loop.run(run())
+
+    async def send_all(self, entry, name):
+        """Send requests one after the other; return those that failed."""
+        replies = [
+            await self.fleet.send(
+                entry, discovered.Request(f"{name}-{number}", ROUTE, ("own",))
+            )
+            for number in range(REQUESTS)
+        ]
+        return [each for each in replies if each.failure]
+
+    def test_a_new_leader_sends_nothing_to_an_upstream_that_told_an_entry_it_leaves(
+        self,
+    ):
+        async def replace_leader():
+            leaving = self.fleet.upstreams[0]
+            leaving.is_leaving = True
+            self.assertEqual(await self.send_all(0, "before"), [])
+            await self.fleet.restart_leader()
+            before = len(leaving.runs)
+            self.assertEqual(await self.send_all(1, "after"), [])
+            self.assertEqual(len(leaving.runs), before)
+
+        self.run_fleet(replace_leader, 2, 2)
+
+
+if __name__ == "__main__":
+    unittest.main()
