Bound a stop of an entry by one grace

Callers saw: a planned stop of an edge machine took requests until shortly before its connections closed. At the end of the grace, those that were still open were cut with no answer, also requests that must not be repeated. A stop could take 11.4 s where 8 s are given.

Cause: the shutdown timeout acts twice, nothing compared a request's deadline with the end of the grace, and kept connections were closed without an answer.

Change: one grace for each application, from the request of the stop, bounds every part. Afterwards, requests on open connections get 503, not run. Idle connections end without a reset.

--- a/sapphireseam/entry/direct.py
+++ b/sapphireseam/entry/direct.py
@@ -25,6 +25,7 @@
 from sapphireseam.entry.quarantine import QuarantineGate
 from sapphireseam.entry.silence import SilenceWatch
 from sapphireseam.utils import crash, metric, outbound
+from sapphireseam.utils.grace import Grace
 from sapphireseam.utils.timer import TimerService
 
 logger = logging.getLogger(__name__)
@@ -191,7 +192,9 @@
         rng: random.Random,
         gate: QuarantineGate,
         crash_detector: crash.CrashDetector,
+        grace: Grace | None = None,
     ):
+        self._grace = grace or Grace(timer=timer)
         self._gate = gate
         self._crash_detector = crash_detector
         self._meter = meter
@@ -257,7 +260,8 @@
         self, request: DirectRequest, progress: _Progress, sink: Sink
     ) -> None:
         try:
-            async with self._timer.limit(request.deadline - self._timer.read_clock()):
+            remaining = request.deadline - self._timer.read_clock()
+            async with self._grace.limit(), self._timer.limit(remaining):
                 await self._serve(request, progress, sink)
         except TimeoutError:
             raise _make_deadline_error(progress) from None
--- a/sapphireseam/entry/direct_test.py
+++ b/sapphireseam/entry/direct_test.py
@@ -14,6 +14,7 @@
 from sapphireseam.tools import fake
 from sapphireseam.utils import bufferlimit, crash, fakeupstream, metric, outbound
 from sapphireseam.utils.fakeupstream import make_raw
+from sapphireseam.utils.grace import Grace
 from sapphireseam.utils.timeline import Timeline
 from sapphireseam.utils.timer import SystemTimer
 
@@ -127,6 +128,7 @@
         self.outbound = outbound.ConnectionPool(fakeupstream.FakeDialect())
         self.addAsyncCleanup(self.outbound.stop)
         self.timer = SystemTimer()
+        self.grace = Grace(timer=self.timer)
         self.gate = FakeGate()
         self.control = fake.FakeControl(self.timer)
         self.down = set()
@@ -146,6 +148,7 @@
             random.Random(1),
             self.gate,
             self.detector,
+            self.grace,
         )
         self.sink = FakeSink()
 
@@ -231,6 +234,16 @@
         self.assertFalse(self.sink.is_complete)
         self.assertEqual(self.count_runs(), [1, 0])
 
+    async def test_the_end_of_the_grace_is_not_run_only_for_what_was_not_sent(self):
+        self.grace.begin()
+        loop = asyncio.get_running_loop()
+        loop.call_later(0.1, self.grace.cut)
+        failure = await self.expect(error.Kind.DEADLINE_EXCEEDED, UNSAFE, "stall")
+        self.assertFalse(failure.not_run)
+        self.placer.place = lambda spec: asyncio.sleep(9.0)
+        failure = await self.expect(error.Kind.OVERLOADED, UNSAFE)
+        self.assertTrue(failure.not_run)
+
     async def test_a_cut_answer_is_logged_and_counted_with_its_cause(self):
         for behaviour, cause in (("cut", "broken"), ("stall", "deadline")):
             with self.subTest(behaviour), self.assertLogs(direct.logger) as logs:
--- a/sapphireseam/entry/discovery.py
+++ b/sapphireseam/entry/discovery.py
@@ -16,6 +16,7 @@
 from sapphireseam.utils.application import Application, Part, TaskGroup
 from sapphireseam.utils.ceiling import CeilingMonitor
 from sapphireseam.utils.client import ControlClient
+from sapphireseam.utils.grace import DEFAULT_SECONDS, Grace
 from sapphireseam.utils.mirror import Mirror
 from sapphireseam.utils.probe import Probe
 from sapphireseam.utils.stall import StallDetector
@@ -28,7 +29,7 @@
 
     The last configuration is used for `max_stale_seconds` after contact with the
     control VMs was lost. `slack` bounds what customers may use beyond their
-    limits while no owner of the limits answers.
+    limits while no owner of the limits answers. A stop ends within `grace_seconds`.
     """
 
     node: str
@@ -38,6 +39,7 @@
     fleet_secret: str
     max_stale_seconds: float
     slack: fallback.Slack
+    grace_seconds: float = DEFAULT_SECONDS
 
 
 class FrontContext(NamedTuple):
@@ -49,6 +51,7 @@
     mirror: Mirror
     client: ControlClient
     timer: TimerService
+    grace: Grace
 
 
 class _ConnectionCloser:
@@ -111,6 +114,7 @@
 ) -> Application:
     """Return the application; `make_front` makes the part that serves callers."""
     timer = timer or SystemTimer()
+    grace = Grace(settings.grace_seconds, timer)
     credential = (rpc.FLEET_HEADER, settings.fleet_secret)
     timeline = Timeline(settings.node, timer)
     meter = metric.Meter(settings.node)
@@ -147,10 +151,12 @@
         mirror, client, timeline, timer, run_monitor.has_ended
     )
     forwarder = DirectForwarder(
-        placer, upstreams, meter, timer, random.Random(), gate, crash_detector
+        placer, upstreams, meter, timer, random.Random(), gate, crash_detector, grace
     )
     bulk_jobs = BulkJobClient(client, timer)
-    context = FrontContext(authorizer, forwarder, bulk_jobs, mirror, client, timer)
+    context = FrontContext(
+        authorizer, forwarder, bulk_jobs, mirror, client, timer, grace
+    )
 
     def describe() -> dict[str, object]:
         return {
@@ -161,7 +167,7 @@
 
     mirror.report(meter)
     timeline.report(meter)
-    application = Application("seam-entry")
+    application = Application("seam-entry", grace)
     for part in (
         meter,
         Probe(settings.probe, describe, mirror.is_confirmed),
--- a/sapphireseam/platform/answer.py
+++ b/sapphireseam/platform/answer.py
@@ -7,6 +7,7 @@
 from sapphireseam.core import error
 from sapphireseam.platform import dialect
 from sapphireseam.utils import framing
+from sapphireseam.utils.grace import Grace
 from sapphireseam.utils.outbound import Headers
 
 # Statuses that promise that the request has not run and will not run.
@@ -49,14 +50,20 @@
     answer to a request that must not run again may not say that it hasn't run.
     """
 
-    def __init__(self, request: web.BaseRequest, is_streamed: bool, may_repeat: bool):
+    def __init__(
+        self,
+        request: web.BaseRequest,
+        is_streamed: bool,
+        may_repeat: bool,
+        grace: Grace,
+    ):
         self._request = request
         self._is_streamed = is_streamed
         self._may_repeat = may_repeat
         self._status = 0
         self._headers: Headers = ()
         self._body = bytearray()
-        self.is_closing = False
+        self._grace = grace
         self.response: web.StreamResponse | None = None
 
     @property
@@ -79,7 +86,7 @@
     def _add_headers(self, response: web.StreamResponse) -> web.StreamResponse:
         for name, value in self._headers:
             response.headers.add(name, value)
-        if self.is_closing:
+        if self._grace.is_stopping:
             response.force_close()
         return response
 
--- a/sapphireseam/platform/entry.py
+++ b/sapphireseam/platform/entry.py
@@ -18,7 +18,7 @@
 
     def make_front(context: discovery.FrontContext) -> front.Front:
         contexts.append(context)
-        return front.Front(context, callers, ready, settings.grace_s)
+        return front.Front(context, callers, ready)
 
     entry_settings = discovery.Settings(
         settings.label,
@@ -28,6 +28,7 @@
         setting.FLEET_SECRET,
         settings.trust_ms / setting.MILLISECONDS_PER_SECOND,
         settings.slack,
+        settings.grace_s,
     )
     upstreams = outbound.ConnectionPool(dialect.ReplicaDialect())
     application = discovery.build(entry_settings, upstreams, make_front)
--- a/sapphireseam/platform/front.py
+++ b/sapphireseam/platform/front.py
@@ -6,16 +6,19 @@
 
 import logging
 import math
+from typing import NamedTuple
 
 from aiohttp import web
 
 from sapphireseam.core import error, fingerprint, number
 from sapphireseam.entry import routedrequest
+from sapphireseam.entry.authorizer import Authorization
 from sapphireseam.entry.direct import DirectRequest
 from sapphireseam.entry.discovery import FrontContext
 from sapphireseam.platform import answer, batch, dialect
 from sapphireseam.policy.waiting import WaitEstimator
-from sapphireseam.utils import probe
+from sapphireseam.utils import grace, probe
+from sapphireseam.utils.drain import Drain
 
 logger = logging.getLogger(__name__)
 
@@ -23,12 +26,23 @@
 # After a SIGTERM the platform still sends clients here until two readiness checks have
 # failed, and for a short time after that.
 SHUTDOWN_DELAY_SECONDS = 3.0
-# Part of the grace period that is reserved for closing after the last request.
-CLOSING_SECONDS = 0.8
 # Longer than clients leave a connection idle.
 KEEPALIVE_SECONDS = 90.0
 
 
+class _Received(NamedTuple):
+    """An authorized request with its body.
+
+    `remaining` is how many seconds the client still waited when the request arrived,
+    and None if it has not said so. `deadline` is on the entry's monotonic clock.
+    """
+
+    authorization: Authorization
+    body: bytes
+    remaining: float | None
+    deadline: float
+
+
 class Front:
     """Serves clients and the platform's load balancer."""
 
@@ -37,22 +51,21 @@
         context: FrontContext,
         callers_address: str,
         ready_address: str,
-        grace_seconds: float,
     ):
         self._context = context
+        self._grace = context.grace
         self._callers_address = callers_address
         self._ready_address = ready_address
-        self._grace_seconds = grace_seconds
         self._batch = batch.BatchFront(context)
         self._wait_estimator = WaitEstimator()
-        self._is_closing = False
+        self._drain = Drain(self._grace, context.timer, SHUTDOWN_DELAY_SECONDS)
         self._runners: list[web.ServerRunner] = []
 
     async def start(self) -> None:
         """Start serving."""
         header_bytes = self._context.authorizer.bounds.header_bytes
         callers = web.Server(
-            self._serve,
+            self._drain.wrap(self._answer),
             handler_cancellation=True,
             access_log=None,
             keepalive_timeout=KEEPALIVE_SECONDS,
@@ -66,50 +79,32 @@
             (callers, self._callers_address),
         ):
             runner = web.ServerRunner(
-                server, shutdown_timeout=self._compute_drain_timeout()
+                server, shutdown_timeout=self._grace.close_step_seconds
             )
             await runner.setup()
             self._runners.append(runner)
             host, port = probe.split_address(address)
             await web.TCPSite(runner, host, port, backlog=1024).start()
 
-    def _compute_shutdown_delay(self) -> float:
-        return min(SHUTDOWN_DELAY_SECONDS, self._grace_seconds / 2)
-
-    def _compute_drain_timeout(self) -> float:
-        """Return how many seconds a stop waits for requests once it accepts no more."""
-        return max(
-            self._grace_seconds - self._compute_shutdown_delay() - CLOSING_SECONDS, 0.0
-        )
-
     async def stop(self) -> None:
-        """Fail the readiness checks, finish open requests, then close.
-
-        The listening socket is closed before the open requests are counted, so that
-        the last request that arrives is finished as well.
-        """
-        self._is_closing = True
-        await self._context.timer.sleep(self._compute_shutdown_delay())
-        for runner in reversed(self._runners):
+        """Fail the readiness checks, finish or end open requests, then close."""
+        for runner in self._runners[1:]:
+            await self._drain.run(runner)
+        for runner in self._runners[:1]:
             await runner.cleanup()
 
     async def _answer_ready(self, request: web.BaseRequest) -> web.Response:
-        is_ready = self._context.authorizer.is_ready and not self._is_closing
+        is_ready = self._context.authorizer.is_ready and not self._grace.is_stopping
         return web.Response(status=200 if is_ready else 503)
 
-    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
-        """Serve one request until its answer ends."""
-        response = await self._answer(request)
-        if self._is_closing and not response.prepared:
-            response.force_close()
-        return response
-
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         attempt_id = request.headers.get(dialect.ATTEMPT, "")
         try:
+            if self._drain.is_refusing:
+                raise grace.make_refusal()
             routedrequest.check_text(request, dialect.READ_HEADERS)
             if batch.is_job_path(request.path):
-                return await self._batch.answer(request)
+                return await self._answer_about_job(request)
             return await self._route(request, attempt_id)
         except error.SeamError as failure:
             _log_failure(attempt_id, failure)
@@ -118,37 +113,55 @@
                 response.force_close()
             return response
 
-    async def _route(
-        self, request: web.BaseRequest, attempt_id: str
-    ) -> web.StreamResponse:
-        arrived = self._context.timer.read_clock()
+    async def _answer_about_job(self, request: web.BaseRequest) -> web.Response:
+        is_read = request.method in ("GET", "HEAD")
+        failure = grace.make_refusal() if is_read else grace.make_cut()
+        return await self._grace.wait_for(self._batch.answer(request), failure)
+
+    async def _read(self, request: web.BaseRequest, arrived: float) -> _Received:
+        """Authorize a request and read its body, unless it comes too late in a stop."""
         host = request.headers.get("Host", "")
-        key = dialect.read_key(request.headers)
         authorization = await self._context.authorizer.authorize(
-            host, request.path, key
+            host, request.path, dialect.read_key(request.headers)
         )
+        route = authorization.route
+        remaining, deadline = None, math.inf
+        if route.batch is None:
+            remaining = _read_remaining(request)
+            limit = route.timeout if remaining is None else remaining
+            deadline = arrived + min(limit, route.timeout)
+            self._grace.bound(deadline, route.idempotent)
         body = await routedrequest.read_body(
             request, self._context.authorizer.bounds.body_bytes
         )
+        return _Received(authorization, body, remaining, deadline)
+
+    async def _route(
+        self, request: web.BaseRequest, attempt_id: str
+    ) -> web.StreamResponse:
+        arrived = self._context.timer.read_clock()
+        authorization, body, remaining, deadline = await self._grace.wait_for(
+            self._read(request, arrived), grace.make_refusal()
+        )
         if authorization.route.batch is not None:
-            return await self._batch.accept(authorization, attempt_id, body)
+            accepted = self._batch.accept(authorization, attempt_id, body)
+            return await self._grace.wait_for(accepted, grace.make_cut())
         if not attempt_id:
             raise error.RequestError(f"the header {dialect.ATTEMPT} is missing")
-        remaining = _read_remaining(request)
-        limit = authorization.route.timeout
+        deadline = self._grace.bound(deadline, authorization.route.idempotent)
         direct_request = DirectRequest(
             attempt_id,
             authorization.customer,
             authorization.rank,
             authorization.route_name,
             authorization.route,
-            host,
+            request.headers.get("Host", ""),
             request.method,
             request.raw_path,
             dialect.strip_request(request.headers),
             body,
             arrived,
-            arrived + (limit if remaining is None else min(remaining, limit)),
+            deadline,
             _read_last_event(request),
             request.headers.get(dialect.RESUMES, ""),
             self._estimate_wait(authorization.route_name, remaining, arrived),
@@ -171,8 +184,7 @@
         self, request: web.BaseRequest, direct_request: DirectRequest
     ) -> web.StreamResponse:
         route = direct_request.route
-        sink = answer.ClientSink(request, route.streamed, route.idempotent)
-        sink.is_closing = self._is_closing
+        sink = answer.ClientSink(request, route.streamed, route.idempotent, self._grace)
         try:
             await self._context.forwarder.serve(direct_request, sink)
         except error.SeamError as failure:
--- a/sapphireseam/platform/setting.py
+++ b/sapphireseam/platform/setting.py
@@ -31,7 +31,8 @@
 
     `seeds` are the operator addresses of a few control VMs. Every process takes
     internal calls on `port`. Up to `tolerated` control VMs may fail at once. An entry
-    uses its last configuration for `trust_ms` after it lost contact with them.
+    uses its last configuration for `trust_ms` after it lost contact with them. A
+    process ends within `grace_s` seconds after a stop was requested.
     `slack_window` is in seconds. Results of a batch job are retained for at least
     `keep_s` seconds after the job was accepted.
     """
@@ -48,7 +49,7 @@
     slack_share: float
     slack_window: float
     trust_ms: float
-    grace_s: float
+    grace_s: fleet.Positive
     keep_s: float
     data_folder: str | None = None
     callers_address: str | None = None
--- a/sapphireseam/utils/application.py
+++ b/sapphireseam/utils/application.py
@@ -13,6 +13,7 @@
 from typing import Any, Protocol
 
 from sapphireseam.utils import startup
+from sapphireseam.utils.grace import Grace
 
 logger = logging.getLogger(__name__)
 
@@ -75,10 +76,14 @@
 
 
 class Application:
-    """Start parts in order, run until a stop is requested, and stop them in reverse."""
+    """Start parts in order, run until a stop is requested, and stop them in reverse.
 
-    def __init__(self, name: str):
+    The stop as a whole ends within the grace. A part that needs longer is left.
+    """
+
+    def __init__(self, name: str, grace: Grace | None = None):
         self.name = name
+        self.grace = grace or Grace()
         self._parts: list[Part] = []
         self._started: list[Part] = []
         self._stopping = asyncio.Event()
@@ -91,11 +96,13 @@
     def request_stop(self) -> None:
         """Make `run` stop the parts and return."""
         logger.info("stopping", extra={"program": self.name})
+        self.grace.begin()
         self._stopping.set()
 
     def fail(self, failure: Exception) -> None:
         """Make `run` stop the parts and raise the failure."""
         self._failure = failure
+        self.grace.begin()
         self._stopping.set()
 
     async def start(self) -> None:
@@ -112,10 +119,16 @@
 
     async def stop(self) -> None:
         """Stop the running parts, the last started first."""
+        self.grace.begin()
         while self._started:
             part = self._started.pop()
+            limit = self.grace.timer.limit(self.grace.read_remaining())
             try:
-                await part.stop()
+                async with limit:
+                    await part.stop()
+            except TimeoutError:
+                name = type(part).__name__
+                logger.error("a part did not stop in time", extra={"part": name})
             except Exception:
                 logger.exception("a part failed to stop")
         logger.info("stopped", extra={"program": self.name})
