Bound a stop of our own entries by their grace

Callers saw: after SIGTERM an entry of its own interface took requests for 2 s and then waited until 60 s after the last deadline, whenever the supervisor killed it. What was open then was cut with no answer, also requests that must not be repeated.

Cause: the gateway had no grace; it compared nothing with the time it would get.

Evidence: on the code before, gateway_test's new tests fail: open calls were not answered at all, and a request of 100 s on a route that isn't idempotent was taken.

The gateway drains by the same Drain as the platform's front: it refuses what may outlast the grace, caps deadlines, and at nine tenths of the grace ends requests, unread bodies and calls about files and batches with an error that says whether they may have run.

--- a/sapphireseam/entry/application.py
+++ b/sapphireseam/entry/application.py
@@ -14,7 +14,7 @@
 from sapphireseam.entry.quarantine import QuarantineGate
 from sapphireseam.entry.ratelimit import RateLimitClient
 from sapphireseam.policy import registry, router
-from sapphireseam.utils import metric, rpc
+from sapphireseam.utils import grace, metric, rpc
 from sapphireseam.utils.application import Application, TaskGroup
 from sapphireseam.utils.client import ControlClient
 from sapphireseam.utils.mirror import Mirror
@@ -27,7 +27,8 @@
 class Settings(NamedTuple):
     """The settings of one entry VM.
 
-    `control` lists the addresses of the control VMs.
+    `control` lists the addresses of the control VMs. A stop ends within `grace_s`
+    seconds.
     """
 
     node: fleet.Name
@@ -36,6 +37,7 @@
     probe: fleet.Address
     control: tuple[fleet.Address, ...]
     fleet_secret: Secret
+    grace_s: fleet.Positive = grace.DEFAULT_SECONDS
 
 
 # Interval at which the link of a removed upstream is checked for open attempts.
@@ -106,6 +108,7 @@
 def build(settings: Settings, timer: TimerService | None = None) -> Application:
     """Return the application of an entry VM."""
     timer = timer or SystemTimer()
+    its_grace = grace.Grace(settings.grace_s, timer)
     credential = (rpc.FLEET_HEADER, settings.fleet_secret)
     timeline = Timeline(settings.node, timer)
     client = ControlClient(settings.control, credential, timer)
@@ -139,6 +142,7 @@
         batch_api,
         timeline,
         timer,
+        its_grace,
     )
 
     def describe() -> dict[str, object]:
@@ -149,7 +153,7 @@
     timeline.report(meter)
     gateway.prepare = RequestMeter(meter, mirror, timer).install
 
-    application = Application("seam-entry")
+    application = Application("seam-entry", its_grace)
     application.add(meter)
     application.add(Probe(settings.probe, describe, mirror.is_confirmed))
     application.add(client)
--- a/sapphireseam/entry/gateway.py
+++ b/sapphireseam/entry/gateway.py
@@ -25,22 +25,18 @@
     render_error,
     to_seam_error,
 )
-from sapphireseam.utils import probe
+from sapphireseam.utils import grace, probe
 from sapphireseam.utils.application import TaskGroup
+from sapphireseam.utils.drain import Drain
 from sapphireseam.utils.mirror import Mirror
 from sapphireseam.utils.timeline import Timeline
 from sapphireseam.utils.timer import TimerService, run_periodically
 
 # Interval at which the keys of open requests are checked again.
 KEY_CHECK_SECONDS = 0.25
-# Interval at which a shutdown checks whether all requests have ended.
-DRAIN_CHECK_SECONDS = 0.05
 # How long new requests are still served after a shutdown began, so that the load
 # balancer sees the failing health check first.
 NOTICE_SECONDS = 2.0
-# How long a shutdown waits for open requests after their deadlines, and for
-# calls about files and batches.
-DRAIN_SECONDS = 60.0
 
 
 class Gateway:
@@ -56,41 +52,45 @@
         batch_api: BatchApi,
         timeline: Timeline,
         timer: TimerService,
+        its_grace: grace.Grace | None = None,
     ):
         self._address = address
         self.mirror = mirror
         self.timer = timer
-        # True from the beginning of a shutdown. Connections are then closed after
-        # each answer.
-        self.closing = False
+        self._grace = its_grace or grace.Grace(timer=timer)
+        self._grace.subscribe(self._stop_open)
+        self._drain = Drain(self._grace, timer, NOTICE_SECONDS)
         self._rate_limits = rate_limits
         self._idempotent_forwarder = idempotent_forwarder
         self._forwarder = forwarder
         self._batch_api = batch_api
         self._timeline = timeline
         self._open_requests: set[OpenRequest] = set()
-        # True once a shutdown refuses new requests.
-        self._draining = False
         self._tasks = TaskGroup()
         self._runner: web.AppRunner | None = None
         # Called with the HTTP application before it starts to serve.
         self.prepare: Callable[[web.Application], None] = lambda app: None
 
+    @property
+    def closing(self) -> bool:
+        """Return whether a stop has begun; each answer then closes its connection."""
+        return self._grace.is_stopping
+
     async def start(self) -> None:
         """Start to listen."""
         app = web.Application(client_max_size=64 * 1024 * 1024)
         self.prepare(app)
-        app.router.add_get(probe.HEALTH_PATH, self._answer_health)
+        app.router.add_get(probe.HEALTH_PATH, self._drain.wrap(self._answer_health))
         app.router.add_get("/v1/models", self._wrap_handler(self._list_models))
         app.router.add_get("/v1/models/{model}", self._wrap_handler(self._get_model))
         for method, path, handler in self._batch_api.list_handlers():
             app.router.add_route(method, path, self._wrap_handler(handler))
-        app.router.add_route("*", "/{path:.*}", self._serve)
+        app.router.add_route("*", "/{path:.*}", self._drain.wrap(self._serve))
         self._runner = web.AppRunner(
             app,
             access_log=None,
             handler_cancellation=True,
-            shutdown_timeout=1.0,
+            shutdown_timeout=self._grace.close_step_seconds,
             auto_decompress=False,
         )
         await self._runner.setup()
@@ -104,28 +104,26 @@
         """Shut down gracefully.
 
         The health check fails first, then new requests are refused, and the
-        server closes once the open requests have ended.
+        server closes once the open requests have ended, or have been ended shortly
+        before the end of the grace.
         """
-        self.closing = True
-        await self.timer.sleep(NOTICE_SECONDS)
-        self._draining = True
-        while self._must_wait():
-            await self.timer.sleep(DRAIN_CHECK_SECONDS)
-        await self._tasks.cancel()
         if self._runner is not None:
-            await self._runner.cleanup()
+            await self._drain.run(self._runner, self._has_idempotent_run)
+        await self._tasks.cancel()
 
-    def _must_wait(self) -> bool:
-        now = self.timer.read_clock()
-        return self._idempotent_forwarder.open_count > 0 or any(
-            now < open_request.end + DRAIN_SECONDS
-            for open_request in self._open_requests
-        )
+    def _has_idempotent_run(self) -> bool:
+        """Return whether a request with an idempotency key runs, even unattended."""
+        return self._idempotent_forwarder.open_count > 0
+
+    def _stop_open(self) -> None:
+        """End open requests since the grace ends."""
+        for open_request in self._open_requests:
+            open_request.stop(grace.make_cut())
 
     @contextmanager
     def _track(self) -> Iterator[OpenRequest]:
         """Count a request as open until its answer is complete."""
-        open_request = OpenRequest(self.timer.read_clock())
+        open_request = OpenRequest()
         self._open_requests.add(open_request)
         try:
             yield open_request
@@ -161,22 +159,20 @@
                     self._check_draining()
                     routedrequest.check_text(request, access.READ_HEADERS)
                     text = access.find_key(request.headers, request.query_string)
-                    caller = await access.identify(self.mirror, text)
-                    response = await handler(request, caller)
+                    caller = await self._grace.wait_for(
+                        access.identify(self.mirror, text), grace.make_refusal()
+                    )
+                    return await self._grace.wait_for(
+                        handler(request, caller), grace.make_cut()
+                    )
                 except Exception as failure:
                     return self._refuse(to_seam_error(failure), request_id, request)
-            if self.closing and not response.prepared:
-                response.force_close()
-            return response
 
-        return answer
+        return self._drain.wrap(answer)
 
     def _check_draining(self) -> None:
-        if self._draining:
-            raise error.CapacityError(
-                "this entry is shutting down; use another one",
-                error.Kind.SHUTTING_DOWN,
-            )
+        if self._drain.is_refusing:
+            raise grace.make_refusal()
 
     def _refuse(
         self,
@@ -187,7 +183,7 @@
     ) -> web.Response:
         self._timeline.record("refused", request_id, customer, detail=failure.kind)
         response = render_error(failure, request_id)
-        if self.closing or not request.content.is_eof():
+        if not request.content.is_eof():
             response.force_close()
         return response
 
@@ -222,9 +218,10 @@
             sink = ResponseSink(request, request_id, open_request, self)
             try:
                 self._check_draining()
-                routed = await self._read_request(request, request_id)
+                routed = await self._grace.wait_for(
+                    self._read_request(request, request_id), grace.make_refusal()
+                )
                 open_request.caller = routed.caller
-                open_request.end = routed.deadline
                 await self._forward(routed, sink, open_request)
                 return sink.response
             except Exception as caught:
@@ -276,6 +273,11 @@
             await self.mirror.refresh()
             return routedrequest.find_route(self.mirror.fleet, path)
 
+    def _bound_deadline(self, route: fleet.Route) -> float:
+        """Return the deadline of a request, or raise if it comes too late in a stop."""
+        deadline = self.timer.read_clock() + route.timeout
+        return self._grace.bound(deadline, route.idempotent)
+
     async def _read_request(
         self, request: web.Request, request_id: str
     ) -> routedrequest.RoutedRequest:
@@ -291,6 +293,7 @@
         caller = access.Caller("", "")
         if not route.open:
             caller = await access.identify(self.mirror, text)
+        self._bound_deadline(route)
         body = await routedrequest.read_body(request, route.body_limit)
         access.check_path_and_body(path, body)
         document: dict[str, Any] = {}
@@ -313,7 +316,7 @@
             access.strip_headers(request.headers),
             body,
             bool(document.get("stream")),
-            self.timer.read_clock() + route.timeout,
+            self._bound_deadline(route),
             routedrequest.estimate_cost(document, len(body)),
             fingerprint.compute(caller.customer, request.method, target, body),
             request.headers.get("Idempotency-Key", ""),
--- a/sapphireseam/entry/gateway_test.py
+++ b/sapphireseam/entry/gateway_test.py
@@ -10,6 +10,7 @@
 from sapphireseam.core import error, fleet, key
 from sapphireseam.entry import claim, gateway
 from sapphireseam.tools import fake, layout
+from sapphireseam.utils import grace
 from sapphireseam.utils.timeline import Timeline
 from sapphireseam.utils.timer import FakeTimer
 
@@ -284,7 +285,7 @@
         task = asyncio.create_task(self.post())
         await self.wait(self.forwarder.begun.is_set)
         self.stop()
-        await self.wait(lambda: self.gateway._draining)
+        await self.wait(lambda: self.gateway._drain.is_refusing)
         # The refused request did not run, and its connection is closed.
         response, _ = await self.post()
         self.assertEqual(response.status, 503)
@@ -315,7 +316,7 @@
         writer.write(head.encode())
         await self.wait(lambda: self.gateway._open_requests)
         self.stop()
-        await self.wait(lambda: self.gateway._draining)
+        await self.wait(lambda: self.gateway._drain.is_refusing)
         await self.timer.advance(5.0)
         self.assertFalse(self.stopping.done())
         writer.write(b"cd")
@@ -328,7 +329,7 @@
         task = asyncio.create_task(self.post("/v1/files"))
         await self.wait(self.batch_api.begun.is_set)
         self.stop()
-        await self.wait(lambda: self.gateway._draining)
+        await self.wait(lambda: self.gateway._drain.is_refusing)
         await self.timer.advance(5.0)
         # The entry still listens, so it has not begun to close connections.
         async with self.http.get(self.base + "/health") as response:
@@ -337,6 +338,87 @@
         _, body = await task
         self.assertIn(b"file", body)
 
+    def publish(self, **fields):
+        post = {"path": "/post", "service": "s"} | fields
+        self.mirror.fleet = fleet.require(DOCUMENT | {"routes": {"post": post}})
+
+    async def test_every_open_call_is_answered_before_the_grace_ends(self):
+        never = asyncio.Event()
+
+        async def follow(request, sink, stopped):
+            raise await stopped
+
+        async def ignore(request, sink, stopped):
+            await never.wait()
+
+        incomplete = (
+            "POST /post/x HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer "
+            f"{self.secret.text}\r\nContent-Length: 4\r\n\r\nab"
+        )
+        tasks = []
+        for answer in (follow, ignore):
+            self.forwarder.answer = answer
+            self.forwarder.begun.clear()
+            tasks.append(asyncio.create_task(self.post()))
+            await self.wait(self.forwarder.begun.is_set)
+        tasks.append(asyncio.create_task(self.post("/v1/files")))
+        await self.wait(self.batch_api.begun.is_set)
+        body = asyncio.create_task(self.send_raw(incomplete.encode()))
+        await self.wait(lambda: len(self.gateway._open_requests) == 4)
+        self.gateway._grace.seconds = 10.0
+        end = self.timer.read_clock() + 10.0
+        self.stop()
+        await self.wait(lambda: all(task.done() for task in (*tasks, body)))
+        self.assertLess(self.timer.read_clock(), end)
+        self.assertEqual([(await task)[0].status for task in tasks], 3 * [504])
+        self.assertIn(b" 503 ", (await body).split(b"\r\n")[0])
+
+    async def test_what_may_outlast_the_grace_is_not_taken_unless_it_is_idempotent(
+        self,
+    ):
+        self.stop()
+        await self.timer.settle()
+        for timeout, is_idempotent, status in (
+            (20.0, False, 200),
+            (100.0, False, 503),
+            (100.0, True, 200),
+        ):
+            self.publish(timeout=timeout, idempotent=is_idempotent)
+            response, _ = await self.post()
+            self.assertEqual(response.status, status)
+            self.assertEqual(response.headers["Connection"], "close")
+        self.assertEqual(len(self.forwarder.requests), 2)
+        end = self.timer.read_clock() + grace.DEFAULT_SECONDS
+        self.assertLess(self.forwarder.requests[-1].deadline, end)
+
+    async def test_a_kept_connection_gets_a_refusal_once_the_notice_is_over(self):
+        go = asyncio.Event()
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        self.addCleanup(writer.close)
+        head = (
+            "POST /post/x HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer "
+            f"{self.secret.text}\r\nContent-Length: 0\r\n\r\n"
+        )
+
+        async def answer(request, sink, stopped):
+            await go.wait()
+            await sink.begin(200, ())
+            await sink.finish()
+
+        self.forwarder.answer = answer
+        task = asyncio.create_task(self.post())
+        await self.wait(self.forwarder.begun.is_set)
+        self.stop()
+        await self.wait(lambda: self.gateway._drain.is_refusing)
+        writer.write(head.encode())
+        async with asyncio.timeout(CEILING_SECONDS):
+            received = await reader.read()
+        self.assertIn(b" 503 ", received.split(b"\r\n")[0])
+        self.assertIn(b"X-Seam-Not-Run: true", received)
+        self.assertEqual(len(self.forwarder.requests), 1)
+        go.set()
+        self.assertEqual((await task)[0].status, 200)
+
     async def test_caller_that_stops_reading_is_disconnected(self):
         ended = asyncio.Event()
 
--- a/sapphireseam/entry/response.py
+++ b/sapphireseam/entry/response.py
@@ -64,11 +64,8 @@
 class OpenRequest:
     """Track an open request, so that the gateway can end it."""
 
-    def __init__(self, end: float):
+    def __init__(self):
         self.caller = access.Caller("", "")
-        # The request's deadline on the entry's clock. Until the request is read,
-        # and for calls without a deadline, this is the time of its arrival.
-        self.end = end
         self.stopped: asyncio.Future[error.SeamError] = (
             asyncio.get_running_loop().create_future()
         )
