Bound a stop of an agent by its grace

Entries saw: an agent that was told to stop waited for running requests for 60 s, or until their own deadlines, up to an hour, and for batch items afterwards, with no bound in common. If it was killed before, its entries lost the link and couldn't tell whether a request that waited for permission had run.

Cause: each part of the agent had a wait of its own, none knew the time left.

Evidence: the new test of agent.server_test fails on the code before: a stop with requests of 3000 s hasn't ended after nine tenths of 90 s.

Change: setting grace_s, as for entries. Running requests have until 0.85 of the grace; then each entry is told whether the request may have run, and the upstream's work is cancelled. Flushes and the return of items are bounded by what is left. A request whose deadline lies beyond the grace isn't awaited to its deadline any more; a longer grace_s does that, and no test stated it.

--- a/sapphireseam/agent/application.py
+++ b/sapphireseam/agent/application.py
@@ -15,6 +15,7 @@
 from sapphireseam.utils.ceiling import CeilingMonitor
 from sapphireseam.utils.client import ControlClient
 from sapphireseam.utils.crash import CrashDetector
+from sapphireseam.utils.grace import DEFAULT_SECONDS, Grace
 from sapphireseam.utils.mirror import Mirror
 from sapphireseam.utils.probe import Probe
 from sapphireseam.utils.rpc import Role
@@ -27,7 +28,7 @@
     """The settings of one agent.
 
     `upstream` is the name of the upstream that it serves, and `control` lists the
-    addresses of the control VMs.
+    addresses of the control VMs. A stop ends within `grace_s` seconds.
     """
 
     node: fleet.Name
@@ -37,6 +38,7 @@
     probe: fleet.Address
     control: tuple[fleet.Address, ...]
     fleet_secret: Secret
+    grace_s: fleet.Positive = DEFAULT_SECONDS
 
 
 LEAVING = "the upstream is leaving the fleet"
@@ -126,6 +128,7 @@
 def build(settings: Settings, timer: TimerService | None = None) -> Application:
     """Return the application of one agent."""
     timer = timer or SystemTimer()
+    grace = Grace(settings.grace_s, timer)
     credential = (rpc.FLEET_HEADER, settings.fleet_secret)
     timeline = Timeline(settings.node, timer)
     client = ControlClient(settings.control, credential, timer)
@@ -139,7 +142,9 @@
     scheduler = Scheduler(work_queue, admission_policy, mirror, timer)
     scheduler.find_ceiling = upstream.find_ceiling
     ConfigurationFollower(settings.upstream, mirror, upstream, scheduler)
-    entry_server = EntryServer(upstream, scheduler, crash_detector, timeline, timer)
+    entry_server = EntryServer(
+        upstream, scheduler, crash_detector, timeline, timer, grace
+    )
     item_runner = ItemRunner(
         settings.node,
         upstream,
@@ -149,6 +154,7 @@
         client,
         timeline,
         timer,
+        grace,
     )
 
     order_runner = OrderRunner(settings.node, upstream, client, timeline, timer)
@@ -183,7 +189,7 @@
 
     meter.read(metric.UPSTREAM_CEILING_AGE, read_ceiling_age)
 
-    application = Application("seam-agent")
+    application = Application("seam-agent", grace)
     application.add(meter)
     application.add(Probe(settings.probe, describe, mirror.is_confirmed))
     application.add(client)
--- a/sapphireseam/agent/item.py
+++ b/sapphireseam/agent/item.py
@@ -19,6 +19,7 @@
 from sapphireseam.utils import bufferlimit, crash
 from sapphireseam.utils.application import TaskGroup
 from sapphireseam.utils.client import ControlClient
+from sapphireseam.utils.grace import Grace
 from sapphireseam.utils.mirror import Mirror
 from sapphireseam.utils.timeline import Timeline
 from sapphireseam.utils.timer import TimerService, run_periodically
@@ -32,8 +33,10 @@
 # sent. The leader waits longer before it ends the lease, see `control.dispatch`.
 LEASE_SECONDS = 3.0
 CALL_SECONDS = 2.0
-# A stop tries for at most this long to send the last results and return items.
+# A stop tries for at most this long to send the last results and return items, and
+# not longer than this share of the grace allows.
 STOP_SECONDS = 10.0
+STOP_SHARE = 0.96
 # Most batch items to hold, running or waiting, per slot not used by online work.
 ITEMS_PER_SLOT = 2
 # Bytes of unfinished answers that all items may buffer together, see `BufferLimit`.
@@ -53,7 +56,9 @@
         client: ControlClient,
         timeline: Timeline,
         timer: TimerService,
+        grace: Grace | None = None,
     ):
+        self._grace = grace or Grace(timer=timer)
         self.upstream = upstream
         self.crash_detector = crash_detector
         self.timer = timer
@@ -86,7 +91,9 @@
         Returned items are not counted as failed attempts.
         """
         self._stopping = True
-        end = self.timer.read_clock() + STOP_SECONDS
+        self._grace.begin()
+        seconds = min(STOP_SECONDS, self._grace.read_remaining(STOP_SHARE))
+        end = self.timer.read_clock() + seconds
         async with self._pull_lock:
             for lease in self._leases.values():
                 self._release(lease)
--- a/sapphireseam/agent/scheduler.py
+++ b/sapphireseam/agent/scheduler.py
@@ -412,11 +412,7 @@
                 self.remove(ticket.id)
 
     async def wait_idle(self, seconds: float) -> None:
-        """Return once no work runs, or after `seconds`.
-
-        Running online work is in any case awaited until its own deadline.
-        """
-        deadlines = [r.work.ticket.deadline for r in self._list_running_online()]
-        end = max([self._timer.read_clock() + seconds, *deadlines])
+        """Return once no work runs, or after `seconds`."""
+        end = self._timer.read_clock() + seconds
         while self._running and self._timer.read_clock() < end:
             await self._timer.sleep(IDLE_SECONDS)
--- a/sapphireseam/agent/server.py
+++ b/sapphireseam/agent/server.py
@@ -16,7 +16,7 @@
 from sapphireseam.agent.scheduler import Completion, Scheduler
 from sapphireseam.core import error, exchange
 from sapphireseam.policy import queue
-from sapphireseam.utils import crash, rpc
+from sapphireseam.utils import crash, grace, rpc
 from sapphireseam.utils.application import TaskGroup
 from sapphireseam.utils.rpc import Role
 from sapphireseam.utils.timeline import Timeline
@@ -28,9 +28,7 @@
 LOAD_SECONDS = 0.25
 # How long the entry may take to permit sending a request to the upstream.
 GO_SECONDS = 2.0
-# How long a graceful stop waits for running work.
-DRAIN_SECONDS = 60.0
-# How long a graceful stop waits for an entry to receive the last messages.
+# How long a graceful stop waits at most for an entry to receive the last messages.
 FLUSH_SECONDS = 2.0
 # Bytes of one answer that may be sent before the entry gives more credit.
 WINDOW_BYTES = 256 * 1024
@@ -58,6 +56,8 @@
         self._stream = stream
         self._server = entry_server
         self._permitted = asyncio.Event()
+        # Whether the request may have reached the upstream.
+        self._was_sent = False
         self._credit = WINDOW_BYTES
         self._credit_added = asyncio.Event()
 
@@ -87,9 +87,19 @@
         )
         self._server.remove_request(self.ticket.id)
 
+    def end(self) -> None:
+        """Tell the entry that the request ends here, and whether it may have run."""
+        was_sent = self._was_sent
+        kind = error.Kind.OUTCOME_UNKNOWN if was_sent else error.Kind.SHUTTING_DOWN
+        retry_after = error.ANSWERS[kind].retry_after
+        self._stream.post(
+            exchange.Fail(
+                self._offer.attempt, str(kind), STOPPING, not was_sent, retry_after
+            )
+        )
+
     async def run(self) -> Completion:
         """Send the request to the upstream and its answer to the entry."""
-        was_sent = False
         try:
             if self._offer.ask and not await self._request_permission():
                 text = "the entry did not permit sending the request in time"
@@ -99,7 +109,7 @@
                 text = "the upstream serves something else now"
                 self.refuse(error.CapacityError(text, error.Kind.NO_UPSTREAM))
                 return Completion(0.0, False)
-            was_sent = True
+            self._was_sent = True
             return await self._exchange()
         except Exception:
             logger.exception("internal error while running a request")
@@ -109,7 +119,7 @@
                     self._offer.attempt,
                     str(error.Kind.INTERNAL),
                     text,
-                    not was_sent,
+                    not self._was_sent,
                 )
             )
             return Completion(self._offer.cost, False)
@@ -231,7 +241,9 @@
         crash_detector: crash.CrashDetector,
         timeline: Timeline,
         timer: TimerService,
+        its_grace: grace.Grace | None = None,
     ):
+        self._grace = its_grace or grace.Grace(timer=timer)
         self.upstream = upstream
         self.scheduler = scheduler
         self.crash_detector = crash_detector
@@ -254,18 +266,29 @@
         """Refuse waiting requests, finish running ones and flush all streams.
 
         Batch work that can run elsewhere is cancelled and its items are returned.
+        Requests that run on until the grace is nearly over are ended; their entries
+        are told whether they may have run.
         """
+        self._grace.begin()
         self.scheduler.refuse_all(STOPPING, final=True)
         self.send_load()
         self.scheduler.preempt_batch()
-        await self.scheduler.wait_idle(DRAIN_SECONDS)
+        await self.scheduler.wait_idle(self._grace.read_remaining(grace.DEADLINE_SHARE))
+        self._end_requests()
         flushes = [self._flush(stream) for stream in self._streams]
         await asyncio.gather(*flushes)
         await self._tasks.cancel()
 
+    def _end_requests(self) -> None:
+        for work_id, work in list(self._requests.items()):
+            work.end()
+            self._remove(work_id)
+
     async def _flush(self, stream: rpc.Stream) -> None:
         try:
-            await wait_for(self.timer, stream.flush(), FLUSH_SECONDS)
+            remaining = self._grace.read_remaining(grace.CUT_SHARE)
+            limit = min(FLUSH_SECONDS, remaining)
+            await wait_for(self.timer, stream.flush(), limit)
         except TimeoutError:
             logger.info("an entry did not receive the last messages in time")
 
--- a/sapphireseam/agent/server_test.py
+++ b/sapphireseam/agent/server_test.py
@@ -9,7 +9,7 @@
 from sapphireseam.core import command, error, exchange
 from sapphireseam.policy import admission, queue
 from sapphireseam.tools import fake
-from sapphireseam.utils import rpc
+from sapphireseam.utils import grace, rpc
 from sapphireseam.utils.crash import PROVEN_SECONDS, CrashDetector
 from sapphireseam.utils.timeline import Timeline
 from sapphireseam.utils.timer import FakeTimer
@@ -235,6 +235,18 @@
         self.assertEqual(len(self.stream.list_sent(exchange.End)), 4)
         self.assertTrue(stopping.done())
 
+    async def test_stop_tells_entries_in_time_about_requests_that_outlast_the_grace(
+        self,
+    ):
+        await self.send(make_offer(1, remaining=3000.0))
+        await self.send(make_offer(2, ask=True, remaining=3000.0))
+        stopping = asyncio.create_task(self.server.stop())
+        await self.timer.advance(grace.DEFAULT_SECONDS * grace.CUT_SHARE)
+        self.assertTrue(stopping.done())
+        fails = {failed.attempt: failed.not_run for failed in self.list_fails()}
+        self.assertEqual(fails, {1: False, 2: True})
+        self.assertEqual(self.upstream.open, [])
+
     async def test_stop_does_not_wait_for_a_frozen_entry(self):
         self.stream.is_stuck = True
         await self.timer.settle()
