Bound a stop of a control VM by its grace

Operators saw: a control VM that stopped closed its port at once and waited 1 s twice for open calls, which then ended with no answer; a probe's client that reads nothing could hold the stop of any program for 60 s twice.

Cause: the operators' server and the probe had shutdown timeouts of their own, which act twice; the whole stop had no bound.

Evidence: operator_test on the code before: a call sent during the stop finds no listener, and the open call is disconnected.

Change: setting grace_s for control VMs, on the platform the given one. The operators' server refuses new calls as not run while open ones end, and ends them with an error before the grace does.

Result: operator_test passes, with setting, change and start tests.

--- a/sapphireseam/control/application.py
+++ b/sapphireseam/control/application.py
@@ -36,6 +36,7 @@
 from sapphireseam.utils import metric, outbound, rpc
 from sapphireseam.utils.application import Application, Part, TaskGroup
 from sapphireseam.utils.client import ControlClient
+from sapphireseam.utils.grace import DEFAULT_SECONDS, Grace
 from sapphireseam.utils.probe import Probe
 from sapphireseam.utils.rpc import Role
 from sapphireseam.utils.setting import Secret
@@ -69,7 +70,8 @@
 
     `address` takes the calls of the system's processes and of operators, `probe`
     serves health checks and metrics. `peers` lists all initial members including
-    this one. On a control VM that is added later, it lists the members to join.
+    this one. On a control VM that is added later, it lists the members to join. A
+    stop ends within `grace_s` seconds.
     """
 
     node: fleet.Name
@@ -83,6 +85,7 @@
     is_first_start: bool = True
     label: str = ""
     lot_seconds: fleet.Positive = bulkrunner.RETENTION_SECONDS
+    grace_s: fleet.Positive = DEFAULT_SECONDS
 
 
 # Times in seconds and sizes for members that manage their own membership. A failed
@@ -110,7 +113,7 @@
     upstreams: outbound.ConnectionPool
     probe: placement.Probe
     stop_run: placement.StopRun
-    make_operator_server: Callable[[admin.AdminService, ControlClient], Part]
+    make_operator_server: Callable[[admin.AdminService, ControlClient, Grace], Part]
 
 
 _REGISTRY = codec.Registry(log_message.MESSAGES)
@@ -407,7 +410,7 @@
             "fatal": str(replica.fatal or ""),
         }
 
-    application = Application("seam-control")
+    application = Application("seam-control", Grace(settings.grace_s, timer))
     application.add(meter)
     application.add(Probe(settings.probe, describe, lambda: replica.fatal is None))
     application.add(store)
@@ -476,7 +479,7 @@
         integration.source, replica, timer, server.update_instances
     )
     operator_server = integration.make_operator_server(
-        admin.AdminService(replica, machine, client, timer), client
+        admin.AdminService(replica, machine, client, timer), client, application.grace
     )
     announcer = membership.Announcer(settings.address, settings.label, client, timer)
     for part in (
--- a/sapphireseam/platform/control.py
+++ b/sapphireseam/platform/control.py
@@ -9,6 +9,7 @@
 from sapphireseam.utils import outbound, program, startup
 from sapphireseam.utils.application import Application
 from sapphireseam.utils.client import ControlClient
+from sapphireseam.utils.grace import Grace
 from sapphireseam.utils.timer import SystemTimer
 
 
@@ -28,6 +29,7 @@
         settings.is_first_start,
         settings.label,
         settings.keep_s,
+        settings.grace_s,
     )
 
 
@@ -45,10 +47,10 @@
     clients: list[ControlClient] = []
 
     def make_operator_server(
-        admin_service: admin.AdminService, client: ControlClient
+        admin_service: admin.AdminService, client: ControlClient, grace: Grace
     ) -> operator.OperatorFront:
         clients.append(client)
-        return operator.OperatorFront(admin_service, address)
+        return operator.OperatorFront(admin_service, address, grace)
 
     timer = SystemTimer()
     upstreams = outbound.ConnectionPool(dialect.ReplicaDialect())
--- a/sapphireseam/platform/operator.py
+++ b/sapphireseam/platform/operator.py
@@ -11,7 +11,8 @@
 from sapphireseam.control.admin import AdminService
 from sapphireseam.core import error
 from sapphireseam.platform import answer, document
-from sapphireseam.utils import probe
+from sapphireseam.utils import grace, probe
+from sapphireseam.utils.drain import Drain
 
 logger = logging.getLogger(__name__)
 
@@ -30,8 +31,11 @@
 class OperatorFront:
     """Serves requests about configurations and the retirement of machines."""
 
-    def __init__(self, admin: AdminService, address: str):
+    def __init__(self, admin: AdminService, address: str, its_grace: grace.Grace):
         self._admin = admin
+        self._grace = its_grace
+        # Operators try another control VM at once.
+        self._drain = Drain(its_grace, its_grace.timer, 0.0)
         self._address = address
         self._runner: web.AppRunner | None = None
 
@@ -42,25 +46,28 @@
         app.router.add_get(GET_PATH, self._handle_errors(self._get))
         app.router.add_post(RETIRE_PATH, self._handle_errors(self._retire))
         app.router.add_get(RETIRED_PATH, self._handle_errors(self._read_retired))
-        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=1.0)
+        timeout = self._grace.close_step_seconds
+        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=timeout)
         await self._runner.setup()
         await probe.listen(self._runner, self._address)
 
     async def stop(self) -> None:
-        """Stop serving."""
+        """Refuse new requests, finish or end open ones, then close."""
         if self._runner is not None:
-            await self._runner.cleanup()
+            await self._drain.run(self._runner)
 
     def _handle_errors(self, handler):
         async def answer_request(request: web.Request) -> web.Response:
             try:
-                return await handler(request)
+                if self._drain.is_refusing:
+                    raise grace.make_refusal()
+                return await self._grace.wait_for(handler(request), grace.make_cut())
             except error.SeamError as failure:
                 detail = {"path": request.path, "cause": failure.message}
                 logger.info("operator request refused", extra=detail)
                 return _render_failure(failure)
 
-        return answer_request
+        return self._drain.wrap(answer_request)
 
     async def _put(self, request: web.Request) -> web.Response:
         source = await request.read()
--- a/sapphireseam/tools/discovered.py
+++ b/sapphireseam/tools/discovered.py
@@ -18,6 +18,7 @@
 from sapphireseam.utils import event, fakeupstream, outbound
 from sapphireseam.utils.application import Application, Part
 from sapphireseam.utils.client import ControlClient
+from sapphireseam.utils.grace import Grace
 
 # Timeout of the start of a fleet, in seconds.
 START_SECONDS = 20.0
@@ -241,7 +242,9 @@
     )
 
 
-def _make_operator_server(service: admin.AdminService, client: ControlClient) -> Part:
+def _make_operator_server(
+    service: admin.AdminService, client: ControlClient, grace: Grace
+) -> Part:
     return _NoServer()
 
 
--- a/sapphireseam/utils/probe.py
+++ b/sapphireseam/utils/probe.py
@@ -10,6 +10,8 @@
 
 HEALTH_PATH = "/health"
 METRICS_PATH = "/metrics"
+# Longest time that a stop waits for an answer, in seconds.
+SHUTDOWN_SECONDS = 0.2
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -46,7 +48,9 @@
         app = web.Application()
         app.router.add_get(HEALTH_PATH, self._answer_health)
         app.router.add_get(METRICS_PATH, self._answer_metrics)
-        self._runner = web.AppRunner(app, access_log=None)
+        self._runner = web.AppRunner(
+            app, access_log=None, shutdown_timeout=SHUTDOWN_SECONDS
+        )
         await self._runner.setup()
         await listen(self._runner, self._address)
 
