--- a/sapphireseam/core/placement.py
+++ b/sapphireseam/core/placement.py
@@ -29,16 +29,28 @@
     version: str
 
 
+class Leaving(NamedTuple):
+    """Report that a run of an upstream has said that it is leaving.
+
+    An entry tells it to the leader, which tells it to all entries.
+    """
+
+    instance: str
+    born: int
+
+
 class Attach(NamedTuple):
     """Open an entry's stream; `domain` is the entry's failure domain.
 
-    `origins` are the streams that began recently.
+    `origins` are the streams that began recently. `leaving` are the runs of listed
+    upstreams that are known to have said that they are leaving.
     """
 
     entry: str
     domain: str
     running: tuple[Running, ...]
     origins: tuple[Began, ...] = ()
+    leaving: tuple[Leaving, ...] = ()
 
 
 class Place(NamedTuple):
@@ -52,7 +64,8 @@
     version. One that `resumes` the stream of an earlier attempt gets an upstream like
     the one that began it, if that is of one of `services`. One that `is_resumed`
     continues a stream, of an earlier attempt or of its own. One that is `held` by an
-    upstream still runs there and gets no slot there.
+    upstream still runs there and gets no slot there. One that `returns_to` an upstream,
+    which it left only because that was silent, gets a slot there or none.
     """
 
     number: int
@@ -69,6 +82,7 @@
     services: tuple[str, ...] = ()
     is_resumed: bool = False
     held: str = ""
+    returns_to: str = ""
 
 
 class Placed(NamedTuple):
@@ -109,13 +123,6 @@
     instance: str
 
 
-class Leaving(NamedTuple):
-    """Report that a run of an upstream has said that it is leaving."""
-
-    instance: str
-    born: int
-
-
 class View(NamedTuple):
     """Send all instances, the control VMs and how many entries are connected."""
 
--- a/sapphireseam/entry/direct.py
+++ b/sapphireseam/entry/direct.py
@@ -25,6 +25,7 @@
 from sapphireseam.entry.quarantine import QuarantineGate
 from sapphireseam.entry.silence import SilenceWatch
 from sapphireseam.utils import crash, metric, outbound
+from sapphireseam.utils.grace import Grace
 from sapphireseam.utils.timer import TimerService
 
 logger = logging.getLogger(__name__)
@@ -125,8 +126,10 @@
         # Attempts that may have run at an upstream.
         self.runs = 0
         self.excluded: set[str] = set()
-        # Upstreams that were left only because they were silent.
-        self.silent: set[str] = set()
+        # Upstreams that were left only because they were silent, by their ids.
+        self.silent: dict[str, Instance] = {}
+        # The one of these to which the request returns, if any.
+        self.returns_to: Instance | None = None
         self.is_counted = False
         self.has_begun = False
         self.last_event = resume_after
@@ -191,7 +194,9 @@
         rng: random.Random,
         gate: QuarantineGate,
         crash_detector: crash.CrashDetector,
+        grace: Grace | None = None,
     ):
+        self._grace = grace or Grace(timer=timer)
         self._gate = gate
         self._crash_detector = crash_detector
         self._meter = meter
@@ -257,7 +262,8 @@
         self, request: DirectRequest, progress: _Progress, sink: Sink
     ) -> None:
         try:
-            async with self._timer.limit(request.deadline - self._timer.read_clock()):
+            remaining = request.deadline - self._timer.read_clock()
+            async with self._grace.limit(), self._timer.limit(remaining):
                 await self._serve(request, progress, sink)
         except TimeoutError:
             raise _make_deadline_error(progress) from None
@@ -333,8 +339,12 @@
         now = self._timer.read_clock()
         patience = request.route.target * SLOT_WAIT_SHARE - (now - request.arrived)
         began = progress.origin
+        returns_to = progress.returns_to
+        placed = returns_to or began
         is_resumed = request.resume_after >= 0 or began is not None
-        if is_resumed:
+        if returns_to is not None:
+            patience = SLOT_WAIT_SECONDS
+        elif is_resumed:
             patience = (request.deadline - now) * RESUMED_WAIT_SHARE
         elif not request.route.target or progress.offers:
             patience = SLOT_WAIT_SECONDS
@@ -342,7 +352,7 @@
             patience = (request.deadline - now) * LATE_WAIT_SHARE
         spec = SlotSpec(
             request.id,
-            began.service if began else self._choose_service(request.route),
+            placed.service if placed else self._choose_service(request.route),
             request.customer,
             request.rank,
             max(patience, 0.0),
@@ -354,6 +364,7 @@
             request.resumes,
             _list_services(request.route),
             held,
+            returns_to.id if returns_to else "",
         )
         try:
             slot = await self._placer.place(spec)
@@ -391,11 +402,15 @@
                 **progress.describe(),
             },
         )
+        if isinstance(failure, outbound.UnsendableError):
+            raise error.RequestError(str(failure))
         if isinstance(failure, outbound.AnswerTimeoutError):
-            progress.silent.add(instance.id)
-        elif failure.is_not_run:
-            # Those that were left for this one may be sound.
-            progress.excluded -= progress.silent
+            progress.silent[instance.id] = instance
+        else:
+            progress.silent.pop(instance.id, None)
+            if failure.is_not_run:
+                # Those that were left for this one may be sound.
+                progress.excluded -= progress.silent.keys()
         progress.excluded.add(instance.id)
         may_resume = request.route.idempotent and progress.is_resumable
         if progress.has_begun and not may_resume:
@@ -405,7 +420,10 @@
                 f"the upstream may have run the request: {failure}"
             )
         if progress.runs >= request.route.attempts:
-            raise _make_final_error(str(failure))
+            # Another run there adds no upstream to those at which the request ran.
+            if not progress.silent:
+                raise _make_final_error(str(failure))
+            _, progress.returns_to = progress.silent.popitem()
         if progress.offers >= MAX_OFFERS:
             if progress.runs:
                 raise _make_final_error(str(failure))
@@ -454,7 +472,9 @@
             progress.next_slot = watch.take_slot()
             is_suspect = not isinstance(failure, outbound.RefusalError)
             is_refusal = not is_suspect and failure.is_not_run
-            is_full = is_refusal and not isinstance(failure, outbound.LeavingError)
+            is_full = is_refusal and not isinstance(
+                failure, outbound.LeavingError | outbound.UnsendableError
+            )
             if isinstance(failure, outbound.BrokenError):
                 blamed = () if progress.proof.is_proven else progress.traits
                 progress.crash = running.record_break(blamed)
@@ -520,7 +540,8 @@
         head = answer.head
         if head.is_not_run:
             raise outbound.RefusalError("the upstream refused the request", True)
-        may_retry = request.route.idempotent and progress.runs < request.route.attempts
+        is_last = progress.runs >= request.route.attempts and not progress.silent
+        may_retry = request.route.idempotent and not is_last
         if head.status >= SERVER_ERROR_STATUS and may_retry:
             raise outbound.RefusalError(f"the upstream answered {head.status}", False)
         is_stream = head.is_stream and head.status == outbound.STREAM_STATUS
--- a/sapphireseam/entry/direct_test.py
+++ b/sapphireseam/entry/direct_test.py
@@ -14,6 +14,7 @@
 from sapphireseam.tools import fake
 from sapphireseam.utils import bufferlimit, crash, fakeupstream, metric, outbound
 from sapphireseam.utils.fakeupstream import make_raw
+from sapphireseam.utils.grace import Grace
 from sapphireseam.utils.timeline import Timeline
 from sapphireseam.utils.timer import SystemTimer
 
@@ -72,6 +73,8 @@
             for upstream in self.upstreams
             if version in ("", upstream.version) and upstream.name != spec.held
         ]
+        if former := getattr(spec, "returns_to", ""):
+            fitting = [upstream for upstream in fitting if upstream.name == former]
         if not fitting:
             raise error.CapacityError("no upstream of this version")
         if self.only:
@@ -127,6 +130,7 @@
         self.outbound = outbound.ConnectionPool(fakeupstream.FakeDialect())
         self.addAsyncCleanup(self.outbound.stop)
         self.timer = SystemTimer()
+        self.grace = Grace(timer=self.timer)
         self.gate = FakeGate()
         self.control = fake.FakeControl(self.timer)
         self.down = set()
@@ -146,6 +150,7 @@
             random.Random(1),
             self.gate,
             self.detector,
+            self.grace,
         )
         self.sink = FakeSink()
 
@@ -231,6 +236,16 @@
         self.assertFalse(self.sink.is_complete)
         self.assertEqual(self.count_runs(), [1, 0])
 
+    async def test_the_end_of_the_grace_is_not_run_only_for_what_was_not_sent(self):
+        self.grace.begin()
+        loop = asyncio.get_running_loop()
+        loop.call_later(0.1, self.grace.cut)
+        failure = await self.expect(error.Kind.DEADLINE_EXCEEDED, UNSAFE, "stall")
+        self.assertFalse(failure.not_run)
+        self.placer.place = lambda spec: asyncio.sleep(9.0)
+        failure = await self.expect(error.Kind.OVERLOADED, UNSAFE)
+        self.assertTrue(failure.not_run)
+
     async def test_a_cut_answer_is_logged_and_counted_with_its_cause(self):
         for behaviour, cause in (("cut", "broken"), ("stall", "deadline")):
             with self.subTest(behaviour), self.assertLogs(direct.logger) as logs:
@@ -318,6 +333,13 @@
                 await self.forwarder.serve(request, FakeSink())
             self.assertEqual(sum(self.count_runs()), before + 1)
 
+    async def test_a_request_that_no_upstream_can_be_sent_is_the_callers_error(self):
+        for odd in ({"target": "x:y"}, {"headers": (("H", "a\r\nb"),)}):
+            request = self.make_request(SAFE)._replace(**odd)
+            with self.assertRaises(error.RequestError, msg=odd):
+                await self.forwarder.serve(request, self.sink)
+        self.assertEqual(self.placer.released, [("u1", False)] * 2)
+
     async def test_attempts_are_bounded(self):
         self.upstreams[1].behaviours = ["drop"] * 9
         await self.expect(error.Kind.UPSTREAM_FAILED, SAFE, *["drop"] * 9)
@@ -684,6 +706,35 @@
         await self.serve_paused(RESUMABLE, "pause")
         self.assertEqual(self.count_runs(), [2, 0])
 
+    async def add_third_upstream(self):
+        third = fakeupstream.FakeUpstream("u3")
+        await third.start()
+        self.addAsyncCleanup(third.stop)
+        self.upstreams.append(third)
+
+    async def test_a_stream_goes_back_where_it_paused_if_the_next_upstream_fails(self):
+        await self.add_third_upstream()
+        foreign = FOREIGN_ANSWERS["text"], FOREIGN_ANSWERS["gap at last"]
+        failures = ("fail", "drop", *foreign)
+        for count, failure in enumerate(failures, 1):
+            with self.subTest(failure):
+                await self.serve_paused(RESUMABLE, "pause", failure)
+                self.assertEqual(self.count_runs(), [2 * count, count, 0])
+
+    async def test_a_request_goes_back_where_it_paused_if_the_next_upstream_fails(self):
+        for route in (RESUMABLE, SAFE._replace(attempts=2)):
+            for failure in ("fail", "drop"):
+                with self.subTest(failure, route=route.path):
+                    await self.serve_paused(route, "pause-head", failure)
+
+    async def test_a_request_goes_back_once_to_an_upstream_that_then_fails(self):
+        await self.add_third_upstream()
+        self.upstreams[0].behaviours = ["pause", "drop"]
+        self.upstreams[1].behaviours = ["drop"]
+        with self.assertRaises(error.SeamError):
+            await self.forwarder.serve(self.make_request(RESUMABLE, 6.0), self.sink)
+        self.assertEqual(self.count_runs(), [2, 1, 0])
+
     async def test_a_slot_that_is_found_as_the_caller_leaves_is_released(self):
         place, loop = self.placer.place, asyncio.get_running_loop()
 
--- a/sapphireseam/platform/change_test.py
+++ b/sapphireseam/platform/change_test.py
@@ -11,6 +11,7 @@
 from sapphireseam.core import command
 from sapphireseam.platform import document, front
 from sapphireseam.tools import discovered, layout
+from sapphireseam.utils.grace import Grace
 
 ROUTE_TYPES = {"res": "streaming", "str": "streaming", "safe": "safe", "uns": "unsafe"}
 EVENTS = 6
@@ -37,7 +38,9 @@
         callers, ready = layout.find_ports(2)
         self.base = f"http://127.0.0.1:{callers}"
         self.front = front.Front(
-            entry.context, f"127.0.0.1:{callers}", f"127.0.0.1:{ready}", 1.0
+            entry.context._replace(grace=Grace(1.0)),
+            f"127.0.0.1:{callers}",
+            f"127.0.0.1:{ready}",
         )
         await self.front.start()
         self.addAsyncCleanup(self.front.stop)
@@ -126,6 +129,18 @@
             with self.subTest(changes):
                 await self.serve_beside(*changes)
 
+    async def test_headers_are_accepted_up_to_a_limit_that_was_raised(self):
+        await self.publish()
+        await self.post("/safe/x", "a0")
+        await self.publish(limits={"max_header_bytes": 60_000})
+        for size, status in ((20_000, 200), (50_000, 200), (70_000, 400)):
+            headers = {"Host": "h", "X-Attempt-Id": f"a{size}", "X-Long": "x" * size}
+            headers["Authorization"] = f"Token {self.key}"
+            async with self.http.post(
+                self.base + "/safe/x", data=b"b", headers=headers
+            ) as answer:
+                self.assertEqual(answer.status, status)
+
     async def test_a_pause_beside_a_change_ends_no_answer(self):
         await self.publish()
         for behaviour in ("pause-head", "pause"):
