Don't lose a stop that comes as an application ends

Cause: uvloop passes a signal on in a later round of the loop, and an application that ends in between has no such round; each failed start is such an end. Change: a handler of Python's own records the request as soon as it comes, and it is read after the handlers were removed. Result: all eight cases pass.

--- a/sapphireseam/utils/application.py
+++ b/sapphireseam/utils/application.py
@@ -142,24 +142,37 @@
 
         Raises the failure of a part, unless a stop was requested before or since.
         """
-        loop = asyncio.get_running_loop()
-        for signal_number in STOP_SIGNALS:
-            loop.add_signal_handler(signal_number, self.request_stop)
+        failure = None
+        self._handle_signals()
         try:
             await self._run_parts()
-        except Exception as failure:
-            if not self._is_stop_requested:
-                raise
-            is_known = isinstance(failure, error.SeamError)
-            logger.error(
-                "failed while a stop was requested",
-                extra={"cause": str(failure)},
-                exc_info=None if is_known else failure,
-            )
+        except Exception as caught:
+            failure = caught
         finally:
             # uvloop would leave its handlers in place, which do nothing any more.
-            for signal_number in STOP_SIGNALS:
-                loop.remove_signal_handler(signal_number)
+            for number in STOP_SIGNALS:
+                asyncio.get_running_loop().remove_signal_handler(number)
+        if failure is None:
+            return
+        if not self._is_stop_requested:
+            raise failure
+        is_known = isinstance(failure, error.SeamError)
+        logger.error(
+            "failed while a stop was requested",
+            extra={"cause": str(failure)},
+            exc_info=None if is_known else failure,
+        )
+
+    def _handle_signals(self) -> None:
+        loop = asyncio.get_running_loop()
+        for number in STOP_SIGNALS:
+            loop.add_signal_handler(number, self.request_stop)
+            # The loop calls back later, and not at all if it ends before.
+            signal.signal(number, self._record_stop)
+            signal.siginterrupt(number, False)
+
+    def _record_stop(self, number: int, frame: object) -> None:
+        self._is_stop_requested = True
 
     async def _run_parts(self) -> None:
         await self.start()
--- a/sapphireseam/utils/program_test.py
+++ b/sapphireseam/utils/program_test.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import gc
+import itertools
 import json
 import os
 import signal
@@ -33,22 +34,26 @@
 class FailingPart:
     """Fail at the start or while it runs, and send signals before it does."""
 
-    def __init__(self, owner, moment="", signal_number=None):
+    def __init__(self, owner, moment="", signal_number=None, pause=0.0):
         self.owner = owner
         self.moment = moment
         self.signal_number = signal_number
+        self.pause = pause
+
+    async def signal(self):
+        os.kill(os.getpid(), self.signal_number)
+        if self.pause:
+            await asyncio.sleep(self.pause)
 
     async def start(self):
         if self.moment == "start":
-            os.kill(os.getpid(), self.signal_number)
-            await asyncio.sleep(0.05)
+            await self.signal()
             raise error.StorageError("no space left")
         self.owner.fail(error.StorageError("no space left"))
 
     async def stop(self):
         if self.moment == "stop":
-            os.kill(os.getpid(), self.signal_number)
-            await asyncio.sleep(0.05)
+            await self.signal()
 
 
 class RunTest(unittest.TestCase):
@@ -94,11 +99,12 @@
         return made
 
     def test_a_stop_during_a_rebuild_is_not_forgotten(self):
-        for moment in ("start", "stop"):
-            for number in (signal.SIGTERM, signal.SIGINT):
-                builds = iter([self.make_application(moment, number)])
-                with self.assertLogs():
-                    self.run_daemon(lambda: next(builds), restarts=True)  # noqa: B023
+        moments = ("start", "stop")
+        numbers = (signal.SIGTERM, signal.SIGINT)
+        for case in itertools.product(moments, numbers, (0.05, 0.0)):
+            builds = iter([self.make_application(*case)])
+            with self.subTest(case), self.assertLogs():
+                self.run_daemon(lambda: next(builds), restarts=True)  # noqa: B023
 
     def test_a_stop_in_the_pause_before_a_rebuild_ends_the_process(self):
         builds = iter([self.make_application(), FakeApplication([])])
