Unlock a folder whose close was given up during a stall

What callers saw: by reading, a control VM that rebuilds itself for good, each time refused by the lock of its own former member, while its process runs. Cause: a stop is bounded since it has a grace, and giving it up while the disk answered nothing also took back the close that waited behind the stalled call. Evidence: on the former code the folder stayed locked 5 s after the stall had ended. Change: the close is carried out once the disk answers, whoever waits for it, also if tasks can't be ended in time. Result: the new test passes.

--- a/sapphireseam/state/disk.py
+++ b/sapphireseam/state/disk.py
@@ -73,8 +73,10 @@
             return
         self._is_closed = True
         loop = asyncio.get_running_loop()
-        await loop.run_in_executor(self._thread, self._close)
-        self._thread.shutdown(wait=True)
+        closing = loop.run_in_executor(self._thread, self._close)
+        self._thread.shutdown(wait=False)
+        # A caller that gives up during a stall doesn't leave the folder locked.
+        await asyncio.shield(closing)
 
     async def append(self, name: str, data: bytes) -> None:
         """Write at the end of the file."""
--- a/sapphireseam/state/disk_test.py
+++ b/sapphireseam/state/disk_test.py
@@ -3,6 +3,7 @@
 import os
 import pathlib
 import tempfile
+import threading
 import unittest
 from unittest import mock
 
@@ -81,6 +82,29 @@
         self.disk = disk.FileDisk(self.folder)
         await self.disk.open()
 
+    async def test_a_close_given_up_during_a_stall_still_unlocks_the_folder(self):
+        await self.disk.append("log", b"one")
+        stall = threading.Event()
+        with mock.patch.object(os, "fdatasync", lambda _: stall.wait()):
+            work = asyncio.ensure_future(self.disk.sync("log"))
+            await asyncio.sleep(0.01)
+            with self.assertRaises(TimeoutError):
+                await asyncio.wait_for(self.disk.close(), 0.01)
+            stall.set()
+            await work
+        self.disk = disk.FileDisk(self.folder)
+        async with asyncio.timeout(5.0):
+            await self.open_once_unlocked()
+
+    async def open_once_unlocked(self):
+        while True:
+            try:
+                return await self.disk.open()
+            except error.StorageError:
+                await self.disk.close()
+                self.disk = disk.FileDisk(self.folder)
+                await asyncio.sleep(0.01)
+
     async def test_event_loop_is_not_blocked_by_a_sync(self):
         await self.disk.append("log", b"one")
         loop = asyncio.get_running_loop()
--- a/sapphireseam/state/replica.py
+++ b/sapphireseam/state/replica.py
@@ -104,8 +104,10 @@
             return
         node.is_stopped = True
         node.step_down()
-        await node.tasks.cancel()
-        await node.disk.close()
+        try:
+            await node.tasks.cancel()
+        finally:
+            await node.disk.close()
 
     async def answer(self, request: NamedTuple) -> NamedTuple:
         """Return the reply to a peer's request, or raise `SeamError`.
