--- a/sapphireseam/control/blob.py
+++ b/sapphireseam/control/blob.py
@@ -83,10 +83,16 @@
     async def write_piece(
         self, upload: str, offset: int, data: bytes, last: bool
     ) -> str:
-        """Add one piece to an upload; return the blob's digest after the last piece."""
-        pieces = self._uploads.setdefault(upload, bytearray())
+        """Add one piece to an upload; return the blob's digest after the last piece.
+
+        Raises a `ControlError` of kind `CONFLICT` if an earlier piece is missing.
+        """
+        pieces = self._uploads.get(upload, bytearray())
         if offset > len(pieces):
-            raise error.RequestError("a piece of the upload is missing")
+            # Another leader got it, or this one has restarted since.
+            text = "a piece of the upload is missing"
+            raise error.ControlError(text, error.Kind.CONFLICT)
+        self._uploads[upload] = pieces
         pieces[offset:] = data
         if not last:
             return ""
