Go back to a silent upstream if no other one is free

Callers lost a begun stream with attempts and time left: the entry had left a pausing upstream for another one, which broke off, and while it looked for a third the one that had only paused stayed excluded. If no other had a free slot, the answer was ended.

If no slot is found for a further attempt, the request returns to the upstream that it left only for its silence, once for each such upstream. A search while the request still runs somewhere isn't concerned.

The test failed before: "no upstream answered: no free slot", with the first upstream free.

--- a/sapphireseam/entry/direct.py
+++ b/sapphireseam/entry/direct.py
@@ -335,7 +335,7 @@
         now = self._timer.read_clock()
         patience = request.route.target * SLOT_WAIT_SHARE - (now - request.arrived)
         began = progress.origin
-        returns_to = progress.returns_to
+        returns_to, progress.returns_to = progress.returns_to, None
         placed = returns_to or began
         is_resumed = request.resume_after >= 0 or began is not None
         if returns_to is not None:
@@ -365,6 +365,9 @@
         try:
             slot = await self._placer.place(spec)
         except error.CapacityError as failure:
+            if progress.silent and not held:
+                _, progress.returns_to = progress.silent.popitem()
+                return await self._acquire_slot(request, progress, held)
             if progress.runs:
                 raise _make_final_error(failure.message) from None
             raise
