Hold the other entries beside one with open quotes or brackets

What callers saw: an entry whose bytes can't be read may also have a quote or a bracket too many or be cut. Then the whole page was refused while the entry stood, or, with two such entries, the sound one between them was lost in silence, as if the replica had gone. Cause: entries were told apart by their brackets and quotes, and a damaged entry's own ones say nothing. Evidence: ten new odd entries at three places of a page fail on the former code (['i-1'] instead of ['i-1', 'i-2'], or the page is refused). Change: an entry that isn't JSON ends before the next object that can be read whole; what is inside of an entry that is JSON, but exceeds a limit, is never looked at.

--- a/sapphireseam/core/jsontext.py
+++ b/sapphireseam/core/jsontext.py
@@ -26,8 +26,7 @@
 _TO_ZERO = bytes.maketrans(b"123456789", b"0" * 9)
 _LONG_NUMBER = b"0" * (MAX_DIGITS + 1)
 _SURROGATE = re.compile(rb"\\u[dD][89a-fA-F]")
-_TOKEN = re.compile(_STRING.pattern + rb"|[\[{]+|[\]}]+|,", re.DOTALL)
-_MEMBER = re.compile(rb"\s*(" + _STRING.pattern + rb")\s*:(.*)", re.DOTALL)
+_TOKEN = re.compile(_STRING.pattern + rb"|[\[{]+|[\]}]+", re.DOTALL)
 _RUN = re.compile(rb"\[+|\]+")
 _BRACKETS = b"[]{}"
 _NO_BRACKETS = bytes(byte for byte in range(256) if byte not in _BRACKETS)
@@ -78,52 +77,22 @@
         raise JsonError(str(failure)) from None
 
 
-def split_array(data: bytes) -> list[bytes]:
-    """Return the elements of an array, unread; raise `JsonError` if it isn't one.
+def find_closing(data: bytes, begin: int) -> int | None:
+    """Return the end of the array or object at a position, or None if it has none.
 
-    So one that exceeds a limit or isn't JSON doesn't cost the others.
-
-    >>> split_array(b'[1, [2, 3], nonsense]')
-    [b'1', b'[2, 3]', b'nonsense']
-    """
-    return _split(data, b"[", b"]")
-
-
-def split_object(data: bytes) -> list[tuple[str, bytes]]:
-    """Return the members of an object as names and unread values.
-
-    Raises `JsonError` if it isn't an object, or a name can't be read.
+    Only its brackets and strings are looked at, so it may be nested to any depth.
     """
-    members = []
-    for member in _split(data, b"{", b"}"):
-        match = _MEMBER.fullmatch(member)
-        if match is None:
-            raise JsonError("a member of the object has no name")
-        members.append((parse(match[1]), match[2].strip()))
-    return members
-
-
-def _split(data: bytes, opening: bytes, closing: bytes) -> list[bytes]:
-    """Return what stands between the brackets around a document, at its commas."""
-    data = data.strip()
-    if not (data.startswith(opening) and data.endswith(closing)):
-        raise JsonError(f"expected {opening.decode()} ... {closing.decode()}")
-    content = data[1:-1]
-    parts = []
-    depth = start = 0
-    for token in _TOKEN.finditer(content):
+    depth = 0
+    for token in _TOKEN.finditer(data, begin):
         mark = token[0][:1]
         if mark in b"[{":
             depth += len(token[0])
         elif mark in b"]}":
             depth -= len(token[0])
-        elif mark == b"," and depth == 0:
-            parts.append(content[start : token.start()].strip())
-            start = token.end()
-        if depth < 0:
-            raise JsonError("the document goes on after its end")
-    last = content[start:].strip()
-    return [*parts, last] if parts or last else []
+            if depth <= 0:
+                # The last brackets may close what is around it, too.
+                return token.end() + depth
+    return None
 
 
 def _check(data: bytes) -> None:
--- a/sapphireseam/platform/listing.py
+++ b/sapphireseam/platform/listing.py
@@ -4,12 +4,12 @@
 import logging
 import re
 from collections import deque
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from typing import Any, NamedTuple
 
 import aiohttp
 
-from sapphireseam.core import error, jsontext, number
+from sapphireseam.core import error, jsonarray, jsontext, number
 from sapphireseam.core.instance import Instance
 from sapphireseam.utils import framing
 
@@ -114,7 +114,7 @@
                 document = jsontext.parse(body)
             except jsontext.JsonError:
                 # A long page takes longer than the loop may stand still.
-                document = await asyncio.to_thread(self._read_members, body)
+                document = await asyncio.to_thread(self._read_elements, body)
         except jsontext.JsonError as failure:
             text = f"cannot read the list of replicas: {failure}"
             raise error.ControlError(text) from None
@@ -125,17 +125,15 @@
             raise error.ControlError("a page of the list of replicas is malformed")
         return Page(entries, following)
 
-    def _read_members(self, body: bytes) -> dict[str, Any]:
+    def _read_elements(self, body: bytes) -> dict[str, Any]:
         """Return a page without those of its entries that can't be read."""
-        return {
-            name: list(self._read_elements(value))
-            if name == "instances"
-            else jsontext.parse(value)
-            for name, value in jsontext.split_object(body)
-        }
-
-    def _read_elements(self, value: bytes) -> Iterator[Any]:
-        for element in jsontext.split_array(value):
+        document, elements = jsonarray.split_member(body, "instances")
+        if not isinstance(document, dict) or "next" not in document:
+            raise jsontext.JsonError("the page is damaged beyond its entries")
+        return document | {"instances": list(self._parse_elements(elements))}
+
+    def _parse_elements(self, elements: Iterable[bytes]) -> Iterator[Any]:
+        for element in elements:
             try:
                 yield jsontext.parse(element)
             except jsontext.JsonError as failure:
--- a/sapphireseam/platform/listing_test.py
+++ b/sapphireseam/platform/listing_test.py
@@ -8,7 +8,7 @@
 from aiohttp import web
 from hypothesis import given, strategies as st
 
-from sapphireseam.core import codec, error, jsontext
+from sapphireseam.core import codec, error, jsonarray
 from sapphireseam.core.instance import Instance
 from sapphireseam.platform import listing
 from sapphireseam.utils import fakeflood
@@ -39,6 +39,16 @@
     "half of a pair": b'{"id":"\\ud800"}',
     "no JSON": b"i-3 is gone",
     "nothing": b"",
+    "open quote": b'{"id":"i-3}',
+    "open bracket": b'{"id":[1}',
+    "open brace": b'{"id":{"a":1}',
+    "second brace": b'{"id":"i-3"}}',
+    "second bracket": b'{"id":"i-3"]}',
+    "cut": b'{"id":"i-3","se',
+    "cut escape": b'{"id":"i-3\\',
+    "cut deep": b'{"a":' * 200_000,
+    "quotes": b'{"id":"i"3"}, "',
+    "bytes": bytes(range(256)),
 }
 ODD_FIELDS = {
     "slots": (0, 2**31, 2**63, 2**64, 10**200, 8.0, True, "8", None),
@@ -137,19 +147,25 @@
     async def test_an_odd_entry_costs_no_other_entry(self):
         sound = json.dumps(ENTRY).encode(), json.dumps(ENTRY | {"id": "i-2"}).encode()
         for name, odd in ODD_ENTRIES.items():
-            page = b'{"next":null,"instances":[%b,%b,%b]}' % (sound[0], odd, sound[1])
-            self.pages = {"": page}
-            for _ in range(2):
-                found = await self.listing.list()
-                self.assertEqual([each.id for each in found], ["i-1", "i-2"], name)
+            for entries in (
+                (odd, *sound),
+                (sound[0], odd, sound[1]),
+                (*sound, odd),
+                (odd, sound[0], b"{", sound[1]),
+            ):
+                page = b'{"next":null,"instances":[%b],"a":[1]}' % b",".join(entries)
+                self.pages = {"": page}
+                for _ in range(2):
+                    found = await self.listing.list()
+                    self.assertEqual([each.id for each in found], ["i-1", "i-2"], name)
 
     async def test_a_standing_odd_entry_is_looked_through_once(self):
         odd = ODD_ENTRIES["deep object"]
         self.pages = {"": b'{"instances":[%b],"next":null}' % odd}
-        with mock.patch.object(jsontext, "split_array", wraps=jsontext.split_array):
+        with mock.patch.object(jsonarray, "split_member", wraps=jsonarray.split_member):
             for _ in range(3):
                 await self.listing.list()
-            jsontext.split_array.assert_called_once()
+            jsonarray.split_member.assert_called_once()
 
     async def test_a_malformed_page_is_refused_and_reads_no_other(self):
         for page in (
