Check a large configuration in time that grows with its size

What callers saw: a configuration of 1.9 MB with 20,000 routes, within the limit of 16 MB, held up the control VM that got it for 9 s, and the next one to which the operator moved on; a chain of 5,000 versions did so on each member, in the state machine. The refusal of a configuration with 10,000 findings was stored with all of them. Cause: names were counted once per name, each chain was followed from each of its versions, and the text of a refusal had no bound. Change: names are counted once, each version is looked at once, and a text shows the first 100 findings and how many more there are.

--- a/sapphireseam/control/publish_test.py
+++ b/sapphireseam/control/publish_test.py
@@ -2,6 +2,7 @@
 
 import json
 import sys
+import time
 import unittest
 
 from hypothesis import given, settings, strategies as st
@@ -103,6 +104,28 @@
             findings = publish.check(self.machine.state, document)
             self.assertEqual([item.message for item in findings], ["must be an object"])
 
+    def test_long_chain_of_versions_holds_up_no_member(self):
+        count = 5000
+        versions = {
+            f"v{n}": {"model": "m", "weights": "w", "parent": f"v{n + 1}"}
+            for n in range(count)
+        }
+        for last, findings in (({"parent": ""}, 0), ({"parent": "v1"}, count - 1)):
+            versions[f"v{count - 1}"] = {"model": "m", "weights": "w"} | last
+            document = {"models": {"m": {"version": "v0"}}, "versions": versions}
+            data = json.dumps(document).encode()
+            start = time.process_time()
+            found = publish.check(self.machine.state, data)
+            self.assertLess(time.process_time() - start, 1.0)
+            self.assertEqual(len(found), findings)
+
+    def test_refusal_of_many_findings_is_short(self):
+        document = {"models": {"m" * 900 + str(n): {} for n in range(10_000)}}
+        item = command.Publish("p", 0, json.dumps(document).encode(), 0.0)
+        answer = self.apply(item)
+        self.assertTrue(answer.message.endswith("more findings"))
+        self.assertLess(len(self.machine.encode()), 100_000)
+
     def test_values_of_another_type_stop_no_member(self):
         document = {
             "services": {"s": {}},
--- a/sapphireseam/core/fleet.py
+++ b/sapphireseam/core/fleet.py
@@ -24,6 +24,9 @@
 Rank = Annotated[int, Field(ge=0, le=1000)]
 
 MEBIBYTE = 1024 * 1024
+# The text of a refusal is stored with its command, so its length is bounded.
+MAX_RENDERED_FINDINGS = 100
+MAX_SOURCE_LENGTH = 200
 
 
 class FailureDomain(NamedTuple):
@@ -287,11 +290,15 @@
 
 
 def render_findings(findings: list[Finding]) -> str:
-    """Return the findings as text, one on each line."""
-    return "\n".join(
-        f"{item.source}: {item.message} (found {str(item.entry)[:80]!r})"
-        for item in findings
-    )
+    """Return the first findings as text, one on each line."""
+    lines = [
+        f"{item.source[:MAX_SOURCE_LENGTH]}: {item.message}"
+        f" (found {str(item.entry)[:80]!r})"
+        for item in findings[:MAX_RENDERED_FINDINGS]
+    ]
+    if len(findings) > len(lines):
+        lines.append(f"and {len(findings) - len(lines)} more findings")
+    return "\n".join(lines)
 
 
 def _join_location(location: tuple[Any, ...]) -> str:
@@ -364,19 +371,31 @@
 
 def _check_version_cycles(fleet: Fleet) -> list[Finding]:
     findings = []
+    # Versions that were looked at, with the version from which they were reached.
+    reached: dict[str, str] = {}
     for name, version in fleet.versions.items():
         source = f"versions.{name}.parent"
         if version.parent:
             findings += _check_reference(
                 source, version.parent, fleet.versions, "version"
             )
-        seen = {name}
-        parent = version.parent
-        while parent in fleet.versions and parent not in seen:
-            seen.add(parent)
-            parent = fleet.versions[parent].parent
-        if parent == name:
-            findings.append(Finding(source, "adapts itself in a cycle", parent))
+        current = name
+        while current in fleet.versions and current not in reached:
+            reached[current] = name
+            current = fleet.versions[current].parent
+        if reached.get(current) == name:
+            findings += _list_cycle(fleet, current)
+    return findings
+
+
+def _list_cycle(fleet: Fleet, start: str) -> list[Finding]:
+    """Return a finding for each version of a cycle."""
+    findings = []
+    name = start
+    while name != start or not findings:
+        source = f"versions.{name}.parent"
+        findings.append(Finding(source, "adapts itself in a cycle", name))
+        name = fleet.versions[name].parent
     return findings
 
 
--- a/sapphireseam/platform/document.py
+++ b/sapphireseam/platform/document.py
@@ -5,6 +5,7 @@
 """
 
 import json
+from collections import Counter
 from typing import Annotated, Any, NamedTuple
 
 import msgspec
@@ -144,8 +145,8 @@
         configuration.services,
         configuration.tenants,
     ):
-        names = [item.name for item in section]
-        duplicates = sorted({name for name in names if names.count(name) > 1})
+        counts = Counter(item.name for item in section)
+        duplicates = sorted(name for name, count in counts.items() if count > 1)
         findings += [f"{name}: is defined twice" for name in duplicates]
     for route in configuration.routes:
         if route.timeout_ms <= 0:
--- a/sapphireseam/platform/document_test.py
+++ b/sapphireseam/platform/document_test.py
@@ -1,6 +1,7 @@
 """Test the translation of the platform's configurations."""
 
 import json
+import time
 import unittest
 
 from sapphireseam.core import error, fleet, key
@@ -117,6 +118,16 @@
             with self.assertRaises(error.ConfigurationError):
                 document.translate(text[:size])
 
+    def test_many_names_hold_up_no_process(self):
+        route = make_configuration()["routes"][0]
+        routes = [route | {"name": f"r{n // 2}"} for n in range(20_000)]
+        source = json.dumps(make_configuration(routes=routes)).encode()
+        start = time.process_time()
+        with self.assertRaises(error.ConfigurationError) as caught:
+            document.translate(source)
+        self.assertLess(time.process_time() - start, 1.0)
+        self.assertEqual(len(caught.exception.message.splitlines()), 10_000)
+
     def test_documents_that_exceed_a_limit(self):
         text = json.dumps(make_configuration()).encode()
         for odd in (
