Apply a command that names an object twice or one too many

What callers saw: by reading, a command that clears one suspect request twice, or a result of an item that its batch job doesn't have, stops every member for good when it is applied, and again after each restart. Cause: two handlers counted on the sender for fields that the state machine didn't check. Change: a suspect is cleared once, and results of unknown items are dropped as those of unknown jobs are.

--- a/sapphireseam/control/bulk.py
+++ b/sapphireseam/control/bulk.py
@@ -99,7 +99,7 @@
     job = state.lots.get(name)
     if job is None or not job.is_open or number in job.listed:
         return None
-    return job
+    return job if 0 <= number < len(job.items) else None
 
 
 def _find_continued(
--- a/sapphireseam/control/claim.py
+++ b/sapphireseam/control/claim.py
@@ -108,7 +108,7 @@
 
 def clear_suspects(state: record.State, item: command.ClearSuspects) -> outcome.Done:
     """Delete suspects that were served; quarantined requests stay quarantined."""
-    cleared = [f for f in item.fingerprints if state.deaths.get(f) == SUSPECT]
+    cleared = {f for f in item.fingerprints if state.deaths.get(f) == SUSPECT}
     for fingerprint in cleared:
         del state.deaths[fingerprint]
     return outcome.Done("", len(cleared))
