Show the results of a batch job beside one that isn't UTF-8

What callers saw: once a replica had answered one item with bytes that aren't UTF-8, each read of a page with that result got a bare 500, so no result at or after its position could be read any more, those of sound items included. Cause: the outputs of replicas are stored as bytes, and decoded strictly when they are read. Evidence: the new test raises UnicodeDecodeError on the former code. Change: bytes that aren't UTF-8 are shown as replacement characters; `GET` of the item's body isn't changed.

--- a/sapphireseam/platform/batch.py
+++ b/sapphireseam/platform/batch.py
@@ -176,7 +176,9 @@
 def render_page(view: message.LotView, after: int) -> bytes:
     """Return a page of results as JSON."""
     results = [
-        Result(item, DEAD_LETTER if failed else COMPLETED, output.decode())
+        Result(
+            item, DEAD_LETTER if failed else COMPLETED, output.decode(errors="replace")
+        )
         for item, failed, output in view.results
     ]
     return _encoder.encode(Page(view.total, after + len(results), results))
--- a/sapphireseam/platform/batch_test.py
+++ b/sapphireseam/platform/batch_test.py
@@ -74,6 +74,11 @@
             ],
         )
 
+    def test_output_that_is_not_utf_8_costs_no_other_result(self):
+        view = message.LotView(2, (("a", False, b"x"), ("b", False, b"\xff")))
+        results = json.loads(batch.render_page(view, 0))["results"]
+        self.assertEqual([each["output"] for each in results], ["x", "\ufffd"])
+
 
 if __name__ == "__main__":
     unittest.main()
