Estimate waits from the callers of one customer

What callers saw: one request with an absurd deadline (`X-Deadline-Ms: 1e300`, or an hour) made all other requests on its route, of each customer, count as late for up to a minute at that machine, and late requests get fewer slots. Cause: the longest deadline of a route was taken for that of all of its callers. Evidence: the new test of the front found a wait of 1e297 s for the next customer on the former code. Change: the longest deadline is remembered for each customer and route; within one customer, the assumption that all wait equally long stays.

--- a/sapphireseam/platform/front.py
+++ b/sapphireseam/platform/front.py
@@ -11,6 +11,7 @@
 
 from sapphireseam.core import error, fingerprint, number
 from sapphireseam.entry import routedrequest
+from sapphireseam.entry.authorizer import Authorization
 from sapphireseam.entry.direct import DirectRequest
 from sapphireseam.entry.discovery import FrontContext
 from sapphireseam.platform import answer, batch, dialect
@@ -153,7 +154,7 @@
             arrived + (limit if remaining is None else min(remaining, limit)),
             _read_last_event(request),
             request.headers.get(dialect.RESUMES, ""),
-            self._estimate_wait(authorization.route_name, remaining, arrived),
+            self._estimate_wait(authorization, remaining, arrived),
             fingerprint.compute(
                 authorization.customer, request.method, request.raw_path, body
             ),
@@ -163,11 +164,14 @@
         )
         return await self._forward(request, direct_request)
 
-    def _estimate_wait(self, route: str, remaining: float | None, now: float) -> float:
+    def _estimate_wait(
+        self, authorization: Authorization, remaining: float | None, now: float
+    ) -> float:
         """Return an estimate of the seconds that the client waited before `now`."""
         if remaining is None:
             return 0.0
-        return self._wait_estimator.update_estimate(route, remaining, now)
+        group = authorization.customer, authorization.route_name
+        return self._wait_estimator.update_estimate(group, remaining, now)
 
     async def _forward(
         self, request: web.BaseRequest, direct_request: DirectRequest
--- a/sapphireseam/platform/front_test.py
+++ b/sapphireseam/platform/front_test.py
@@ -22,11 +22,12 @@
         self.bounds = fleet.Bounds(body_bytes=1000)
         self.failure = None
         self.route = ROUTE
+        self.customer = "t1"
 
     async def authorize(self, host, path, key_text):
         if self.failure is not None:
             raise self.failure
-        return Authorization("r", self.route, "t1", 0)
+        return Authorization("r", self.route, self.customer, 0)
 
     async def identify_with_refresh(self, key_text):
         return "t1"
@@ -123,6 +124,12 @@
         waited = [request.waited for request in self.forwarder.requests]
         self.assertEqual(waited, [0.0, 1.0])
 
+    async def test_an_odd_deadline_makes_no_other_customers_requests_late(self):
+        await self.post(X_Deadline_Ms="1e300")
+        self.authorizer.customer = "t2"
+        await self.post(X_Deadline_Ms="4000")
+        self.assertEqual(self.forwarder.requests[1].waited, 0.0)
+
     async def test_a_shorter_timeout_of_the_route_does_not_count_as_waiting(self):
         await self.post(X_Deadline_Ms="4000")
         self.authorizer.route = ROUTE._replace(timeout=1.0)
