Refuse by the smallest rate with a wait that can be sent

Cause: one process's part of such a rate is rounded to 0, and waits had no bound. Change: the wait is computed from the contract's rate, and no error names more than an hour.

--- a/sapphireseam/core/error.py
+++ b/sapphireseam/core/error.py
@@ -39,6 +39,10 @@
     INTERNAL = "internal"
 
 
+# Longest wait that callers are told; a contract may make it practically endless.
+MAX_RETRY_AFTER_SECONDS = 3600.0
+
+
 class Answer(NamedTuple):
     """The answer that a caller gets for one kind.
 
@@ -103,7 +107,8 @@
         self.message = message
         self.kind = kind or type(self).kind
         answer = ANSWERS[self.kind]
-        self.retry_after = answer.retry_after if retry_after is None else retry_after
+        wait = answer.retry_after if retry_after is None else retry_after
+        self.retry_after = min(wait, MAX_RETRY_AFTER_SECONDS)
         self.not_run = answer.not_run if not_run is None else not_run
 
     @property
--- a/sapphireseam/policy/fallback.py
+++ b/sapphireseam/policy/fallback.py
@@ -52,6 +52,7 @@
         level = min(level + (now - updated) * rate, max(capacity, 1.0))
         if level < 1.0:
             self._levels[customer] = (level, now)
-            return (1.0 - level) / rate
+            # The contract's rate is positive, but a part of it may be rounded to 0.
+            return (1.0 - level) * max(processes, 1) / contract.rate
         self._levels[customer] = (level - 1.0, now)
         return 0.0
--- a/sapphireseam/policy/fallback_test.py
+++ b/sapphireseam/policy/fallback_test.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from sapphireseam.core import fleet
+from sapphireseam.core import error, fleet
 from sapphireseam.policy import fallback
 
 SLACK = fallback.Slack(20, 0.1, 5.0)
@@ -36,6 +36,12 @@
             granted += limiter.spend("c", CONTRACT, 8, tick / 14) == 0.0
         self.assertGreaterEqual(granted, 0.95 * sent)
 
+    def test_smallest_rate_is_refused_with_a_wait_that_can_be_sent(self):
+        limiter = fallback.FallbackLimiter(SLACK._replace(requests=0.0))
+        waits = [limiter.spend("c", fleet.Contract(5e-324, 1.0), 3, 0.0) for _ in "ab"]
+        failure = error.CapacityError("limited", retry_after=waits[1])
+        self.assertEqual(failure.retry_after, error.MAX_RETRY_AFTER_SECONDS)
+
     def test_a_refusal_returns_the_time_until_a_request_is_admitted(self):
         limiter = fallback.FallbackLimiter(SLACK)
         now = 0.0
