Refuse numbers of a configuration that no process can use

What callers saw: a configuration with two weights of 1e308 was accepted with 200, and each request on the route got a bare 500; with a `cap` of 2**63, so did each batch job, and with `max_header_bytes` of 2**64, an edge that started afterwards closed each connection. Cause: the check had lower bounds alone, while the choice by weights needs a finite sum, a message 64 bits and the HTTP parser a machine word. Change: counts are below 2**63 and the weights' sum is finite, or the operator gets 400.

--- a/sapphireseam/core/fleet.py
+++ b/sapphireseam/core/fleet.py
@@ -7,6 +7,7 @@
 """
 
 import itertools
+import math
 from typing import Annotated, Any, Literal, NamedTuple, TypeVar
 
 from pydantic import Field, TypeAdapter, ValidationError
@@ -24,6 +25,8 @@
 Rank = Annotated[int, Field(ge=0, le=1000)]
 
 MEBIBYTE = 1024 * 1024
+# The largest number that fits into a message.
+MAX_COUNT = 2**63 - 1
 # The text of a refusal is stored with its command, so its length is bounded.
 MAX_RENDERED_FINDINGS = 100
 MAX_SOURCE_LENGTH = 200
@@ -102,7 +105,7 @@
     due: Positive = 3600.0
     abandon: Positive = 86400.0
     attempts: Annotated[int, Field(ge=1, le=100)] = 3
-    token_limit: Annotated[int, Field(ge=0)] = 0
+    token_limit: Annotated[int, Field(ge=0, le=MAX_COUNT)] = 0
 
 
 class Service(NamedTuple):
@@ -113,7 +116,7 @@
     `tells_load`, the answer to a probe lists the requests that the upstream runs.
     """
 
-    connections: Annotated[int, Field(ge=1)] = 64
+    connections: Annotated[int, Field(ge=1, le=MAX_COUNT)] = 64
     probe_path: Annotated[str, Field(pattern=r"^/\S*$")] = "/"
     tells_load: bool = False
 
@@ -171,8 +174,8 @@
 class Bounds(NamedTuple):
     """Limits on a caller's headers and body in bytes, and on idle time in seconds."""
 
-    header_bytes: Annotated[int, Field(ge=1024)] = 16 * 1024
-    body_bytes: Annotated[int, Field(ge=1)] = 64 * MEBIBYTE
+    header_bytes: Annotated[int, Field(ge=1024, le=MAX_COUNT)] = 16 * 1024
+    body_bytes: Annotated[int, Field(ge=1, le=MAX_COUNT)] = 64 * MEBIBYTE
     idle: Positive = 75.0
 
 
@@ -414,9 +417,10 @@
             if service and service not in services:
                 message = "names no service that an upstream has"
                 findings.append(Finding(f"routes.{name}.service", message, service))
-        if route.shares and sum(share.weight for share in route.shares) <= 0:
-            message = "has weights that add up to 0"
-            findings.append(Finding(f"routes.{name}.shares", message, 0))
+        total = sum(share.weight for share in route.shares)
+        if route.shares and not 0 < total < math.inf:
+            message = "has weights that add up to 0 or to no number"
+            findings.append(Finding(f"routes.{name}.shares", message, total))
         if not route.methods:
             findings.append(Finding(f"routes.{name}.methods", "is empty", []))
     return findings
--- a/sapphireseam/platform/document.py
+++ b/sapphireseam/platform/document.py
@@ -10,13 +10,11 @@
 
 import msgspec
 
-from sapphireseam.core import error, jsontext, key
+from sapphireseam.core import error, fleet, jsontext, key
 
 MILLISECONDS_PER_SECOND = 1000.0
 # Engines answer this path immediately and without using a slot.
 ENGINE_PROBE_PATH = "/report"
-# The largest number that fits into a message.
-MAX_VERSION = 2**63 - 1
 METHODS = ("GET", "POST", "PUT", "DELETE")
 
 SAFE = "safe"
@@ -87,7 +85,7 @@
 class Document(msgspec.Struct):
     """A complete configuration."""
 
-    version: Annotated[int, msgspec.Meta(ge=0, le=MAX_VERSION)]
+    version: Annotated[int, msgspec.Meta(ge=0, le=fleet.MAX_COUNT)]
     routes: tuple[Route, ...]
     services: tuple[Service, ...]
     limits: Limits = msgspec.field(default_factory=Limits)
--- a/sapphireseam/platform/document_test.py
+++ b/sapphireseam/platform/document_test.py
@@ -140,6 +140,24 @@
             with self.assertRaises(error.ConfigurationError, msg=odd[:20]):
                 document.translate(source)
 
+    def test_numbers_that_no_process_can_use(self):
+        sound = make_configuration()
+        halves = [
+            {"service": "llm", "weight": 1e308},
+            {"service": "llm", "weight": 1e308},
+        ]
+        route, batch = sound["routes"][0], sound["routes"][-1]
+        services = sound["services"]
+        for odd in (
+            {"routes": [route | {"weighted_services": halves}]},
+            {"routes": [batch | {"cap": 2**63}]},
+            {"services": [each | {"max_connections": 10**30} for each in services]},
+            {"limits": {"max_header_bytes": 2**64}},
+            {"limits": {"max_body_bytes": 2**64}},
+        ):
+            with self.assertRaises(error.ConfigurationError, msg=odd):
+                translate(make_configuration(routes=[route]) | odd)
+
     def test_versions_that_no_message_can_hold(self):
         for version in (-1, 2**63, 2**64, 10**30):
             with self.assertRaises(error.ConfigurationError, msg=version):
