Go on with the members after one was removed meanwhile

What callers saw: after a member was removed while the leader waited to record its new folder, the leader's task that promotes and removes members ended for good, so a lost voter was no longer replaced until another member led. Cause: the edit raised StopIteration, which was to be caught, but a coroutine turns it into RuntimeError. Evidence: the new test raises `RuntimeError: coroutine raised StopIteration` on the former code. Change: there is nothing to record for a member that is gone; and the tasks for elections, members and the bootstrap are started again after an error, as the others are.

--- a/sapphireseam/state/membership.py
+++ b/sapphireseam/state/membership.py
@@ -123,8 +123,9 @@
         """Record a member's new folder and make the member a learner."""
 
         def edit(members: nodes.Members) -> nodes.Members:
-            member = next(item for item in members if item.name == name)
-            if member.folder == folder:
+            member = next((item for item in members if item.name == name), None)
+            # It may have been removed while this change waited.
+            if member is None or member.folder == folder:
                 return members
             is_returning = member.voter or member.returning
             return _replace(
@@ -150,7 +151,7 @@
                     await self.promote(name)
             if self._node.options.voters:
                 await self._maintain_voters()
-        except (error.SeamError, StopIteration):
+        except error.SeamError:
             # Leadership was lost or the member was removed; the next run checks again.
             return
 
--- a/sapphireseam/state/membership_test.py
+++ b/sapphireseam/state/membership_test.py
@@ -62,6 +62,15 @@
         for command, index in sim.acknowledged.items():
             self.assertIn((index, command), final)
 
+    @async_test
+    async def test_member_removed_as_its_folder_is_recorded_ends_no_maintenance(self):
+        sim = await self.make_cluster()
+        leader = sim.replicas[await sim.wait_leader()]
+        members = leader.members
+        await sim.run(leader._membership.record_folder("removed", "folder"))
+        self.assertEqual(leader.members, members)
+        await sim.close()
+
     @async_test
     async def test_learner_is_not_promoted_while_all_voters_respond(self):
         sim = await self.make_cluster()
--- a/sapphireseam/state/replica.py
+++ b/sapphireseam/state/replica.py
@@ -91,11 +91,14 @@
             self._applier.run_writes(),
             self._applier.run_applies(),
             self._applier.run_snapshots(),
-            self._election.run(),
-            self._bootstrapper.run(),
-            self._membership.run(),
         ):
             node.tasks.spawn(coroutine)
+        for work in (
+            self._election.run,
+            self._bootstrapper.run,
+            self._membership.run,
+        ):
+            node.tasks.keep(work)
 
     async def stop(self) -> None:
         """Cancel every task and close the data folder."""
