Take no settings that no process can use

What callers saw: settings with `"grace_s": "inf"`, `"trust_ms": "nan"` or negative times were accepted at the start and on SIGHUP; with an empty list of seeds, each request and call raised ZeroDivisionError until the file was changed. Cause: the parser takes such text for numbers, and the client counted on one address. Evidence: the new tests of the settings and of the client fail on the former code; files that can't be read as JSON, which had no test, raise RecursionError without the common reader. Change: times and shares are finite and not negative; without an address, calls are refused as without a leader. A process with no seeds still starts, as the list may come later.

--- a/sapphireseam/core/fleet.py
+++ b/sapphireseam/core/fleet.py
@@ -19,7 +19,7 @@
 Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
 Address = Annotated[str, Field(pattern=r"^[0-9a-fA-F.:\[\]]+:[0-9]{1,5}$")]
 Positive = Annotated[float, Field(gt=0, allow_inf_nan=False)]
-Time = Annotated[float, Field(ge=0, allow_inf_nan=False)]
+NotNegative = Annotated[float, Field(ge=0, allow_inf_nan=False)]
 Digest = Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
 # Requests of a lower rank are placed first; 0 is the lowest.
 Rank = Annotated[int, Field(ge=0, le=1000)]
@@ -39,7 +39,7 @@
     """
 
     region: Name
-    distances: dict[Name, Time] = {}
+    distances: dict[Name, NotNegative] = {}
 
 
 class Contract(NamedTuple):
@@ -142,8 +142,8 @@
     shares: tuple[Share, ...] = ()
     streamed: bool = False
     batch: Batch | None = None
-    target: Time = 0.0
-    pause: Time = 0.0
+    target: NotNegative = 0.0
+    pause: NotNegative = 0.0
     attempts: Annotated[int, Field(ge=1, le=100)] = 3
     rank: Rank = 0
     methods: tuple[Literal["GET", "POST", "PUT", "DELETE"], ...] = ("GET", "POST")
--- a/sapphireseam/platform/setting.py
+++ b/sapphireseam/platform/setting.py
@@ -43,13 +43,13 @@
     seeds: tuple[fleet.Address, ...]
     list_address: fleet.Address
     is_first_start: bool
-    tolerated: int
-    slack_requests: float
-    slack_share: float
-    slack_window: float
-    trust_ms: float
-    grace_s: float
-    keep_s: float
+    tolerated: Annotated[int, Field(ge=0)]
+    slack_requests: fleet.NotNegative
+    slack_share: fleet.NotNegative
+    slack_window: fleet.NotNegative
+    trust_ms: fleet.NotNegative
+    grace_s: fleet.NotNegative
+    keep_s: fleet.NotNegative
     data_folder: str | None = None
     callers_address: str | None = None
     ready_address: str | None = None
--- a/sapphireseam/platform/setting_test.py
+++ b/sapphireseam/platform/setting_test.py
@@ -52,6 +52,24 @@
         for name in ("port", "grace_s"):
             self.assertIn(name, caught.exception.message)
 
+    def test_settings_that_no_process_can_use_are_refused(self):
+        for odd in (
+            {"tolerated": -1},
+            {"trust_ms": "nan"},
+            {"grace_s": "inf"},
+            {"keep_s": -1},
+        ):
+            with self.assertRaises(error.SettingsError, msg=odd):
+                self.read(RENDERED | odd)
+
+    def test_a_file_that_cannot_be_read_is_an_error_of_the_settings(self):
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "settings.json"
+            for odd in (b"[" * 200_000, b"9" * 5000, b"\xff", b'{"label":"\\ud800"}'):
+                path.write_bytes(odd)
+                with self.assertRaises(error.SettingsError, msg=odd[:20]):
+                    setting.read(path)
+
     def test_a_control_vm_needs_a_data_folder(self):
         settings = self.read(RENDERED | {"data_folder": None})
         with self.assertRaises(error.SettingsError):
--- a/sapphireseam/utils/client.py
+++ b/sapphireseam/utils/client.py
@@ -113,9 +113,14 @@
         return self._channels[address]
 
     def pick_address(self) -> str:
-        """Return the leader's address if it is known, else the next address in turn."""
+        """Return the leader's address if it is known, else the next address in turn.
+
+        Raises `ControlError` if the settings name no control VM.
+        """
         if self._leader:
             return self._leader
+        if not self._addresses:
+            raise error.ControlError("no control VM is known")
         address = self._addresses[self._next_index % len(self._addresses)]
         self._next_index += 1
         return address
--- a/sapphireseam/utils/client_test.py
+++ b/sapphireseam/utils/client_test.py
@@ -29,6 +29,11 @@
         await timer.advance(5.0)
         return running.exception()
 
+    async def test_call_without_a_known_control_vm_is_refused(self):
+        caller = client.ControlClient((), ("x", "y"), FakeTimer())
+        with self.assertRaises(error.ControlError):
+            await caller.call(message.Empty(), 1.0)
+
     async def test_call_refused_at_every_attempt_is_not_run(self):
         failure = await self.get_failure(error.NotLeaderError("no"))
         self.assertTrue(failure.not_run)
--- a/sapphireseam/utils/mirror.py
+++ b/sapphireseam/utils/mirror.py
@@ -140,8 +140,9 @@
 
     async def _watch_forever(self) -> None:
         while True:
-            address = self._next_address()
+            address = ""
             try:
+                address = self._next_address()
                 await self._watch(address)
             except (error.SeamError, TimeoutError) as failure:
                 detail = {"address": address, "cause": str(failure)}
@@ -151,6 +152,8 @@
     def _next_address(self) -> str:
         """Return the next address of the known control VMs, in round-robin order."""
         addresses = self._client.addresses
+        if not addresses:
+            raise error.ControlError("no control VM is known")
         self._next_index += 1
         return addresses[self._next_index % len(addresses)]
 
