Read no page of the list of replicas twice

What callers saw: a page whose `next` names a page that was read before made the leader read 200 pages in a row, every half second, before it refused the list. That uses up the rate that the list takes from all machines together. Cause: only the number of pages was bounded. Evidence: the new test counted 200 reads on the former code. Change: the list is refused at the first name that comes again.

--- a/sapphireseam/platform/listing.py
+++ b/sapphireseam/platform/listing.py
@@ -62,6 +62,7 @@
         """Return the listed replicas; malformed entries are skipped."""
         found: dict[str, Instance] = {}
         name = ""
+        names = {name}
         size = 0
         for _ in range(MAX_PAGES):
             body = await self._request_page(name)
@@ -76,6 +77,9 @@
             if not page.next:
                 return tuple(sorted(found.values()))
             name = page.next
+            if name in names:
+                break
+            names.add(name)
         raise error.ControlError("the list of replicas does not end")
 
     async def start(self) -> None:
--- a/sapphireseam/platform/listing_test.py
+++ b/sapphireseam/platform/listing_test.py
@@ -222,6 +222,13 @@
             await asyncio.wait_for(flood.has_closed.wait(), 1.0)
             self.assertLess(flood.sent, listing.MAX_PAGE_BYTES + SOCKET_BYTES)
 
+    async def test_page_that_names_an_earlier_one_uses_up_no_rate(self):
+        first, second = ({"instances": [], "next": name} for name in ("p-2", "p-3"))
+        self.pages = {"": first, "p-2": second, "p-3": first}
+        with self.assertRaises(error.ControlError):
+            await self.listing.list()
+        self.assertEqual(self.reads, 3)
+
     async def test_pages_without_end_are_refused(self):
         large = {"instances": ["x" * (listing.MAX_PAGE_BYTES // 2)], "next": "p-2"}
         self.pages = {"": large, "p-2": large}
