Pass on no head that can't be sent to a caller

What callers saw: when a replica answered with a control character in a header, the connection was closed without any answer, although the request had run and the rest of the answer was sound; an answer with status 101 reached the caller as such and ended its connection. Cause: the parser of answers takes such headers, the writer of answers refuses them, after the request's handler has returned. Change: such a head is a malformed answer: the request is sent elsewhere if it may run again, else it is answered with 502.

--- a/sapphireseam/entry/direct_test.py
+++ b/sapphireseam/entry/direct_test.py
@@ -337,6 +337,15 @@
         await self.serve(UNSAFE, "fail")
         self.assertEqual((self.sink.status, self.sink.body), (500, b"no"))
 
+    async def test_a_head_that_cannot_be_passed_on_is_a_failed_attempt(self):
+        for odd in (
+            make_raw(b"x", extra=b"H: a\x01b\r\n"),
+            make_raw(b"x", extra=b"H: a\x7f\r\n"),
+            make_raw(b"", b"101 Switching Protocols"),
+        ):
+            await self.expect(error.Kind.OUTCOME_UNKNOWN, UNSAFE, odd)
+            self.assertEqual(self.sink.begun, 0)
+
     async def test_another_requests_answer_is_never_passed_on(self):
         await self.serve(SAFE, "stale")
         self.assertNotEqual(self.sink.body, b"no")
--- a/sapphireseam/utils/framing.py
+++ b/sapphireseam/utils/framing.py
@@ -17,6 +17,7 @@
 import enum
 import errno
 import functools
+import re
 import socket
 import struct
 from collections.abc import Callable, Mapping
@@ -39,6 +40,8 @@
 MAX_OVERHEAD_BYTES = 128 * 1024
 # Further bytes of this kind that are accepted for each byte of the body.
 OVERHEAD_PER_BODY_BYTE = 2
+# What no header of a request or an answer may have.
+_CONTROL_CHARACTER = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 # The value of SO_LINGER with which a close resets the connection.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # Errors of a connection whose peer can't be reached. They don't come from the peer.
@@ -204,10 +207,18 @@
     is_on_new_connection: bool
 
     async def start(self, connection: Connection) -> aiohttp.ClientResponse:
-        """Read the head of the answer."""
+        """Read the head of the answer.
+
+        Raises `MalformedAnswerError` if it can't be passed on to a caller.
+        """
         self._framed_protocol = connection.protocol
         self.is_on_new_connection = connection.protocol.request_count == 1
-        return await super().start(connection)
+        await super().start(connection)
+        if self.status < FINAL_STATUS:
+            raise MalformedAnswerError(f"status {self.status} is not final")
+        if any(_CONTROL_CHARACTER.search(value) for value in self.headers.values()):
+            raise MalformedAnswerError("a header has a control character")
+        return self
 
     async def read(self) -> bytes:
         """Return the body; raise `ClientPayloadError` if it isn't complete."""
