Propose no command that no member can decode

What callers saw: by reading, running items whose upstreams send much at once, 4 MB each, had all of their new output saved in one command; with 17 of them it has more than 64 MiB, which is committed but can't be decompressed, so it stops each member for good when it is applied, and again after each restart. Cause: the size was bounded where commands are read, not where they are written. Evidence: a command of this size was encoded by the former code, and all outputs went into one command; both new tests fail. Change: an encoder refuses what no decoder takes, and parts of outputs are saved in commands of 512 KiB or one part.

--- a/sapphireseam/control/bulkrunner.py
+++ b/sapphireseam/control/bulkrunner.py
@@ -47,8 +47,8 @@
 # many of them are described.
 WAIT_LOG_SECONDS = 5.0
 MAX_DESCRIBED_ITEMS = 3
-# One command records results until they reach this many bytes in total. An answer
-# that is not streamed may have at most this many.
+# One command records results, or parts of outputs, until they reach this many bytes in
+# total. An answer that is not streamed may have at most this many.
 MAX_RESULT_BYTES = 512 * 1024
 # The largest output of one item, in bytes, with `progress.EVENT_OVERHEAD_BYTES` for
 # each event.
@@ -554,19 +554,34 @@
             await self._propose_parts()
 
     async def _propose_parts(self) -> None:
-        drafts = [
-            (progress, progress.attempt, len(progress.data), progress.draft_part(*key))
-            for key, progress in self._progress.items()
-            if len(progress.data) >= MIN_PART_EVENTS and progress.is_resumable
-        ]
-        if not drafts:
-            return
+        keys = [key for key, progress in self._progress.items() if _is_due(progress)]
+        while keys:
+            drafts = []
+            size = 0
+            while keys and size < MAX_RESULT_BYTES:
+                key = keys.pop()
+                # Its item may have ended or begun again meanwhile.
+                progress = self._progress.get(key)
+                if progress is not None and _is_due(progress):
+                    part = progress.draft_part(*key)
+                    drafts.append(
+                        (progress, progress.attempt, len(progress.data), part)
+                    )
+                    size += len(part.output)
+            if drafts and not await self._save_drafts(drafts):
+                return
+
+    async def _save_drafts(
+        self, drafts: list[tuple[ItemProgress, int, int, command.LotPart]]
+    ) -> bool:
+        """Save parts of outputs in one command; return whether it was committed."""
         parts = tuple(part for _, _, _, part in drafts)
         if not await self._propose(command.KeepParts(parts)):
-            return
+            return False
         for progress, attempt, count, part in drafts:
             if progress.attempt == attempt:
                 progress.record_saved(part, count)
+        return True
 
     async def _append_results_forever(self) -> None:
         while True:
@@ -604,6 +619,11 @@
         return True
 
 
+def _is_due(progress: ItemProgress) -> bool:
+    """Return whether enough of an item's output is unsaved to save it."""
+    return len(progress.data) >= MIN_PART_EVENTS and progress.is_resumable
+
+
 def _make_run_key(job: str, number: int | str) -> str:
     """Return the allocator's key of an item; an empty number gives the job's prefix."""
     return f"item/{job}#{number}"
--- a/sapphireseam/control/bulkrunner_test.py
+++ b/sapphireseam/control/bulkrunner_test.py
@@ -577,6 +577,19 @@
         expected = b"\n".join(b"i0-%d" % number for number in range(60))
         self.assertEqual(results[0].output, expected)
 
+    async def test_outputs_that_are_large_together_are_saved_in_several_commands(self):
+        self.upstream.events = self.other.events = 60
+        self.upstream.event_delay = self.other.event_delay = 0.03
+        saved = []
+        self.machine.subscribe(lambda item, answer: saved.append(item))
+        with mock.patch.object(bulkrunner, "MAX_RESULT_BYTES", 1):
+            await self.accept(4)
+            async with asyncio.timeout(5.0):
+                while len(self.machine.state.lots["l"].partials) < 4:  # noqa: ASYNC110
+                    await asyncio.sleep(0.01)
+        parts = [len(x.parts) for x in saved if isinstance(x, command.KeepParts)]
+        self.assertEqual(set(parts), {1})
+
     async def test_expired_job_is_abandoned(self):
         self.placement.allocator.update((), 0.0)
         await self.accept(2, abandon=0.2 - bulkrunner.CLOCK_SKEW_SECONDS)
--- a/sapphireseam/core/codec.py
+++ b/sapphireseam/core/codec.py
@@ -18,7 +18,8 @@
 _encoder = msgspec.msgpack.Encoder()
 # Smaller data isn't compressed.
 COMPRESSED_BYTES = 4096
-# The largest data that is decompressed, so that a broken member can't fill the memory.
+# The largest data that is compressed or decompressed, in bytes, so that a broken member
+# can't fill the memory.
 MAX_DECOMPRESSED_BYTES = 64 * 1024 * 1024
 # The first byte of compressed data.
 _MARK = 0x78
@@ -71,12 +72,16 @@
         }
 
     def encode(self, message: Any) -> bytes:
-        """Return the message as bytes."""
+        """Return the message as bytes; raise `ValueError` if none could decode it."""
         name = type(message).__name__
         if name not in self._decoders:
             raise ValueError(f"{name} isn't a registered message")
         data = _encoder.encode((name, message))
-        return compress(data) if self._compresses else data
+        if not self._compresses:
+            return data
+        if len(data) > MAX_DECOMPRESSED_BYTES:
+            raise ValueError(f"{name} has {len(data)} bytes, too many to be read again")
+        return compress(data)
 
     def decode(self, data: bytes) -> Any:
         """Return the decoded message, or raise `ValueError`."""
--- a/sapphireseam/core/codec_test.py
+++ b/sapphireseam/core/codec_test.py
@@ -26,6 +26,13 @@
         item = command.RemoveFile("c", "f-1")
         self.assertIn(b"f-1", command.REGISTRY.encode(item))
 
+    def test_command_that_no_member_could_decode_is_not_encoded(self):
+        item = command.KeepParts(
+            (command.LotPart("l", 0, -1, 1, bytes(codec.MAX_DECOMPRESSED_BYTES)),)
+        )
+        with self.assertRaises(ValueError):
+            command.REGISTRY.encode(item)
+
     def test_damaged_data_is_refused(self):
         packed = codec.compress(make_document(1000))
         for damaged in (packed[:-9], packed[:20] + b"?" * 20 + packed[40:]):
