--- a/sapphireseam/core/fleet.py
+++ b/sapphireseam/core/fleet.py
@@ -7,6 +7,7 @@
 """
 
 import itertools
+import math
 from typing import Annotated, Any, Literal, NamedTuple, TypeVar
 
 from pydantic import Field, TypeAdapter, ValidationError
@@ -18,12 +19,17 @@
 Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
 Address = Annotated[str, Field(pattern=r"^[0-9a-fA-F.:\[\]]+:[0-9]{1,5}$")]
 Positive = Annotated[float, Field(gt=0, allow_inf_nan=False)]
-Time = Annotated[float, Field(ge=0, allow_inf_nan=False)]
+NotNegative = Annotated[float, Field(ge=0, allow_inf_nan=False)]
 Digest = Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
 # Requests of a lower rank are placed first; 0 is the lowest.
 Rank = Annotated[int, Field(ge=0, le=1000)]
 
 MEBIBYTE = 1024 * 1024
+# The largest number that fits into a message.
+MAX_COUNT = 2**63 - 1
+# The text of a refusal is stored with its command, so its length is bounded.
+MAX_RENDERED_FINDINGS = 100
+MAX_SOURCE_LENGTH = 200
 
 
 class FailureDomain(NamedTuple):
@@ -33,7 +39,7 @@
     """
 
     region: Name
-    distances: dict[Name, Time] = {}
+    distances: dict[Name, NotNegative] = {}
 
 
 class Contract(NamedTuple):
@@ -99,7 +105,7 @@
     due: Positive = 3600.0
     abandon: Positive = 86400.0
     attempts: Annotated[int, Field(ge=1, le=100)] = 3
-    token_limit: Annotated[int, Field(ge=0)] = 0
+    token_limit: Annotated[int, Field(ge=0, le=MAX_COUNT)] = 0
 
 
 class Service(NamedTuple):
@@ -110,7 +116,7 @@
     `tells_load`, the answer to a probe lists the requests that the upstream runs.
     """
 
-    connections: Annotated[int, Field(ge=1)] = 64
+    connections: Annotated[int, Field(ge=1, le=MAX_COUNT)] = 64
     probe_path: Annotated[str, Field(pattern=r"^/\S*$")] = "/"
     tells_load: bool = False
 
@@ -136,8 +142,8 @@
     shares: tuple[Share, ...] = ()
     streamed: bool = False
     batch: Batch | None = None
-    target: Time = 0.0
-    pause: Time = 0.0
+    target: NotNegative = 0.0
+    pause: NotNegative = 0.0
     attempts: Annotated[int, Field(ge=1, le=100)] = 3
     rank: Rank = 0
     methods: tuple[Literal["GET", "POST", "PUT", "DELETE"], ...] = ("GET", "POST")
@@ -168,8 +174,8 @@
 class Bounds(NamedTuple):
     """Limits on a caller's headers and body in bytes, and on idle time in seconds."""
 
-    header_bytes: Annotated[int, Field(ge=1024)] = 16 * 1024
-    body_bytes: Annotated[int, Field(ge=1)] = 64 * MEBIBYTE
+    header_bytes: Annotated[int, Field(ge=1024, le=MAX_COUNT)] = 16 * 1024
+    body_bytes: Annotated[int, Field(ge=1, le=MAX_COUNT)] = 64 * MEBIBYTE
     idle: Positive = 75.0
 
 
@@ -287,11 +293,15 @@
 
 
 def render_findings(findings: list[Finding]) -> str:
-    """Return the findings as text, one on each line."""
-    return "\n".join(
-        f"{item.source}: {item.message} (found {str(item.entry)[:80]!r})"
-        for item in findings
-    )
+    """Return the first findings as text, one on each line."""
+    lines = [
+        f"{item.source[:MAX_SOURCE_LENGTH]}: {item.message}"
+        f" (found {str(item.entry)[:80]!r})"
+        for item in findings[:MAX_RENDERED_FINDINGS]
+    ]
+    if len(findings) > len(lines):
+        lines.append(f"and {len(findings) - len(lines)} more findings")
+    return "\n".join(lines)
 
 
 def _join_location(location: tuple[Any, ...]) -> str:
@@ -364,19 +374,31 @@
 
 def _check_version_cycles(fleet: Fleet) -> list[Finding]:
     findings = []
+    # Versions that were looked at, with the version from which they were reached.
+    reached: dict[str, str] = {}
     for name, version in fleet.versions.items():
         source = f"versions.{name}.parent"
         if version.parent:
             findings += _check_reference(
                 source, version.parent, fleet.versions, "version"
             )
-        seen = {name}
-        parent = version.parent
-        while parent in fleet.versions and parent not in seen:
-            seen.add(parent)
-            parent = fleet.versions[parent].parent
-        if parent == name:
-            findings.append(Finding(source, "adapts itself in a cycle", parent))
+        current = name
+        while current in fleet.versions and current not in reached:
+            reached[current] = name
+            current = fleet.versions[current].parent
+        if reached.get(current) == name:
+            findings += _list_cycle(fleet, current)
+    return findings
+
+
+def _list_cycle(fleet: Fleet, start: str) -> list[Finding]:
+    """Return a finding for each version of a cycle."""
+    findings = []
+    name = start
+    while name != start or not findings:
+        source = f"versions.{name}.parent"
+        findings.append(Finding(source, "adapts itself in a cycle", name))
+        name = fleet.versions[name].parent
     return findings
 
 
@@ -395,9 +417,10 @@
             if service and service not in services:
                 message = "names no service that an upstream has"
                 findings.append(Finding(f"routes.{name}.service", message, service))
-        if route.shares and sum(share.weight for share in route.shares) <= 0:
-            message = "has weights that add up to 0"
-            findings.append(Finding(f"routes.{name}.shares", message, 0))
+        total = sum(share.weight for share in route.shares)
+        if route.shares and not 0 < total < math.inf:
+            message = "has weights that add up to 0 or to no number"
+            findings.append(Finding(f"routes.{name}.shares", message, total))
         if not route.methods:
             findings.append(Finding(f"routes.{name}.methods", "is empty", []))
     return findings
--- a/sapphireseam/platform/document.py
+++ b/sapphireseam/platform/document.py
@@ -5,17 +5,16 @@
 """
 
 import json
+from collections import Counter
 from typing import Annotated, Any, NamedTuple
 
 import msgspec
 
-from sapphireseam.core import error, jsontext, key
+from sapphireseam.core import error, fleet, jsontext, key
 
 MILLISECONDS_PER_SECOND = 1000.0
 # Engines answer this path immediately and without using a slot.
 ENGINE_PROBE_PATH = "/report"
-# The largest number that fits into a message.
-MAX_VERSION = 2**63 - 1
 METHODS = ("GET", "POST", "PUT", "DELETE")
 
 SAFE = "safe"
@@ -86,7 +85,7 @@
 class Document(msgspec.Struct):
     """A complete configuration."""
 
-    version: Annotated[int, msgspec.Meta(ge=0, le=MAX_VERSION)]
+    version: Annotated[int, msgspec.Meta(ge=0, le=fleet.MAX_COUNT)]
     routes: tuple[Route, ...]
     services: tuple[Service, ...]
     limits: Limits = msgspec.field(default_factory=Limits)
@@ -144,8 +143,8 @@
         configuration.services,
         configuration.tenants,
     ):
-        names = [item.name for item in section]
-        duplicates = sorted({name for name in names if names.count(name) > 1})
+        counts = Counter(item.name for item in section)
+        duplicates = sorted(name for name, count in counts.items() if count > 1)
         findings += [f"{name}: is defined twice" for name in duplicates]
     for route in configuration.routes:
         if route.timeout_ms <= 0:
--- a/sapphireseam/platform/document_test.py
+++ b/sapphireseam/platform/document_test.py
@@ -1,6 +1,7 @@
 """Test the translation of the platform's configurations."""
 
 import json
+import time
 import unittest
 
 from sapphireseam.core import error, fleet, key
@@ -117,6 +118,16 @@
             with self.assertRaises(error.ConfigurationError):
                 document.translate(text[:size])
 
+    def test_many_names_hold_up_no_process(self):
+        route = make_configuration()["routes"][0]
+        routes = [route | {"name": f"r{n // 2}"} for n in range(20_000)]
+        source = json.dumps(make_configuration(routes=routes)).encode()
+        start = time.process_time()
+        with self.assertRaises(error.ConfigurationError) as caught:
+            document.translate(source)
+        self.assertLess(time.process_time() - start, 1.0)
+        self.assertEqual(len(caught.exception.message.splitlines()), 10_000)
+
     def test_documents_that_exceed_a_limit(self):
         text = json.dumps(make_configuration()).encode()
         for odd in (
@@ -129,6 +140,24 @@
             with self.assertRaises(error.ConfigurationError, msg=odd[:20]):
                 document.translate(source)
 
+    def test_numbers_that_no_process_can_use(self):
+        sound = make_configuration()
+        halves = [
+            {"service": "llm", "weight": 1e308},
+            {"service": "llm", "weight": 1e308},
+        ]
+        route, batch = sound["routes"][0], sound["routes"][-1]
+        services = sound["services"]
+        for odd in (
+            {"routes": [route | {"weighted_services": halves}]},
+            {"routes": [batch | {"cap": 2**63}]},
+            {"services": [each | {"max_connections": 10**30} for each in services]},
+            {"limits": {"max_header_bytes": 2**64}},
+            {"limits": {"max_body_bytes": 2**64}},
+        ):
+            with self.assertRaises(error.ConfigurationError, msg=odd):
+                translate(make_configuration(routes=[route]) | odd)
+
     def test_versions_that_no_message_can_hold(self):
         for version in (-1, 2**63, 2**64, 10**30):
             with self.assertRaises(error.ConfigurationError, msg=version):
