Let requests wait for a probe if all upstreams are ejected

Callers got 503 `no_upstream` from a service whose upstreams were up: one whose answer breaks is ejected until the next probe, up to 0.4 s later, also if no other is left, and requests were refused at once meanwhile, to come back after 2 s.

Once the last usable upstream of a service is ejected, the leader probes all of its ejected ones at once. Until a probe of an upstream has failed, requests may wait for it within their patience. No request goes to an upstream whose probe hasn't succeeded: one that is down behind a sidecar would accept it, and sound requests would be blamed for its crash. While another upstream is usable nothing changes, so that one that keeps breaking answers still gets fewer requests. After a failed probe requests are refused at once, as before; so an upstream that is silent for longer than the probe's 0.3 s, with all others, still gets none until a probe succeeds.

Failed before: discovered_test with "no free slot at service llm" for a sound request right after each upstream broke an answer; placement_test with no probe at all.

--- a/sapphireseam/control/placement.py
+++ b/sapphireseam/control/placement.py
@@ -413,6 +413,9 @@
             logger.info(
                 "upstream ejected", extra={"upstream": instance_id, "by": reporter}
             )
+            # Without another upstream, requests wait for the answer.
+            for instance in self.allocator.list_awaited(instance_id):
+                self._tasks.spawn(self._probe_one(instance))
 
     def release(self, key: str) -> None:
         """Release the slot of a bulk item."""
@@ -442,12 +445,13 @@
             self._tasks.spawn(self._probe_one(instance))
 
     async def _probe_one(self, instance: Instance) -> None:
-        if await self._probe_load(instance) is not None:
-            logger.info("upstream restored", extra={"upstream": instance.id})
-            self._send_decisions(
-                self.allocator.restore(instance.id, self._timer.read_clock())
-            )
-            self.on_slot_free()
+        if await self._probe_load(instance) is None:
+            self.allocator.record_down(instance.id)
+            return
+        logger.info("upstream restored", extra={"upstream": instance.id})
+        now = self._timer.read_clock()
+        self._send_decisions(self.allocator.restore(instance.id, now))
+        self.on_slot_free()
 
     async def _probe_load(self, instance: Instance) -> ProbeResult | None:
         service = self._services.get(instance.service, fleet.Service())
--- a/sapphireseam/control/placement_test.py
+++ b/sapphireseam/control/placement_test.py
@@ -36,12 +36,17 @@
         machine = StateMachine()
         replica = FakeReplica(machine)
         replica.leader, replica.members = "", ()
+        self.probed = []
         self.server = placements.PlacementServer(
-            replica, machine, None, None, None, self.timer
+            replica, machine, None, self.probe, None, self.timer
         )
         await self.server.start()
         self.addAsyncCleanup(self.server.stop)
 
+    async def probe(self, instance, path, seconds):
+        self.probed.append(instance.id)
+        return placements.ProbeResult(())
+
     async def attach(self, count):
         streams = [EntryStream(self.timer) for _ in range(count)]
         for number, stream in enumerate(streams):
@@ -99,6 +104,20 @@
         await self.timer.advance(0.0)
         self.assertEqual(self.server.allocator.count_slots("llm"), former.slots)
 
+    async def test_all_ejected_upstreams_are_probed_once_no_other_is_left(self):
+        other = INSTANCE._replace(id="i2")
+        self.server.update_instances((INSTANCE, other))
+        await self.timer.advance(0.0)
+        self.probed.clear()
+        self.server.eject(INSTANCE.id)
+        await self.timer.advance(0.0)
+        self.assertEqual(self.probed, [])
+        self.server.eject(other.id)
+        await self.timer.advance(0.0)
+        self.assertEqual(self.probed, [INSTANCE.id, other.id])
+        slots = self.server.allocator.count_slots("llm")
+        self.assertEqual(slots, INSTANCE.slots + other.slots)
+
     async def test_every_entry_hears_from_the_leader_often_enough(self):
         self.server.update_instances((INSTANCE,))
         streams = await self.attach(3)
--- a/sapphireseam/policy/allocator.py
+++ b/sapphireseam/policy/allocator.py
@@ -11,7 +11,8 @@
 can still meet their deadline come before late requests. Among these, requests of the
 customer with fewer running requests come first, then those that arrived first. A
 request that can't get a slot in time is refused at once, with the time after which
-to retry.
+to retry. While all upstreams are ejected and the next probe may bring some back, a
+request may wait for that.
 
 A request that continues a stream goes before all others: most of its work is done, its
 caller has waited longest, and only upstreams of one version can serve it. So streams
@@ -193,11 +194,18 @@
         self._refresh(load)
         return True
 
+    def record_down(self, name: str) -> None:
+        """Record that a probe of an ejected instance has failed."""
+        load = self._loads.get(name)
+        if load is not None and load.is_ejected:
+            load.is_down = True
+            self._refresh(load)
+
     def restore(self, name: str, now: float) -> list[Grant]:
         """Place requests at an ejected instance again; return new grants."""
         load = self._loads.get(name)
         if load is not None:
-            load.is_ejected = False
+            load.is_ejected = load.is_down = False
             self._refresh(load)
         return self._place_waiting(now)
 
@@ -221,6 +229,17 @@
         """Return the ejected instances."""
         return [load.instance for load in self._loads.values() if load.is_ejected]
 
+    def list_awaited(self, name: str) -> list[Instance]:
+        """Return the instances of the service of `name` that a probe may bring back.
+
+        Return none if the service has usable ones.
+        """
+        load = self._loads.get(name)
+        if load is None or self.count_slots(load.instance.service):
+            return []
+        loads = self._list_loads(load.instance.service)
+        return [each.instance for each in loads if each.is_awaited]
+
     def record_load(self, name: str, ids: tuple[str, ...], now: float) -> list[Grant]:
         """Record the ids of the requests that an instance reports as running.
 
--- a/sapphireseam/policy/allocator_test.py
+++ b/sapphireseam/policy/allocator_test.py
@@ -253,6 +253,25 @@
         grant = self.allocator.place(make_request("r"), 0.0)
         self.assertEqual(grant.instance.id, "i2")
 
+    def test_a_request_waits_for_the_probes_while_all_upstreams_are_ejected(self):
+        for name in ("i1", "i2"):
+            self.allocator.eject(name)
+        self.assertEqual(len(self.allocator.list_awaited("i2")), 2)
+        self.assertIsNone(self.allocator.place(make_request("r"), 0.0))
+        (grant,) = self.allocator.restore("i1", 0.1)
+        self.assertEqual((grant.request.key, grant.instance.id), ("r", "i1"))
+
+    def test_a_request_is_refused_once_probes_of_all_ejected_upstreams_failed(self):
+        for name in ("i1", "i2"):
+            self.allocator.eject(name)
+            self.allocator.record_down(name)
+        refusal = self.allocator.place(make_request("r", patience=9.0), 0.0)
+        self.assertTrue(refusal.has_no_upstream)
+        for name in ("i1", "i2"):
+            self.allocator.restore(name, 0.1)
+            self.allocator.eject(name)
+        self.assertIsNone(self.allocator.place(make_request("r", now=0.1), 0.1))
+
     def test_restart_under_the_same_id_frees_all_slots(self):
         self.fill(4)
         restarted = make_instance("i1", born=7)
--- a/sapphireseam/policy/occupancy.py
+++ b/sapphireseam/policy/occupancy.py
@@ -42,6 +42,8 @@
         self.batch_count = 0
         self.late_count = 0
         self.is_ejected = False
+        # Whether a probe has failed since the instance was ejected.
+        self.is_down = False
         # Whether the instance itself has said that it is leaving, which the list of
         # instances may not tell yet.
         self.has_said_leaving = False
@@ -65,6 +67,11 @@
         """Return whether requests may be placed at the instance."""
         return not self.is_ejected and not self.is_leaving
 
+    @property
+    def is_awaited(self) -> bool:
+        """Return whether the next probe may bring the instance back."""
+        return self.is_ejected and not self.is_down and not self.is_leaving
+
     @property
     def free_slots(self) -> int:
         """Return the number of free slots."""
--- a/sapphireseam/policy/upstreampool.py
+++ b/sapphireseam/policy/upstreampool.py
@@ -42,6 +42,7 @@
     is_limited: bool
     is_ejected: bool
     is_leaving: bool
+    is_awaited: bool
     external: int
     occupancy: int
     pace: float
@@ -70,6 +71,8 @@
         # How many upstreams of each version may get requests, and their slots.
         self._usable_counts: Counter[str] = Counter()
         self._slots: Counter[str] = Counter()
+        # Slots of the upstreams that the next probe may bring back.
+        self._awaited_slots = 0
         # The usable upstreams with a ceiling, in order of number.
         self._limited: dict[str, UpstreamLoad] = {}
         self._files: dict[str, _Files] = {}
@@ -135,6 +138,7 @@
             load.ceiling is not None,
             load.is_ejected,
             load.is_leaving,
+            load.is_awaited,
             load.external,
             len(load.requests) + load.external,
             load.pace,
@@ -165,6 +169,7 @@
         self._states["leaving"] += change * filing.is_leaving
         self._states["ejected"] += change * filing.is_ejected
         self._states["limited"] += change * filing.is_limited
+        self._awaited_slots += change * filing.is_awaited * filing.slots
 
     def _remove(self, filing: _Filing) -> None:
         self._count_states(filing, -1)
@@ -192,19 +197,28 @@
         return self._slots[version] if version else self._slots.total()
 
     def has_choice(self, request: SlotRequest) -> bool:
-        """Return whether a request may get a slot once one is free."""
+        """Return whether a request may get a slot once one is free or a probe succeeds.
+
+        One for a version needn't wait for a probe.
+        """
         version, held = request.version, request.held
         if not held:
-            return self.count_slots(version) > 0
+            is_awaited = not version and self._awaited_slots > 0
+            return is_awaited or self.count_slots(version) > 0
         if self._are_all_ejected(version):
             return bool(self._list_last_resorts(version, held=held))
         return self._count_usable(version, frozenset({held})) > 0
 
     def estimate_capacity(self, version: str, slot_seconds: float) -> float:
-        """Return how many requests of this duration run at once at the most."""
+        """Return how many requests of this duration run at once at the most.
+
+        Upstreams that a probe may bring back count if no other is usable.
+        """
         if version and not self._usable_counts[version]:
             loads = self._list_last_resorts(version)
             return sum(load.estimate_capacity(slot_seconds) for load in loads)
+        if not self.count_slots(version):
+            return self._awaited_slots
         limited = [
             load
             for load in self._limited.values()
--- a/sapphireseam/tools/discovered_test.py
+++ b/sapphireseam/tools/discovered_test.py
@@ -55,6 +55,19 @@
 
         self.run_fleet(replace_leader, 2, 2)
 
+    def test_a_request_is_served_right_after_each_upstream_broke_an_answer(self):
+        async def break_all():
+            for _ in range(REQUESTS):
+                for upstream in self.fleet.upstreams:
+                    upstream.behaviours = ["drop"]
+                broken = discovered.Request("broken", ROUTE, ("own",))
+                await self.fleet.send(0, broken)
+                await self.fleet.send(0, broken)
+                sound = discovered.Request("sound", ROUTE, ("own",))
+                self.assertIsNone((await self.fleet.send(0, sound)).failure)
+
+        self.run_fleet(break_all, 2, 1)
+
 
 if __name__ == "__main__":
     unittest.main()
