Judge by run whether a leaving upstream gets requests in the soak

The check counted requests for all runs of an upstream. It counts those for the run that spoke now; for these it is stricter, as it holds until the end of the soak, not for 0.3 s. The new test fails on the former check, which didn't tell runs apart.

--- a/sapphireseam/tools/streamsoak.py
+++ b/sapphireseam/tools/streamsoak.py
@@ -9,8 +9,8 @@
 
 It checks that a stream that ended as complete has each event once, that all events of
 a stream come from one software version, that most resumptions go on while their
-version serves, that an upstream gets nothing more from an entry to which it has
-said that it leaves, and that a bad part is refused after a few crashes while sound
+version serves, that a run of an upstream gets nothing more from an entry to which it
+has said that it leaves, and that a bad part is refused after a few crashes while sound
 requests begin (`tools.promptpart`).
 """
 
@@ -36,6 +36,7 @@
     placement,
     trait,
 )
+from sapphireseam.core.instance import Instance
 from sapphireseam.entry.direct import DirectForwarder, DirectRequest
 from sapphireseam.entry.placer import Placer
 from sapphireseam.entry.quarantine import QuarantineGate
@@ -71,6 +72,8 @@
 DEADLINE_SECONDS = 4.0
 TRIES = 4
 TRY_PAUSE_SECONDS = 0.05
+# The header with the start time of the run for which a request is meant.
+BORN = "Born"
 # Requests that were on their way may reach a leaving upstream for this long.
 CROSSING_SECONDS = 0.3
 # Resumptions are judged if no leader changed and no entry was parted for this long.
@@ -96,6 +99,25 @@
 FAULTS = ("break",) * 12 + ("release",) * 4 + ("lead", "part", "replace")
 
 
+class _Dialect(FakeDialect):
+    """Names in a request the run of the upstream for which it is meant."""
+
+    def render(
+        self, request: outbound.Outgoing, instance: Instance
+    ) -> list[tuple[str, str]]:
+        """Return the headers of a request."""
+        return [*super().render(request, instance), (BORN, str(instance.born))]
+
+
+class _Told(NamedTuple):
+    """A run that has told an entry that it leaves, and what it had received."""
+
+    upstream: FakeUpstream
+    born: int
+    entry: str
+    received: int
+
+
 class _Replica:
     """Stands in for the replicated log of one leader."""
 
@@ -278,6 +300,7 @@
         # Entries that get no new requests. They serve on until the end.
         self._replaced: list[_Entry] = []
         self._tasks: set[asyncio.Task] = set()
+        self._told: list[_Told] = []
         # When a leader changed last or an entry was parted, or came back.
         self._unsettled_at = 0.0
         # When the soak last let each upstream break off answers.
@@ -307,6 +330,7 @@
         await asyncio.gather(*callers)
         for task in (injecting, *series):
             task.cancel()
+        self._check_leaving()
         self._check_resumptions()
         self._check_series()
         if wrong := self._wrong_refusals:
@@ -372,7 +396,7 @@
         meter = metric.Meter(name)
         slack = fallback.Slack(20, 0.1, 5.0)
         placer = Placer(name, "z", client, dict, slack, meter, self._timer)
-        pool = outbound.ConnectionPool(FakeDialect())
+        pool = outbound.ConnectionPool(_Dialect())
         rng = random.Random(self._rng.random())
         timeline = Timeline(name, self._timer)
         mirror = Mirror(name, "seam-entry", client, timeline, self._timer)
@@ -388,7 +412,7 @@
             placer.report_leaving(instance)
             known = self._upstreams + self._removed
             (upstream,) = [each for each in known if each.name == instance.id]
-            self.spawn(self._watch_leaving(name, upstream))
+            self.spawn(self._watch_leaving(name, upstream, instance.born))
 
         pool.on_leaving = handle_leaving
         entry = _Entry(name, client, mirror, placer, pool, gate, detector, forwarder)
@@ -602,14 +626,23 @@
         if numbers != list(range(EVENTS)):
             self.findings.append(f"{id}: complete with events {numbers}")
 
-    async def _watch_leaving(self, entry: str, upstream: FakeUpstream) -> None:
-        """Check that a leaving upstream gets nothing more from an entry."""
+    async def _watch_leaving(
+        self, entry: str, upstream: FakeUpstream, born: int
+    ) -> None:
+        """Check from now on that a leaving run gets nothing more from an entry.
+
+        Another run may answer until the list shows that the upstream has restarted.
+        The entry can't know then that the new run is the one that leaves.
+        """
         await asyncio.sleep(CROSSING_SECONDS)
-        before = _count_runs(upstream, entry)
-        await asyncio.sleep(LIST_LAG_SECONDS)
-        if _count_runs(upstream, entry) > before:
-            text = f"{upstream.name} got a request from {entry} while it left"
-            self.findings.append(text)
+        received = _count_runs(upstream, entry, born)
+        self._told.append(_Told(upstream, born, entry, received))
+
+    def _check_leaving(self) -> None:
+        for upstream, born, entry, received in self._told:
+            if _count_runs(upstream, entry, born) > received:
+                text = f"{upstream.name} got a request from {entry} while it left"
+                self.findings.append(text)
 
     def _check_resumptions(self) -> None:
         tried, went_on = self._count_tries("resumption")
@@ -689,8 +722,12 @@
         return self.counts[f"{kind}s"], self.counts[f"{kind}s that went on"]
 
 
-def _count_runs(upstream: FakeUpstream, entry: str) -> int:
-    return sum(run.headers.get("Entry") == entry for run in upstream.runs)
+def _count_runs(upstream: FakeUpstream, entry: str, born: int) -> int:
+    meant = (entry, str(born))
+    return sum(
+        (run.headers.get("Entry"), run.headers.get(BORN)) == meant
+        for run in upstream.runs
+    )
 
 
 def _name_part(number: int) -> str:
--- a/sapphireseam/tools/streamsoak_test.py
+++ b/sapphireseam/tools/streamsoak_test.py
@@ -6,7 +6,10 @@
 
 import unittest
 
+from multidict import CIMultiDict
+
 from sapphireseam.tools import streamsoak
+from sapphireseam.utils import fakeupstream
 
 SEED = 1
 SECONDS = 16.0
@@ -21,6 +24,16 @@
         self.assertGreater(result.counts["crashes"], 0)
         self.assertGreater(result.counts["refused parts"], 0)
 
+    async def test_only_the_run_that_said_it_leaves_must_get_nothing_more(self):
+        for born, findings in ((1, []), (0, ["u1 got a request from e while it left"])):
+            soak = streamsoak.StreamSoak(SEED)
+            upstream = fakeupstream.FakeUpstream("u1")
+            await soak._watch_leaving("e", upstream, 0)
+            headers = CIMultiDict({"Entry": "e", streamsoak.BORN: str(born)})
+            upstream.runs.append(fakeupstream.Run("r", "/", headers, b""))
+            soak._check_leaving()
+            self.assertEqual(soak.findings, findings)
+
 
 if __name__ == "__main__":
     unittest.main()
