Wait for the verdict itself in the test that it is kept

AgentPathTest.test_a_verdict_is_not_forgotten_by_new_leaders_and_entries failed beside load: 'upstream_failed' != 'request_quarantined'. With logs kept it failed in 1 of 2 runs at a load of 12: the third bad request was refused with `no_upstream` and 2.0 s, as the two before had crashed all four engines. The test took any refusal for longer than 1.5 s for that of the verdict, and went on. The four crashes, reported 0.17 s apart by twos, are two strikes by the policy, and three are needed, so there was no verdict to forget; the next bad request made it.

The test now sends until a refusal is `request_quarantined` and for longer than 1.5 s, which a trial's isn't. What it checks then, and its time limit, are as before. CrashUntilRefusedTest fails on the former function: it returns at the first of three refusals.

--- a/sapphireseam/tools/promptpart_test.py
+++ b/sapphireseam/tools/promptpart_test.py
@@ -50,11 +50,13 @@
 
 
 async def crash_until_refused(send):
-    """Send requests with the bad part until one is refused for long."""
+    """Send requests with the bad part until one is refused for long because of it."""
     async with asyncio.timeout(fleet.STEP_SECONDS):
         for number in itertools.count():
             parts = (promptpart.SHARED, promptpart.BAD, f"unlike {number}")
-            if (await send(parts[-1], parts)).retry_after > TIMES.contact:
+            outcome = await send(parts[-1], parts)
+            is_refused = outcome.code == promptpart.QUARANTINED
+            if is_refused and outcome.retry_after > TIMES.contact:
                 return
             await asyncio.sleep(TIMES.bad_period)
 
@@ -68,6 +70,23 @@
     return [at for at in record.arrivals if at > since]
 
 
+class CrashUntilRefusedTest(unittest.IsolatedAsyncioTestCase):
+    async def test_only_a_refusal_because_of_the_part_shows_that_the_verdict_stands(
+        self,
+    ):
+        answers = [
+            promptpart.Outcome(0.0, False, 503, "no_upstream", 2.0, True),
+            promptpart.Outcome(0.0, False, 503, promptpart.QUARANTINED, 0.5, True),
+            promptpart.Outcome(0.0, False, 503, promptpart.QUARANTINED, 60.0, True),
+        ]
+
+        async def send(id, parts):
+            return answers.pop(0)
+
+        await crash_until_refused(send)
+        self.assertEqual(answers, [])
+
+
 class DirectPathTest(unittest.TestCase):
     """Runs on the programs' event loop, as all of them share one process."""
 
