Send nothing to an upstream that has crashed behind a sidecar

Callers of sound requests got 502 `upstream_failed`, and a prompt part that crashes upstreams crashed more of them: AgentPathTest. test_an_upstream_behind_a_sidecar_is_seen_to_crash failed beside load, with 5 to 7 requests with the part later than 1.5 s after crash 5 (3 allowed).

A sidecar accepts connections while its upstream is down and breaks them. An agent kept sending what waited in its queue, one request after the other, and took each break for another crash, as it names the run of an upstream itself. Most reports blamed sound requests, so that the verdict on the bad part (at 4.29 s, for 60 s) was judged anew and lost again (at 5.05 s its next request reached an upstream).

An agent now hands back requests as not run between a crash and the next health check that succeeds, so that they run elsewhere. A request that was sent after the first break of a crash, and got no data before its own, counts as part of that crash (on the direct path too).

--- a/sapphireseam/agent/engine.py
+++ b/sapphireseam/agent/engine.py
@@ -65,6 +65,8 @@
     def __init__(self, name: str, timer: TimerService):
         self.name = name
         self.healthy = False
+        # Whether it has crashed and answered no health check since then.
+        self.has_crashed = False
         # The version or service that the upstream has by the configuration.
         self.served = ""
         # Hears the ceilings that the upstream names, if it is set.
@@ -79,7 +81,7 @@
         base_url = f"http://{address}" if address else ""
         if base_url != self._base_url:
             self._base_url = base_url
-            self.healthy = False
+            self.healthy = self.has_crashed = False
 
     async def start(self) -> None:
         """Start the periodic health check."""
@@ -102,6 +104,7 @@
     async def _check_health(self) -> None:
         if self._base_url:
             self.healthy = await self.probe()
+            self.has_crashed = self.has_crashed and not self.healthy
 
     async def probe(self) -> bool:
         """Return whether the upstream answers a health check."""
@@ -115,7 +118,8 @@
     async def has_ended(self, run: crash.Run) -> bool:
         """Return whether the upstream answers no health check any more."""
         address = self._base_url.removeprefix("http://")
-        return not address or await crash.is_down(address, HEALTH_PATH)
+        self.has_crashed = not address or await crash.is_down(address, HEALTH_PATH)
+        return self.has_crashed
 
     async def _get_health(self) -> bool:
         async with self._session.get(self._base_url + HEALTH_PATH) as response:
--- a/sapphireseam/agent/engine_test.py
+++ b/sapphireseam/agent/engine_test.py
@@ -7,7 +7,7 @@
 
 from sapphireseam.agent import engine
 from sapphireseam.core import exchange
-from sapphireseam.utils import fakeflood, fakeupstream
+from sapphireseam.utils import crash, fakeflood, fakeupstream
 from sapphireseam.utils.timer import SystemTimer
 
 
@@ -42,6 +42,14 @@
         self.assertTrue(caught.exception.broken)
         self.assertFalse(caught.exception.not_run)
 
+    async def test_an_upstream_that_has_crashed_is_back_once_it_answers_a_check(self):
+        self.upstream.has_sidecar, self.upstream.down_seconds = True, 0.3
+        self.upstream._crash(fakeupstream.Run("r", "/x", {}, b""))
+        self.assertTrue(await self.client.has_ended(crash.Run("u1")))
+        self.assertTrue(self.client.has_crashed)
+        await asyncio.sleep(0.3 + 2 * engine.HEALTH_SECONDS)
+        self.assertFalse(self.client.has_crashed)
+
     async def test_a_request_whose_connection_breaks_is_never_sent_again(self):
         for method in ("PUT", "DELETE", "GET"):
             before = len(self.upstream.runs)
--- a/sapphireseam/agent/fake.py
+++ b/sapphireseam/agent/fake.py
@@ -52,6 +52,7 @@
     def __init__(self, name: str = "u"):
         self.name = name
         self.healthy = True
+        self.has_crashed = False
         self.served = ""
         self.is_down = True
         self.exchanges: list[FakeExchange] = []
--- a/sapphireseam/agent/server.py
+++ b/sapphireseam/agent/server.py
@@ -99,6 +99,11 @@
                 text = "the upstream serves something else now"
                 self.refuse(error.CapacityError(text, error.Kind.NO_UPSTREAM))
                 return Completion(0.0, False)
+            if self._server.upstream.has_crashed:
+                # A sidecar would accept the request and break its connection.
+                text = "the upstream has crashed and isn't back yet"
+                self.refuse(error.CapacityError(text, error.Kind.NO_UPSTREAM))
+                return Completion(0.0, False)
             was_sent = True
             return await self._exchange()
         except Exception:
--- a/sapphireseam/agent/server_test.py
+++ b/sapphireseam/agent/server_test.py
@@ -107,6 +107,13 @@
         self.assertTrue(failed.not_run)
         self.assertEqual(self.upstream.exchanges, [])
 
+    async def test_no_request_is_sent_to_an_upstream_that_has_crashed(self):
+        self.upstream.has_crashed = True
+        await self.send(make_offer())
+        (failed,) = self.list_fails()
+        self.assertEqual((failed.kind, failed.not_run), ("no_upstream", True))
+        self.assertEqual(self.upstream.exchanges, [])
+
     async def test_no_request_runs_once_its_upstream_serves_something_else(self):
         self.upstream.served = "v1"
         self.scheduler.slots = 1
--- a/sapphireseam/utils/crash.py
+++ b/sapphireseam/utils/crash.py
@@ -152,6 +152,11 @@
     def __exit__(self, *_: object) -> None:
         self.close()
 
+    @property
+    def has_received(self) -> bool:
+        """Whether the upstream has sent data."""
+        return self.received_at > -math.inf
+
     def close(self) -> None:
         """Record that the exchange has ended."""
         self._detector.remove(self)
@@ -239,9 +244,14 @@
     def record_break(
         self, exchange: Exchange, traits: tuple[str, ...]
     ) -> asyncio.Future[bool]:
-        """Add a broken exchange to its episode, which begins with the first one."""
+        """Add a broken exchange to its episode, which begins with the first one.
+
+        One that was opened after that, and got no data, may have met an upstream that
+        was down already, so it is no other crash.
+        """
         for episode in self._episodes:
-            if exchange in episode.members:
+            has_met_it = exchange.run == episode.run and not exchange.has_received
+            if exchange in episode.members or has_met_it:
                 break
         else:
             run = exchange.run
--- a/sapphireseam/utils/crash_test.py
+++ b/sapphireseam/utils/crash_test.py
@@ -62,6 +62,15 @@
         self.assertTrue(first.result() and rest[0].result() and rest[1].result())
         self.assertEqual(len(self.list_reports()), 1)
 
+    async def test_a_request_that_met_an_upstream_already_down_is_no_second_crash(self):
+        first = self.detect_crash("1")
+        await self.timer.advance(crash.COLLECT_SECONDS / 2)
+        self.open("x")
+        later = self.detect_crash("x")
+        await self.timer.advance(1.0)
+        self.assertTrue(first.result() and later.result())
+        self.assertEqual(self.list_requests(), [(("f1",), ("fx",))])
+
     async def test_break_is_no_crash_while_other_work_still_runs(self):
         task = self.detect_crash("1")
         await self.timer.advance(crash.COLLECT_SECONDS / 2)
