Soak stops of an entry with clients that stay to the end

Cause: a connection counted as idle while a request that aiohttp had already parsed waited for its handler.

Change: connections are no longer accepted first, then requests on the open ones are refused for a moment more, then idle ones aren't read any more, and are ended only after what was read has reached its handler. Stand-ins that the soak and stop_test share are in platform/fake.py.

--- a/sapphireseam/platform/stop_test.py
+++ b/sapphireseam/platform/stop_test.py
@@ -6,62 +6,19 @@
 
 import uvloop
 
-from sapphireseam.core import error, fleet, message
-from sapphireseam.entry.authorizer import Authorization
 from sapphireseam.platform import front
+from sapphireseam.platform.fake import (
+    Client,
+    FakeAuthorizer,
+    SlowBulkJobs,
+    SlowForwarder,
+)
 from sapphireseam.tools import layout
 from sapphireseam.utils.application import Application
 from sapphireseam.utils.grace import Grace
 from sapphireseam.utils.timer import SystemTimer
 
 GRACE_SECONDS = 2.0
-HEADERS = (("X-Response-Signature", "sig"),)
-
-
-class FakeAuthorizer:
-    """Authorizes every request, for a route that the first part of the path names."""
-
-    is_ready = True
-    bounds = fleet.Bounds(body_bytes=1000)
-
-    async def authorize(self, host, path, key_text):
-        kind = path.split("/")[1]
-        route = fleet.Route(
-            f"/{kind}/",
-            "llm",
-            idempotent=kind == "safe",
-            streamed=kind == "stream",
-            timeout=60.0,
-            batch=fleet.Batch() if kind == "batch" else None,
-        )
-        return Authorization(kind, route, "t1", 0)
-
-    async def identify_with_refresh(self, key_text):
-        return "t1"
-
-
-class SlowForwarder:
-    """Answers after as many seconds as the last part of the path says."""
-
-    def __init__(self):
-        self.requests = []
-
-    async def serve(self, request, sink):
-        self.requests.append(request)
-        if request.route.streamed:
-            await sink.begin(200, HEADERS)
-            await sink.write(b"id: 0\n\n")
-        now = SystemTimer().read_clock()
-        try:
-            async with asyncio.timeout(request.deadline - now):
-                await asyncio.sleep(float(request.target.split("/")[-1]))
-        except TimeoutError:
-            kind = error.Kind.DEADLINE_EXCEEDED
-            raise error.SeamError("late", kind, not_run=False) from None
-        if not request.route.streamed:
-            await sink.begin(200, HEADERS)
-        await sink.write(b"whole")
-        await sink.finish()
 
 
 class StuckForwarder(SlowForwarder):
@@ -72,57 +29,6 @@
         await asyncio.sleep(60.0)
 
 
-class SlowBulkJobs:
-    def __init__(self, seconds):
-        self.seconds = seconds
-
-    async def accept(self, job, customer, route_name, route, items):
-        await asyncio.sleep(self.seconds)
-
-    async def read(self, job, customer, after, wait):
-        await asyncio.sleep(self.seconds)
-        return message.LotView(2, ())
-
-    async def end(self, job, customer):
-        await asyncio.sleep(self.seconds)
-
-
-class Client:
-    """One kept connection."""
-
-    def __init__(self, port):
-        self._port = port
-
-    async def open(self):
-        self.reader, self.writer = await asyncio.open_connection(
-            "127.0.0.1", self._port
-        )
-
-    def send(self, path, method="POST", body=b"b", length=None, deadline=60.0):
-        head = (
-            f"{method} {path} HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a\r\n"
-            f"X-Deadline-Ms: {1000 * deadline}\r\n"
-            f"Content-Length: {len(body) if length is None else length}\r\n\r\n"
-        )
-        self.writer.write(head.encode() + body)
-
-    async def receive(self):
-        """Return the status, headers, body and whether all of it came."""
-        head = (await self.reader.readuntil(b"\r\n\r\n")).decode()
-        first, *lines = head.split("\r\n")
-        headers = dict(line.lower().split(": ", 1) for line in lines if line)
-        status = int(first.split()[1])
-        if "content-length" in headers:
-            size = int(headers["content-length"])
-            return status, headers, await self.reader.readexactly(size), True
-        body = await self.reader.read()
-        return status, headers, body, body.endswith(b"0\r\n\r\n")
-
-    async def ask(self, path, **options):
-        self.send(path, **options)
-        return await self.receive()
-
-
 class StopTest(unittest.IsolatedAsyncioTestCase):
     @classmethod
     def setUpClass(cls):
--- a/sapphireseam/utils/drain.py
+++ b/sapphireseam/utils/drain.py
@@ -9,6 +9,7 @@
 import contextlib
 import logging
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 from aiohttp import web
 
@@ -23,8 +24,11 @@
 NOTICE_SHARE = 0.5
 # Interval at which a stop checks whether all requests have ended.
 CHECK_SECONDS = 0.05
-# Time that a client has to see the end of an idle connection before it is closed.
+# Time in which requests are refused once the server doesn't listen any more, and time
+# that clients have to see the end of an idle connection before it is closed.
 LINGER_SECONDS = 0.2
+# Steps of the event loop after which a request that was read has reached its handler.
+SETTLE_STEPS = 5
 
 
 class Drain:
@@ -43,7 +47,7 @@
         self.is_refusing = False
         self._open: set[asyncio.Timeout] = set()
         # Connections with a request, also with one that is refused.
-        self._busy: set[asyncio.BaseProtocol] = set()
+        self._busy: set[Any] = set()
 
     @property
     def open_count(self) -> int:
@@ -112,20 +116,35 @@
             await self._timer.sleep(min(CHECK_SECONDS, remaining))
 
     async def _close(self, runner: web.BaseRunner) -> None:
-        """Close the server, its idle connections so that clients see the end first.
+        """Close the server, idle connections so that clients see their end first.
 
-        An idle connection isn't read any more. So a request that crosses its end was
-        not read, and its client may send it again.
+        Once no connection is accepted any more, requests on the open ones are refused
+        for a moment. Then idle connections aren't read any more. So a request that
+        crosses the end was not read, and its client may send it again.
         """
-        connections = runner.server.connections if runner.server else []
-        for connection in connections:
-            transport = connection.transport
-            if connection in self._busy or transport is None:
-                continue
-            with contextlib.suppress(RuntimeError, OSError):
-                transport.pause_reading()
-                transport.write_eof()
-        if connections:
-            linger = min(LINGER_SECONDS, self._grace.close_step_seconds)
+        linger = min(LINGER_SECONDS, self._grace.close_step_seconds)
+        for site in list(runner.sites):
+            await site.stop()
+        if runner.server is not None and runner.server.connections:
+            await self._timer.sleep(linger)
+            await self._end_idle(runner.server.connections)
             await self._timer.sleep(linger)
         await runner.cleanup()
+
+    async def _end_idle(self, connections: list[Any]) -> None:
+        """End the connections without a request, answering what was read before."""
+        transports = [
+            connection.transport
+            for connection in connections
+            if connection not in self._busy and connection.transport is not None
+        ]
+        for transport in transports:
+            with contextlib.suppress(RuntimeError, OSError):
+                transport.pause_reading()
+        for _ in range(SETTLE_STEPS):
+            await asyncio.sleep(0)
+        busy = {connection.transport for connection in self._busy}
+        for transport in transports:
+            if transport not in busy and not transport.is_closing():
+                with contextlib.suppress(RuntimeError, OSError):
+                    transport.write_eof()
