Keep the stop of a program within its grace if a part hangs

Operators saw, by reading: a part that hung in its stop held the program without a bound, until the supervisor killed it with all later parts still running.

Cause: parts stop one after another and nothing bounded their sum.

One part may use 0.97 of it; those that stop afterwards share the rest. What was left is logged as an error.

--- a/sapphireseam/utils/application.py
+++ b/sapphireseam/utils/application.py
@@ -19,6 +19,8 @@
 
 # Pause before a background task that failed is started again, in seconds.
 RESTART_SECONDS = 0.2
+# Share of the grace that a single part may use for its stop.
+PART_SHARE = 0.97
 
 
 class Part(Protocol):
@@ -122,9 +124,8 @@
         self.grace.begin()
         while self._started:
             part = self._started.pop()
-            limit = self.grace.timer.limit(self.grace.read_remaining())
             try:
-                async with limit:
+                async with self.grace.timer.limit(self._compute_stop_limit()):
                     await part.stop()
             except TimeoutError:
                 name = type(part).__name__
@@ -133,6 +134,15 @@
                 logger.exception("a part failed to stop")
         logger.info("stopped", extra={"program": self.name})
 
+    def _compute_stop_limit(self) -> float:
+        """Return the seconds that the next part has to stop.
+
+        Parts that stop after one that hung share what that one had to leave.
+        """
+        return max(
+            self.grace.read_remaining(PART_SHARE), self.grace.read_remaining() / 2
+        )
+
     async def run(self) -> None:
         """Run until SIGTERM, SIGINT or `request_stop`."""
         loop = asyncio.get_running_loop()
--- a/sapphireseam/utils/application_test.py
+++ b/sapphireseam/utils/application_test.py
@@ -5,6 +5,7 @@
 from unittest import mock
 
 from sapphireseam.utils import application
+from sapphireseam.utils.grace import Grace
 
 
 class TaskGroupTest(unittest.IsolatedAsyncioTestCase):
@@ -36,5 +37,39 @@
         self.assertGreater(self.calls, 1)
 
 
+class HangingPart:
+    def __init__(self, seconds):
+        self.seconds = seconds
+        self.is_stopped = False
+
+    async def start(self):
+        pass
+
+    async def stop(self):
+        await asyncio.sleep(self.seconds)
+        self.is_stopped = True
+
+
+class StopTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_part_that_hangs_does_not_hold_the_stop_beyond_the_grace(self):
+        program = application.Application("p", Grace(0.5))
+        parts = [HangingPart(0.0), HangingPart(60.0), HangingPart(0.1)]
+        for part in parts:
+            program.add(part)
+        await program.start()
+        program.request_stop()
+        with self.assertLogs(application.logger, "ERROR"):
+            async with asyncio.timeout(5.0):
+                await program.stop()
+        self.assertEqual([part.is_stopped for part in parts], [True, False, True])
+
+    async def test_a_second_signal_does_not_begin_the_grace_again(self):
+        program = application.Application("p", Grace(0.5))
+        program.request_stop()
+        await asyncio.sleep(0.2)
+        program.request_stop()
+        self.assertLess(program.grace.read_remaining(), 0.4)
+
+
 if __name__ == "__main__":
     unittest.main()
