Drop uploads that were abandoned

What the operator saw: by reading, a control VM whose memory grows with each upload that breaks off, for instance at a full disk. Cause: the pieces of an upload were kept until the last one came or the program stopped. Evidence: the new test failed before, with three of three abandoned uploads kept. Change: an upload that got no piece for 60 s is dropped at the next piece of any; a later piece of it begins it again. Result: the new test passes, the oldest is dropped.

--- a/sapphireseam/control/application.py
+++ b/sapphireseam/control/application.py
@@ -349,7 +349,7 @@
     timeline.report(meter)
     machine = StateMachine()
     members = Members(settings)
-    store = blob.BlobStore(settings.data_folder / "blobs")
+    store = blob.BlobStore(settings.data_folder / "blobs", timer)
     initial_members = settings.peers if settings.is_first_start else ()
     options = option.Options(
         bootstrap=tuple(
--- a/sapphireseam/control/blob.py
+++ b/sapphireseam/control/blob.py
@@ -12,16 +12,28 @@
 from pathlib import Path
 
 from sapphireseam.core import error
+from sapphireseam.utils.timer import TimerService
 
 PIECE_BYTES = 1024 * 1024
+# Time after which an upload that got no further piece is dropped, in seconds.
+UPLOAD_SECONDS = 60.0
+
+
+class _Upload:
+    """The pieces of an unfinished upload."""
+
+    def __init__(self):
+        self.data = bytearray()
+        self.changed_at = 0.0
 
 
 class BlobStore:
     """Stores blobs in one folder, each in a file named by its digest."""
 
-    def __init__(self, folder: Path):
+    def __init__(self, folder: Path, timer: TimerService):
         self._folder = folder
-        self._uploads: dict[str, bytearray] = {}
+        self._timer = timer
+        self._uploads: dict[str, _Upload] = {}
         # Blobs whose files may not be durable yet.
         self._unsynced: set[str] = set()
 
@@ -87,19 +99,27 @@
 
         Raises a `ControlError` of kind `CONFLICT` if an earlier piece is missing.
         """
-        pieces = self._uploads.get(upload, bytearray())
-        if offset > len(pieces):
+        self._drop_abandoned()
+        pieces = self._uploads.get(upload, _Upload())
+        if offset > len(pieces.data):
             # Another leader got it, or this one has restarted since.
             text = "a piece of the upload is missing"
             raise error.ControlError(text, error.Kind.CONFLICT)
         self._uploads[upload] = pieces
-        pieces[offset:] = data
+        pieces.data[offset:] = data
+        pieces.changed_at = self._timer.read_clock()
         if not last:
             return ""
-        name = await self.write(bytes(pieces))
+        name = await self.write(bytes(pieces.data))
         self._uploads.pop(upload, None)
         return name
 
+    def _drop_abandoned(self) -> None:
+        limit = self._timer.read_clock() - UPLOAD_SECONDS
+        for name, pieces in list(self._uploads.items()):
+            if pieces.changed_at < limit:
+                del self._uploads[name]
+
     def read(self, blob: str) -> bytes:
         """Return a blob; raise `StorageError` if it is missing or damaged."""
         try:
--- a/sapphireseam/control/blob_test.py
+++ b/sapphireseam/control/blob_test.py
@@ -10,6 +10,7 @@
 
 from sapphireseam.control import blob
 from sapphireseam.core import error
+from sapphireseam.utils.timer import FakeTimer
 
 FULL = OSError(errno.ENOSPC, "no space left")
 DATA = b"some bytes"
@@ -19,7 +20,8 @@
 class BlobStoreTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.folder = pathlib.Path(self.enterContext(tempfile.TemporaryDirectory()))
-        self.store = blob.BlobStore(self.folder)
+        self.timer = FakeTimer()
+        self.store = blob.BlobStore(self.folder, self.timer)
         await self.store.start()
 
     def fail_sync(self, number):
@@ -62,6 +64,12 @@
         name = await self.store.write_piece("u", 4, DATA[4:], True)
         self.assertEqual((name, self.store.read(name)), (DIGEST, DATA))
 
+    async def test_an_abandoned_upload_takes_no_memory_for_good(self):
+        for number in range(3):
+            await self.store.write_piece(f"u{number}", 0, DATA, False)
+            await self.timer.advance(blob.UPLOAD_SECONDS - 1)
+        self.assertEqual(list(self.store._uploads), ["u1", "u2"])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/sapphireseam/utils/upload_test.py
+++ b/sapphireseam/utils/upload_test.py
@@ -7,6 +7,7 @@
 from sapphireseam.control import blob
 from sapphireseam.core import message
 from sapphireseam.utils import upload
+from sapphireseam.utils.timer import FakeTimer
 
 DATA = bytes(range(256)) * 10_000
 
@@ -31,7 +32,7 @@
     async def test_an_upload_begins_again_at_a_leader_that_lacks_its_first_pieces(self):
         for lost_before in (1, 2):
             folder = pathlib.Path(self.enterContext(tempfile.TemporaryDirectory()))
-            stores = [blob.BlobStore(folder / name) for name in "ab"]
+            stores = [blob.BlobStore(folder / name, FakeTimer()) for name in "ab"]
             for store in stores:
                 await store.start()
             name = await upload.write(Leaders(stores, lost_before), DATA)
