Pause before an item whose run raised an error runs again

What callers saw: by reading, an item of a batch job under which the leader met an error that nothing foresaw was run again at once and without an end: it kept a slot of its service and the leader busy. Cause: only the errors of an exchange set the time of the next run. Change: after any other error the item waits for the shortest backoff, too.

--- a/sapphireseam/control/bulkrunner.py
+++ b/sapphireseam/control/bulkrunner.py
@@ -383,6 +383,8 @@
         if is_dropped and has_ended:
             detail = {"lot": key[0], "item": key[1]}
             logger.info("run ended after its output was dropped", extra=detail)
+        if not task.cancelled() and task.exception() is not None:
+            progress.not_before = self._timer.read_clock() + MIN_BACKOFF_SECONDS
         if is_dropped or not has_ended or task.result() is None:
             self._wake.set()
             return
--- a/sapphireseam/control/bulkrunner_test.py
+++ b/sapphireseam/control/bulkrunner_test.py
@@ -387,6 +387,17 @@
         self.assertTrue((await self.wait_done())[0].failed)
         self.assertEqual(len(self.upstream.runs), 1)
 
+    async def test_item_whose_runs_raise_an_error_waits_before_the_next(self):
+        runs = mock.AsyncMock(side_effect=RuntimeError)
+        with (
+            mock.patch.object(self.runner, "_exchange", runs),
+            self.assertLogs("sapphireseam", "ERROR"),
+        ):
+            await self.accept()
+            await asyncio.sleep(3 * bulkrunner.MIN_BACKOFF_SECONDS)
+        self.assertLessEqual(runs.await_count, 4)
+        self.assertFalse((await self.wait_done())[0].failed)
+
     async def test_item_that_no_upstream_can_be_sent_fails(self):
         for odd in ({"target": "x:y"}, {"header": ("H", "a\r\nb")}):
             self.machine.state.lots.clear()
