Answer a form that can't be read with the caller's error

What callers saw: an upload to `/v1/files` whose form has no boundary, an unknown charset or transfer encoding, a header without a colon, or a text that isn't UTF-8 got a bare 500; with a file name that isn't UTF-8, after the whole file had been stored. Cause: the library raises errors of six kinds for forms, and none was caught; the name is decoded to surrogates, which no message can hold. Change: what can't be read is refused with 400 before anything is stored.

--- a/sapphireseam/entry/batch.py
+++ b/sapphireseam/entry/batch.py
@@ -14,6 +14,7 @@
 from typing import Any, NamedTuple
 
 from aiohttp import BodyPartReader, web
+from aiohttp.http_exceptions import HttpProcessingError
 
 from sapphireseam.core import command, error, fleet, key, message
 from sapphireseam.core.number import parse_count
@@ -32,6 +33,8 @@
 PURPOSE = "batch"
 OUTPUT_PREFIX = "file-out-"
 ERRORS_PREFIX = "file-err-"
+# What the library raises on a multipart form that it can't read.
+_FORM_ERRORS = (HttpProcessingError, ValueError, LookupError, RuntimeError)
 
 Handler = Callable[[web.Request, Caller], Awaitable[web.StreamResponse]]
 
@@ -128,7 +131,11 @@
         ]
 
     async def _create_file(self, request: web.Request, caller: Caller) -> web.Response:
-        name, purpose, data = await self._read_form(request)
+        try:
+            name, purpose, data = await self._read_form(request)
+        except _FORM_ERRORS as failure:
+            text = f"the form can't be read: {type(failure).__name__}"
+            raise error.RequestError(text) from None
         summary = FileSummary(0, "", "")
         if purpose == PURPOSE:
             summary = await asyncio.to_thread(
@@ -167,6 +174,8 @@
                 purpose = (await part.text()).strip()
             elif part.name == "file":
                 name = part.filename or "file"
+                # A name that isn't UTF-8 can't be sent to the control VMs.
+                name.encode()
                 data = await self._read_part(part)
         if data is None or not purpose:
             raise error.RequestError("the form needs the fields 'file' and 'purpose'")
