Refuse a batch line whose path no upstream can be sent

What callers saw: a file for a batch job with a `url` that has a space, a line end or a byte that isn't ASCII was accepted, and its items were leased and returned, or answered with the upstream's refusal of a malformed request, until the job's time was over. Cause: a line's path was only compared with the beginning of the routes' paths. Evidence: the new test finds '/p/x y' accepted on the former code. Change: a line's path has printable ASCII characters without spaces, or the line is named with the other findings.

--- a/sapphireseam/entry/batch.py
+++ b/sapphireseam/entry/batch.py
@@ -9,6 +9,7 @@
 import asyncio
 import hashlib
 import json
+import re
 import secrets
 from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple
@@ -33,6 +34,7 @@
 PURPOSE = "batch"
 OUTPUT_PREFIX = "file-out-"
 ERRORS_PREFIX = "file-err-"
+_PATH = re.compile(r"/[!-~]*")
 # What the library raises on a multipart form that it can't read.
 _FORM_ERRORS = (HttpProcessingError, ValueError, LookupError, RuntimeError)
 
@@ -95,7 +97,7 @@
     if document.get("method") != "POST":
         raise error.RequestError("'method' must be 'POST'")
     url = document.get("url")
-    if not isinstance(url, str):
+    if not isinstance(url, str) or not _PATH.fullmatch(url):
         raise error.RequestError("'url' must be a path")
     _, route = routedrequest.find_route(current, url)
     body = document.get("body")
--- a/sapphireseam/entry/batch_test.py
+++ b/sapphireseam/entry/batch_test.py
@@ -1,11 +1,12 @@
 """Test how uploads of files are read."""
 
+import json
 import unittest
 
 import aiohttp
 from aiohttp import web
 
-from sapphireseam.core import error
+from sapphireseam.core import error, fleet
 from sapphireseam.entry import batch
 
 TYPE = "multipart/form-data; boundary=b"
@@ -16,6 +17,20 @@
 )
 
 
+class LineTest(unittest.TestCase):
+    def test_line_whose_path_no_upstream_can_be_sent_is_refused(self):
+        current = fleet.Fleet(routes={"r": fleet.Route("/p", "s")})
+        line = {"custom_id": "a", "method": "POST", "body": {}}
+        for url in ("/p/x", "/p/x y", "/p/\r\nA: b", "/p/\u00e9", "/p/\x00"):
+            data = json.dumps(line | {"url": url}).encode()
+            try:
+                batch.check_lines(data, current, "c")
+            except error.RequestError:
+                self.assertNotEqual(url, "/p/x")
+            else:
+                self.assertEqual(url, "/p/x")
+
+
 class UploadTest(unittest.IsolatedAsyncioTestCase):
     async def test_form_that_cannot_be_read_is_the_callers_error(self):
         refusals = []
