--- a/sapphireseam/entry/batch.py
+++ b/sapphireseam/entry/batch.py
@@ -9,11 +9,13 @@
 import asyncio
 import hashlib
 import json
+import re
 import secrets
 from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple
 
 from aiohttp import BodyPartReader, web
+from aiohttp.http_exceptions import HttpProcessingError
 
 from sapphireseam.core import command, error, fleet, key, message
 from sapphireseam.core.number import parse_count
@@ -32,6 +34,9 @@
 PURPOSE = "batch"
 OUTPUT_PREFIX = "file-out-"
 ERRORS_PREFIX = "file-err-"
+_PATH = re.compile(r"/[!-~]*")
+# What the library raises on a multipart form that it can't read.
+_FORM_ERRORS = (HttpProcessingError, ValueError, LookupError, RuntimeError)
 
 Handler = Callable[[web.Request, Caller], Awaitable[web.StreamResponse]]
 
@@ -92,7 +97,7 @@
     if document.get("method") != "POST":
         raise error.RequestError("'method' must be 'POST'")
     url = document.get("url")
-    if not isinstance(url, str):
+    if not isinstance(url, str) or not _PATH.fullmatch(url):
         raise error.RequestError("'url' must be a path")
     _, route = routedrequest.find_route(current, url)
     body = document.get("body")
@@ -128,7 +133,11 @@
         ]
 
     async def _create_file(self, request: web.Request, caller: Caller) -> web.Response:
-        name, purpose, data = await self._read_form(request)
+        try:
+            name, purpose, data = await self._read_form(request)
+        except _FORM_ERRORS as failure:
+            text = f"the form can't be read: {type(failure).__name__}"
+            raise error.RequestError(text) from None
         summary = FileSummary(0, "", "")
         if purpose == PURPOSE:
             summary = await asyncio.to_thread(
@@ -167,6 +176,8 @@
                 purpose = (await part.text()).strip()
             elif part.name == "file":
                 name = part.filename or "file"
+                # A name that isn't UTF-8 can't be sent to the control VMs.
+                name.encode()
                 data = await self._read_part(part)
         if data is None or not purpose:
             raise error.RequestError("the form needs the fields 'file' and 'purpose'")
