Send nothing late in a stop that must not be repeated

Callers would see: a request on a route that isn't idempotent, which waited for a slot when the stop began, was still sent late in the grace and then ended with an unknown outcome, though another entry could have run it.

Cause: the grace was compared with a deadline only when a request was taken.

Change: the forwarder asks again once it has the slot, gives the slot back and refuses the request as not run, or says that the outcome is unknown if an earlier attempt may have run.

--- a/sapphireseam/entry/direct.py
+++ b/sapphireseam/entry/direct.py
@@ -294,13 +294,26 @@
         await self._admit(request, progress)
         slot = await self._acquire_slot(request, progress, held)
         try:
-            # A verdict may have come while the request waited for its slot.
+            # A verdict may have come while the request waited for its slot, or the
+            # stop of this process.
             await self._admit(request, progress)
+            self._check_grace(request, progress)
         except BaseException:
             self._placer.release(slot)
             raise
         return slot
 
+    def _check_grace(self, request: DirectRequest, progress: _Progress) -> None:
+        """Raise an error if a stop may cut a request that must not be repeated."""
+        if request.route.idempotent:
+            return
+        try:
+            self._grace.bound(request.deadline, is_idempotent=False)
+        except error.CapacityError as failure:
+            if progress.runs:
+                raise _make_final_error(failure.message) from None
+            raise
+
     async def _admit(self, request: DirectRequest, progress: _Progress) -> None:
         """Raise an error if the quarantine refuses the next attempt."""
         if progress.proof.is_proven:
--- a/sapphireseam/entry/direct_test.py
+++ b/sapphireseam/entry/direct_test.py
@@ -244,6 +244,30 @@
         failure = await self.expect(error.Kind.OVERLOADED, UNSAFE)
         self.assertTrue(failure.not_run)
 
+    async def test_what_a_stop_may_cut_is_not_sent_late_unless_it_may_be_repeated(self):
+        place = self.placer.place
+
+        async def place_later(spec):
+            self.grace.begin()
+            return await place(spec)
+
+        self.placer.place = place_later
+        for route, seconds, runs in (
+            (UNSAFE, 80.0, 0),
+            (UNSAFE, 5.0, 1),
+            (SAFE, 80.0, 2),
+        ):
+            if runs:
+                await self.serve(route, seconds=seconds)
+                self.sink = FakeSink()
+            else:
+                failure = await self.expect(
+                    error.Kind.SHUTTING_DOWN, route, seconds=seconds
+                )
+                self.assertTrue(failure.not_run)
+            self.assertEqual(self.count_runs(), [runs, 0])
+        self.assertEqual(len(self.placer.released), 3)
+
     async def test_a_cut_answer_is_logged_and_counted_with_its_cause(self):
         for behaviour, cause in (("cut", "broken"), ("stall", "deadline")):
             with self.subTest(behaviour), self.assertLogs(direct.logger) as logs:
