Send the end of answers to slow clients before a stop closes

Callers would see: the last part of an answer that was complete at the entry, but still waited there for a client that reads slowly, was lost when the process ended.

Cause: a request counted as ended once its answer was handed to the connection.

Evidence: the new test of stop_test fails without the change: the stop had ended while 14 kB were unsent.

Change: a stop also waits, within the grace, for what connections haven't sent.

--- a/sapphireseam/platform/stop_test.py
+++ b/sapphireseam/platform/stop_test.py
@@ -29,6 +29,20 @@
         await asyncio.sleep(60.0)
 
 
+class FullForwarder(SlowForwarder):
+    """Answers with a stream whose last part the client's machine can't take."""
+
+    async def serve(self, request, sink):
+        await sink.begin(200, ())
+        transport = sink._request.transport
+        size = 0
+        while not size:
+            await sink.write(bytes(32 * 1024))
+            await asyncio.sleep(0.002)
+            size = transport.get_write_buffer_size()
+        await sink.finish()
+
+
 class StopTest(unittest.IsolatedAsyncioTestCase):
     @classmethod
     def setUpClass(cls):
@@ -221,6 +235,24 @@
         await self.assert_stops_in_time()
         self.assertEqual(self.forwarder.requests, [])
 
+    async def test_the_end_of_an_answer_that_a_slow_client_has_not_read_is_sent(self):
+        await self.start(FullForwarder())
+        client = Client(self.port)
+        await client.open()
+        client.send("/stream/0")
+        # The whole answer must not fit into the reader's buffer.
+        await client.reader.readuntil(b"\r\n\r\n")
+        client.writer.transport.pause_reading()
+        await asyncio.sleep(0.1)
+        self.stop()
+        await asyncio.sleep(0.7 * GRACE_SECONDS)
+        self.assertFalse(self.stopping.done())
+        client.writer.transport.resume_reading()
+        body = await client.reader.read()
+        self.assertTrue(body.endswith(b"\r\n0\r\n\r\n"))
+        client.writer.close()
+        await self.assert_stops_in_time()
+
     async def test_a_second_signal_changes_nothing(self):
         await self.start()
         client = await self.connect()
--- a/sapphireseam/utils/drain.py
+++ b/sapphireseam/utils/drain.py
@@ -96,23 +96,22 @@
         elapsed = self._grace.seconds - self._grace.read_remaining()
         await self._timer.sleep(max(self._notice_seconds - elapsed, 0.0))
         self.is_refusing = True
-        await self._wait_until(grace.CUT_SHARE, has_other_work)
+        await self._wait_while(lambda: bool(self._open) or has_other_work())
         if self._open or has_other_work():
             logger.info("requests cut", extra={"count": len(self._open)})
             self._grace.cut()
-            await self._wait_until(grace.CLOSE_SHARE, has_other_work)
+            await self._wait_while(lambda: bool(self._open), grace.CLOSE_SHARE)
             now = asyncio.get_running_loop().time()
             for limit in list(self._open):
                 limit.reschedule(now)
+        await self._wait_while(lambda: _has_unsent(runner), grace.CLOSE_SHARE)
         await self._close(runner)
 
-    async def _wait_until(
-        self, share: float, has_other_work: Callable[[], bool]
+    async def _wait_while(
+        self, is_busy: Callable[[], bool], share: float = grace.CUT_SHARE
     ) -> None:
-        """Return once no request is open, or when a share of the grace has passed."""
-        while (self._open or has_other_work()) and (
-            remaining := self._grace.read_remaining(share)
-        ):
+        """Return once the condition is false or a share of the grace has passed."""
+        while is_busy() and (remaining := self._grace.read_remaining(share)):
             await self._timer.sleep(min(CHECK_SECONDS, remaining))
 
     async def _close(self, runner: web.BaseRunner) -> None:
@@ -148,3 +147,10 @@
             if transport not in busy and not transport.is_closing():
                 with contextlib.suppress(RuntimeError, OSError):
                     transport.write_eof()
+
+
+def _has_unsent(runner: web.BaseRunner) -> bool:
+    """Return whether a part of an answer waits here for a client that reads slowly."""
+    connections = runner.server.connections if runner.server is not None else ()
+    transports = [connection.transport for connection in connections]
+    return any(each and each.get_write_buffer_size() for each in transports)
