Permit nothing late in a stop of an entry that it may cut

Callers would see: on a route that isn't idempotent, a request that waited at an agent when its entry's stop began was still permitted late in the grace, and then ended with an unknown outcome.

Cause: as for direct upstreams: the grace was compared with a deadline only when the request was taken.

Evidence: the new test of forwarder_test fails without the check: a permission was sent to the agent.

Change: the entry asks before each attempt and each permission, and refuses the request as not run.

--- a/sapphireseam/entry/application.py
+++ b/sapphireseam/entry/application.py
@@ -130,6 +130,7 @@
         rng,
         build_router,
         gate,
+        its_grace,
     )
     idempotent_forwarder = IdempotentForwarder(client, timer)
     batch_api = BatchApi(client, mirror, timer)
--- a/sapphireseam/entry/forwarder.py
+++ b/sapphireseam/entry/forwarder.py
@@ -24,6 +24,7 @@
 from sapphireseam.entry.routedrequest import RoutedRequest
 from sapphireseam.policy import retry, router
 from sapphireseam.utils import crash
+from sapphireseam.utils.grace import Grace
 from sapphireseam.utils.mirror import Mirror
 from sapphireseam.utils.timeline import Timeline
 from sapphireseam.utils.timer import TimerService
@@ -79,7 +80,9 @@
         rng: random.Random,
         build_router: Callable[[str], router.Router],
         gate: QuarantineGate,
+        grace: Grace | None = None,
     ):
+        self._grace = grace or Grace(timer=timer)
         self._gate = gate
         self._failure_domain = failure_domain
         self._mirror = mirror
@@ -211,6 +214,7 @@
     ) -> None:
         request = delivery.request
         self._check_may_run(request, stopped)
+        self._check_grace(delivery)
         link = self._choose_link(delivery, tried, alone)
         upstream = self._mirror.fleet.upstreams[link.upstream]
         version = upstream.version
@@ -262,6 +266,16 @@
         if failure is not None:
             raise AttemptFailed(failure, True)
 
+    def _check_grace(self, delivery: Delivery) -> None:
+        """Raise the final error if a stop may cut a request that must not run twice."""
+        request = delivery.request
+        if request.route.idempotent:
+            return
+        try:
+            self._grace.bound(request.deadline, is_idempotent=False)
+        except error.CapacityError as failure:
+            raise self._make_final_error(delivery, failure) from None
+
     def _make_offer(
         self, delivery: Delivery, attempt: Attempt, alone: bool, served: str
     ) -> exchange.Offer:
@@ -298,6 +312,7 @@
                         # A verdict may have come while the request waited.
                         await self._admit(delivery)
                     self._check_may_run(delivery.request, stopped)
+                    self._check_grace(delivery)
                     possibly_run = True
                     attempt.send(exchange.Go(attempt.number))
                 case exchange.Head():
--- a/sapphireseam/entry/forwarder_test.py
+++ b/sapphireseam/entry/forwarder_test.py
@@ -20,6 +20,7 @@
 )
 from sapphireseam.policy import registry
 from sapphireseam.tools import fake
+from sapphireseam.utils.grace import Grace
 from sapphireseam.utils.timeline import Timeline
 from sapphireseam.utils.timer import FakeTimer
 
@@ -57,6 +58,7 @@
             name: FakeLink(name, react, numbers) for name in self.mirror.fleet.upstreams
         }
         rng = random.Random(1)
+        self.grace = Grace(timer=self.timer)
         self.forwarder = forwarder.Forwarder(
             "d",
             self.mirror,
@@ -66,6 +68,7 @@
             rng,
             lambda name: registry.build({"router": name}, "router", rng),
             self.gate,
+            self.grace,
         )
         self.sink = FakeSink()
         self.stopped = make_future()
@@ -247,6 +250,28 @@
         self.assertTrue(task.exception().not_run)
         self.assertEqual(fixture.list_sent(exchange.Go), [])
 
+    async def test_stopping_entry_permits_nothing_that_it_may_cut(self):
+        for seconds, permissions in ((80.0, 0), (10.0, 1)):
+            senders = []
+
+            def react(item, send, senders=senders):
+                if isinstance(item, exchange.Offer):
+                    senders.append(send)
+
+            fixture = Fixture(react)
+            now = fixture.timer.read_clock()
+            request = make_request(now, idempotent=False)
+            task = fixture.serve(request._replace(deadline=now + seconds))
+            await fixture.timer.settle()
+            fixture.grace.begin()
+            senders[0](exchange.Ready(0))
+            await fixture.timer.settle()
+            self.assertEqual(len(fixture.list_sent(exchange.Go)), permissions)
+            if not permissions:
+                self.assertEqual(task.exception().kind, error.Kind.SHUTTING_DOWN)
+                self.assertTrue(task.exception().not_run)
+            task.cancel()
+
     async def test_entry_that_lost_the_control_vms_gives_no_permission(self):
         senders = []
 
