Explain an exceeded deadline in a stop where the page is generated

Operators saw: docs/ERRORS.md named a new cause of deadline_exceeded that the table in the code didn't have, so that the page would have lost it at the next fill.

--- a/sapphireseam/tools/page.py
+++ b/sapphireseam/tools/page.py
@@ -90,7 +90,8 @@
         "Retry; the load balancer picks another entry.",
     ),
     Kind.DEADLINE_EXCEEDED: (
-        "The route's `timeout` has passed. If `not_run` is true, it did not run.",
+        "The route's `timeout` has passed, or the entry has shut down first. "
+        "If `not_run` is true, it did not run.",
         "Retry if the request may run twice, or if it did not run.",
     ),
     Kind.OUTCOME_UNKNOWN: (
