--- a/sapphireseam/platform/storm_test.py
+++ b/sapphireseam/platform/storm_test.py
@@ -18,6 +18,7 @@
 from sapphireseam.platform import document, front
 from sapphireseam.tools import discovered, layout
 from sapphireseam.utils import loop
+from sapphireseam.utils.grace import Grace
 
 SEED = 5
 ENTRIES = 2
@@ -97,7 +98,8 @@
     async def open_front(self, number):
         callers, ready = layout.find_ports(2)
         addresses = (f"127.0.0.1:{callers}", f"127.0.0.1:{ready}")
-        opened = front.Front(self.fleet.entries[number].context, *addresses, 1.0)
+        context = self.fleet.entries[number].context._replace(grace=Grace(1.0))
+        opened = front.Front(context, *addresses)
         await opened.start()
         self.bases = [*getattr(self, "bases", ()), f"http://127.0.0.1:{callers}"]
         return opened
