Keep a crash that came during a health check

Callers would see: a request that a sidecar accepts for an upstream that is down, and whose connection then breaks, until the next health check.

Cause: an agent forgot the crash at the end of any good health check, also of one that had begun, and been answered, before it.

Change: only a check that began after the crash was known ends it.

--- a/sapphireseam/agent/engine.py
+++ b/sapphireseam/agent/engine.py
@@ -103,8 +103,11 @@
 
     async def _check_health(self) -> None:
         if self._base_url:
+            # An answer to a check that began before a crash says nothing about it.
+            had_crashed = self.has_crashed
             self.healthy = await self.probe()
-            self.has_crashed = self.has_crashed and not self.healthy
+            if had_crashed and self.healthy:
+                self.has_crashed = False
 
     async def probe(self) -> bool:
         """Return whether the upstream answers a health check."""
--- a/sapphireseam/agent/engine_test.py
+++ b/sapphireseam/agent/engine_test.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 import uvloop
 
@@ -50,6 +51,20 @@
         await asyncio.sleep(0.3 + 2 * engine.HEALTH_SECONDS)
         self.assertFalse(self.client.has_crashed)
 
+    async def test_a_check_that_began_before_a_crash_does_not_hide_it(self):
+        client = engine.UpstreamClient("u1", SystemTimer())
+        client.set_address(self.upstream.instance.address)
+        answered = asyncio.Event()
+        with mock.patch.object(client, "probe", answered.wait):
+            checking = asyncio.create_task(client._check_health())
+            await asyncio.sleep(0)
+            self.upstream.has_sidecar, self.upstream.down_seconds = True, 9.0
+            self.upstream._crash(fakeupstream.Run("r", "/x", {}, b""))
+            self.assertTrue(await client.has_ended(crash.Run("u1")))
+            answered.set()
+            await checking
+        self.assertTrue(client.has_crashed)
+
     async def test_a_request_whose_connection_breaks_is_never_sent_again(self):
         for method in ("PUT", "DELETE", "GET"):
             before = len(self.upstream.runs)
