Report no failed storage from a call that comes after the stop

Operators would see: "member stopped" with a traceback in the log of a member that was stopped in order, and `fatal` in its state.

Its executor then raises a `RuntimeError`, which was taken for a fault of the member since all unforeseen errors are.

Evidence: `FileDisk.append` after `close` raises `RuntimeError: cannot schedule new futures after shutdown`.

Change: a member that was stopped answers such a call as it does all later ones.

--- a/sapphireseam/state/node.py
+++ b/sapphireseam/state/node.py
@@ -222,7 +222,8 @@
         """Await a storage operation; if it fails, stop this member permanently.
 
         Every failure is raised as a `StorageError`: after an unforeseen one, too, it is
-        unknown what the folder and the memory hold.
+        unknown what the folder and the memory hold. A call that comes after the stop,
+        when the folder is closed, raises a `ControlError`.
         """
         try:
             return await operation
@@ -230,6 +231,8 @@
             self.fail(failure)
             raise
         except Exception as failure:
+            if self.is_stopped:
+                raise _make_stopped_error() from failure
             raise self._fail_unexpectedly(failure) from failure
 
     def restore(self, data: bytes) -> None:
@@ -390,9 +393,7 @@
         if self.fatal is not None:
             raise self.fatal
         if self.is_stopped or not self.is_loaded:
-            raise error.ControlError(
-                "the member isn't running", error.Kind.SHUTTING_DOWN
-            )
+            raise _make_stopped_error()
 
     def fail(self, failure: error.StorageError) -> None:
         """Stop this member permanently; it acknowledges nothing afterwards."""
@@ -503,3 +504,7 @@
         if isinstance(self.links, Mapping):
             return self.links[name]
         return self.links(name)
+
+
+def _make_stopped_error() -> error.ControlError:
+    return error.ControlError("the member isn't running", error.Kind.SHUTTING_DOWN)
--- a/sapphireseam/state/replica_test.py
+++ b/sapphireseam/state/replica_test.py
@@ -448,6 +448,16 @@
     async def raise_odd_error(self, *_):
         raise RuntimeError("odd")
 
+    @async_test
+    async def test_storage_call_after_a_stop_is_no_failure_of_the_member(self):
+        sim = await self.make_cluster()
+        member = sim.replicas[sim.find_leader()]
+        await member.stop()
+        with self.assertRaises(error.ControlError):
+            await member._node.run_storage(self.raise_odd_error())
+        self.assertIsNone(member.fatal)
+        await sim.close()
+
     @async_test
     async def test_state_that_cant_be_encoded_ends_no_later_snapshot(self):
         sim = await self.make_cluster(snapshot_entries=5)
