Pass on nothing that is complete after the notice and may be cut

Clients would see: a stream that is cut with the grace although the last byte of its request came seconds after the front had begun to refuse new requests.

Cause: whether new requests are refused was asked at the head alone.

Evidence: with a grace of 8 s and a body that was complete 4.5 s after the stop began, an idempotent stream was passed on and cut at 6.8 s. The new test of stop_test failed: a safe request, complete at 0.6 of the grace, was passed on (200 for 503).

Change: such a request is taken only if its own deadline lies in the grace, and refused as not run otherwise, so that its client can send it elsewhere.

--- a/sapphireseam/platform/front.py
+++ b/sapphireseam/platform/front.py
@@ -152,7 +152,9 @@
             return await self._grace.wait_for(accepted, grace.make_cut())
         if not attempt_id:
             raise error.RequestError(f"the header {dialect.ATTEMPT} is missing")
-        deadline = self._grace.bound(deadline, authorization.route.idempotent)
+        # One that is complete only after the notice is taken if it surely ends.
+        may_be_cut = authorization.route.idempotent and not self._drain.is_refusing
+        deadline = self._grace.bound(deadline, may_be_cut)
         direct_request = DirectRequest(
             attempt_id,
             authorization.customer,
--- a/sapphireseam/platform/stop_test.py
+++ b/sapphireseam/platform/stop_test.py
@@ -205,6 +205,21 @@
         self.assertEqual(self.forwarder.requests, [])
         await self.assert_stops_in_time()
 
+    async def test_a_request_whose_body_ends_after_the_notice_is_taken_if_it_ends(self):
+        await self.start()
+        clients = [await self.connect() for _ in range(2)]
+        self.forwarder.requests.clear()
+        self.stop()
+        await asyncio.sleep(0.4 * GRACE_SECONDS)
+        for client, deadline in zip(clients, (60.0, 0.4 * GRACE_SECONDS), strict=True):
+            client.send("/safe/0", length=2, deadline=deadline)
+        await asyncio.sleep(0.2 * GRACE_SECONDS)
+        for client in clients:
+            client.writer.write(b"b")
+        self.assertEqual([(await c.receive())[0] for c in clients], [503, 200])
+        self.assertEqual(len(self.forwarder.requests), 1)
+        await self.assert_stops_in_time()
+
     async def test_calls_about_batch_jobs_that_take_too_long_are_answered(self):
         await self.start()
         job = b'{"requests":[{"id":"i1","path":"/s/1","body":"eA==","tokens":3}]}'
