Probe an upstream only at a path that can be sent

What callers saw: a service whose health path has a control character was accepted, and an upstream of it that failed once was never used again: each probe raised ValueError instead of reporting no answer. Cause: the check took each path without white space, while a request takes printable ASCII alone, and the errors of a path weren't among those of an order. Change: such a path is refused when it is published, and an order that can't be sent has no answer.

--- a/sapphireseam/core/fleet.py
+++ b/sapphireseam/core/fleet.py
@@ -117,7 +117,7 @@
     """
 
     connections: Annotated[int, Field(ge=1, le=MAX_COUNT)] = 64
-    probe_path: Annotated[str, Field(pattern=r"^/\S*$")] = "/"
+    probe_path: Annotated[str, Field(pattern=r"^/[!-~]*$")] = "/"
     tells_load: bool = False
 
 
--- a/sapphireseam/platform/document_test.py
+++ b/sapphireseam/platform/document_test.py
@@ -140,6 +140,13 @@
             with self.assertRaises(error.ConfigurationError, msg=odd[:20]):
                 document.translate(source)
 
+    def test_health_path_that_no_upstream_can_be_asked_for(self):
+        for path in ("h", "/\x01", "/a b", "/\u00e9", "/\n"):
+            services = make_configuration()["services"]
+            services[1]["health_path"] = path
+            with self.assertRaises(error.ConfigurationError, msg=path):
+                translate(make_configuration(services=services))
+
     def test_numbers_that_no_process_can_use(self):
         sound = make_configuration()
         halves = [
--- a/sapphireseam/utils/outbound.py
+++ b/sapphireseam/utils/outbound.py
@@ -527,9 +527,9 @@
         seconds: float,
     ) -> Reply | None:
         """Send an order to an upstream; return its answer, or None if there is none."""
-        url = yarl.URL(f"http://{instance.address}{path}", encoded=True)
         session = self._get_session(instance.address)
         try:
+            url = yarl.URL(f"http://{instance.address}{path}", encoded=True)
             async with asyncio.timeout(seconds):
                 async with session.request(method, url, data=body or None) as response:
                     if self._dialect.is_leaving(response.headers):
@@ -538,7 +538,8 @@
                         raise framing.MalformedAnswerError("it belongs to a request")
                     body = await response.read_body(MAX_REPLY_BYTES)
                     return Reply(response.status, body)
-        except (aiohttp.ClientError, OSError) as failure:
+        except (aiohttp.ClientError, OSError, ValueError) as failure:
+            # A path that can't be sent raises ValueError.
             detail = {
                 "upstream": instance.id,
                 "path": path,
--- a/sapphireseam/utils/outbound_test.py
+++ b/sapphireseam/utils/outbound_test.py
@@ -281,6 +281,12 @@
         self.upstream.behaviours = ["silent"]
         self.assertIsNone(await self.pool.send_order(instance, "GET", "/x", b"", 0.1))
 
+    async def test_order_with_a_path_that_cannot_be_sent_has_no_answer(self):
+        instance = self.upstream.instance
+        for path in ("/\x01", "x:y"):
+            reply = await self.pool.send_order(instance, "GET", path, b"", 1.0)
+            self.assertIsNone(reply, path)
+
     async def test_an_order_never_takes_the_answer_to_a_request_for_its_own(self):
         self.upstream.behaviours = ["refuse", "repeat"]
         await self.read()
