Send headers that aren't UTF-8 on as text that a message can hold

What callers saw: on the routes that agents serve, a request with a byte above 0x7f in any header that isn't UTF-8 couldn't be sent to the agent, and an answer with such a byte in any header ended as an internal error, although the upstream had run the request and its answer was sound. Cause: the HTTP library reads such bytes as surrogates, and no message can hold them (UnicodeEncodeError in a trial). Evidence: the new tests of the agent and the entry fail on the former code. Change: these bytes become replacement characters on both ways; the others are unchanged.

--- a/sapphireseam/agent/engine.py
+++ b/sapphireseam/agent/engine.py
@@ -16,7 +16,7 @@
 import aiohttp
 import yarl
 
-from sapphireseam.core import error, exchange
+from sapphireseam.core import codec, error, exchange
 from sapphireseam.utils import crash, framing
 from sapphireseam.utils.application import TaskGroup
 from sapphireseam.utils.ceiling import CeilingMonitor
@@ -202,7 +202,7 @@
 
 def _remove_hop_headers(headers: Any) -> tuple[tuple[str, str], ...]:
     return tuple(
-        (str(name), value)
+        (str(name), codec.replace_surrogates(value))
         for name, value in headers.items()
         if name.lower() not in _HOP_HEADERS
     )
--- a/sapphireseam/agent/engine_test.py
+++ b/sapphireseam/agent/engine_test.py
@@ -6,7 +6,7 @@
 import uvloop
 
 from sapphireseam.agent import engine
-from sapphireseam.core import exchange
+from sapphireseam.core import exchange, message
 from sapphireseam.utils import fakeflood, fakeupstream
 from sapphireseam.utils.timer import SystemTimer
 
@@ -49,6 +49,13 @@
                 await self.read("drop", method)
             self.assertEqual(len(self.upstream.runs), before + 1)
 
+    async def test_a_header_that_is_not_utf_8_can_be_sent_to_the_entry(self):
+        raw = fakeupstream.make_raw(b"x", extra=b"H: a\xff\r\n")
+        self.upstream.behaviours = [raw]
+        head = await anext(self.client.run("GET", "/x", (), b""))
+        self.assertIn(("H", "a\ufffd"), head.headers)
+        message.REGISTRY.encode(head)
+
     async def test_a_repeated_refusal_reaches_no_other_request(self):
         self.assertEqual(await self.read("refuse"), b"no")
         self.assertEqual((await self.read("repeat")).count(b"data"), 4)
--- a/sapphireseam/core/codec.py
+++ b/sapphireseam/core/codec.py
@@ -54,6 +54,19 @@
     return whole
 
 
+def replace_surrogates(text: str) -> str:
+    r"""Return a text that a message can hold, with U+FFFD for bytes that aren't UTF-8.
+
+    The HTTP library reads such bytes as surrogates.
+
+    >>> replace_surrogates("caf\xe9 \udce9") == "caf\xe9 \ufffd"
+    True
+    """
+    if text.isascii():
+        return text
+    return text.encode("utf-8", "surrogateescape").decode("utf-8", "replace")
+
+
 class Registry:
     """The message types that may be received, with their decoders.
 
--- a/sapphireseam/entry/access.py
+++ b/sapphireseam/entry/access.py
@@ -14,7 +14,7 @@
 
 from multidict import CIMultiDictProxy
 
-from sapphireseam.core import error, key
+from sapphireseam.core import codec, error, key
 from sapphireseam.utils.mirror import Mirror
 
 BEARER = "bearer "
@@ -142,7 +142,7 @@
     }
     dropped = _HOP_HEADERS | _PRIVATE_HEADERS | connection_headers
     return tuple(
-        (str(name), value)
+        (str(name), codec.replace_surrogates(value))
         for name, value in headers.items()
         if name.lower() not in dropped and not key.is_in(f"{name}: {value}")
     )
--- a/sapphireseam/entry/access_test.py
+++ b/sapphireseam/entry/access_test.py
@@ -63,6 +63,11 @@
         )
         self.assertEqual(access.strip_headers(CIMultiDictProxy(headers)), ())
 
+    def test_headers_that_are_not_utf_8_can_be_sent_to_an_agent(self):
+        headers = CIMultiDict([("X", "caf\udce9"), ("Y", "\u00e9")])
+        kept = access.strip_headers(CIMultiDictProxy(headers))
+        self.assertEqual(kept, (("X", "caf\ufffd"), ("Y", "\u00e9")))
+
     @FAST
     @given(FORMS)
     def test_key_in_path_or_body_is_refused(self, text):
