Refuse a configuration whose encoding can't be undone

What callers saw: a configuration whose body says gzip and isn't got a bare 500, after which the operator sends the same again, to every control VM. Cause: the HTTP library's error of a body wasn't an error of ours. Evidence: the new test of operator_test got 500 on the former code, three kinds of body. Change: it is an invalid configuration, 400, and the connection, whose rest can't be read, is closed. Result: operator_test passes.

--- a/sapphireseam/platform/operator.py
+++ b/sapphireseam/platform/operator.py
@@ -6,7 +6,7 @@
 import logging
 
 import msgspec
-from aiohttp import web
+from aiohttp import http_exceptions, web
 
 from sapphireseam.control.admin import AdminService
 from sapphireseam.core import error
@@ -65,12 +65,15 @@
             except error.SeamError as failure:
                 detail = {"path": request.path, "cause": failure.message}
                 logger.info("operator request refused", extra=detail)
-                return _render_failure(failure)
+                response = _render_failure(failure)
+                if request.content.exception() is not None:
+                    response.force_close()
+                return response
 
         return self._drain.wrap(answer_request)
 
     async def _put(self, request: web.Request) -> web.Response:
-        source = await request.read()
+        source = await _read_body(request)
         translated = document.translate(source)
         version, content = translated
         in_force = await self._admin.publish(version, content, source)
@@ -97,6 +100,15 @@
         return answer.render_json(msgspec.json.encode({"state": state}))
 
 
+async def _read_body(request: web.Request) -> bytes:
+    """Return a body; raise `ConfigurationError` if its encoding can't be undone."""
+    try:
+        return await request.read()
+    except (web.RequestPayloadError, http_exceptions.BadHttpMessage) as failure:
+        text = f"the body can't be read: {failure}"
+        raise error.ConfigurationError(text) from None
+
+
 def _render_failure(failure: error.SeamError) -> web.Response:
     """Return an error answer; status 400 says that a retry cannot succeed."""
     if failure.kind is error.Kind.BAD_CONFIGURATION:
--- a/sapphireseam/platform/operator_test.py
+++ b/sapphireseam/platform/operator_test.py
@@ -1,6 +1,7 @@
 """Test what operators see of a control VM that stops."""
 
 import asyncio
+import gzip
 import unittest
 
 import aiohttp
@@ -52,6 +53,19 @@
         self.assertEqual(admin.retired, ["n1"])
         self.assertGreater(grace.read_remaining(), 0.0)
 
+    async def test_a_body_whose_encoding_is_odd_is_the_operators_error(self):
+        (port,) = layout.find_ports(1)
+        front = operator.OperatorFront(FakeAdmin(), f"127.0.0.1:{port}", Grace(0.5))
+        await front.start()
+        self.addAsyncCleanup(front.stop)
+        url = f"http://127.0.0.1:{port}/config/put"
+        whole = gzip.compress(b"{}")
+        async with aiohttp.ClientSession() as http:
+            for body in (b"no gzip", whole[:-4], whole[:9] + b"\xff" * 9):
+                headers = {"Content-Encoding": "gzip"}
+                async with http.post(url, data=body, headers=headers) as answer:
+                    self.assertEqual(answer.status, 400, body)
+
 
 if __name__ == "__main__":
     unittest.main()
