Begin the grace with the signal, not when the loop sees it

Clients would see: a stop that ends later than `grace_s` after its signal, by as long as the event loop of the process was busy when the signal came, up to being killed before its last answers; and requests that are still taken after the notice.

Cause: the loop calls its handler of a signal at its next turn, and the grace began there.

Evidence: the new test of application_test failed: after a SIGTERM, and before the loop turned, the stop hadn't begun.

Change: the handler that records a stop at once begins the grace as well.

--- a/sapphireseam/utils/application.py
+++ b/sapphireseam/utils/application.py
@@ -183,6 +183,7 @@
 
     def _record_stop(self, number: int, frame: object) -> None:
         self._is_stop_requested = True
+        self.grace.begin()
 
     async def _run_parts(self) -> None:
         await self.start()
--- a/sapphireseam/utils/application_test.py
+++ b/sapphireseam/utils/application_test.py
@@ -1,6 +1,9 @@
 """Test the background tasks of parts."""
 
 import asyncio
+import gc
+import os
+import signal
 import unittest
 from unittest import mock
 
@@ -71,5 +74,17 @@
         self.assertLess(program.grace.read_remaining(), 0.4)
 
 
+class SignalTest(unittest.IsolatedAsyncioTestCase):
+    async def test_the_grace_begins_with_the_signal_though_the_loop_is_blocked(self):
+        self.addCleanup(gc.unfreeze)
+        grace = Grace(9.0)
+        running = asyncio.create_task(application.Application("x", grace).run())
+        await asyncio.sleep(0.01)
+        os.kill(os.getpid(), signal.SIGTERM)
+        is_stopping = grace.is_stopping
+        await running
+        self.assertTrue(is_stopping)
+
+
 if __name__ == "__main__":
     unittest.main()
