Rebuild a failed control VM soon, whatever work is open

Cause: a failure began the whole grace of a planned stop. Evidence: the new test of application_test ran into its time limit of 10 s without the change. Change: an application that has failed has a grace of one second at most. Result: application_test, program_test and operator_test pass.

--- a/sapphireseam/utils/application.py
+++ b/sapphireseam/utils/application.py
@@ -21,6 +21,8 @@
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 # Pause before a background task that failed is started again, in seconds.
 RESTART_SECONDS = 0.2
+# Longest grace of an application that has failed, in seconds.
+FAILURE_SECONDS = 1.0
 # Share of the grace that a single part may use for its stop.
 PART_SHARE = 0.97
 
@@ -106,8 +108,12 @@
         self._stopping.set()
 
     def fail(self, failure: Exception) -> None:
-        """Make `run` stop the parts and raise the failure."""
+        """Make `run` stop the parts and raise the failure.
+
+        What can't work on has a short grace, so that it is soon rebuilt.
+        """
         self._failure = failure
+        self.grace.seconds = min(self.grace.seconds, FAILURE_SECONDS)
         self.grace.begin()
         self._stopping.set()
 
--- a/sapphireseam/utils/application_test.py
+++ b/sapphireseam/utils/application_test.py
@@ -74,6 +74,20 @@
         self.assertLess(program.grace.read_remaining(), 0.4)
 
 
+class FailureTest(unittest.IsolatedAsyncioTestCase):
+    async def test_open_work_does_not_hold_up_the_rebuild_after_a_failure(self):
+        program = application.Application("p", Grace(60.0))
+        program.add(HangingPart(60.0))
+        asyncio.get_running_loop().call_soon(program.fail, ValueError("full"))
+        self.addCleanup(gc.unfreeze)
+        with (
+            self.assertLogs(application.logger, "ERROR"),
+            self.assertRaises(ValueError),
+        ):
+            async with asyncio.timeout(10 * application.FAILURE_SECONDS):
+                await program.run()
+
+
 class SignalTest(unittest.IsolatedAsyncioTestCase):
     async def test_the_grace_begins_with_the_signal_though_the_loop_is_blocked(self):
         self.addCleanup(gc.unfreeze)
