Move the soak of full disks beside the platform's programs

What readers met: a module under tools that speaks the platform's words. Cause: it drives the platform's control program and its operator's calls. Change: it stands in platform, as the soak of stops does; nothing else differs.

--- a/sapphireseam/tools/disksoak_test.py
+++ b/sapphireseam/platform/disksoak_test.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from sapphireseam.tools import disksoak
+from sapphireseam.platform import disksoak
 
 SEED = 1
 
