Shorten the comment on the times of the storm test

What readers met: a comment of two lines over constants whose names have their unit. Change: one line, no code.

--- a/sapphireseam/platform/storm_test.py
+++ b/sapphireseam/platform/storm_test.py
@@ -40,8 +40,7 @@
     "completion_target_ms": 9000,
     "retention_s": 20,
 }
-# Mean times between requests, changes and pauses, and the times between parallel
-# changes, new addresses and new leaders, in seconds.
+# Times between events of each kind; the first three are means.
 REQUEST_SECONDS = 0.03
 CHANGE_SECONDS = 0.3
 PAUSE_SECONDS = 0.15
