Take the contracts of a deployment into the settings

Cause: a feature that only some deployments ask for has nothing in their settings by which it could be switched on; the platform names the parts of its rules that bind a deployment in a list that the template left out. Nothing reads it yet.

--- a/sapphireseam/platform/setting.py
+++ b/sapphireseam/platform/setting.py
@@ -34,7 +34,8 @@
     uses its last configuration for `trust_ms` after it lost contact with them. A
     process ends within `grace_s` seconds after a stop was requested.
     `slack_window` is in seconds. Results of a batch job are retained for at least
-    `keep_s` seconds after the job was accepted.
+    `keep_s` seconds after the job was accepted. `contracts` names the parts of the
+    platform's rules that bind this deployment.
     """
 
     label: str
@@ -51,6 +52,7 @@
     trust_ms: fleet.NotNegative
     grace_s: fleet.Positive
     keep_s: fleet.NotNegative
+    contracts: tuple[str, ...] = ()
     data_folder: str | None = None
     callers_address: str | None = None
     ready_address: str | None = None
