--- a/sapphireseam/policy/allocator.py
+++ b/sapphireseam/policy/allocator.py
@@ -318,7 +318,8 @@
         # One that is held has arrived before.
         if not request.is_late and not request.held:
             self._arrivals.record(request.service, now)
-            self._get_waitlist(request.service).record_arrival(request, now)
+            if (waitlist := self._waitlists.get(request.service)) is not None:
+                waitlist.record_arrival(request, now)
         grant = self._try_place(request, now)
         if grant is not None:
             return grant
