Count newcomers into a wait only when a service is clearly overloaded

At nine tenths of the capacity a second with some more arrivals refused requests that would have been served, and a new leader took the return of all callers for what comes after it. Newcomers now count after a whole window, and when arrivals exceed the served by two standard deviations.

--- a/sapphireseam/entry/placer_test.py
+++ b/sapphireseam/entry/placer_test.py
@@ -122,6 +122,22 @@
         spec = placer.SlotSpec("r", "llm", "c", 0, 0.2, frozenset(), True)
         return spec._replace(**fields)
 
+    async def test_without_a_leader_refused_requests_of_a_shared_service_are_spread(
+        self,
+    ):
+        self.leader.fail()
+        await asyncio.sleep(0.3)
+        shared = fleet.Fleet(services={"llm": fleet.Service(fair=True)})
+        self.placer.update_shares(shared)
+        times = set()
+        for number in range(8):
+            spec = self.make_spec(request=str(number), is_counted=False)
+            try:
+                await self.placer.place(spec)
+            except error.CapacityError as failure:
+                times.add(round(failure.retry_after, 2))
+        self.assertGreater(len(times), 1)
+
     async def test_an_instance_that_says_it_leaves_is_reported_and_not_used(self):
         leaving = INSTANCES[0]
         self.placer.report_leaving(leaving)
--- a/sapphireseam/policy/allocator.py
+++ b/sapphireseam/policy/allocator.py
@@ -43,7 +43,7 @@
 from sapphireseam.core.instance import Instance, get_run_name
 from sapphireseam.policy.ceiling import CeilingBucket
 from sapphireseam.policy.comeback import ReturnCalendar
-from sapphireseam.policy.demand import ArrivalMeter
+from sapphireseam.policy.demand import WINDOW_SECONDS, ArrivalMeter
 from sapphireseam.policy.occupancy import PlacedRequest, UpstreamLoad
 from sapphireseam.policy.sharing import SharedWaitlist
 from sapphireseam.policy.slot import Grant, Refusal, RefusalCause, SlotRequest
@@ -66,6 +66,9 @@
 # Largest share that they may have until the arrival rate has been measured over a
 # whole window.
 STARTUP_LATE_SHARE = 0.5
+# A service is overloaded if more requests arrive than slots become free, by so many
+# standard deviations of a random number of arrivals.
+OVERLOAD_DEVIATIONS = 2.0
 
 
 class SlotAllocator:
@@ -537,8 +540,10 @@
         wait = self._estimate_wait(request, waitlist.count_ahead(request), now)
         place_seconds = self._estimate_place_seconds(request.service)
         overtaking = waitlist.estimate_overtaking(request, now)
-        if overtaking.arrival_rate * place_seconds < 1.0:
-            # More slots become free than requests arrive.
+        arrivals = overtaking.arrival_rate * WINDOW_SECONDS
+        served = WINDOW_SECONDS / place_seconds if place_seconds else math.inf
+        if arrivals < served + OVERLOAD_DEVIATIONS * math.sqrt(arrivals):
+            # The queue may clear by itself.
             return wait
         # The part of the slots that become free which goes to newcomers.
         taken = overtaking.rate * place_seconds
--- a/sapphireseam/policy/sharing.py
+++ b/sapphireseam/policy/sharing.py
@@ -220,7 +220,13 @@
         self._arrivals.record(_find_group(excess), now)
 
     def estimate_overtaking(self, request: SlotRequest, now: float) -> Overtaking:
-        """Return which newcomers are expected to go before a new request."""
+        """Return which newcomers are expected to go before a new request.
+
+        At first none are: callers that return to a new leader all at once don't show
+        what comes after them.
+        """
+        if not self._arrivals.has_full_window(now):
+            return Overtaking()
         excess = self._shares.compute_excess(request.customer)
         # Late requests have slots of their own, and continued streams go first.
         if excess <= 1.0 or request.is_late or request.is_resumed:
--- a/sapphireseam/policy/sharing_test.py
+++ b/sapphireseam/policy/sharing_test.py
@@ -153,6 +153,7 @@
             tested.place(make_request(f"w{number}", "big", patience=5.0), 0.0)
         request = make_request("s", "small", patience=0.06)
         self.assertIsNone(tested.place(request, 0.0))
+        self.assertEqual(tested.count_waiting("llm"), 21)
         (grant,) = tested.release("b0", 0.05)
         self.assertEqual(grant.request.key, "s")
 
@@ -175,21 +176,28 @@
     HOT, *OTHERS = WEIGHTS
     SMALL = OTHERS[35:]
 
-    def rate(self, load, hot=1.0):
+    def rate(self, load, hot=1.0, sizes=WEIGHTS):
         """Return the arrivals a second at a part of the capacity."""
-        total = sum(self.WEIGHTS.values())
+        total = sum(sizes.values())
         rates = {
-            name: load * self.CAPACITY * weight / total
-            for name, weight in self.WEIGHTS.items()
+            name: load * self.CAPACITY * size / total for name, size in sizes.items()
         }
         return rates | {self.HOT: hot * rates[self.HOT]}
 
-    def play_hot(self, weights, hot=7.5):
+    def play_hot(self, weights, hot=7.5, sizes=WEIGHTS):
         """Play a customer that sends a multiple of its rate for 6.5 s."""
         play = Play(make_allocator(20, weights))
-        play.run(0.0, 8.5, lambda now: self.rate(0.9, 1.0 if now < 2.0 else hot))
+        play.run(0.0, 8.5, lambda now: self.rate(0.9, hot if now > 2.0 else 1.0, sizes))
         return play
 
+    def test_others_are_served_as_if_a_hot_customer_of_their_size_behaved(self):
+        sizes = dict.fromkeys(self.WEIGHTS, 1.0)
+        calm = self.play_hot({}, 1.0, sizes)
+        shared, unshared = (self.play_hot(each, 7.5, sizes) for each in ({}, None))
+        served = shared.share_served(self.OTHERS)
+        self.assertGreater(served, calm.share_served(self.OTHERS) - 0.02)
+        self.assertGreater(served, unshared.share_served(self.OTHERS) - 0.01)
+
     def test_a_hot_customer_pays_with_its_own_requests(self):
         calm = self.play_hot(self.WEIGHTS, 1.0)
         shared, unshared = self.play_hot(self.WEIGHTS), self.play_hot(None)
