Keep the measured arrivals when the weights of customers change

Each published configuration with another weight began the count of arrivals anew, so a second of waits was estimated without newcomers.

--- a/sapphireseam/policy/allocator.py
+++ b/sapphireseam/policy/allocator.py
@@ -159,10 +159,12 @@
                 self._calendars.pop(service, None)
                 if isinstance(former, SharedWaitlist):
                     self._replace_waitlist(service, Waitlist())
-            elif not isinstance(former, SharedWaitlist) or former.weights != weights:
-                if service not in self._calendars:
-                    self._calendars[service] = ReturnCalendar(MAX_RETRY_SECONDS)
+            elif not isinstance(former, SharedWaitlist):
+                self._calendars[service] = ReturnCalendar(MAX_RETRY_SECONDS)
                 self._replace_waitlist(service, SharedWaitlist(weights))
+            elif former.weights != weights:
+                successor = SharedWaitlist(weights, former.arrivals)
+                self._replace_waitlist(service, successor)
 
     def _replace_waitlist(self, service: str, waitlist: Waitlist) -> None:
         former = self._waitlists.get(service)
--- a/sapphireseam/policy/sharing.py
+++ b/sapphireseam/policy/sharing.py
@@ -134,11 +134,17 @@
 
 
 class SharedWaitlist(Waitlist):
-    """The requests that wait for a slot of a service that customers share by weight."""
+    """The requests that wait for a slot of a service that customers share by weight.
 
-    def __init__(self, weights: Mapping[str, float]):
+    `arrivals` are the recent arrivals by the excess of their customers.
+    """
+
+    def __init__(
+        self, weights: Mapping[str, float], arrivals: ArrivalMeter | None = None
+    ):
         super().__init__()
         self.weights = weights
+        self.arrivals = arrivals or ArrivalMeter()
         self._shares = Shares(weights)
         # The levels of the waiting requests, each with its customer, by precedence.
         self._levels: dict[Precedence, SortedList] = {}
@@ -148,8 +154,6 @@
         # The counts of the customer's requests before each of these, by customer and
         # precedence, as their levels are filed.
         self._filed: dict[str, dict[Precedence, range]] = {}
-        # The arrivals by the excess of their customers.
-        self._arrivals = ArrivalMeter()
 
     def add(self, request: SlotRequest, running: int) -> None:
         """Add a request of a customer with so many running requests."""
@@ -217,7 +221,7 @@
     def record_arrival(self, request: SlotRequest, now: float) -> None:
         """Record that a request arrives, before it is placed or added."""
         excess = self._shares.compute_excess(request.customer)
-        self._arrivals.record(_find_group(excess), now)
+        self.arrivals.record(_find_group(excess), now)
 
     def estimate_overtaking(self, request: SlotRequest, now: float) -> Overtaking:
         """Return which newcomers are expected to go before a new request.
@@ -225,14 +229,14 @@
         At first none are: callers that return to a new leader all at once don't show
         what comes after them.
         """
-        if not self._arrivals.has_full_window(now):
+        if not self.arrivals.has_full_window(now):
             return Overtaking()
         excess = self._shares.compute_excess(request.customer)
         # Late requests have slots of their own, and continued streams go first.
         if excess <= 1.0 or request.is_late or request.is_resumed:
             return Overtaking()
         rates = [
-            self._arrivals.measure_rate(group, now)
+            self.arrivals.measure_rate(group, now)
             for group in range(len(EXCESS_BOUNDS) + 1)
         ]
         rate = sum(rates[: _find_group(excess)])
--- a/sapphireseam/policy/sharing_test.py
+++ b/sapphireseam/policy/sharing_test.py
@@ -161,8 +161,8 @@
         tested = make_allocator(2, None)
         for number in range(20):
             tested.place(make_request(f"b{number}", "big", patience=5.0), 0.0)
-        for services in ({"llm"}, {"llm"}, set()):
-            tested.set_shares(services, {"big": 2.0})
+        for services, weight in (({"llm"}, 2.0), ({"llm"}, 3.0), (set(), 3.0)):
+            tested.set_shares(services, {"big": weight})
             self.assertEqual(tested.count_waiting("llm"), 4)
         (grant,) = tested.release("b0", 0.1)
         self.assertEqual(grant.request.key, "b16")
