Let upstreams that fail again and again rest for longer each time

Change: policy/outlier.py counts the failures of a run in a row; the leader ejects after a refusal, too, and probes an ejected upstream only after its rest, unless most of the service's upstreams are out. Switched on by services.*.ejects_outliers, on the platform by its contract for false probes; metric seam.resting, field rest of the log line.

--- a/sapphireseam/control/application.py
+++ b/sapphireseam/control/application.py
@@ -483,7 +483,7 @@
     server.register(shared.server)
     integration.upstreams.on_leaving = server.mark_leaving
     integration.upstreams.ceiling_monitor = server.ceiling_monitor
-    report_slots(shared.meter, server.allocator, machine, replica)
+    report_slots(shared.meter, server.allocator, machine, replica, server.list_resting)
     bulkservice.BulkService(replica, machine, timer).register(shared.server)
     members = membership.MembershipService(replica, machine, settings.voters, timer)
     members.register(shared.server)
--- a/sapphireseam/control/meter.py
+++ b/sapphireseam/control/meter.py
@@ -2,11 +2,13 @@
 
 import time
 from collections import Counter
+from collections.abc import Callable, Collection
 from pathlib import Path
 
 from sapphireseam.control import record
 from sapphireseam.control.machine import StateMachine
 from sapphireseam.control.watch import WatchHub
+from sapphireseam.core.instance import Instance
 from sapphireseam.policy.allocator import SlotAllocator
 from sapphireseam.state import disk
 from sapphireseam.state.replica import Replica
@@ -49,13 +51,21 @@
     allocator: SlotAllocator,
     machine: StateMachine,
     replica: Replica,
+    list_resting: Callable[[], Collection[Instance]],
 ) -> None:
     """Register the metrics of slots, ejected upstreams and bulk jobs.
 
     Only the leader counts slots and ejections, for upstreams found by discovery.
     """
     meter.read_many(metric.SERVICE_SLOTS, lambda: count_slots(allocator, replica))
-    meter.read_many(metric.EJECTED, lambda: count_ejected(allocator, replica))
+    meter.read_many(
+        metric.EJECTED,
+        lambda: count_by_service(allocator, allocator.list_ejected(), replica),
+    )
+    meter.read_many(
+        metric.RESTING,
+        lambda: count_by_service(allocator, list_resting(), replica),
+    )
     meter.read_many(metric.BULK_ITEMS, lambda: count_bulk_items(machine.state))
     meter.read_ceilings(
         lambda: machine.state.ceilings.values() if replica.is_leader else (),
@@ -84,13 +94,15 @@
     return values
 
 
-def count_ejected(allocator: SlotAllocator, replica: Replica) -> list[metric.Value]:
-    """Return the number of ejected upstreams of each service."""
+def count_by_service(
+    allocator: SlotAllocator, instances: Collection[Instance], replica: Replica
+) -> list[metric.Value]:
+    """Return how many of the instances each service has; nothing without leadership."""
     if not replica.is_leader:
         return []
-    ejected = Counter(instance.service for instance in allocator.list_ejected())
+    counts = Counter(instance.service for instance in instances)
     services = sorted({instance.service for instance in allocator.instances})
-    return [(ejected[service], {"service": service}) for service in services]
+    return [(counts[service], {"service": service}) for service in services]
 
 
 def count_bulk_items(state: record.State) -> list[metric.Value]:
--- a/sapphireseam/control/meter_test.py
+++ b/sapphireseam/control/meter_test.py
@@ -35,7 +35,7 @@
         machine.apply(2, command.REGISTRY.encode(named))
         control = metric.Meter("control-m")
         replica = types.SimpleNamespace(is_leader=True)
-        meter.report_slots(control, slots, machine, replica)
+        meter.report_slots(control, slots, machine, replica, tuple)
         entry = metric.Meter("entry-m")
         entry.observe(metric.PLACEMENT, 0.01, outcome="placed")
         entry.read_many(metric.CUT, lambda: [(1, {"cause": "silent"})])
--- a/sapphireseam/control/placement.py
+++ b/sapphireseam/control/placement.py
@@ -17,8 +17,8 @@
 from sapphireseam.control.machine import StateMachine
 from sapphireseam.control.ratelimit import RateLimitService
 from sapphireseam.core import command, error, fleet, placement
-from sapphireseam.core.instance import Instance
-from sapphireseam.policy import allocator, origin
+from sapphireseam.core.instance import Instance, get_run_name
+from sapphireseam.policy import allocator, origin, outlier
 from sapphireseam.state.replica import Replica
 from sapphireseam.utils import ceiling, rpc
 from sapphireseam.utils.application import TaskGroup
@@ -133,6 +133,7 @@
         # Whether the entries get the view with the next heartbeat.
         self._is_view_due = False
         self._origins = origin.StreamOrigins()
+        self._outliers = outlier.OutlierDetector()
         # The time until which each instance's load is reconciled.
         self._reconcile_until: dict[str, float] = {}
         self._term = -1
@@ -206,6 +207,7 @@
                 self._reconcile_until[instance.id] = now + RECONCILE_SECONDS
             self._tasks.spawn(self._reconcile_loads())
         self._send_decisions(self.allocator.update(instances, now))
+        self._outliers.keep_only(get_run_name(each) for each in instances)
         self._is_view_due = True
         self.on_slot_free()
 
@@ -402,20 +404,48 @@
             self.allocator.record_pace(instance_id, message.pace)
         if instance_id and message.is_suspect:
             self._eject(instance_id, entry.name)
-        if instance_id and message.is_full:
+        elif instance_id and message.is_full:
             self._reconcile_until[instance_id] = now + RECONCILE_SECONDS
+            self._rest_after_refusal(instance_id, entry.name)
+        elif instance_id and message.pace:
+            self._record_success(instance_id)
         self._send_decisions(self.allocator.release(key, now))
         self.on_slot_free()
 
-    def _eject(self, instance_id: str, reporter: str) -> None:
+    def _eject(self, instance_id: str, reporter: str, is_refusal: bool = False) -> None:
+        rest = self._record_failure(instance_id, reporter, is_refusal)
         if self.allocator.eject(instance_id):
-            logger.info(
-                "upstream ejected", extra={"upstream": instance_id, "by": reporter}
-            )
+            detail = {"upstream": instance_id, "by": reporter, "rest": round(rest, 3)}
+            logger.info("upstream ejected", extra=detail)
             # Without another upstream, requests wait for the answer.
             for instance in self.allocator.list_awaited(instance_id):
                 self._tasks.spawn(self._probe_one(instance))
 
+    def _ejects_outliers(self, service: str) -> bool:
+        return self._services.get(service, fleet.Service()).ejects_outliers
+
+    def _record_failure(
+        self, instance_id: str, reporter: str, is_refusal: bool
+    ) -> float:
+        """Count a failure; return the seconds for which the upstream rests."""
+        instance = self.allocator.find_listed(instance_id)
+        if instance is None or not self._ejects_outliers(instance.service):
+            return 0.0
+        now = self._timer.read_clock()
+        run = get_run_name(instance)
+        return self._outliers.record_failure(run, reporter, now, is_refusal)
+
+    def _record_success(self, instance_id: str) -> None:
+        instance = self.allocator.find_listed(instance_id)
+        if instance is not None:
+            self._outliers.record_success(get_run_name(instance))
+
+    def _rest_after_refusal(self, instance_id: str, reporter: str) -> None:
+        """Let an upstream rest that refused a request though it had a free slot."""
+        instance = self.allocator.find_listed(instance_id)
+        if instance is not None and self._ejects_outliers(instance.service):
+            self._eject(instance_id, reporter, is_refusal=True)
+
     def release(self, key: str) -> None:
         """Release the slot of a bulk item."""
         self._send_decisions(self.allocator.release(key, self._timer.read_clock()))
@@ -440,9 +470,29 @@
 
         The process that answers may be another one than before.
         """
-        for instance in self.allocator.list_ejected():
+        for instance in self._list_returning():
             self._tasks.spawn(self._probe_one(instance))
 
+    def list_resting(self) -> list[Instance]:
+        """Return the ejected instances that no probe may bring back yet."""
+        returning = {instance.id for instance in self._list_returning()}
+        ejected = self.allocator.list_ejected()
+        return [instance for instance in ejected if instance.id not in returning]
+
+    def _list_returning(self) -> list[Instance]:
+        """Return the ejected instances that don't have to rest any longer."""
+        now = self._timer.read_clock()
+        by_service: dict[str, list[Instance]] = {}
+        for instance in self.allocator.list_ejected():
+            by_service.setdefault(instance.service, []).append(instance)
+        returning = []
+        for service, instances in by_service.items():
+            total = self.allocator.count_upstreams(service)
+            runs = {get_run_name(instance) for instance in instances}
+            chosen = self._outliers.choose_returning(runs, total, now)
+            returning += [each for each in instances if get_run_name(each) in chosen]
+        return returning
+
     async def _probe_one(self, instance: Instance) -> None:
         if await self._probe_load(instance) is None:
             self.allocator.record_down(instance.id)
--- a/sapphireseam/control/placement_test.py
+++ b/sapphireseam/control/placement_test.py
@@ -6,7 +6,7 @@
 
 from sapphireseam.control import placement as placements
 from sapphireseam.control.machine import StateMachine
-from sapphireseam.core import placement
+from sapphireseam.core import fleet, placement
 from sapphireseam.core.instance import Instance
 from sapphireseam.tools.fake import FakeReplica
 from sapphireseam.utils.timer import FakeTimer
@@ -118,6 +118,21 @@
         slots = self.server.allocator.count_slots("llm")
         self.assertEqual(slots, INSTANCE.slots + other.slots)
 
+    async def test_an_upstream_that_fails_often_rests_although_its_probes_succeed(self):
+        # Reaches into the server, as a publish needs a whole document.
+        self.server._services = {"llm": fleet.Service(ejects_outliers=True)}
+        others = [INSTANCE._replace(id=f"i{number}") for number in range(2, 6)]
+        self.server.update_instances((INSTANCE, *others))
+        for failure in range(3):
+            self.probed.clear()
+            self.server.eject(INSTANCE.id)
+            await self.advance(0.4 * 2**failure - 0.1)
+            self.assertEqual(self.probed, [])
+            self.assertEqual(self.server.list_resting(), [INSTANCE])
+            await self.advance(0.6)
+            self.assertEqual(self.probed, [INSTANCE.id])
+            self.assertEqual(self.server.allocator.list_ejected(), [])
+
     async def test_every_entry_hears_from_the_leader_often_enough(self):
         self.server.update_instances((INSTANCE,))
         streams = await self.attach(3)
--- a/sapphireseam/core/fleet.py
+++ b/sapphireseam/core/fleet.py
@@ -113,12 +113,15 @@
 
     `connections` is how many connections one upstream accepts from all callers
     together. An upstream that failed is probed at `probe_path` until it answers. With
-    `tells_load`, the answer to a probe lists the requests that the upstream runs.
+    `tells_load`, the answer to a probe lists the requests that the upstream runs. With
+    `ejects_outliers`, an upstream that fails again and again rests for longer each time
+    before a probe may bring it back.
     """
 
     connections: Annotated[int, Field(ge=1, le=MAX_COUNT)] = 64
     probe_path: Annotated[str, Field(pattern=r"^/[!-~]*$")] = "/"
     tells_load: bool = False
+    ejects_outliers: bool = False
 
 
 class Route(NamedTuple):
--- a/sapphireseam/platform/control.py
+++ b/sapphireseam/platform/control.py
@@ -50,7 +50,7 @@
         admin_service: admin.AdminService, client: ControlClient, grace: Grace
     ) -> operator.OperatorFront:
         clients.append(client)
-        return operator.OperatorFront(admin_service, address, grace)
+        return operator.OperatorFront(admin_service, address, grace, settings.contracts)
 
     timer = SystemTimer()
     upstreams = outbound.ConnectionPool(dialect.ReplicaDialect())
--- a/sapphireseam/platform/document.py
+++ b/sapphireseam/platform/document.py
@@ -6,6 +6,7 @@
 
 import json
 from collections import Counter
+from collections.abc import Collection
 from typing import Annotated, Any, NamedTuple
 
 import msgspec
@@ -16,6 +17,8 @@
 # Engines answer this path immediately and without using a slot.
 ENGINE_PROBE_PATH = "/report"
 METHODS = ("GET", "POST", "PUT", "DELETE")
+# The contract under which upstreams may fail although their probes succeed.
+HEALTH_CONTRACT = "health"
 
 SAFE = "safe"
 UNSAFE = "unsafe"
@@ -102,9 +105,12 @@
 _decoder = msgspec.json.Decoder(Document)
 
 
-def translate(source: bytes) -> Translated:
+def translate(source: bytes, contracts: Collection[str] = ()) -> Translated:
     """Return the translation of the configuration in a request's body.
 
+    `contracts` names the parts of the platform's rules that bind the deployment. Some
+    of them switch on features of the product.
+
     Raises `ConfigurationError` if it cannot be parsed or translated. References and
     conflicts between its objects are checked when it is published.
     """
@@ -117,7 +123,9 @@
         raise error.ConfigurationError("\n".join(findings))
     document = {
         "routes": {route.name: _make_route(route) for route in configuration.routes},
-        "services": {item.name: _make_service(item) for item in configuration.services},
+        "services": {
+            item.name: _make_service(item, contracts) for item in configuration.services
+        },
         "customers": {
             item.name: _make_customer(item) for item in configuration.tenants
         },
@@ -187,12 +195,13 @@
     return translated
 
 
-def _make_service(service: Service) -> dict[str, Any]:
+def _make_service(service: Service, contracts: Collection[str]) -> dict[str, Any]:
     probe = ENGINE_PROBE_PATH if service.engine else service.health_path
     return {
         "connections": service.max_connections,
         "probe_path": probe,
         "tells_load": service.engine is not None,
+        "ejects_outliers": HEALTH_CONTRACT in contracts,
     }
 
 
--- a/sapphireseam/platform/document_test.py
+++ b/sapphireseam/platform/document_test.py
@@ -63,6 +63,13 @@
 
 
 class TranslateTest(unittest.TestCase):
+    def test_a_contract_switches_on_the_rest_of_outliers(self):
+        source = json.dumps(make_configuration()).encode()
+        for contracts, expected in (((), False), (("base", "health"), True)):
+            translated = json.loads(document.translate(source, contracts).document)
+            switches = {s["ejects_outliers"] for s in translated["services"].values()}
+            self.assertEqual(switches, {expected})
+
     def test_routes_are_translated(self):
         number, translated = translate(make_configuration())
         self.assertEqual(number, 7)
--- a/sapphireseam/platform/operator.py
+++ b/sapphireseam/platform/operator.py
@@ -4,6 +4,7 @@
 """
 
 import logging
+from collections.abc import Collection
 
 import msgspec
 from aiohttp import http_exceptions, web
@@ -31,12 +32,19 @@
 class OperatorFront:
     """Serves requests about configurations and the retirement of machines."""
 
-    def __init__(self, admin: AdminService, address: str, its_grace: grace.Grace):
+    def __init__(
+        self,
+        admin: AdminService,
+        address: str,
+        its_grace: grace.Grace,
+        contracts: Collection[str] = (),
+    ):
         self._admin = admin
         self._grace = its_grace
         # Operators try another control VM at once.
         self._drain = Drain(its_grace, its_grace.timer, 0.0)
         self._address = address
+        self._contracts = contracts
         self._runner: web.AppRunner | None = None
 
     async def start(self) -> None:
@@ -74,7 +82,7 @@
 
     async def _put(self, request: web.Request) -> web.Response:
         source = await _read_body(request)
-        translated = document.translate(source)
+        translated = document.translate(source, self._contracts)
         version, content = translated
         in_force = await self._admin.publish(version, content, source)
         event = (
--- a/sapphireseam/policy/allocator.py
+++ b/sapphireseam/policy/allocator.py
@@ -182,6 +182,15 @@
         """Return the ceilings in force, in requests per second by instance."""
         return {load.instance.id: load.ceiling.rate for load in self._limited}
 
+    def find_listed(self, name: str) -> Instance | None:
+        """Return the listed instance with an id, or None."""
+        load = self._loads.get(name)
+        return load.instance if load is not None else None
+
+    def count_upstreams(self, service: str) -> int:
+        """Return how many upstreams of a service are listed."""
+        return len(self._list_loads(service))
+
     def eject(self, name: str) -> bool:
         """Place nothing more at an instance until `restore` is called.
 
--- a/sapphireseam/utils/metric.py
+++ b/sapphireseam/utils/metric.py
@@ -209,6 +209,18 @@
     "Stays above 0: a replica doesn't answer; its platform should replace it.",
     is_discovery=True,
 )
+RESTING = Metric(
+    "seam.resting",
+    Form.GAUGE,
+    "",
+    ("service",),
+    _CONTROL,
+    "Ejected upstreams that failed again and again, and that no probe may bring back"
+    " yet.",
+    "Stays above 0: a replica fails part of its requests although its probe succeeds;"
+    " look for `upstream ejected` with a long `rest`, and replace it.",
+    is_discovery=True,
+)
 UPSTREAM_CEILING = Metric(
     "seam.upstream_ceiling",
     Form.GAUGE,
@@ -355,6 +367,7 @@
     PLACEMENT,
     SERVICE_SLOTS,
     EJECTED,
+    RESTING,
     UPSTREAM_CEILING,
     UPSTREAM_CEILING_AGE,
     CEILING,
