Read bulk jobs at a control VM of the entry's own failure domain

Change: control VMs announce their failure domain, the view has it, and with the setting reads_nearby an entry reads at a member of its own domain, which confirms the read by a read index; a VM that fails is left out for 3 s and the leader is read. The platform's settings set it.

--- a/sapphireseam/control/application.py
+++ b/sapphireseam/control/application.py
@@ -487,6 +487,8 @@
     bulkservice.BulkService(replica, machine, timer).register(shared.server)
     members = membership.MembershipService(replica, machine, settings.voters, timer)
     members.register(shared.server)
+    server.find_domain = members.find_domain
+    members.on_domain = server.renew_view
     runner = bulkrunner.BulkRunner(
         replica, machine, server, integration.upstreams, timer, settings.lot_seconds
     )
@@ -496,7 +498,9 @@
     operator_server = integration.make_operator_server(
         admin.AdminService(replica, machine, client, timer), client, application.grace
     )
-    announcer = membership.Announcer(settings.address, settings.label, client, timer)
+    announcer = membership.Announcer(
+        settings.address, settings.label, client, timer, settings.failure_domain
+    )
     for part in (
         client,
         integration.upstreams,
--- a/sapphireseam/control/bulkservice.py
+++ b/sapphireseam/control/bulkservice.py
@@ -1,4 +1,7 @@
-"""Serves reads of bulk jobs to entries, on the control VM that leads."""
+"""Serves reads of bulk jobs to entries, on any control VM.
+
+A quorum confirms each read first, so an answer is as new on every VM as on the leader.
+"""
 
 from sapphireseam.control import record
 from sapphireseam.control.machine import StateMachine
@@ -33,9 +36,6 @@
 
     async def _find_job(self, job: str, customer: str) -> record.Lot:
         """Return a customer's job after a confirmed read; raise if there is none."""
-        if not self._replica.is_leader:
-            leader = self._replica.leader
-            raise error.NotLeaderError("this control VM is not the leader", leader)
         await self._replica.read_index()
         found = self._machine.state.lots.get(job)
         if found is None or found.customer != customer:
--- a/sapphireseam/control/membership.py
+++ b/sapphireseam/control/membership.py
@@ -7,6 +7,7 @@
 """
 
 import logging
+from collections.abc import Callable
 
 from sapphireseam.control.machine import StateMachine
 from sapphireseam.core import command, error, message
@@ -29,9 +30,14 @@
     """Announces this control VM to the leader, and updates the client's addresses."""
 
     def __init__(
-        self, address: str, label: str, client: ControlClient, timer: TimerService
+        self,
+        address: str,
+        label: str,
+        client: ControlClient,
+        timer: TimerService,
+        domain: str = "",
     ):
-        self._announcement = message.Announce(address, label)
+        self._announcement = message.Announce(address, label, domain)
         self._client = client
         self._timer = timer
         self._tasks = TaskGroup()
@@ -74,6 +80,10 @@
         self._voters = voters
         self._timer = timer
         self._last_contact: dict[str, tuple[str, float]] = {}
+        # The failure domain of each VM that has announced itself, by address.
+        self._domains: dict[str, str] = {}
+        # Called when a VM announces another failure domain than before.
+        self.on_domain: Callable[[], None] = lambda: None
         machine.subscribe(self._update_leaving)
 
     def register(self, server: rpc.Server) -> None:
@@ -102,6 +112,9 @@
     ) -> message.Announced:
         self._require_leader()
         self._last_contact[request.label] = (request.address, self._timer.read_clock())
+        if self._domains.get(request.address) != request.domain:
+            self._domains[request.address] = request.domain
+            self.on_domain()
         names = {member.name for member in self._replica.members}
         is_retired = request.label in self._machine.state.retired
         if request.address not in names and not is_retired:
@@ -130,6 +143,10 @@
         logger.info("retiring a member", extra={"member": address})
         return message.Empty()
 
+    def find_domain(self, address: str) -> str:
+        """Return the failure domain of a control VM, or "" if it isn't known."""
+        return self._domains.get(address, "")
+
     def _count_remaining(self, label: str) -> int:
         """Return how many running VMs would remain without this one."""
         now = self._timer.read_clock()
--- a/sapphireseam/control/meter_test.py
+++ b/sapphireseam/control/meter_test.py
@@ -39,6 +39,7 @@
         entry = metric.Meter("entry-m")
         entry.observe(metric.PLACEMENT, 0.01, outcome="placed")
         entry.read_many(metric.CUT, lambda: [(1, {"cause": "silent"})])
+        entry.read_many(metric.BULK_READS, lambda: [(1, {"source": "near"})])
         found = self.scrape()
         for item in metric.METRICS:
             if not item.is_discovery:
--- a/sapphireseam/control/placement.py
+++ b/sapphireseam/control/placement.py
@@ -116,6 +116,8 @@
             lambda: machine.state.ceilings, self._propose_ceiling, timer
         )
         self.ceiling_monitor.on_heard = self._apply_ceilings
+        # Returns the failure domain of a control VM, by its address.
+        self.find_domain: Callable[[str], str] = lambda address: ""
         # Called with the key of a bulk item that is preempted.
         self.on_evicted: Callable[[str], None] = lambda key: None
         # Called whenever a slot may have become free.
@@ -193,6 +195,10 @@
         now = self._timer.read_clock()
         self._send_decisions(self.allocator.set_ceilings(rates, now))
 
+    def renew_view(self) -> None:
+        """Send the view to all entries with the next heartbeat."""
+        self._is_view_due = True
+
     def update_instances(self, instances: tuple[Instance, ...]) -> None:
         """Replace the known instances by those that discovery found."""
         is_new_term = not self._has_list
@@ -621,7 +627,9 @@
 
     def _make_view(self) -> placement.View:
         control = tuple(member.address for member in self._replica.members)
-        return placement.View(self.allocator.instances, control, len(self._entries))
+        domains = tuple(self.find_domain(address) for address in control)
+        instances = self.allocator.instances
+        return placement.View(instances, control, len(self._entries), domains)
 
 
 def _get_origin(item: placement.Began) -> origin.Origin:
--- a/sapphireseam/core/message.py
+++ b/sapphireseam/core/message.py
@@ -382,11 +382,12 @@
     """Tell the leader that a control VM is running and may become a member.
 
     `address` is where the VM accepts calls, and is also its name as a member.
-    `label` is the name that operators use for the VM.
+    `label` is the name that operators use for the VM, `domain` its failure domain.
     """
 
     address: str
     label: str
+    domain: str = ""
 
 
 class Announced(NamedTuple):
--- a/sapphireseam/core/placement.py
+++ b/sapphireseam/core/placement.py
@@ -124,11 +124,15 @@
 
 
 class View(NamedTuple):
-    """Send all instances, the control VMs and how many entries are connected."""
+    """Send all instances, the control VMs and how many entries are connected.
+
+    `domains` has the failure domain of each control VM, "" if it isn't known.
+    """
 
     instances: tuple[Instance, ...]
     control: tuple[str, ...]
     entries: int
+    domains: tuple[str, ...] = ()
 
 
 class Beat(NamedTuple):
--- a/sapphireseam/entry/bulk.py
+++ b/sapphireseam/entry/bulk.py
@@ -1,22 +1,54 @@
-"""Submits, reads and ends bulk jobs for callers."""
+"""Submits, reads and ends bulk jobs for callers.
+
+Reads go to a control VM of the entry's failure domain if the settings ask for it, and
+otherwise to the leader.
+"""
+
+import logging
+from collections import Counter
+from typing import Any
 
 from sapphireseam.core import command, error, fleet, message
 from sapphireseam.entry.placer import ELECTION_SECONDS
-from sapphireseam.utils.client import ControlClient
+from sapphireseam.policy.nearby import NearbyReaders
+from sapphireseam.utils import metric
+from sapphireseam.utils.client import ControlClient, MemberError
 from sapphireseam.utils.timer import TimerService
 
 # Timeouts of calls to the control VMs. A read's wait is added to its timeout.
 ACCEPT_SECONDS = 1.5
 READ_SECONDS = 0.9
+# How long a read waits for a near control VM beyond its own wait.
+ANSWER_SECONDS = 0.4
 END_SECONDS = 1.5
 
 
+# Who answered a read, in the metrics.
+NEAR = "near"
+LEADER = "leader"
+
+logger = logging.getLogger(__name__)
+
+
 class BulkJobClient:
-    """Send callers' requests about bulk jobs to the leader."""
+    """Send callers' requests about bulk jobs to the control VMs."""
 
-    def __init__(self, client: ControlClient, timer: TimerService):
+    def __init__(
+        self,
+        client: ControlClient,
+        timer: TimerService,
+        meter: metric.Meter,
+        readers: NearbyReaders | None = None,
+    ):
         self._client = client
         self._timer = timer
+        self._readers = readers
+        # Reads by who answered them.
+        self._counts = Counter({NEAR: 0, LEADER: 0})
+        meter.read_many(
+            metric.BULK_READS,
+            lambda: [(n, {"source": source}) for source, n in self._counts.items()],
+        )
 
     async def accept(
         self,
@@ -60,14 +92,36 @@
     ) -> message.LotView:
         """Return the results after a position; wait for the first one if needed."""
         request = message.ReadLot(job, customer, after, wait)
-        return await self._client.call(request, wait + READ_SECONDS)
+        return await self._read(request, wait)
 
     async def read_item(self, job: str, customer: str, item: str) -> bytes:
         """Return the body of an item whose result is not listed yet."""
         request = message.ReadLotItem(job, customer, item)
-        piece = await self._client.call(request, READ_SECONDS)
+        piece = await self._read(request, 0.0)
         return piece.data
 
+    async def _read(self, request: Any, wait: float) -> Any:
+        """Return the answer of a near control VM, or else the leader's."""
+        address = self._pick_reader()
+        if address:
+            try:
+                answer = await self._client.call_member(
+                    address, request, wait + ANSWER_SECONDS
+                )
+                self._counts[NEAR] += 1
+                return answer
+            except MemberError as failure:
+                self._readers.record_failure(address, self._timer.read_clock())
+                detail = {"address": address, "cause": failure.message}
+                logger.info("near control VM left out for reads", extra=detail)
+        self._counts[LEADER] += 1
+        return await self._client.call(request, wait + READ_SECONDS)
+
+    def _pick_reader(self) -> str:
+        if self._readers is None:
+            return ""
+        return self._readers.pick(self._client.leader, self._timer.read_clock())
+
     async def end(self, job: str, customer: str) -> None:
         """Return once a quorum has stored that the job is ended."""
         await self._client.propose(command.EndLot(job, customer), END_SECONDS)
--- a/sapphireseam/entry/discovery.py
+++ b/sapphireseam/entry/discovery.py
@@ -12,6 +12,7 @@
 from sapphireseam.entry.placer import Placer
 from sapphireseam.entry.quarantine import QuarantineGate
 from sapphireseam.policy import fallback
+from sapphireseam.policy.nearby import NearbyReaders
 from sapphireseam.utils import crash, metric, outbound, rpc
 from sapphireseam.utils.application import Application, Part, TaskGroup
 from sapphireseam.utils.ceiling import CeilingMonitor
@@ -30,6 +31,7 @@
     The last configuration is used for `max_stale_seconds` after contact with the
     control VMs was lost. `slack` bounds what customers may use beyond their
     limits while no owner of the limits answers. A stop ends within `grace_seconds`.
+    With `reads_nearby`, results of bulk jobs are read in the entry's failure domain.
     """
 
     node: str
@@ -40,6 +42,7 @@
     max_stale_seconds: float
     slack: fallback.Slack
     grace_seconds: float = DEFAULT_SECONDS
+    reads_nearby: bool = False
 
 
 class FrontContext(NamedTuple):
@@ -153,7 +156,11 @@
     forwarder = DirectForwarder(
         placer, upstreams, meter, timer, random.Random(), gate, crash_detector, grace
     )
-    bulk_jobs = BulkJobClient(client, timer)
+    readers = None
+    if settings.reads_nearby:
+        readers = NearbyReaders(settings.failure_domain)
+        placer.on_control = readers.update
+    bulk_jobs = BulkJobClient(client, timer, meter, readers)
     context = FrontContext(
         authorizer, forwarder, bulk_jobs, mirror, client, timer, grace
     )
--- a/sapphireseam/entry/placer.py
+++ b/sapphireseam/entry/placer.py
@@ -90,6 +90,10 @@
         self._meter = meter
         self._read_ceilings = read_ceilings
         self.on_instances: Callable[[tuple[Instance, ...]], None] = lambda _: None
+        # Called with the control VMs and their failure domains.
+        self.on_control: Callable[[tuple[str, ...], tuple[str, ...]], None] = (
+            lambda addresses, domains: None
+        )
         self._node = node
         self._domain = domain
         self._client = client
@@ -201,6 +205,7 @@
                 self._update_instances(item.instances)
                 self._entry_count = max(item.entries, 1)
                 self._client.update_addresses(item.control)
+                self.on_control(item.control, item.domains)
                 self.on_instances(item.instances)
             case placement.Placed() | placement.Turned():
                 self._resolve(item)
--- a/sapphireseam/platform/entry.py
+++ b/sapphireseam/platform/entry.py
@@ -29,6 +29,7 @@
         settings.trust_ms / setting.MILLISECONDS_PER_SECOND,
         settings.slack,
         settings.grace_s,
+        settings.reads_nearby,
     )
     upstreams = outbound.ConnectionPool(dialect.ReplicaDialect())
     application = discovery.build(entry_settings, upstreams, make_front)
--- a/sapphireseam/utils/client.py
+++ b/sapphireseam/utils/client.py
@@ -39,6 +39,10 @@
         self.leader = leader
 
 
+class MemberError(error.ControlError):
+    """One control VM can't answer now; another one may."""
+
+
 class ControlClient:
     """Finds the control VM that is the leader, and calls it."""
 
@@ -149,6 +153,24 @@
         """
         return await self._call_leader(request, deadline, self._call_once)
 
+    async def call_member(self, address: str, request: Any, seconds: float) -> Any:
+        """Return the answer of one control VM, whether or not it leads.
+
+        Raises `MemberError` if it can't answer now, and the error that it answered with
+        otherwise.
+        """
+        try:
+            return await self._call_once(self.get_channel(address), request, seconds)
+        except error.SeamError as failure:
+            if failure.kind in _RETRIED_KINDS:
+                raise MemberError(f"{address}: {failure.message}") from None
+            raise
+
+    @property
+    def leader(self) -> str:
+        """Return the address of the leader that was found last, or ""."""
+        return self._leader
+
     async def _call_once(
         self, channel: rpc.Channel, request: Any, seconds: float
     ) -> Any:
--- a/sapphireseam/utils/metric.py
+++ b/sapphireseam/utils/metric.py
@@ -176,6 +176,18 @@
     " the configuration changed meanwhile.",
     is_discovery=True,
 )
+BULK_READS = Metric(
+    "seam.bulk_reads",
+    Form.COUNTER,
+    "",
+    ("source",),
+    _ENTRY,
+    "Reads of bulk jobs for discovered upstreams, by who answered: `near` (a control VM"
+    " of the entry's failure domain) or `leader`.",
+    "`leader` rises with `reads_nearby` set: no control VM of this failure domain"
+    " answers, or the leader is in it.",
+    is_discovery=True,
+)
 PLACEMENT = Metric(
     "seam.place.duration",
     Form.HISTOGRAM,
@@ -364,6 +376,7 @@
     SLOTS,
     HEALTHY,
     CUT,
+    BULK_READS,
     PLACEMENT,
     SERVICE_SLOTS,
     EJECTED,
