Let an entry that has started wait for its first instances

Change: an entry without any view since its start waits up to 0.5 s for a leader before it places alone; an entry that has had one places alone at once, as before. Result: the new test fails before with that refusal and passes; tests of the placer, the forwarder and the platform's door pass (118).

--- a/sapphireseam/entry/placer.py
+++ b/sapphireseam/entry/placer.py
@@ -33,6 +33,8 @@
 # How long a request waits for the leader's answer beyond its own patience.
 ANSWER_SECONDS = 0.2
 RECONNECT_SECONDS = 0.05
+# How long a request waits at an entry that has started and knows no upstream yet.
+FIRST_VIEW_SECONDS = 0.5
 # How long the control VMs usually take to elect a leader.
 ELECTION_SECONDS = 0.6
 # Outcomes of a slot request in the metrics.
@@ -103,6 +105,7 @@
         # Counts only this entry's requests, to place locally without a leader.
         self._allocator = allocator.SlotAllocator()
         self._entry_count = 1
+        self._has_view = False
         # The streams that this entry began or resumed.
         self._origins = origin.StreamOrigins()
         self._numbers = itertools.count(1)
@@ -202,6 +205,7 @@
     def _handle(self, item: object) -> None:
         match item:
             case placement.View():
+                self._has_view = True
                 self._update_instances(item.instances)
                 self._entry_count = max(item.entries, 1)
                 self._client.update_addresses(item.control)
@@ -280,6 +284,9 @@
         if spec.resumes:
             # Only a leader knows the streams of other entries.
             await self._wait_for_leader(spec.patience)
+        elif not self._has_view:
+            # Without one it can only be refused, and a leader is about to answer.
+            await self._wait_for_leader(FIRST_VIEW_SECONDS)
         if not self.has_leader:
             return self._place_locally(number, spec), LOCAL
         future = asyncio.get_running_loop().create_future()
--- a/sapphireseam/entry/placer_test.py
+++ b/sapphireseam/entry/placer_test.py
@@ -134,6 +134,22 @@
             slot = await self.placer.place(self.make_spec())
             self.assertEqual(slot.instance.id, INSTANCES[1].id)
 
+    async def test_an_entry_that_has_started_waits_for_its_first_instances(self):
+        """All processes were killed, and entries serve before a leader is elected."""
+        self.leader.fail()
+        started = placer.Placer(
+            "e2", "z", self.client, dict, fallback.Slack(20, 0.1, 5.0),
+            metric.Meter("e2"), SystemTimer(),
+        )  # fmt: skip
+        await started.start()
+        self.addAsyncCleanup(started.stop)
+        placing = asyncio.create_task(started.place(self.make_spec()))
+        await asyncio.sleep(0.2)
+        self.assertFalse(placing.done())
+        self.leader.is_up = True
+        slot = await asyncio.wait_for(placing, 1.0)
+        self.assertEqual(slot.instance.id, INSTANCES[0].id)
+
     async def test_a_new_leader_learns_which_instances_have_said_that_they_leave(self):
         leaving = INSTANCES[1]
         self.placer.report_leaving(leaving)
