Let an upstream rest only from the second failure in a row on

Change: after the first failure any probe brings an upstream back, as before; five successes end a row; nobody rests while more than a quarter of a service's upstreams are out.

--- a/sapphireseam/policy/outlier.py
+++ b/sapphireseam/policy/outlier.py
@@ -4,21 +4,24 @@
 their probes succeed, or go down and up by turns. Such an upstream has few running
 requests, so it looks like the best one for each new request.
 
-Each failure in a row doubles the time for which the upstream rests. The row ends once
-the upstream has served enough requests, or hasn't failed for long enough. While most of
-a service's upstreams rest, the cause is probably not theirs, so none has to rest.
+After a first failure a probe may bring the upstream back at once: the failure may be a
+rare one, and a healthy upstream that rests is capacity lost. Each further failure in a
+row doubles the time for which it rests. The row ends once the upstream has served a few
+requests without a failure, or hasn't failed for long enough. While many of a service's
+upstreams are out, the cause is probably not theirs, so none has to rest.
 
     detector = OutlierDetector()
-    detector.record_failure("i-1/7", "entry-a", now)
-    detector.may_return("i-1/7", now)  # False for BASE_SECONDS
+    detector.record_failure("i-1/7", "entry-a", now)  # 0.0
+    detector.record_failure("i-1/7", "entry-a", now + 0.5)  # BASE_SECONDS
+    detector.may_return("i-1/7", now + 0.6)  # False
 
 Times are monotonic readings in seconds.
 """
 
 from collections.abc import Iterable
 
-# The first rest, and the longest one.
-BASE_SECONDS = 0.4
+# The rest after the second failure in a row, and the longest one.
+BASE_SECONDS = 0.8
 MAX_SECONDS = 6.4
 # The most doublings of a rest that are computed.
 MAX_DOUBLINGS = 10
@@ -28,9 +31,9 @@
 EVENT_SECONDS = 0.1
 # A row ends after this many seconds without a failure, and after this many successes.
 FORGET_SECONDS = 20.0
-FORGIVING_SUCCESSES = 20
+FORGIVING_SUCCESSES = 5
 # Largest share of a service's upstreams that rest at the same time.
-MAX_RESTING_SHARE = 0.5
+MAX_RESTING_SHARE = 0.25
 
 
 class _Row:
@@ -64,14 +67,15 @@
         row.reported_at[source] = now
         row.successes = 0
         is_known = last_report is not None and now - last_report < EVENT_SECONDS
-        # Requests that were sent before the rest fail during it.
+        # Requests that were sent before the rest may fail during it.
         if not is_known and now >= row.rests_until:
             if now - row.failed_at > FORGET_SECONDS:
                 row.failures = 0
             row.failures += 1
             row.failed_at = now
             longest = MAX_REFUSAL_SECONDS if is_refusal else MAX_SECONDS
-            seconds = BASE_SECONDS * 2.0 ** min(row.failures - 1, MAX_DOUBLINGS)
+            doublings = min(row.failures - 2, MAX_DOUBLINGS)
+            seconds = BASE_SECONDS * 2.0**doublings if row.failures > 1 else 0.0
             row.rests_until = now + min(seconds, longest)
         return max(row.rests_until - now, 0.0)
 
