Grant customers what they used at an entry while the limits have no owner

Change: with the setting grants_by_use an entry alone grants the rate at which the owner granted its requests lately, and a small equal part; the platform's settings set it.

--- a/sapphireseam/entry/discovery.py
+++ b/sapphireseam/entry/discovery.py
@@ -32,6 +32,8 @@
     control VMs was lost. `slack` bounds what customers may use beyond their
     limits while no owner of the limits answers. A stop ends within `grace_seconds`.
     With `reads_nearby`, results of bulk jobs are read in the entry's failure domain.
+    With `grants_by_use`, an entry without a leader grants customers what they used here
+    lately instead of equal parts of their limits.
     """
 
     node: str
@@ -43,6 +45,7 @@
     slack: fallback.Slack
     grace_seconds: float = DEFAULT_SECONDS
     reads_nearby: bool = False
+    grants_by_use: bool = False
 
 
 class FrontContext(NamedTuple):
@@ -135,6 +138,7 @@
         meter,
         timer,
         ceiling_monitor.read_rates,
+        settings.grants_by_use,
     )
     connection_closer = _ConnectionCloser(upstreams)
     run_monitor = _RunMonitor(mirror, upstreams)
--- a/sapphireseam/entry/placer.py
+++ b/sapphireseam/entry/placer.py
@@ -88,6 +88,7 @@
         meter: metric.Meter,
         timer: TimerService,
         read_ceilings: Callable[[], Mapping[str, float]] = dict,
+        grants_by_use: bool = False,
     ):
         self._meter = meter
         self._read_ceilings = read_ceilings
@@ -101,7 +102,7 @@
         self._client = client
         self._contracts = contracts
         self._timer = timer
-        self._fallback = fallback.FallbackLimiter(slack)
+        self._fallback = fallback.FallbackLimiter(slack, grants_by_use)
         # Counts only this entry's requests, to place locally without a leader.
         self._allocator = allocator.SlotAllocator()
         self._entry_count = 1
@@ -305,6 +306,8 @@
         if isinstance(answer, placement.Turned):
             kind = error.Kind(answer.kind)
             raise error.CapacityError(answer.message, kind, answer.retry_after, True)
+        if spec.is_counted:
+            self._fallback.record_use(spec.customer, self._timer.read_clock())
         return self._add_running(number, spec, answer.instance), PLACED
 
     async def _wait_for_leader(self, seconds: float) -> None:
@@ -355,7 +358,9 @@
             self._origins.require(spec.resumes, spec.services, now)
         contract = self._contracts().get(spec.customer)
         if spec.is_counted and contract is not None:
-            wait = self._fallback.spend(spec.customer, contract, self._entry_count, now)
+            wait = self._fallback.spend(
+                spec.customer, contract, self._entry_count, now, self._last_contact
+            )
             if wait > 0.0:
                 text = "the limits have no owner, and the fallback limit is used up"
                 raise error.CapacityError(text, error.Kind.RATE_LIMITED, wait, True)
--- a/sapphireseam/platform/entry.py
+++ b/sapphireseam/platform/entry.py
@@ -30,6 +30,7 @@
         settings.slack,
         settings.grace_s,
         settings.reads_nearby,
+        settings.grants_by_use,
     )
     upstreams = outbound.ConnectionPool(dialect.ReplicaDialect())
     application = discovery.build(entry_settings, upstreams, make_front)
--- a/sapphireseam/platform/setting.py
+++ b/sapphireseam/platform/setting.py
@@ -36,7 +36,8 @@
     `slack_window` is in seconds. Results of a batch job are retained for at least
     `keep_s` seconds after the job was accepted. `contracts` names the parts of the
     platform's rules that bind this deployment. With `reads_nearby`, an entry reads
-    results of batch jobs in its own failure domain.
+    results of batch jobs in its own failure domain. With `grants_by_use`, an entry
+    without a leader grants customers what they used there lately.
     """
 
     label: str
@@ -55,6 +56,7 @@
     keep_s: fleet.NotNegative
     contracts: tuple[str, ...] = ()
     reads_nearby: bool = False
+    grants_by_use: bool = False
     data_folder: str | None = None
     callers_address: str | None = None
     ready_address: str | None = None
--- a/sapphireseam/policy/fallback_test.py
+++ b/sapphireseam/policy/fallback_test.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+from hypothesis import given, settings, strategies as st
+
 from sapphireseam.core import error, fleet
 from sapphireseam.policy import fallback
 
@@ -36,6 +38,50 @@
             granted += limiter.spend("c", CONTRACT, 8, tick / 14) == 0.0
         self.assertGreaterEqual(granted, 0.95 * sent)
 
+    def use(self, limiters, shares, seconds=10.0):
+        """Let the owner grant the customer's whole rate, unevenly over processes."""
+        debt = [0.0] * len(limiters)
+        step = 0.01
+        for tick in range(int(seconds / step)):
+            for number, share in enumerate(shares):
+                debt[number] += share * CONTRACT.rate * step
+                if debt[number] >= 1.0:
+                    debt[number] -= 1.0
+                    limiters[number].record_use("c", tick * step)
+        return seconds
+
+    def test_uneven_callers_go_on_while_the_limits_have_no_owner(self):
+        """Two of 29 processes have all requests; an election takes 1.3 seconds."""
+        served = {}
+        for by_use in (False, True):
+            limiters = [fallback.FallbackLimiter(SLACK, by_use) for _ in range(29)]
+            shares = [0.5, 0.5] + [0.0] * 27
+            begin = self.use(limiters, shares)
+            sent = granted = 0
+            for tick in range(int(1.3 * CONTRACT.rate)):
+                now = begin + tick / CONTRACT.rate
+                wait = limiters[tick % 2].spend("c", CONTRACT, 29, now, begin)
+                sent += 1
+                granted += wait == 0.0
+            served[by_use] = granted / sent
+        self.assertLess(served[False], 0.3)
+        self.assertGreater(served[True], 0.6)
+
+    @settings(max_examples=25, deadline=None)
+    @given(st.lists(st.floats(0.0, 1.0), min_size=1, max_size=29))
+    def test_grants_by_use_stay_within_rate_and_slack(self, shares):
+        total = sum(shares) or 1.0
+        limiters = [fallback.FallbackLimiter(SLACK, True) for _ in shares]
+        begin = self.use(limiters, [share / total for share in shares], 2.0)
+        granted = 0
+        for tick in range(500):
+            for limiter in limiters:
+                now = begin + tick / 100
+                wait = limiter.spend("c", CONTRACT, len(shares), now, begin)
+                granted += wait == 0.0
+        allowed = CONTRACT.rate * 5.0 + SLACK.compute_requests(CONTRACT)
+        self.assertLessEqual(granted, allowed)
+
     def test_smallest_rate_is_refused_with_a_wait_that_can_be_sent(self):
         limiter = fallback.FallbackLimiter(SLACK._replace(requests=0.0))
         waits = [limiter.spend("c", fleet.Contract(5e-324, 1.0), 3, 0.0) for _ in "ab"]
