--- a/sapphireseam/platform/document.py
+++ b/sapphireseam/platform/document.py
@@ -6,6 +6,7 @@
 
 import json
 from collections import Counter
+from collections.abc import Collection
 from typing import Annotated, Any, NamedTuple
 
 import msgspec
@@ -16,6 +17,10 @@
 # Engines answer this path immediately and without using a slot.
 ENGINE_PROBE_PATH = "/report"
 METHODS = ("GET", "POST", "PUT", "DELETE")
+# The contract under which upstreams may fail although their probes succeed.
+HEALTH_CONTRACT = "health"
+# The one under which tenants compete for too little room.
+PRESSURE_CONTRACT = "pressure"
 
 SAFE = "safe"
 UNSAFE = "unsafe"
@@ -102,10 +107,12 @@
 _decoder = msgspec.json.Decoder(Document)
 
 
-def translate(source: bytes, shares_by_rate: bool = False) -> Translated:
+def translate(source: bytes, contracts: Collection[str] = ()) -> Translated:
     """Return the translation of the configuration in a request's body.
 
-    With `shares_by_rate`, tenants share busy services in proportion to their rates.
+    `contracts` names the parts of the platform's rules that bind the deployment. Some
+    of them switch on features of the product.
+
     Raises `ConfigurationError` if it cannot be parsed or translated. References and
     conflicts between its objects are checked when it is published.
     """
@@ -119,14 +126,13 @@
     document = {
         "routes": {route.name: _make_route(route) for route in configuration.routes},
         "services": {
-            item.name: _make_service(item, shares_by_rate)
-            for item in configuration.services
+            item.name: _make_service(item, contracts) for item in configuration.services
         },
         "customers": {
             item.name: _make_customer(item) for item in configuration.tenants
         },
         "contracts": {
-            item.name: _make_contract(item, shares_by_rate)
+            item.name: _make_contract(item, contracts)
             for item in configuration.tenants
             if item.rate_per_s > 0
         },
@@ -191,19 +197,23 @@
     return translated
 
 
-def _make_service(service: Service, is_fair: bool) -> dict[str, Any]:
+def _make_service(service: Service, contracts: Collection[str]) -> dict[str, Any]:
     probe = ENGINE_PROBE_PATH if service.engine else service.health_path
-    translated = {
+    return {
         "connections": service.max_connections,
         "probe_path": probe,
         "tells_load": service.engine is not None,
+        "ejects_outliers": HEALTH_CONTRACT in contracts,
+        "fair": PRESSURE_CONTRACT in contracts,
     }
-    return translated | ({"fair": True} if is_fair else {})
 
 
-def _make_contract(tenant: Tenant, is_weighted: bool) -> dict[str, Any]:
+def _make_contract(tenant: Tenant, contracts: Collection[str]) -> dict[str, Any]:
     translated = {"rate": tenant.rate_per_s, "burst": max(tenant.burst, 1.0)}
-    return translated | ({"weight": tenant.rate_per_s} if is_weighted else {})
+    if PRESSURE_CONTRACT in contracts:
+        # Tenants share busy services in proportion to their rates.
+        translated["weight"] = tenant.rate_per_s
+    return translated
 
 
 def _make_customer(tenant: Tenant) -> dict[str, Any]:
--- a/sapphireseam/platform/document_test.py
+++ b/sapphireseam/platform/document_test.py
@@ -57,13 +57,20 @@
     return configuration | changes
 
 
-def translate(configuration, shares_by_rate=False):
+def translate(configuration, contracts=()):
     source = json.dumps(configuration).encode()
-    translated = document.translate(source, shares_by_rate)
+    translated = document.translate(source, contracts)
     return translated.number, fleet.require(json.loads(translated.document))
 
 
 class TranslateTest(unittest.TestCase):
+    def test_a_contract_switches_on_the_rest_of_outliers(self):
+        source = json.dumps(make_configuration()).encode()
+        for contracts, expected in (((), False), (("base", "health"), True)):
+            translated = json.loads(document.translate(source, contracts).document)
+            switches = {s["ejects_outliers"] for s in translated["services"].values()}
+            self.assertEqual(switches, {expected})
+
     def test_routes_are_translated(self):
         number, translated = translate(make_configuration())
         self.assertEqual(number, 7)
@@ -192,9 +199,9 @@
         translate(configuration)
 
     def test_tenants_share_services_by_their_rates_only_if_asked(self):
-        for is_asked, weight in ((False, 1.0), (True, 22.0)):
-            _, translated = translate(make_configuration(), is_asked)
-            self.assertEqual(translated.services["llm"].fair, is_asked)
+        for contracts, weight in (((), 1.0), (("base", "pressure"), 22.0)):
+            _, translated = translate(make_configuration(), contracts)
+            self.assertEqual(translated.services["llm"].fair, "pressure" in contracts)
             self.assertEqual(translated.contracts["t1"].weight, weight)
 
     def test_weights_that_sum_to_zero(self):
--- a/sapphireseam/platform/setting.py
+++ b/sapphireseam/platform/setting.py
@@ -22,8 +22,6 @@
 # Port of each program's metrics, also set in deploy/system.toml.
 METRICS_PORT = 9464
 MILLISECONDS_PER_SECOND = 1000.0
-# The contract of deployments whose callers compete for too little room.
-PRESSURE = "pressure"
 
 Port = Annotated[int, Field(ge=1, le=65535)]
 
@@ -37,7 +35,9 @@
     process ends within `grace_s` seconds after a stop was requested.
     `slack_window` is in seconds. Results of a batch job are retained for at least
     `keep_s` seconds after the job was accepted. `contracts` names the parts of the
-    platform's rules that bind this deployment.
+    platform's rules that bind this deployment. With `reads_nearby`, an entry reads
+    results of batch jobs in its own failure domain. With `grants_by_use`, an entry
+    without a leader grants customers what they used there lately.
     """
 
     label: str
@@ -55,6 +55,8 @@
     grace_s: fleet.Positive
     keep_s: fleet.NotNegative
     contracts: tuple[str, ...] = ()
+    reads_nearby: bool = False
+    grants_by_use: bool = False
     data_folder: str | None = None
     callers_address: str | None = None
     ready_address: str | None = None
@@ -76,11 +78,6 @@
         hosts = [seed.rsplit(":", 1)[0] for seed in self.seeds]
         return tuple(f"{host}:{self.port}" for host in hosts)
 
-    @property
-    def shares_by_rate(self) -> bool:
-        """Return whether tenants share busy services in proportion to their rates."""
-        return PRESSURE in self.contracts
-
     @property
     def slack(self) -> fallback.Slack:
         """Return by how much customers may exceed their limits.
--- a/sapphireseam/utils/metric.py
+++ b/sapphireseam/utils/metric.py
@@ -176,6 +176,18 @@
     " the configuration changed meanwhile.",
     is_discovery=True,
 )
+BULK_READS = Metric(
+    "seam.bulk_reads",
+    Form.COUNTER,
+    "",
+    ("source",),
+    _ENTRY,
+    "Reads of bulk jobs for discovered upstreams, by who answered: `near` (a control VM"
+    " of the entry's failure domain) or `leader`.",
+    "`leader` rises with `reads_nearby` set: no control VM of this failure domain"
+    " answers, or the leader is in it.",
+    is_discovery=True,
+)
 PLACEMENT = Metric(
     "seam.place.duration",
     Form.HISTOGRAM,
@@ -222,6 +234,18 @@
     "Stays above 0: a replica doesn't answer; its platform should replace it.",
     is_discovery=True,
 )
+RESTING = Metric(
+    "seam.resting",
+    Form.GAUGE,
+    "",
+    ("service",),
+    _CONTROL,
+    "Ejected upstreams that failed again and again, and that no probe may bring back"
+    " yet.",
+    "Stays above 0: a replica fails part of its requests although its probe succeeds;"
+    " look for `upstream ejected` with a long `rest`, and replace it.",
+    is_discovery=True,
+)
 UPSTREAM_CEILING = Metric(
     "seam.upstream_ceiling",
     Form.GAUGE,
@@ -365,9 +389,11 @@
     SLOTS,
     HEALTHY,
     CUT,
+    BULK_READS,
     PLACEMENT,
     SERVICE_SLOTS,
     EJECTED,
+    RESTING,
     REFUSED_SLOTS,
     UPSTREAM_CEILING,
     UPSTREAM_CEILING_AGE,
