Check upstreams over the project's own connections

A check whether an upstream is down opened a plain session of the HTTP library, which hands its socket to uvloop. If the check was cancelled, or timed out, while uvloop took the socket over, the descriptor was closed twice, and the second close hit whatever had got the number by then. The check now uses the same sessions; an answer that these reject counts as an answer, as before. The new test cancels a check after each of 40 iterations of the event loop: on the former code it fails under uvloop (one descriptor of another closed), now it passes. The test of requests runs with the same bounds, which are stricter.

--- a/sapphireseam/utils/crash.py
+++ b/sapphireseam/utils/crash.py
@@ -24,6 +24,7 @@
 
 from sapphireseam.core import command, error
 from sapphireseam.core.instance import Instance, get_run_name
+from sapphireseam.utils import framing
 from sapphireseam.utils.application import TaskGroup
 from sapphireseam.utils.client import ControlClient
 from sapphireseam.utils.mirror import Mirror
@@ -85,7 +86,7 @@
     """
     timeout = aiohttp.ClientTimeout(sock_connect=CONNECT_SECONDS)
     try:
-        async with aiohttp.ClientSession(timeout=timeout) as session:
+        async with framing.create_session(timeout=timeout) as session:
             # The library's own timeout covers the time to connect only.
             answering = session.get(f"http://{address}{path}", allow_redirects=False)
             async with asyncio.timeout(CONNECT_SECONDS + ANSWER_SECONDS):
@@ -96,7 +97,7 @@
         return True
     except TimeoutError:
         return False
-    except aiohttp.ClientResponseError:
+    except (aiohttp.ClientResponseError, framing.MalformedAnswerError):
         # Something answers, although it isn't valid.
         return False
     except (aiohttp.ClientError, OSError):
--- a/sapphireseam/utils/crash_test.py
+++ b/sapphireseam/utils/crash_test.py
@@ -273,7 +273,9 @@
             self.assertFalse(await crash.is_down(await self.start(head), "/"))
         head = b"HTTP/1.1 503 X\r\nSigned: 1\r\nContent-Length: 0\r\n\r\n"
         self.assertFalse(await crash.is_down(await self.start(head), "/", is_signed))
-        self.assertFalse(await crash.is_down(await self.start(b"what\r\n\r\n"), "/"))
+        invalid = b"HTTP/1.1 200 X\r\nA: \x01\r\nContent-Length: 0\r\n\r\n"
+        for answer in (b"what\r\n\r\n", b"HTTP/1.1 101 X\r\n\r\n", invalid):
+            self.assertFalse(await crash.is_down(await self.start(answer), "/"))
 
 
 if __name__ == "__main__":
--- a/sapphireseam/utils/framing_test.py
+++ b/sapphireseam/utils/framing_test.py
@@ -13,7 +13,7 @@
 import aiohttp
 import uvloop
 
-from sapphireseam.utils import framing
+from sapphireseam.utils import crash, framing
 
 HEADS = {
     "connection": b"HTTP/1.1 200 OK\r\n\r\n",
@@ -104,31 +104,41 @@
         self.assertEqual(self.read(uvloop.run, server, True)[0], b"abcde")
 
 
+async def get(address):
+    async with framing.create_session() as http:
+        await http.get(f"http://{address}/")
+
+
 class CancellationTest(unittest.TestCase):
-    async def count_closed(self, iterations):
+    async def count_closed(self, request, iterations):
         """Cancel a request after some iterations of the event loop.
 
         Return how many of the descriptors opened since then were closed by others.
         """
         with socket.create_server(("127.0.0.1", 0)) as listener:
-            url = f"http://127.0.0.1:{listener.getsockname()[1]}/"
-            async with framing.create_session() as http:
-                task = asyncio.ensure_future(http.get(url))
-                for _ in range(iterations):
-                    await asyncio.sleep(0)
-                task.cancel()
-                await asyncio.wait([task])
-                descriptors = [os.open(os.devnull, os.O_RDONLY) for _ in range(3)]
-                # The task holds the request's frames and what they refer to.
-                del task
-                gc.collect()
-                return sum(not _close(descriptor) for descriptor in descriptors)
-
-    def test_request_that_is_cancelled_closes_no_descriptor_of_another(self):
+            address = f"127.0.0.1:{listener.getsockname()[1]}"
+            task = asyncio.ensure_future(request(address))
+            for _ in range(iterations):
+                await asyncio.sleep(0)
+            task.cancel()
+            await asyncio.wait([task])
+            descriptors = [os.open(os.devnull, os.O_RDONLY) for _ in range(6)]
+            # The task holds the request's frames and what they refer to.
+            del task
+            gc.collect()
+            return sum(not _close(descriptor) for descriptor in descriptors)
+
+    def check(self, request):
         for run in (asyncio.run, uvloop.run):
-            for iterations in range(30):
+            for iterations in range(40):
                 with self.subTest(run=run.__module__, iterations=iterations):
-                    self.assertEqual(run(self.count_closed(iterations)), 0)
+                    self.assertEqual(run(self.count_closed(request, iterations)), 0)
+
+    def test_request_that_is_cancelled_closes_no_descriptor_of_another(self):
+        self.check(get)
+
+    def test_check_whether_an_upstream_is_down_closes_no_descriptor_either(self):
+        self.check(lambda address: crash.is_down(address, "/"))
 
 
 def _close(descriptor):
