Spread the requests that entries place without a leader

Cause: without a leader every entry takes the upstream with the fewest own requests, and all choose the same among equal ones. Change: with the setting spreads_load the leader numbers the entries in the view that it sends anyway, and each orders the upstreams by its number (policy/spread.py). On the platform the contracts places and pressure set it. Without a number, decisions are as before. A log line and a metric tell the number.

--- a/sapphireseam/control/application.py
+++ b/sapphireseam/control/application.py
@@ -72,7 +72,8 @@
     `address` takes the calls of the system's processes and of operators, `probe`
     serves health checks and metrics. `peers` lists all initial members including
     this one. On a control VM that is added later, it lists the members to join. A
-    stop ends within `grace_s` seconds.
+    stop ends within `grace_s` seconds. With `spreads_load`, entries without a leader
+    spread their requests evenly over discovered upstreams.
     """
 
     node: fleet.Name
@@ -87,6 +88,7 @@
     label: str = ""
     lot_seconds: fleet.Positive = bulkrunner.RETENTION_SECONDS
     grace_s: fleet.Positive = DEFAULT_SECONDS
+    spreads_load: bool = False
 
 
 # Times in seconds and sizes for members that manage their own membership. A failed
@@ -479,6 +481,7 @@
         integration.probe,
         integration.stop_run,
         timer,
+        settings.spreads_load,
     )
     server.register(shared.server)
     integration.upstreams.on_leaving = server.mark_leaving
--- a/sapphireseam/control/meter_test.py
+++ b/sapphireseam/control/meter_test.py
@@ -38,6 +38,7 @@
         meter.report_slots(control, slots, machine, replica)
         entry = metric.Meter("entry-m")
         entry.observe(metric.PLACEMENT, 0.01, outcome="placed")
+        entry.read(metric.ENTRY_NUMBER, lambda: 1)
         entry.read_many(metric.CUT, lambda: [(1, {"cause": "silent"})])
         found = self.scrape()
         for item in metric.METRICS:
--- a/sapphireseam/control/placement.py
+++ b/sapphireseam/control/placement.py
@@ -10,7 +10,7 @@
 import asyncio
 import logging
 import math
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import NamedTuple
 
 from sapphireseam.control import record
@@ -109,7 +109,10 @@
         probe: Probe,
         stop_run: StopRun,
         timer: TimerService,
+        spreads_load: bool = False,
     ):
+        # Whether the entries get numbers, by which they spread what they place alone.
+        self._spreads_load = spreads_load
         self.allocator = allocator.SlotAllocator()
         # Knows the ceilings that this control VM hears itself, beside the replicated.
         self.ceiling_monitor = ceiling.CeilingMonitor(
@@ -227,7 +230,7 @@
         self._entries[entry.session] = entry
         open_numbers: set[int] = set()
         self._add_known(entry, first, open_numbers)
-        entry.post(self._make_view())
+        self._send_views([entry])
         for instance in self.allocator.list_leaving():
             entry.post(placement.Leaving(instance.id, instance.born))
         # The others learn only how many entries there are.
@@ -553,9 +556,7 @@
             self._redirect_entries()
         is_view_due, self._is_view_due = self._is_view_due, False
         if is_view_due:
-            view = self._make_view()
-            for entry in self._entries.values():
-                entry.post(view)
+            self._send_views(self._entries.values())
             return
         for entry in self._entries.values():
             if entry.silence >= HEARTBEAT_SKIP_SECONDS:
@@ -569,9 +570,20 @@
         for entry in self._entries.values():
             entry.post(failure)
 
-    def _make_view(self) -> placement.View:
+    def _send_views(self, receivers: Iterable[_EntrySession]) -> None:
+        """Send the view, with its own number to each receiver if that is in use."""
         control = tuple(member.address for member in self._replica.members)
-        return placement.View(self.allocator.instances, control, len(self._entries))
+        view = placement.View(self.allocator.instances, control, len(self._entries))
+        numbers = self._number_entries() if self._spreads_load else {}
+        for entry in receivers:
+            entry.post(view._replace(number=numbers.get(entry.session)))
+
+    def _number_entries(self) -> dict[int, int]:
+        """Return the numbers by session, in order of failure domain and name."""
+        entries = sorted(
+            self._entries.values(), key=lambda each: (each.domain, each.name)
+        )
+        return {entry.session: number for number, entry in enumerate(entries)}
 
 
 def _get_origin(item: placement.Began) -> origin.Origin:
--- a/sapphireseam/control/placement_test.py
+++ b/sapphireseam/control/placement_test.py
@@ -79,6 +79,38 @@
             ]
             self.assertEqual(views[-1], placement.View((INSTANCE,), (), len(streams)))
 
+    async def list_received(self, spreads_load):
+        """Return what three entries get that attach before the list changes."""
+        self.server._spreads_load = spreads_load
+        self.server.update_instances(())
+        await self.advance(0.3)
+        streams = [EntryStream(self.timer) for _ in range(3)]
+        entries = zip(streams, ("e1", "e3", "e2"), "bab", strict=True)
+        tasks = [
+            asyncio.create_task(
+                self.server.serve(placement.Attach(name, domain, ()), stream)
+            )
+            for stream, name, domain in entries
+        ]
+        await self.advance(0.3)
+        self.server.update_instances((INSTANCE,))
+        await self.advance(0.3)
+        for task in tasks:
+            task.cancel()
+        await asyncio.wait(tasks)
+        return [stream.received for stream in streams]
+
+    async def test_entries_get_numbers_by_domain_and_name_without_more_messages(self):
+        before = await self.list_received(False)
+        after = await self.list_received(True)
+        for received, numbers in ((before, [None] * 3), (after, [1, 0, 2])):
+            views = [
+                [item for item in each if isinstance(item, placement.View)]
+                for each in received
+            ]
+            self.assertEqual([each[-1].number for each in views], numbers)
+        self.assertEqual([len(each) for each in before], [len(each) for each in after])
+
     async def test_a_new_leader_serves_no_entry_before_it_has_the_list(self):
         running = placement.Running(1, "r", INSTANCE.id, "c")
         stream = EntryStream(self.timer)
--- a/sapphireseam/core/placement.py
+++ b/sapphireseam/core/placement.py
@@ -124,11 +124,16 @@
 
 
 class View(NamedTuple):
-    """Send all instances, the control VMs and how many entries are connected."""
+    """Send all instances, the control VMs and how many entries are connected.
+
+    `number` is that of the receiver among the entries, counted from 0, in order of
+    failure domain and name. It is missing unless the entries are to spread the load.
+    """
 
     instances: tuple[Instance, ...]
     control: tuple[str, ...]
     entries: int
+    number: int | None = None
 
 
 class Beat(NamedTuple):
--- a/sapphireseam/entry/placer.py
+++ b/sapphireseam/entry/placer.py
@@ -2,10 +2,11 @@
 
 One stream to the leader carries all slot requests. While no leader answers, the
 entry places requests by the last instance list that it received and by the
-requests that it has running itself. Each customer then gets no more than the
-deployment's fallback limits allow, and each upstream that names a ceiling no more
-than this entry's part of it. Without this, all requests would be refused
-for the second that an election takes.
+requests that it has running itself. If the leader has numbered the entries, each
+prefers other upstreams, so that they fill them evenly (policy/spread.py). Each customer
+then gets no more than the deployment's fallback limits allow, and each upstream that
+names a ceiling no more than this entry's part of it. Without this, all requests would
+be refused for the second that an election takes.
 """
 
 import asyncio
@@ -16,7 +17,7 @@
 
 from sapphireseam.core import error, fleet, message, placement
 from sapphireseam.core.instance import Instance
-from sapphireseam.policy import allocator, fallback, origin
+from sapphireseam.policy import allocator, fallback, origin, spread, upstreampool
 from sapphireseam.utils import metric, rpc
 from sapphireseam.utils.application import TaskGroup
 from sapphireseam.utils.client import ControlClient
@@ -99,6 +100,9 @@
         # Counts only this entry's requests, to place locally without a leader.
         self._allocator = allocator.SlotAllocator()
         self._entry_count = 1
+        # This entry's place among all, if it is to spread the load without a leader.
+        self._position: spread.Position | None = None
+        meter.read(metric.ENTRY_NUMBER, self._count_position)
         # The streams that this entry began or resumed.
         self._origins = origin.StreamOrigins()
         self._numbers = itertools.count(1)
@@ -198,8 +202,9 @@
     def _handle(self, item: object) -> None:
         match item:
             case placement.View():
-                self._update_instances(item.instances)
                 self._entry_count = max(item.entries, 1)
+                self._update_position(item.number)
+                self._update_instances(item.instances)
                 self._client.update_addresses(item.control)
                 self.on_instances(item.instances)
             case placement.Placed() | placement.Turned():
@@ -211,12 +216,27 @@
 
     def _update_instances(self, instances: tuple[Instance, ...]) -> None:
         """Use a list, which may not show yet which instances leave."""
+        if self._position is not None:
+            instances = spread.order_instances(instances, self._position)
         self._allocator.update(instances, self._timer.read_clock())
         listed = {placement.Leaving(each.id, each.born) for each in instances}
         self._leaving &= listed
         for item in self._leaving:
             self._allocator.mark_leaving(item.instance, item.born)
 
+    def _update_position(self, number: int | None) -> None:
+        position = None
+        if number is not None:
+            position = spread.Position(number, self._entry_count)
+        if position != self._position:
+            detail = {"number": number, "entries": self._entry_count}
+            logger.info("entry numbered", extra=detail)
+        self._position = position
+
+    def _count_position(self) -> int:
+        """Return this entry's number, counted from 1, or 0 without one."""
+        return self._position.number + 1 if self._position is not None else 0
+
     def _resolve(self, item: placement.Placed | placement.Turned) -> None:
         future = self._waiting.get(item.number)
         if future is not None and not future.done():
@@ -348,7 +368,11 @@
                 text = "the limits have no owner, and the fallback limit is used up"
                 raise error.CapacityError(text, error.Kind.RATE_LIMITED, wait, True)
         self.update_ceilings()
-        result = self._allocator.place(self._make_slot_request(number, spec), now)
+        request = self._make_slot_request(number, spec)
+        if self._position is not None:
+            # Entries that prefer their own failure domain could overrun it.
+            request = request._replace(domain=upstreampool.NO_DOMAIN)
+        result = self._allocator.place(request, now)
         if not isinstance(result, allocator.Grant):
             text = f"this entry found no free slot at service {spec.service}"
             wait = result.retry_after if result is not None else CHECK_SECONDS
@@ -364,6 +388,7 @@
                 "request": spec.request,
                 "upstream": result.instance.id,
                 "leader_silent": round(silent, 3),
+                "entry_number": self._count_position(),
             },
         )
         return slot
--- a/sapphireseam/entry/placer_test.py
+++ b/sapphireseam/entry/placer_test.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from collections import Counter
 
 from sapphireseam.core import error, fleet, placement
 from sapphireseam.core.instance import Instance
@@ -45,6 +46,7 @@
         self.refusal = None
         # Delays the opening of a stream until it is set.
         self.opening = None
+        self.view = placement.View(INSTANCES, ("c1", "c2"), 4)
 
     async def open(self, first):
         if not self.is_up:
@@ -54,7 +56,7 @@
             await self.opening.wait()
         stream = FakeStream(self)
         self.streams.append(stream)
-        stream.inbox.put_nowait(placement.View(INSTANCES, ("c1", "c2"), 4))
+        stream.inbox.put_nowait(self.view)
         return stream
 
     async def close(self):
@@ -319,5 +321,57 @@
         self.assertEqual(self.leader.received[-1], placement.Left(number))
 
 
+class SpreadTest(unittest.IsolatedAsyncioTestCase):
+    """Entries whose leader is lost at a crest place at the same moment."""
+
+    instances = tuple(
+        Instance(f"i{n}", "llm", f"10.0.1.{n}:80", "abc"[n % 3], 8) for n in range(20)
+    )
+
+    async def start(self, number, count):
+        leader = FakeLeader()
+        leader.view = placement.View(self.instances, (), count, number)
+        entry = placer.Placer(
+            f"e{number}", "a", FakeClient(leader), dict,
+            fallback.Slack(), metric.Meter("t"), SystemTimer(),
+        )  # fmt: skip
+        await entry.start()
+        self.addAsyncCleanup(entry.stop)
+        await asyncio.sleep(0.01)
+        return leader, entry
+
+    async def place_alone(self, started, each):
+        for leader, _ in started:
+            leader.fail()
+        await asyncio.sleep(0.02)
+        spec = placer.SlotSpec("r", "llm", "c", 0, 0.2, frozenset(), True)
+        slots = [
+            await entry.place(spec._replace(request=f"r{n}"))
+            for n in range(each)
+            for _, entry in started
+        ]
+        return Counter(slot.instance.id for slot in slots)
+
+    async def test_numbered_entries_without_a_leader_fill_the_upstreams_evenly(self):
+        started = [await self.start(number, 19) for number in range(19)]
+        loads = await self.place_alone(started, 4)
+        self.assertEqual((len(loads), max(loads.values())), (20, 4))
+
+    async def test_an_entry_keeps_its_number_until_another_leader_numbers_it(self):
+        leader, entry = await self.start(3, 19)
+        leader.fail()
+        leader.view = leader.view._replace(number=7)
+        await asyncio.sleep(0.02)
+        self.assertEqual(entry._position.number, 3)
+        leader.is_up = True
+        await asyncio.sleep(0.1)
+        self.assertEqual(entry._position.number, 7)
+
+    async def test_entries_without_numbers_place_as_before(self):
+        started = [await self.start(None, 19) for _ in range(2)]
+        loads = await self.place_alone(started, 1)
+        self.assertEqual(loads, {"i0": 2})
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/sapphireseam/platform/control.py
+++ b/sapphireseam/platform/control.py
@@ -12,6 +12,9 @@
 from sapphireseam.utils.grace import Grace
 from sapphireseam.utils.timer import SystemTimer
 
+# The contracts under which entries without a leader spread the load.
+SPREADING_CONTRACTS = frozenset({"places", "pressure"})
+
 
 def make_settings(settings: setting.Settings) -> control.Settings:
     """Return the settings of a control VM as `control.application` takes them."""
@@ -30,6 +33,7 @@
         settings.label,
         settings.keep_s,
         settings.grace_s,
+        not SPREADING_CONTRACTS.isdisjoint(settings.contracts),
     )
 
 
--- a/sapphireseam/platform/setting_test.py
+++ b/sapphireseam/platform/setting_test.py
@@ -45,6 +45,12 @@
         self.assertEqual((translated.voters, translated.lot_seconds), (5, 300))
         self.assertEqual(translated.label, "storage-a-1")
 
+    def test_only_some_contracts_let_entries_spread_the_load(self):
+        for contracts, spreads in (([], False), (["base"], False), (["places"], True)):
+            document = RENDERED | {"contracts": contracts}
+            translated = control.make_settings(self.read(document))
+            self.assertEqual(translated.spreads_load, spreads)
+
     def test_the_error_names_every_invalid_field(self):
         invalid = RENDERED | {"port": 0, "grace_s": "long"}
         with self.assertRaises(error.SettingsError) as caught:
--- a/sapphireseam/utils/metric.py
+++ b/sapphireseam/utils/metric.py
@@ -188,6 +188,19 @@
     " at `seam_places` and `seam_benched`.",
     is_discovery=True,
 )
+ENTRY_NUMBER = Metric(
+    "seam.entry.number",
+    Form.GAUGE,
+    "",
+    (),
+    _ENTRY,
+    "This entry's number among all, counted from 1, by which it spreads the requests"
+    " that it places without a leader; 0 if it has none.",
+    "0 although `spreads_load` is set, or the same at two entries: an entry has no view"
+    " or an old one of the leader, and meets others at the same upstreams; look at"
+    " `seam_leader`.",
+    is_discovery=True,
+)
 SERVICE_SLOTS = Metric(
     "seam.places",
     Form.GAUGE,
@@ -353,6 +366,7 @@
     HEALTHY,
     CUT,
     PLACEMENT,
+    ENTRY_NUMBER,
     SERVICE_SLOTS,
     EJECTED,
     UPSTREAM_CEILING,
