--- a/sapphireseam/control/application.py
+++ b/sapphireseam/control/application.py
@@ -486,10 +486,12 @@
     server.register(shared.server)
     integration.upstreams.on_leaving = server.mark_leaving
     integration.upstreams.ceiling_monitor = server.ceiling_monitor
-    report_slots(shared.meter, server.allocator, machine, replica)
+    report_slots(shared.meter, server.allocator, machine, replica, server.list_resting)
     bulkservice.BulkService(replica, machine, timer).register(shared.server)
     members = membership.MembershipService(replica, machine, settings.voters, timer)
     members.register(shared.server)
+    server.find_domain = members.find_domain
+    members.on_domain = server.renew_view
     runner = bulkrunner.BulkRunner(
         replica, machine, server, integration.upstreams, timer, settings.lot_seconds
     )
@@ -499,7 +501,9 @@
     operator_server = integration.make_operator_server(
         admin.AdminService(replica, machine, client, timer), client, application.grace
     )
-    announcer = membership.Announcer(settings.address, settings.label, client, timer)
+    announcer = membership.Announcer(
+        settings.address, settings.label, client, timer, settings.failure_domain
+    )
     for part in (
         client,
         integration.upstreams,
--- a/sapphireseam/core/placement.py
+++ b/sapphireseam/core/placement.py
@@ -126,6 +126,7 @@
 class View(NamedTuple):
     """Send all instances, the control VMs and how many entries are connected.
 
+    `domains` has the failure domain of each control VM, "" if it isn't known.
     `number` is that of the receiver among the entries, counted from 0, in order of
     failure domain and name. It is missing unless the entries are to spread the load.
     """
@@ -133,6 +134,7 @@
     instances: tuple[Instance, ...]
     control: tuple[str, ...]
     entries: int
+    domains: tuple[str, ...] = ()
     number: int | None = None
 
 
--- a/sapphireseam/entry/placer.py
+++ b/sapphireseam/entry/placer.py
@@ -34,6 +34,8 @@
 # How long a request waits for the leader's answer beyond its own patience.
 ANSWER_SECONDS = 0.2
 RECONNECT_SECONDS = 0.05
+# How long a request waits at an entry that has started and knows no upstream yet.
+FIRST_VIEW_SECONDS = 0.5
 # How long the control VMs usually take to elect a leader.
 ELECTION_SECONDS = 0.6
 # Outcomes of a slot request in the metrics.
@@ -91,6 +93,10 @@
         self._meter = meter
         self._read_ceilings = read_ceilings
         self.on_instances: Callable[[tuple[Instance, ...]], None] = lambda _: None
+        # Called with the control VMs and their failure domains.
+        self.on_control: Callable[[tuple[str, ...], tuple[str, ...]], None] = (
+            lambda addresses, domains: None
+        )
         self._node = node
         self._domain = domain
         self._client = client
@@ -103,6 +109,7 @@
         # This entry's place among all, if it is to spread the load without a leader.
         self._position: spread.Position | None = None
         meter.read(metric.ENTRY_NUMBER, self._count_position)
+        self._has_view = False
         # The streams that this entry began or resumed.
         self._origins = origin.StreamOrigins()
         self._numbers = itertools.count(1)
@@ -202,10 +209,12 @@
     def _handle(self, item: object) -> None:
         match item:
             case placement.View():
+                self._has_view = True
                 self._entry_count = max(item.entries, 1)
                 self._update_position(item.number)
                 self._update_instances(item.instances)
                 self._client.update_addresses(item.control)
+                self.on_control(item.control, item.domains)
                 self.on_instances(item.instances)
             case placement.Placed() | placement.Turned():
                 self._resolve(item)
@@ -295,6 +304,9 @@
         if spec.resumes:
             # Only a leader knows the streams of other entries.
             await self._wait_for_leader(spec.patience)
+        elif not self._has_view:
+            # Without one it can only be refused, and a leader is about to answer.
+            await self._wait_for_leader(FIRST_VIEW_SECONDS)
         if not self.has_leader:
             return self._place_locally(number, spec), LOCAL
         future = asyncio.get_running_loop().create_future()
