Test entries whose leader is lost at a crest over real links

Four entries with two requests each lose all control VMs and place alone at four upstreams. The fleet of the tests takes the setting and can stop its control VMs.

--- a/sapphireseam/tools/discovered.py
+++ b/sapphireseam/tools/discovered.py
@@ -95,7 +95,15 @@
 class DiscoveredFleet:
     """Control VMs, entries and fake upstreams of one service."""
 
-    def __init__(self, folder: Path, upstreams: int, entries: int, controls: int = 3):
+    def __init__(
+        self,
+        folder: Path,
+        upstreams: int,
+        entries: int,
+        controls: int = 3,
+        spreads_load: bool = False,
+    ):
+        self._spreads_load = spreads_load
         self.upstreams = [
             fakeupstream.FakeUpstream(f"u{number}") for number in range(upstreams)
         ]
@@ -126,8 +134,7 @@
         """Stop everything."""
         for entry in self.entries:
             await entry.application.stop()
-        stops = [application.stop() for application in self._applications]
-        await asyncio.gather(*stops)
+        await self.stop_controls()
         for upstream in self.upstreams:
             await upstream.stop()
 
@@ -143,6 +150,12 @@
         self._applications[number] = self._build_control(number)
         await self._applications[number].start()
 
+    async def stop_controls(self) -> None:
+        """Stop all control VMs."""
+        stops = [application.stop() for application in self._applications]
+        self._applications.clear()
+        await asyncio.gather(*stops)
+
     async def restart_entry(self, number: int) -> None:
         """Replace an entry by a new one that knows nothing."""
         await self.entries[number].application.stop()
@@ -188,6 +201,7 @@
             tuple(control.Peer(name, name) for name in self._controls),
             len(self._controls),
             label=f"control-{number}",
+            spreads_load=self._spreads_load,
         )
         upstreams = outbound.ConnectionPool(fakeupstream.FakeDialect())
         integration = control.Integration(
--- a/sapphireseam/tools/discovered_test.py
+++ b/sapphireseam/tools/discovered_test.py
@@ -1,5 +1,6 @@
 """Tests what a fleet knows about its upstreams beside the list of a platform."""
 
+import asyncio
 import tempfile
 import unittest
 from pathlib import Path
@@ -15,13 +16,13 @@
 class DiscoveredFleetTest(unittest.TestCase):
     """Runs on the programs' event loop, as all of them share one process."""
 
-    def run_fleet(self, work, upstreams, entries):
+    def run_fleet(self, work, upstreams, entries, **options):
         """Run a coroutine function with a running fleet."""
 
         async def run():
             with tempfile.TemporaryDirectory() as folder:
                 self.fleet = discovered.DiscoveredFleet(
-                    Path(folder), upstreams, entries
+                    Path(folder), upstreams, entries, **options
                 )
                 await self.fleet.start()
                 try:
@@ -68,6 +69,25 @@
 
         self.run_fleet(break_all, 2, 1)
 
+    def test_entries_whose_leader_is_lost_at_a_crest_fill_the_upstreams_evenly(self):
+        async def lose_leaders():
+            before = [len(upstream.runs) for upstream in self.fleet.upstreams]
+            await self.fleet.stop_controls()
+            requests = [
+                self.fleet.send(
+                    entry, discovered.Request(f"{entry}-{number}", ROUTE, ("own",))
+                )
+                for entry in range(4)
+                for number in range(2)
+            ]
+            replies = await asyncio.gather(*requests)
+            self.assertEqual([each for each in replies if each.failure], [])
+            after = [len(upstream.runs) for upstream in self.fleet.upstreams]
+            got = [now - then for now, then in zip(after, before, strict=True)]
+            self.assertEqual(got, [2] * 4)
+
+        self.run_fleet(lose_leaders, 4, 4, spreads_load=True)
+
 
 if __name__ == "__main__":
     unittest.main()
