Evacuate a failure domain: state, placing, entries

Cause: nothing stopped new work in a whole failure domain; draining upstreams one by one misses those that start later. Change: SetEvacuation, replicated and sent with the watch and on the entries' streams; the allocator never places in an evacuated domain, not even as a last resort; an entry gives back a slot that it hasn't used; waiting requests without another upstream are refused at once; nothing is probed there. AdminService drops an order whose sender has gone and proposes with the number of the newest change.

--- a/sapphireseam/control/admin.py
+++ b/sapphireseam/control/admin.py
@@ -4,6 +4,10 @@
 confirms each read first, so a VM that is cut off from the others answers no reads.
 """
 
+import itertools
+import secrets
+from collections.abc import Callable
+
 from sapphireseam.control import publish, record
 from sapphireseam.control.machine import StateMachine
 from sapphireseam.core import command, error, fleet, message
@@ -18,7 +22,10 @@
 
 
 class AdminService:
-    """Publishes and reads configurations and retires control VMs for an operator."""
+    """Publishes and reads configurations for an operator.
+
+    It also evacuates failure domains and retires control VMs.
+    """
 
     def __init__(
         self,
@@ -57,6 +64,47 @@
             raise error.ControlError("no configuration has been published yet")
         return publish.read_source(self._machine.state)
 
+    async def set_evacuation(
+        self, domain: str, is_evacuated: bool, is_wanted: Callable[[], bool]
+    ) -> None:
+        """Evacuate a failure domain or take that back; return once a quorum holds it.
+
+        The order may have been held up until it was sent again elsewhere and a later
+        one has followed. So it is dropped with a `ControlError` unless `is_wanted`
+        after the newest change is known, and has no effect after a further change.
+        """
+        request = f"evacuation-{secrets.token_hex(8)}"
+        try:
+            await wait_for(
+                self._timer,
+                self._set_evacuation(request, domain, is_evacuated, is_wanted),
+                CHANGE_SECONDS,
+            )
+        except TimeoutError:
+            raise error.ControlError("no quorum accepted the order in time") from None
+
+    async def _set_evacuation(
+        self, request: str, domain: str, is_evacuated: bool, is_wanted: Callable
+    ) -> None:
+        for number in itertools.count():
+            await self._replica.read_index()
+            if not is_wanted():
+                raise error.ControlError("the sender of the order has gone")
+            item = command.SetEvacuation(
+                f"{request}-{number}",
+                domain,
+                is_evacuated,
+                self._timer.read_wall_clock(),
+                record.read_evacuated(self._machine.state).number,
+                is_forced=True,
+            )
+            try:
+                await self._client.propose(item, CHANGE_SECONDS)
+                return
+            except error.SeamError as failure:
+                if failure.kind is not error.Kind.CONFLICT:
+                    raise
+
     async def retire(self, label: str) -> None:
         """Retire a control VM; raise if it is unknown or too few would remain."""
         await self._client.call(message.Retire(label), CHANGE_SECONDS)
--- a/sapphireseam/control/meter.py
+++ b/sapphireseam/control/meter.py
@@ -40,6 +40,7 @@
     meter.read(metric.REVISION, lambda: record.read_revision(machine.state))
     meter.read(metric.LEASES, lambda: len(machine.state.leases))
     meter.read_many(metric.WATCHERS, lambda: count_watchers(hub))
+    meter.read_many(metric.EVACUATED, lambda: list_evacuated(machine.state))
     meter.read_many(metric.JOBS, lambda: count_jobs(machine.state))
     meter.read_many(metric.ITEMS, lambda: count_items(machine.state))
 
@@ -56,6 +57,9 @@
     """
     meter.read_many(metric.SERVICE_SLOTS, lambda: count_slots(allocator, replica))
     meter.read_many(metric.EJECTED, lambda: count_ejected(allocator, replica))
+    meter.read_many(
+        metric.EVACUATED_PLACES, lambda: count_evacuated(allocator, replica)
+    )
     meter.read_many(metric.BULK_ITEMS, lambda: count_bulk_items(machine.state))
     meter.read_ceilings(
         lambda: machine.state.ceilings.values() if replica.is_leader else (),
@@ -93,6 +97,18 @@
     return [(ejected[service], {"service": service}) for service in services]
 
 
+def count_evacuated(allocator: SlotAllocator, replica: Replica) -> list[metric.Value]:
+    """Return how much work still runs in each evacuated failure domain."""
+    counts = allocator.count_evacuated() if replica.is_leader else {}
+    return [(count, {"domain": domain}) for domain, count in counts.items()]
+
+
+def list_evacuated(state: record.State) -> list[metric.Value]:
+    """Return for each failure domain whether it is evacuated."""
+    domains = {*record.read_fleet(state).failure_domains, *state.evacuations}
+    return [(each in state.evacuations, {"domain": each}) for each in sorted(domains)]
+
+
 def count_bulk_items(state: record.State) -> list[metric.Value]:
     """Return how many items of all retained bulk jobs are done, failed and open."""
     counts = Counter({"done": 0, "failed": 0, "open": 0})
--- a/sapphireseam/control/placement.py
+++ b/sapphireseam/control/placement.py
@@ -16,7 +16,7 @@
 from sapphireseam.control import record
 from sapphireseam.control.machine import StateMachine
 from sapphireseam.control.ratelimit import RateLimitService
-from sapphireseam.core import command, error, fleet, placement
+from sapphireseam.core import command, error, evacuation, fleet, placement
 from sapphireseam.core.instance import Instance
 from sapphireseam.policy import allocator, origin
 from sapphireseam.state.replica import Replica
@@ -118,6 +118,9 @@
         self.ceiling_monitor.on_heard = self._apply_ceilings
         # Called with the key of a bulk item that is preempted.
         self.on_evicted: Callable[[str], None] = lambda key: None
+        # Called with a failure domain whose evacuation ends, before anything is placed
+        # there.
+        self.on_returned: Callable[[str], None] = lambda domain: None
         # Called whenever a slot may have become free.
         self.on_slot_free: Callable[[], None] = lambda: None
         self._replica = replica
@@ -136,6 +139,7 @@
         # The time until which each instance's load is reconciled.
         self._reconcile_until: dict[str, float] = {}
         self._term = -1
+        self._evacuated = evacuation.Evacuated()
         self._contracts: dict[str, fleet.Contract] = {}
         self._services: dict[str, fleet.Service] = {}
         self._tasks = TaskGroup()
@@ -167,11 +171,50 @@
             self._contracts = self._rate_limits.contracts
         if item is None:
             self._apply_ceilings()
+        if item is None or isinstance(item, command.SetEvacuation):
+            self._apply_evacuations()
         if isinstance(item, command.ReportCeiling):
             if self._replica.is_leader:
                 self._log_ceiling(item)
             self._apply_ceilings()
 
+    def _apply_evacuations(self) -> None:
+        """Obey the evacuations that this member has applied, and tell the entries."""
+        former, found = self._evacuated, record.read_evacuated(self._machine.state)
+        if found == former:
+            return
+        self._evacuated = found
+        for entry in self._entries.values():
+            entry.post(placement.Evacuation(found))
+        for domain in former.domains:
+            if domain not in found.domains:
+                self.on_returned(domain)
+        now = self._timer.read_clock()
+        grants = self.allocator.set_evacuated(frozenset(found.domains), now)
+        if self._replica.is_leader:
+            self._log_evacuations(former, found)
+        self._send_decisions(grants)
+        self.on_slot_free()
+
+    def _log_evacuations(
+        self, former: evacuation.Evacuated, found: evacuation.Evacuated
+    ) -> None:
+        """Log which domains this leader places nothing in from now on."""
+        counts = self.allocator.count_evacuated()
+        for domain in found.domains:
+            if domain not in former.domains:
+                detail = {"domain": domain, "running": counts[domain]}
+                logger.info("failure domain evacuated", extra=detail)
+        for domain in former.domains:
+            if domain not in found.domains:
+                detail = {"domain": domain}
+                logger.info("failure domain back in service", extra=detail)
+        places = [(each.service, each.domain) for each in self.allocator.instances]
+        deserted = evacuation.list_deserted(places, found.domains)
+        if deserted:
+            detail = {"services": deserted, "domains": found.domains}
+            logger.warning("evacuation leaves services no upstream", extra=detail)
+
     async def _propose_ceiling(self, item: command.ReportCeiling) -> None:
         await self._replica.propose(command.REGISTRY.encode(item))
 
@@ -222,11 +265,15 @@
         Without a list of instances an entry goes on with the last one that it had.
         """
         await self._wait_for_list()
+        # What the former leader acknowledged must bind the first grant.
+        await self._replica.wait_caught_up()
         self._next_session += 1
         entry = _EntrySession(first, stream, self._next_session, self._timer)
         self._entries[entry.session] = entry
         open_numbers: set[int] = set()
         self._add_known(entry, first, open_numbers)
+        if self._evacuated.number:
+            entry.post(placement.Evacuation(self._evacuated))
         entry.post(self._make_view())
         for instance in self.allocator.list_leaving():
             entry.post(placement.Leaving(instance.id, instance.born))
@@ -441,7 +488,8 @@
         The process that answers may be another one than before.
         """
         for instance in self.allocator.list_ejected():
-            self._tasks.spawn(self._probe_one(instance))
+            if not self.allocator.is_evacuated(instance.id):
+                self._tasks.spawn(self._probe_one(instance))
 
     async def _probe_one(self, instance: Instance) -> None:
         if await self._probe_load(instance) is None:
@@ -466,7 +514,8 @@
             if until is None or not service.tells_load:
                 continue
             if until > now:
-                self._tasks.spawn(self._reconcile_one(instance))
+                if not self.allocator.is_evacuated(instance.id):
+                    self._tasks.spawn(self._reconcile_one(instance))
             else:
                 del self._reconcile_until[instance.id]
                 self._send_decisions(self.allocator.clear_load(instance.id, now))
--- a/sapphireseam/control/placement_test.py
+++ b/sapphireseam/control/placement_test.py
@@ -6,7 +6,8 @@
 
 from sapphireseam.control import placement as placements
 from sapphireseam.control.machine import StateMachine
-from sapphireseam.core import placement
+from sapphireseam.core import command, placement
+from sapphireseam.core.evacuation import Evacuated
 from sapphireseam.core.instance import Instance
 from sapphireseam.tools.fake import FakeReplica
 from sapphireseam.utils.timer import FakeTimer
@@ -33,8 +34,8 @@
 class PlacementServerTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.timer = FakeTimer()
-        machine = StateMachine()
-        replica = FakeReplica(machine)
+        self.machine = machine = StateMachine()
+        self.replica = replica = FakeReplica(machine)
         replica.leader, replica.members = "", ()
         self.probed = []
         self.server = placements.PlacementServer(
@@ -118,6 +119,73 @@
         slots = self.server.allocator.count_slots("llm")
         self.assertEqual(slots, INSTANCE.slots + other.slots)
 
+    def evacuate(self, number, is_evacuated=True):
+        """Apply an order for the domain of all upstreams."""
+        domain = INSTANCE.domain
+        item = command.SetEvacuation(
+            f"o{number}", domain, is_evacuated, 0.0, is_forced=True
+        )
+        self.machine.apply(number, command.REGISTRY.encode(item))
+
+    async def test_entries_hear_of_an_evacuation_before_any_grant_after_it(self):
+        self.server.update_instances((INSTANCE,))
+        (stream,) = await self.attach(1)
+        self.evacuate(1)
+        place = placement.Place(1, "r", "llm", "c", 0, 9.0, (), False)
+        (entry,) = self.server._entries.values()
+        self.server._handle_message(entry, set(), place)
+        await self.advance(0.1)
+        asked = []
+        self.server.on_returned = lambda domain: asked.append(
+            (domain, self.server.allocator.count_slots("llm"))
+        )
+        self.server._handle_message(entry, set(), place._replace(number=2))
+        self.evacuate(2, False)
+        self.server._handle_message(entry, set(), place._replace(number=3))
+        await self.advance(0.1)
+        # The hook runs while nothing can be placed there.
+        self.assertEqual(asked, [(INSTANCE.domain, 0)])
+        heard = [
+            each if isinstance(each, placement.Evacuation) else type(each)
+            for each in stream.received
+            if not isinstance(each, placement.Beat | placement.View)
+        ]
+        self.assertEqual(
+            heard,
+            [
+                placement.Evacuation(Evacuated(1, (INSTANCE.domain,))),
+                placement.Turned,
+                placement.Evacuation(Evacuated(2, ())),
+                placement.Placed,
+                placement.Placed,
+            ],
+        )
+
+    async def test_nothing_is_probed_in_an_evacuated_domain(self):
+        self.server.update_instances((INSTANCE,))
+        await self.advance(0.1)
+        self.evacuate(1)
+        self.server.eject(INSTANCE.id)
+        self.probed.clear()
+        await self.advance(2.0)
+        self.assertEqual(self.probed, [])
+        self.evacuate(2, False)
+        await self.advance(1.0)
+        self.assertIn(INSTANCE.id, self.probed)
+
+    async def test_a_new_leader_serves_no_entry_before_it_has_caught_up(self):
+        caught_up = asyncio.Event()
+        self.replica.wait_caught_up = caught_up.wait
+        self.server.update_instances((INSTANCE,))
+        (stream,) = await self.attach(1)
+        await self.advance(1.0)
+        self.assertEqual(stream.received, [])
+        self.evacuate(1)
+        caught_up.set()
+        await self.advance(0.1)
+        first = placement.Evacuation(Evacuated(1, (INSTANCE.domain,)))
+        self.assertEqual(stream.received[0], first)
+
     async def test_every_entry_hears_from_the_leader_often_enough(self):
         self.server.update_instances((INSTANCE,))
         streams = await self.attach(3)
--- a/sapphireseam/control/record.py
+++ b/sapphireseam/control/record.py
@@ -11,6 +11,7 @@
 from sapphireseam.core import fleet, jsontext
 from sapphireseam.core.ceiling import Ceiling
 from sapphireseam.core.command import LotItem
+from sapphireseam.core.evacuation import Evacuated, Evacuation
 from sapphireseam.core.key import Key
 from sapphireseam.core.verdict import Verdict
 from sapphireseam.policy.blame import Cause, Crash, Trial
@@ -182,7 +183,7 @@
 
     The fields with defaults are missing from older snapshots; see `complete`. The keys
     of `crashes` are the runs that ended, those of `ceilings` all runs that name one,
-    and those of the fields between them are traits.
+    those of `evacuations` failure domains, and those of the other fields traits.
     """
 
     numbers: dict[str, int]
@@ -210,11 +211,12 @@
     trials: dict[str, Trial] = {}
     proofs: dict[str, float] = {}
     ceilings: dict[str, Ceiling] = {}
+    evacuations: dict[str, Evacuation] = {}
 
 
 def create() -> State:
     """Return the state before the first command."""
-    return State({"revision": 0}, {}, *({} for _ in range(23)))
+    return State({"revision": 0}, {}, *({} for _ in range(24)))
 
 
 def complete(state: State) -> State:
@@ -226,6 +228,7 @@
         trials=dict(state.trials),
         proofs=dict(state.proofs),
         ceilings=dict(state.ceilings),
+        evacuations=dict(state.evacuations),
     )
 
 
@@ -234,6 +237,12 @@
     return state.numbers["revision"]
 
 
+def read_evacuated(state: State) -> Evacuated:
+    """Return the evacuated failure domains with the number of the last change."""
+    number = state.numbers.get("evacuation", 0)
+    return Evacuated(number, tuple(state.evacuations))
+
+
 def read_document(state: State) -> bytes:
     """Return the configuration in force as JSON."""
     revision = state.history.get(read_revision(state))
--- a/sapphireseam/control/service.py
+++ b/sapphireseam/control/service.py
@@ -36,6 +36,8 @@
     command.WithdrawKey: _OPERATOR,
     command.IssueOrder: _OPERATOR,
     command.MarkLeaving: _BOTH,
+    # As for `PublishNumbered`.
+    command.SetEvacuation: _BOTH,
     command.CancelJob: _BOTH,
     command.CreateFile: _FLEET,
     command.RemoveFile: _FLEET,
@@ -158,6 +160,9 @@
             case command.MarkLeaving():
                 name = "upstream_leaving" if item.leaving else "upstream_back"
                 self._timeline.record(name, item.upstream)
+            case command.SetEvacuation():
+                name = "domain_evacuated" if item.is_evacuated else "domain_back"
+                self._timeline.record(name, item.domain)
 
     async def _write_blob(
         self, request: message.WriteBlob, caller: rpc.Caller
@@ -326,6 +331,7 @@
             members,
             self._hub.list_watchers(),
             tuple(state.leaving),
+            tuple(state.evacuations.values()),
         )
 
     async def _read_events(
--- a/sapphireseam/control/watch.py
+++ b/sapphireseam/control/watch.py
@@ -1,13 +1,13 @@
 """Sends the shared state to every process and renews its lease.
 
-The shared state is the configuration, the keys, the leaving upstreams, the verdicts
-on traits of requests, and the ceilings of upstreams. A process opens one watch to any
-control VM. It gets the complete state once, then each change when it is applied. A
-lease is renewed only after a read index: a heartbeat round of the leader to a quorum
-that began after the process requested the renewal. Everything that was committed by
-then is sent before the renewal. A process counts its lease from the time of its
-request. So while the lease is valid, the process has missed nothing that was
-acknowledged before that request, even if clocks differ.
+The shared state is the configuration, the keys, the leaving upstreams, the verdicts on
+traits of requests, the ceilings of upstreams and the evacuated failure domains. A
+process opens one watch to any control VM. It gets the complete state once, then each
+change when it is applied. A lease is renewed only after a read index: a heartbeat round
+of the leader to a quorum that began after the process requested the renewal. Everything
+that was committed by then is sent before the renewal. A process counts its lease from
+the time of its request. So while the lease is valid, the process has missed nothing
+that was acknowledged before that request, even if clocks differ.
 """
 
 import json
@@ -120,6 +120,7 @@
             tuple(state.leaving),
             tuple(state.verdicts.values()),
             tuple(state.ceilings.values()),
+            record.read_evacuated(state),
         )
 
     def _send_change(self, item: Any, answer: Any) -> None:
@@ -153,6 +154,8 @@
                 return self._describe_judgement()
             case command.ReportCeiling():
                 return notice.CeilingChange(tuple(state.ceilings.values()))
+            case command.SetEvacuation():
+                return notice.EvacuationChange(record.read_evacuated(state))
         return None
 
     def _describe_judgement(self) -> notice.VerdictChange | None:
--- a/sapphireseam/control/watch_test.py
+++ b/sapphireseam/control/watch_test.py
@@ -1,7 +1,7 @@
 import asyncio
 import unittest
 
-from sapphireseam.control import watch
+from sapphireseam.control import record, watch
 from sapphireseam.control.machine import StateMachine
 from sapphireseam.core import command, notice
 from sapphireseam.tools.fake import FakeReplica
@@ -78,6 +78,30 @@
         self.assertTrue(stream.is_aborted)
 
 
+class EvacuationTest(unittest.IsolatedAsyncioTestCase):
+    async def test_mirrors_have_the_evacuations_whenever_they_open_their_watch(self):
+        timer = FakeTimer()
+        machine = StateMachine()
+        replica = FakeReplica(machine)
+        replica.read_index = replica.confirm_leadership
+        hub = watch.WatchHub(replica, machine, Timeline("control", timer), timer)
+        mirrors = []
+        for number, domain in enumerate("aba", 1):
+            mirror = Mirror("entry-1", "seam-entry", None, Timeline("e", timer), timer)
+            first = notice.Watch("entry-1", "seam-entry", 0)
+            serving = asyncio.create_task(hub.serve(first, MirrorStream(mirror)))
+            self.addCleanup(serving.cancel)
+            await timer.advance(0.0)
+            mirrors.append(mirror)
+            item = command.SetEvacuation(
+                f"r{number}", domain, number < 3, 0.0, is_forced=True
+            )
+            machine.apply(number, command.REGISTRY.encode(item))
+            known = {each.evacuated for each in mirrors}
+            self.assertEqual(known, {record.read_evacuated(machine.state)})
+        self.assertEqual(mirrors[0].evacuated.domains, ("b",))
+
+
 class VerdictTest(unittest.IsolatedAsyncioTestCase):
     async def test_mirror_has_each_verdict_and_loses_those_that_are_cleared(self):
         timer = FakeTimer()
--- a/sapphireseam/core/command.py
+++ b/sapphireseam/core/command.py
@@ -421,6 +421,22 @@
     lots: tuple[str, ...]
 
 
+class SetEvacuation(NamedTuple):
+    """Stop new work at all upstreams of a failure domain, or take that back.
+
+    With a `base`, the command is refused if the evacuations have changed since the
+    change with that number. The command is also refused if the domain is unknown, or if
+    a service of the configuration would have no upstream left, unless it `is_forced`.
+    """
+
+    request: str
+    domain: str
+    is_evacuated: bool
+    at: float
+    base: int = -1
+    is_forced: bool = False
+
+
 class RetireMember(NamedTuple):
     """Retire a control VM: it is removed from the members and never added again."""
 
@@ -464,6 +480,7 @@
     BeginOrder,
     FinishOrder,
     RecordReserves,
+    SetEvacuation,
 )
 
 REGISTRY = codec.Registry(COMMANDS, compresses=True)
--- a/sapphireseam/core/message.py
+++ b/sapphireseam/core/message.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from sapphireseam.core import codec, exchange, notice, placement
+from sapphireseam.core.evacuation import Evacuation
 from sapphireseam.core.event import Event
 from sapphireseam.core.key import Key
 
@@ -328,6 +329,7 @@
     members: tuple[MemberView, ...]
     watchers: tuple[WatcherView, ...]
     leaving: tuple[str, ...]
+    evacuations: tuple[Evacuation, ...] = ()
 
 
 class Keep(NamedTuple):
--- a/sapphireseam/core/notice.py
+++ b/sapphireseam/core/notice.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from sapphireseam.core.ceiling import Ceiling
+from sapphireseam.core.evacuation import Evacuated
 from sapphireseam.core.key import Key
 from sapphireseam.core.verdict import Verdict
 
@@ -45,6 +46,7 @@
     leaving: tuple[str, ...]
     verdicts: tuple[Verdict, ...] = ()
     ceilings: tuple[Ceiling, ...] = ()
+    evacuated: Evacuated = Evacuated()
 
 
 class FleetChange(NamedTuple):
@@ -83,6 +85,12 @@
     ceilings: tuple[Ceiling, ...]
 
 
+class EvacuationChange(NamedTuple):
+    """Send all evacuated failure domains, since one of them has changed."""
+
+    evacuated: Evacuated
+
+
 MESSAGES = (
     Watch,
     Ping,
@@ -93,4 +101,5 @@
     LeavingChange,
     VerdictChange,
     CeilingChange,
+    EvacuationChange,
 )
--- a/sapphireseam/core/placement.py
+++ b/sapphireseam/core/placement.py
@@ -6,6 +6,7 @@
 
 from typing import NamedTuple
 
+from sapphireseam.core.evacuation import Evacuated
 from sapphireseam.core.instance import Instance
 
 
@@ -131,8 +132,26 @@
     entries: int
 
 
+class Evacuation(NamedTuple):
+    """Send the evacuated failure domains, by which all later grants were made."""
+
+    evacuated: Evacuated
+
+
 class Beat(NamedTuple):
     """Confirm that the sender is still the leader."""
 
 
-MESSAGES = (Attach, Place, Placed, Turned, Left, Began, Suspect, Leaving, View, Beat)
+MESSAGES = (
+    Attach,
+    Place,
+    Placed,
+    Turned,
+    Left,
+    Began,
+    Suspect,
+    Leaving,
+    View,
+    Evacuation,
+    Beat,
+)
--- a/sapphireseam/entry/direct.py
+++ b/sapphireseam/entry/direct.py
@@ -275,6 +275,9 @@
             slot = progress.take_slot()
             if slot is None:
                 slot = await self._acquire_admitted(request, progress)
+            if self._placer.is_evacuated(slot):
+                self._return_slot(request, progress, slot)
+                continue
             progress.offers += 1
             failure = await self._attempt(request, progress, slot, sink)
             if failure is None:
@@ -286,6 +289,19 @@
                 progress.has_crashed = await asyncio.shield(progress.crash)
             self._check_retry(request, progress, slot.instance, failure)
 
+    def _return_slot(
+        self, request: DirectRequest, progress: _Progress, slot: HeldSlot
+    ) -> None:
+        """Give back a slot whose failure domain was evacuated after its grant.
+
+        Raise the final error if the request may run nowhere else.
+        """
+        self._placer.release(slot)
+        detail = {"request": request.id, "upstream": slot.instance.id}
+        logger.info("slot given back, its domain is evacuated", extra=detail)
+        if progress.runs >= request.route.attempts:
+            raise _make_final_error("the failure domain is evacuated")
+
     async def _acquire_admitted(
         self, request: DirectRequest, progress: _Progress, held: str = ""
     ) -> HeldSlot:
--- a/sapphireseam/entry/direct_test.py
+++ b/sapphireseam/entry/direct_test.py
@@ -62,6 +62,8 @@
         self.is_strict = False
         # The only upstream that has free slots, if it is set.
         self.only = ""
+        # Names of upstreams that are evacuated after their slot was granted.
+        self.evacuated = set()
 
     async def place(self, spec):
         self.specs.append(spec)
@@ -91,6 +93,9 @@
     def release(self, slot, is_suspect=False, pace=0.0, is_full=False):
         self.released.append((slot.instance.id, is_suspect))
 
+    def is_evacuated(self, slot):
+        return slot.instance.id in self.evacuated
+
     def record_stream(self, slot):
         self.streams.append(slot.instance.id)
 
@@ -188,6 +193,24 @@
         self.assertTrue(self.sink.is_complete)
 
 
+class EvacuationTest(DirectForwarderTestCase):
+    async def test_a_slot_that_was_granted_before_an_evacuation_is_given_back(self):
+        self.placer.evacuated = {"u1"}
+        place = self.placer.place
+
+        async def place_elsewhere(spec):
+            slot = await place(spec)
+            self.placer.only = "u2"
+            return slot
+
+        self.placer.place = place_elsewhere
+        await self.serve(UNSAFE, "well")
+        self.assertTrue(self.sink.is_complete)
+        self.assertEqual(self.count_runs(), [0, 1])
+        self.assertEqual(self.placer.released[0], ("u1", False))
+        self.assertEqual([s.is_counted for s in self.placer.specs], [True, False])
+
+
 class DirectForwarderTest(DirectForwarderTestCase):
     async def test_a_stream_is_passed_on(self):
         await self.serve(STREAM)
@@ -777,6 +800,15 @@
             await self.forwarder.serve(self.make_request(RESUMABLE, 6.0), self.sink)
         self.assertEqual(self.count_runs(), [2, 1, 0])
 
+    async def test_a_request_ends_if_the_only_upstream_left_for_it_is_evacuated(self):
+        await self.add_third_upstream()
+        self.placer.is_evacuated = lambda slot: len(self.placer.specs) > 2
+        with self.assertRaises(error.SeamError) as caught:
+            await self.serve_paused(RESUMABLE, "pause", "drop")
+        self.assertFalse(caught.exception.not_run)
+        self.assertEqual(self.count_runs(), [1, 1, 0])
+        self.assertEqual(self.placer.released[-1], ("u1", False))
+
     async def test_a_slot_that_is_found_as_the_caller_leaves_is_released(self):
         place, loop = self.placer.place, asyncio.get_running_loop()
 
--- a/sapphireseam/entry/discovery.py
+++ b/sapphireseam/entry/discovery.py
@@ -145,6 +145,7 @@
         run_monitor.add(instance)
 
     placer.on_instances = handle_instances
+    mirror.subscribe(lambda: placer.apply_evacuated(mirror.evacuated))
     upstreams.on_leaving = handle_leaving
     gate = QuarantineGate(mirror, client, timer)
     crash_detector = crash.CrashDetector(
--- a/sapphireseam/entry/placer.py
+++ b/sapphireseam/entry/placer.py
@@ -14,7 +14,7 @@
 from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
-from sapphireseam.core import error, fleet, message, placement
+from sapphireseam.core import error, evacuation, fleet, message, placement
 from sapphireseam.core.instance import Instance
 from sapphireseam.policy import allocator, fallback, origin
 from sapphireseam.utils import metric, rpc
@@ -98,6 +98,7 @@
         self._fallback = fallback.FallbackLimiter(slack)
         # Counts only this entry's requests, to place locally without a leader.
         self._allocator = allocator.SlotAllocator()
+        self._evacuated = evacuation.Evacuated()
         self._entry_count = 1
         # The streams that this entry began or resumed.
         self._origins = origin.StreamOrigins()
@@ -206,9 +207,26 @@
                 self._resolve(item)
             case placement.Leaving():
                 self._mark_leaving(item)
+            case placement.Evacuation():
+                self.apply_evacuated(item.evacuated)
             case message.Failure():
                 raise rpc.unpack_failure(item)
 
+    def apply_evacuated(self, item: evacuation.Evacuated) -> None:
+        """Place nothing in these failure domains, unless newer ones are known.
+
+        They come from the leader and with the watch, in any order.
+        """
+        if item.number <= self._evacuated.number:
+            return
+        self._evacuated = item
+        now = self._timer.read_clock()
+        self._allocator.set_evacuated(frozenset(item.domains), now)
+
+    def is_evacuated(self, slot: HeldSlot) -> bool:
+        """Return whether a slot lies in a domain that was evacuated since its grant."""
+        return self._evacuated.covers(slot.instance.domain)
+
     def _update_instances(self, instances: tuple[Instance, ...]) -> None:
         """Use a list, which may not show yet which instances leave."""
         self._allocator.update(instances, self._timer.read_clock())
--- a/sapphireseam/entry/placer_test.py
+++ b/sapphireseam/entry/placer_test.py
@@ -4,6 +4,7 @@
 import unittest
 
 from sapphireseam.core import error, fleet, placement
+from sapphireseam.core.evacuation import Evacuated
 from sapphireseam.core.instance import Instance
 from sapphireseam.entry import placer
 from sapphireseam.policy import fallback
@@ -134,6 +135,23 @@
             slot = await self.placer.place(self.make_spec())
             self.assertEqual(slot.instance.id, INSTANCES[1].id)
 
+    async def test_an_entry_that_is_cut_off_obeys_the_newest_evacuations_it_heard(self):
+        domain = INSTANCES[0].domain
+        slot = await self.placer.place(self.make_spec())
+        (stream,) = self.leader.streams
+        stream.inbox.put_nowait(placement.Evacuation(Evacuated(3, (domain,))))
+        await asyncio.sleep(0.02)
+        self.assertTrue(self.placer.is_evacuated(slot))
+        self.leader.fail()
+        await asyncio.sleep(0.05)
+        # The watch still has the state before it.
+        self.placer.apply_evacuated(Evacuated(2, ()))
+        with self.assertRaises(error.CapacityError) as caught:
+            await self.placer.place(self.make_spec())
+        self.assertTrue(caught.exception.not_run)
+        self.placer.apply_evacuated(Evacuated(4, ()))
+        await self.placer.place(self.make_spec())
+
     async def test_a_new_leader_learns_which_instances_have_said_that_they_leave(self):
         leaving = INSTANCES[1]
         self.placer.report_leaving(leaving)
--- a/sapphireseam/policy/allocator.py
+++ b/sapphireseam/policy/allocator.py
@@ -25,6 +25,9 @@
 An upstream that names a ceiling gets no more requests a second than that, online
 requests before batch requests (policy/ceiling.py). The other upstreams take the rest.
 
+An operator may evacuate a failure domain. Then nothing new begins at its upstreams,
+whatever else is lost. Requests that could only be placed there are refused at once.
+
 The upstreams (policy/upstreampool.py) and the waiting requests (policy/waitlist.py) of
 a service are kept in order, so a decision takes about the same time in a small and in a
 large fleet.
@@ -72,6 +75,7 @@
         self._ceiling_share = 1.0
         # The upstreams that have a ceiling.
         self._limited: list[UpstreamLoad] = []
+        self._evacuated: frozenset[str] = frozenset()
         self._loads: dict[str, UpstreamLoad] = {}
         self._pools: dict[str, UpstreamPool] = {}
         # Online requests that hold a slot, by service and customer.
@@ -109,6 +113,7 @@
         former = list(self._online_counts)
         self._online_counts.clear()
         for load in self._loads.values():
+            load.is_evacuated = load.instance.domain in self._evacuated
             service = load.instance.service
             by_service.setdefault(service, []).append(load)
             for placed in load.requests.values():
@@ -139,6 +144,30 @@
         """Return all known instances."""
         return tuple(load.instance for load in self._loads.values())
 
+    def set_evacuated(self, domains: frozenset[str], now: float) -> list[Grant]:
+        """Place nothing in these failure domains until they aren't evacuated any more.
+
+        Return new grants.
+        """
+        self._evacuated = domains
+        for load in self._loads.values():
+            load.is_evacuated = load.instance.domain in domains
+            self._refresh(load)
+        return self._place_waiting(now)
+
+    def is_evacuated(self, name: str) -> bool:
+        """Return whether an instance is in an evacuated failure domain."""
+        load = self._loads.get(name)
+        return load is not None and load.is_evacuated
+
+    def count_evacuated(self) -> dict[str, int]:
+        """Return how many requests hold a slot in each evacuated failure domain."""
+        counts = dict.fromkeys(sorted(self._evacuated), 0)
+        for load in self._loads.values():
+            if load.is_evacuated:
+                counts[load.instance.domain] += len(load.requests)
+        return counts
+
     def set_ceilings(
         self, rates: Mapping[str, float], now: float, share: float = 1.0
     ) -> list[Grant]:
@@ -332,21 +361,29 @@
     def expire(self, now: float) -> list[Refusal]:
         """Refuse the requests that have waited for too long.
 
-        Those whose version serves no more are refused at once.
+        Those whose version serves no more are refused at once, and so are those that
+        can't be placed anywhere because of an evacuation.
         """
         expired = [
             request
             for service, waitlist in self._waitlists.items()
             if waitlist
-            for request in waitlist.list_expired(
-                now, self._list_gone_versions(service, waitlist)
-            )
+            for request in self._list_expired(service, waitlist, now)
         ]
         for request in expired:
             running = self._online_counts[request.service, request.customer]
             self._waitlists[request.service].remove(request.key, running)
         return [self._refuse(request, now) for request in expired]
 
+    def _list_expired(
+        self, service: str, waitlist: Waitlist, now: float
+    ) -> list[SlotRequest]:
+        gone = self._list_gone_versions(service, waitlist)
+        pool = self._get_pool(service)
+        if not pool.is_evacuated:
+            return waitlist.list_expired(now, gone)
+        return waitlist.list_expired(now, gone, pool.has_choice)
+
     def _list_gone_versions(self, service: str, waitlist: Waitlist) -> set[str]:
         """Return the versions for which requests wait without any upstream."""
         return {
@@ -399,13 +436,15 @@
     def find_least_loaded(self, service: str, excluded: str) -> Instance | None:
         """Return a service's upstream with the most free slots, except `excluded`.
 
-        Ejected upstreams are never returned, a leaving one only if there is no
-        other.
+        Ejected and evacuated upstreams are never returned, a leaving one only if there
+        is no other.
         """
         loads = [
             load
             for load in self._list_loads(service)
-            if load.instance.id != excluded and not load.is_ejected
+            if load.instance.id != excluded
+            and not load.is_ejected
+            and not load.is_evacuated
         ]
         if not loads:
             return None
--- a/sapphireseam/policy/occupancy.py
+++ b/sapphireseam/policy/occupancy.py
@@ -44,6 +44,8 @@
         self.is_ejected = False
         # Whether a probe has failed since the instance was ejected.
         self.is_down = False
+        # Whether the failure domain is evacuated: nothing new may begin there.
+        self.is_evacuated = False
         # Whether the instance itself has said that it is leaving, which the list of
         # instances may not tell yet.
         self.has_said_leaving = False
@@ -65,12 +67,17 @@
     @property
     def is_usable(self) -> bool:
         """Return whether requests may be placed at the instance."""
-        return not self.is_ejected and not self.is_leaving
+        return not self.is_ejected and not self.is_closed
+
+    @property
+    def is_closed(self) -> bool:
+        """Return whether nothing may be placed at the instance in any case."""
+        return self.is_leaving or self.is_evacuated
 
     @property
     def is_awaited(self) -> bool:
         """Return whether the next probe may bring the instance back."""
-        return self.is_ejected and not self.is_down and not self.is_leaving
+        return self.is_ejected and not self.is_down and not self.is_closed
 
     @property
     def free_slots(self) -> int:
@@ -119,9 +126,11 @@
     def describe(self) -> str:
         """Return the load as `online+batch+external/slots`, for the log.
 
-        " leaving", " benched" (ejected) and the ceiling are appended where they apply.
+        " leaving", " evacuated", " benched" (ejected) and the ceiling are appended
+        where they apply.
         """
         mark = " leaving" if self.is_leaving else ""
+        mark += " evacuated" if self.is_evacuated else ""
         mark += " benched" if self.is_ejected else ""
         if self.ceiling is not None:
             mark += f" {self.ceiling.rate:.3g}/s"
--- a/sapphireseam/policy/upstreampool.py
+++ b/sapphireseam/policy/upstreampool.py
@@ -42,6 +42,7 @@
     is_limited: bool
     is_ejected: bool
     is_leaving: bool
+    is_evacuated: bool
     is_awaited: bool
     external: int
     occupancy: int
@@ -138,6 +139,7 @@
             load.ceiling is not None,
             load.is_ejected,
             load.is_leaving,
+            load.is_evacuated,
             load.is_awaited,
             load.external,
             len(load.requests) + load.external,
@@ -167,6 +169,7 @@
     def _count_states(self, filing: _Filing, change: int) -> None:
         self._states["external"] += change * filing.external
         self._states["leaving"] += change * filing.is_leaving
+        self._states["evacuated"] += change * filing.is_evacuated
         self._states["ejected"] += change * filing.is_ejected
         self._states["limited"] += change * filing.is_limited
         self._awaited_slots += change * filing.is_awaited * filing.slots
@@ -231,6 +234,11 @@
             for load in limited
         )
 
+    @property
+    def is_evacuated(self) -> bool:
+        """Whether an upstream is in an evacuated failure domain."""
+        return self._states["evacuated"] > 0
+
     def list_versions(self) -> set[str]:
         """Return the versions of all upstreams."""
         return {load.instance.version for load in self.loads.values()}
@@ -321,9 +329,9 @@
         return version != "" and not self._usable_counts[version]
 
     def _find_former(self, request: SlotRequest) -> UpstreamLoad | None:
-        """Return the upstream to which a request returns, unless that is leaving."""
+        """Return the upstream to which a request returns, unless that is closed."""
         load = self.loads.get(request.returns_to)
-        if load is None or load.is_leaving:
+        if load is None or load.is_closed:
             return None
         return load if request.version in ("", load.instance.version) else None
 
@@ -356,7 +364,7 @@
         loads = [
             load
             for load in self.loads.values()
-            if load.instance.version == version and not load.is_leaving
+            if load.instance.version == version and not load.is_closed
             if load.instance.id != held
         ]
         return [load for load in loads if load.instance.id not in excluded] or loads
--- a/sapphireseam/policy/waitlist.py
+++ b/sapphireseam/policy/waitlist.py
@@ -11,7 +11,7 @@
 """
 
 import itertools
-from collections.abc import Set
+from collections.abc import Callable, Set
 from typing import NamedTuple
 
 from sortedcontainers import SortedList
@@ -170,14 +170,21 @@
         """Return the versions for which requests wait; an empty one means any."""
         return {line_key.version for line_key, _ in self._lines}
 
-    def list_expired(self, now: float, gone: Set[str]) -> list[SlotRequest]:
+    def list_expired(
+        self,
+        now: float,
+        gone: Set[str],
+        has_choice: Callable[[SlotRequest], bool] = lambda request: True,
+    ) -> list[SlotRequest]:
         """Return the requests that have waited for too long.
 
-        Those for a version that is gone have, too.
+        Those for a version that is gone have, too, and those without a choice.
         """
         requests = (request for _, request in self._requests.values())
         return [
             request
             for request in requests
-            if request.wait_until <= now or request.version in gone
+            if request.wait_until <= now
+            or request.version in gone
+            or not has_choice(request)
         ]
--- a/sapphireseam/tools/discovered.py
+++ b/sapphireseam/tools/discovered.py
@@ -100,6 +100,8 @@
             fakeupstream.FakeUpstream(f"u{number}") for number in range(upstreams)
         ]
         self.entries: list[_Entry] = []
+        # The services for operators' calls of the control VMs, by their address.
+        self.admins: dict[str, admin.AdminService] = {}
         self._folder = folder
         self._reservation = layout.reserve_ports(2 * controls + entries)
         addresses = [f"{layout.HOST}:{port}" for port in self._reservation.ports]
@@ -190,12 +192,19 @@
             label=f"control-{number}",
         )
         upstreams = outbound.ConnectionPool(fakeupstream.FakeDialect())
+
+        def make_operator_server(
+            service: admin.AdminService, client: ControlClient, grace: Grace
+        ) -> Part:
+            self.admins[address] = service
+            return _NoServer()
+
         integration = control.Integration(
             self,
             upstreams,
             make_probe(upstreams),
             stop_run,
-            _make_operator_server,
+            make_operator_server,
         )
         return control.build(settings, integration=integration)
 
@@ -242,12 +251,6 @@
     )
 
 
-def _make_operator_server(
-    service: admin.AdminService, client: ControlClient, grace: Grace
-) -> Part:
-    return _NoServer()
-
-
 def make_probe(upstreams: outbound.ConnectionPool) -> placement.Probe:
     """Return a probe that gives an empty result if the instance answers."""
 
--- a/sapphireseam/tools/discovered_test.py
+++ b/sapphireseam/tools/discovered_test.py
@@ -1,9 +1,11 @@
 """Tests what a fleet knows about its upstreams beside the list of a platform."""
 
+import asyncio
 import tempfile
 import unittest
 from pathlib import Path
 
+from sapphireseam.control import poller
 from sapphireseam.core import fleet
 from sapphireseam.tools import discovered
 from sapphireseam.utils import loop
@@ -55,6 +57,48 @@
 
         self.run_fleet(replace_leader, 2, 2)
 
+    def test_an_evacuation_is_in_force_everywhere_until_it_is_taken_back(self):
+        async def set_evacuation(is_evacuated):
+            # The order is sent to two control VMs at once.
+            admins = list(self.fleet.admins.values())[:2]
+            orders = [
+                each.set_evacuation("a", is_evacuated, lambda: True) for each in admins
+            ]
+            await asyncio.gather(*orders)
+
+        async def evacuate():
+            first, _ = self.fleet.upstreams
+            first.domain = "a"
+            for upstream in self.fleet.upstreams:
+                upstream.event_delay = 0.2
+            await asyncio.sleep(2 * poller.POLL_SECONDS)
+            request = discovered.Request("long", ROUTE, ("own",))
+            sends = [self.fleet.send(0, request._replace(id=f"l{n}")) for n in (1, 2)]
+            running = asyncio.gather(*sends)
+            await asyncio.sleep(0.1)
+            begun = len(first.runs)
+            self.assertTrue(begun)
+            await set_evacuation(True)
+            for upstream in self.fleet.upstreams:
+                upstream.event_delay = 0.0
+            for entry in (0, 1):
+                self.assertEqual(await self.send_all(entry, f"evacuated-{entry}"), [])
+            # Work that runs there ends there.
+            self.assertEqual([each.failure for each in await running], [None, None])
+            self.assertEqual(len(first.runs), begun)
+            replacing = asyncio.create_task(self.fleet.restart_leader())
+            while not replacing.done():
+                await self.send_all(1, "election")
+            await replacing
+            for entry in (0, 1):
+                self.assertEqual(await self.send_all(entry, f"new-leader-{entry}"), [])
+            self.assertEqual(len(first.runs), begun)
+            await set_evacuation(False)
+            await self.send_all(0, "back")
+            self.assertGreater(len(first.runs), begun)
+
+        self.run_fleet(evacuate, 2, 2)
+
     def test_a_request_is_served_right_after_each_upstream_broke_an_answer(self):
         async def break_all():
             for _ in range(REQUESTS):
--- a/sapphireseam/tools/fake.py
+++ b/sapphireseam/tools/fake.py
@@ -14,6 +14,7 @@
 from sapphireseam.control.orderdispatch import OrderDispatcher
 from sapphireseam.core import command, error, fleet, key, message, outcome
 from sapphireseam.core.ceiling import Ceiling
+from sapphireseam.core.evacuation import Evacuated
 from sapphireseam.core.verdict import Verdict
 from sapphireseam.utils import rpc
 from sapphireseam.utils.timeline import Timeline
@@ -41,6 +42,9 @@
         """Return the last index of the log."""
         return self._index
 
+    async def wait_caught_up(self) -> None:
+        """Do nothing; every command is applied when it is proposed."""
+
 
 class FakeStore:
     """A blob store in memory."""
@@ -140,6 +144,7 @@
         self.leaving: set[str] = set()
         self.verdicts: dict[str, Verdict] = {}
         self.ceilings: dict[str, Ceiling] = {}
+        self.evacuated = Evacuated()
         self.confirmed = True
         self._listeners: list[Callable[[], None]] = []
 
--- a/sapphireseam/utils/fakeupstream.py
+++ b/sapphireseam/utils/fakeupstream.py
@@ -140,6 +140,7 @@
         self.name = name
         self.version = version
         self.service = service
+        self.domain = "z"
         self.events = events
         self.behaviours: list[str | Raw] = []
         # The data of each event begins with it, or with the request's id if empty.
@@ -227,7 +228,7 @@
             self.name,
             self.service,
             f"127.0.0.1:{self._port}",
-            "z",
+            self.domain,
             self.slots,
             born=self.born,
             version=self.version,
--- a/sapphireseam/utils/metric.py
+++ b/sapphireseam/utils/metric.py
@@ -250,6 +250,28 @@
     "As for `seam_upstream_ceiling`.",
     is_discovery=True,
 )
+EVACUATED = Metric(
+    "seam.evacuated",
+    Form.GAUGE,
+    "",
+    ("domain",),
+    _CONTROL,
+    "1 if the failure domain is evacuated, so that its upstreams get no new work, else"
+    " 0. Lists the domains of the configuration and the evacuated ones.",
+    "Differs between control VMs for more than a few seconds: look at `seam_applied`."
+    " 1 after the work there is over: take it back with `seam-ctl readmit`.",
+)
+EVACUATED_PLACES = Metric(
+    "seam.evacuated.places",
+    Form.GAUGE,
+    "",
+    ("domain",),
+    _CONTROL,
+    "Requests and items that still run at the discovered upstreams of an evacuated"
+    " failure domain. Only the leader exports it.",
+    "Stays above 0: long requests; the domain isn't empty yet.",
+    is_discovery=True,
+)
 BULK_ITEMS = Metric(
     "seam.lot.items",
     Form.GAUGE,
@@ -359,6 +381,8 @@
     UPSTREAM_CEILING_AGE,
     CEILING,
     CEILING_AGE,
+    EVACUATED,
+    EVACUATED_PLACES,
     BULK_ITEMS,
     LEADER,
     TERM,
--- a/sapphireseam/utils/mirror.py
+++ b/sapphireseam/utils/mirror.py
@@ -1,9 +1,9 @@
 """Mirrors the shared state of the control VMs in a process, under a lease.
 
-The shared state is the configuration, the keys, the leaving upstreams, the verdicts
-on traits of requests, and the ceilings of upstreams. The mirror keeps one watch open to
-any control VM and connects to the next one if that VM sends nothing for
-`SILENCE_SECONDS`.
+The shared state is the configuration, the keys, the leaving upstreams, the verdicts on
+traits of requests, the ceilings of upstreams and the evacuated failure domains. The
+mirror keeps one watch open to any control VM and connects to the next one if that VM
+sends nothing for `SILENCE_SECONDS`.
 
 `is_confirmed` is true only while the lease is valid. A quorum renews the lease.
 The lease counts from the moment when this process sent the ping, on the clock of
@@ -25,6 +25,7 @@
     ceiling,
     codec,
     error,
+    evacuation,
     fleet,
     jsontext,
     key,
@@ -66,6 +67,7 @@
         self.leaving: set[str] = set()
         self.verdicts: dict[str, verdict.Verdict] = {}
         self.ceilings: dict[str, ceiling.Ceiling] = {}
+        self.evacuated = evacuation.Evacuated()
         self._document: dict[str, Any] = {}
         self._node = node
         self._program = program
@@ -213,6 +215,8 @@
                 self._apply_verdicts(item)
             case notice.CeilingChange():
                 self.ceilings = {each.run: each for each in item.ceilings}
+            case notice.EvacuationChange():
+                self._apply_evacuated(item.evacuated)
             case message.Failure():
                 raise rpc.unpack_failure(item)
         for listener in self._listeners:
@@ -243,6 +247,7 @@
         self.leaving = set(item.leaving)
         self.verdicts = {each.trait: each for each in item.verdicts}
         self.ceilings = {each.run: each for each in item.ceilings}
+        self._apply_evacuated(item.evacuated)
         self._apply_configuration(
             item.revision, jsontext.parse(codec.decompress(item.document))
         )
@@ -253,6 +258,14 @@
             self.verdicts.pop(trait, None)
         self.verdicts.update((each.trait, each) for each in item.verdicts)
 
+    def _apply_evacuated(self, item: evacuation.Evacuated) -> None:
+        """Put the evacuations in force in this process, unless it knows newer ones."""
+        if item.number <= self.evacuated.number:
+            return
+        self.evacuated = item
+        detail = {"domains": item.domains, "number": item.number}
+        logger.info("evacuations in force", extra=detail)
+
     def _apply_configuration(self, revision: int, document: dict[str, Any]) -> None:
         """Put a configuration in force in this process."""
         if revision < self.revision:
