Obey evacuations in fleets with agents

Cause: entries choose agents by their own lists, and agents pull items by themselves, so the leader's allocator doesn't bind them. Change: the router's candidates leave out evacuated domains, an agent refuses what waits at it and accepts nothing, and the leader leases no items to it. Result: agent.application_test, agent.item_test and entry.forwarder_test pass, with a new test each.

--- a/sapphireseam/agent/application.py
+++ b/sapphireseam/agent/application.py
@@ -42,6 +42,7 @@
 
 
 LEAVING = "the upstream is leaving the fleet"
+EVACUATED = "the upstream's failure domain is evacuated"
 
 
 class ConfigurationFollower:
@@ -60,22 +61,28 @@
         self._scheduler = scheduler
         self._weights: dict[str, float] = {}
         self._applied: tuple[fleet.Policy, fleet.Upstream] | None = None
-        self._leaving = False
+        # Why no work is accepted, empty if it is.
+        self._refusal = ""
         mirror.subscribe(self._apply)
 
-    def _apply_leaving(self) -> None:
-        """Refuse work while the upstream is marked as leaving."""
-        leaving = self._name in self._mirror.leaving
-        if leaving == self._leaving:
+    def _apply_refusal(self) -> None:
+        """Refuse work while the upstream is leaving or its domain is evacuated."""
+        target = self._mirror.fleet.upstreams.get(self._name)
+        refusal = ""
+        if self._name in self._mirror.leaving:
+            refusal = LEAVING
+        elif target and self._mirror.evacuated.covers(target.failure_domain):
+            refusal = EVACUATED
+        if refusal == self._refusal:
             return
-        self._leaving = leaving
-        if leaving:
-            self._scheduler.refuse_all(LEAVING)
+        self._refusal = refusal
+        if refusal:
+            self._scheduler.refuse_all(refusal)
         else:
             self._scheduler.accept_again()
 
     def _apply(self) -> None:
-        self._apply_leaving()
+        self._apply_refusal()
         current = self._mirror.fleet
         target = current.upstreams.get(self._name)
         if target is None:
--- a/sapphireseam/agent/application_test.py
+++ b/sapphireseam/agent/application_test.py
@@ -5,6 +5,7 @@
 from sapphireseam.agent import application, engine
 from sapphireseam.agent.scheduler import Scheduler
 from sapphireseam.core import fleet
+from sapphireseam.core.evacuation import Evacuated
 from sapphireseam.policy import registry
 from sapphireseam.tools import fake
 from sapphireseam.utils.timer import FakeTimer
@@ -52,3 +53,15 @@
         self.mirror.leaving.add("u")
         self.mirror.notify()
         self.assertEqual((self.scheduler.slots, self.scheduler.draining), (5, True))
+
+    def test_no_work_is_accepted_while_the_domain_is_evacuated(self):
+        for number, domains in enumerate((("d",), ("e",), ("d", "e"), ()), 1):
+            self.mirror.evacuated = Evacuated(number, domains)
+            self.mirror.notify()
+            self.assertEqual(self.scheduler.draining, "d" in domains)
+        self.mirror.leaving.add("u")
+        self.mirror.evacuated = Evacuated(9, ("d",))
+        self.mirror.notify()
+        self.mirror.evacuated = Evacuated(10, ())
+        self.mirror.notify()
+        self.assertTrue(self.scheduler.draining)
--- a/sapphireseam/agent/item_test.py
+++ b/sapphireseam/agent/item_test.py
@@ -159,6 +159,18 @@
         self.assertEqual(self.job.status, record.COMPLETED)
         self.assertEqual(len(agent.upstream.exchanges), COUNT)
 
+    async def test_the_leader_leases_nothing_to_an_agent_in_an_evacuated_domain(self):
+        await self.submit()
+        order = command.SetEvacuation("o1", "d", True, 0.0, is_forced=True)
+        await self.control.propose(order)
+        # The agent hasn't heard of it.
+        agent = await self.start()
+        await self.timer.advance(1.0)
+        self.assertEqual(self.state.leases, {})
+        await self.control.propose(order._replace(request="o2", is_evacuated=False))
+        await self.answer_all(agent)
+        self.assertEqual(self.job.done, COUNT)
+
     async def test_results_sent_again_after_a_lost_answer_are_recorded_once(self):
         await self.submit()
         agent = await self.start()
--- a/sapphireseam/control/dispatch.py
+++ b/sapphireseam/control/dispatch.py
@@ -129,6 +129,9 @@
     def _select_job(self, request: message.Pull) -> str:
         """Return the id of the job that the policy selects for this agent, or ""."""
         state = self._machine.state
+        upstream = record.read_fleet(state).upstreams.get(request.upstream)
+        if upstream and record.read_evacuated(state).covers(upstream.failure_domain):
+            return ""
         now = self._timer.read_wall_clock()
         jobs = [
             self._describe_job(job, now)
--- a/sapphireseam/entry/forwarder.py
+++ b/sapphireseam/entry/forwarder.py
@@ -425,6 +425,9 @@
         link = self._links.get(name)
         if link is None or not link.is_up() or name in self._mirror.leaving:
             return False
+        domain = self._mirror.fleet.upstreams[name].failure_domain
+        if self._mirror.evacuated.covers(domain):
+            return False
         return link.load.healthy and not link.load.leaving
 
     def _make_candidate(self, name: str) -> router.Candidate:
--- a/sapphireseam/entry/forwarder_test.py
+++ b/sapphireseam/entry/forwarder_test.py
@@ -9,6 +9,7 @@
 from hypothesis import given, settings, strategies as st
 
 from sapphireseam.core import error, exchange, trait
+from sapphireseam.core.evacuation import Evacuated
 from sapphireseam.entry import forwarder, link
 from sapphireseam.entry.fake import (
     FakeGate,
@@ -350,6 +351,17 @@
         self.assertEqual(failure.kind, error.Kind.NO_UPSTREAM)
         self.assertEqual(fixture.list_sent(exchange.Offer), [])
 
+    async def test_upstreams_of_an_evacuated_domain_get_nothing_until_its_end(self):
+        fixture = Fixture(lambda item, send: send_answer(send))
+        domains = tuple(fixture.mirror.fleet.failure_domains)
+        fixture.mirror.evacuated = Evacuated(1, domains)
+        failure = await fixture.run(make_request(fixture.timer.read_clock()))
+        self.assertEqual(failure.kind, error.Kind.NO_UPSTREAM)
+        self.assertEqual(fixture.list_sent(exchange.Offer), [])
+        fixture.mirror.evacuated = Evacuated(2, ())
+        request = make_request(fixture.timer.read_clock())
+        self.assertIsNone(await fixture.run(request))
+
     async def test_answer_credit_is_given_as_the_caller_reads(self):
         def react(item, send):
             if isinstance(item, exchange.Offer):
