Take orders to evacuate from the platform and from seam-ctl

Cause: the platform's operator got 404 for its orders, and own operators had no command. Change: the two calls of the platform's operator, with the zones of the settings as the known ones; seam-ctl evacuate and readmit, which refuse an unknown domain and one without which a service has no upstream unless forced; seam-ctl status lists the evacuated domains.

--- a/sapphireseam/ops/status.py
+++ b/sapphireseam/ops/status.py
@@ -11,6 +11,7 @@
 from typing import Any, NamedTuple
 
 from sapphireseam.core import error, event, jsontext, message
+from sapphireseam.core.evacuation import Evacuation
 from sapphireseam.ops import job as jobs
 from sapphireseam.ops.operator import Operator
 from sapphireseam.utils.mirror import LEASE_SECONDS
@@ -74,6 +75,7 @@
     `upstreams` counts the upstreams in the configuration, `agents` the agents that
     are not cut off. Fewer agents than upstreams means that some upstreams have no
     agent. `unknown` lists the parts that could not be read, each with its cause.
+    `evacuations` are the evacuated failure domains.
     """
 
     leader: str
@@ -86,6 +88,7 @@
     jobs: list[Job]
     limited: list[Limited]
     unknown: list[str]
+    evacuations: list[Evacuation] = []
 
 
 Answers = dict[str, message.Status | error.SeamError]
@@ -118,6 +121,7 @@
         at_risk,
         limited,
         unknown,
+        list(newest.evacuations),
     )
 
 
--- a/sapphireseam/platform/control.py
+++ b/sapphireseam/platform/control.py
@@ -46,11 +46,14 @@
     address = settings.operator_address
     clients: list[ControlClient] = []
 
+    def is_known(zone: str) -> bool:
+        return not settings.failure_domains or zone in settings.failure_domains
+
     def make_operator_server(
         admin_service: admin.AdminService, client: ControlClient, grace: Grace
     ) -> operator.OperatorFront:
         clients.append(client)
-        return operator.OperatorFront(admin_service, address, grace)
+        return operator.OperatorFront(admin_service, address, grace, is_known)
 
     timer = SystemTimer()
     upstreams = outbound.ConnectionPool(dialect.ReplicaDialect())
--- a/sapphireseam/platform/operator.py
+++ b/sapphireseam/platform/operator.py
@@ -1,9 +1,10 @@
 """Serves the platform's operator on a control VM.
 
-The operator publishes and reads configurations and retires machines.
+The operator publishes and reads configurations, evacuates zones and retires machines.
 """
 
 import logging
+from collections.abc import Callable
 
 import msgspec
 from aiohttp import http_exceptions, web
@@ -18,21 +19,35 @@
 
 PUT_PATH = "/config/put"
 GET_PATH = "/config/get"
+EVACUATE_PATH = "/evacuate/{zone}/start"
+READMIT_PATH = "/evacuate/{zone}/end"
 RETIRE_PATH = "/retire/{node}/start"
 RETIRED_PATH = "/retire/{node}/get"
 # Maximum size of a configuration.
 MAX_BODY_BYTES = 16 * 1024 * 1024
 INVALID_STATUS = 400
+# An unknown name is shown up to this length.
+MAX_SHOWN_CHARACTERS = 80
 # States of a retirement.
 RUNNING = "running"
 COMPLETED = "completed"
 
 
 class OperatorFront:
-    """Serves requests about configurations and the retirement of machines."""
-
-    def __init__(self, admin: AdminService, address: str, its_grace: grace.Grace):
+    """Serves requests about configurations, evacuations and the retirement of machines.
+
+    `is_known` tells whether a zone is one of the deployment.
+    """
+
+    def __init__(
+        self,
+        admin: AdminService,
+        address: str,
+        its_grace: grace.Grace,
+        is_known: Callable[[str], bool] = lambda zone: True,
+    ):
         self._admin = admin
+        self._is_known = is_known
         self._grace = its_grace
         # Operators try another control VM at once.
         self._drain = Drain(its_grace, its_grace.timer, 0.0)
@@ -44,6 +59,8 @@
         app = web.Application(client_max_size=MAX_BODY_BYTES)
         app.router.add_post(PUT_PATH, self._handle_errors(self._put))
         app.router.add_get(GET_PATH, self._handle_errors(self._get))
+        app.router.add_post(EVACUATE_PATH, self._handle_errors(self._evacuate))
+        app.router.add_post(READMIT_PATH, self._handle_errors(self._readmit))
         app.router.add_post(RETIRE_PATH, self._handle_errors(self._retire))
         app.router.add_get(RETIRED_PATH, self._handle_errors(self._read_retired))
         timeout = self._grace.close_step_seconds
@@ -86,6 +103,29 @@
     async def _get(self, request: web.Request) -> web.Response:
         return answer.render_json(await self._admin.read())
 
+    async def _evacuate(self, request: web.Request) -> web.Response:
+        return await self._set_evacuation(request, True)
+
+    async def _readmit(self, request: web.Request) -> web.Response:
+        return await self._set_evacuation(request, False)
+
+    async def _set_evacuation(
+        self, request: web.Request, is_evacuated: bool
+    ) -> web.Response:
+        zone = request.match_info["zone"]
+        # An unprintable name can't be sent in a message.
+        if not zone.isprintable() or not self._is_known(zone):
+            text = f"unknown zone {zone[:MAX_SHOWN_CHARACTERS]!r}"
+            raise error.RequestError(text, error.Kind.OBJECT_UNKNOWN)
+
+        def is_wanted() -> bool:
+            return request.transport is not None and not request.transport.is_closing()
+
+        await self._admin.set_evacuation(zone, is_evacuated, is_wanted)
+        event = "evacuation acknowledged" if is_evacuated else "return acknowledged"
+        logger.info(event, extra={"domain": zone})
+        return answer.render_json(b"{}")
+
     async def _retire(self, request: web.Request) -> web.Response:
         await self._admin.retire(request.match_info["node"])
         return answer.render_json(b"{}")
--- a/sapphireseam/scripts/ctl_fleet.py
+++ b/sapphireseam/scripts/ctl_fleet.py
@@ -6,6 +6,7 @@
 
 from sapphireseam.core import event
 from sapphireseam.ops import (
+    evacuation as evacuations,
     member as members,
     operator,
     status as statuses,
@@ -30,6 +31,14 @@
 )
 
 UpstreamArgument = Annotated[str, typer.Argument(help="The upstream's name.")]
+DomainArgument = Annotated[str, typer.Argument(help="The failure domain's name.")]
+ForceOption = Annotated[
+    bool,
+    typer.Option(
+        "--force",
+        help="Even if the domain is unknown or a service loses all upstreams.",
+    ),
+]
 MemberArgument = Annotated[str, typer.Argument(help="The control VM's name.")]
 
 
@@ -37,6 +46,8 @@
     """Add the commands to the command line."""
     app.command()(status)
     app.command()(timeline)
+    app.command()(evacuate)
+    app.command()(readmit)
     app.add_typer(drain_app, name="drain")
     app.add_typer(undrain_app, name="undrain")
     app.add_typer(member_app, name="member")
@@ -73,6 +84,8 @@
     note = f", {missing} WITHOUT AN AGENT" if missing else ""
     typer.echo(f"Upstreams in the configuration: {found.upstreams}{note}")
     typer.echo(f"Leaving upstreams: {', '.join(found.leaving) or 'none'}")
+    rows = [(row.domain, table.render_time(row.since)) for row in found.evacuations]
+    table.write("Evacuated failure domains", ("domain", "since (UTC)"), rows, "none")
     rows = [
         (
             row.id,
@@ -138,6 +151,40 @@
     return (moment, item.node, item.name, item.subject, item.customer, about)
 
 
+def evacuate(
+    context: typer.Context,
+    domain: DomainArgument,
+    yes: YesOption = False,
+    force: ForceOption = False,
+) -> None:
+    """Send no new work to the upstreams of a failure domain; running work finishes.
+
+    Example: seam-ctl evacuate dublin-b
+    """
+    if not yes:
+        typer.confirm(f"Send no new work to {domain}?", abort=True)
+    _set_evacuation(context, domain, True, force)
+    typer.echo(f"{domain} is evacuated: new work stops within a second")
+
+
+def readmit(context: typer.Context, domain: DomainArgument) -> None:
+    """Take back the evacuation of a failure domain.
+
+    Example: seam-ctl readmit dublin-b
+    """
+    _set_evacuation(context, domain, False, False)
+    typer.echo(f"{domain} is back in service")
+
+
+def _set_evacuation(
+    context: typer.Context, domain: str, is_evacuated: bool, is_forced: bool
+) -> None:
+    async def work(connection: operator.Operator):
+        await evacuations.set_evacuation(connection, domain, is_evacuated, is_forced)
+
+    operator.run(context.obj, work)
+
+
 @drain_app.command("upstream")
 def drain(
     context: typer.Context, name: UpstreamArgument, yes: YesOption = False
--- a/sapphireseam/scripts/local_test.py
+++ b/sapphireseam/scripts/local_test.py
@@ -188,6 +188,22 @@
         self.assertTrue(found["leader"])
         self.assertEqual((found["upstreams"], found["agents"]), (2, 2))
 
+    def test_evacuated_domain_is_in_status_until_it_is_readmitted(self):
+        found = json.loads(self.run_ctl("show").stdout)
+        upstream = found["upstreams"]["label-store-1"]
+        domain = upstream["failure_domain"]
+        self.run_ctl("evacuate", "nowhere", "--yes", code=1)
+        refused = self.run_ctl("evacuate", domain, "--yes", code=1)
+        self.assertIn("no upstream would be left of", refused.stderr)
+        for _ in range(2):
+            self.run_ctl("evacuate", domain, "--yes", "--force")
+        found = json.loads(self.run_ctl("status", "--json").stdout)
+        self.assertEqual([row["domain"] for row in found["evacuations"]], [domain])
+        self.assertIn(domain, self.run_ctl("status").stdout)
+        self.run_ctl("readmit", domain)
+        found = json.loads(self.run_ctl("status", "--json").stdout)
+        self.assertEqual(found["evacuations"], [])
+
     def test_order_is_carried_out_and_listed_as_done(self):
         self.run_ctl("order", "give", "nowhere", "load", "x", "--yes", code=1)
         command = ("order", "give", "wording-llm-1", "load", "wording-llm-2")
