--- a/sapphireseam/tools/page.py
+++ b/sapphireseam/tools/page.py
@@ -58,7 +58,8 @@
         "`GET /v1/models` lists the available models.",
     ),
     Kind.OBJECT_UNKNOWN: (
-        "No file, batch, key, revision, member or upstream has this name.",
+        "No file, batch, key, revision, member, upstream or failure domain has this"
+        " name.",
         "Check the name; other customers' objects are not visible.",
     ),
     Kind.CONFLICT: (
