Evacuate failure domains in the soak of streams

Cause: evacuations weren't played beside broken streams, crashes, new leaders and parted entries; a read of an order's base failed at once during an election; an entry that is ahead of its leader would have asked for slots without a pause.

--- a/sapphireseam/control/admin.py
+++ b/sapphireseam/control/admin.py
@@ -19,6 +19,8 @@
 # retry at another VM after a second.
 CHANGE_SECONDS = 0.9
 READ_SECONDS = 0.8
+# Pause before a read that no leader confirmed is tried again.
+RETRY_SECONDS = 0.05
 
 
 class AdminService:
@@ -87,7 +89,7 @@
         self, request: str, domain: str, is_evacuated: bool, is_wanted: Callable
     ) -> None:
         for number in itertools.count():
-            await self._replica.read_index()
+            await self._wait_read_index()
             if not is_wanted():
                 raise error.ControlError("the sender of the order has gone")
             item = command.SetEvacuation(
@@ -105,6 +107,18 @@
                 if failure.kind is not error.Kind.CONFLICT:
                     raise
 
+    async def _wait_read_index(self) -> None:
+        """Return once a quorum confirms what this member knows, however long it takes.
+
+        During an election the sender's next call would come later than a retry here.
+        """
+        while True:
+            try:
+                await self._replica.read_index()
+                return
+            except error.NotLeaderError:
+                await self._timer.sleep(RETRY_SECONDS)
+
     async def retire(self, label: str) -> None:
         """Retire a control VM; raise if it is unknown or too few would remain."""
         await self._client.call(message.Retire(label), CHANGE_SECONDS)
--- a/sapphireseam/control/evacuation_test.py
+++ b/sapphireseam/control/evacuation_test.py
@@ -61,10 +61,10 @@
 
     def test_a_snapshot_of_a_former_program_has_no_evacuations(self):
         fields = msgspec.msgpack.decode(self.machine.encode())
-        self.machine.restore(msgspec.msgpack.encode(fields[:-1]))
-        self.assertEqual(self.read(), Evacuated())
-        self.apply(make_order())
-        self.assertNotIn("a", machines.StateMachine().state.evacuations)
+        for _ in range(2):
+            self.machine.restore(msgspec.msgpack.encode(fields[:-1]))
+            self.assertEqual(self.read(), Evacuated())
+            self.assertEqual(self.apply(make_order()), outcome.Done("a", 1))
 
     def test_an_order_that_probably_harms_is_refused_unless_its_sender_insists(self):
         unknown = self.apply(make_order("c"))
--- a/sapphireseam/entry/direct.py
+++ b/sapphireseam/entry/direct.py
@@ -50,6 +50,8 @@
 # target is silent: an idempotent request is retried at another one, if that has a free
 # slot.
 TARGETS_PER_ATTEMPT = 2.5
+# Pause before another slot is asked for in place of one in an evacuated domain.
+RETURN_PAUSE_SECONDS = 0.01
 # Metrics count every delivered answer under this status, whatever its own status.
 DELIVERED_STATUS = 200
 # The lowest status that isn't a success, and the lowest one of a server error.
@@ -276,7 +278,7 @@
             if slot is None:
                 slot = await self._acquire_admitted(request, progress)
             if self._placer.is_evacuated(slot):
-                self._return_slot(request, progress, slot)
+                await self._return_slot(request, progress, slot)
                 continue
             progress.offers += 1
             failure = await self._attempt(request, progress, slot, sink)
@@ -289,7 +291,7 @@
                 progress.has_crashed = await asyncio.shield(progress.crash)
             self._check_retry(request, progress, slot.instance, failure)
 
-    def _return_slot(
+    async def _return_slot(
         self, request: DirectRequest, progress: _Progress, slot: HeldSlot
     ) -> None:
         """Give back a slot whose failure domain was evacuated after its grant.
@@ -301,6 +303,8 @@
         logger.info("slot given back, its domain is evacuated", extra=detail)
         if progress.runs >= request.route.attempts:
             raise _make_final_error("the failure domain is evacuated")
+        # The leader may be about to apply what this entry knows already.
+        await self._timer.sleep(RETURN_PAUSE_SECONDS)
 
     async def _acquire_admitted(
         self, request: DirectRequest, progress: _Progress, held: str = ""
--- a/sapphireseam/tools/streamsoak.py
+++ b/sapphireseam/tools/streamsoak.py
@@ -3,14 +3,16 @@
 Entries and leaders are real and run in one process; the links between them are in
 memory. Upstreams break answers off in every way that the fake knows, are replaced by
 other software versions and say that they leave; leaders change; an entry loses its
-link to the leader, or is replaced by one that knows nothing. Callers take broken
-streams up again, at any entry. Requests with a bad prompt part come in series beside
-them and crash whatever upstream begins to answer one.
+link to the leader, or is replaced by one that knows nothing. One of two failure domains
+is evacuated for a while, again and again. Callers take broken streams up again, at any
+entry. Requests with a bad prompt part come in series beside them and crash whatever
+upstream begins to answer one.
 
 It checks that a stream that ended as complete has each event once, that all events of
 a stream come from one software version, that most resumptions go on while their
 version serves, that a run of an upstream gets nothing more from an entry to which it
-has said that it leaves, and that a bad part is refused after a few crashes while sound
+has said that it leaves, that upstreams of an evacuated domain get nothing more once the
+order is in force, and that a bad part is refused after a few crashes while sound
 requests begin (`tools.promptpart`).
 """
 
@@ -96,6 +98,14 @@
 SHORTEST_DOWN_SECONDS, LONGEST_DOWN_SECONDS = 0.3, 2.0
 LONGEST_CRASH_DELAY = 0.1
 EVENTS_BEFORE_CRASH = (-1, 0, 0, 0, 1)
+# Upstreams are in these failure domains by turns, and one of them is evacuated.
+DOMAINS = ("z", "y")
+EVACUATED = "y"
+# Time between evacuations, how long they last, and after which the order is in force,
+# in seconds. An entry is parted for less than that.
+SHORTEST_REST, LONGEST_REST = 1.0, 4.0
+EVACUATION_SECONDS = 2.5
+IN_FORCE_SECONDS = 1.0
 FAULTS = ("break",) * 12 + ("release",) * 4 + ("lead", "part", "replace")
 
 
@@ -290,6 +300,9 @@
         self._sound: list[promptpart.Outcome] = []
         self._replicas = [_Replica() for _ in range(LEADERS)]
         self._rng = random.Random(seed)
+        # Its draws leave those of the other faults as they are.
+        self._evacuation_rng = random.Random(f"evacuations {seed}")
+        self._is_evacuated = False
         self._timer = SystemTimer()
         self._upstreams: list[FakeUpstream] = []
         # Upstreams that are not listed any more. They serve on until the end.
@@ -323,12 +336,13 @@
         callers = []
         end = self._timer.read_clock() + seconds
         injecting = self.spawn(self._inject_forever())
+        evacuating = self.spawn(self._evacuate_forever())
         series = [self.spawn(self._play_series(n)) for n in range(SERIES)]
         while self._timer.read_clock() < end:
             callers.append(asyncio.create_task(self._call(len(callers))))
             await asyncio.sleep(STREAM_SECONDS)
         await asyncio.gather(*callers)
-        for task in (injecting, *series):
+        for task in (injecting, evacuating, *series):
             task.cancel()
         self._check_leaving()
         self._check_resumptions()
@@ -400,6 +414,7 @@
         rng = random.Random(self._rng.random())
         timeline = Timeline(name, self._timer)
         mirror = Mirror(name, "seam-entry", client, timeline, self._timer)
+        mirror.subscribe(lambda: placer.apply_evacuated(mirror.evacuated))
         gate = QuarantineGate(mirror, client, self._timer)
         detector = crash.CrashDetector(
             mirror, client, timeline, self._timer, self._has_ended
@@ -424,6 +439,7 @@
         version = f"v{self._version}"
         upstream = FakeUpstream(f"u{self._names}", SERVICE, EVENTS, version)
         upstream.text = version
+        upstream.domain = DOMAINS[self._names % len(DOMAINS)]
         upstream.event_delay = EVENT_SECONDS
         upstream.bad_parts = frozenset(map(_name_part, range(SERIES)))
         upstream.events_before_crash = self._rng.choice(EVENTS_BEFORE_CRASH)
@@ -491,6 +507,42 @@
         self._removed.append(upstream)
         self._publish()
 
+    async def _evacuate_forever(self) -> None:
+        while True:
+            rest = self._evacuation_rng.uniform(SHORTEST_REST, LONGEST_REST)
+            await asyncio.sleep(rest)
+            self.counts["evacuations"] += 1
+            self._set_evacuation(True)
+            await asyncio.sleep(IN_FORCE_SECONDS)
+            before = self._count_evacuated_runs()
+            await asyncio.sleep(EVACUATION_SECONDS - IN_FORCE_SECONDS)
+            runs = self._count_evacuated_runs() - before
+            if runs:
+                text = f"{runs} requests reached an evacuated failure domain"
+                self.findings.append(text)
+            self._set_evacuation(False)
+
+    def _set_evacuation(self, is_evacuated: bool) -> None:
+        """Commit an order of the operator."""
+        self._is_evacuated = is_evacuated
+        request = f"evacuation-{self._commits}"
+        item = command.SetEvacuation(
+            request, EVACUATED, is_evacuated, 0.0, is_forced=True
+        )
+        self.commit(command.REGISTRY.encode(item))
+
+    def _count_evacuated_runs(self) -> int:
+        return sum(
+            len(each.runs)
+            for each in self._upstreams + self._removed
+            if each.domain == EVACUATED
+        )
+
+    def _is_closed(self, upstream: FakeUpstream) -> bool:
+        """Return whether an upstream must get nothing new."""
+        is_evacuated = self._is_evacuated and upstream.domain == EVACUATED
+        return upstream.is_leaving or is_evacuated
+
     async def _change_leader(self) -> None:
         self._unsettled_at = self._timer.read_clock()
         self._replicas[self.leader].is_leader = False
@@ -607,7 +659,7 @@
         """Return whether no fault but a crash stops some upstream from answering."""
         oldest = self._timer.read_clock() - SETTLED_SECONDS
         return any(
-            not each.is_leaving
+            not self._is_closed(each)
             and not each.behaviours
             and self._broken_at.get(each.name, oldest) <= oldest
             for each in self._upstreams
@@ -617,7 +669,7 @@
         """Return how many upstreams serve at the version of an event."""
         version = began.data.split(b"-")[0].decode()
         return sum(
-            each.version == version and not each.is_leaving and not each.is_down
+            each.version == version and not self._is_closed(each) and not each.is_down
             for each in self._upstreams
         )
 
--- a/sapphireseam/tools/streamsoak_test.py
+++ b/sapphireseam/tools/streamsoak_test.py
@@ -23,6 +23,7 @@
         self.assertGreater(result.counts["break"], 0)
         self.assertGreater(result.counts["crashes"], 0)
         self.assertGreater(result.counts["refused parts"], 0)
+        self.assertGreater(result.counts["evacuations"], 0)
 
     async def test_only_the_run_that_said_it_leaves_must_get_nothing_more(self):
         for born, findings in ((1, []), (0, ["u1 got a request from e while it left"])):
