--- a/sapphireseam/platform/control.py
+++ b/sapphireseam/platform/control.py
@@ -53,7 +53,9 @@
         admin_service: admin.AdminService, client: ControlClient, grace: Grace
     ) -> operator.OperatorFront:
         clients.append(client)
-        return operator.OperatorFront(admin_service, address, grace, is_known)
+        return operator.OperatorFront(
+            admin_service, address, grace, settings.contracts, is_known
+        )
 
     timer = SystemTimer()
     upstreams = outbound.ConnectionPool(dialect.ReplicaDialect())
--- a/sapphireseam/platform/operator.py
+++ b/sapphireseam/platform/operator.py
@@ -4,7 +4,7 @@
 """
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 import msgspec
 from aiohttp import http_exceptions, web
@@ -44,6 +44,7 @@
         admin: AdminService,
         address: str,
         its_grace: grace.Grace,
+        contracts: Collection[str] = (),
         is_known: Callable[[str], bool] = lambda zone: True,
     ):
         self._admin = admin
@@ -52,6 +53,7 @@
         # Operators try another control VM at once.
         self._drain = Drain(its_grace, its_grace.timer, 0.0)
         self._address = address
+        self._contracts = contracts
         self._runner: web.AppRunner | None = None
 
     async def start(self) -> None:
@@ -91,7 +93,7 @@
 
     async def _put(self, request: web.Request) -> web.Response:
         source = await _read_body(request)
-        translated = document.translate(source)
+        translated = document.translate(source, self._contracts)
         version, content = translated
         in_force = await self._admin.publish(version, content, source)
         event = (
--- a/sapphireseam/platform/operator_test.py
+++ b/sapphireseam/platform/operator_test.py
@@ -68,7 +68,7 @@
         (port,) = layout.find_ports(1)
         admin = FakeAdmin()
         front = operator.OperatorFront(
-            admin, f"127.0.0.1:{port}", Grace(0.5), {"a-1"}.__contains__
+            admin, f"127.0.0.1:{port}", Grace(0.5), (), {"a-1"}.__contains__
         )
         await front.start()
         self.addAsyncCleanup(front.stop)
--- a/sapphireseam/policy/allocator.py
+++ b/sapphireseam/policy/allocator.py
@@ -211,6 +211,16 @@
         """Return the ceilings in force, in requests per second by instance."""
         return {load.instance.id: load.ceiling.rate for load in self._limited}
 
+    def find_listed(self, name: str) -> Instance | None:
+        """Return the listed instance with an id, or None."""
+        load = self._loads.get(name)
+        return load.instance if load is not None else None
+
+    def count_upstreams(self, service: str) -> int:
+        """Return how many upstreams of a service are listed and not evacuated."""
+        loads = self._list_loads(service)
+        return sum(not load.is_evacuated for load in loads)
+
     def eject(self, name: str) -> bool:
         """Place nothing more at an instance until `restore` is called.
 
