Round an entry's part of the slack at random while limits have no owner

Change: with grants_by_use the first level is rounded at random, up or down. Result: in the played load (88 customers, 29 entries) more than half are granted where none was; the property over drawn shares stays within rate and slack.

--- a/sapphireseam/policy/fallback.py
+++ b/sapphireseam/policy/fallback.py
@@ -9,10 +9,13 @@
 Callers aren't spread evenly: most of a customer's requests may come to one of many
 processes, and its equal part is then used up at once. With `by_use`, a process grants
 mainly what the owner granted it lately. These grants were within the limit in sum, so
-the processes that go on like that stay within it, too.
+the processes that go on like that stay within it, too. With many processes and
+customers, a process's part of the slack is less than one request. It is then rounded at
+random, up as often as down, so that the parts are used in sum.
 """
 
 import math
+import random
 from typing import NamedTuple
 
 from sapphireseam.core import fleet
@@ -50,9 +53,15 @@
 class FallbackLimiter:
     """Grants one process's part of each customer's rate and slack."""
 
-    def __init__(self, slack: Slack, by_use: bool = False):
+    def __init__(
+        self,
+        slack: Slack,
+        by_use: bool = False,
+        rng: random.Random | None = None,
+    ):
         self._slack = slack
         self._by_use = by_use
+        self._rng = rng or random.Random()
         self._levels: dict[str, tuple[float, float]] = {}
         # The owner's recent grants of each customer, and the time of the last one.
         self._uses: dict[str, tuple[float, float]] = {}
@@ -83,6 +92,13 @@
         used *= contract.rate / (contract.rate + burst_rate)
         return EQUAL_SHARE * equal_part + (1.0 - EQUAL_SHARE) * used
 
+    def _choose_level(self, capacity: float) -> float:
+        """Return the requests that are admitted at first."""
+        if not self._by_use:
+            return capacity
+        whole = math.floor(capacity)
+        return whole + (self._rng.random() < capacity - whole)
+
     def spend(
         self,
         customer: str,
@@ -102,7 +118,9 @@
         rate = self._compute_rate(customer, contract, processes, known_at)
         if self._by_use:
             capacity += BURST_SECONDS * rate
-        level, updated = self._levels.get(customer, (capacity, now))
+        if customer not in self._levels:
+            self._levels[customer] = (self._choose_level(capacity), now)
+        level, updated = self._levels[customer]
         level = min(level + (now - updated) * rate, max(capacity, 1.0))
         if level < 1.0:
             self._levels[customer] = (level, now)
--- a/sapphireseam/policy/fallback_test.py
+++ b/sapphireseam/policy/fallback_test.py
@@ -1,5 +1,6 @@
 """Test which requests are admitted while the limits have no owner."""
 
+import random
 import unittest
 
 from hypothesis import given, settings, strategies as st
@@ -54,7 +55,8 @@
         """Two of 29 processes have all requests; an election takes 1.3 seconds."""
         served = {}
         for by_use in (False, True):
-            limiters = [fallback.FallbackLimiter(SLACK, by_use) for _ in range(29)]
+            rng = random.Random(5)
+            limiters = [fallback.FallbackLimiter(SLACK, by_use, rng) for _ in range(29)]
             shares = [0.5, 0.5] + [0.0] * 27
             begin = self.use(limiters, shares)
             sent = granted = 0
@@ -67,11 +69,27 @@
         self.assertLess(served[False], 0.3)
         self.assertGreater(served[True], 0.6)
 
+    def test_small_parts_are_used_in_sum(self):
+        """88 customers send one request each to some of 29 processes."""
+        rng = random.Random(3)
+        granted = {}
+        for by_use in (False, True):
+            limiters = [fallback.FallbackLimiter(SLACK, by_use, rng) for _ in range(29)]
+            waits = [
+                rng.choice(limiters).spend(f"c{customer}", CONTRACT, 29, 0.0)
+                for customer in range(88)
+                for _ in range(5)
+            ]
+            granted[by_use] = waits.count(0.0) / len(waits)
+        self.assertEqual(granted[False], 0.0)
+        self.assertGreater(granted[True], 0.5)
+
     @settings(max_examples=25, deadline=None)
     @given(st.lists(st.floats(0.0, 1.0), min_size=1, max_size=29))
     def test_grants_by_use_stay_within_rate_and_slack(self, shares):
         total = sum(shares) or 1.0
-        limiters = [fallback.FallbackLimiter(SLACK, True) for _ in shares]
+        rng = random.Random(7)
+        limiters = [fallback.FallbackLimiter(SLACK, True, rng) for _ in shares]
         begin = self.use(limiters, [share / total for share in shares], 2.0)
         granted = 0
         for tick in range(500):
