--- a/sapphireseam/control/placement.py
+++ b/sapphireseam/control/placement.py
@@ -10,14 +10,14 @@
 import asyncio
 import logging
 import math
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable, Iterable, Mapping
 from types import MappingProxyType
 from typing import NamedTuple
 
 from sapphireseam.control import record
 from sapphireseam.control.machine import StateMachine
 from sapphireseam.control.ratelimit import RateLimitService
-from sapphireseam.core import command, error, fleet, placement
+from sapphireseam.core import command, error, evacuation, fleet, placement
 from sapphireseam.core.instance import Instance, get_run_name
 from sapphireseam.policy import allocator, origin, outlier, sharing
 from sapphireseam.state.replica import Replica
@@ -110,7 +110,10 @@
         probe: Probe,
         stop_run: StopRun,
         timer: TimerService,
+        spreads_load: bool = False,
     ):
+        # Whether the entries get numbers, by which they spread what they place alone.
+        self._spreads_load = spreads_load
         self.allocator = allocator.SlotAllocator()
         # Knows the ceilings that this control VM hears itself, beside the replicated.
         self.ceiling_monitor = ceiling.CeilingMonitor(
@@ -121,6 +124,9 @@
         self.find_domain: Callable[[str], str] = lambda address: ""
         # Called with the key of a bulk item that is preempted.
         self.on_evicted: Callable[[str], None] = lambda key: None
+        # Called with a failure domain whose evacuation ends, before anything is placed
+        # there.
+        self.on_returned: Callable[[str], None] = lambda domain: None
         # Called whenever a slot may have become free.
         self.on_slot_free: Callable[[], None] = lambda: None
         self._replica = replica
@@ -140,6 +146,7 @@
         # The time until which each instance's load is reconciled.
         self._reconcile_until: dict[str, float] = {}
         self._term = -1
+        self._evacuated = evacuation.Evacuated()
         self._contracts: dict[str, fleet.Contract] = {}
         self._services: dict[str, fleet.Service] = {}
         self._tasks = TaskGroup()
@@ -172,6 +179,8 @@
             self._apply_shares()
         if item is None:
             self._apply_ceilings()
+        if item is None or isinstance(item, command.SetEvacuation):
+            self._apply_evacuations()
         if isinstance(item, command.ReportCeiling):
             if self._replica.is_leader:
                 self._log_ceiling(item)
@@ -182,6 +191,43 @@
         current = record.read_fleet(self._machine.state)
         self.allocator.set_shares(*sharing.read_shares(current))
 
+    def _apply_evacuations(self) -> None:
+        """Obey the evacuations that this member has applied, and tell the entries."""
+        former, found = self._evacuated, record.read_evacuated(self._machine.state)
+        if found == former:
+            return
+        self._evacuated = found
+        for entry in self._entries.values():
+            entry.post(placement.Evacuation(found))
+        for domain in former.domains:
+            if domain not in found.domains:
+                self.on_returned(domain)
+        now = self._timer.read_clock()
+        grants = self.allocator.set_evacuated(frozenset(found.domains), now)
+        if self._replica.is_leader:
+            self._log_evacuations(former, found)
+        self._send_decisions(grants)
+        self.on_slot_free()
+
+    def _log_evacuations(
+        self, former: evacuation.Evacuated, found: evacuation.Evacuated
+    ) -> None:
+        """Log which domains this leader places nothing in from now on."""
+        counts = self.allocator.count_evacuated()
+        for domain in found.domains:
+            if domain not in former.domains:
+                detail = {"domain": domain, "running": counts[domain]}
+                logger.info("failure domain evacuated", extra=detail)
+        for domain in former.domains:
+            if domain not in found.domains:
+                detail = {"domain": domain}
+                logger.info("failure domain back in service", extra=detail)
+        places = [(each.service, each.domain) for each in self.allocator.instances]
+        deserted = evacuation.list_deserted(places, found.domains)
+        if deserted:
+            detail = {"services": deserted, "domains": found.domains}
+            logger.warning("evacuation leaves services no upstream", extra=detail)
+
     async def _propose_ceiling(self, item: command.ReportCeiling) -> None:
         await self._replica.propose(command.REGISTRY.encode(item))
 
@@ -237,12 +283,16 @@
         Without a list of instances an entry goes on with the last one that it had.
         """
         await self._wait_for_list()
+        # What the former leader acknowledged must bind the first grant.
+        await self._replica.wait_caught_up()
         self._next_session += 1
         entry = _EntrySession(first, stream, self._next_session, self._timer)
         self._entries[entry.session] = entry
         open_numbers: set[int] = set()
         self._add_known(entry, first, open_numbers)
-        entry.post(self._make_view())
+        if self._evacuated.number:
+            entry.post(placement.Evacuation(self._evacuated))
+        self._send_views([entry])
         for instance in self.allocator.list_leaving():
             entry.post(placement.Leaving(instance.id, instance.born))
         # The others learn only how many entries there are.
@@ -497,6 +547,8 @@
         now = self._timer.read_clock()
         by_service: dict[str, list[Instance]] = {}
         for instance in self.allocator.list_ejected():
+            if self.allocator.is_evacuated(instance.id):
+                continue
             by_service.setdefault(instance.service, []).append(instance)
         returning = []
         for service, instances in by_service.items():
@@ -529,7 +581,8 @@
             if until is None or not service.tells_load:
                 continue
             if until > now:
-                self._tasks.spawn(self._reconcile_one(instance))
+                if not self.allocator.is_evacuated(instance.id):
+                    self._tasks.spawn(self._reconcile_one(instance))
             else:
                 del self._reconcile_until[instance.id]
                 self._send_decisions(self.allocator.clear_load(instance.id, now))
@@ -626,9 +679,7 @@
             self._redirect_entries()
         is_view_due, self._is_view_due = self._is_view_due, False
         if is_view_due:
-            view = self._make_view()
-            for entry in self._entries.values():
-                entry.post(view)
+            self._send_views(self._entries.values())
             return
         for entry in self._entries.values():
             if entry.silence >= HEARTBEAT_SKIP_SECONDS:
@@ -642,11 +693,22 @@
         for entry in self._entries.values():
             entry.post(failure)
 
-    def _make_view(self) -> placement.View:
+    def _send_views(self, receivers: Iterable[_EntrySession]) -> None:
+        """Send the view, with its own number to each receiver if that is in use."""
         control = tuple(member.address for member in self._replica.members)
         domains = tuple(self.find_domain(address) for address in control)
         instances = self.allocator.instances
-        return placement.View(instances, control, len(self._entries), domains)
+        view = placement.View(instances, control, len(self._entries), domains)
+        numbers = self._number_entries() if self._spreads_load else {}
+        for entry in receivers:
+            entry.post(view._replace(number=numbers.get(entry.session)))
+
+    def _number_entries(self) -> dict[int, int]:
+        """Return the numbers by session, in order of failure domain and name."""
+        entries = sorted(
+            self._entries.values(), key=lambda each: (each.domain, each.name)
+        )
+        return {entry.session: number for number, entry in enumerate(entries)}
 
 
 def _get_origin(item: placement.Began) -> origin.Origin:
--- a/sapphireseam/core/placement.py
+++ b/sapphireseam/core/placement.py
@@ -6,6 +6,7 @@
 
 from typing import NamedTuple
 
+from sapphireseam.core.evacuation import Evacuated
 from sapphireseam.core.instance import Instance
 
 
@@ -127,16 +128,37 @@
     """Send all instances, the control VMs and how many entries are connected.
 
     `domains` has the failure domain of each control VM, "" if it isn't known.
+    `number` is that of the receiver among the entries, counted from 0, in order of
+    failure domain and name. It is missing unless the entries are to spread the load.
     """
 
     instances: tuple[Instance, ...]
     control: tuple[str, ...]
     entries: int
     domains: tuple[str, ...] = ()
+    number: int | None = None
+
+
+class Evacuation(NamedTuple):
+    """Send the evacuated failure domains, by which all later grants were made."""
+
+    evacuated: Evacuated
 
 
 class Beat(NamedTuple):
     """Confirm that the sender is still the leader."""
 
 
-MESSAGES = (Attach, Place, Placed, Turned, Left, Began, Suspect, Leaving, View, Beat)
+MESSAGES = (
+    Attach,
+    Place,
+    Placed,
+    Turned,
+    Left,
+    Began,
+    Suspect,
+    Leaving,
+    View,
+    Evacuation,
+    Beat,
+)
--- a/sapphireseam/entry/placer.py
+++ b/sapphireseam/entry/placer.py
@@ -2,10 +2,11 @@
 
 One stream to the leader carries all slot requests. While no leader answers, the
 entry places requests by the last instance list that it received and by the
-requests that it has running itself. Each customer then gets no more than the
-deployment's fallback limits allow, and each upstream that names a ceiling no more
-than this entry's part of it. Without this, all requests would be refused
-for the second that an election takes.
+requests that it has running itself. If the leader has numbered the entries, each
+prefers other upstreams, so that they fill them evenly (policy/spread.py). Each customer
+then gets no more than the deployment's fallback limits allow, and each upstream that
+names a ceiling no more than this entry's part of it. Without this, all requests would
+be refused for the second that an election takes.
 """
 
 import asyncio
@@ -14,9 +15,16 @@
 from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
-from sapphireseam.core import error, fleet, message, placement
+from sapphireseam.core import error, evacuation, fleet, message, placement
 from sapphireseam.core.instance import Instance
-from sapphireseam.policy import allocator, fallback, origin, sharing
+from sapphireseam.policy import (
+    allocator,
+    fallback,
+    origin,
+    sharing,
+    spread,
+    upstreampool,
+)
 from sapphireseam.utils import metric, rpc
 from sapphireseam.utils.application import TaskGroup
 from sapphireseam.utils.client import ControlClient
@@ -105,7 +113,11 @@
         self._fallback = fallback.FallbackLimiter(slack, grants_by_use)
         # Counts only this entry's requests, to place locally without a leader.
         self._allocator = allocator.SlotAllocator()
+        self._evacuated = evacuation.Evacuated()
         self._entry_count = 1
+        # This entry's place among all, if it is to spread the load without a leader.
+        self._position: spread.Position | None = None
+        meter.read(metric.ENTRY_NUMBER, self._count_position)
         self._has_view = False
         # The streams that this entry began or resumed.
         self._origins = origin.StreamOrigins()
@@ -207,8 +219,9 @@
         match item:
             case placement.View():
                 self._has_view = True
-                self._update_instances(item.instances)
                 self._entry_count = max(item.entries, 1)
+                self._update_position(item.number)
+                self._update_instances(item.instances)
                 self._client.update_addresses(item.control)
                 self.on_control(item.control, item.domains)
                 self.on_instances(item.instances)
@@ -216,17 +229,49 @@
                 self._resolve(item)
             case placement.Leaving():
                 self._mark_leaving(item)
+            case placement.Evacuation():
+                self.apply_evacuated(item.evacuated)
             case message.Failure():
                 raise rpc.unpack_failure(item)
 
+    def apply_evacuated(self, item: evacuation.Evacuated) -> None:
+        """Place nothing in these failure domains, unless newer ones are known.
+
+        They come from the leader and with the watch, in any order.
+        """
+        if item.number <= self._evacuated.number:
+            return
+        self._evacuated = item
+        now = self._timer.read_clock()
+        self._allocator.set_evacuated(frozenset(item.domains), now)
+
+    def is_evacuated(self, slot: HeldSlot) -> bool:
+        """Return whether a slot lies in a domain that was evacuated since its grant."""
+        return self._evacuated.covers(slot.instance.domain)
+
     def _update_instances(self, instances: tuple[Instance, ...]) -> None:
         """Use a list, which may not show yet which instances leave."""
+        if self._position is not None:
+            instances = spread.order_instances(instances, self._position)
         self._allocator.update(instances, self._timer.read_clock())
         listed = {placement.Leaving(each.id, each.born) for each in instances}
         self._leaving &= listed
         for item in self._leaving:
             self._allocator.mark_leaving(item.instance, item.born)
 
+    def _update_position(self, number: int | None) -> None:
+        position = None
+        if number is not None:
+            position = spread.Position(number, self._entry_count)
+        if position != self._position:
+            detail = {"number": number, "entries": self._entry_count}
+            logger.info("entry numbered", extra=detail)
+        self._position = position
+
+    def _count_position(self) -> int:
+        """Return this entry's number, counted from 1, or 0 without one."""
+        return self._position.number + 1 if self._position is not None else 0
+
     def _resolve(self, item: placement.Placed | placement.Turned) -> None:
         future = self._waiting.get(item.number)
         if future is not None and not future.done():
@@ -365,7 +410,11 @@
                 text = "the limits have no owner, and the fallback limit is used up"
                 raise error.CapacityError(text, error.Kind.RATE_LIMITED, wait, True)
         self.update_ceilings()
-        result = self._allocator.place(self._make_slot_request(number, spec), now)
+        request = self._make_slot_request(number, spec)
+        if self._position is not None:
+            # Entries that prefer their own failure domain could overrun it.
+            request = request._replace(domain=upstreampool.NO_DOMAIN)
+        result = self._allocator.place(request, now)
         if not isinstance(result, allocator.Grant):
             text = f"this entry found no free slot at service {spec.service}"
             wait = result.retry_after if result is not None else CHECK_SECONDS
@@ -381,6 +430,7 @@
                 "request": spec.request,
                 "upstream": result.instance.id,
                 "leader_silent": round(silent, 3),
+                "entry_number": self._count_position(),
             },
         )
         return slot
--- a/sapphireseam/platform/control.py
+++ b/sapphireseam/platform/control.py
@@ -12,6 +12,9 @@
 from sapphireseam.utils.grace import Grace
 from sapphireseam.utils.timer import SystemTimer
 
+# The contracts under which entries without a leader spread the load.
+SPREADING_CONTRACTS = frozenset({"places", "pressure"})
+
 
 def make_settings(settings: setting.Settings) -> control.Settings:
     """Return the settings of a control VM as `control.application` takes them."""
@@ -30,6 +33,7 @@
         settings.label,
         settings.keep_s,
         settings.grace_s,
+        not SPREADING_CONTRACTS.isdisjoint(settings.contracts),
     )
 
 
@@ -46,11 +50,16 @@
     address = settings.operator_address
     clients: list[ControlClient] = []
 
+    def is_known(zone: str) -> bool:
+        return not settings.failure_domains or zone in settings.failure_domains
+
     def make_operator_server(
         admin_service: admin.AdminService, client: ControlClient, grace: Grace
     ) -> operator.OperatorFront:
         clients.append(client)
-        return operator.OperatorFront(admin_service, address, grace, settings.contracts)
+        return operator.OperatorFront(
+            admin_service, address, grace, settings.contracts, is_known
+        )
 
     timer = SystemTimer()
     upstreams = outbound.ConnectionPool(dialect.ReplicaDialect())
--- a/sapphireseam/tools/discovered.py
+++ b/sapphireseam/tools/discovered.py
@@ -95,11 +95,21 @@
 class DiscoveredFleet:
     """Control VMs, entries and fake upstreams of one service."""
 
-    def __init__(self, folder: Path, upstreams: int, entries: int, controls: int = 3):
+    def __init__(
+        self,
+        folder: Path,
+        upstreams: int,
+        entries: int,
+        controls: int = 3,
+        spreads_load: bool = False,
+    ):
+        self._spreads_load = spreads_load
         self.upstreams = [
             fakeupstream.FakeUpstream(f"u{number}") for number in range(upstreams)
         ]
         self.entries: list[_Entry] = []
+        # The services for operators' calls of the control VMs, by their address.
+        self.admins: dict[str, admin.AdminService] = {}
         self._folder = folder
         self._reservation = layout.reserve_ports(2 * controls + entries)
         addresses = [f"{layout.HOST}:{port}" for port in self._reservation.ports]
@@ -126,8 +136,7 @@
         """Stop everything."""
         for entry in self.entries:
             await entry.application.stop()
-        stops = [application.stop() for application in self._applications]
-        await asyncio.gather(*stops)
+        await self.stop_controls()
         for upstream in self.upstreams:
             await upstream.stop()
 
@@ -143,6 +152,12 @@
         self._applications[number] = self._build_control(number)
         await self._applications[number].start()
 
+    async def stop_controls(self) -> None:
+        """Stop all control VMs."""
+        stops = [application.stop() for application in self._applications]
+        self._applications.clear()
+        await asyncio.gather(*stops)
+
     async def restart_entry(self, number: int) -> None:
         """Replace an entry by a new one that knows nothing."""
         await self.entries[number].application.stop()
@@ -188,14 +203,22 @@
             tuple(control.Peer(name, name) for name in self._controls),
             len(self._controls),
             label=f"control-{number}",
+            spreads_load=self._spreads_load,
         )
         upstreams = outbound.ConnectionPool(fakeupstream.FakeDialect())
+
+        def make_operator_server(
+            service: admin.AdminService, client: ControlClient, grace: Grace
+        ) -> Part:
+            self.admins[address] = service
+            return _NoServer()
+
         integration = control.Integration(
             self,
             upstreams,
             make_probe(upstreams),
             stop_run,
-            _make_operator_server,
+            make_operator_server,
         )
         return control.build(settings, integration=integration)
 
@@ -242,12 +265,6 @@
     )
 
 
-def _make_operator_server(
-    service: admin.AdminService, client: ControlClient, grace: Grace
-) -> Part:
-    return _NoServer()
-
-
 def make_probe(upstreams: outbound.ConnectionPool) -> placement.Probe:
     """Return a probe that gives an empty result if the instance answers."""
 
--- a/sapphireseam/utils/metric.py
+++ b/sapphireseam/utils/metric.py
@@ -200,6 +200,19 @@
     " at `seam_places` and `seam_benched`.",
     is_discovery=True,
 )
+ENTRY_NUMBER = Metric(
+    "seam.entry.number",
+    Form.GAUGE,
+    "",
+    (),
+    _ENTRY,
+    "This entry's number among all, counted from 1, by which it spreads the requests"
+    " that it places without a leader; 0 if it has none.",
+    "0 although `spreads_load` is set, or the same at two entries: an entry has no view"
+    " or an old one of the leader, and meets others at the same upstreams; look at"
+    " `seam_leader`.",
+    is_discovery=True,
+)
 SERVICE_SLOTS = Metric(
     "seam.places",
     Form.GAUGE,
@@ -287,6 +300,28 @@
     "As for `seam_upstream_ceiling`.",
     is_discovery=True,
 )
+EVACUATED = Metric(
+    "seam.evacuated",
+    Form.GAUGE,
+    "",
+    ("domain",),
+    _CONTROL,
+    "1 if the failure domain is evacuated, so that its upstreams get no new work, else"
+    " 0. Lists the domains of the configuration and the evacuated ones.",
+    "Differs between control VMs for more than a few seconds: look at `seam_applied`."
+    " 1 after the work there is over: take it back with `seam-ctl readmit`.",
+)
+EVACUATED_PLACES = Metric(
+    "seam.evacuated.places",
+    Form.GAUGE,
+    "",
+    ("domain",),
+    _CONTROL,
+    "Requests and items that still run at the discovered upstreams of an evacuated"
+    " failure domain. Only the leader exports it.",
+    "Stays above 0: long requests; the domain isn't empty yet.",
+    is_discovery=True,
+)
 BULK_ITEMS = Metric(
     "seam.lot.items",
     Form.GAUGE,
@@ -391,6 +426,7 @@
     CUT,
     BULK_READS,
     PLACEMENT,
+    ENTRY_NUMBER,
     SERVICE_SLOTS,
     EJECTED,
     RESTING,
@@ -399,6 +435,8 @@
     UPSTREAM_CEILING_AGE,
     CEILING,
     CEILING_AGE,
+    EVACUATED,
+    EVACUATED_PLACES,
     BULK_ITEMS,
     LEADER,
     TERM,
