Merge the shares of customers that compete for slots

Cause: a request was refused by the number of all that wait, whoever sent them, so one customer's backlog had the others refused, and the next slot went to the backlog. Change: with services.*.fair, one order by weight decides on placing, the expected wait, refusals and Retry-After; the platform sets it under its contract pressure.

--- a/sapphireseam/control/meter.py
+++ b/sapphireseam/control/meter.py
@@ -70,6 +70,7 @@
         metric.RESTING,
         lambda: count_by_service(allocator, list_resting(), replica),
     )
+    meter.read_many(metric.REFUSED_SLOTS, lambda: count_refusals(allocator))
     meter.read_many(metric.BULK_ITEMS, lambda: count_bulk_items(machine.state))
     meter.read_ceilings(
         lambda: machine.state.ceilings.values() if replica.is_leader else (),
@@ -98,6 +99,14 @@
     return values
 
 
+def count_refusals(allocator: SlotAllocator) -> list[metric.Value]:
+    """Return how many requests of each service got no slot, by cause."""
+    return [
+        (count, {"service": service, "cause": str(cause)})
+        for (service, cause), count in allocator.refusal_counts.items()
+    ]
+
+
 def count_by_service(
     allocator: SlotAllocator, instances: Collection[Instance], replica: Replica
 ) -> list[metric.Value]:
--- a/sapphireseam/entry/discovery.py
+++ b/sapphireseam/entry/discovery.py
@@ -140,6 +140,7 @@
         ceiling_monitor.read_rates,
         settings.grants_by_use,
     )
+    mirror.subscribe(lambda: placer.update_shares(mirror.fleet))
     connection_closer = _ConnectionCloser(upstreams)
     run_monitor = _RunMonitor(mirror, upstreams)
 
--- a/sapphireseam/entry/placer.py
+++ b/sapphireseam/entry/placer.py
@@ -17,7 +17,14 @@
 
 from sapphireseam.core import error, evacuation, fleet, message, placement
 from sapphireseam.core.instance import Instance
-from sapphireseam.policy import allocator, fallback, origin, spread, upstreampool
+from sapphireseam.policy import (
+    allocator,
+    fallback,
+    origin,
+    sharing,
+    spread,
+    upstreampool,
+)
 from sapphireseam.utils import metric, rpc
 from sapphireseam.utils.application import TaskGroup
 from sapphireseam.utils.client import ControlClient
@@ -428,6 +435,10 @@
         )
         return slot
 
+    def update_shares(self, current: fleet.Fleet) -> None:
+        """Let customers share the services for which a configuration asks."""
+        self._allocator.set_shares(*sharing.read_shares(current))
+
     def update_ceilings(self) -> None:
         """Use this entry's part of each ceiling for what it places itself."""
         now, share = self._timer.read_clock(), 1.0 / self._entry_count
--- a/sapphireseam/platform/document.py
+++ b/sapphireseam/platform/document.py
@@ -19,6 +19,8 @@
 METHODS = ("GET", "POST", "PUT", "DELETE")
 # The contract under which upstreams may fail although their probes succeed.
 HEALTH_CONTRACT = "health"
+# The one under which tenants compete for too little room.
+PRESSURE_CONTRACT = "pressure"
 
 SAFE = "safe"
 UNSAFE = "unsafe"
@@ -130,7 +132,7 @@
             item.name: _make_customer(item) for item in configuration.tenants
         },
         "contracts": {
-            item.name: {"rate": item.rate_per_s, "burst": max(item.burst, 1.0)}
+            item.name: _make_contract(item, contracts)
             for item in configuration.tenants
             if item.rate_per_s > 0
         },
@@ -202,9 +204,18 @@
         "probe_path": probe,
         "tells_load": service.engine is not None,
         "ejects_outliers": HEALTH_CONTRACT in contracts,
+        "fair": PRESSURE_CONTRACT in contracts,
     }
 
 
+def _make_contract(tenant: Tenant, contracts: Collection[str]) -> dict[str, Any]:
+    translated = {"rate": tenant.rate_per_s, "burst": max(tenant.burst, 1.0)}
+    if PRESSURE_CONTRACT in contracts:
+        # Tenants share busy services in proportion to their rates.
+        translated["weight"] = tenant.rate_per_s
+    return translated
+
+
 def _make_customer(tenant: Tenant) -> dict[str, Any]:
     return {
         "contract": tenant.name if tenant.rate_per_s > 0 else "",
