Keep the rate of cold upstreams

Change: services name a rate for cold upstreams. A tracker decides who is cold by the list, answers, starts and returns; the ceilings carry it to the log, with an end; the leader's buckets keep it in any second, and an entry that places alone sends nothing there.

--- a/sapphireseam/control/application.py
+++ b/sapphireseam/control/application.py
@@ -4,7 +4,7 @@
 import logging
 import os
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from pathlib import Path
 from typing import Annotated, NamedTuple
 
@@ -32,6 +32,7 @@
 from sapphireseam.control.service import ControlService
 from sapphireseam.control.watch import WatchHub
 from sapphireseam.core import codec, command, error, fleet, key, message, outcome
+from sapphireseam.core.instance import Instance
 from sapphireseam.state import disk, link, message as log_message, option
 from sapphireseam.state.replica import Replica
 from sapphireseam.utils import metric, outbound, rpc
@@ -107,7 +108,8 @@
 class Integration(NamedTuple):
     """Parts that a deployment provides if its upstreams are found by discovery.
 
-    `make_operator_server` builds the server for operators' calls.
+    `make_operator_server` builds the server for operators' calls. `read_cold_left`
+    returns for how many seconds runs stay cold, as far as the last list said.
     """
 
     source: poller.Source
@@ -115,6 +117,7 @@
     probe: placement.Probe
     stop_run: placement.StopRun
     make_operator_server: Callable[[admin.AdminService, ControlClient, Grace], Part]
+    read_cold_left: Callable[[], Mapping[str, float]] = dict
 
 
 _REGISTRY = codec.Registry(log_message.MESSAGES)
@@ -483,6 +486,7 @@
     server.register(shared.server)
     integration.upstreams.on_leaving = server.mark_leaving
     integration.upstreams.ceiling_monitor = server.ceiling_monitor
+    integration.upstreams.on_cold = server.record_cold
     report_slots(shared.meter, server.allocator, machine, replica)
     bulkservice.BulkService(replica, machine, timer).register(shared.server)
     members = membership.MembershipService(replica, machine, settings.voters, timer)
@@ -490,8 +494,12 @@
     runner = bulkrunner.BulkRunner(
         replica, machine, server, integration.upstreams, timer, settings.lot_seconds
     )
+
+    def handle_list(instances: tuple[Instance, ...]) -> None:
+        server.update_instances(instances, integration.read_cold_left())
+
     instance_poller = poller.InstancePoller(
-        integration.source, replica, timer, server.update_instances
+        integration.source, replica, timer, handle_list
     )
     operator_server = integration.make_operator_server(
         admin.AdminService(replica, machine, client, timer), client, application.grace
--- a/sapphireseam/control/meter.py
+++ b/sapphireseam/control/meter.py
@@ -7,6 +7,7 @@
 from sapphireseam.control import record
 from sapphireseam.control.machine import StateMachine
 from sapphireseam.control.watch import WatchHub
+from sapphireseam.core.ceiling import Ceiling
 from sapphireseam.policy.allocator import SlotAllocator
 from sapphireseam.state import disk
 from sapphireseam.state.replica import Replica
@@ -58,9 +59,36 @@
     meter.read_many(metric.EJECTED, lambda: count_ejected(allocator, replica))
     meter.read_many(metric.BULK_ITEMS, lambda: count_bulk_items(machine.state))
     meter.read_ceilings(
-        lambda: machine.state.ceilings.values() if replica.is_leader else (),
+        lambda: list_named(machine.state) if replica.is_leader else (),
         time.time,
     )
+    meter.read_many(
+        metric.COLD, lambda: list_cold(machine.state) if replica.is_leader else []
+    )
+    meter.read_many(
+        metric.COLD_HELD,
+        lambda: count_held_back(allocator) if replica.is_leader else [],
+    )
+
+
+def list_named(state: record.State) -> list[Ceiling]:
+    """Return the ceilings that upstreams name."""
+    return [each for each in state.ceilings.values() if not each.is_cold]
+
+
+def list_cold(state: record.State) -> list[metric.Value]:
+    """Return the requests per second that each cold upstream gets."""
+    return [
+        (each.rate, {"upstream": each.upstream})
+        for each in state.ceilings.values()
+        if each.is_cold
+    ]
+
+
+def count_held_back(allocator: SlotAllocator) -> list[metric.Value]:
+    """Return how many requests of each service cold upstreams couldn't take."""
+    services = sorted({instance.service for instance in allocator.instances})
+    return [(allocator.held_back[name], {"service": name}) for name in services]
 
 
 def count_slots(allocator: SlotAllocator, replica: Replica) -> list[metric.Value]:
--- a/sapphireseam/control/meter_test.py
+++ b/sapphireseam/control/meter_test.py
@@ -33,6 +33,8 @@
         machine.apply(1, command.REGISTRY.encode(job))
         named = command.ReportCeiling("i1", "i1/0", 2.5, 0.0)
         machine.apply(2, command.REGISTRY.encode(named))
+        cold = command.ReportCeiling("i1", "i1/0", 20.0, 0.0, True, 3.0)
+        machine.apply(3, command.REGISTRY.encode(cold))
         control = metric.Meter("control-m")
         replica = types.SimpleNamespace(is_leader=True)
         meter.report_slots(control, slots, machine, replica)
@@ -55,6 +57,7 @@
         item_counts = {s.labels["state"]: s.value for s in found["seam_lot_items"]}
         self.assertEqual(item_counts["open"], 1)
         self.assertEqual(found["seam_ceiling"][0].value, 2.5)
+        self.assertEqual([s.value for s in found["seam_cold"]], [20.0])
         self.assertGreater(found["seam_ceiling_age_seconds"][0].value, 0.0)
         replica.is_leader = False
         self.assertNotIn("seam_places", self.scrape())
--- a/sapphireseam/control/placement.py
+++ b/sapphireseam/control/placement.py
@@ -5,12 +5,16 @@
 rate limit is debited and the request placed in one exchange with the entry. An
 entry that reconnects first reports its running requests. A new leader has therefore
 counted them before it places anything for that entry.
+
+The leader also decides which upstreams are cold (policy/coldstart.py) and tells all
+processes with the replicated ceilings. Each control VM counts the seconds from when it
+learns of them, so the next leader knows them.
 """
 
 import asyncio
 import logging
 import math
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from typing import NamedTuple
 
 from sapphireseam.control import record
@@ -18,7 +22,7 @@
 from sapphireseam.control.ratelimit import RateLimitService
 from sapphireseam.core import command, error, fleet, placement
 from sapphireseam.core.instance import Instance
-from sapphireseam.policy import allocator, origin
+from sapphireseam.policy import allocator, coldstart, origin
 from sapphireseam.state.replica import Replica
 from sapphireseam.utils import ceiling, rpc
 from sapphireseam.utils.application import TaskGroup
@@ -53,9 +57,13 @@
 
 
 class ProbeResult(NamedTuple):
-    """The ids of the requests that an upstream runs."""
+    """The ids of the requests that an upstream runs, and when it was started.
+
+    `born` is 0 if the answer doesn't show it.
+    """
 
     ids: tuple[str, ...]
+    born: int = 0
 
 
 # Asks an instance for its running requests; takes the instance, a path and a timeout
@@ -138,6 +146,11 @@
         self._term = -1
         self._contracts: dict[str, fleet.Contract] = {}
         self._services: dict[str, fleet.Service] = {}
+        self._cold = coldstart.ColdTracker()
+        # The rates of the cold runs that the allocator keeps.
+        self._cold_rates: dict[str, float] = {}
+        # When each instance last said in an answer whether it is cold.
+        self._cold_answers: dict[str, float] = {}
         self._tasks = TaskGroup()
         machine.subscribe(self._on_applied)
 
@@ -167,7 +180,11 @@
             self._contracts = self._rate_limits.contracts
         if item is None:
             self._apply_ceilings()
-        if isinstance(item, command.ReportCeiling):
+            for each in self.ceiling_monitor.read_cold().values():
+                self._learn_cold(each.upstream, each.run, each.rate, each.seconds)
+        if isinstance(item, command.ReportCeiling) and item.is_cold:
+            self._learn_cold(item.upstream, item.run, item.rate, item.seconds)
+        elif isinstance(item, command.ReportCeiling):
             if self._replica.is_leader:
                 self._log_ceiling(item)
             self._apply_ceilings()
@@ -192,12 +209,99 @@
         now = self._timer.read_clock()
         self._send_decisions(self.allocator.set_ceilings(rates, now))
 
-    def update_instances(self, instances: tuple[Instance, ...]) -> None:
-        """Replace the known instances by those that discovery found."""
+    # Cold upstreams.
+
+    def _learn_cold(self, upstream: str, run: str, rate: float, seconds: float) -> None:
+        """Follow what the log says of a cold run; only the leader ends one itself."""
+        now = self._timer.read_clock()
+        if rate:
+            self._cold.learn(upstream, run, rate, seconds, now)
+        elif not self._replica.is_leader:
+            self._cold.forget(run)
+        self._update_cold()
+
+    def record_cold(self, instance: Instance, seconds: float) -> None:
+        """Record for how long an upstream's answer says that it stays cold."""
+        now = self._timer.read_clock()
+        self._cold_answers[instance.id] = now
+        self._cold.record_answer(instance, seconds, self._services, now)
+        self._update_cold()
+
+    def on_returned(self, domain: str) -> None:
+        """Presume that the upstreams of a failure domain are cold.
+
+        It gets requests again, and its upstreams may have become cold before.
+        """
+        now = self._timer.read_clock()
+        self._cold.record_returned(domain, self._services, now)
+        self._update_cold()
+
+    def _check_restored(
+        self, instance: Instance, result: ProbeResult, asked: float
+    ) -> None:
+        """Presume that an instance is cold if it may have started again."""
+        services = self._services
+        if self._cold_answers.get(instance.id, -math.inf) >= asked:
+            return
+        if result.born and result.born == instance.born:
+            return
+        seconds = coldstart.UNKNOWN_SECONDS
+        if result.born and instance.service in services:
+            seconds = services[instance.service].cold_seconds
+        self._cold.presume([instance], services, self._timer.read_clock(), seconds)
+        self._update_cold()
+
+    def _update_cold(self) -> None:
+        """Let the allocator follow what is cold now, and tell the other processes."""
+        now = self._timer.read_clock()
+        self._cold.expire(now)
+        rates = self._cold.read_rates()
+        if self._replica.is_leader:
+            self._tell_cold(now)
+            counts = self.allocator.read_cold_counts()
+            for run in self._cold_rates.keys() - rates.keys():
+                detail = {"run": run, "sent": counts.get(run, 0)}
+                logger.info("upstream is cold no more", extra=detail)
+        if rates != self._cold_rates:
+            self._cold_rates = rates
+            self._send_decisions(self.allocator.set_cold(rates, now))
+            self.on_slot_free()
+
+    def _tell_cold(self, now: float) -> None:
+        """Report to the log what it doesn't say of the cold runs."""
+        for run, each in self._cold.list_untold().items():
+            seconds = each.end - now
+            if not each.told:
+                detail = {
+                    "upstream": each.upstream,
+                    "run": run,
+                    "requests_per_second": each.rate,
+                    "seconds": round(seconds, 3),
+                    "is_presumed": each.is_presumed,
+                }
+                logger.info("upstream is cold", extra=detail)
+            self._cold.mark_told(run)
+            self.ceiling_monitor.record_cold(each.upstream, run, each.rate, seconds)
+        cold = self._cold.read_cold()
+        for run, known in self.ceiling_monitor.read_cold().items():
+            if run not in cold:
+                self.ceiling_monitor.record_cold(known.upstream, run, 0.0, 0.0)
+
+    def update_instances(
+        self, instances: tuple[Instance, ...], cold_left: Mapping[str, float] = {}
+    ) -> None:
+        """Replace the known instances by those that discovery found.
+
+        `cold_left` is for how many seconds runs stay cold, as far as discovery says.
+        """
         is_new_term = not self._has_list
+        if is_new_term:
+            self._cold.begin()
+        now = self._timer.read_clock()
+        self._cold.record_list(instances, cold_left, self._services, now)
+        self._update_cold()
         if instances == self.allocator.instances and not is_new_term:
             return
-        now = self._timer.read_clock()
         if is_new_term:
             self._term = self._replica.term
             # The former leader and the entries may just have sent as much as allowed.
@@ -311,6 +415,9 @@
             target = self._find_target(message)
             if message.is_counted:
                 await self._debit(message.customer, message.patience)
+            if self._cold.has_cold:
+                # Another leader may count what cold upstreams get.
+                self._require_leader()
         except error.SeamError as failure:
             open_numbers.discard(message.number)
             self._send_refusal(entry, message.number, failure, message.request)
@@ -444,9 +551,12 @@
             self._tasks.spawn(self._probe_one(instance))
 
     async def _probe_one(self, instance: Instance) -> None:
-        if await self._probe_load(instance) is None:
+        asked = self._timer.read_clock()
+        result = await self._probe_load(instance)
+        if result is None:
             self.allocator.record_down(instance.id)
             return
+        self._check_restored(instance, result, asked)
         logger.info("upstream restored", extra={"upstream": instance.id})
         now = self._timer.read_clock()
         self._send_decisions(self.allocator.restore(instance.id, now))
@@ -545,7 +655,10 @@
 
     async def _expire_waiting(self) -> None:
         now = self._timer.read_clock()
-        self._send_decisions(self.allocator.retry_waiting(now))
+        if self._cold.has_cold:
+            self._update_cold()
+        if self._replica.is_leader or not self._cold.has_cold:
+            self._send_decisions(self.allocator.retry_waiting(now))
         self._send_decisions(self.allocator.expire(now))
 
     async def _send_heartbeats(self) -> None:
--- a/sapphireseam/control/record.py
+++ b/sapphireseam/control/record.py
@@ -181,7 +181,7 @@
     """The whole replicated state.
 
     The fields with defaults are missing from older snapshots; see `complete`. The keys
-    of `crashes` are the runs that ended, those of `ceilings` all runs that name one,
+    of `crashes` are the runs that ended, those of `ceilings` the ceilings' own,
     and those of the fields between them are traits.
     """
 
--- a/sapphireseam/core/ceiling.py
+++ b/sapphireseam/core/ceiling.py
@@ -1,7 +1,8 @@
-"""Defines the limit that an upstream names for itself, its ceiling.
+"""Defines the limit of an upstream, its ceiling.
 
-It is how many requests a second the upstream takes from all senders together, for as
-long as its answers name it.
+It is how many requests a second the upstream takes from all senders together. One that
+the upstream names holds as long as its answers name it. That of a cold upstream ends
+with time.
 """
 
 import re
@@ -18,13 +19,31 @@
 class Ceiling(NamedTuple):
     """The ceiling of one run of an upstream, in requests per second.
 
-    It has been named since `since`, in seconds of the wall clock.
+    It has been named since `since`, in seconds of the wall clock. That of a run that
+    `is_cold` ends `seconds` after a process learned of it, at the latest. A run may
+    have one of each kind.
     """
 
     upstream: str
     run: str
     rate: float
     since: float = 0.0
+    is_cold: bool = False
+    seconds: float = 0.0
+
+    @property
+    def key(self) -> str:
+        """Return the name that this ceiling has among all."""
+        return make_key(self.run, self.is_cold)
+
+
+def make_key(run: str, is_cold: bool) -> str:
+    """Return the name of a run's ceiling of one kind; that which it names has its own.
+
+    >>> make_key("i-1/7", False), make_key("i-1/7", True)
+    ('i-1/7', 'i-1/7 cold')
+    """
+    return f"{run} cold" if is_cold else run
 
 
 def parse_rate(text: str) -> float | None:
--- a/sapphireseam/core/command.py
+++ b/sapphireseam/core/command.py
@@ -238,13 +238,15 @@
 class ReportCeiling(NamedTuple):
     """Record the requests per second that a run of an upstream takes; 0 ends it.
 
-    The leader sets `at`.
+    The leader sets `at`. A run that `is_cold` takes no more for `seconds`.
     """
 
     upstream: str
     run: str
     rate: float
     at: float
+    is_cold: bool = False
+    seconds: float = 0.0
 
 
 class ClearTraits(NamedTuple):
--- a/sapphireseam/core/fleet.py
+++ b/sapphireseam/core/fleet.py
@@ -114,11 +114,17 @@
     `connections` is how many connections one upstream accepts from all callers
     together. An upstream that failed is probed at `probe_path` until it answers. With
     `tells_load`, the answer to a probe lists the requests that the upstream runs.
+
+    A cold upstream gets at most `cold_rate` requests a second from all callers
+    together; 0 sets no limit. It is cold for `cold_seconds` after its start, and
+    whenever it says so.
     """
 
     connections: Annotated[int, Field(ge=1, le=MAX_COUNT)] = 64
     probe_path: Annotated[str, Field(pattern=r"^/[!-~]*$")] = "/"
     tells_load: bool = False
+    cold_rate: NotNegative = 0.0
+    cold_seconds: NotNegative = 0.0
 
 
 class Route(NamedTuple):
--- a/sapphireseam/entry/discovery.py
+++ b/sapphireseam/entry/discovery.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from sapphireseam.core import fleet
-from sapphireseam.core.instance import Instance
+from sapphireseam.core.instance import Instance, get_run_name
 from sapphireseam.entry.authorizer import Authorizer
 from sapphireseam.entry.bulk import BulkJobClient
 from sapphireseam.entry.direct import DirectForwarder
@@ -132,6 +132,8 @@
         meter,
         timer,
         ceiling_monitor.read_rates,
+        ceiling_monitor.read_cold,
+        lambda: mirror.fleet.services,
     )
     connection_closer = _ConnectionCloser(upstreams)
     run_monitor = _RunMonitor(mirror, upstreams)
@@ -144,7 +146,15 @@
         placer.report_leaving(instance)
         run_monitor.add(instance)
 
+    def handle_cold(instance: Instance, seconds: float) -> None:
+        service = mirror.fleet.services.get(instance.service, fleet.Service())
+        run = get_run_name(instance)
+        if seconds and service.cold_rate and run not in ceiling_monitor.read_cold():
+            rate = service.cold_rate
+            ceiling_monitor.record_cold(instance.id, run, rate, seconds)
+
     placer.on_instances = handle_instances
+    upstreams.on_cold = handle_cold
     upstreams.on_leaving = handle_leaving
     gate = QuarantineGate(mirror, client, timer)
     crash_detector = crash.CrashDetector(
--- a/sapphireseam/entry/placer.py
+++ b/sapphireseam/entry/placer.py
@@ -4,8 +4,9 @@
 entry places requests by the last instance list that it received and by the
 requests that it has running itself. Each customer then gets no more than the
 deployment's fallback limits allow, and each upstream that names a ceiling no more
-than this entry's part of it. Without this, all requests would be refused
-for the second that an election takes.
+than this entry's part of it. Cold upstreams get nothing from an entry that places
+alone, as the parts of all entries would sum up to too much. Without this, all requests
+would be refused for the second that an election takes.
 """
 
 import asyncio
@@ -15,8 +16,9 @@
 from typing import NamedTuple
 
 from sapphireseam.core import error, fleet, message, placement
+from sapphireseam.core.ceiling import Ceiling
 from sapphireseam.core.instance import Instance
-from sapphireseam.policy import allocator, fallback, origin
+from sapphireseam.policy import allocator, coldstart, fallback, origin
 from sapphireseam.utils import metric, rpc
 from sapphireseam.utils.application import TaskGroup
 from sapphireseam.utils.client import ControlClient
@@ -86,9 +88,16 @@
         meter: metric.Meter,
         timer: TimerService,
         read_ceilings: Callable[[], Mapping[str, float]] = dict,
+        read_cold: Callable[[], Mapping[str, Ceiling]] = dict,
+        read_services: Callable[[], Mapping[str, fleet.Service]] = dict,
     ):
         self._meter = meter
         self._read_ceilings = read_ceilings
+        self._read_cold = read_cold
+        self._read_services = read_services
+        # Knows the runs of which the watch may not tell yet that they are cold.
+        self._cold = coldstart.ColdTracker(coldstart.UNKNOWN_SECONDS)
+        self._cold_rates: dict[str, float] = {}
         self.on_instances: Callable[[tuple[Instance, ...]], None] = lambda _: None
         self._node = node
         self._domain = domain
@@ -211,7 +220,9 @@
 
     def _update_instances(self, instances: tuple[Instance, ...]) -> None:
         """Use a list, which may not show yet which instances leave."""
-        self._allocator.update(instances, self._timer.read_clock())
+        now = self._timer.read_clock()
+        self._cold.record_list(instances, {}, self._read_services(), now)
+        self._allocator.update(instances, now)
         listed = {placement.Leaving(each.id, each.born) for each in instances}
         self._leaving &= listed
         for item in self._leaving:
@@ -369,9 +380,23 @@
         return slot
 
     def update_ceilings(self) -> None:
-        """Use this entry's part of each ceiling for what it places itself."""
+        """Use this entry's part of each ceiling for what it places itself.
+
+        It has no part of those of cold upstreams.
+        """
         now, share = self._timer.read_clock(), 1.0 / self._entry_count
         self._allocator.set_ceilings(self._read_ceilings(), now, share)
+        self._cold.expire(now)
+        rates = {run: each.rate for run, each in self._read_cold().items()}
+        rates |= self._cold.read_rates()
+        if rates != self._cold_rates:
+            self._cold_rates = rates
+            self._allocator.set_cold(rates, now, 0.0)
+
+    def on_returned(self, domain: str) -> None:
+        """Presume that the upstreams of a failure domain, which is back, are cold."""
+        now = self._timer.read_clock()
+        self._cold.record_returned(domain, self._read_services(), now)
 
     def release(
         self,
--- a/sapphireseam/platform/control.py
+++ b/sapphireseam/platform/control.py
@@ -68,7 +68,12 @@
         await report.stop_run(upstreams, instance, request, target)
 
     integration = control.Integration(
-        replicas, upstreams, probe, stop_run, make_operator_server
+        replicas,
+        upstreams,
+        probe,
+        stop_run,
+        make_operator_server,
+        lambda: replicas.cold_left,
     )
     application = control.build(
         make_settings(settings), timer, integration, predecessor_ended
--- a/sapphireseam/platform/dialect.py
+++ b/sapphireseam/platform/dialect.py
@@ -1,5 +1,6 @@
 """Reads and writes the HTTP headers that the platform defines."""
 
+import re
 from collections.abc import Mapping
 
 from multidict import CIMultiDictProxy
@@ -27,6 +28,8 @@
 LEAVING_VALUE = "1"
 # The requests per second that a replica takes from all machines together.
 CEILING = "Server-Limit"
+# The milliseconds for which a replica stays cold.
+COLD = "X-Cold-Ms"
 KEY = "Authorization"
 KEY_SCHEME = "token "
 # Headers of a client's request whose text is sent to other processes or compared.
@@ -34,6 +37,10 @@
 
 MISDIRECTED_STATUS = 421
 MILLISECONDS_PER_SECOND = 1000.0
+# Longest text of a time, in characters.
+MAX_TIME_LENGTH = 16
+
+_DECIMAL = re.compile(r"[0-9]+(?:\.[0-9]+)?", re.ASCII)
 
 # Headers that apply to one connection, contain a key, or are set here.
 _DROPPED_HEADERS = frozenset(
@@ -102,6 +109,18 @@
     return tuple(id for id in ids if id)
 
 
+def read_milliseconds(text: str) -> float | None:
+    """Return the seconds that a text names in milliseconds, None if it isn't valid.
+
+    >>> read_milliseconds(" 1500 "), read_milliseconds("2.5"), read_milliseconds("-1")
+    (1.5, 0.0025, None)
+    """
+    text = text.strip()
+    if len(text) > MAX_TIME_LENGTH or not _DECIMAL.fullmatch(text):
+        return None
+    return float(text) / MILLISECONDS_PER_SECOND
+
+
 class ReplicaDialect:
     """Writes the headers of requests to replicas and reads the headers of answers."""
 
@@ -138,6 +157,18 @@
         """Return the limit that a replica names; None from another replica."""
         return None if status == MISDIRECTED_STATUS else headers.get(CEILING, "")
 
+    def read_cold_seconds(
+        self, instance: Instance, status: int, headers: CIMultiDictProxy[str]
+    ) -> float | None:
+        """Return for how many seconds a replica says that it stays cold, if it does.
+
+        The answer of another replica at the address, and a malformed time, say nothing.
+        """
+        id = headers.get(INSTANCE, instance.id)
+        if status == MISDIRECTED_STATUS or id != instance.id:
+            return None
+        return read_milliseconds(headers.get(COLD, ""))
+
     def is_signed(self, headers: CIMultiDictProxy[str]) -> bool:
         """Return whether an answer has a header that only replicas send."""
         return any(name in headers for name in (INSTANCE, NOT_RUN, SIGNATURE))
--- a/sapphireseam/platform/document.py
+++ b/sapphireseam/platform/document.py
@@ -61,6 +61,9 @@
     health_path: str = "/"
     max_connections: int = 64
     engine: dict[str, Any] | None = None
+    # The requests per second of a cold replica, and how long a start makes it cold.
+    cold_per_s: float = 0
+    cold_start_s: float = 0
 
 
 class Limits(msgspec.Struct):
@@ -193,6 +196,8 @@
         "connections": service.max_connections,
         "probe_path": probe,
         "tells_load": service.engine is not None,
+        "cold_rate": max(service.cold_per_s, 0),
+        "cold_seconds": max(service.cold_start_s, 0),
     }
 
 
--- a/sapphireseam/platform/listing.py
+++ b/sapphireseam/platform/listing.py
@@ -10,7 +10,7 @@
 import aiohttp
 
 from sapphireseam.core import error, jsonarray, jsontext, number
-from sapphireseam.core.instance import Instance
+from sapphireseam.core.instance import Instance, get_run_name
 from sapphireseam.utils import framing
 
 logger = logging.getLogger(__name__)
@@ -33,6 +33,7 @@
 # Values from which on a count doesn't fit into a message.
 COUNT_LIMIT = 2**63
 MAX_TEXT_LENGTH = 255
+MILLISECONDS_PER_SECOND = 1000.0
 
 _STATES = ("ready", "draining")
 _ADDRESS = re.compile(
@@ -56,11 +57,14 @@
         self._url = f"http://{address}/instances"
         self._session: aiohttp.ClientSession | None = None
         self._logged_entries: set[str] = set()
+        # For how many seconds the runs of the last list stay cold, as far as it says.
+        self.cold_left: dict[str, float] = {}
         self._unreadable: deque[bytes] = deque(maxlen=MAX_REMEMBERED_ENTRIES)
 
     async def list(self) -> tuple[Instance, ...]:
         """Return the listed replicas; malformed entries are skipped."""
         found: dict[str, Instance] = {}
+        cold_left: dict[str, float] = {}
         name = ""
         names = {name}
         size = 0
@@ -74,7 +78,11 @@
                 instance = self._read_entry(entry)
                 if instance is not None:
                     found[instance.id] = instance
+                    seconds = read_cold_seconds(entry)
+                    if seconds is not None:
+                        cold_left[get_run_name(instance)] = seconds
             if not page.next:
+                self.cold_left = cold_left
                 return tuple(sorted(found.values()))
             name = page.next
             if name in names:
@@ -189,6 +197,20 @@
     return Instance(name, service, address, zone, slots, is_leaving, born, version)
 
 
+def read_cold_seconds(entry: dict[str, Any]) -> float | None:
+    """Return for how many seconds an entry's replica stays cold, None if unknown.
+
+    >>> read_cold_seconds({"cold_left_ms": 1500}), read_cold_seconds({})
+    (1.5, None)
+    """
+    value = entry.get("cold_left_ms")
+    if not isinstance(value, int | float) or isinstance(value, bool):
+        return None
+    if not 0 <= value < COUNT_LIMIT:
+        return None
+    return value / MILLISECONDS_PER_SECOND
+
+
 def _is_name(value: Any) -> bool:
     """Return whether a value is a text that each process can send and log."""
     return (
--- a/sapphireseam/platform/report.py
+++ b/sapphireseam/platform/report.py
@@ -5,6 +5,7 @@
 """
 
 import logging
+from typing import Any
 
 import msgspec
 
@@ -26,10 +27,11 @@
 class Report(msgspec.Struct):
     """A replica's running requests, as of some hundred milliseconds ago.
 
-    Each of `runs` begins with the request's id.
+    Each of `runs` begins with the request's id. `born` is the replica's start.
     """
 
     runs: list[list] = []
+    born: Any = 0
 
 
 class Move(msgspec.Struct):
@@ -56,7 +58,7 @@
     The answer to a plain health check contains none.
 
     >>> read_report(b'{"num_running": 7, "runs": [["a", 9, 2, 0]], "stage": "both"}')
-    ProbeResult(ids=('a',))
+    ProbeResult(ids=('a',), born=0)
     >>> read_report(b"ok").ids
     ()
     """
@@ -65,9 +67,9 @@
     except jsontext.JsonError:
         logger.debug("answer has no list of running requests")
         return ProbeResult(())
-    return ProbeResult(
-        tuple(run[0] for run in report.runs if run and _is_string(run[0]))
-    )
+    born = report.born if type(report.born) is int else 0
+    ids = tuple(run[0] for run in report.runs if run and _is_string(run[0]))
+    return ProbeResult(ids, born)
 
 
 def _is_string(value: object) -> bool:
--- a/sapphireseam/policy/allocator.py
+++ b/sapphireseam/policy/allocator.py
@@ -24,6 +24,7 @@
 
 An upstream that names a ceiling gets no more requests a second than that, online
 requests before batch requests (policy/ceiling.py). The other upstreams take the rest.
+So does one that is cold (policy/coldstart.py); it comes after those that aren't.
 
 The upstreams (policy/upstreampool.py) and the waiting requests (policy/waitlist.py) of
 a service are kept in order, so a decision takes about the same time in a small and in a
@@ -70,6 +71,12 @@
         # The ceilings by run, and the part of them that this process may use.
         self._rates: Mapping[str, float] = {}
         self._ceiling_share = 1.0
+        # The same for the runs that are cold.
+        self._cold_rates: Mapping[str, float] = {}
+        self._cold_share = 1.0
+        # How many requests of each service weren't placed at once while a cold upstream
+        # had a free slot.
+        self.held_back: Counter[str] = Counter()
         # The upstreams that have a ceiling.
         self._limited: list[UpstreamLoad] = []
         self._loads: dict[str, UpstreamLoad] = {}
@@ -150,15 +157,31 @@
         self._apply_rates(now)
         return self._place_waiting(now)
 
+    def set_cold(
+        self, rates: Mapping[str, float], now: float, share: float = 1.0
+    ) -> list[Grant]:
+        """Set the ceilings of the cold runs, of which this allocator may use `share`.
+
+        Return new grants.
+        """
+        self._cold_rates, self._cold_share = dict(rates), share
+        self._apply_rates(now)
+        return self._place_waiting(now)
+
     def _apply_rates(self, now: float) -> None:
         for load in self._loads.values():
-            rate = self._rates.get(get_run_name(load.instance))
+            run = get_run_name(load.instance)
+            rate, cold_rate = self._rates.get(run), self._cold_rates.get(run)
+            share, is_cold = self._ceiling_share, cold_rate is not None
+            if cold_rate is not None:
+                rate = min(cold_rate, rate or cold_rate)
+                share = self._cold_share
             if rate is None:
                 load.ceiling = None
             elif load.ceiling is None:
-                load.ceiling = CeilingBucket(rate, now, self._ceiling_share)
+                load.ceiling = CeilingBucket(rate, now, share, is_cold)
             else:
-                load.ceiling.configure(rate, now, self._ceiling_share)
+                load.ceiling.configure(rate, now, share, is_cold)
             self._refresh(load)
         loads = self._loads.values()
         self._limited = [load for load in loads if load.ceiling is not None]
@@ -178,6 +201,11 @@
         """Place the requests for which a ceiling has room by now."""
         return self._place_waiting(now) if self._limited else []
 
+    def read_cold_counts(self) -> dict[str, int]:
+        """Return how many requests were sent to each cold run while it was cold."""
+        cold = (load for load in self._limited if load.is_cold)
+        return {get_run_name(load.instance): load.ceiling.taken for load in cold}
+
     def read_ceilings(self) -> dict[str, float]:
         """Return the ceilings in force, in requests per second by instance."""
         return {load.instance.id: load.ceiling.rate for load in self._limited}
@@ -285,12 +313,18 @@
         grant = self._try_place(request, now)
         if grant is not None:
             return grant
+        if any(self._is_held_back(load, request) for load in self._limited):
+            self.held_back[request.service] += 1
         refusal = self._check_wait(request, now)
         if refusal is None:
             running = self._online_counts[request.service, request.customer]
             self._get_waitlist(request.service).add(request, running)
         return refusal
 
+    def _is_held_back(self, load: UpstreamLoad, request: SlotRequest) -> bool:
+        is_free = load.is_cold and load.is_usable and load.free_slots > 0
+        return is_free and load.instance.service == request.service
+
     def has_batch_slot(self, service: str, now: float) -> bool:
         """Return whether a slot is free for batch work of a service."""
         if self._do_requests_wait(service):
--- a/sapphireseam/policy/occupancy.py
+++ b/sapphireseam/policy/occupancy.py
@@ -17,6 +17,8 @@
 MAX_SLOWNESS = 8.0
 # Added to the load of an upstream in another failure domain, in slots.
 DISTANCE_SLOTS = 0.3
+# Least ratio between the pace of a cold upstream and that of the fastest one.
+COLD_SLOWNESS = 2.0
 
 
 class PlacedRequest(NamedTuple):
@@ -77,6 +79,11 @@
         """Return the number of free slots."""
         return self.instance.slots - len(self.requests) - self.external
 
+    @property
+    def is_cold(self) -> bool:
+        """Return whether the instance is cold."""
+        return self.ceiling is not None and self.ceiling.is_cold
+
     def can_take(self, now: float, is_batch: bool = False) -> bool:
         """Return whether one more request may be placed at the instance now."""
         if self.free_slots <= 0:
@@ -119,10 +126,12 @@
     def describe(self) -> str:
         """Return the load as `online+batch+external/slots`, for the log.
 
-        " leaving", " benched" (ejected) and the ceiling are appended where they apply.
+        " leaving", " benched" (ejected), " cold" and the ceiling are appended if they
+        apply.
         """
         mark = " leaving" if self.is_leaving else ""
         mark += " benched" if self.is_ejected else ""
+        mark += " cold" if self.is_cold else ""
         if self.ceiling is not None:
             mark += f" {self.ceiling.rate:.3g}/s"
         online = len(self.requests) - self.batch_count
@@ -140,5 +149,7 @@
     slowness = 1.0
     if load.pace and fastest:
         slowness = min(load.pace / fastest, MAX_SLOWNESS)
+    if load.is_cold:
+        slowness = max(slowness, COLD_SLOWNESS)
     distance = 0.0 if load.instance.domain == domain else DISTANCE_SLOTS
     return (len(load.requests) + load.external + 1 + distance) * slowness
--- a/sapphireseam/utils/ceiling.py
+++ b/sapphireseam/utils/ceiling.py
@@ -4,6 +4,9 @@
 process uses what it has heard itself at once. The first answer without a ceiling ends
 it, unless the request was sent before this process knew of the ceiling: then the answer
 may be older than what another process has heard.
+
+Ceilings of cold upstreams are reported in the same way. They end when the leader says
+so (control/placement.py).
 """
 
 import logging
@@ -45,7 +48,7 @@
         self._read_known = read_known
         self._propose = propose
         self._timer = timer
-        # What was heard here and may not be known by the watch yet, by run.
+        # What was heard here and may not be known by the watch yet, by its key.
         self._heard: dict[str, Ceiling] = {}
         self._reporting: set[str] = set()
         self._invalid: dict[str, str] = {}
@@ -65,8 +68,20 @@
 
     def read_rates(self) -> dict[str, float]:
         """Return all ceilings in requests per second by run."""
+        return {each.run: each.rate for each in self._list() if not each.is_cold}
+
+    def read_cold(self) -> dict[str, Ceiling]:
+        """Return the ceilings of all cold upstreams by run."""
+        return {each.run: each for each in self._list() if each.is_cold}
+
+    def _list(self) -> list[Ceiling]:
         known = {**self._read_known(), **self._heard}
-        return {run: each.rate for run, each in known.items() if each.rate}
+        return [each for each in known.values() if each.rate]
+
+    def record_cold(self, upstream: str, run: str, rate: float, seconds: float) -> None:
+        """Report that a run is cold, or with a rate of 0 that it isn't any more."""
+        now = self._timer.read_wall_clock()
+        self._hear(Ceiling(upstream, run, rate, now, True, seconds))
 
     def record_answer(
         self, upstream: str, run: str, text: str, rate_at_sending: float
@@ -85,11 +100,15 @@
         if not rate and not rate_at_sending:
             return
         now = self._timer.read_wall_clock()
-        self._heard[run] = Ceiling(upstream, run, rate, now)
+        self._hear(Ceiling(upstream, run, rate, now))
         self.on_heard()
-        if run not in self._reporting:
-            self._reporting.add(run)
-            self._tasks.spawn(self._report(run))
+
+    def _hear(self, ceiling: Ceiling) -> None:
+        key = ceiling.key
+        self._heard[key] = ceiling
+        if key not in self._reporting:
+            self._reporting.add(key)
+            self._tasks.spawn(self._report(key))
 
     def _log_invalid(self, upstream: str, run: str, text: str) -> None:
         """Log a text that is no ceiling, once while it stays the same."""
@@ -100,28 +119,26 @@
         while len(self._invalid) > INVALID_LIMIT:
             del self._invalid[next(iter(self._invalid))]
 
-    async def _report(self, run: str) -> None:
-        """Report what was heard of a run until the newest is accepted or too old."""
+    async def _report(self, key: str) -> None:
+        """Report what was heard until the newest is accepted or too old."""
         end = self._timer.read_clock() + MAX_AGE_SECONDS
         while True:
-            heard = self._heard[run]
+            heard = self._heard[key]
             is_accepted = await self._send(heard)
             if self._timer.read_clock() >= end:
                 break
             if not is_accepted:
                 await self._timer.sleep(RETRY_SECONDS)
-            elif self._heard[run] is heard:
+            elif self._heard[key] is heard:
                 break
-        self._reporting.discard(run)
+        self._reporting.discard(key)
         await self._timer.sleep(SETTLE_SECONDS)
-        if self._heard.get(run) is heard:
-            del self._heard[run]
+        if self._heard.get(key) is heard:
+            del self._heard[key]
 
     async def _send(self, heard: Ceiling) -> bool:
         """Return whether a report was accepted."""
-        report = command.ReportCeiling(
-            heard.upstream, heard.run, heard.rate, heard.since
-        )
+        report = command.ReportCeiling(*heard)
         try:
             await self._propose(report)
         except error.SeamError as failure:
--- a/sapphireseam/utils/fakeupstream.py
+++ b/sapphireseam/utils/fakeupstream.py
@@ -22,6 +22,7 @@
 REMAINING = "Fake-Remaining"
 LEAVING = "Fake-Leaving"
 CEILING = "Fake-Ceiling"
+COLD = "Fake-Cold"
 # Lists the parts of a request's prompt, separated by commas.
 PARTS = "Fake-Parts"
 HEALTH_PATH = "/"
@@ -66,6 +67,12 @@
         """Return the requests per second that the upstream names."""
         return headers.get(CEILING, "")
 
+    def read_cold_seconds(
+        self, instance: Instance, status: int, headers: CIMultiDictProxy[str]
+    ) -> float | None:
+        """Return for how many seconds the upstream says that it stays cold."""
+        return float(headers[COLD]) if COLD in headers else None
+
     def is_signed(self, headers: CIMultiDictProxy[str]) -> bool:
         """Return whether the answer is that of a fake upstream."""
         return ID in headers
--- a/sapphireseam/utils/metric.py
+++ b/sapphireseam/utils/metric.py
@@ -250,6 +250,28 @@
     "As for `seam_upstream_ceiling`.",
     is_discovery=True,
 )
+COLD = Metric(
+    "seam.cold",
+    Form.GAUGE,
+    "",
+    ("upstream",),
+    _CONTROL,
+    "Requests per second that a cold upstream gets from all senders together. Only the"
+    " leader exports it.",
+    "Stays for much longer than an upstream takes to start: it says that it is cold, or"
+    " starts again and again.",
+    is_discovery=True,
+)
+COLD_HELD = Metric(
+    "seam.cold.held_back",
+    Form.COUNTER,
+    "",
+    ("service",),
+    _CONTROL,
+    "Requests that couldn't be placed at once while a cold upstream had a free slot.",
+    "Grows after each release: too many upstreams are replaced at once.",
+    is_discovery=True,
+)
 BULK_ITEMS = Metric(
     "seam.lot.items",
     Form.GAUGE,
@@ -359,6 +381,8 @@
     UPSTREAM_CEILING_AGE,
     CEILING,
     CEILING_AGE,
+    COLD,
+    COLD_HELD,
     BULK_ITEMS,
     LEADER,
     TERM,
--- a/sapphireseam/utils/mirror.py
+++ b/sapphireseam/utils/mirror.py
@@ -212,7 +212,7 @@
             case notice.VerdictChange():
                 self._apply_verdicts(item)
             case notice.CeilingChange():
-                self.ceilings = {each.run: each for each in item.ceilings}
+                self.ceilings = {each.key: each for each in item.ceilings}
             case message.Failure():
                 raise rpc.unpack_failure(item)
         for listener in self._listeners:
@@ -242,7 +242,7 @@
         self.keys = {entry.id: entry for entry in item.keys}
         self.leaving = set(item.leaving)
         self.verdicts = {each.trait: each for each in item.verdicts}
-        self.ceilings = {each.run: each for each in item.ceilings}
+        self.ceilings = {each.key: each for each in item.ceilings}
         self._apply_configuration(
             item.revision, jsontext.parse(codec.decompress(item.document))
         )
--- a/sapphireseam/utils/outbound.py
+++ b/sapphireseam/utils/outbound.py
@@ -126,6 +126,17 @@
         Return None if the answer isn't of the upstream to which the request was sent.
         """
 
+    def read_cold_seconds(
+        self,
+        instance: instances.Instance,
+        status: int,
+        headers: CIMultiDictProxy[str],
+    ) -> float | None:
+        """Return for how many seconds an answer says that its upstream stays cold.
+
+        Return None if it doesn't say so, or isn't of `instance`.
+        """
+
     def is_signed(self, headers: CIMultiDictProxy[str]) -> bool:
         """Return whether an answer has a header that only upstreams send."""
 
@@ -344,6 +355,8 @@
 
     def __init__(self, dialect: Dialect):
         self.on_leaving: Callable[[instances.Instance], None] = lambda _: None
+        # Called with the seconds for which an answer says that its upstream is cold.
+        self.on_cold: Callable[[instances.Instance, float], None] = lambda *_: None
         # Hears the ceilings that upstreams name, if it is set.
         self.ceiling_monitor: CeilingMonitor | None = None
         self._dialect = dialect
@@ -443,6 +456,7 @@
         try:
             head = self._read_head(request, response)
             self._record_ceiling(instance, response, rate)
+            self._record_cold(instance, response)
             yield Answer(head, response, buffer)
         finally:
             buffer.close()
@@ -466,6 +480,15 @@
             run = instances.get_run_name(instance)
             self.ceiling_monitor.record_answer(instance.id, run, named, rate_at_sending)
 
+    def _record_cold(
+        self, instance: instances.Instance, response: framing.FramedResponse
+    ) -> None:
+        seconds = self._dialect.read_cold_seconds(
+            instance, response.status, response.headers
+        )
+        if seconds is not None:
+            self.on_cold(instance, seconds)
+
     def is_signed(self, headers: CIMultiDictProxy[str]) -> bool:
         """Return whether an answer has a header that only upstreams send."""
         return self._dialect.is_signed(headers)
@@ -536,6 +559,7 @@
                         self._record_leaving(instance)
                     if self._dialect.read_id(response.headers):
                         raise framing.MalformedAnswerError("it belongs to a request")
+                    self._record_cold(instance, response)
                     body = await response.read_body(MAX_REPLY_BYTES)
                     return Reply(response.status, body)
         except (aiohttp.ClientError, OSError, ValueError) as failure:
