--- a/sapphireseam/control/placement.py
+++ b/sapphireseam/control/placement.py
@@ -257,30 +257,36 @@
         self._cold.expire(now)
         rates = self._cold.read_rates()
         if self._replica.is_leader:
+            self._log_cold(now)
             self._tell_cold(now)
-            counts = self.allocator.read_cold_counts()
-            for run in self._cold_rates.keys() - rates.keys():
-                detail = {"run": run, "sent": counts.get(run, 0)}
-                logger.info("upstream is cold no more", extra=detail)
         if rates != self._cold_rates:
             self._cold_rates = rates
             self._send_decisions(self.allocator.set_cold(rates, now))
             self.on_slot_free()
 
+    def _log_cold(self, now: float) -> None:
+        """Log who is cold from now on and for how long, and who isn't any more."""
+        cold = self._cold.read_cold()
+        for run in cold.keys() - self._cold_rates.keys():
+            each = cold[run]
+            detail = {
+                "upstream": each.upstream,
+                "run": run,
+                "requests_per_second": each.rate,
+                "seconds": round(each.end - now, 3),
+                "is_presumed": each.is_presumed,
+            }
+            logger.info("upstream is cold", extra=detail)
+        counts = self.allocator.read_cold_counts()
+        for run in self._cold_rates.keys() - cold.keys():
+            detail = {"run": run, "sent": counts.get(run, 0)}
+            logger.info("upstream is cold no more", extra=detail)
+
     def _tell_cold(self, now: float) -> None:
         """Report to the log what it doesn't say of the cold runs."""
         for run, each in self._cold.list_untold().items():
-            seconds = each.end - now
-            if not each.told:
-                detail = {
-                    "upstream": each.upstream,
-                    "run": run,
-                    "requests_per_second": each.rate,
-                    "seconds": round(seconds, 3),
-                    "is_presumed": each.is_presumed,
-                }
-                logger.info("upstream is cold", extra=detail)
             self._cold.mark_told(run)
+            seconds = each.end - now
             self.ceiling_monitor.record_cold(each.upstream, run, each.rate, seconds)
         cold = self._cold.read_cold()
         for run, known in self.ceiling_monitor.read_cold().items():
--- a/sapphireseam/control/placement_test.py
+++ b/sapphireseam/control/placement_test.py
@@ -2,16 +2,20 @@
 
 import asyncio
 import itertools
+import json
+import types
 import unittest
 
 from sapphireseam.control import placement as placements
 from sapphireseam.control.machine import StateMachine
-from sapphireseam.core import placement
+from sapphireseam.core import command, error, placement
 from sapphireseam.core.instance import Instance
+from sapphireseam.policy import allocator
 from sapphireseam.tools.fake import FakeReplica
 from sapphireseam.utils.timer import FakeTimer
 
 INSTANCE = Instance("i1", "llm", "10.0.0.1:80", "z", 4)
+LIMITS = types.SimpleNamespace(contracts={})
 
 
 class EntryStream:
@@ -33,19 +37,21 @@
 class PlacementServerTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.timer = FakeTimer()
-        machine = StateMachine()
-        replica = FakeReplica(machine)
+        self.machine = machine = StateMachine()
+        self.replica = replica = FakeReplica(machine)
         replica.leader, replica.members = "", ()
         self.probed = []
+        # The start of upstreams that probes show.
+        self.born = 0
         self.server = placements.PlacementServer(
-            replica, machine, None, self.probe, None, self.timer
+            replica, machine, LIMITS, self.probe, None, self.timer
         )
         await self.server.start()
         self.addAsyncCleanup(self.server.stop)
 
     async def probe(self, instance, path, seconds):
         self.probed.append(instance.id)
-        return placements.ProbeResult(())
+        return placements.ProbeResult((), self.born)
 
     async def attach(self, count):
         streams = [EntryStream(self.timer) for _ in range(count)]
@@ -118,6 +124,83 @@
         slots = self.server.allocator.count_slots("llm")
         self.assertEqual(slots, INSTANCE.slots + other.slots)
 
+    async def start_cold(self):
+        """Let a second control VM follow the log of the first."""
+        document = {"services": {"llm": {"cold_rate": 20.0, "cold_seconds": 3.0}}}
+        item = command.PublishNumbered(1, json.dumps(document).encode(), b"", 0.0)
+        await self.replica.propose(command.REGISTRY.encode(item))
+        replica = FakeReplica(self.machine)
+        replica.leader, replica.members, replica.is_leader = "", (), False
+        other = placements.PlacementServer(
+            replica, self.machine, LIMITS, self.probe, None, self.timer
+        )
+        await other.start()
+        self.addAsyncCleanup(other.stop)
+        return replica, other
+
+    async def send(self, server, seconds, name):
+        """Place requests at a server for a while; return when they were sent."""
+        sent = []
+        for number in range(round(seconds / 0.02)):
+            await self.timer.advance(0.02)
+            now = self.timer.read_clock()
+            for key in (f"{name}:{number}a", f"{name}:{number}b"):
+                request = allocator.SlotRequest(key, "llm", "c", 0, "z", now, now)
+                if isinstance(server.allocator.place(request, now), allocator.Grant):
+                    sent.append(now)
+                    server.allocator.release(key, now)
+        return sent
+
+    async def test_a_cold_upstream_gets_its_rate_under_two_leaders(self):
+        """The second leader's list doesn't show yet that the upstream is cold."""
+        replica, other = await self.start_cold()
+        self.server.update_instances((INSTANCE,), {"i1/0": 4.0})
+        await self.advance(0.1)
+        self.assertEqual(set(self.machine.state.ceilings), {"i1/0 cold"})
+        first = await self.send(self.server, 0.7, "9")
+        self.replica.is_leader, replica.is_leader = False, True
+        other.update_instances((INSTANCE,), {"i1/0": 0.0})
+        sent = first + await self.send(other, 2.0, "9")
+        most = max(sum(s <= at < s + 1.0 for at in sent) for s in sent)
+        self.assertLessEqual(most, 20)
+        self.assertGreater(len(sent), 0.8 * 2.7 * 20)
+        await self.advance(2.0)
+        other.update_instances((INSTANCE,), {"i1/0": 0.0})
+        await self.advance(0.1)
+        self.assertEqual(other.allocator.read_ceilings(), {})
+        self.assertEqual(self.machine.state.ceilings, {})
+
+    async def test_an_upstream_that_comes_back_may_be_cold(self):
+        await self.start_cold()
+        other = INSTANCE._replace(id="i2", domain="y", born=5)
+        listed = (INSTANCE, other)
+        self.server.update_instances(listed, {"i1/0": 0.0, "i2/5": 0.0})
+        read = self.server.allocator.read_ceilings
+        for is_same, expected in ((True, set()), (False, {"i2"})):
+            self.born = 5 if is_same else 6
+            self.server.eject(other.id)
+            await self.advance(0.5)
+            self.assertEqual(set(read()), expected)
+        self.server.record_cold(other, 0.0)
+        self.assertEqual(read(), {})
+        self.server.on_returned("z")
+        self.assertEqual(set(read()), {"i1"})
+        await self.advance(2.1)
+        self.assertEqual(read(), {})
+
+    async def test_a_leader_that_lost_its_lease_places_nothing_where_some_are_cold(
+        self,
+    ):
+        await self.start_cold()
+        self.server.update_instances((INSTANCE,), {"i1/0": 4.0})
+        (stream,) = await self.attach(1)
+        await self.advance(0.3)
+        self.replica.is_leader = False
+        (entry,) = self.server._entries.values()
+        place = placement.Place(1, "r", "llm", "c", 0, 0.1, (), False)
+        await self.server._place(entry, {1}, place)
+        self.assertEqual(stream.received[-1].kind, error.Kind.NOT_LEADER)
+
     async def test_every_entry_hears_from_the_leader_often_enough(self):
         self.server.update_instances((INSTANCE,))
         streams = await self.attach(3)
--- a/sapphireseam/core/ceiling.py
+++ b/sapphireseam/core/ceiling.py
@@ -12,6 +12,8 @@
 MAX_RATE = 1_000_000.0
 # Longest text of a ceiling, in characters.
 MAX_TEXT_LENGTH = 32
+# An upstream that says that it stays cold for longer is mistaken.
+MAX_COLD_SECONDS = 3600.0
 
 _DECIMAL = re.compile(r"[0-9]+(\.[0-9]*)?|\.[0-9]+")
 
--- a/sapphireseam/entry/placer_test.py
+++ b/sapphireseam/entry/placer_test.py
@@ -4,6 +4,7 @@
 import unittest
 
 from sapphireseam.core import error, fleet, placement
+from sapphireseam.core.ceiling import Ceiling
 from sapphireseam.core.instance import Instance
 from sapphireseam.entry import placer
 from sapphireseam.policy import fallback
@@ -103,9 +104,11 @@
         self.leader = FakeLeader()
         self.client = FakeClient(self.leader)
         contract = fleet.Contract(10.0, 10.0)
+        self.cold, self.services = {}, {}
         self.placer = placer.Placer(
             "e1", "z", self.client, lambda: {"c": contract},
             fallback.Slack(20, 0.1, 5.0), metric.Meter('t'), SystemTimer(),
+            read_cold=lambda: self.cold, read_services=lambda: self.services,
         )  # fmt: skip
         await self.placer.start()
         self.addAsyncCleanup(self.placer.stop)
@@ -172,6 +175,30 @@
             slot = await self.placer.place(self.make_spec())
             self.assertIn(slot.instance, INSTANCES)
 
+    async def test_without_a_leader_cold_instances_get_nothing(self):
+        """One is known to be cold, one is new, and one is in a domain that is back."""
+        self.services = {"llm": fleet.Service(cold_rate=20.0, cold_seconds=3.0)}
+        self.cold = {"i1/0": Ceiling("i1", "i1/0", 20.0, 0.0, True, 3.0)}
+        added = INSTANCES[0]._replace(id="i3", slots=9)
+        back = INSTANCES[0]._replace(id="i4", slots=9, domain="y")
+        for listed in ((*INSTANCES, back), (*INSTANCES, back, added)):
+            view = placement.View(listed, (), 1)
+            self.leader.streams[-1].inbox.put_nowait(view)
+            await asyncio.sleep(0.02)
+        self.placer._cold.forget("i4/0")
+        self.placer.on_returned("y")
+        self.leader.fail()
+        await asyncio.sleep(0.05)
+        for _ in range(2):
+            slot = await self.placer.place(self.make_spec(is_counted=False))
+            self.assertEqual(slot.instance.id, "i2")
+        with self.assertRaises(error.CapacityError) as caught:
+            await self.placer.place(self.make_spec(is_counted=False))
+        self.assertLessEqual(caught.exception.retry_after, placer.ELECTION_SECONDS)
+        self.cold = {}
+        slot = await self.placer.place(self.make_spec(is_counted=False))
+        self.assertEqual(slot.instance.id, "i1")
+
     async def test_a_held_request_gets_no_slot_where_it_is_held(self):
         held = INSTANCES[1].id
         await self.placer.place(self.make_spec(held=held))
--- a/sapphireseam/platform/dialect.py
+++ b/sapphireseam/platform/dialect.py
@@ -5,6 +5,7 @@
 
 from multidict import CIMultiDictProxy
 
+from sapphireseam.core.ceiling import MAX_COLD_SECONDS
 from sapphireseam.core.instance import Instance
 from sapphireseam.utils.outbound import Headers, Outgoing
 
@@ -109,16 +110,19 @@
     return tuple(id for id in ids if id)
 
 
-def read_milliseconds(text: str) -> float | None:
-    """Return the seconds that a text names in milliseconds, None if it isn't valid.
+def read_cold(text: str) -> float | None:
+    """Return for how many seconds a text says that a replica stays cold.
 
-    >>> read_milliseconds(" 1500 "), read_milliseconds("2.5"), read_milliseconds("-1")
-    (1.5, 0.0025, None)
+    Return None if it isn't valid.
+
+    >>> read_cold(" 1500 "), read_cold("2.5"), read_cold("-1"), read_cold("9" * 15)
+    (1.5, 0.0025, None, None)
     """
     text = text.strip()
     if len(text) > MAX_TIME_LENGTH or not _DECIMAL.fullmatch(text):
         return None
-    return float(text) / MILLISECONDS_PER_SECOND
+    seconds = float(text) / MILLISECONDS_PER_SECOND
+    return seconds if seconds <= MAX_COLD_SECONDS else None
 
 
 class ReplicaDialect:
@@ -167,7 +171,7 @@
         id = headers.get(INSTANCE, instance.id)
         if status == MISDIRECTED_STATUS or id != instance.id:
             return None
-        return read_milliseconds(headers.get(COLD, ""))
+        return read_cold(headers.get(COLD, ""))
 
     def is_signed(self, headers: CIMultiDictProxy[str]) -> bool:
         """Return whether an answer has a header that only replicas send."""
--- a/sapphireseam/platform/dialect_test.py
+++ b/sapphireseam/platform/dialect_test.py
@@ -80,6 +80,24 @@
         self.assertFalse(replica_dialect.is_not_run(503, empty))
         self.assertFalse(replica_dialect.is_not_run(500, empty))
 
+    def test_which_answers_say_that_their_replica_is_cold(self):
+        instance = Instance("i1", "llm", "10.0.0.1:80", "z", 8)
+        for status, id, value, expected in (
+            (200, "i1", "1500", 1.5),
+            (503, None, "0", 0.0),
+            (200, "i2", "1500", None),
+            (421, "i1", "1500", None),
+            (200, "i1", None, None),
+            (200, "i1", "soon", None),
+            (200, "i1", "1e9", None),
+            (200, "i1", "-5", None),
+        ):
+            pairs = {"X-Instance-Id": id, "X-Cold-Ms": value}
+            named = {name: text for name, text in pairs.items() if text is not None}
+            headers = CIMultiDictProxy(CIMultiDict(named))
+            read = dialect.ReplicaDialect().read_cold_seconds(instance, status, headers)
+            self.assertEqual(read, expected, (status, id, value))
+
     def test_which_answers_say_that_their_replica_leaves(self):
         for value, expected in (("1", True), (" 1", True), ("0", False), ("", False)):
             headers = CIMultiDictProxy(CIMultiDict({"Server-Leaving": value}))
--- a/sapphireseam/platform/document_test.py
+++ b/sapphireseam/platform/document_test.py
@@ -101,6 +101,16 @@
         self.assertEqual(translated.services["llm"].probe_path, "/report")
         self.assertEqual(translated.services["store"].probe_path, "/healthz")
 
+    def test_the_rate_of_cold_replicas_is_translated(self):
+        configuration = make_configuration()
+        configuration["services"][0] |= {"cold_per_s": 20, "cold_start_s": 3.0}
+        configuration["services"][1] |= {"cold_per_s": -1}
+        _, translated = translate(configuration)
+        rates = [
+            (each.cold_rate, each.cold_seconds) for each in translated.services.values()
+        ]
+        self.assertEqual(rates[:2], [(20.0, 3.0), (0.0, 0.0)])
+
     def test_unknown_fields_are_ignored(self):
         configuration = make_configuration(novelty={"a": 1})
         configuration["routes"][0]["novelty"] = 3
--- a/sapphireseam/platform/listing.py
+++ b/sapphireseam/platform/listing.py
@@ -10,6 +10,7 @@
 import aiohttp
 
 from sapphireseam.core import error, jsonarray, jsontext, number
+from sapphireseam.core.ceiling import MAX_COLD_SECONDS
 from sapphireseam.core.instance import Instance, get_run_name
 from sapphireseam.utils import framing
 
@@ -206,7 +207,7 @@
     value = entry.get("cold_left_ms")
     if not isinstance(value, int | float) or isinstance(value, bool):
         return None
-    if not 0 <= value < COUNT_LIMIT:
+    if not 0 <= value <= MAX_COLD_SECONDS * MILLISECONDS_PER_SECOND:
         return None
     return value / MILLISECONDS_PER_SECOND
 
--- a/sapphireseam/platform/listing_test.py
+++ b/sapphireseam/platform/listing_test.py
@@ -135,6 +135,17 @@
             return web.Response(body=self.pages[page])
         return web.json_response(self.pages[page], status=self.status)
 
+    async def test_a_countdown_stands_beside_the_list(self):
+        for value, expected in (
+            (1500, {"i-1/1700000000000": 1.5}),
+            (0, {"i-1/1700000000000": 0.0}),
+            *((odd, {}) for odd in (-1, True, "3", None, 1e300, 10**30, [])),
+        ):
+            entry = ENTRY | {"cold_left_ms": value}
+            self.pages = {"": {"instances": [entry], "next": None}}
+            self.assertEqual(await self.listing.list(), (listing.read_entry(ENTRY),))
+            self.assertEqual(self.listing.cold_left, expected)
+
     async def test_all_pages_are_read_and_malformed_entries_are_skipped(self):
         second = ENTRY | {"id": "i-2"}
         self.pages = {
--- a/sapphireseam/policy/coldstart.py
+++ b/sapphireseam/policy/coldstart.py
@@ -75,7 +75,9 @@
         self._listed = {get_run_name(each): each for each in instances}
         for run, instance in self._listed.items():
             service = services.get(instance.service)
-            if service is None or not service.cold_rate:
+            if service is None:
+                continue
+            if not service.cold_rate:
                 # The configuration has changed.
                 self._cold.pop(run, None)
                 continue
--- /dev/null
+++ b/sapphireseam/tools/cold_test.py
@@ -0,0 +1,102 @@
+"""Test that a domain of cold upstreams gets no more than its rate from all entries.
+
+Half of the upstreams start again as other runs while many callers wait for them, once
+with a leader and entries that change meanwhile.
+"""
+
+import asyncio
+import itertools
+import random
+import tempfile
+import unittest
+from pathlib import Path
+
+from sapphireseam.core import fleet as configuration
+from sapphireseam.tools import discovered
+from sapphireseam.utils import loop
+
+STREAM = configuration.Route("/s/", "llm", streamed=True, target=1.0)
+DOCUMENT = {"services": {"llm": {"cold_rate": 12.0, "cold_seconds": 4.0}}}
+COLD_RATE = 12
+COLD_SECONDS = 4.0
+# Requests per second, more than the other upstreams have slots for.
+RATE = 120.0
+ENTRIES = 3
+UPSTREAMS = 4
+COLD_UPSTREAMS = 2
+# Requests of one second that may arrive in the next one, on a busy machine.
+LATE_REQUESTS = 2
+# Longest time for which a caller that isn't served may wait, in seconds.
+REFUSAL_SECONDS = 1.0
+
+
+class ColdFleetTest(unittest.TestCase):
+    async def send_forever(self):
+        async with asyncio.TaskGroup() as tasks:
+            for number in itertools.count():
+                tasks.create_task(self.send(f"r{number}"))
+                await asyncio.sleep(self.rng.expovariate(RATE))
+
+    async def send(self, id):
+        request = discovered.Request(id, STREAM, (id,))
+        reply = await self.fleet.send(self.rng.choice(self.entries), request)
+        self.replies.append(reply)
+
+    async def change(self):
+        """Replace the leader, then an entry that knows nothing."""
+        await asyncio.sleep(0.8)
+        await self.fleet.restart_leader()
+        self.entries.remove(0)
+        await self.fleet.restart_entry(0)
+        self.entries.append(0)
+
+    async def run_fleet(self, with_changes):
+        clock = asyncio.get_running_loop().time
+        await self.fleet.start()
+        await self.fleet.publish(DOCUMENT)
+        sending = asyncio.create_task(self.send_forever())
+        try:
+            await asyncio.sleep(1.0)
+            begin = clock()
+            cold = self.fleet.upstreams[:COLD_UPSTREAMS]
+            for upstream in cold:
+                upstream.born += 1
+                upstream.cold_until = begin + COLD_SECONDS
+            if with_changes:
+                await self.change()
+            await asyncio.sleep(max(begin + COLD_SECONDS - clock(), 0.0) + 2.0)
+        finally:
+            sending.cancel()
+            await asyncio.gather(sending, return_exceptions=True)
+            await self.fleet.stop()
+        # The list shows the runs with the next read.
+        since, until = begin + 0.8, begin + COLD_SECONDS
+        for upstream in cold:
+            inside = [at for at in upstream.arrivals if since <= at < until]
+            most = max(sum(s <= at < s + 1.0 for at in inside) for s in inside)
+            self.assertLessEqual(most, COLD_RATE + LATE_REQUESTS, upstream.name)
+            self.assertGreater(len(inside), COLD_RATE)
+            after = [at for at in upstream.arrivals if at >= until + 1.0]
+            self.assertGreater(len(after), COLD_RATE)
+        failed = [r for r in self.replies if r.failure is not None and r.sent >= begin]
+        slow = [each for each in failed if each.ended - each.sent > REFUSAL_SECONDS]
+        self.assertLess(len(slow), 0.02 * len(self.replies))
+
+    def play(self, seed, with_changes):
+        self.rng, self.replies = random.Random(seed), []
+        self.entries = list(range(ENTRIES))
+        with tempfile.TemporaryDirectory() as folder:
+            self.fleet = discovered.DiscoveredFleet(Path(folder), UPSTREAMS, ENTRIES)
+            for upstream in self.fleet.upstreams:
+                upstream.event_delay = 0.05
+            loop.run(self.run_fleet(with_changes))
+
+    def test_cold_upstreams_get_their_rate_and_others_the_rest(self):
+        self.play(1, with_changes=False)
+
+    def test_the_rate_holds_under_a_new_leader_and_a_restarted_entry(self):
+        self.play(2, with_changes=True)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/sapphireseam/tools/discovered.py
+++ b/sapphireseam/tools/discovered.py
@@ -5,12 +5,13 @@
 """
 
 import asyncio
+import json
 from pathlib import Path
 from typing import NamedTuple
 
 from sapphireseam.control import admin, application as control, placement
-from sapphireseam.core import error, fingerprint, fleet, trait
-from sapphireseam.core.instance import Instance
+from sapphireseam.core import command, error, fingerprint, fleet, trait
+from sapphireseam.core.instance import Instance, get_run_name
 from sapphireseam.entry import discovery
 from sapphireseam.entry.direct import DirectRequest
 from sapphireseam.policy import fallback
@@ -135,6 +136,17 @@
         """Return the upstreams as the list of a platform would show them."""
         return tuple(upstream.instance for upstream in self.upstreams)
 
+    def _read_cold_left(self) -> dict[str, float]:
+        return {get_run_name(each.instance): each.cold_left for each in self.upstreams}
+
+    async def publish(self, document: dict[str, object]) -> None:
+        """Put a configuration in force at the entries and control VMs."""
+        packed = json.dumps(document).encode()
+        item = command.PublishNumbered(1, packed, b"", 0.0)
+        await self.entries[0].context.client.propose(item)
+        for entry in self.entries:
+            await entry.context.mirror.refresh()
+
     async def restart_leader(self) -> None:
         """Stop the control VM that leads, and start it again."""
         leader = self.entries[0].context.client.pick_address()
@@ -196,6 +208,7 @@
             make_probe(upstreams),
             stop_run,
             _make_operator_server,
+            self._read_cold_left,
         )
         return control.build(settings, integration=integration)
 
--- a/sapphireseam/utils/fakeupstream.py
+++ b/sapphireseam/utils/fakeupstream.py
@@ -159,6 +159,8 @@
         self.is_leaving = False
         # The requests per second that every answer names, none if empty.
         self.ceiling = ""
+        # Until when the upstream is cold, on the clock of the event loop.
+        self.cold_until = 0.0
         # The arrival times of all requests, on the clock of the event loop.
         self.arrivals: list[float] = []
         # Delay before each event, in seconds.
@@ -201,6 +203,11 @@
         self._server.close()
         self._reservation.close()
 
+    @property
+    def cold_left(self) -> float:
+        """For how many seconds the upstream stays cold, as a list would show it."""
+        return max(self.cold_until - asyncio.get_running_loop().time(), 0.0)
+
     @property
     def is_down(self) -> bool:
         """Whether the upstream has crashed and serves nothing."""
@@ -264,7 +271,9 @@
         if self.is_down:
             return False
         if run.path in (HEALTH_PATH, AGENT_HEALTH_PATH):
-            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+            cold = f"{COLD}: {self.cold_left}\r\n" if self.cold_left else ""
+            head = f"HTTP/1.1 200 OK\r\n{cold}Content-Length: 0\r\n\r\n"
+            writer.write(head.encode())
             return True
         self.arrivals.append(asyncio.get_running_loop().time())
         behaviour = self.behaviours.pop(0) if self.behaviours else "well"
