--- a/sapphireseam/entry/placer.py
+++ b/sapphireseam/entry/placer.py
@@ -99,6 +99,10 @@
         self._cold = coldstart.ColdTracker(coldstart.UNKNOWN_SECONDS)
         self._cold_rates: dict[str, float] = {}
         self.on_instances: Callable[[tuple[Instance, ...]], None] = lambda _: None
+        # Called with the control VMs and their failure domains.
+        self.on_control: Callable[[tuple[str, ...], tuple[str, ...]], None] = (
+            lambda addresses, domains: None
+        )
         self._node = node
         self._domain = domain
         self._client = client
@@ -210,6 +214,7 @@
                 self._update_instances(item.instances)
                 self._entry_count = max(item.entries, 1)
                 self._client.update_addresses(item.control)
+                self.on_control(item.control, item.domains)
                 self.on_instances(item.instances)
             case placement.Placed() | placement.Turned():
                 self._resolve(item)
