Test that cold upstreams come after others, and that alone no part is used

Cause: with the preference or the share of an entry without a leader taken out, no test failed: buckets start empty, so a test that doesn't wait sees no difference. Change: a test of the order, and time for a token in the test of the entry.

--- a/sapphireseam/entry/placer_test.py
+++ b/sapphireseam/entry/placer_test.py
@@ -192,6 +192,8 @@
         for _ in range(2):
             slot = await self.placer.place(self.make_spec(is_counted=False))
             self.assertEqual(slot.instance.id, "i2")
+            # Time in which a part of the rate would allow a request.
+            await asyncio.sleep(0.5)
         with self.assertRaises(error.CapacityError) as caught:
             await self.placer.place(self.make_spec(is_counted=False))
         self.assertLessEqual(caught.exception.retry_after, placer.ELECTION_SECONDS)
--- a/sapphireseam/policy/coldstart_test.py
+++ b/sapphireseam/policy/coldstart_test.py
@@ -147,6 +147,18 @@
         self.assertLessEqual(count_most(sent), max(rate, 1.0) + 1e-6)
 
 
+class PreferenceTest(unittest.TestCase):
+    def test_equally_loaded_upstreams_come_before_cold_ones(self):
+        tested = allocator.SlotAllocator()
+        tested.set_cold({"a/1": 20.0}, 0.0)
+        tested.update((A, B._replace(domain="z")), 0.0)
+        names = [
+            tested.place(make_request(f"r{number}", 1.0), 1.0).instance.id
+            for number in range(3)
+        ]
+        self.assertEqual(names, ["b", "a", "b"])
+
+
 class ReturnTest(unittest.TestCase):
     """A domain of four cold upstreams comes back while eight others are nearly full."""
 
