--- a/sapphireseam/entry/placer.py
+++ b/sapphireseam/entry/placer.py
@@ -35,6 +35,8 @@
 # How long a request waits for the leader's answer beyond its own patience.
 ANSWER_SECONDS = 0.2
 RECONNECT_SECONDS = 0.05
+# How long a request waits at an entry that has started and knows no upstream yet.
+FIRST_VIEW_SECONDS = 0.5
 # How long the control VMs usually take to elect a leader.
 ELECTION_SECONDS = 0.6
 # Outcomes of a slot request in the metrics.
@@ -88,6 +90,7 @@
         meter: metric.Meter,
         timer: TimerService,
         read_ceilings: Callable[[], Mapping[str, float]] = dict,
+        grants_by_use: bool = False,
         read_cold: Callable[[], Mapping[str, Ceiling]] = dict,
         read_services: Callable[[], Mapping[str, fleet.Service]] = dict,
     ):
@@ -108,10 +111,11 @@
         self._client = client
         self._contracts = contracts
         self._timer = timer
-        self._fallback = fallback.FallbackLimiter(slack)
+        self._fallback = fallback.FallbackLimiter(slack, grants_by_use)
         # Counts only this entry's requests, to place locally without a leader.
         self._allocator = allocator.SlotAllocator()
         self._entry_count = 1
+        self._has_view = False
         # The streams that this entry began or resumed.
         self._origins = origin.StreamOrigins()
         self._numbers = itertools.count(1)
@@ -211,6 +215,7 @@
     def _handle(self, item: object) -> None:
         match item:
             case placement.View():
+                self._has_view = True
                 self._update_instances(item.instances)
                 self._entry_count = max(item.entries, 1)
                 self._client.update_addresses(item.control)
@@ -291,6 +296,9 @@
         if spec.resumes:
             # Only a leader knows the streams of other entries.
             await self._wait_for_leader(spec.patience)
+        elif not self._has_view:
+            # Without one it can only be refused, and a leader is about to answer.
+            await self._wait_for_leader(FIRST_VIEW_SECONDS)
         if not self.has_leader:
             return self._place_locally(number, spec), LOCAL
         future = asyncio.get_running_loop().create_future()
@@ -309,6 +317,8 @@
         if isinstance(answer, placement.Turned):
             kind = error.Kind(answer.kind)
             raise error.CapacityError(answer.message, kind, answer.retry_after, True)
+        if spec.is_counted:
+            self._fallback.record_use(spec.customer, self._timer.read_clock())
         return self._add_running(number, spec, answer.instance), PLACED
 
     async def _wait_for_leader(self, seconds: float) -> None:
@@ -359,7 +369,9 @@
             self._origins.require(spec.resumes, spec.services, now)
         contract = self._contracts().get(spec.customer)
         if spec.is_counted and contract is not None:
-            wait = self._fallback.spend(spec.customer, contract, self._entry_count, now)
+            wait = self._fallback.spend(
+                spec.customer, contract, self._entry_count, now, self._last_contact
+            )
             if wait > 0.0:
                 text = "the limits have no owner, and the fallback limit is used up"
                 raise error.CapacityError(text, error.Kind.RATE_LIMITED, wait, True)
