Count at cold upstreams from when all entries know that they are cold

Cause: on a busy machine the fleet test failed in two of 16 plays: 4 requests where more than 12 were expected; 16 in a second where 14 are allowed. A log of the second shows a leader that was lost just as the upstreams started again: only a leader reads the list, so for a second nobody knew; the test took them for known after 0.8 s. The first has no log. Change: the test waits, for 5 s at most, until every entry knows who is cold, and counts from 0.3 s later; they stay cold for 7 s, not 4. The bounds on counts are the same.

--- a/sapphireseam/tools/cold_test.py
+++ b/sapphireseam/tools/cold_test.py
@@ -12,13 +12,19 @@
 from pathlib import Path
 
 from sapphireseam.core import fleet as configuration
+from sapphireseam.core.ceiling import make_key
+from sapphireseam.core.instance import get_run_name
 from sapphireseam.tools import discovered
 from sapphireseam.utils import loop
 
 STREAM = configuration.Route("/s/", "llm", streamed=True, target=1.0)
-DOCUMENT = {"services": {"llm": {"cold_rate": 12.0, "cold_seconds": 4.0}}}
+DOCUMENT = {"services": {"llm": {"cold_rate": 12.0, "cold_seconds": 7.0}}}
 COLD_RATE = 12
-COLD_SECONDS = 4.0
+COLD_SECONDS = 7.0
+# Within this time all entries know who is cold.
+KNOWN_SECONDS = 5.0
+# Requests that were sent before then arrive within this time.
+ARRIVAL_SECONDS = 0.3
 # Requests per second, more than the other upstreams have slots for.
 RATE = 120.0
 ENTRIES = 3
@@ -50,6 +56,16 @@
         await self.fleet.restart_entry(0)
         self.entries.append(0)
 
+    async def wait_known(self, instances):
+        """Wait until all entries know that instances are cold, as the list lags."""
+        keys = {make_key(get_run_name(each), True) for each in instances}
+        async with asyncio.timeout(KNOWN_SECONDS):
+            while True:
+                mirrors = [entry.context.mirror for entry in self.fleet.entries]
+                if all(keys <= mirror.ceilings.keys() for mirror in mirrors):
+                    return
+                await asyncio.sleep(discovered.POLL_SECONDS)
+
     async def run_fleet(self, with_changes):
         clock = asyncio.get_running_loop().time
         await self.fleet.start()
@@ -62,6 +78,8 @@
             for upstream in cold:
                 upstream.born += 1
                 upstream.cold_until = begin + COLD_SECONDS
+            await self.wait_known([each.instance for each in cold])
+            since = clock() + ARRIVAL_SECONDS
             if with_changes:
                 await self.change()
             await asyncio.sleep(max(begin + COLD_SECONDS - clock(), 0.0) + 2.0)
@@ -69,8 +87,7 @@
             sending.cancel()
             await asyncio.gather(sending, return_exceptions=True)
             await self.fleet.stop()
-        # The list shows the runs with the next read.
-        since, until = begin + 0.8, begin + COLD_SECONDS
+        until = begin + COLD_SECONDS
         for upstream in cold:
             inside = [at for at in upstream.arrivals if since <= at < until]
             most = max(sum(s <= at < s + 1.0 for at in inside) for s in inside)
