--- a/sapphireseam/core/placement.py
+++ b/sapphireseam/core/placement.py
@@ -127,12 +127,15 @@
     """Send all instances, the control VMs and how many entries are connected.
 
     `domains` has the failure domain of each control VM, "" if it isn't known.
+    `number` is that of the receiver among the entries, counted from 0, in order of
+    failure domain and name. It is missing unless the entries are to spread the load.
     """
 
     instances: tuple[Instance, ...]
     control: tuple[str, ...]
     entries: int
     domains: tuple[str, ...] = ()
+    number: int | None = None
 
 
 class Beat(NamedTuple):
