Take a domain whose evacuation ends for cold before anything is placed there

Cause: the upstreams of an evacuated domain may have become cold before they come back, and the list shows it late; the hook for that did nothing yet. Change: evacuations are taken in; the leader's hook and the entry that places alone presume such a domain's upstreams cold for 2 s, unless more is known.

--- a/sapphireseam/control/meter_test.py
+++ b/sapphireseam/control/meter_test.py
@@ -26,6 +26,7 @@
     def test_each_metric_is_exposed_with_its_labels_and_counts(self):
         slots = allocator.SlotAllocator()
         slots.update((Instance("i1", "llm", "10.0.0.1:80", "z", 8),), 0.0)
+        slots.set_evacuated(frozenset({"y"}), 0.0)
         slots.place(allocator.SlotRequest("k", "llm", "c", 0, "z", 0.0, 1.0), 0.0)
         machine = machines.StateMachine()
         items = (command.LotItem("i", "/x", (), b"", 1),)
--- a/sapphireseam/control/placement_test.py
+++ b/sapphireseam/control/placement_test.py
@@ -9,6 +9,7 @@
 from sapphireseam.control import placement as placements
 from sapphireseam.control.machine import StateMachine
 from sapphireseam.core import command, error, fleet, placement
+from sapphireseam.core.evacuation import Evacuated
 from sapphireseam.core.instance import Instance
 from sapphireseam.policy import allocator
 from sapphireseam.tools.fake import FakeReplica
@@ -156,6 +157,73 @@
         slots = self.server.allocator.count_slots("llm")
         self.assertEqual(slots, INSTANCE.slots + other.slots)
 
+    def evacuate(self, number, is_evacuated=True):
+        """Apply an order for the domain of all upstreams."""
+        domain = INSTANCE.domain
+        item = command.SetEvacuation(
+            f"o{number}", domain, is_evacuated, 0.0, is_forced=True
+        )
+        self.machine.apply(number, command.REGISTRY.encode(item))
+
+    async def test_entries_hear_of_an_evacuation_before_any_grant_after_it(self):
+        self.server.update_instances((INSTANCE,))
+        (stream,) = await self.attach(1)
+        self.evacuate(1)
+        place = placement.Place(1, "r", "llm", "c", 0, 9.0, (), False)
+        (entry,) = self.server._entries.values()
+        self.server._handle_message(entry, set(), place)
+        await self.advance(0.1)
+        asked = []
+        self.server.on_returned = lambda domain: asked.append(
+            (domain, self.server.allocator.count_slots("llm"))
+        )
+        self.server._handle_message(entry, set(), place._replace(number=2))
+        self.evacuate(2, False)
+        self.server._handle_message(entry, set(), place._replace(number=3))
+        await self.advance(0.1)
+        # The hook runs while nothing can be placed there.
+        self.assertEqual(asked, [(INSTANCE.domain, 0)])
+        heard = [
+            each if isinstance(each, placement.Evacuation) else type(each)
+            for each in stream.received
+            if not isinstance(each, placement.Beat | placement.View)
+        ]
+        self.assertEqual(
+            heard,
+            [
+                placement.Evacuation(Evacuated(1, (INSTANCE.domain,))),
+                placement.Turned,
+                placement.Evacuation(Evacuated(2, ())),
+                placement.Placed,
+                placement.Placed,
+            ],
+        )
+
+    async def test_nothing_is_probed_in_an_evacuated_domain(self):
+        self.server.update_instances((INSTANCE,))
+        await self.advance(0.1)
+        self.evacuate(1)
+        self.server.eject(INSTANCE.id)
+        self.probed.clear()
+        await self.advance(2.0)
+        self.assertEqual(self.probed, [])
+        self.evacuate(2, False)
+        await self.advance(1.0)
+        self.assertIn(INSTANCE.id, self.probed)
+
+    async def test_a_new_leader_serves_no_entry_before_it_has_caught_up(self):
+        caught_up = asyncio.Event()
+        self.replica.wait_caught_up = caught_up.wait
+        self.server.update_instances((INSTANCE,))
+        (stream,) = await self.attach(1)
+        await self.advance(1.0)
+        self.assertEqual(stream.received, [])
+        self.evacuate(1)
+        caught_up.set()
+        await self.advance(0.1)
+        first = placement.Evacuation(Evacuated(1, (INSTANCE.domain,)))
+        self.assertEqual(stream.received[0], first)
+
     async def test_an_upstream_that_fails_often_rests_although_its_probes_succeed(self):
         # Reaches into the server, as a publish needs a whole document.
         self.server._services = {"llm": fleet.Service(ejects_outliers=True)}
@@ -235,6 +303,15 @@
         await self.advance(2.1)
         self.assertEqual(read(), {})
 
+    async def test_a_domain_is_taken_for_cold_before_anything_is_placed_there(self):
+        await self.start_cold()
+        self.server.update_instances((INSTANCE,), {"i1/0": 0.0})
+        self.evacuate(91)
+        await self.advance(0.5)
+        self.assertEqual(self.server.allocator.read_ceilings(), {})
+        self.evacuate(92, False)
+        self.assertEqual(set(self.server.allocator.read_ceilings()), {"i1"})
+
     async def test_a_leader_that_lost_its_lease_places_nothing_where_some_are_cold(
         self,
     ):
--- a/sapphireseam/entry/discovery.py
+++ b/sapphireseam/entry/discovery.py
@@ -161,6 +161,7 @@
             ceiling_monitor.record_cold(instance.id, run, rate, seconds)
 
     placer.on_instances = handle_instances
+    mirror.subscribe(lambda: placer.apply_evacuated(mirror.evacuated))
     upstreams.on_cold = handle_cold
     upstreams.on_leaving = handle_leaving
     gate = QuarantineGate(mirror, client, timer)
--- a/sapphireseam/platform/setting.py
+++ b/sapphireseam/platform/setting.py
@@ -37,7 +37,8 @@
     `keep_s` seconds after the job was accepted. `contracts` names the parts of the
     platform's rules that bind this deployment. With `reads_nearby`, an entry reads
     results of batch jobs in its own failure domain. With `grants_by_use`, an entry
-    without a leader grants customers what they used there lately.
+    without a leader grants customers what they used there lately. `failure_domains` are
+    those of the deployment, each with its region.
     """
 
     label: str
@@ -57,6 +58,7 @@
     contracts: tuple[str, ...] = ()
     reads_nearby: bool = False
     grants_by_use: bool = False
+    failure_domains: dict[str, str] = {}
     data_folder: str | None = None
     callers_address: str | None = None
     ready_address: str | None = None
