--- a/sapphireseam/control/record.py
+++ b/sapphireseam/control/record.py
@@ -182,8 +182,8 @@
     """The whole replicated state.
 
     The fields with defaults are missing from older snapshots; see `complete`. The keys
-    of `crashes` are the runs that ended, those of `ceilings` all runs that name one,
-    those of `evacuations` failure domains, and those of the other fields traits.
+    of `crashes` are the runs that ended, those of `ceilings` the ceilings' own, those
+    of `evacuations` failure domains, and those of the other fields traits.
     """
 
     numbers: dict[str, int]
--- a/sapphireseam/core/fleet.py
+++ b/sapphireseam/core/fleet.py
@@ -117,6 +117,10 @@
     `ejects_outliers`, an upstream that fails again and again rests for longer each time
     before a probe may bring it back. With `fair`, customers share the slots by the
     weights of their contracts when more requests arrive than there are slots.
+
+    A cold upstream gets at most `cold_rate` requests a second from all callers
+    together; 0 sets no limit. It is cold for `cold_seconds` after its start, and
+    whenever it says so.
     """
 
     connections: Annotated[int, Field(ge=1, le=MAX_COUNT)] = 64
@@ -124,6 +128,8 @@
     tells_load: bool = False
     ejects_outliers: bool = False
     fair: bool = False
+    cold_rate: NotNegative = 0.0
+    cold_seconds: NotNegative = 0.0
 
 
 class Route(NamedTuple):
--- a/sapphireseam/entry/discovery.py
+++ b/sapphireseam/entry/discovery.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from sapphireseam.core import fleet
-from sapphireseam.core.instance import Instance
+from sapphireseam.core.instance import Instance, get_run_name
 from sapphireseam.entry.authorizer import Authorizer
 from sapphireseam.entry.bulk import BulkJobClient
 from sapphireseam.entry.direct import DirectForwarder
@@ -139,6 +139,8 @@
         timer,
         ceiling_monitor.read_rates,
         settings.grants_by_use,
+        ceiling_monitor.read_cold,
+        lambda: mirror.fleet.services,
     )
     mirror.subscribe(lambda: placer.update_shares(mirror.fleet))
     connection_closer = _ConnectionCloser(upstreams)
@@ -152,8 +154,16 @@
         placer.report_leaving(instance)
         run_monitor.add(instance)
 
+    def handle_cold(instance: Instance, seconds: float) -> None:
+        service = mirror.fleet.services.get(instance.service, fleet.Service())
+        run = get_run_name(instance)
+        if seconds and service.cold_rate and run not in ceiling_monitor.read_cold():
+            rate = service.cold_rate
+            ceiling_monitor.record_cold(instance.id, run, rate, seconds)
+
     placer.on_instances = handle_instances
     mirror.subscribe(lambda: placer.apply_evacuated(mirror.evacuated))
+    upstreams.on_cold = handle_cold
     upstreams.on_leaving = handle_leaving
     gate = QuarantineGate(mirror, client, timer)
     crash_detector = crash.CrashDetector(
--- a/sapphireseam/platform/document.py
+++ b/sapphireseam/platform/document.py
@@ -66,6 +66,9 @@
     health_path: str = "/"
     max_connections: int = 64
     engine: dict[str, Any] | None = None
+    # The requests per second of a cold replica, and how long a start makes it cold.
+    cold_per_s: float = 0
+    cold_start_s: float = 0
 
 
 class Limits(msgspec.Struct):
@@ -205,6 +208,8 @@
         "tells_load": service.engine is not None,
         "ejects_outliers": HEALTH_CONTRACT in contracts,
         "fair": PRESSURE_CONTRACT in contracts,
+        "cold_rate": max(service.cold_per_s, 0),
+        "cold_seconds": max(service.cold_start_s, 0),
     }
 
 
