Bound what the clients of a process hold, and the time and turns they get

Change: one guard a process stands between sockets and the HTTP library at every server. A memory budget from the VM's memory replaces the limit on buffered answers; who goes when it is full, and whose bytes are parsed next, are modules without a network. Heads must be whole within the configured time, bodies come at a least rate, connections stay below half of the descriptors. Large blocks of the heap go back to the system at once.

--- a/sapphireseam/agent/application.py
+++ b/sapphireseam/agent/application.py
@@ -1,7 +1,9 @@
 """Builds an agent's application from its settings."""
 
 from collections.abc import Callable
-from typing import NamedTuple
+from typing import Annotated, NamedTuple
+
+from pydantic import Field
 
 from sapphireseam.agent import engine
 from sapphireseam.agent.item import ItemRunner
@@ -10,7 +12,7 @@
 from sapphireseam.agent.server import EntryServer
 from sapphireseam.core import fleet
 from sapphireseam.policy import registry
-from sapphireseam.utils import metric, rpc
+from sapphireseam.utils import door, metric, rpc
 from sapphireseam.utils.application import Application
 from sapphireseam.utils.ceiling import CeilingMonitor
 from sapphireseam.utils.client import ControlClient
@@ -28,7 +30,8 @@
     """The settings of one agent.
 
     `upstream` is the name of the upstream that it serves, and `control` lists the
-    addresses of the control VMs. A stop ends within `grace_s` seconds.
+    addresses of the control VMs. A stop ends within `grace_s` seconds. `memory_mb` and
+    `max_fds` are what the VM allows the process.
     """
 
     node: fleet.Name
@@ -39,6 +42,8 @@
     control: tuple[fleet.Address, ...]
     fleet_secret: Secret
     grace_s: fleet.Positive = DEFAULT_SECONDS
+    memory_mb: fleet.Positive | None = None
+    max_fds: Annotated[int, Field(ge=1)] | None = None
 
 
 LEAVING = "the upstream is leaving the fleet"
@@ -129,6 +134,7 @@
     """Return the application of one agent."""
     timer = timer or SystemTimer()
     grace = Grace(settings.grace_s, timer)
+    guard = door.make_guard(timer, settings.memory_mb, settings.max_fds)
     credential = (rpc.FLEET_HEADER, settings.fleet_secret)
     timeline = Timeline(settings.node, timer)
     client = ControlClient(settings.control, credential, timer)
@@ -155,6 +161,7 @@
         timeline,
         timer,
         grace,
+        guard.budget,
     )
 
     order_runner = OrderRunner(settings.node, upstream, client, timeline, timer)
@@ -180,6 +187,7 @@
     meter = metric.Meter(settings.node)
     mirror.report(meter)
     timeline.report(meter)
+    guard.report(meter)
     register_metrics(meter, scheduler, upstream)
     meter.read(metric.UPSTREAM_CEILING, upstream.find_ceiling)
 
@@ -191,7 +199,8 @@
 
     application = Application("seam-agent", grace)
     application.add(meter)
-    application.add(Probe(settings.probe, describe, mirror.is_confirmed))
+    application.add(guard)
+    application.add(Probe(settings.probe, describe, mirror.is_confirmed, guard))
     application.add(client)
     application.add(upstream)
     application.add(mirror)
--- a/sapphireseam/agent/item.py
+++ b/sapphireseam/agent/item.py
@@ -16,7 +16,7 @@
 from sapphireseam.agent.itemwork import ItemLease, ItemWork
 from sapphireseam.agent.scheduler import Scheduler
 from sapphireseam.core import command, error, jsontext, message
-from sapphireseam.utils import bufferlimit, crash
+from sapphireseam.utils import crash, memory
 from sapphireseam.utils.application import TaskGroup
 from sapphireseam.utils.client import ControlClient
 from sapphireseam.utils.grace import Grace
@@ -39,7 +39,7 @@
 STOP_SHARE = 0.96
 # Most batch items to hold, running or waiting, per slot not used by online work.
 ITEMS_PER_SLOT = 2
-# Bytes of unfinished answers that all items may buffer together, see `BufferLimit`.
+# Budget for the bytes of unfinished answers, if it is given none.
 MAX_BUFFERED_BYTES = 32 * 1024 * 1024
 
 
@@ -57,12 +57,13 @@
         timeline: Timeline,
         timer: TimerService,
         grace: Grace | None = None,
+        budget: memory.MemoryBudget | None = None,
     ):
         self._grace = grace or Grace(timer=timer)
         self.upstream = upstream
         self.crash_detector = crash_detector
         self.timer = timer
-        self.buffers = bufferlimit.BufferLimit(MAX_BUFFERED_BYTES)
+        self.buffers = budget or memory.MemoryBudget(MAX_BUFFERED_BYTES)
         self._node = node
         self._scheduler = scheduler
         self._mirror = mirror
--- a/sapphireseam/agent/itemwork.py
+++ b/sapphireseam/agent/itemwork.py
@@ -7,7 +7,7 @@
 from sapphireseam.agent.scheduler import Completion
 from sapphireseam.core import error, exchange, jsontext, message
 from sapphireseam.policy import queue
-from sapphireseam.utils import bufferlimit, crash
+from sapphireseam.utils import crash, memory
 from sapphireseam.utils.timer import TimerService, wait_for
 
 # Tokens that an item is assumed to cost in addition to those of its line.
@@ -80,7 +80,7 @@
     upstream: engine.UpstreamClient
     crash_detector: crash.CrashDetector
     timer: TimerService
-    buffers: bufferlimit.BufferLimit
+    buffers: memory.MemoryBudget
 
     async def mark_started(self, lease: ItemLease, item: int) -> bool:
         """Record the start of a non-idempotent item; return whether it may run."""
@@ -169,7 +169,7 @@
                     text = f"the answer has more than {MAX_ANSWER_BYTES} bytes"
                     raise engine.UpstreamError(text, False)
             return status, bytes(data)
-        except bufferlimit.BufferLimitError as failure:
+        except memory.BudgetError as failure:
             raise engine.UpstreamError(str(failure), False) from None
         finally:
             # The traceback of an error would keep the data alive.
--- a/sapphireseam/control/application.py
+++ b/sapphireseam/control/application.py
@@ -34,7 +34,7 @@
 from sapphireseam.core import codec, command, error, fleet, key, message, outcome
 from sapphireseam.state import disk, link, message as log_message, option
 from sapphireseam.state.replica import Replica
-from sapphireseam.utils import metric, outbound, rpc
+from sapphireseam.utils import door, metric, outbound, rpc
 from sapphireseam.utils.application import Application, Part, TaskGroup
 from sapphireseam.utils.client import ControlClient
 from sapphireseam.utils.grace import DEFAULT_SECONDS, Grace
@@ -49,6 +49,9 @@
 
 # Timeout of one call to another member.
 MEMBER_CALL_SECONDS = 10.0
+# Share of the memory that the process at rest leaves which is budgeted for clients; the
+# replicated state needs most of it.
+CLIENT_MEMORY_SHARE = 1 / 6
 # Calls without an answer after which the connection is replaced.
 MEMBER_UNANSWERED_LIMIT = 3
 # Wait of a new leader before its first grant from the rate limits, if each grant is the
@@ -72,7 +75,8 @@
     `address` takes the calls of the system's processes and of operators, `probe`
     serves health checks and metrics. `peers` lists all initial members including
     this one. On a control VM that is added later, it lists the members to join. A
-    stop ends within `grace_s` seconds.
+    stop ends within `grace_s` seconds. `memory_mb` and `max_fds` are what the VM allows
+    the process.
     """
 
     node: fleet.Name
@@ -87,6 +91,8 @@
     label: str = ""
     lot_seconds: fleet.Positive = bulkrunner.RETENTION_SECONDS
     grace_s: fleet.Positive = DEFAULT_SECONDS
+    memory_mb: fleet.Positive | None = None
+    max_fds: Annotated[int, Field(ge=1)] | None = None
 
 
 # Times in seconds and sizes for members that manage their own membership. A failed
@@ -107,7 +113,8 @@
 class Integration(NamedTuple):
     """Parts that a deployment provides if its upstreams are found by discovery.
 
-    `make_operator_server` builds the server for operators' calls.
+    `make_operator_server` builds the server for operators' calls. `guard` bounds its
+    clients and those of the metrics.
     """
 
     source: poller.Source
@@ -115,6 +122,7 @@
     probe: placement.Probe
     stop_run: placement.StopRun
     make_operator_server: Callable[[admin.AdminService, ControlClient, Grace], Part]
+    guard: door.Guard | None = None
 
 
 _REGISTRY = codec.Registry(log_message.MESSAGES)
@@ -332,6 +340,13 @@
             self._application.fail(self._replica.fatal)
 
 
+def make_guard(settings: Settings, timer: TimerService) -> door.Guard:
+    """Return the guard of a control VM's HTTP servers."""
+    return door.make_guard(
+        timer, settings.memory_mb, settings.max_fds, CLIENT_MEMORY_SHARE
+    )
+
+
 def build(
     settings: Settings,
     timer: TimerService | None = None,
@@ -344,9 +359,12 @@
     `predecessor_ended` is when the last process that used the data folder had ended.
     """
     timer = timer or SystemTimer()
+    guard = integration.guard if integration is not None else None
+    guard = guard or make_guard(settings, timer)
     meter = metric.Meter(settings.node)
     timeline = Timeline(settings.node, timer)
     timeline.report(meter)
+    guard.report(meter)
     machine = StateMachine()
     members = Members(settings)
     store = blob.BlobStore(settings.data_folder / "blobs", timer)
@@ -427,7 +445,10 @@
 
     application = Application("seam-control", Grace(settings.grace_s, timer))
     application.add(meter)
-    application.add(Probe(settings.probe, describe, lambda: replica.fatal is None))
+    application.add(guard)
+    application.add(
+        Probe(settings.probe, describe, lambda: replica.fatal is None, guard)
+    )
     application.add(store)
     application.add(members)
     application.add(server)
--- a/sapphireseam/core/error.py
+++ b/sapphireseam/core/error.py
@@ -17,6 +17,7 @@
     BAD_SETTINGS = "bad_settings"
     BAD_CONFIGURATION = "bad_configuration"
     BODY_TOO_LARGE = "body_too_large"
+    REQUEST_TIMEOUT = "request_timeout"
     KEY_MISSING = "key_missing"
     KEY_INVALID = "key_invalid"
     FORBIDDEN = "forbidden"
@@ -64,6 +65,7 @@
     Kind.BAD_SETTINGS: Answer(500, _SERVER, True),
     Kind.BAD_CONFIGURATION: Answer(422, _INVALID, True),
     Kind.BODY_TOO_LARGE: Answer(413, _INVALID, True),
+    Kind.REQUEST_TIMEOUT: Answer(408, _INVALID, True, 1),
     Kind.KEY_MISSING: Answer(401, "authentication_error", True),
     Kind.KEY_INVALID: Answer(401, "authentication_error", True),
     Kind.FORBIDDEN: Answer(403, "permission_error", True),
--- a/sapphireseam/core/fleet.py
+++ b/sapphireseam/core/fleet.py
@@ -172,11 +172,16 @@
 
 
 class Bounds(NamedTuple):
-    """Limits on a caller's headers and body in bytes, and on idle time in seconds."""
+    """Limits on a caller's headers and body in bytes, and on times in seconds.
+
+    A request's head must be whole within `head` of its first byte. A connection may be
+    `idle` between two requests.
+    """
 
     header_bytes: Annotated[int, Field(ge=1024, le=MAX_COUNT)] = 16 * 1024
     body_bytes: Annotated[int, Field(ge=1, le=MAX_COUNT)] = 64 * MEBIBYTE
     idle: Positive = 75.0
+    head: Positive = 10.0
 
 
 class Policy(NamedTuple):
--- a/sapphireseam/entry/application.py
+++ b/sapphireseam/entry/application.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import random
-from typing import NamedTuple
+from typing import Annotated, NamedTuple
+
+from pydantic import Field
 
 from sapphireseam.core import fleet
 from sapphireseam.entry.batch import BatchApi
@@ -14,7 +16,7 @@
 from sapphireseam.entry.quarantine import QuarantineGate
 from sapphireseam.entry.ratelimit import RateLimitClient
 from sapphireseam.policy import registry, router
-from sapphireseam.utils import grace, metric, rpc
+from sapphireseam.utils import door, grace, metric, rpc
 from sapphireseam.utils.application import Application, TaskGroup
 from sapphireseam.utils.client import ControlClient
 from sapphireseam.utils.mirror import Mirror
@@ -28,7 +30,7 @@
     """The settings of one entry VM.
 
     `control` lists the addresses of the control VMs. A stop ends within `grace_s`
-    seconds.
+    seconds. `memory_mb` and `max_fds` are what the VM allows the process.
     """
 
     node: fleet.Name
@@ -38,6 +40,8 @@
     control: tuple[fleet.Address, ...]
     fleet_secret: Secret
     grace_s: fleet.Positive = grace.DEFAULT_SECONDS
+    memory_mb: fleet.Positive | None = None
+    max_fds: Annotated[int, Field(ge=1)] | None = None
 
 
 # Interval at which the link of a removed upstream is checked for open attempts.
@@ -109,6 +113,7 @@
     """Return the application of an entry VM."""
     timer = timer or SystemTimer()
     its_grace = grace.Grace(settings.grace_s, timer)
+    guard = door.make_guard(timer, settings.memory_mb, settings.max_fds)
     credential = (rpc.FLEET_HEADER, settings.fleet_secret)
     timeline = Timeline(settings.node, timer)
     client = ControlClient(settings.control, credential, timer)
@@ -144,7 +149,9 @@
         timeline,
         timer,
         its_grace,
+        guard,
     )
+    guard.read_head_seconds = lambda: mirror.fleet.bounds.head
 
     def describe() -> dict[str, object]:
         return {"node": settings.node, "revision": mirror.revision}
@@ -152,11 +159,13 @@
     meter = metric.Meter(settings.node)
     mirror.report(meter)
     timeline.report(meter)
+    guard.report(meter)
     gateway.prepare = RequestMeter(meter, mirror, timer).install
 
     application = Application("seam-entry", its_grace)
     application.add(meter)
-    application.add(Probe(settings.probe, describe, mirror.is_confirmed))
+    application.add(guard)
+    application.add(Probe(settings.probe, describe, mirror.is_confirmed, guard))
     application.add(client)
     application.add(mirror)
     application.add(gate)
--- a/sapphireseam/entry/direct_test.py
+++ b/sapphireseam/entry/direct_test.py
@@ -12,7 +12,7 @@
 from sapphireseam.entry.fake import FakeGate, make_refusal
 from sapphireseam.entry.placer import HeldSlot
 from sapphireseam.tools import fake
-from sapphireseam.utils import bufferlimit, crash, fakeupstream, metric, outbound
+from sapphireseam.utils import crash, fakeupstream, memory, metric, outbound
 from sapphireseam.utils.fakeupstream import make_raw
 from sapphireseam.utils.grace import Grace
 from sapphireseam.utils.timeline import Timeline
@@ -588,7 +588,7 @@
         slow.cancel()
 
     async def test_an_upstream_is_not_blamed_for_the_buffers_of_this_process(self):
-        self.outbound._buffers = bufferlimit.BufferLimit(10)
+        self.outbound._buffers = memory.MemoryBudget(10)
         with self.assertRaises(error.SeamError):
             await self.serve(UNSAFE, fingerprint="f")
         self.assertEqual(self.placer.released, [("u1", False)])
--- a/sapphireseam/entry/discovery.py
+++ b/sapphireseam/entry/discovery.py
@@ -12,7 +12,7 @@
 from sapphireseam.entry.placer import Placer
 from sapphireseam.entry.quarantine import QuarantineGate
 from sapphireseam.policy import fallback
-from sapphireseam.utils import crash, metric, outbound, rpc
+from sapphireseam.utils import crash, door, metric, outbound, rpc
 from sapphireseam.utils.application import Application, Part, TaskGroup
 from sapphireseam.utils.ceiling import CeilingMonitor
 from sapphireseam.utils.client import ControlClient
@@ -52,6 +52,7 @@
     client: ControlClient
     timer: TimerService
     grace: Grace
+    guard: door.Guard
 
 
 class _ConnectionCloser:
@@ -111,9 +112,11 @@
     upstreams: outbound.ConnectionPool,
     make_front: Callable[[FrontContext], Part],
     timer: TimerService | None = None,
+    guard: door.Guard | None = None,
 ) -> Application:
     """Return the application; `make_front` makes the part that serves callers."""
     timer = timer or SystemTimer()
+    guard = guard or door.make_guard(timer)
     grace = Grace(settings.grace_seconds, timer)
     credential = (rpc.FLEET_HEADER, settings.fleet_secret)
     timeline = Timeline(settings.node, timer)
@@ -155,8 +158,9 @@
     )
     bulk_jobs = BulkJobClient(client, timer)
     context = FrontContext(
-        authorizer, forwarder, bulk_jobs, mirror, client, timer, grace
+        authorizer, forwarder, bulk_jobs, mirror, client, timer, grace, guard
     )
+    guard.read_head_seconds = lambda: authorizer.bounds.head
 
     def describe() -> dict[str, object]:
         return {
@@ -167,10 +171,12 @@
 
     mirror.report(meter)
     timeline.report(meter)
+    guard.report(meter)
     application = Application("seam-entry", grace)
     for part in (
         meter,
-        Probe(settings.probe, describe, mirror.is_confirmed),
+        guard,
+        Probe(settings.probe, describe, mirror.is_confirmed, guard),
         client,
         upstreams,
         mirror,
--- a/sapphireseam/entry/gateway.py
+++ b/sapphireseam/entry/gateway.py
@@ -25,7 +25,7 @@
     render_error,
     to_seam_error,
 )
-from sapphireseam.utils import grace, probe
+from sapphireseam.utils import door, grace, probe
 from sapphireseam.utils.application import TaskGroup
 from sapphireseam.utils.drain import Drain
 from sapphireseam.utils.mirror import Mirror
@@ -53,7 +53,9 @@
         timeline: Timeline,
         timer: TimerService,
         its_grace: grace.Grace | None = None,
+        guard: door.Guard | None = None,
     ):
+        self._guard = guard or door.make_guard(timer)
         self._address = address
         self.mirror = mirror
         self.timer = timer
@@ -86,7 +88,8 @@
         for method, path, handler in self._batch_api.list_handlers():
             app.router.add_route(method, path, self._wrap_handler(handler))
         app.router.add_route("*", "/{path:.*}", self._drain.wrap(self._serve))
-        self._runner = web.AppRunner(
+        self._runner = door.AppRunner(
+            self._guard,
             app,
             access_log=None,
             handler_cancellation=True,
--- a/sapphireseam/entry/routedrequest.py
+++ b/sapphireseam/entry/routedrequest.py
@@ -138,8 +138,12 @@
     if (request.content_length or 0) > limit:
         raise error.RequestError(text, error.Kind.BODY_TOO_LARGE)
     body = bytearray()
-    async for data in request.content.iter_chunked(64 * 1024):
-        body += data
-        if len(body) > limit:
-            raise error.RequestError(text, error.Kind.BODY_TOO_LARGE)
-    return bytes(body)
+    try:
+        async for data in request.content.iter_chunked(16 * 1024):
+            body += data
+            if len(body) > limit:
+                raise error.RequestError(text, error.Kind.BODY_TOO_LARGE)
+        return bytes(body)
+    finally:
+        # The traceback of an error would keep the body alive.
+        body.clear()
--- a/sapphireseam/platform/answer.py
+++ b/sapphireseam/platform/answer.py
@@ -62,7 +62,7 @@
         self._may_repeat = may_repeat
         self._status = 0
         self._headers: Headers = ()
-        self._body = bytearray()
+        self._parts: list[bytes] = []
         self._grace = grace
         self.response: web.StreamResponse | None = None
 
@@ -93,14 +93,15 @@
     async def write(self, data: bytes) -> None:
         """Send a part of a stream, or buffer a part of a plain answer."""
         if self.response is None:
-            self._body += data
+            self._parts.append(data)
         else:
             await self.response.write(data)
 
     async def finish(self) -> None:
         """Finish an answer of which every part was written."""
         if self.response is None:
-            plain = web.Response(status=self._status, body=bytes(self._body))
+            plain = web.Response(status=self._status, body=b"".join(self._parts))
+            self._parts.clear()
             plain.headers.popall("Content-Type", None)
             self.response = self._add_headers(plain)
         else:
--- a/sapphireseam/platform/batch.py
+++ b/sapphireseam/platform/batch.py
@@ -21,6 +21,8 @@
 ITEMS_PATH = "/items/"
 ACCEPTED_STATUS = 202
 MAX_ITEMS = 200
+# Copies of a batch job beside its body while it is decoded and sent.
+COPIES = 3
 # The most tokens that an item may declare.
 MAX_TOKENS = 10**9
 # Maximum time that a read waits for new results.
--- a/sapphireseam/platform/control.py
+++ b/sapphireseam/platform/control.py
@@ -30,6 +30,8 @@
         settings.label,
         settings.keep_s,
         settings.grace_s,
+        settings.memory_mb,
+        settings.max_fds,
     )
 
 
@@ -50,10 +52,12 @@
         admin_service: admin.AdminService, client: ControlClient, grace: Grace
     ) -> operator.OperatorFront:
         clients.append(client)
-        return operator.OperatorFront(admin_service, address, grace)
+        return operator.OperatorFront(admin_service, address, grace, guard)
 
     timer = SystemTimer()
-    upstreams = outbound.ConnectionPool(dialect.ReplicaDialect())
+    control_settings = make_settings(settings)
+    guard = control.make_guard(control_settings, timer)
+    upstreams = outbound.ConnectionPool(dialect.ReplicaDialect(), guard.budget)
     replicas = listing.Listing(settings.list_address)
 
     async def probe(
@@ -68,11 +72,9 @@
         await report.stop_run(upstreams, instance, request, target)
 
     integration = control.Integration(
-        replicas, upstreams, probe, stop_run, make_operator_server
-    )
-    application = control.build(
-        make_settings(settings), timer, integration, predecessor_ended
+        replicas, upstreams, probe, stop_run, make_operator_server, guard
     )
+    application = control.build(control_settings, timer, integration, predecessor_ended)
     application.add(replicas)
     application.add(reload.Reloader(setting.find_path(), settings, clients[0], timer))
     return application
--- a/sapphireseam/platform/document.py
+++ b/sapphireseam/platform/document.py
@@ -130,6 +130,7 @@
             "header_bytes": configuration.limits.max_header_bytes,
             "body_bytes": configuration.limits.max_body_bytes,
             "idle": configuration.limits.idle_timeout_ms / MILLISECONDS_PER_SECOND,
+            "head": configuration.limits.header_timeout_ms / MILLISECONDS_PER_SECOND,
         },
     }
     return Translated(configuration.version, json.dumps(document).encode())
--- a/sapphireseam/platform/entry.py
+++ b/sapphireseam/platform/entry.py
@@ -3,8 +3,9 @@
 from sapphireseam.core import error
 from sapphireseam.entry import discovery
 from sapphireseam.platform import dialect, front, reload, setting
-from sapphireseam.utils import outbound, program
+from sapphireseam.utils import door, outbound, program
 from sapphireseam.utils.application import Application
+from sapphireseam.utils.timer import SystemTimer
 
 
 def build(settings: setting.Settings) -> Application:
@@ -14,11 +15,13 @@
             "an entry needs addresses for callers and readiness checks"
         )
     callers, ready = settings.callers_address, settings.ready_address
+    timer = SystemTimer()
+    guard = door.make_guard(timer, settings.memory_mb, settings.max_fds)
     contexts: list[discovery.FrontContext] = []
 
     def make_front(context: discovery.FrontContext) -> front.Front:
         contexts.append(context)
-        return front.Front(context, callers, ready)
+        return front.Front(context, callers, ready, guard)
 
     entry_settings = discovery.Settings(
         settings.label,
@@ -30,8 +33,8 @@
         settings.slack,
         settings.grace_s,
     )
-    upstreams = outbound.ConnectionPool(dialect.ReplicaDialect())
-    application = discovery.build(entry_settings, upstreams, make_front)
+    upstreams = outbound.ConnectionPool(dialect.ReplicaDialect(), guard.budget)
+    application = discovery.build(entry_settings, upstreams, make_front, timer, guard)
     context = contexts[0]
     application.add(
         reload.Reloader(setting.find_path(), settings, context.client, context.timer)
--- a/sapphireseam/platform/front.py
+++ b/sapphireseam/platform/front.py
@@ -17,7 +17,7 @@
 from sapphireseam.entry.discovery import FrontContext
 from sapphireseam.platform import answer, batch, dialect
 from sapphireseam.policy.waiting import WaitEstimator
-from sapphireseam.utils import grace, probe
+from sapphireseam.utils import door, grace, probe
 from sapphireseam.utils.drain import Drain
 
 logger = logging.getLogger(__name__)
@@ -51,7 +51,9 @@
         context: FrontContext,
         callers_address: str,
         ready_address: str,
+        guard: door.Guard | None = None,
     ):
+        self._guard = guard or door.make_guard(context.timer)
         self._context = context
         self._grace = context.grace
         self._callers_address = callers_address
@@ -63,7 +65,8 @@
 
     async def start(self) -> None:
         """Start serving."""
-        callers = web.Server(
+        callers = door.Server(
+            self._guard,
             self._drain.wrap(self._answer),
             handler_cancellation=True,
             access_log=None,
@@ -72,7 +75,7 @@
             max_line_size=routedrequest.MAX_HEAD_BYTES,
             max_field_size=routedrequest.MAX_HEAD_BYTES,
         )
-        ready = web.Server(self._answer_ready, access_log=None)
+        ready = door.Server(self._guard, self._answer_ready, access_log=None)
         for server, address in (
             (ready, self._ready_address),
             (callers, self._callers_address),
@@ -148,6 +151,7 @@
             self._read(request, arrived), grace.make_refusal()
         )
         if authorization.route.batch is not None:
+            door.add_charge(request, batch.COPIES * len(body))
             accepted = self._batch.accept(authorization, attempt_id, body)
             return await self._grace.wait_for(accepted, grace.make_cut())
         if not attempt_id:
--- a/sapphireseam/platform/operator.py
+++ b/sapphireseam/platform/operator.py
@@ -11,7 +11,7 @@
 from sapphireseam.control.admin import AdminService
 from sapphireseam.core import error
 from sapphireseam.platform import answer, document
-from sapphireseam.utils import grace, probe
+from sapphireseam.utils import door, grace, probe
 from sapphireseam.utils.drain import Drain
 
 logger = logging.getLogger(__name__)
@@ -23,6 +23,8 @@
 # Maximum size of a configuration.
 MAX_BODY_BYTES = 16 * 1024 * 1024
 INVALID_STATUS = 400
+# Copies of a configuration while it is translated and published.
+COPIES = 4
 # States of a retirement.
 RUNNING = "running"
 COMPLETED = "completed"
@@ -31,7 +33,14 @@
 class OperatorFront:
     """Serves requests about configurations and the retirement of machines."""
 
-    def __init__(self, admin: AdminService, address: str, its_grace: grace.Grace):
+    def __init__(
+        self,
+        admin: AdminService,
+        address: str,
+        its_grace: grace.Grace,
+        guard: door.Guard | None = None,
+    ):
+        self._guard = guard or door.make_guard(its_grace.timer)
         self._admin = admin
         self._grace = its_grace
         # Operators try another control VM at once.
@@ -47,7 +56,9 @@
         app.router.add_post(RETIRE_PATH, self._handle_errors(self._retire))
         app.router.add_get(RETIRED_PATH, self._handle_errors(self._read_retired))
         timeout = self._grace.close_step_seconds
-        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=timeout)
+        self._runner = door.AppRunner(
+            self._guard, app, access_log=None, shutdown_timeout=timeout
+        )
         await self._runner.setup()
         await probe.listen(self._runner, self._address)
 
@@ -74,6 +85,7 @@
 
     async def _put(self, request: web.Request) -> web.Response:
         source = await _read_body(request)
+        door.add_charge(request, COPIES * len(source))
         translated = document.translate(source)
         version, content = translated
         in_force = await self._admin.publish(version, content, source)
--- a/sapphireseam/platform/setting.py
+++ b/sapphireseam/platform/setting.py
@@ -35,7 +35,8 @@
     process ends within `grace_s` seconds after a stop was requested.
     `slack_window` is in seconds. Results of a batch job are retained for at least
     `keep_s` seconds after the job was accepted. `contracts` names the parts of the
-    platform's rules that bind this deployment.
+    platform's rules that bind this deployment. The VM allows the process `memory_mb`
+    of memory and `max_fds` descriptors.
     """
 
     label: str
@@ -53,6 +54,8 @@
     grace_s: fleet.Positive
     keep_s: fleet.NotNegative
     contracts: tuple[str, ...] = ()
+    memory_mb: fleet.Positive | None = None
+    max_fds: Annotated[int, Field(ge=1)] | None = None
     data_folder: str | None = None
     callers_address: str | None = None
     ready_address: str | None = None
--- a/sapphireseam/tools/page.py
+++ b/sapphireseam/tools/page.py
@@ -37,6 +37,10 @@
         "The body exceeds the route's `body_limit`, or a file is too large.",
         "Send a smaller body, or split the file.",
     ),
+    Kind.REQUEST_TIMEOUT: (
+        "The body came too slowly; nothing was sent upstream.",
+        "Send the request again, its body at 1 KB/s at least.",
+    ),
     Kind.KEY_MISSING: (
         "The route requires a key, and the request has none.",
         "Send `Authorization: Bearer <key>`.",
--- a/sapphireseam/utils/metric.py
+++ b/sapphireseam/utils/metric.py
@@ -340,6 +340,38 @@
     "0 while items are open: no agent pulls items; look at `seam_running`.",
 )
 
+BOUNDED = Metric(
+    "seam.client.bounded",
+    Form.COUNTER,
+    "",
+    ("bound",),
+    _ALL,
+    "Clients that were refused or disconnected, by the bound that they ran into:"
+    " `memory`, `head_time`, `body_time`, `answer_time` or `connections`.",
+    "Rises: a client misbehaves, or the VM is too small; look up `clients bounded` in"
+    ' the log, and see OPERATIONS, "Clients that misbehave".',
+)
+CLIENT_BYTES = Metric(
+    "seam.client.bytes",
+    Form.GAUGE,
+    "",
+    ("state",),
+    _ALL,
+    "Bytes that a process holds for clients and answers (`held`), and the sum from"
+    " which holders must go (`budget`).",
+    "`held` stays near `budget`: large requests, slow clients or a small VM; raise"
+    " `memory_mb` with the VM's memory, or lower the limit on bodies.",
+)
+CLIENT_CONNECTIONS = Metric(
+    "seam.client.connections",
+    Form.GAUGE,
+    "",
+    (),
+    _ALL,
+    "Open connections of clients to the HTTP servers of a process.",
+    "Near half of the VM's descriptors: new clients displace idle ones; add entries.",
+)
+
 METRICS = (
     REQUEST,
     FIRST_TOKEN,
@@ -368,6 +400,9 @@
     JOBS,
     ITEMS,
     LEASES,
+    BOUNDED,
+    CLIENT_BYTES,
+    CLIENT_CONNECTIONS,
 )
 _BUCKETS = {
     REQUEST.name: REQUEST_BUCKETS,
--- a/sapphireseam/utils/outbound.py
+++ b/sapphireseam/utils/outbound.py
@@ -20,7 +20,7 @@
 from multidict import CIMultiDictProxy
 
 from sapphireseam.core import instance as instances
-from sapphireseam.utils import bufferlimit, event, framing
+from sapphireseam.utils import event, framing, memory
 from sapphireseam.utils.ceiling import CeilingMonitor
 
 logger = logging.getLogger(__name__)
@@ -38,9 +38,11 @@
 IDLE_SECONDS = 4.0
 # Bytes of a body that are read at once.
 READ_BYTES = 64 * 1024
+# Copies of a complete answer while it is handed over.
+COPIES = 2
 # The largest answer to an order, in bytes.
 MAX_REPLY_BYTES = 1024 * 1024
-# Bytes of unfinished answers that one process buffers, see `BufferLimit`.
+# Budget of a pool for the bytes of unfinished answers, if it is given none.
 MAX_BUFFERED_BYTES = 32 * 1024 * 1024
 # The lowest HTTP status of a failure.
 FAILURE_STATUS = 400
@@ -193,7 +195,7 @@
     """An answer whose body can be read in parts, in events or at once."""
 
     def __init__(
-        self, head: Head, response: framing.FramedResponse, buffer: bufferlimit.Share
+        self, head: Head, response: framing.FramedResponse, buffer: memory.Share
     ):
         self.head = head
         self._response = response
@@ -312,7 +314,7 @@
     def _record_buffer(self, size: int) -> None:
         try:
             self._buffer.resize(size)
-        except bufferlimit.BufferLimitError as failure:
+        except memory.BudgetError as failure:
             # The upstream did nothing wrong.
             raise RefusalError(str(failure), False) from None
 
@@ -325,7 +327,7 @@
         try:
             while data := await self.read_some(wait_scope):
                 body += data
-                self._record_buffer(len(body))
+                self._record_buffer(COPIES * len(body))
                 if len(body) > limit:
                     text = f"the answer has more than {limit} bytes"
                     raise OutboundError(text, False)
@@ -342,7 +344,7 @@
     from this process. `on_leaving` is called when it says so for the first time.
     """
 
-    def __init__(self, dialect: Dialect):
+    def __init__(self, dialect: Dialect, budget: memory.MemoryBudget | None = None):
         self.on_leaving: Callable[[instances.Instance], None] = lambda _: None
         # Hears the ceilings that upstreams name, if it is set.
         self.ceiling_monitor: CeilingMonitor | None = None
@@ -353,7 +355,7 @@
         # Requests in progress by address.
         self._open_requests: Counter[str] = Counter()
         self._listed: frozenset[str] | None = None
-        self._buffers = bufferlimit.BufferLimit(MAX_BUFFERED_BYTES)
+        self._buffers = budget or memory.MemoryBudget(MAX_BUFFERED_BYTES)
 
     async def start(self) -> None:
         """Do nothing; a connection is opened when it is first used."""
@@ -392,6 +394,7 @@
                 _limit_unacknowledged,
                 self._dialect.read_id,
                 timeout=timeout,
+                read_bufsize=READ_BYTES // 2,
                 auto_decompress=False,
                 cookie_jar=aiohttp.DummyCookieJar(),
                 skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
--- a/sapphireseam/utils/probe.py
+++ b/sapphireseam/utils/probe.py
@@ -7,6 +7,7 @@
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
 from sapphireseam.core import error
+from sapphireseam.utils import door
 
 HEALTH_PATH = "/health"
 METRICS_PATH = "/metrics"
@@ -37,7 +38,9 @@
         address: str,
         describe: Callable[[], dict[str, Any]],
         is_healthy: Callable[[], bool],
+        guard: door.Guard,
     ):
+        self._guard = guard
         self._address = address
         self._describe = describe
         self._is_healthy = is_healthy
@@ -48,8 +51,8 @@
         app = web.Application()
         app.router.add_get(HEALTH_PATH, self._answer_health)
         app.router.add_get(METRICS_PATH, self._answer_metrics)
-        self._runner = web.AppRunner(
-            app, access_log=None, shutdown_timeout=SHUTDOWN_SECONDS
+        self._runner = door.AppRunner(
+            self._guard, app, access_log=None, shutdown_timeout=SHUTDOWN_SECONDS
         )
         await self._runner.setup()
         await listen(self._runner, self._address)
--- a/sapphireseam/utils/program.py
+++ b/sapphireseam/utils/program.py
@@ -14,7 +14,7 @@
 from typing import Any
 
 from sapphireseam.core import error
-from sapphireseam.utils import log, loop, setting
+from sapphireseam.utils import log, loop, memory, setting
 from sapphireseam.utils.application import Application
 
 BAD_SETTINGS_EXIT = 2
@@ -43,6 +43,7 @@
         print(failure.message, file=sys.stderr)
         sys.exit(BAD_SETTINGS_EXIT)
     log.configure(name, settings.node)
+    memory.limit_heap()
     while True:
         try:
             loop.run(build_and_run(build, settings))
