--- a/sapphireseam/control/application.py
+++ b/sapphireseam/control/application.py
@@ -75,8 +75,9 @@
     `address` takes the calls of the system's processes and of operators, `probe`
     serves health checks and metrics. `peers` lists all initial members including
     this one. On a control VM that is added later, it lists the members to join. A
-    stop ends within `grace_s` seconds. `memory_mb` and `max_fds` are what the VM allows
-    the process.
+    stop ends within `grace_s` seconds. With `spreads_load`, entries without a leader
+    spread their requests evenly over discovered upstreams. `memory_mb` and
+    `max_fds` are what the VM allows the process.
     """
 
     node: fleet.Name
@@ -91,6 +92,7 @@
     label: str = ""
     lot_seconds: fleet.Positive = bulkrunner.RETENTION_SECONDS
     grace_s: fleet.Positive = DEFAULT_SECONDS
+    spreads_load: bool = False
     memory_mb: fleet.Positive | None = None
     max_fds: Annotated[int, Field(ge=1)] | None = None
 
@@ -500,14 +502,17 @@
         integration.probe,
         integration.stop_run,
         timer,
+        settings.spreads_load,
     )
     server.register(shared.server)
     integration.upstreams.on_leaving = server.mark_leaving
     integration.upstreams.ceiling_monitor = server.ceiling_monitor
-    report_slots(shared.meter, server.allocator, machine, replica)
+    report_slots(shared.meter, server.allocator, machine, replica, server.list_resting)
     bulkservice.BulkService(replica, machine, timer).register(shared.server)
     members = membership.MembershipService(replica, machine, settings.voters, timer)
     members.register(shared.server)
+    server.find_domain = members.find_domain
+    members.on_domain = server.renew_view
     runner = bulkrunner.BulkRunner(
         replica, machine, server, integration.upstreams, timer, settings.lot_seconds
     )
@@ -517,7 +522,9 @@
     operator_server = integration.make_operator_server(
         admin.AdminService(replica, machine, client, timer), client, application.grace
     )
-    announcer = membership.Announcer(settings.address, settings.label, client, timer)
+    announcer = membership.Announcer(
+        settings.address, settings.label, client, timer, settings.failure_domain
+    )
     for part in (
         client,
         integration.upstreams,
--- a/sapphireseam/control/meter_test.py
+++ b/sapphireseam/control/meter_test.py
@@ -26,6 +26,7 @@
     def test_each_metric_is_exposed_with_its_labels_and_counts(self):
         slots = allocator.SlotAllocator()
         slots.update((Instance("i1", "llm", "10.0.0.1:80", "z", 8),), 0.0)
+        slots.set_evacuated(frozenset({"y"}), 0.0)
         slots.place(allocator.SlotRequest("k", "llm", "c", 0, "z", 0.0, 1.0), 0.0)
         machine = machines.StateMachine()
         items = (command.LotItem("i", "/x", (), b"", 1),)
@@ -35,10 +36,12 @@
         machine.apply(2, command.REGISTRY.encode(named))
         control = metric.Meter("control-m")
         replica = types.SimpleNamespace(is_leader=True)
-        meter.report_slots(control, slots, machine, replica)
+        meter.report_slots(control, slots, machine, replica, tuple)
         entry = metric.Meter("entry-m")
         entry.observe(metric.PLACEMENT, 0.01, outcome="placed")
+        entry.read(metric.ENTRY_NUMBER, lambda: 1)
         entry.read_many(metric.CUT, lambda: [(1, {"cause": "silent"})])
+        entry.read_many(metric.BULK_READS, lambda: [(1, {"source": "near"})])
         found = self.scrape()
         for item in metric.METRICS:
             if not item.is_discovery:
--- a/sapphireseam/control/placement.py
+++ b/sapphireseam/control/placement.py
@@ -10,15 +10,15 @@
 import asyncio
 import logging
 import math
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import NamedTuple
 
 from sapphireseam.control import record
 from sapphireseam.control.machine import StateMachine
 from sapphireseam.control.ratelimit import RateLimitService
-from sapphireseam.core import command, error, fleet, placement
-from sapphireseam.core.instance import Instance
-from sapphireseam.policy import allocator, origin
+from sapphireseam.core import command, error, evacuation, fleet, placement
+from sapphireseam.core.instance import Instance, get_run_name
+from sapphireseam.policy import allocator, origin, outlier
 from sapphireseam.state.replica import Replica
 from sapphireseam.utils import ceiling, rpc
 from sapphireseam.utils.application import TaskGroup
@@ -109,15 +109,23 @@
         probe: Probe,
         stop_run: StopRun,
         timer: TimerService,
+        spreads_load: bool = False,
     ):
+        # Whether the entries get numbers, by which they spread what they place alone.
+        self._spreads_load = spreads_load
         self.allocator = allocator.SlotAllocator()
         # Knows the ceilings that this control VM hears itself, beside the replicated.
         self.ceiling_monitor = ceiling.CeilingMonitor(
             lambda: machine.state.ceilings, self._propose_ceiling, timer
         )
         self.ceiling_monitor.on_heard = self._apply_ceilings
+        # Returns the failure domain of a control VM, by its address.
+        self.find_domain: Callable[[str], str] = lambda address: ""
         # Called with the key of a bulk item that is preempted.
         self.on_evicted: Callable[[str], None] = lambda key: None
+        # Called with a failure domain whose evacuation ends, before anything is placed
+        # there.
+        self.on_returned: Callable[[str], None] = lambda domain: None
         # Called whenever a slot may have become free.
         self.on_slot_free: Callable[[], None] = lambda: None
         self._replica = replica
@@ -133,9 +141,11 @@
         # Whether the entries get the view with the next heartbeat.
         self._is_view_due = False
         self._origins = origin.StreamOrigins()
+        self._outliers = outlier.OutlierDetector()
         # The time until which each instance's load is reconciled.
         self._reconcile_until: dict[str, float] = {}
         self._term = -1
+        self._evacuated = evacuation.Evacuated()
         self._contracts: dict[str, fleet.Contract] = {}
         self._services: dict[str, fleet.Service] = {}
         self._tasks = TaskGroup()
@@ -167,11 +177,50 @@
             self._contracts = self._rate_limits.contracts
         if item is None:
             self._apply_ceilings()
+        if item is None or isinstance(item, command.SetEvacuation):
+            self._apply_evacuations()
         if isinstance(item, command.ReportCeiling):
             if self._replica.is_leader:
                 self._log_ceiling(item)
             self._apply_ceilings()
 
+    def _apply_evacuations(self) -> None:
+        """Obey the evacuations that this member has applied, and tell the entries."""
+        former, found = self._evacuated, record.read_evacuated(self._machine.state)
+        if found == former:
+            return
+        self._evacuated = found
+        for entry in self._entries.values():
+            entry.post(placement.Evacuation(found))
+        for domain in former.domains:
+            if domain not in found.domains:
+                self.on_returned(domain)
+        now = self._timer.read_clock()
+        grants = self.allocator.set_evacuated(frozenset(found.domains), now)
+        if self._replica.is_leader:
+            self._log_evacuations(former, found)
+        self._send_decisions(grants)
+        self.on_slot_free()
+
+    def _log_evacuations(
+        self, former: evacuation.Evacuated, found: evacuation.Evacuated
+    ) -> None:
+        """Log which domains this leader places nothing in from now on."""
+        counts = self.allocator.count_evacuated()
+        for domain in found.domains:
+            if domain not in former.domains:
+                detail = {"domain": domain, "running": counts[domain]}
+                logger.info("failure domain evacuated", extra=detail)
+        for domain in former.domains:
+            if domain not in found.domains:
+                detail = {"domain": domain}
+                logger.info("failure domain back in service", extra=detail)
+        places = [(each.service, each.domain) for each in self.allocator.instances]
+        deserted = evacuation.list_deserted(places, found.domains)
+        if deserted:
+            detail = {"services": deserted, "domains": found.domains}
+            logger.warning("evacuation leaves services no upstream", extra=detail)
+
     async def _propose_ceiling(self, item: command.ReportCeiling) -> None:
         await self._replica.propose(command.REGISTRY.encode(item))
 
@@ -192,6 +241,10 @@
         now = self._timer.read_clock()
         self._send_decisions(self.allocator.set_ceilings(rates, now))
 
+    def renew_view(self) -> None:
+        """Send the view to all entries with the next heartbeat."""
+        self._is_view_due = True
+
     def update_instances(self, instances: tuple[Instance, ...]) -> None:
         """Replace the known instances by those that discovery found."""
         is_new_term = not self._has_list
@@ -206,6 +259,7 @@
                 self._reconcile_until[instance.id] = now + RECONCILE_SECONDS
             self._tasks.spawn(self._reconcile_loads())
         self._send_decisions(self.allocator.update(instances, now))
+        self._outliers.keep_only(get_run_name(each) for each in instances)
         self._is_view_due = True
         self.on_slot_free()
 
@@ -222,12 +276,16 @@
         Without a list of instances an entry goes on with the last one that it had.
         """
         await self._wait_for_list()
+        # What the former leader acknowledged must bind the first grant.
+        await self._replica.wait_caught_up()
         self._next_session += 1
         entry = _EntrySession(first, stream, self._next_session, self._timer)
         self._entries[entry.session] = entry
         open_numbers: set[int] = set()
         self._add_known(entry, first, open_numbers)
-        entry.post(self._make_view())
+        if self._evacuated.number:
+            entry.post(placement.Evacuation(self._evacuated))
+        self._send_views([entry])
         for instance in self.allocator.list_leaving():
             entry.post(placement.Leaving(instance.id, instance.born))
         # The others learn only how many entries there are.
@@ -402,20 +460,48 @@
             self.allocator.record_pace(instance_id, message.pace)
         if instance_id and message.is_suspect:
             self._eject(instance_id, entry.name)
-        if instance_id and message.is_full:
+        elif instance_id and message.is_full:
             self._reconcile_until[instance_id] = now + RECONCILE_SECONDS
+            self._rest_after_refusal(instance_id, entry.name)
+        elif instance_id and message.pace:
+            self._record_success(instance_id)
         self._send_decisions(self.allocator.release(key, now))
         self.on_slot_free()
 
-    def _eject(self, instance_id: str, reporter: str) -> None:
+    def _eject(self, instance_id: str, reporter: str, is_refusal: bool = False) -> None:
+        rest = self._record_failure(instance_id, reporter, is_refusal)
         if self.allocator.eject(instance_id):
-            logger.info(
-                "upstream ejected", extra={"upstream": instance_id, "by": reporter}
-            )
+            detail = {"upstream": instance_id, "by": reporter, "rest": round(rest, 3)}
+            logger.info("upstream ejected", extra=detail)
             # Without another upstream, requests wait for the answer.
             for instance in self.allocator.list_awaited(instance_id):
                 self._tasks.spawn(self._probe_one(instance))
 
+    def _ejects_outliers(self, service: str) -> bool:
+        return self._services.get(service, fleet.Service()).ejects_outliers
+
+    def _record_failure(
+        self, instance_id: str, reporter: str, is_refusal: bool
+    ) -> float:
+        """Count a failure; return the seconds for which the upstream rests."""
+        instance = self.allocator.find_listed(instance_id)
+        if instance is None or not self._ejects_outliers(instance.service):
+            return 0.0
+        now = self._timer.read_clock()
+        run = get_run_name(instance)
+        return self._outliers.record_failure(run, reporter, now, is_refusal)
+
+    def _record_success(self, instance_id: str) -> None:
+        instance = self.allocator.find_listed(instance_id)
+        if instance is not None:
+            self._outliers.record_success(get_run_name(instance))
+
+    def _rest_after_refusal(self, instance_id: str, reporter: str) -> None:
+        """Let an upstream rest that refused a request though it had a free slot."""
+        instance = self.allocator.find_listed(instance_id)
+        if instance is not None and self._ejects_outliers(instance.service):
+            self._eject(instance_id, reporter, is_refusal=True)
+
     def release(self, key: str) -> None:
         """Release the slot of a bulk item."""
         self._send_decisions(self.allocator.release(key, self._timer.read_clock()))
@@ -440,9 +526,31 @@
 
         The process that answers may be another one than before.
         """
-        for instance in self.allocator.list_ejected():
+        for instance in self._list_returning():
             self._tasks.spawn(self._probe_one(instance))
 
+    def list_resting(self) -> list[Instance]:
+        """Return the ejected instances that no probe may bring back yet."""
+        returning = {instance.id for instance in self._list_returning()}
+        ejected = self.allocator.list_ejected()
+        return [instance for instance in ejected if instance.id not in returning]
+
+    def _list_returning(self) -> list[Instance]:
+        """Return the ejected instances that don't have to rest any longer."""
+        now = self._timer.read_clock()
+        by_service: dict[str, list[Instance]] = {}
+        for instance in self.allocator.list_ejected():
+            if self.allocator.is_evacuated(instance.id):
+                continue
+            by_service.setdefault(instance.service, []).append(instance)
+        returning = []
+        for service, instances in by_service.items():
+            total = self.allocator.count_upstreams(service)
+            runs = {get_run_name(instance) for instance in instances}
+            chosen = self._outliers.choose_returning(runs, total, now)
+            returning += [each for each in instances if get_run_name(each) in chosen]
+        return returning
+
     async def _probe_one(self, instance: Instance) -> None:
         if await self._probe_load(instance) is None:
             self.allocator.record_down(instance.id)
@@ -466,7 +574,8 @@
             if until is None or not service.tells_load:
                 continue
             if until > now:
-                self._tasks.spawn(self._reconcile_one(instance))
+                if not self.allocator.is_evacuated(instance.id):
+                    self._tasks.spawn(self._reconcile_one(instance))
             else:
                 del self._reconcile_until[instance.id]
                 self._send_decisions(self.allocator.clear_load(instance.id, now))
@@ -553,9 +662,7 @@
             self._redirect_entries()
         is_view_due, self._is_view_due = self._is_view_due, False
         if is_view_due:
-            view = self._make_view()
-            for entry in self._entries.values():
-                entry.post(view)
+            self._send_views(self._entries.values())
             return
         for entry in self._entries.values():
             if entry.silence >= HEARTBEAT_SKIP_SECONDS:
@@ -569,9 +676,22 @@
         for entry in self._entries.values():
             entry.post(failure)
 
-    def _make_view(self) -> placement.View:
+    def _send_views(self, receivers: Iterable[_EntrySession]) -> None:
+        """Send the view, with its own number to each receiver if that is in use."""
         control = tuple(member.address for member in self._replica.members)
-        return placement.View(self.allocator.instances, control, len(self._entries))
+        domains = tuple(self.find_domain(address) for address in control)
+        instances = self.allocator.instances
+        view = placement.View(instances, control, len(self._entries), domains)
+        numbers = self._number_entries() if self._spreads_load else {}
+        for entry in receivers:
+            entry.post(view._replace(number=numbers.get(entry.session)))
+
+    def _number_entries(self) -> dict[int, int]:
+        """Return the numbers by session, in order of failure domain and name."""
+        entries = sorted(
+            self._entries.values(), key=lambda each: (each.domain, each.name)
+        )
+        return {entry.session: number for number, entry in enumerate(entries)}
 
 
 def _get_origin(item: placement.Began) -> origin.Origin:
--- a/sapphireseam/entry/placer.py
+++ b/sapphireseam/entry/placer.py
@@ -2,10 +2,11 @@
 
 One stream to the leader carries all slot requests. While no leader answers, the
 entry places requests by the last instance list that it received and by the
-requests that it has running itself. Each customer then gets no more than the
-deployment's fallback limits allow, and each upstream that names a ceiling no more
-than this entry's part of it. Without this, all requests would be refused
-for the second that an election takes.
+requests that it has running itself. If the leader has numbered the entries, each
+prefers other upstreams, so that they fill them evenly (policy/spread.py). Each customer
+then gets no more than the deployment's fallback limits allow, and each upstream that
+names a ceiling no more than this entry's part of it. Without this, all requests would
+be refused for the second that an election takes.
 """
 
 import asyncio
@@ -14,9 +15,9 @@
 from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
-from sapphireseam.core import error, fleet, message, placement
+from sapphireseam.core import error, evacuation, fleet, message, placement
 from sapphireseam.core.instance import Instance
-from sapphireseam.policy import allocator, fallback, origin
+from sapphireseam.policy import allocator, fallback, origin, spread, upstreampool
 from sapphireseam.utils import metric, rpc
 from sapphireseam.utils.application import TaskGroup
 from sapphireseam.utils.client import ControlClient
@@ -33,6 +34,8 @@
 # How long a request waits for the leader's answer beyond its own patience.
 ANSWER_SECONDS = 0.2
 RECONNECT_SECONDS = 0.05
+# How long a request waits at an entry that has started and knows no upstream yet.
+FIRST_VIEW_SECONDS = 0.5
 # How long the control VMs usually take to elect a leader.
 ELECTION_SECONDS = 0.6
 # Outcomes of a slot request in the metrics.
@@ -86,19 +89,29 @@
         meter: metric.Meter,
         timer: TimerService,
         read_ceilings: Callable[[], Mapping[str, float]] = dict,
+        grants_by_use: bool = False,
     ):
         self._meter = meter
         self._read_ceilings = read_ceilings
         self.on_instances: Callable[[tuple[Instance, ...]], None] = lambda _: None
+        # Called with the control VMs and their failure domains.
+        self.on_control: Callable[[tuple[str, ...], tuple[str, ...]], None] = (
+            lambda addresses, domains: None
+        )
         self._node = node
         self._domain = domain
         self._client = client
         self._contracts = contracts
         self._timer = timer
-        self._fallback = fallback.FallbackLimiter(slack)
+        self._fallback = fallback.FallbackLimiter(slack, grants_by_use)
         # Counts only this entry's requests, to place locally without a leader.
         self._allocator = allocator.SlotAllocator()
+        self._evacuated = evacuation.Evacuated()
         self._entry_count = 1
+        # This entry's place among all, if it is to spread the load without a leader.
+        self._position: spread.Position | None = None
+        meter.read(metric.ENTRY_NUMBER, self._count_position)
+        self._has_view = False
         # The streams that this entry began or resumed.
         self._origins = origin.StreamOrigins()
         self._numbers = itertools.count(1)
@@ -198,25 +211,60 @@
     def _handle(self, item: object) -> None:
         match item:
             case placement.View():
-                self._update_instances(item.instances)
+                self._has_view = True
                 self._entry_count = max(item.entries, 1)
+                self._update_position(item.number)
+                self._update_instances(item.instances)
                 self._client.update_addresses(item.control)
+                self.on_control(item.control, item.domains)
                 self.on_instances(item.instances)
             case placement.Placed() | placement.Turned():
                 self._resolve(item)
             case placement.Leaving():
                 self._mark_leaving(item)
+            case placement.Evacuation():
+                self.apply_evacuated(item.evacuated)
             case message.Failure():
                 raise rpc.unpack_failure(item)
 
+    def apply_evacuated(self, item: evacuation.Evacuated) -> None:
+        """Place nothing in these failure domains, unless newer ones are known.
+
+        They come from the leader and with the watch, in any order.
+        """
+        if item.number <= self._evacuated.number:
+            return
+        self._evacuated = item
+        now = self._timer.read_clock()
+        self._allocator.set_evacuated(frozenset(item.domains), now)
+
+    def is_evacuated(self, slot: HeldSlot) -> bool:
+        """Return whether a slot lies in a domain that was evacuated since its grant."""
+        return self._evacuated.covers(slot.instance.domain)
+
     def _update_instances(self, instances: tuple[Instance, ...]) -> None:
         """Use a list, which may not show yet which instances leave."""
+        if self._position is not None:
+            instances = spread.order_instances(instances, self._position)
         self._allocator.update(instances, self._timer.read_clock())
         listed = {placement.Leaving(each.id, each.born) for each in instances}
         self._leaving &= listed
         for item in self._leaving:
             self._allocator.mark_leaving(item.instance, item.born)
 
+    def _update_position(self, number: int | None) -> None:
+        position = None
+        if number is not None:
+            position = spread.Position(number, self._entry_count)
+        if position != self._position:
+            detail = {"number": number, "entries": self._entry_count}
+            logger.info("entry numbered", extra=detail)
+        self._position = position
+
+    def _count_position(self) -> int:
+        """Return this entry's number, counted from 1, or 0 without one."""
+        return self._position.number + 1 if self._position is not None else 0
+
     def _resolve(self, item: placement.Placed | placement.Turned) -> None:
         future = self._waiting.get(item.number)
         if future is not None and not future.done():
@@ -275,6 +323,9 @@
         if spec.resumes:
             # Only a leader knows the streams of other entries.
             await self._wait_for_leader(spec.patience)
+        elif not self._has_view:
+            # Without one it can only be refused, and a leader is about to answer.
+            await self._wait_for_leader(FIRST_VIEW_SECONDS)
         if not self.has_leader:
             return self._place_locally(number, spec), LOCAL
         future = asyncio.get_running_loop().create_future()
@@ -293,6 +344,8 @@
         if isinstance(answer, placement.Turned):
             kind = error.Kind(answer.kind)
             raise error.CapacityError(answer.message, kind, answer.retry_after, True)
+        if spec.is_counted:
+            self._fallback.record_use(spec.customer, self._timer.read_clock())
         return self._add_running(number, spec, answer.instance), PLACED
 
     async def _wait_for_leader(self, seconds: float) -> None:
@@ -343,12 +396,18 @@
             self._origins.require(spec.resumes, spec.services, now)
         contract = self._contracts().get(spec.customer)
         if spec.is_counted and contract is not None:
-            wait = self._fallback.spend(spec.customer, contract, self._entry_count, now)
+            wait = self._fallback.spend(
+                spec.customer, contract, self._entry_count, now, self._last_contact
+            )
             if wait > 0.0:
                 text = "the limits have no owner, and the fallback limit is used up"
                 raise error.CapacityError(text, error.Kind.RATE_LIMITED, wait, True)
         self.update_ceilings()
-        result = self._allocator.place(self._make_slot_request(number, spec), now)
+        request = self._make_slot_request(number, spec)
+        if self._position is not None:
+            # Entries that prefer their own failure domain could overrun it.
+            request = request._replace(domain=upstreampool.NO_DOMAIN)
+        result = self._allocator.place(request, now)
         if not isinstance(result, allocator.Grant):
             text = f"this entry found no free slot at service {spec.service}"
             wait = result.retry_after if result is not None else CHECK_SECONDS
@@ -364,6 +423,7 @@
                 "request": spec.request,
                 "upstream": result.instance.id,
                 "leader_silent": round(silent, 3),
+                "entry_number": self._count_position(),
             },
         )
         return slot
--- a/sapphireseam/platform/entry.py
+++ b/sapphireseam/platform/entry.py
@@ -32,6 +32,8 @@
         settings.trust_ms / setting.MILLISECONDS_PER_SECOND,
         settings.slack,
         settings.grace_s,
+        settings.reads_nearby,
+        settings.grants_by_use,
     )
     upstreams = outbound.ConnectionPool(dialect.ReplicaDialect(), guard.budget)
     application = discovery.build(entry_settings, upstreams, make_front, timer, guard)
--- a/sapphireseam/platform/setting.py
+++ b/sapphireseam/platform/setting.py
@@ -35,8 +35,11 @@
     process ends within `grace_s` seconds after a stop was requested.
     `slack_window` is in seconds. Results of a batch job are retained for at least
     `keep_s` seconds after the job was accepted. `contracts` names the parts of the
-    platform's rules that bind this deployment. The VM allows the process `memory_mb`
-    of memory and `max_fds` descriptors.
+    platform's rules that bind this deployment. With `reads_nearby`, an entry reads
+    results of batch jobs in its own failure domain. With `grants_by_use`, an entry
+    without a leader grants customers what they used there lately. `failure_domains` are
+    those of the deployment, each with its region. The VM allows the
+    process `memory_mb` of memory and `max_fds` descriptors.
     """
 
     label: str
@@ -54,6 +57,9 @@
     grace_s: fleet.Positive
     keep_s: fleet.NotNegative
     contracts: tuple[str, ...] = ()
+    reads_nearby: bool = False
+    grants_by_use: bool = False
+    failure_domains: dict[str, str] = {}
     memory_mb: fleet.Positive | None = None
     max_fds: Annotated[int, Field(ge=1)] | None = None
     data_folder: str | None = None
