--- a/sapphireseam/policy/sharing_test.py
+++ b/sapphireseam/policy/sharing_test.py
@@ -47,8 +47,7 @@
         self.waits = defaultdict(list)
         self.refused = Counter()
         self.returns = []
-        # How long refused requests were held, and how much later than promised others
-        # that waited were placed.
+        # Seconds until refusals were told, and delays beyond the promised waits.
         self.held, self.delays = [], []
         self.by_domain = Counter()
         self.ends, self.promises = {}, {}
@@ -209,8 +208,7 @@
         placed = [sum(map(len, play.waits.values())) for play in (shared, unshared)]
         self.assertGreater(placed[0], 0.98 * placed[1])
         self.assertGreater(shared.share_served([self.HOT]), 0.15)
-        # Who isn't served is told within a quarter of the aim of 0.3 s, and refused
-        # requests return spread in time.
+        # Refusals are told within a quarter of the aim of 0.3 s.
         self.assertLess(sum(shared.held) / len(shared.held), 0.3 / 4)
         returns = [at for at in shared.returns if 3.0 < at < 8.0]
         spans = Counter(int(at / 0.1) for at in returns)
