Fail the reader of an answer whose connection is closed here

Cause: the HTTP library forgets the body when a process closes a connection itself, such as at the end of its stop. A reader that waited then hung, and one that came later got a RuntimeError instead of an error that tells what became of the request. Change: framing ends the body with an error when it closes or aborts the connection. The test no longer drops the error that ends its callers. Result: the new test of outbound fails without the change (no end within 1 s) and passes with it; outbound, framing and engine tests pass.

--- a/sapphireseam/tools/cold_test.py
+++ b/sapphireseam/tools/cold_test.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import itertools
 import random
 import tempfile
@@ -85,7 +86,8 @@
             await asyncio.sleep(max(begin + COLD_SECONDS - clock(), 0.0) + 2.0)
         finally:
             sending.cancel()
-            await asyncio.gather(sending, return_exceptions=True)
+            with contextlib.suppress(asyncio.CancelledError):
+                await sending
             await self.fleet.stop()
         until = begin + COLD_SECONDS
         for upstream in cold:
--- a/sapphireseam/utils/framing.py
+++ b/sapphireseam/utils/framing.py
@@ -158,12 +158,13 @@
         failure = self.exception()
         if failure is not None:
             # The library reports malformed bytes only to a reader of the head.
-            self._break_body(f"malformed: {type(failure).__name__}")
+            text = f"malformed: {type(failure).__name__}"
+            self._fail_body(MalformedAnswerError(text))
         elif self._has_too_much_overhead() and self.transport is not None:
             text = f"{self._received} bytes received, hardly any of them in the body"
             self._abort()
             self.set_exception(MalformedAnswerError(text))
-            self._break_body(text)
+            self._fail_body(MalformedAnswerError(text))
 
     def _abort(self) -> None:
         self.force_close()
@@ -178,11 +179,21 @@
         overhead = self._received - size
         return overhead > MAX_OVERHEAD_BYTES + OVERHEAD_PER_BODY_BYTE * size
 
-    def _break_body(self, text: str) -> None:
+    def _fail_body(self, failure: aiohttp.ClientError) -> None:
         """Make readers of the body fail, unless it is complete or has failed."""
         body = self._body
         if body is not None and not body.is_eof() and body.exception() is None:
-            body.set_exception(MalformedAnswerError(text))
+            body.set_exception(failure)
+
+    def close(self) -> None:
+        """Close the connection; an answer that isn't complete has ended early."""
+        super().close()
+        self._fail_body(aiohttp.ClientPayloadError("the connection was closed here"))
+
+    def abort(self) -> None:
+        """Close the connection at once, as `close` does."""
+        super().abort()
+        self._fail_body(aiohttp.ClientPayloadError("the connection was closed here"))
 
     def eof_received(self) -> None:
         """Record the end of the received data."""
--- a/sapphireseam/utils/outbound_test.py
+++ b/sapphireseam/utils/outbound_test.py
@@ -61,6 +61,19 @@
         self.assertNotIsInstance(caught.exception, outbound.AnswerTimeoutError)
         self.assertFalse(caught.exception.is_not_run)
 
+    async def test_an_answer_whose_connection_is_closed_here_ends_early(self):
+        request = outbound.Outgoing("r1", "c", "h", "POST", "/x", (), b"body")
+        for waits in (True, False):
+            pool = outbound.ConnectionPool(fakeupstream.FakeDialect())
+            self.upstream.behaviours = ["stall"]
+            async with pool.send(request, self.upstream.instance) as answer:
+                await answer.read_some()
+                reading = asyncio.create_task(answer.read_all(1 << 20))
+                await asyncio.sleep(0.05 * waits)
+                await pool.stop()
+                with self.assertRaises(outbound.OutboundError):
+                    await asyncio.wait_for(reading, 1.0)
+
     async def test_unframed_answer_whose_connection_is_reset_is_not_complete(self):
         self.upstream.event_delay = 0.01
         self.upstream.behaviours = ["unframed", "unframed-reset"]
