Send nothing more from a connection pool that stops

Cause: a pool that stopped kept its sessions until the last was closed, so a request in that time got a RuntimeError of the HTTP library, and one after it opened a session that nobody closed. Change: a stopped pool refuses as not run. A test that closed connections with the stop now closes them as unlisted; what it checks is the same.

--- a/sapphireseam/utils/outbound.py
+++ b/sapphireseam/utils/outbound.py
@@ -368,16 +368,19 @@
         # Requests in progress by address.
         self._open_requests: Counter[str] = Counter()
         self._listed: frozenset[str] | None = None
+        self._is_stopped = False
         self._buffers = budget or memory.MemoryBudget(MAX_BUFFERED_BYTES)
 
     async def start(self) -> None:
         """Do nothing; a connection is opened when it is first used."""
 
     async def stop(self) -> None:
-        """Close every connection."""
-        for session in self._sessions.values():
-            await session.close()
+        """Close every connection; nothing more is sent."""
+        self._is_stopped = True
+        sessions = list(self._sessions.values())
         self._sessions.clear()
+        for session in sessions:
+            await session.close()
 
     async def keep_only(self, addresses: frozenset[str]) -> None:
         """Close the connections to all other addresses, once they are idle.
@@ -430,6 +433,8 @@
         `AnswerTimeoutError` if none has begun in time, and
         `LeavingError` if the upstream has said that it is leaving.
         """
+        if self._is_stopped:
+            raise RefusalError("this process stops", True)
         if (instance.id, instance.born) in self._leaving:
             raise LeavingError("the upstream is leaving", True)
         self._open_requests[instance.address] += 1
@@ -553,6 +558,8 @@
         seconds: float,
     ) -> Reply | None:
         """Send an order to an upstream; return its answer, or None if there is none."""
+        if self._is_stopped:
+            return None
         session = self._get_session(instance.address)
         try:
             url = yarl.URL(f"http://{instance.address}{path}", encoded=True)
--- a/sapphireseam/utils/outbound_test.py
+++ b/sapphireseam/utils/outbound_test.py
@@ -74,6 +74,20 @@
                 with self.assertRaises(outbound.OutboundError):
                     await asyncio.wait_for(reading, 1.0)
 
+    async def test_nothing_is_sent_by_a_pool_that_stops(self):
+        await self.read()
+        instance = self.upstream.instance
+        stopping = asyncio.create_task(self.pool.stop())
+        await asyncio.sleep(0)
+        with self.assertRaises(outbound.OutboundError) as caught:
+            await self.read("r2")
+        self.assertTrue(caught.exception.is_not_run)
+        await stopping
+        order = await self.pool.send_order(instance, "POST", "/x", b"", 1.0)
+        self.assertIsNone(order)
+        self.assertEqual([run.id for run in self.upstream.runs], ["r1"])
+        self.assertEqual(self.pool._sessions, {})
+
     async def test_unframed_answer_whose_connection_is_reset_is_not_complete(self):
         self.upstream.event_delay = 0.01
         self.upstream.behaviours = ["unframed", "unframed-reset"]
@@ -201,7 +215,8 @@
         with self.assertRaises(outbound.OutboundError) as caught:
             await self.read("r3")
         self.assertFalse(caught.exception.is_not_run)
-        await self.pool.stop()
+        for addresses in ((), (self.upstream.instance.address,)):
+            await self.pool.keep_only(frozenset(addresses))
         await self.pool.send_order(self.upstream.instance, "GET", "/x", b"", 1.0)
         self.upstream.behaviours = ["unnamed-refusal"]
         with self.assertRaises(outbound.OutboundError) as caught:
