Let nobody overtake those that wait below a ceiling

Cause: what a ceiling allows anew was given to waiting requests only with the check every 0.02 s or a release. A newcomer in between took it at once, before all that waited, also before those that are overdue; they were promised less and expired. Change: the leader gives it to those that wait before it places a newcomer. Result: the new test fails before (60 requests placed out of order) and passes; 17 placement tests pass.

--- a/sapphireseam/control/placement.py
+++ b/sapphireseam/control/placement.py
@@ -512,6 +512,8 @@
             message.held,
             message.returns_to,
         )
+        # Those that wait come before it below a ceiling.
+        self._send_decisions(self.allocator.retry_waiting(now))
         decision = self.allocator.place(request, now)
         self._log_decision(entry, message, decision)
         if decision is not None:
--- a/sapphireseam/control/placement_test.py
+++ b/sapphireseam/control/placement_test.py
@@ -10,7 +10,7 @@
 from sapphireseam.control.machine import StateMachine
 from sapphireseam.core import command, error, fleet, placement
 from sapphireseam.core.evacuation import Evacuated
-from sapphireseam.core.instance import Instance
+from sapphireseam.core.instance import Instance, get_run_name
 from sapphireseam.policy import allocator
 from sapphireseam.policy.slot import SlotRequest
 from sapphireseam.tools.fake import FakeReplica
@@ -347,6 +347,23 @@
         await self.server._place(entry, {1}, place)
         self.assertEqual(stream.received[-1].kind, error.Kind.NOT_LEADER)
 
+    async def test_below_a_ceiling_requests_are_placed_in_the_order_in_which_they_came(
+        self,
+    ):
+        self.server.update_instances((INSTANCE._replace(slots=100),))
+        (stream,) = await self.attach(1)
+        (entry,) = self.server._entries.values()
+        rates = {get_run_name(INSTANCE): 70.0}
+        self.server.allocator.set_ceilings(rates, self.timer.read_clock())
+        open_numbers = set()
+        for number in range(60):
+            place = placement.Place(number, "r", "llm", "c", 0, 9.0, (), False)
+            self.server._handle_message(entry, open_numbers, place)
+            await self.timer.advance(0.005)
+        await self.advance(0.8)
+        placed = [x.number for x in stream.received if isinstance(x, placement.Placed)]
+        self.assertEqual(placed, list(range(60)))
+
     async def test_every_entry_hears_from_the_leader_often_enough(self):
         self.server.update_instances((INSTANCE,))
         streams = await self.attach(3)
