Blame no upstream for what a stopping pool closes

Cause: a request that waited for the head of its answer when its own process closed the connections was reported as broken by the upstream, and one that read its body as a failure; both count as a suspect, and the first asks for a search for a crash. Change: a stopped pool reports every such failure as a refusal that blames nobody.

--- a/sapphireseam/utils/outbound.py
+++ b/sapphireseam/utils/outbound.py
@@ -441,6 +441,11 @@
         try:
             async with self._exchange(request, instance, wait_scope) as answer:
                 yield answer
+        except OutboundError as failure:
+            if not self._is_stopped or isinstance(failure, RefusalError):
+                raise
+            # The upstream did nothing wrong.
+            raise RefusalError("this process stops", failure.is_not_run) from None
         finally:
             self._open_requests[instance.address] -= 1
             await self._close_if_unlisted(instance.address)
--- a/sapphireseam/utils/outbound_test.py
+++ b/sapphireseam/utils/outbound_test.py
@@ -74,6 +74,17 @@
                 with self.assertRaises(outbound.OutboundError):
                     await asyncio.wait_for(reading, 1.0)
 
+    async def test_an_upstream_is_not_blamed_for_a_pool_that_stops(self):
+        self.upstream.behaviours = ["silent", "stall"]
+        for _ in range(2):
+            self.pool = outbound.ConnectionPool(fakeupstream.FakeDialect())
+            reading = asyncio.create_task(self.read())
+            await asyncio.sleep(0.1)
+            await self.pool.stop()
+            with self.assertRaises(outbound.RefusalError) as caught:
+                await asyncio.wait_for(reading, 1.0)
+            self.assertFalse(caught.exception.is_not_run)
+
     async def test_nothing_is_sent_by_a_pool_that_stops(self):
         await self.read()
         instance = self.upstream.instance
