Keep reads from waiting for a near control VM that stays frozen

Cause: every 3 s all reads of an entry went to a frozen near VM again until the first of them had failed (1.4 s with a wait of 1 s), and each then waited its whole wait once more at the leader. A new leader's view with empty domains made entries forget their near VMs. Change: after a failure one read at a time tries a VM; the leader waits only for what is left; a VM whose domain is unknown stays where it was. A check that all reads return to a VM at once after its rest is replaced by the stricter one of who is picked in which order.

--- a/sapphireseam/entry/bulk.py
+++ b/sapphireseam/entry/bulk.py
@@ -6,6 +6,7 @@
 
 import logging
 from collections import Counter
+from collections.abc import Callable
 from typing import Any
 
 from sapphireseam.core import command, error, fleet, message
@@ -91,31 +92,40 @@
         self, job: str, customer: str, after: int, wait: float
     ) -> message.LotView:
         """Return the results after a position; wait for the first one if needed."""
-        request = message.ReadLot(job, customer, after, wait)
-        return await self._read(request, wait)
+
+        def make_request(left: float) -> message.ReadLot:
+            return message.ReadLot(job, customer, after, left)
+
+        return await self._read(make_request, wait)
 
     async def read_item(self, job: str, customer: str, item: str) -> bytes:
         """Return the body of an item whose result is not listed yet."""
         request = message.ReadLotItem(job, customer, item)
-        piece = await self._read(request, 0.0)
+        piece = await self._read(lambda _: request, 0.0)
         return piece.data
 
-    async def _read(self, request: Any, wait: float) -> Any:
-        """Return the answer of a near control VM, or else the leader's."""
+    async def _read(self, make_request: Callable[[float], Any], wait: float) -> Any:
+        """Return the answer of a near control VM, or else the leader's.
+
+        The leader waits only for what the near one has left of the wait.
+        """
         address = self._pick_reader()
         if address:
+            end = self._timer.read_clock() + wait
             try:
                 answer = await self._client.call_member(
-                    address, request, wait + ANSWER_SECONDS
+                    address, make_request(wait), wait + ANSWER_SECONDS
                 )
                 self._counts[NEAR] += 1
+                self._readers.record_success(address)
                 return answer
             except MemberError as failure:
                 self._readers.record_failure(address, self._timer.read_clock())
                 detail = {"address": address, "cause": failure.message}
                 logger.info("near control VM left out for reads", extra=detail)
+                wait = max(end - self._timer.read_clock(), 0.0)
         self._counts[LEADER] += 1
-        return await self._client.call(request, wait + READ_SECONDS)
+        return await self._client.call(make_request(wait), wait + READ_SECONDS)
 
     def _pick_reader(self) -> str:
         if self._readers is None:
--- a/sapphireseam/entry/bulk_test.py
+++ b/sapphireseam/entry/bulk_test.py
@@ -22,20 +22,23 @@
     async def call_member(self, address, request, seconds):
         self.asked.append(address)
         if self.failure is not None:
+            await self.timer.advance(seconds)
             raise self.failure
         return VIEW
 
     async def call(self, request, seconds):
         self.asked.append(self.leader)
+        self.left = request.wait, seconds
         return VIEW
 
 
 class BulkJobClientTest(unittest.IsolatedAsyncioTestCase):
     def make(self, readers):
         self.client = FakeClient()
+        self.client.timer = timer = FakeTimer()
         meter = metric.Meter("e")
         self.addAsyncCleanup(meter.stop)
-        return bulk.BulkJobClient(self.client, FakeTimer(), meter, readers)
+        return bulk.BulkJobClient(self.client, timer, meter, readers)
 
     def make_near(self):
         readers = NearbyReaders("a")
@@ -57,6 +60,14 @@
             self.assertEqual(await jobs.read("j", "c", 0, 1.0), VIEW)
         self.assertEqual(self.client.asked, ["a1", "c1", "c1"])
 
+    async def test_the_leader_waits_only_for_what_a_silent_vm_has_left(self):
+        jobs = self.make_near()
+        self.client.failure = client.MemberError("silent")
+        for expected in (0.0, 1.0):
+            await jobs.read("j", "c", 0, 1.0)
+            wait, seconds = self.client.left
+            self.assertEqual((wait, seconds), (expected, expected + bulk.READ_SECONDS))
+
     async def test_an_answer_that_there_is_no_job_is_final(self):
         jobs = self.make_near()
         unknown = error.RequestError("no bulk job", error.Kind.OBJECT_UNKNOWN)
--- a/sapphireseam/policy/nearby.py
+++ b/sapphireseam/policy/nearby.py
@@ -2,7 +2,8 @@
 
 Load: callers read large results often, and every control VM has them. A read in the
 entry's own failure domain sends no bytes to another one. A VM that failed is left out
-for a while, so few reads wait for one that is frozen or cut off.
+for a while. Then one read at a time tries it until it answers, so few reads wait for
+one that is frozen or cut off.
 
     readers = NearbyReaders("zone-a")
     readers.update(("10.0.0.1:70", "10.0.0.2:70"), ("zone-a", "zone-b"))
@@ -11,7 +12,7 @@
 Times are monotonic readings in seconds.
 """
 
-# How long a control VM that failed is left out.
+# How long a control VM that failed is left out, and the time between two tries.
 AVOID_SECONDS = 3.0
 
 
@@ -25,13 +26,18 @@
         self._next_index = 0
 
     def update(self, addresses: tuple[str, ...], domains: tuple[str, ...]) -> None:
-        """Replace the control VMs; `domains` has each one's, or none if unknown."""
+        """Replace the control VMs; `domains` has each one's, or none if unknown.
+
+        A new leader doesn't know the domain of those that it hasn't heard yet, which is
+        then empty; these stay where they were.
+        """
         if len(domains) != len(addresses):
             return
+        former = self._addresses
         self._addresses = tuple(
             address
             for address, domain in zip(addresses, domains, strict=True)
-            if domain == self._domain
+            if domain == self._domain or (not domain and address in former)
         )
         avoided = self._avoided_until
         self._avoided_until = {
@@ -53,7 +59,14 @@
         if not usable or leader in usable:
             return ""
         self._next_index += 1
-        return usable[self._next_index % len(usable)]
+        picked = usable[self._next_index % len(usable)]
+        if picked in self._avoided_until:
+            self.record_failure(picked, now)
+        return picked
+
+    def record_success(self, address: str) -> None:
+        """Use a control VM again that has answered."""
+        self._avoided_until.pop(address, None)
 
     def record_failure(self, address: str, now: float) -> None:
         """Leave out a control VM for some time."""
--- a/sapphireseam/policy/nearby_test.py
+++ b/sapphireseam/policy/nearby_test.py
@@ -26,12 +26,20 @@
         self.readers.record_failure("a2", 1.0)
         self.assertEqual(self.readers.pick("c1", 2.0), "")
         later = 1.0 + nearby.AVOID_SECONDS
-        self.assertEqual(len({self.readers.pick("c1", later) for _ in range(4)}), 2)
+        # One read tries each of them first.
+        picked = [self.readers.pick("c1", later) for _ in range(4)]
+        self.assertEqual(sorted(picked), ["", "", "a1", "a2"])
+        self.readers.record_success("a1")
+        self.assertEqual({self.readers.pick("c1", later) for _ in range(4)}, {"a1"})
 
     def test_unknown_domains_change_nothing(self):
         self.readers.update(("x1",), ())
         self.assertIn(self.readers.pick("c1", 0.0), ("a1", "a2"))
 
+    def test_a_new_leader_that_knows_no_domain_yet_changes_nothing(self):
+        self.readers.update(("a1", "x1"), ("", ""))
+        self.assertEqual({self.readers.pick("c1", 0.0) for _ in range(4)}, {"a1"})
+
     def test_without_a_vm_in_the_domain_the_leader_is_asked(self):
         self.readers.update(("b1",), ("b",))
         self.assertEqual(self.readers.pick("b1", 0.0), "")
