Keep within the slack when the limits lose their owner again

Cause: a process's fallback bucket refilled to one whole request for each customer while the owner granted the rate. Where its part of the slack is less than one request, every process then granted one in the next election: 200 processes granted 200 where 33.2 are allowed. Change: if the owner was heard since, the level is no more than the part that is chosen at first, rounded at random as there.

--- a/sapphireseam/policy/fallback.py
+++ b/sapphireseam/policy/fallback.py
@@ -111,17 +111,20 @@
 
         The owner was last heard of at `known_at`.
         """
-        known_at = now if known_at is None else known_at
+        heard_at = now if known_at is None else known_at
         capacity = (
             USED_SHARE * self._slack.compute_requests(contract) / max(processes, 1)
         )
-        rate = self._compute_rate(customer, contract, processes, known_at)
+        rate = self._compute_rate(customer, contract, processes, heard_at)
         if self._by_use:
             capacity += BURST_SECONDS * rate
         if customer not in self._levels:
             self._levels[customer] = (self._choose_level(capacity), now)
         level, updated = self._levels[customer]
         level = min(level + (now - updated) * rate, max(capacity, 1.0))
+        if known_at is not None and known_at > updated:
+            # The owner granted the rate meanwhile, so only the slack is left.
+            level = min(level, self._choose_level(capacity))
         if level < 1.0:
             self._levels[customer] = (level, now)
             # The contract's rate is positive, but a part of it may be rounded to 0.
--- a/sapphireseam/policy/fallback_test.py
+++ b/sapphireseam/policy/fallback_test.py
@@ -100,6 +100,22 @@
         allowed = CONTRACT.rate * 5.0 + SLACK.compute_requests(CONTRACT)
         self.assertLessEqual(granted, allowed)
 
+    def test_each_time_without_an_owner_keeps_within_the_slack(self):
+        """Each of 200 processes gets one request in each of two elections."""
+        for by_use in (False, True):
+            rng = random.Random(9)
+            limiters = [
+                fallback.FallbackLimiter(SLACK, by_use, rng) for _ in range(200)
+            ]
+            for begin in (0.0, 100.0):
+                waits = [
+                    limiter.spend("c", CONTRACT, 200, begin + 0.1, begin)
+                    for limiter in limiters
+                ]
+                with self.subTest(by_use=by_use, begin=begin):
+                    allowed = SLACK.compute_requests(CONTRACT)
+                    self.assertLessEqual(waits.count(0.0), allowed)
+
     def test_smallest_rate_is_refused_with_a_wait_that_can_be_sent(self):
         limiter = fallback.FallbackLimiter(SLACK._replace(requests=0.0))
         waits = [limiter.spend("c", fleet.Contract(5e-324, 1.0), 3, 0.0) for _ in "ab"]
