Count what breaks the connections of many entries at once as one failure

Cause: each entry's report counted as a failure of its own until a rest began. So an upstream that stopped for a moment had two failures in a row and rested 0.8 s, although the first time any probe is to bring it back. Change: reports of any source within EVENT_SECONDS of a counted failure belong to it. Result: the new test fails before.

--- a/sapphireseam/policy/outlier.py
+++ b/sapphireseam/policy/outlier.py
@@ -28,6 +28,7 @@
 # The longest rest after a refusal, which says that the request wasn't run.
 MAX_REFUSAL_SECONDS = 0.8
 # Reports of one source within this time are one failure: its own link may have broken.
+# So are those of all sources within this time after the first.
 EVENT_SECONDS = 0.1
 # A row ends after this many seconds without a failure, and after this many successes.
 FORGET_SECONDS = 20.0
@@ -67,6 +68,8 @@
         row.reported_at[source] = now
         row.successes = 0
         is_known = last_report is not None and now - last_report < EVENT_SECONDS
+        # What breaks the connections of many sources at once is one failure, too.
+        is_known |= row.failures > 0 and now - row.failed_at < EVENT_SECONDS
         # Requests that were sent before the rest may fail during it.
         if not is_known and now >= row.rests_until:
             if now - row.failed_at > FORGET_SECONDS:
--- a/sapphireseam/policy/outlier_test.py
+++ b/sapphireseam/policy/outlier_test.py
@@ -36,6 +36,11 @@
             self.report(now)
         self.assertEqual(self.detector.count_failures("r"), 1)
 
+    def test_one_event_that_many_sources_see_is_one_failure(self):
+        rests = [self.report(0.01 * n, source=f"e{n}") for n in range(8)]
+        self.assertEqual(rests, [0.0] * 8)
+        self.assertEqual(self.detector.count_failures("r"), 1)
+
     def test_a_rare_failure_costs_no_rest(self):
         for now in range(10):
             self.assertEqual(self.report(float(now)), 0.0)
