--- a/sapphireseam/control/placement_test.py
+++ b/sapphireseam/control/placement_test.py
@@ -261,6 +261,19 @@
             self.assertEqual(self.probed, [INSTANCE.id])
             self.assertEqual(self.server.allocator.list_ejected(), [])
 
+    async def test_a_new_leader_learns_within_two_failures_which_upstream_fails(self):
+        former, services = self.server, {"llm": fleet.Service(ejects_outliers=True)}
+        instances = [INSTANCE._replace(id=f"i{number}") for number in range(1, 6)]
+        for server in (former, (await self.start_cold())[1]):
+            server._services = services
+            server.update_instances(tuple(instances))
+            for rests in (False, True):
+                server.eject(INSTANCE.id)
+                await self.advance(0.5)
+                self.assertEqual(server.list_resting() == [INSTANCE], rests)
+        self.assertEqual(former.list_resting(), [])
+        self.assertEqual(former.allocator.count_slots("llm"), 5 * INSTANCE.slots)
+
     async def start_cold(self):
         """Let a second control VM follow the log of the first."""
         document = {"services": {"llm": {"cold_rate": 20.0, "cold_seconds": 3.0}}}
