--- a/sapphireseam/entry/placer_test.py
+++ b/sapphireseam/entry/placer_test.py
@@ -189,6 +189,24 @@
         slot = await asyncio.wait_for(placing, 1.0)
         self.assertEqual(slot.instance.id, INSTANCES[0].id)
 
+    async def test_a_leader_without_a_list_holds_no_request_of_a_started_entry_long(
+        self,
+    ):
+        self.leader.opening = asyncio.Event()
+        started = placer.Placer(
+            "e2", "z", self.client, dict, fallback.Slack(20, 0.1, 5.0),
+            metric.Meter("e2"), SystemTimer(),
+        )  # fmt: skip
+        await started.start()
+        self.addAsyncCleanup(started.stop)
+        with self.assertRaises(error.CapacityError) as caught:
+            await asyncio.wait_for(started.place(self.make_spec()), 1.0)
+        self.assertTrue(caught.exception.not_run)
+        self.assertLessEqual(caught.exception.retry_after, placer.ELECTION_SECONDS)
+        self.leader.opening.set()
+        slot = await asyncio.wait_for(started.place(self.make_spec()), 1.0)
+        self.assertEqual(slot.instance.id, INSTANCES[0].id)
+
     async def test_a_new_leader_learns_which_instances_have_said_that_they_leave(self):
         leaving = INSTANCES[1]
         self.placer.report_leaving(leaving)
