Let no request that is tied to full upstreams keep batch work from free slots

Cause: no batch request was placed while any online request waited that ran nowhere, also one that can be served only by upstreams of its version, by the one to which it returns, or not by those that it excludes. Slots that it can't use stayed free for up to its whole patience. Change: such requests don't count; they get a slot that they can use before batch work.

--- a/sapphireseam/policy/allocator.py
+++ b/sapphireseam/policy/allocator.py
@@ -418,7 +418,8 @@
     def place_batch(self, request: SlotRequest) -> Grant | None:
         """Place a batch request, unless no slot is free or online requests wait.
 
-        Those that are held by an upstream don't count, as they couldn't use the slot.
+        Those that only some upstreams may serve don't count: if they could use the
+        slot, they would have it.
         """
         if self._do_requests_wait(request.service):
             return None
@@ -507,9 +508,9 @@
         return len(waitlist) if waitlist else 0
 
     def _do_requests_wait(self, service: str) -> bool:
-        """Return whether online requests wait that run nowhere."""
+        """Return whether online requests wait that could use any slot."""
         waitlist = self._waitlists.get(service)
-        return waitlist is not None and waitlist.has_unheld
+        return waitlist is not None and waitlist.has_untied
 
     def count_slots(self, service: str, version: str = "") -> int:
         """Return how many slots the usable upstreams of a service have.
--- a/sapphireseam/policy/allocator_test.py
+++ b/sapphireseam/policy/allocator_test.py
@@ -169,6 +169,25 @@
         grant = self.allocator.place_batch(make_request("b"))
         self.assertEqual(grant.instance.id, names[0])
 
+    def test_batch_work_gets_slots_that_no_waiting_request_can_use(self):
+        versions = (("i1", "v1"), ("i2", "v2"))
+        instances = tuple(make_instance(name, version=each) for name, each in versions)
+        for fields in (
+            {"version": "v1", "is_resumed": True},
+            {"returns_to": "i1"},
+            {"excluded": frozenset({"i2"})},
+        ):
+            with self.subTest(**fields):
+                self.allocator = allocator.SlotAllocator()
+                self.allocator.update(instances, 0.0)
+                for number in range(instances[0].slots):
+                    self.allocator.place(make_request(f"r{number}", version="v1"), 0.0)
+                waiting = make_request("w", patience=9.0, **fields)
+                self.assertIsNone(self.allocator.place(waiting, 0.0))
+                self.assertTrue(self.allocator.has_batch_slot("llm", 0.1))
+                grant = self.allocator.place_batch(make_request("b"))
+                self.assertEqual(grant.instance.id, "i2")
+
     def test_request_that_can_be_on_time_goes_before_a_late_one(self):
         self.fill(4)
         self.allocator.place(make_request("late", patience=1.0, is_late=True), 0.0)
--- a/sapphireseam/policy/waitlist.py
+++ b/sapphireseam/policy/waitlist.py
@@ -60,6 +60,12 @@
     )
 
 
+def _is_tied(request: SlotRequest) -> bool:
+    """Return whether a request can't be placed at some upstreams."""
+    ties = (request.version, request.held, request.returns_to, request.excluded)
+    return any(ties)
+
+
 class Overtaking(NamedTuple):
     """The newcomers that go before a request.
 
@@ -142,16 +148,16 @@
         self._requests: dict[str, tuple[int, SlotRequest]] = {}
         self._lines: dict[tuple[LineKey, int], Line] = {}
         self._counts: dict[Precedence, int] = {}
-        # How many of them still run at an upstream.
-        self._held_count = 0
+        # How many of them can't use each slot.
+        self._tied_count = 0
 
     def __len__(self) -> int:
         return len(self._requests)
 
     @property
-    def has_unheld(self) -> bool:
-        """Whether requests wait that run nowhere."""
-        return len(self) > self._held_count
+    def has_untied(self) -> bool:
+        """Whether requests wait that could use any slot."""
+        return len(self) > self._tied_count
 
     def get(self, key: str) -> SlotRequest | None:
         """Return the waiting request with a key, or None."""
@@ -169,7 +175,7 @@
         """Add a request at a position in its line, and return its number."""
         number = next(self._numbers)
         self._requests[request.key] = (number, request)
-        self._held_count += bool(request.held)
+        self._tied_count += _is_tied(request)
         line_name = (get_line_key(request), request.rank)
         line = self._lines.get(line_name)
         if line is None:
@@ -185,7 +191,7 @@
 
     def _remove(self, key: str, position: float) -> None:
         number, request = self._requests.pop(key)
-        self._held_count -= bool(request.held)
+        self._tied_count -= _is_tied(request)
         line_name = (get_line_key(request), request.rank)
         line = self._lines[line_name]
         line.remove(number, request, position)
