Let an item that was refused hold back neither others nor itself

Cause: an item was never sent again to the upstream where it failed while others were usable, though these had no slot for as long as online requests filled them. It also counted its service as full, so no later item got the free slot either. Change: the exclusion ends a second after the item may run again, and an item that excludes an upstream doesn't stop the search for others.

--- a/sapphireseam/control/bulkrunner.py
+++ b/sapphireseam/control/bulkrunner.py
@@ -39,6 +39,9 @@
 # How long an item waits for a slot at which its output can be continued before it
 # starts again, in seconds. An upstream may be listed for long after it was lost.
 RESUME_WAIT_SECONDS = 3.0
+# An item isn't sent to the upstream where it failed for so many seconds longer than it
+# waits, if others may serve it.
+AVOID_SECONDS = 1.0
 # How often the output of running items is saved in the log, in seconds, and the
 # minimum number of new events for which a part of an output is saved.
 SAVE_PARTS_SECONDS = 1.0
@@ -321,6 +324,7 @@
         progress = self._progress[key]
         item = job.items[number]
         run_key = _make_run_key(job.id, number)
+        is_avoiding = now < progress.not_before + AVOID_SECONDS
         request = allocator.SlotRequest(
             run_key,
             service,
@@ -329,14 +333,14 @@
             "",
             now,
             now,
-            progress.excluded,
+            progress.excluded if is_avoiding else frozenset(),
             item.id,
             version=self._choose_version(progress, service, now),
         )
         grant = self._placement.allocator.place_batch(request)
         if grant is None:
-            # Slots of other versions may still be free.
-            return bool(request.version)
+            # Slots that it can't use may still be free.
+            return bool(request.version or request.excluded)
         run = self._run(job, item, route, progress, grant.instance)
         task = self._tasks.spawn(run)
         self._runs[run_key] = task
--- a/sapphireseam/control/bulkrunner_test.py
+++ b/sapphireseam/control/bulkrunner_test.py
@@ -410,6 +410,22 @@
         await self.accept()
         self.assertFalse((await self.wait_done())[0].failed)
 
+    async def test_an_item_that_was_refused_holds_back_neither_others_nor_itself(self):
+        self.upstream.behaviours = ["refuse"]
+        self.upstream.slots = self.other.slots = 1
+        self.placement.update_instances((self.upstream.instance, self.other.instance))
+        now = self.timer.read_clock()
+        online = allocator.SlotRequest(
+            "1:1", "llm", "c", 0, "", now, now, excluded=frozenset({"u1"})
+        )
+        self.placement.allocator.place(online, now)
+        self.upstream.event_delay = 0.03
+        await self.accept(5)
+        await self.wait_done(4.0)
+        ids = [run.id for run in self.upstream.runs]
+        self.assertEqual(sorted(ids[:-1]), ["i1", "i2", "i3", "i4"])
+        self.assertEqual((ids[-1], self.other.runs), ("i0", []))
+
     async def test_repeated_refusal_does_not_run_an_item_twice(self):
         self.upstream.behaviours = ["refuse", "repeat"]
         await self.accept()
