--- a/sapphireseam/control/placement_test.py
+++ b/sapphireseam/control/placement_test.py
@@ -10,7 +10,7 @@
 from sapphireseam.control.machine import StateMachine
 from sapphireseam.core import command, error, fleet, placement
 from sapphireseam.core.evacuation import Evacuated
-from sapphireseam.core.instance import Instance
+from sapphireseam.core.instance import Instance, get_run_name
 from sapphireseam.policy import allocator
 from sapphireseam.policy.slot import SlotRequest
 from sapphireseam.tools.fake import FakeReplica
@@ -261,6 +261,19 @@
             self.assertEqual(self.probed, [INSTANCE.id])
             self.assertEqual(self.server.allocator.list_ejected(), [])
 
+    async def test_a_new_leader_learns_within_two_failures_which_upstream_fails(self):
+        former, services = self.server, {"llm": fleet.Service(ejects_outliers=True)}
+        instances = [INSTANCE._replace(id=f"i{number}") for number in range(1, 6)]
+        for server in (former, (await self.start_cold())[1]):
+            server._services = services
+            server.update_instances(tuple(instances))
+            for rests in (False, True):
+                server.eject(INSTANCE.id)
+                await self.advance(0.5)
+                self.assertEqual(server.list_resting() == [INSTANCE], rests)
+        self.assertEqual(former.list_resting(), [])
+        self.assertEqual(former.allocator.count_slots("llm"), 5 * INSTANCE.slots)
+
     async def start_cold(self):
         """Let a second control VM follow the log of the first."""
         document = {"services": {"llm": {"cold_rate": 20.0, "cold_seconds": 3.0}}}
@@ -347,6 +360,23 @@
         await self.server._place(entry, {1}, place)
         self.assertEqual(stream.received[-1].kind, error.Kind.NOT_LEADER)
 
+    async def test_below_a_ceiling_requests_are_placed_in_the_order_in_which_they_came(
+        self,
+    ):
+        self.server.update_instances((INSTANCE._replace(slots=100),))
+        (stream,) = await self.attach(1)
+        (entry,) = self.server._entries.values()
+        rates = {get_run_name(INSTANCE): 70.0}
+        self.server.allocator.set_ceilings(rates, self.timer.read_clock())
+        open_numbers = set()
+        for number in range(60):
+            place = placement.Place(number, "r", "llm", "c", 0, 9.0, (), False)
+            self.server._handle_message(entry, open_numbers, place)
+            await self.timer.advance(0.005)
+        await self.advance(0.8)
+        placed = [x.number for x in stream.received if isinstance(x, placement.Placed)]
+        self.assertEqual(placed, list(range(60)))
+
     async def test_every_entry_hears_from_the_leader_often_enough(self):
         self.server.update_instances((INSTANCE,))
         streams = await self.attach(3)
