Keep a former run from ending what is known of a cold upstream

A control VM kept the cold runs of an upstream that had restarted since, often with an end a little later than the one in the log. When it became leader it told that run again, and the report ended the ceiling of the later run in the log: the entries didn't know any more that it was cold, and placed at it without a limit while they had no leader. Now a list or a report of a later run ends the former ones.

A test of each part fails without it.

--- a/sapphireseam/control/placement_test.py
+++ b/sapphireseam/control/placement_test.py
@@ -263,9 +263,6 @@
 
     async def start_cold(self):
         """Let a second control VM follow the log of the first."""
-        document = {"services": {"llm": {"cold_rate": 20.0, "cold_seconds": 3.0}}}
-        item = command.PublishNumbered(1, json.dumps(document).encode(), b"", 0.0)
-        await self.replica.propose(command.REGISTRY.encode(item))
         replica = FakeReplica(self.machine)
         replica.leader, replica.members, replica.is_leader = "", (), False
         other = placements.PlacementServer(
@@ -273,6 +270,9 @@
         )
         await other.start()
         self.addAsyncCleanup(other.stop)
+        document = {"services": {"llm": {"cold_rate": 20.0, "cold_seconds": 3.0}}}
+        item = command.PublishNumbered(1, json.dumps(document).encode(), b"", 0.0)
+        await self.replica.propose(command.REGISTRY.encode(item))
         return replica, other
 
     async def send(self, server, seconds, name):
@@ -307,6 +307,20 @@
         self.assertEqual(other.allocator.read_ceilings(), {})
         self.assertEqual(self.machine.state.ceilings, {})
 
+    async def test_a_new_leader_does_not_end_the_ceiling_of_a_later_run(self):
+        replica, other = await self.start_cold()
+        self.server.update_instances((INSTANCE,), {"i1/0": 4.0})
+        await self.advance(0.1)
+        again = INSTANCE._replace(born=7)
+        # The other control VM expects a later end of the former run than it was told.
+        other.record_cold(INSTANCE, 6.0)
+        self.server.update_instances((again,), {"i1/7": 4.0})
+        await self.advance(0.1)
+        self.replica.is_leader, replica.is_leader = False, True
+        other.update_instances((again,), {"i1/7": 4.0})
+        await self.advance(0.1)
+        self.assertEqual(set(self.machine.state.ceilings), {"i1/7 cold"})
+
     async def test_an_upstream_that_comes_back_may_be_cold(self):
         await self.start_cold()
         other = INSTANCE._replace(id="i2", domain="y", born=5)
--- a/sapphireseam/core/instance.py
+++ b/sapphireseam/core/instance.py
@@ -29,3 +29,13 @@
     'i-1/7'
     """
     return f"{instance.id}/{instance.born}"
+
+
+def parse_start(run: str) -> int:
+    """Return the start time that the name of a run holds, 0 if it holds none.
+
+    >>> parse_start("i-1/7"), parse_start("i-1")
+    (7, 0)
+    """
+    text = run.rpartition("/")[2]
+    return int(text) if text.isascii() and text.isdecimal() else 0
--- a/sapphireseam/policy/coldstart.py
+++ b/sapphireseam/policy/coldstart.py
@@ -18,7 +18,7 @@
 from typing import NamedTuple
 
 from sapphireseam.core.fleet import Service
-from sapphireseam.core.instance import Instance, get_run_name
+from sapphireseam.core.instance import Instance, get_run_name, parse_start
 
 # An end that the list moves out by less is the same, as the list's lag varies.
 TOLERANCE_SECONDS = 1.0
@@ -73,6 +73,7 @@
         """Record a list, which says of some runs how many seconds they stay cold."""
         former = self._listed
         self._listed = {get_run_name(each): each for each in instances}
+        self._end_former({each.id: each.born for each in self._listed.values()})
         for run, instance in self._listed.items():
             service = services.get(instance.service)
             if service is None:
@@ -162,12 +163,22 @@
         self, upstream: str, run: str, rate: float, seconds: float, now: float
     ) -> None:
         """Record what the leader, or another process, has told all of a cold run."""
+        self._end_former({upstream: parse_start(run)})
         end = now + seconds
         known = self._cold.get(run)
         if known is None or end > known.end + TOLERANCE_SECONDS:
             known = ColdRun(upstream, rate, end)
         self._cold[run] = known._replace(told=max(known.told, end))
 
+    def _end_former(self, starts: Mapping[str, int]) -> None:
+        """Forget the runs that began before these starts of their upstreams.
+
+        If one of them were told again, it would end what is known of the later run.
+        """
+        for run, each in list(self._cold.items()):
+            if parse_start(run) < starts.get(each.upstream, 0):
+                del self._cold[run]
+
     def forget(self, run: str) -> None:
         """Record that the leader has told all that a run isn't cold any more."""
         self._cold.pop(run, None)
--- a/sapphireseam/policy/coldstart_test.py
+++ b/sapphireseam/policy/coldstart_test.py
@@ -90,6 +90,19 @@
         self.record((A,), 1.5, a=3.0)
         self.assertEqual(set(self.tracker.list_untold()), {"a/1"})
 
+    def test_a_former_run_is_forgotten_and_never_told_again(self):
+        for is_listed in (True, False):
+            with self.subTest(is_listed=is_listed):
+                self.tracker = coldstart.ColdTracker()
+                self.record((A,), 0.0, a=2.0)
+                if is_listed:
+                    self.record((A._replace(born=2),), 0.5)
+                else:
+                    self.tracker.learn("a", "a/2", 20.0, 3.0, 0.5)
+                    self.record((A,), 0.6)
+                self.assertEqual(set(self.tracker.read_cold()), {"a/2"})
+                self.assertNotIn("a/1", self.tracker.list_untold())
+
     def test_without_a_rate_nothing_is_cold(self):
         store = make_instance("s", service="store")
         self.record((store,), 0.0, s=5.0)
