Show cold upstreams in the status of the fleet

An operator saw who is cold only in the leader's logs and its metric, so after a domain came back nobody could tell at a glance why requests were held back. seam-ctl status and its JSON list each cold upstream with its rate, the seconds left, and whether that is presumed or said. Only the leader knows the latter, so the list is its answer; if it doesn't answer, the list is named as unknown.

--- a/sapphireseam/control/application.py
+++ b/sapphireseam/control/application.py
@@ -464,7 +464,7 @@
     application.add(OperatorKeyIssuer(settings.data_folder, replica, machine, timer))
     if integration is not None:
         shared = SharedParts(
-            settings, replica, machine, rate_limits, server, meter, timer
+            settings, replica, machine, rate_limits, server, service, meter, timer
         )
         add_discovery(application, shared, integration)
         application.add(StallDetector(timer))
@@ -481,6 +481,7 @@
     machine: StateMachine
     rate_limits: RateLimitService
     server: rpc.Server
+    service: ControlService
     meter: metric.Meter
     timer: TimerService
 
@@ -508,6 +509,7 @@
         settings.spreads_load,
     )
     server.register(shared.server)
+    shared.service.list_cold = server.list_cold
     integration.upstreams.on_leaving = server.mark_leaving
     integration.upstreams.ceiling_monitor = server.ceiling_monitor
     integration.upstreams.on_cold = server.record_cold
--- a/sapphireseam/control/placement.py
+++ b/sapphireseam/control/placement.py
@@ -21,7 +21,7 @@
 from sapphireseam.control import record
 from sapphireseam.control.machine import StateMachine
 from sapphireseam.control.ratelimit import RateLimitService
-from sapphireseam.core import command, error, evacuation, fleet, placement
+from sapphireseam.core import command, error, evacuation, fleet, message, placement
 from sapphireseam.core.instance import Instance, get_run_name
 from sapphireseam.policy import allocator, coldstart, origin, outlier, sharing
 from sapphireseam.state.replica import Replica
@@ -311,6 +311,19 @@
         self._cold.presume([instance], services, self._timer.read_clock(), seconds)
         self._update_cold()
 
+    def list_cold(self) -> tuple[message.ColdView, ...]:
+        """Return the cold runs if this control VM leads, by name."""
+        if not self._replica.is_leader:
+            return ()
+        now = self._timer.read_clock()
+        return tuple(
+            message.ColdView(
+                each.upstream, run, each.rate, each.end - now, each.is_presumed
+            )
+            for run, each in sorted(self._cold.read_cold().items())
+            if each.end > now
+        )
+
     def _update_cold(self) -> None:
         """Let the allocator follow what is cold now, and tell the other processes."""
         now = self._timer.read_clock()
--- a/sapphireseam/control/placement_test.py
+++ b/sapphireseam/control/placement_test.py
@@ -8,7 +8,7 @@
 
 from sapphireseam.control import placement as placements
 from sapphireseam.control.machine import StateMachine
-from sapphireseam.core import command, error, fleet, placement
+from sapphireseam.core import command, error, fleet, message, placement
 from sapphireseam.core.evacuation import Evacuated
 from sapphireseam.core.instance import Instance
 from sapphireseam.policy import allocator
@@ -336,6 +336,8 @@
         self.assertEqual(read(), {})
         self.server.on_returned("z")
         self.assertEqual(set(read()), {"i1"})
+        shown = message.ColdView("i1", "i1/0", 20.0, 2.0, True)
+        self.assertEqual(self.server.list_cold(), (shown,))
         await self.advance(2.1)
         self.assertEqual(read(), {})
 
@@ -355,7 +357,9 @@
         self.server.update_instances((INSTANCE,), {"i1/0": 4.0})
         (stream,) = await self.attach(1)
         await self.advance(0.3)
+        self.assertFalse(self.server.list_cold()[0].is_presumed)
         self.replica.is_leader = False
+        self.assertEqual(self.server.list_cold(), ())
         (entry,) = self.server._entries.values()
         place = placement.Place(1, "r", "llm", "c", 0, 0.1, (), False)
         await self.server._place(entry, {1}, place)
--- a/sapphireseam/control/service.py
+++ b/sapphireseam/control/service.py
@@ -91,6 +91,8 @@
         self._hub = hub
         self._timeline = timeline
         self._timer = timer
+        # Returns the cold runs of upstreams, if this control VM knows them.
+        self.list_cold: Callable[[], tuple[message.ColdView, ...]] = tuple
 
     def register(self, server: rpc.Server) -> None:
         """Register the calls that this service answers."""
@@ -332,6 +334,7 @@
             self._hub.list_watchers(),
             tuple(state.leaving),
             tuple(state.evacuations.values()),
+            self.list_cold(),
         )
 
     async def _read_events(
--- a/sapphireseam/core/message.py
+++ b/sapphireseam/core/message.py
@@ -318,8 +318,25 @@
     leader: bool
 
 
+class ColdView(NamedTuple):
+    """A cold run of an upstream, which gets `rate` requests a second.
+
+    It is cold for some more `seconds`, as the upstream or the list of upstreams says,
+    unless that `is_presumed`.
+    """
+
+    upstream: str
+    run: str
+    rate: float
+    seconds: float
+    is_presumed: bool
+
+
 class Status(NamedTuple):
-    """Return a control VM's status and its view of the fleet."""
+    """Return a control VM's status and its view of the fleet.
+
+    Only the leader knows `cold` upstreams.
+    """
 
     node: str
     leader: str
@@ -330,6 +347,7 @@
     watchers: tuple[WatcherView, ...]
     leaving: tuple[str, ...]
     evacuations: tuple[Evacuation, ...] = ()
+    cold: tuple[ColdView, ...] = ()
 
 
 class Keep(NamedTuple):
--- a/sapphireseam/ops/ops_test.py
+++ b/sapphireseam/ops/ops_test.py
@@ -1,3 +1,5 @@
+import contextlib
+import io
 import json
 import pathlib
 import tempfile
@@ -13,8 +15,10 @@
     operator,
     setting,
     status,
+    table,
     timeline,
 )
+from sapphireseam.scripts import ctl_fleet
 from sapphireseam.utils.timer import FakeTimer
 
 CHECKED = settings(derandomize=True, deadline=None, database=None)
@@ -185,6 +189,29 @@
         rows = status.list_processes(views, 3)
         self.assertEqual([row.state for row in rows], ["in force"])
 
+    def test_cold_upstreams_are_those_that_the_leader_knows(self):
+        cold = message.ColdView("u1", "u1/7", 4.0, 2.5, True)
+        leader = make_status("b", "b")._replace(cold=(cold,))
+        follower, unknown = make_status("a", "b")._replace(applied=11), []
+        views = [follower, leader]
+        found = status.list_cold(status.find_newest(views), views, unknown)
+        self.assertEqual((found, unknown), ([cold], []))
+        self.assertEqual(status.list_cold(follower, [follower], unknown), [])
+        self.assertEqual(unknown, ["cold upstreams: no leader answered"])
+
+    def test_cold_upstreams_are_shown_with_rate_time_and_whether_they_said_it(self):
+        cold = [
+            message.ColdView("u1", "u1/7", 4.0, 2.54, True),
+            message.ColdView("u2", "u2/8", 0.5, 3.0, False),
+        ]
+        found = status.Status("a", 3, [], [], 0, 0, [], [], [], [], cold=cold)
+        with contextlib.redirect_stdout(io.StringIO()) as output:
+            ctl_fleet._write_status(found)
+        for row in ("u1 +4 +2.5 s +presumed", "u2 +0.5 +3.0 s +said"):
+            self.assertRegex(output.getvalue(), row)
+        plain = table.to_plain(found)["cold"][1]
+        self.assertEqual((plain["seconds"], plain["is_presumed"]), (3.0, False))
+
     def test_old_revision_is_lagging_and_long_silence_is_cut_off(self):
         for seen, state in (
             (make_watcher(0.1, 2), "lagging"),
--- a/sapphireseam/ops/status.py
+++ b/sapphireseam/ops/status.py
@@ -75,7 +75,7 @@
     `upstreams` counts the upstreams in the configuration, `agents` the agents that
     are not cut off. Fewer agents than upstreams means that some upstreams have no
     agent. `unknown` lists the parts that could not be read, each with its cause.
-    `evacuations` are the evacuated failure domains.
+    `evacuations` are the evacuated failure domains, `cold` the cold upstreams.
     """
 
     leader: str
@@ -89,6 +89,7 @@
     limited: list[Limited]
     unknown: list[str]
     evacuations: list[Evacuation] = []
+    cold: list[message.ColdView] = []
 
 
 Answers = dict[str, message.Status | error.SeamError]
@@ -122,6 +123,7 @@
         limited,
         unknown,
         list(newest.evacuations),
+        list_cold(newest, views, unknown),
     )
 
 
@@ -232,6 +234,17 @@
     )
 
 
+def list_cold(
+    newest: message.Status, views: list[message.Status], unknown: list[str]
+) -> list[message.ColdView]:
+    """Return the cold upstreams that the leader knows."""
+    for view in views:
+        if view.node == newest.leader == view.leader:
+            return list(view.cold)
+    unknown.append("cold upstreams: no leader answered")
+    return []
+
+
 async def _count_upstreams(operator: Operator, unknown: list[str]) -> int:
     try:
         view = await operator.client.call(message.ReadFleet(), CALL_TIMEOUT_SECONDS)
--- a/sapphireseam/scripts/ctl_fleet.py
+++ b/sapphireseam/scripts/ctl_fleet.py
@@ -86,6 +86,17 @@
     typer.echo(f"Leaving upstreams: {', '.join(found.leaving) or 'none'}")
     rows = [(row.domain, table.render_time(row.since)) for row in found.evacuations]
     table.write("Evacuated failure domains", ("domain", "since (UTC)"), rows, "none")
+    rows = [
+        (
+            row.upstream,
+            f"{row.rate:g}",
+            f"{row.seconds:.1f} s",
+            "presumed" if row.is_presumed else "said",
+        )
+        for row in found.cold
+    ]
+    columns = ("upstream", "requests a second", "for", "as")
+    table.write("Cold upstreams", columns, rows, "none")
     rows = [
         (
             row.id,
--- a/sapphireseam/scripts/local_test.py
+++ b/sapphireseam/scripts/local_test.py
@@ -202,7 +202,7 @@
         self.assertIn(domain, self.run_ctl("status").stdout)
         self.run_ctl("readmit", domain)
         found = json.loads(self.run_ctl("status", "--json").stdout)
-        self.assertEqual(found["evacuations"], [])
+        self.assertEqual((found["evacuations"], found["cold"]), ([], []))
 
     def test_order_is_carried_out_and_listed_as_done(self):
         self.run_ctl("order", "give", "nowhere", "load", "x", "--yes", code=1)
