Send nothing without a leader to an upstream that was seen to crash

While no leader answered, an entry went on to place at a run that had crashed: the list that it had still named it, and nobody could say that the next run at its address is cold. The entry's crash detector knows of it already, so the placer now presumes such a run cold until the list shows the next one, for 15 s at most. No upstream is asked more often.

The rest of the gap stays told: a restart that breaks no request, and coldness unasked.

--- a/sapphireseam/entry/discovery.py
+++ b/sapphireseam/entry/discovery.py
@@ -172,6 +172,7 @@
     crash_detector = crash.CrashDetector(
         mirror, client, timeline, timer, run_monitor.has_ended
     )
+    crash_detector.on_crash = lambda run: placer.record_crash(run.name)
     forwarder = DirectForwarder(
         placer, upstreams, meter, timer, random.Random(), gate, crash_detector, grace
     )
--- a/sapphireseam/entry/placer.py
+++ b/sapphireseam/entry/placer.py
@@ -473,6 +473,14 @@
         now = self._timer.read_clock()
         self._cold.record_returned(domain, self._read_services(), now)
 
+    def record_crash(self, run: str) -> None:
+        """Record that a run has crashed, as its upstream may come back cold.
+
+        A leader hears of the broken requests and probes the upstream itself.
+        """
+        now = self._timer.read_clock()
+        self._cold.record_crash(run, self._read_services(), now)
+
     def release(
         self,
         slot: HeldSlot,
--- a/sapphireseam/entry/placer_test.py
+++ b/sapphireseam/entry/placer_test.py
@@ -253,6 +253,16 @@
         slot = await self.placer.place(self.make_spec(is_counted=False))
         self.assertEqual(slot.instance.id, "i1")
 
+    async def test_without_a_leader_a_run_that_has_crashed_gets_nothing(self):
+        self.services = {"llm": fleet.Service(cold_rate=20.0, cold_seconds=3.0)}
+        self.leader.fail()
+        await asyncio.sleep(0.05)
+        self.placer.record_crash("i1/0")
+        self.placer.record_crash("unlisted/0")
+        for _ in range(2):
+            slot = await self.placer.place(self.make_spec(is_counted=False))
+            self.assertEqual(slot.instance.id, "i2")
+
     async def test_a_held_request_gets_no_slot_where_it_is_held(self):
         held = INSTANCES[1].id
         await self.placer.place(self.make_spec(held=held))
--- a/sapphireseam/policy/coldstart.py
+++ b/sapphireseam/policy/coldstart.py
@@ -24,6 +24,8 @@
 TOLERANCE_SECONDS = 1.0
 # How long a run is presumed cold until the list or the watch must have shown it.
 UNKNOWN_SECONDS = 2.0
+# How long one that has crashed is, until the list shows the next run.
+CRASHED_SECONDS = 15.0
 
 
 class ColdRun(NamedTuple):
@@ -104,6 +106,14 @@
         self._returned[domain] = now + UNKNOWN_SECONDS
         self._presume_domain(domain, services, now, UNKNOWN_SECONDS)
 
+    def record_crash(
+        self, run: str, services: Mapping[str, Service], now: float
+    ) -> None:
+        """Record that a run has crashed; the next one may answer at its address."""
+        instance = (self._listed or {}).get(run)
+        if instance is not None:
+            self.presume([instance], services, now, CRASHED_SECONDS)
+
     def _presume_domain(
         self, domain: str, services: Mapping[str, Service], now: float, seconds: float
     ) -> None:
--- a/sapphireseam/policy/coldstart_test.py
+++ b/sapphireseam/policy/coldstart_test.py
@@ -103,6 +103,13 @@
                 self.assertEqual(set(self.tracker.read_cold()), {"a/2"})
                 self.assertNotIn("a/1", self.tracker.list_untold())
 
+    def test_a_run_that_has_crashed_is_presumed_cold_until_the_next_is_listed(self):
+        self.record((A, B), 0.0)
+        self.tracker.record_crash("a/1", SERVICES, 1.0)
+        self.assertEqual(self.list_cold(0.9 + coldstart.CRASHED_SECONDS), {"a"})
+        self.record((A._replace(born=2), B), 2.0)
+        self.assertEqual(set(self.tracker.read_cold()), {"a/2"})
+
     def test_without_a_rate_nothing_is_cold(self):
         store = make_instance("s", service="store")
         self.record((store,), 0.0, s=5.0)
--- a/sapphireseam/tools/cold_test.py
+++ b/sapphireseam/tools/cold_test.py
@@ -45,9 +45,11 @@
                 await asyncio.sleep(self.rng.expovariate(RATE))
 
     async def send(self, id):
+        await self.send_at(self.rng.choice(self.entries), id)
+
+    async def send_at(self, entry, id="r"):
         request = discovered.Request(id, STREAM, (id,))
-        reply = await self.fleet.send(self.rng.choice(self.entries), request)
-        self.replies.append(reply)
+        self.replies.append(await self.fleet.send(entry, request))
 
     async def change(self):
         """Replace the leader, then an entry that knows nothing."""
@@ -113,6 +115,36 @@
     def test_cold_upstreams_get_their_rate_and_others_the_rest(self):
         self.play(1, with_changes=False)
 
+    async def crash_without_leader(self):
+        first = self.fleet.upstreams[0]
+        first.bad_parts, first.down_seconds = frozenset({"bad"}), 0.3
+        clock = asyncio.get_running_loop().time
+        await self.fleet.start()
+        await self.fleet.publish(DOCUMENT)
+        try:
+            await self.fleet.stop_controls()
+            await asyncio.sleep(0.5)
+            for number in itertools.count():
+                request = discovered.Request(f"b{number}", STREAM, ("bad", "own"))
+                await self.fleet.send(0, request._replace(seconds=0.2))
+                if first.crashes:
+                    break
+            await asyncio.sleep(first.down_seconds)
+            before = len(first.arrivals)
+            end = clock() + 1.0
+            while clock() < end:
+                await self.send_at(0)
+            self.assertEqual(len(first.arrivals), before)
+            self.assertFalse(self.replies[-1].failure)
+        finally:
+            await self.fleet.stop()
+
+    def test_an_entry_without_a_leader_sends_nothing_to_a_run_that_has_crashed(self):
+        with tempfile.TemporaryDirectory() as folder:
+            self.replies = []
+            self.fleet = discovered.DiscoveredFleet(Path(folder), UPSTREAMS, 1)
+            loop.run(self.crash_without_leader())
+
     def test_the_rate_holds_under_a_new_leader_and_a_restarted_entry(self):
         self.play(2, with_changes=True)
 
--- a/sapphireseam/utils/crash.py
+++ b/sapphireseam/utils/crash.py
@@ -213,6 +213,8 @@
         timer: TimerService,
         has_ended: Callable[[Run], Awaitable[bool]],
     ):
+        # Called with the run that has crashed, before the report of it.
+        self.on_crash: Callable[[Run], None] = lambda run: None
         self._mirror = mirror
         self._client = client
         self._timeline = timeline
@@ -272,6 +274,7 @@
             )
             if has_crashed:
                 self._timeline.record("upstream_died", episode.run.upstream)
+                self.on_crash(episode.run)
                 await self._report(episode)
         finally:
             self._episodes.remove(episode)
