--- a/sapphireseam/control/placement_test.py
+++ b/sapphireseam/control/placement_test.py
@@ -8,7 +8,7 @@
 
 from sapphireseam.control import placement as placements
 from sapphireseam.control.machine import StateMachine
-from sapphireseam.core import command, error, fleet, placement
+from sapphireseam.core import command, error, fleet, message, placement
 from sapphireseam.core.evacuation import Evacuated
 from sapphireseam.core.instance import Instance, get_run_name
 from sapphireseam.policy import allocator
@@ -276,9 +276,6 @@
 
     async def start_cold(self):
         """Let a second control VM follow the log of the first."""
-        document = {"services": {"llm": {"cold_rate": 20.0, "cold_seconds": 3.0}}}
-        item = command.PublishNumbered(1, json.dumps(document).encode(), b"", 0.0)
-        await self.replica.propose(command.REGISTRY.encode(item))
         replica = FakeReplica(self.machine)
         replica.leader, replica.members, replica.is_leader = "", (), False
         other = placements.PlacementServer(
@@ -286,6 +283,9 @@
         )
         await other.start()
         self.addAsyncCleanup(other.stop)
+        document = {"services": {"llm": {"cold_rate": 20.0, "cold_seconds": 3.0}}}
+        item = command.PublishNumbered(1, json.dumps(document).encode(), b"", 0.0)
+        await self.replica.propose(command.REGISTRY.encode(item))
         return replica, other
 
     async def send(self, server, seconds, name):
@@ -320,6 +320,20 @@
         self.assertEqual(other.allocator.read_ceilings(), {})
         self.assertEqual(self.machine.state.ceilings, {})
 
+    async def test_a_new_leader_does_not_end_the_ceiling_of_a_later_run(self):
+        replica, other = await self.start_cold()
+        self.server.update_instances((INSTANCE,), {"i1/0": 4.0})
+        await self.advance(0.1)
+        again = INSTANCE._replace(born=7)
+        # The other control VM expects a later end of the former run than it was told.
+        other.record_cold(INSTANCE, 6.0)
+        self.server.update_instances((again,), {"i1/7": 4.0})
+        await self.advance(0.1)
+        self.replica.is_leader, replica.is_leader = False, True
+        other.update_instances((again,), {"i1/7": 4.0})
+        await self.advance(0.1)
+        self.assertEqual(set(self.machine.state.ceilings), {"i1/7 cold"})
+
     async def test_an_upstream_that_comes_back_may_be_cold(self):
         await self.start_cold()
         other = INSTANCE._replace(id="i2", domain="y", born=5)
@@ -335,6 +349,8 @@
         self.assertEqual(read(), {})
         self.server.on_returned("z")
         self.assertEqual(set(read()), {"i1"})
+        shown = message.ColdView("i1", "i1/0", 20.0, 2.0, True)
+        self.assertEqual(self.server.list_cold(), (shown,))
         await self.advance(2.1)
         self.assertEqual(read(), {})
 
@@ -354,7 +370,9 @@
         self.server.update_instances((INSTANCE,), {"i1/0": 4.0})
         (stream,) = await self.attach(1)
         await self.advance(0.3)
+        self.assertFalse(self.server.list_cold()[0].is_presumed)
         self.replica.is_leader = False
+        self.assertEqual(self.server.list_cold(), ())
         (entry,) = self.server._entries.values()
         place = placement.Place(1, "r", "llm", "c", 0, 0.1, (), False)
         await self.server._place(entry, {1}, place)
