Let an item leave a version whose upstreams stay at their ceilings

Cause: an upstream with a free slot counted as one for an item that continues its output there, though its ceiling, or that of a cold upstream, had no room for batch work. The item waited for as long as online requests used the ceiling up, and other versions had free slots. Change: the ceiling is asked, too; so the wait ends after 3 s as for a full version. Result: the new test fails before (no result in 6 s) and passes; 107 tests of the bulk runner and the allocator pass.

--- a/sapphireseam/control/bulkrunner.py
+++ b/sapphireseam/control/bulkrunner.py
@@ -361,7 +361,7 @@
         slots = self._placement.allocator
         if not slots.count_slots(service, began.version):
             return ""
-        if slots.has_free_slot(service, began.version, progress.unreachable):
+        if slots.has_free_slot(service, began.version, progress.unreachable, now):
             progress.unreachable_since = None
             return began.version
         if progress.unreachable_since is None:
--- a/sapphireseam/control/bulkrunner_test.py
+++ b/sapphireseam/control/bulkrunner_test.py
@@ -7,6 +7,7 @@
 
 from sapphireseam.control import bulkrunner, machine as machines, placement
 from sapphireseam.core import command, error, fleet, placement as messages
+from sapphireseam.core.instance import get_run_name
 from sapphireseam.policy import allocator, limit
 from sapphireseam.utils import fakeflood, fakeupstream, outbound
 from sapphireseam.utils.fakeupstream import make_raw
@@ -318,6 +319,21 @@
         self.assertEqual(results[0].output, self.expect_output(b"i0"))
         self.assertEqual(self.upstream.runs, [])
 
+    async def test_saved_item_whose_version_is_at_its_ceiling_starts_again(self):
+        self.upstream.version, self.other.version = "v1", "v2"
+        self.replica.is_leader = False
+        self.placement.update_instances((self.upstream.instance, self.other.instance))
+        rates = {get_run_name(self.upstream.instance): 0.2}
+        self.placement.allocator.set_ceilings(rates, self.timer.read_clock())
+        await self.accept()
+        part = command.LotPart("l", 0, -1, 1, b"i0-0\ni0-1", "llm", "v1")
+        await self.apply(command.KeepParts((part,)))
+        self.replica.is_leader = True
+        self.runner._wake.set()
+        results = await self.wait_done(6.0)
+        self.assertEqual(results[0].output, self.expect_output(b"i0"))
+        self.assertEqual(self.upstream.runs, [])
+
     async def test_item_under_which_upstreams_crashed_runs_again_soon(self):
         await self.accept(0)
         progress = bulkrunner.ItemProgress(None)
--- a/sapphireseam/policy/allocator.py
+++ b/sapphireseam/policy/allocator.py
@@ -520,11 +520,16 @@
         """
         return self._get_pool(service).count_slots(version)
 
-    def has_free_slot(self, service: str, version: str, excluded: str) -> bool:
-        """Return whether an upstream of a version, except `excluded`, has a slot."""
+    def has_free_slot(
+        self, service: str, version: str, excluded: str, now: float
+    ) -> bool:
+        """Return whether an upstream of a version, except `excluded`, has a slot.
+
+        It is one for batch work, so a ceiling must have room for that.
+        """
         return any(
             load.is_usable
-            and load.free_slots > 0
+            and load.can_take(now, is_batch=True)
             and load.instance.version == version
             and load.instance.id != excluded
             for load in self._list_loads(service)
