Check a configuration for what can't match, contradicts itself or changes

Cause: `seam-ctl check` asked a control VM and listed errors only. An operator didn't see a route that another one hides, a timeout below the target, or what a publish would do, and couldn't check a file without a fleet. Change: `core/lint.py` holds 17 rules for warnings, without a network; `ops/effect.py` says what each difference from the revision in force does, by object. Error lines, their count on standard error and the exit codes 0, 3 and 4 stay.

--- /dev/null
+++ b/sapphireseam/core/lint_test.py
@@ -0,0 +1,153 @@
+import json
+import pathlib
+import unittest
+
+from sapphireseam.core import lint
+
+EXAMPLES = pathlib.Path(__file__).parents[2] / "examples"
+
+
+def locate(number):
+    """Return the fields of an upstream that say where it is."""
+    address = f"10.0.0.{number}"
+    return {"failure_domain": "d", "address": f"{address}:8", "agent": f"{address}:7"}
+
+
+KEYED = {"contract": ""}
+VERSION = {"model": "m", "weights": "w"}
+LIMIT = {"contracts": {"k": {"rate": 1, "burst": 5}}}
+SPLIT = {"service": "", "shares": [{"service": "s"}, {"service": "t", "weight": 0}]}
+COLD = {"cold_seconds": 5}
+MODEL = {
+    "failure_domains": {"d": {"region": "r"}},
+    "models": {"m": {"version": "m-1", "customers": ["c"]}},
+    "versions": {"m-1": VERSION},
+    "upstreams": {"u": locate(1) | {"version": "m-1"}},
+    "routes": {"r": {"path": "/v1"}},
+    "customers": {"c": KEYED},
+}
+PUBLIC = MODEL | {"models": {"m": {"version": "m-1"}}, "customers": {}}
+OTHER_UPSTREAM = MODEL["upstreams"] | {"v": locate(2) | {"service": "x"}}
+
+
+def serve(*routes, **service):
+    """Return a configuration with services `s` and `t` and routes `r0`, `r1` ..."""
+    named = {
+        f"r{number}": {"path": "/a", "service": "s"} | route
+        for number, route in enumerate(routes)
+    }
+    return {"routes": named, "services": {"s": service, "t": {}}}
+
+
+def link(distances, others):
+    """Return a configuration with two failure domains and their distances."""
+    domains = {"d": distances, "e": others}
+    return {
+        "failure_domains": {
+            name: {"region": "r", "distances": each} for name, each in domains.items()
+        }
+    }
+
+
+# By rule: the place of its only finding, a faulty document and a sound one.
+CASES = {
+    "hidden-route": (
+        "routes.r0.path",
+        serve({"path": "/a/"}, {"path": "/a//"}),
+        serve({"path": "/"}, {"path": "/a"}, {"path": "/a/"}, {"path": "/ab"}),
+    ),
+    "tied-route": (
+        "routes.r1.path",
+        serve({}, {"host": "h"}),
+        serve({"host": "g"}, {"host": "h"}, {"path": "/b"}),
+    ),
+    "model-host": (
+        "routes.r.host",
+        MODEL | {"routes": {"r": {"path": "/v1", "host": "h"}}},
+        serve({"host": "h"}),
+    ),
+    "service-and-shares": (
+        "routes.r0.service",
+        serve(SPLIT | {"service": "s"}),
+        serve(SPLIT),
+    ),
+    "route-without-model": ("routes.r.service", {"routes": MODEL["routes"]}, MODEL),
+    "unused-contract": (
+        "contracts.k",
+        MODEL | LIMIT,
+        MODEL | LIMIT | {"customers": {"c": {"contract": "k"}}},
+    ),
+    "idle-customer": (
+        "customers.e",
+        MODEL | {"customers": {"c": KEYED, "e": KEYED}},
+        serve({"open": True}) | {"customers": {"c": KEYED}},
+    ),
+    "idle-model": (
+        "models.m",
+        PUBLIC,
+        PUBLIC | {"routes": {"r": {"path": "/v1", "open": True}}},
+    ),
+    "model-without-upstream": ("models.m.version", MODEL | {"upstreams": {}}, MODEL),
+    "unused-version": (
+        "versions.x",
+        MODEL | {"versions": {"m-1": VERSION, "x": VERSION}},
+        MODEL | {"versions": {"m-1": VERSION | {"parent": "x"}, "x": VERSION}},
+    ),
+    "idle-upstream": (
+        "upstreams.v.service",
+        MODEL | {"upstreams": OTHER_UPSTREAM},
+        serve({"service": "x"}, SPLIT | {"path": "/b"})
+        | {"upstreams": {"v": OTHER_UPSTREAM["v"]}}
+        | {"failure_domains": MODEL["failure_domains"]},
+    ),
+    "unused-service": ("services.t", serve({}), serve(SPLIT)),
+    "weightless-service": (
+        "routes.r0.shares.1.weight",
+        serve(SPLIT),
+        serve(SPLIT, {"path": "/t", "service": "t"}),
+    ),
+    "short-timeout": (
+        "routes.r0.timeout",
+        serve({"timeout": 1, "target": 2}),
+        serve({"timeout": 2, "target": 2}, {"path": "/b", "timeout": 1}),
+    ),
+    "short-retention": (
+        "routes.r0.batch.abandon",
+        serve({"batch": {"due": 20, "abandon": 10}}),
+        serve({"batch": {"due": 10, "abandon": 10}}),
+    ),
+    "cold-without-rate": (
+        "services.s.cold_seconds",
+        serve({}, **COLD),
+        serve({}, **COLD, cold_rate=1),
+    ),
+    "uneven-distance": (
+        "failure_domains.d.distances.e",
+        link({"e": 2}, {}),
+        link({"e": 2, "d": 5}, {"d": 2}),
+    ),
+}
+
+
+def find(rule, document):
+    """Return the places of a rule's findings; every document must be valid."""
+    findings = lint.check(document)
+    assert all(item.severity is lint.Severity.WARNING for item in findings), findings
+    return [item.source for item in findings if item.rule == rule]
+
+
+class RuleTest(unittest.TestCase):
+    def test_every_rule_finds_its_fault_and_nothing_else(self):
+        self.assertEqual(list(CASES), [rule.name for rule in lint.RULES])
+        for rule, (source, faulty, sound) in CASES.items():
+            with self.subTest(rule):
+                self.assertEqual(find(rule, faulty), [source])
+                self.assertEqual(find(rule, sound), [])
+
+    def test_errors_are_listed_without_warnings(self):
+        document = serve({"timeout": 1, "target": 2}, {})
+        self.assertEqual([item.rule for item in lint.check(document)], [lint.INVALID])
+
+    def test_examples_have_no_findings(self):
+        for path in EXAMPLES.glob("*/configuration.json"):
+            self.assertEqual(lint.check(json.loads(path.read_text())), [], path)
--- a/sapphireseam/entry/routedrequest_test.py
+++ b/sapphireseam/entry/routedrequest_test.py
@@ -2,9 +2,44 @@
 
 import unittest
 
+from hypothesis import given, settings, strategies as st
+
+from sapphireseam.core import fleet, lint
 from sapphireseam.entry import routedrequest
 from sapphireseam.policy import queue
 
+locations = st.tuples(
+    st.sampled_from(["", "g", "h"]), st.text("/a", max_size=5).map("/{}".format)
+)
+
+
+class RouteTest(unittest.TestCase):
+    @settings(derandomize=True, deadline=None, database=None)
+    @given(st.lists(locations, min_size=1, max_size=5, unique=True))
+    def test_warned_of_are_just_the_routes_that_lose_their_own_path(self, found):
+        routes = {
+            f"r{number}": fleet.Route(path, "s", host)
+            for number, (host, path) in enumerate(found)
+        }
+        chosen = [
+            {
+                name: routedrequest.find_route(current, route.path, route.host)[0]
+                for name, route in routes.items()
+            }
+            for current in (
+                fleet.Fleet(routes=routes),
+                fleet.Fleet(routes=dict(reversed(routes.items()))),
+            )
+        ]
+        warned = {"hidden-route": set(), "tied-route": set()}
+        for item in lint.list_warnings(fleet.Fleet(routes=routes)):
+            warned[item.rule].add(item.source.split(".")[1])
+        lost = [{n for n in routes if names[n] != n} for names in chosen]
+        self.assertLessEqual(warned["hidden-route"], lost[0] & lost[1])
+        self.assertEqual(
+            warned["hidden-route"] | warned["tied-route"], lost[0] | lost[1]
+        )
+
 
 class CostTest(unittest.TestCase):
     def test_no_declared_length_disturbs_the_shares_of_the_customers(self):
--- a/sapphireseam/ops/ops_test.py
+++ b/sapphireseam/ops/ops_test.py
@@ -5,9 +5,11 @@
 
 from hypothesis import given, settings, strategies as st
 
-from sapphireseam.core import error, event, fleet, message
+from sapphireseam.core import error, event, fleet, lint, message
 from sapphireseam.ops import (
     configuration,
+    effect,
+    inspection,
     job,
     key,
     operator,
@@ -91,6 +93,79 @@
         self.assertEqual(configuration.compare(short, full), [])
 
 
+class EffectTest(unittest.TestCase):
+    def test_every_field_of_every_section_has_an_effect(self):
+        for section, default in fleet.Fleet._field_defaults.items():
+            with self.subTest(section):
+                if section in effect.SINGLE_SECTIONS:
+                    fields = {*default._fields}
+                else:
+                    (_, kind) = fleet.Fleet.__annotations__[section].__args__
+                    fields = {*kind._fields, effect.ADDED, effect.REMOVED}
+                self.assertEqual(effect.EFFECTS[section].keys(), fields)
+
+    def test_changes_are_grouped_by_object_also_if_names_have_dots(self):
+        route = {"path": "/a", "service": "s"}
+        old = {"services": {"s": {}}, "routes": {"a.b": route, "a": route}}
+        new = {
+            "services": {"s": {}},
+            "routes": {"a.b": route | {"timeout": 9, "rank": 2}},
+        }
+        new["bounds"] = {"head": 3}
+        found = {
+            each.source: [field.field for field in each.fields]
+            for each in effect.list_objects(old, new)
+        }
+        expected = {"routes.a": [effect.REMOVED], "routes.a.b": ["rank", "timeout"]}
+        self.assertEqual(found, expected | {"bounds": ["head"]})
+
+
+class FakeControl:
+    """A control client with a configuration in force, or an error for every call."""
+
+    def __init__(self, findings=(), failure=None):
+        self.findings = findings
+        self.failure = failure
+
+    async def call(self, item):
+        if self.failure is not None:
+            raise self.failure
+        if isinstance(item, message.CheckFleet):
+            return message.Findings(self.findings)
+        return message.FleetView(4, b"{}")
+
+
+class InspectionTest(unittest.IsolatedAsyncioTestCase):
+    async def inspect(self, document, **control):
+        client = FakeControl(**control)
+        return await inspection.inspect(
+            operator.Operator(client, (), FakeTimer()), document
+        )
+
+    async def test_findings_of_the_control_vms_come_beside_those_of_the_file(self):
+        document = {"contracts": {"k": {"rate": 1, "burst": 2}}}
+        found = await self.inspect(document, findings=(("keys.a", "is live", "c"),))
+        rules = [(item.severity, item.rule) for item in found.findings]
+        expected = [("error", lint.INVALID), ("warning", "unused-contract")]
+        self.assertEqual(rules, expected)
+        self.assertEqual(found.revision, 4)
+        self.assertEqual([each.source for each in found.changes], ["contracts.k"])
+
+    async def test_error_that_both_find_is_listed_once(self):
+        (local,) = lint.check({"customers": {"c": {"contract": "k"}}})
+        remote = (local.source, local.message, local.entry)
+        found = await self.inspect(
+            {"customers": {"c": {"contract": "k"}}}, findings=(remote,)
+        )
+        self.assertEqual(found.findings, [local])
+
+    async def test_file_is_inspected_alone_only_if_no_control_vm_answers(self):
+        found = await self.inspect({}, failure=error.ControlError("cut off"))
+        self.assertEqual(found, inspection.Inspection([], cause="cut off"))
+        with self.assertRaises(error.AccessError):
+            await self.inspect({}, failure=error.AccessError("wrong key"))
+
+
 class BaseRevisionTest(unittest.TestCase):
     def setUp(self):
         folder = tempfile.TemporaryDirectory()
--- a/sapphireseam/scripts/ctl.py
+++ b/sapphireseam/scripts/ctl.py
@@ -74,6 +74,7 @@
       2  wrong usage or invalid settings
       3  the configuration has findings and was not published
       4  no quorum of control VMs was reached; the outcome may be unknown
+      5  check --strict: the configuration has warnings only
     """
     context.obj = setting.Choice(settings, tuple(control or ()), operator_key_file)
 
--- a/sapphireseam/scripts/ctl_configuration.py
+++ b/sapphireseam/scripts/ctl_configuration.py
@@ -5,8 +5,8 @@
 
 import typer
 
-from sapphireseam.core import error, jsontext
-from sapphireseam.ops import configuration, operator, table
+from sapphireseam.core import error, jsontext, lint
+from sapphireseam.ops import configuration, inspection, operator, table
 
 FileArgument = Annotated[Path, typer.Argument(help="The configuration's JSON file.")]
 JsonOption = Annotated[bool, typer.Option("--json", help="Print JSON for scripts.")]
@@ -27,16 +27,10 @@
         app.command()(function)
 
 
-def _write_findings(findings: tuple[tuple[str, str, str], ...], as_json: bool) -> None:
+def _write_findings(findings: tuple[tuple[str, str, str], ...]) -> None:
     """Print the findings; exit with `FINDINGS_EXIT` if there are any."""
-    if as_json:
-        rows = [
-            dict(zip(("source", "message", "entry"), f, strict=True)) for f in findings
-        ]
-        table.write_json(rows)
-    else:
-        for source, text, entry in findings:
-            typer.echo(f"{source}: {text} (found {entry[:80]!r})")
+    for source, text, entry in findings:
+        typer.echo(f"{source}: {text} (found {str(entry)[:80]!r})")
     if findings:
         typer.echo(f"{len(findings)} finding(s); correct them and try again", err=True)
         raise typer.Exit(operator.FINDINGS_EXIT)
@@ -53,23 +47,90 @@
 
 
 def check(
-    context: typer.Context, file: FileArgument, as_json: JsonOption = False
+    context: typer.Context,
+    file: FileArgument,
+    offline: Annotated[
+        bool, typer.Option("--offline", help="Check the file alone; ask no control VM.")
+    ] = False,
+    strict: Annotated[
+        bool, typer.Option("--strict", help="Exit with 5 if there are warnings only.")
+    ] = False,
+    as_json: JsonOption = False,
 ) -> None:
-    """Check a configuration against the fleet without publishing it.
+    """Check a configuration without publishing it, and say what it would change.
 
-    All findings are listed with their object and field. The exit code is 3 if
-    there are any.
+    Lists errors, which prevent a publish, and warnings about what has no effect or
+    contradicts itself, with object and field. Then lists the differences from the
+    revision in force by object, with their effects.
 
-    Example: seam-ctl check fleet.json
+    The exit code is 3 if there are errors. Without a control VM the file is checked
+    alone, and the exit code is 4 unless there are errors.
+
+    \b
+    Examples:
+      seam-ctl check fleet.json
+      seam-ctl check fleet.json --offline --strict
     """
 
     async def work(connection: operator.Operator):
-        document = configuration.read_file(file)
-        return await configuration.check(connection, document)
+        return await inspection.inspect(connection, configuration.read_file(file))
 
-    _write_findings(operator.run(context.obj, work), as_json)
-    if not as_json:
+    if offline:
+        try:
+            found = inspection.Inspection(lint.check(configuration.read_file(file)))
+        except error.SeamError as failure:
+            raise typer.Exit(operator.report_error(failure)) from None
+    else:
+        found = operator.run(context.obj, work)
+    if as_json:
+        table.write_json(table.to_plain(found))
+    else:
+        _write_inspection(file, found)
+    _exit_after(found, strict)
+
+
+def _write_inspection(file: Path, found: inspection.Inspection) -> None:
+    warnings = found.list_findings(lint.Severity.WARNING)
+    for item in warnings:
+        typer.echo(
+            f"warning: {item.source}: {item.message}"
+            f" (found {str(item.entry)[:80]!r}) [{item.rule}]"
+        )
+    errors = found.list_findings(lint.Severity.ERROR)
+    for item in errors:
+        typer.echo(f"{item.source}: {item.message} (found {str(item.entry)[:80]!r})")
+    if not found.findings:
         typer.echo(f"{file}: no findings")
+    if errors:
+        typer.echo(f"{len(errors)} finding(s); correct them and try again", err=True)
+    if found.revision is None:
+        cause = f": {found.cause}" if found.cause else ""
+        typer.echo(
+            "not compared with the revision in force, nor checked against live"
+            f" keys{cause}",
+            err=True,
+        )
+        return
+    if not found.changes:
+        typer.echo(f"no difference from revision {found.revision}")
+        return
+    typer.echo(f"changes of revision {found.revision}:")
+    for changed in found.changes:
+        typer.echo(changed.source)
+        for field in changed.fields:
+            typer.echo(f"  {field.field}: {field.effect}")
+            for value in field.values:
+                typer.echo(f"    {value.render()}")
+
+
+def _exit_after(found: inspection.Inspection, strict: bool) -> None:
+    """Exit with the code of the findings, unless it is 0."""
+    if found.list_findings(lint.Severity.ERROR):
+        raise typer.Exit(operator.FINDINGS_EXIT)
+    if found.cause:
+        raise typer.Exit(operator.UNREACHABLE_EXIT)
+    if strict and found.findings:
+        raise typer.Exit(operator.WARNINGS_EXIT)
 
 
 def diff(
@@ -129,7 +190,7 @@
         review = await configuration.review(connection, document, base, file)
         if not request_id:
             _require_current(review, file)
-            _write_findings(review.findings, False)
+            _write_findings(review.findings)
             if not review.changes:
                 typer.echo(f"{file} is the same as revision {review.in_force}")
                 return
@@ -232,7 +293,7 @@
         current = await configuration.read(connection)
         document = jsontext.parse(wanted.document)
         changes = configuration.compare(jsontext.parse(current.document), document)
-        _write_findings(await configuration.check(connection, document), False)
+        _write_findings(await configuration.check(connection, document))
         _write_changes(changes, False)
         if not changes:
             return
--- a/sapphireseam/scripts/local_test.py
+++ b/sapphireseam/scripts/local_test.py
@@ -162,6 +162,25 @@
             self.assertIn("models.wording-llm.version", done.stdout)
             self.assertIn("customers.grower-1.contract", done.stdout)
 
+    def test_check_lists_changes_and_warnings_and_works_offline(self):
+        path = self.folder / "checked.json"
+        self.run_ctl("show", "--output", path)
+        self.assertIn("no difference", self.run_ctl("check", path).stdout)
+        document = json.loads(path.read_text())
+        document["contracts"]["spare"] = {"rate": 1, "burst": 1}
+        path.write_text(json.dumps(document))
+        done = self.run_ctl("check", path)
+        self.assertIn("[unused-contract]", done.stdout)
+        self.assertIn("(added): customers may have it", done.stdout)
+        found = json.loads(self.run_ctl("check", path, "--json").stdout)
+        self.assertEqual(found["findings"][0]["severity"], "warning")
+        self.assertEqual(found["changes"][0]["source"], "contracts.spare")
+        self.run_ctl("check", path, "--strict", code=5)
+        offline = self.run_ctl("check", path, "--offline")
+        self.assertIn("not compared", offline.stderr)
+        cut_off = ("--control", "127.0.0.1:1", "check", path)
+        self.assertIn("not compared", self.run_ctl(*cut_off, code=4).stderr)
+
     def test_key_text_is_shown_once_on_standard_output_only(self):
         issued = self.run_ctl("key", "issue", "grower-2")
         text = issued.stdout.strip()
--- a/sapphireseam/tools/page.py
+++ b/sapphireseam/tools/page.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from sapphireseam.core import error
+from sapphireseam.core import error, lint
 from sapphireseam.utils import metric
 
 ROOT = Path(__file__).parents[2]
@@ -156,9 +156,17 @@
     return "\n".join(rows)
 
 
+def render_rules() -> str:
+    """Return the table of all rules for warnings about a configuration."""
+    rows = ["| rule | means |", "|---|---|"]
+    rows += [f"| `{rule.name}` | {rule.means} |" for rule in lint.RULES]
+    return "\n".join(rows)
+
+
 PARTS: dict[str, Callable[[], str]] = {
     "errors": render_errors,
     "metrics": render_metrics,
+    "rules": render_rules,
 }
 
 
