--- a/sapphireseam/core/lint.py
+++ b/sapphireseam/core/lint.py
@@ -256,7 +256,7 @@
 def _find_cold_seconds_without_rate(current: fleet.Fleet) -> Iterator[fleet.Finding]:
     for name, service in current.services.items():
         if service.cold_seconds and not service.cold_rate:
-            message = "has no effect, as cold_rate sets no limit"
+            message = "has no effect without a rate for cold upstreams"
             source = f"services.{name}.cold_seconds"
             yield fleet.Finding(source, message, service.cold_seconds)
 
--- a/sapphireseam/ops/ops_test.py
+++ b/sapphireseam/ops/ops_test.py
@@ -159,6 +159,10 @@
         )
         self.assertEqual(found.findings, [local])
 
+    async def test_document_without_structure_is_not_said_to_be_unchanged(self):
+        found = await self.inspect({"routes": 1})
+        self.assertEqual((found.revision, found.changes), (4, None))
+
     async def test_file_is_inspected_alone_only_if_no_control_vm_answers(self):
         found = await self.inspect({}, failure=error.ControlError("cut off"))
         self.assertEqual(found, inspection.Inspection([], cause="cut off"))
--- a/sapphireseam/platform/document.py
+++ b/sapphireseam/platform/document.py
@@ -119,13 +119,11 @@
     Raises `ConfigurationError` if it cannot be parsed or translated. References and
     conflicts between its objects are checked when it is published.
     """
-    try:
-        configuration = jsontext.decode(source, _decoder)
-    except jsontext.JsonError as failure:
-        raise error.ConfigurationError(f"invalid configuration: {failure}") from None
-    findings = _find_problems(configuration)
+    configuration = read(source)
+    findings = find_problems(configuration)
     if findings:
-        raise error.ConfigurationError("\n".join(findings))
+        lines = [f"{item.source}: {item.message}" for item in findings]
+        raise error.ConfigurationError("\n".join(lines))
     document = {
         "routes": {route.name: _make_route(route) for route in configuration.routes},
         "services": {
@@ -149,24 +147,38 @@
     return Translated(configuration.version, json.dumps(document).encode())
 
 
-def _find_problems(configuration: Document) -> list[str]:
+def read(source: bytes) -> Document:
+    """Return a configuration in its own form, or raise `ConfigurationError`."""
+    try:
+        return jsontext.decode(source, _decoder)
+    except jsontext.JsonError as failure:
+        raise error.ConfigurationError(f"invalid configuration: {failure}") from None
+
+
+def find_problems(configuration: Document) -> list[fleet.Finding]:
     """Return the problems that the translation would hide."""
     findings = []
-    for section in (
-        configuration.routes,
-        configuration.services,
-        configuration.tenants,
-    ):
-        counts = Counter(item.name for item in section)
+    for section in ("routes", "services", "tenants"):
+        counts = Counter(item.name for item in getattr(configuration, section))
         duplicates = sorted(name for name, count in counts.items() if count > 1)
-        findings += [f"{name}: is defined twice" for name in duplicates]
+        findings += [
+            fleet.Finding(f"{section}.{name}", "is defined twice", name)
+            for name in duplicates
+        ]
     for route in configuration.routes:
+        source = f"routes.{route.name}"
         if route.timeout_ms <= 0:
-            findings.append(f"{route.name}: timeout_ms is {route.timeout_ms}")
+            message = "must be above 0"
+            findings.append(
+                fleet.Finding(f"{source}.timeout_ms", message, route.timeout_ms)
+            )
         if not route.service and not route.weighted_services:
-            findings.append(f"{route.name}: has no service")
+            findings.append(fleet.Finding(f"{source}.service", "is missing", ""))
         if route.route_type not in (SAFE, UNSAFE, STREAMING, BATCH):
-            findings.append(f"{route.name}: route_type is {route.route_type!r}")
+            message = "is no type of routes"
+            findings.append(
+                fleet.Finding(f"{source}.route_type", message, route.route_type)
+            )
     return findings
 
 
--- a/sapphireseam/scripts/ctl_configuration.py
+++ b/sapphireseam/scripts/ctl_configuration.py
@@ -82,55 +82,8 @@
             raise typer.Exit(operator.report_error(failure)) from None
     else:
         found = operator.run(context.obj, work)
-    if as_json:
-        table.write_json(table.to_plain(found))
-    else:
-        _write_inspection(file, found)
-    _exit_after(found, strict)
-
-
-def _write_inspection(file: Path, found: inspection.Inspection) -> None:
-    warnings = found.list_findings(lint.Severity.WARNING)
-    for item in warnings:
-        typer.echo(
-            f"warning: {item.source}: {item.message}"
-            f" (found {str(item.entry)[:80]!r}) [{item.rule}]"
-        )
-    errors = found.list_findings(lint.Severity.ERROR)
-    for item in errors:
-        typer.echo(f"{item.source}: {item.message} (found {str(item.entry)[:80]!r})")
-    if not found.findings:
-        typer.echo(f"{file}: no findings")
-    if errors:
-        typer.echo(f"{len(errors)} finding(s); correct them and try again", err=True)
-    if found.revision is None:
-        cause = f": {found.cause}" if found.cause else ""
-        typer.echo(
-            "not compared with the revision in force, nor checked against live"
-            f" keys{cause}",
-            err=True,
-        )
-        return
-    if not found.changes:
-        typer.echo(f"no difference from revision {found.revision}")
-        return
-    typer.echo(f"changes of revision {found.revision}:")
-    for changed in found.changes:
-        typer.echo(changed.source)
-        for field in changed.fields:
-            typer.echo(f"  {field.field}: {field.effect}")
-            for value in field.values:
-                typer.echo(f"    {value.render()}")
-
-
-def _exit_after(found: inspection.Inspection, strict: bool) -> None:
-    """Exit with the code of the findings, unless it is 0."""
-    if found.list_findings(lint.Severity.ERROR):
-        raise typer.Exit(operator.FINDINGS_EXIT)
-    if found.cause:
-        raise typer.Exit(operator.UNREACHABLE_EXIT)
-    if strict and found.findings:
-        raise typer.Exit(operator.WARNINGS_EXIT)
+    inspection.write(found, file, as_json)
+    inspection.exit_after(found, strict)
 
 
 def diff(
