Say that no process reads the idle bound when it changes

Cause: the effect of a changed `bounds.idle` was said to be that idle connections close after another time, but a search of the code finds no reader of the field. Change: its effect text is the one of the other fields that are recorded only.

--- a/sapphireseam/ops/effect.py
+++ b/sapphireseam/ops/effect.py
@@ -104,7 +104,7 @@
     "bounds": {
         "header_bytes": "larger or only smaller paths and headers are accepted",
         "body_bytes": "larger or only smaller bodies are accepted",
-        "idle": "idle connections of callers are closed after another time",
+        "idle": UNREAD,
         "head": "slow heads of requests are cut after another time",
     },
     "policy": {
