Decide between routes of equal length by host and name

Cause: `find_route` took the first of the routes with the longest path. After a change, entries hold the routes in another order than those that started later, so two entries could answer one request by different routes. The warning `tied-route` said so for a sound pair, one route with a host beside one without. Change: of equally long paths, one with a host wins, then the last name (`fleet.weigh_route`). `hidden-route` names the winner, once for each route; `tied-route` and its case go, since nothing is undefined any more.

--- a/sapphireseam/core/fleet.py
+++ b/sapphireseam/core/fleet.py
@@ -531,6 +531,15 @@
     return domain.distances.get(target, 1.0)
 
 
+def weigh_route(name: str, route: Route) -> tuple[int, bool, str]:
+    """Return the weight of a route; of those that match a request, the largest wins.
+
+    The longest path wins, then a route with a host, then the last name. The order of
+    the routes can't decide: it differs between processes after a change.
+    """
+    return len(route.path), bool(route.host), name
+
+
 def path_matches(prefix: str, path: str) -> bool:
     """Return whether a route's path is a prefix of a request's, by whole segments.
 
--- a/sapphireseam/core/lint.py
+++ b/sapphireseam/core/lint.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable, Iterator
 from enum import StrEnum
+from functools import partial
 from typing import Any, NamedTuple
 
 from sapphireseam.core import fleet
@@ -73,56 +74,28 @@
     return [route for route in current.routes.values() if _serves_models(route)]
 
 
-def _covers(route: fleet.Route, other: fleet.Route) -> bool:
-    """Return whether a route matches every request that another one matches."""
-    return route.host in ("", other.host) and fleet.path_matches(route.path, other.path)
-
-
-class _Rivals(NamedTuple):
-    """A route, and another that matches all its requests with a path as long.
-
-    With `is_longer`, the path of the other one is longer.
-    """
-
-    name: str
-    route: fleet.Route
-    other_name: str
-    is_longer: bool
-
-
-def _list_rivals(current: fleet.Fleet) -> list[_Rivals]:
-    by_path: dict[str, list[str]] = {}
+def _find_hidden_routes(current: fleet.Fleet) -> Iterator[fleet.Finding]:
+    # Only a path that ends in a slash matches others that are no longer than itself.
+    # The winner of those is kept by the path without its slashes, and the host.
+    wide: dict[tuple[str, str], str] = {}
     for name, route in current.routes.items():
-        by_path.setdefault(route.path, []).append(name)
-    # Only a path that ends in a slash covers others that are no longer than itself.
-    wide = [name for name, each in current.routes.items() if each.path.endswith("/")]
-    rivals = []
+        if route.path.endswith("/"):
+            place = route.path.rstrip("/"), route.host
+            held = wide.setdefault(place, name)
+            wide[place] = max(held, name, key=partial(_weigh, current))
+    lengths = {len(base) for base, _ in wide}
     for name, route in current.routes.items():
-        for other_name in dict.fromkeys(by_path[route.path] + wide):
-            other = current.routes[other_name]
-            surplus = len(other.path) - len(route.path)
-            if other_name != name and surplus >= 0 and _covers(other, route):
-                rivals.append(_Rivals(name, route, other_name, surplus > 0))
-    return rivals
+        bases = [route.path[:n] for n in lengths if route.path.startswith("/", n)]
+        places = [(base, host) for base in bases for host in {"", route.host}]
+        rivals = [wide[place] for place in places if place in wide]
+        winner = max([name, *rivals], key=partial(_weigh, current))
+        if winner != name:
+            message = f"is hidden by route {winner}, which matches all its requests"
+            yield fleet.Finding(f"routes.{name}.path", message, route.path)
 
 
-def _find_hidden_routes(current: fleet.Fleet) -> Iterator[fleet.Finding]:
-    for each in _list_rivals(current):
-        if each.is_longer:
-            message = f"is hidden by the longer path of route {each.other_name}"
-            yield fleet.Finding(f"routes.{each.name}.path", message, each.route.path)
-
-
-def _find_tied_routes(current: fleet.Fleet) -> Iterator[fleet.Finding]:
-    rivals = _list_rivals(current)
-    hidden = {each.name for each in rivals if each.is_longer}
-    for name, route, other_name, _ in rivals:
-        if name not in hidden:
-            message = (
-                f"is as long as the path of route {other_name}, which matches the same"
-                " requests: which one answers them is not defined"
-            )
-            yield fleet.Finding(f"routes.{name}.path", message, route.path)
+def _weigh(current: fleet.Fleet, name: str) -> tuple[int, bool, str]:
+    return fleet.weigh_route(name, current.routes[name])
 
 
 def _find_model_hosts(current: fleet.Fleet) -> Iterator[fleet.Finding]:
@@ -274,15 +247,9 @@
 RULES = (
     Rule(
         "hidden-route",
-        "A longer path matches every request of the route, so it serves none.",
+        "Another route matches every request of the route and wins, so it serves none.",
         _find_hidden_routes,
     ),
-    Rule(
-        "tied-route",
-        "Another route whose path is as long matches the same requests, such as one"
-        " without a `host` beside one with it. Which one answers isn't defined.",
-        _find_tied_routes,
-    ),
     Rule(
         "model-host",
         "A route for models has a `host`. Entries route such requests without one, so"
--- a/sapphireseam/entry/routedrequest.py
+++ b/sapphireseam/entry/routedrequest.py
@@ -54,7 +54,8 @@
 ) -> tuple[str, fleet.Route]:
     """Return the name and route whose path is the longest prefix of this path.
 
-    A route with a host matches only requests for that host.
+    A route with a host matches only requests for that host, and wins over one without
+    a host whose path is as long.
     """
     matching = [
         (name, route)
@@ -63,7 +64,7 @@
     ]
     if not matching:
         raise error.RequestError(f"no route for {path}", error.Kind.ROUTE_UNKNOWN)
-    return max(matching, key=lambda pair: len(pair[1].path))
+    return max(matching, key=lambda pair: fleet.weigh_route(*pair))
 
 
 def check_head(request: web.BaseRequest, limit: int) -> None:
