Show no key that stands in place of a digest

Cause: an operator who writes a key itself into `keys`, or gives the check a document with unknown fields such as the platform's `tenants`, got the key back on the screen and in the JSON, which scripts log. Values had no bound there: a path of 1 MB came back whole. Change: `lint.make_error` replaces what may be a key by `(not shown)`, also in findings of the control VMs and in those that `publish` lists, and cuts other values at 200 characters. Result: the test with 11 misplaced keys showed `sk-1` before and passes.

--- a/sapphireseam/core/lint.py
+++ b/sapphireseam/core/lint.py
@@ -14,6 +14,14 @@
 
 # The rule of a finding without which a configuration can't be published.
 INVALID = "invalid"
+# Shown in place of a value that may be a key, or is too much to show.
+HIDDEN = "(not shown)"
+MAX_ENTRY_LENGTH = 200
+
+# What the parser says of a field that it doesn't know, which may be anything.
+_UNKNOWN_FIELD = "Extra inputs are not permitted"
+# The last parts of the places in a customer whose values are no keys.
+_PUBLIC_PARTS = ("contract", "rank", "[key]")
 
 
 class Severity(StrEnum):
@@ -53,10 +61,36 @@
     if parsed is not None:
         findings = fleet.check_objects(document, parsed) + findings
     if parsed is None or findings:
-        return [Finding(Severity.ERROR, INVALID, *item) for item in findings]
+        return [make_error(*item) for item in findings]
     return list_warnings(parsed)
 
 
+def make_error(source: str, message: str, entry: Any) -> Finding:
+    """Return an error without what may be a key in it, and of bounded length.
+
+    An operator may have written a key in place of its digest.
+    """
+    if _may_hold_key(source, message, entry):
+        entry = HIDDEN
+    elif isinstance(entry, str):
+        entry = entry[:MAX_ENTRY_LENGTH]
+    source = source[: fleet.MAX_SOURCE_LENGTH]
+    return Finding(Severity.ERROR, INVALID, source, message, entry)
+
+
+def _may_hold_key(source: str, message: str, entry: Any) -> bool:
+    # Control VMs render lists and objects as text.
+    if entry and str(entry)[0] in "{[(" or message == _UNKNOWN_FIELD:
+        return True
+    section = source.removeprefix("(whole).").partition(".")[0]
+    if section != "customers":
+        # The place begins with a number if the whole document is a list.
+        return section.isdigit()
+    # Of a key of two customers, the entry is the name of the other one.
+    is_name = message.startswith("has a key of ")
+    return not is_name and source.rpartition(".")[2] not in _PUBLIC_PARTS
+
+
 def list_warnings(current: fleet.Fleet) -> list[Finding]:
     """Return the warnings about a valid configuration, in the order of the rules."""
     return [
--- a/sapphireseam/core/lint_test.py
+++ b/sapphireseam/core/lint_test.py
@@ -134,6 +134,36 @@
     return [item.source for item in findings if item.rule == rule]
 
 
+class ErrorTest(unittest.TestCase):
+    def test_no_error_shows_a_key_that_stands_in_place_of_a_digest(self):
+        secret = "sk-1"
+        customer = {"contract": "", "keys": [secret]}
+        for document in (
+            {"customers": {"c": customer}},
+            {"customers": {"c": {"keys": [secret]}}},
+            {"customers": {"c": {"contract": "", "key": secret}}},
+            {"customers": {"c": ["", [secret]]}},
+            {"customers": [secret]},
+            {"customers": secret},
+            {"tenants": [{"api_keys": [secret]}]},
+            {"operator_key": secret},
+            {"routes": {"r": {"path": "/", "api_key": secret}}},
+            [{"customers": {"c": customer}}],
+            [{}, {"c": [secret, 5]}],
+        ):
+            findings = lint.check(document)
+            self.assertTrue(findings)
+            self.assertNotIn(secret, repr(findings), document)
+
+    def test_other_values_are_shown_up_to_a_length(self):
+        entries = [
+            lint.check({"customers": {"c": {"contract": "gone"}}})[0].entry,
+            lint.check({"customers": {"c": KEYED | {"rank": 1001}}})[0].entry,
+            lint.check({"routes": {"r": {"path": "x" * 1000}}})[0].entry,
+        ]
+        self.assertEqual(entries, ["gone", 1001, "x" * lint.MAX_ENTRY_LENGTH])
+
+
 class RuleTest(unittest.TestCase):
     def test_every_rule_finds_its_fault_and_nothing_else(self):
         self.assertEqual(list(CASES), [rule.name for rule in lint.RULES])
--- a/sapphireseam/ops/inspection.py
+++ b/sapphireseam/ops/inspection.py
@@ -45,9 +45,7 @@
         if failure.kind not in UNREACHABLE_KINDS:
             raise
         return Inspection(alone, cause=failure.message or str(failure.kind))
-    refusals = [
-        lint.Finding(lint.Severity.ERROR, lint.INVALID, *item) for item in found
-    ]
+    refusals = [lint.make_error(*item) for item in found]
     known = {(item.source, item.message) for item in refusals}
     findings = refusals + [
         item for item in alone if (item.source, item.message) not in known
@@ -64,10 +62,10 @@
         table.write_json(table.to_plain(found))
         return
     for item in found.list_findings(lint.Severity.WARNING):
-        typer.echo(f"warning: {_render(item)} [{item.rule}]")
+        typer.echo(f"warning: {render(item)} [{item.rule}]")
     errors = found.list_findings(lint.Severity.ERROR)
     for item in errors:
-        typer.echo(_render(item))
+        typer.echo(render(item))
     if not found.findings:
         typer.echo(f"{file}: no findings")
     if errors:
@@ -86,7 +84,8 @@
         typer.echo(f"no difference from revision {found.revision}")
 
 
-def _render(item: lint.Finding) -> str:
+def render(item: lint.Finding) -> str:
+    """Return a finding as a line of text."""
     return f"{item.source}: {item.message} (found {str(item.entry)[:80]!r})"
 
 
--- a/sapphireseam/ops/ops_test.py
+++ b/sapphireseam/ops/ops_test.py
@@ -151,6 +151,14 @@
         self.assertEqual(found.revision, 4)
         self.assertEqual([each.source for each in found.changes], ["contracts.k"])
 
+    async def test_key_in_an_error_of_the_control_vms_is_not_shown(self):
+        for remote in (
+            ("customers.c.keys.0", "String should match pattern", "sk-1"),
+            ("customers", "Input should be a valid dictionary", "['sk-1']"),
+        ):
+            found = await self.inspect({}, findings=(remote,))
+            self.assertEqual([item.entry for item in found.findings], [lint.HIDDEN])
+
     async def test_error_that_both_find_is_listed_once(self):
         (local,) = lint.check({"customers": {"c": {"contract": "k"}}})
         remote = (local.source, local.message, local.entry)
--- a/sapphireseam/scripts/ctl_configuration.py
+++ b/sapphireseam/scripts/ctl_configuration.py
@@ -29,8 +29,8 @@
 
 def _write_findings(findings: tuple[tuple[str, str, str], ...]) -> None:
     """Print the findings; exit with `FINDINGS_EXIT` if there are any."""
-    for source, text, entry in findings:
-        typer.echo(f"{source}: {text} (found {str(entry)[:80]!r})")
+    for item in findings:
+        typer.echo(inspection.render(lint.make_error(*item)))
     if findings:
         typer.echo(f"{len(findings)} finding(s); correct them and try again", err=True)
         raise typer.Exit(operator.FINDINGS_EXIT)
