Say which warnings are fine in a rollout, and end a false one

Cause: the design promised that no warning has to be argued away, but a version before its upstreams, upstreams before their model, or a service at weight 0 are steps of a sound rollout. `uneven-distance` warned of a domain without entries and of measured round trips that differ a little, though only entries of the same domain read a distance. Change: nine rules have `is_step`; their messages end with "fine as a step of a rollout", and the table on the page has a column. `uneven-distance` gives way to `missing-distance`: a domain gives distances, but not the one back to a domain more than 1 ms away.

--- a/sapphireseam/core/lint.py
+++ b/sapphireseam/core/lint.py
@@ -17,6 +17,7 @@
 # Shown in place of a value that may be a key, or is too much to show.
 HIDDEN = "(not shown)"
 MAX_ENTRY_LENGTH = 200
+STEP_NOTE = "; fine as a step of a rollout"
 
 # What the parser says of a field that it doesn't know, which may be anything.
 _UNKNOWN_FIELD = "Extra inputs are not permitted"
@@ -42,11 +43,21 @@
 
 
 class Rule(NamedTuple):
-    """A kind of warning; `find` returns its findings in a valid configuration."""
+    """A kind of warning; `find` returns its findings in a valid configuration.
+
+    With `is_step`, a sound rollout may have them for a while: something is there before
+    or after what uses it.
+    """
 
     name: str
     means: str
     find: Callable[[fleet.Fleet], Iterator[fleet.Finding]]
+    is_step: bool = False
+
+    def note(self, item: fleet.Finding) -> Finding:
+        """Return a warning, which says whether it is fine in a rollout."""
+        message = item.message + STEP_NOTE if self.is_step else item.message
+        return Finding(Severity.WARNING, self.name, item.source, message, item.entry)
 
 
 def check(document: Any) -> list[Finding]:
@@ -93,11 +104,7 @@
 
 def list_warnings(current: fleet.Fleet) -> list[Finding]:
     """Return the warnings about a valid configuration, in the order of the rules."""
-    return [
-        Finding(Severity.WARNING, rule.name, *item)
-        for rule in RULES
-        for item in rule.find(current)
-    ]
+    return [rule.note(item) for rule in RULES for item in rule.find(current)]
 
 
 def _serves_models(route: fleet.Route) -> bool:
@@ -268,13 +275,15 @@
             yield fleet.Finding(source, message, service.cold_seconds)
 
 
-def _find_uneven_distances(current: fleet.Fleet) -> Iterator[fleet.Finding]:
+def _find_missing_distances(current: fleet.Fleet) -> Iterator[fleet.Finding]:
     for name, domain in current.failure_domains.items():
         for other, distance in domain.distances.items():
+            # Only entries read distances, so a domain that has none may go without.
+            others = current.failure_domains[other].distances
             back = fleet.measure_distance(current, other, name)
-            if other != name and distance > back:
-                message = f"is {back:g} ms in the other direction"
-                source = f"failure_domains.{name}.distances.{other}"
+            if others and name not in others and distance > back:
+                message = f"lacks {name}, which counts as {back:g} ms from here"
+                source = f"failure_domains.{other}.distances"
                 yield fleet.Finding(source, message, distance)
 
 
@@ -299,39 +308,56 @@
         "route-without-model",
         "A route for models, and there is no model.",
         _find_routes_without_model,
+        is_step=True,
+    ),
+    Rule(
+        "unused-contract",
+        "No customer has the contract.",
+        _find_unused_contracts,
+        is_step=True,
     ),
-    Rule("unused-contract", "No customer has the contract.", _find_unused_contracts),
     Rule(
         "idle-customer",
         "No route names a service, and the customer may use no model.",
         _find_idle_customers,
+        is_step=True,
     ),
     Rule(
         "idle-model",
         "Nobody may call the model: no route serves models, or each needs a key and"
         " there is no customer.",
         _find_idle_models,
+        is_step=True,
     ),
     Rule(
         "model-without-upstream",
         "No upstream has the model's version.",
         _find_models_without_upstream,
+        is_step=True,
     ),
     Rule(
         "unused-version",
         "No model, upstream or other version names the version.",
         _find_unused_versions,
+        is_step=True,
     ),
     Rule(
         "idle-upstream",
         "No model has the upstream's version, or no route names its service.",
         _find_idle_upstreams,
+        is_step=True,
+    ),
+    Rule(
+        "unused-service",
+        "No route names the service.",
+        _find_unused_services,
+        is_step=True,
     ),
-    Rule("unused-service", "No route names the service.", _find_unused_services),
     Rule(
         "weightless-service",
         "Routes name the service only in `shares` of weight 0, so it is never chosen.",
         _find_weightless_services,
+        is_step=True,
     ),
     Rule(
         "short-timeout",
@@ -349,9 +375,9 @@
         _find_cold_seconds_without_rate,
     ),
     Rule(
-        "uneven-distance",
-        "The round trips of two failure domains differ by direction. One that isn't"
-        " given counts as 1 ms.",
-        _find_uneven_distances,
+        "missing-distance",
+        "A failure domain gives distances, but not the one back to a domain that is"
+        " more than 1 ms away. It counts as 1 ms.",
+        _find_missing_distances,
     ),
 )
--- a/sapphireseam/tools/page.py
+++ b/sapphireseam/tools/page.py
@@ -158,8 +158,11 @@
 
 def render_rules() -> str:
     """Return the table of all rules for warnings about a configuration."""
-    rows = ["| rule | means |", "|---|---|"]
-    rows += [f"| `{rule.name}` | {rule.means} |" for rule in lint.RULES]
+    rows = ["| rule | means | fine in a rollout |", "|---|---|---|"]
+    rows += [
+        f"| `{rule.name}` | {rule.means} | {'yes' if rule.is_step else ''} |"
+        for rule in lint.RULES
+    ]
     return "\n".join(rows)
 
 
