--- a/sapphireseam/entry/routedrequest_test.py
+++ b/sapphireseam/entry/routedrequest_test.py
@@ -2,9 +2,48 @@
 
 import unittest
 
+from hypothesis import given, settings, strategies as st
+
+from sapphireseam.core import fleet, lint
 from sapphireseam.entry import routedrequest
 from sapphireseam.policy import queue
 
+locations = st.tuples(
+    st.sampled_from(["", "g", "h"]), st.text("/a", max_size=5).map("/{}".format)
+)
+
+
+class RouteTest(unittest.TestCase):
+    @settings(derandomize=True, deadline=None, database=None)
+    @given(st.lists(locations, min_size=1, max_size=5, unique=True))
+    def test_warned_of_are_just_the_routes_that_lose_their_own_path(self, found):
+        routes = {
+            f"r{number}": fleet.Route(path, "s", host)
+            for number, (host, path) in enumerate(found)
+        }
+        chosen, reverse = [
+            {
+                name: routedrequest.find_route(current, route.path, route.host)[0]
+                for name, route in routes.items()
+            }
+            for current in (
+                fleet.Fleet(routes=routes),
+                fleet.Fleet(routes=dict(reversed(routes.items()))),
+            )
+        ]
+        self.assertEqual(chosen, reverse)
+        findings = lint.list_warnings(fleet.Fleet(routes=routes))
+        self.assertEqual({item.rule for item in findings} - {"hidden-route"}, set())
+        warned = [item.source.split(".")[1] for item in findings]
+        self.assertEqual(warned, [name for name in routes if chosen[name] != name])
+
+    def test_host_wins_over_none_in_every_order_of_the_routes(self):
+        pairs = [("a", fleet.Route("/x", "s", "h")), ("b", fleet.Route("/x", "s"))]
+        for routes in (dict(pairs), dict(reversed(pairs))):
+            current = fleet.Fleet(routes=routes)
+            found = [routedrequest.find_route(current, "/x/1", h)[0] for h in "hg"]
+            self.assertEqual(found, ["a", "b"])
+
 
 class CostTest(unittest.TestCase):
     def test_no_declared_length_disturbs_the_shares_of_the_customers(self):
