Let a later end of a cold upstream replace one that was presumed elsewhere

A control VM that learned from the log for how long an upstream is cold kept the first end unless a later one differed by a second. The first is often a presumption of 2 s, so the next leader, even with a list that said 2.9 s, ended the upstream's rate up to a second too soon. What was learned now takes the later end, from the log or from the first list.

The test fails without the change; policy.coldstart_test and control.placement_test: 31 tests passed.

--- a/sapphireseam/policy/coldstart.py
+++ b/sapphireseam/policy/coldstart.py
@@ -31,7 +31,8 @@
 class ColdRun(NamedTuple):
     """A run that is cold until `end` and gets `rate` requests a second.
 
-    `told` is the end that other processes were told, 0 if they weren't.
+    `told` is the end that other processes were told, 0 if they weren't. Another process
+    may have presumed the end of a run that `is_learned`.
     """
 
     upstream: str
@@ -39,6 +40,7 @@
     end: float
     is_presumed: bool = False
     told: float = 0.0
+    is_learned: bool = False
 
 
 class ColdTracker:
@@ -146,7 +148,12 @@
         if known is None:
             self._cold[run] = ColdRun(upstream, rate, end)
         elif known.is_presumed or end > known.end + TOLERANCE_SECONDS:
-            self._cold[run] = known._replace(rate=rate, end=end, is_presumed=False)
+            self._cold[run] = known._replace(
+                rate=rate, end=end, is_presumed=False, is_learned=False
+            )
+        elif known.is_learned:
+            end = max(end, known.end)
+            self._cold[run] = known._replace(rate=rate, end=end, is_learned=False)
         else:
             self._cold[run] = known._replace(rate=rate)
 
@@ -177,7 +184,9 @@
         end = now + seconds
         known = self._cold.get(run)
         if known is None or end > known.end + TOLERANCE_SECONDS:
-            known = ColdRun(upstream, rate, end)
+            known = ColdRun(upstream, rate, end, is_learned=True)
+        elif known.is_learned:
+            known = known._replace(end=max(known.end, end))
         self._cold[run] = known._replace(told=max(known.told, end))
 
     def _end_former(self, starts: Mapping[str, int]) -> None:
--- a/sapphireseam/policy/coldstart_test.py
+++ b/sapphireseam/policy/coldstart_test.py
@@ -103,6 +103,18 @@
                 self.assertEqual(set(self.tracker.read_cold()), {"a/2"})
                 self.assertNotIn("a/1", self.tracker.list_untold())
 
+    def test_a_later_end_replaces_one_that_another_process_presumed(self):
+        for is_told in (True, False):
+            with self.subTest(is_told=is_told):
+                self.tracker = coldstart.ColdTracker()
+                self.tracker.learn("a", "a/1", 20.0, 2.0, 0.0)
+                if is_told:
+                    self.tracker.learn("a", "a/1", 20.0, 2.9, 0.0)
+                else:
+                    self.record((A,), 0.0, a=2.9)
+                self.assertEqual(self.list_cold(2.8), {"a"})
+                self.assertEqual(self.list_cold(2.9), set())
+
     def test_a_run_that_has_crashed_is_presumed_cold_until_the_next_is_listed(self):
         self.record((A, B), 0.0)
         self.tracker.record_crash("a/1", SERVICES, 1.0)
