Cool upstreams in the soak of streams and check their rate

The soak ordered evacuations but its upstreams were never cold, so no soak showed what happens when leaders change and entries come and go meanwhile. Its service has a rate for cold upstreams now; upstreams are cold after a crash and when their domain comes back. From 0.3 s after all entries know of it, no second may hold more than 1.5 times the rate and 5 more, counting requests that were sent and arrived in it, as the platform's rule does.

The other checks leave cold upstreams out where they need a sound one, as these refuse most. The fake upstream says in each health answer how long it is cold, also 0.

--- a/sapphireseam/tools/streamsoak.py
+++ b/sapphireseam/tools/streamsoak.py
@@ -4,7 +4,8 @@
 memory. Upstreams break answers off in every way that the fake knows, are replaced by
 other software versions and say that they leave; leaders change; an entry loses its
 link to the leader, or is replaced by one that knows nothing. One of two failure domains
-is evacuated for a while, again and again. Callers take broken streams up again, at any
+is evacuated for a while, again and again. Upstreams are cold after a
+crash and when their domain comes back. Callers take broken streams up again, at any
 entry. Requests with a bad prompt part come in series beside them and crash whatever
 upstream begins to answer one.
 
@@ -12,15 +13,18 @@
 a stream come from one software version, that most resumptions go on while their
 version serves, that a run of an upstream gets nothing more from an entry to which it
 has said that it leaves, that upstreams of an evacuated domain get nothing more once the
-order is in force, and that a bad part is refused after a few crashes while sound
-requests begin (`tools.promptpart`).
+order is in force, that a cold upstream gets no more than its rate once all entries know
+of it, and that a bad part is refused after a few crashes while sound requests begin
+(`tools.promptpart`).
 """
 
 import asyncio
 import collections
 import itertools
+import json
 import random
 import sys
+from collections.abc import Callable
 from typing import Annotated, NamedTuple
 
 import typer
@@ -38,13 +42,15 @@
     placement,
     trait,
 )
-from sapphireseam.core.instance import Instance
+from sapphireseam.core.ceiling import make_key
+from sapphireseam.core.instance import Instance, get_run_name
 from sapphireseam.entry.direct import DirectForwarder, DirectRequest
 from sapphireseam.entry.placer import Placer
 from sapphireseam.entry.quarantine import QuarantineGate
-from sapphireseam.policy import fallback
+from sapphireseam.policy import coldstart, fallback
 from sapphireseam.tools import discovered, promptpart
 from sapphireseam.utils import crash, event, loop, metric, outbound, rpc
+from sapphireseam.utils.ceiling import CeilingMonitor
 from sapphireseam.utils.fakeupstream import (
     HEALTH_PATH,
     PARTS,
@@ -76,6 +82,8 @@
 TRY_PAUSE_SECONDS = 0.05
 # The header with the start time of the run for which a request is meant.
 BORN = "Born"
+# The header with the time when a request was sent, on the clock of the event loop.
+SENT = "Sent"
 # Requests that were on their way may reach a leaving upstream for this long.
 CROSSING_SECONDS = 0.3
 # Resumptions are judged if no leader changed and no entry was parted for this long.
@@ -106,17 +114,31 @@
 SHORTEST_REST, LONGEST_REST = 1.0, 4.0
 EVACUATION_SECONDS = 2.5
 IN_FORCE_SECONDS = 1.0
+# Requests a second that a cold upstream bears, and how long it is cold, in seconds.
+COLD_RATE = 4.0
+COLD_SECONDS = 3.0
+# One second may hold this many times the rate, and so many requests more. It counts
+# those that were sent and arrived in it.
+COLD_OVERAGE = 1.5
+COLD_SLACK = 5
+WATCH_COLD_SECONDS = 0.02
+# An upstream may be taken for cold this long after it was, in seconds.
+COLD_LAG_SECONDS = coldstart.TOLERANCE_SECONDS + LIST_LAG_SECONDS
+COLD_SERVICE = {"cold_rate": COLD_RATE, "cold_seconds": COLD_SECONDS}
+DOCUMENT = {"services": {SERVICE: COLD_SERVICE}}
 FAULTS = ("break",) * 12 + ("release",) * 4 + ("lead", "part", "replace")
 
 
 class _Dialect(FakeDialect):
-    """Names in a request the run of the upstream for which it is meant."""
+    """Names in a request the run for which it is meant, and when it was sent."""
 
     def render(
         self, request: outbound.Outgoing, instance: Instance
     ) -> list[tuple[str, str]]:
         """Return the headers of a request."""
-        return [*super().render(request, instance), (BORN, str(instance.born))]
+        sent = str(asyncio.get_running_loop().time())
+        own = [(BORN, str(instance.born)), (SENT, sent)]
+        return [*super().render(request, instance), *own]
 
 
 class _Told(NamedTuple):
@@ -128,10 +150,19 @@
     received: int
 
 
+class ColdSpell(NamedTuple):
+    """One run of an upstream, and the time until which it is cold."""
+
+    upstream: FakeUpstream
+    born: int
+    until: float
+
+
 class _Replica:
     """Stands in for the replicated log of one leader."""
 
-    def __init__(self):
+    def __init__(self, commit: Callable[[bytes], NamedTuple]):
+        self._commit = commit
         self.is_leader = False
         self.leader = ""
         self.term = 1
@@ -144,6 +175,10 @@
         """Return at once; every member has applied everything."""
         return 0
 
+    async def propose(self, data: bytes) -> NamedTuple:
+        """Commit a command and return its outcome."""
+        return self._commit(data)
+
 
 class _RateLimits:
     """Limits no customer."""
@@ -298,7 +333,7 @@
         self._series: list[promptpart.Series] = []
         self._wrong_refusals: list[str] = []
         self._sound: list[promptpart.Outcome] = []
-        self._replicas = [_Replica() for _ in range(LEADERS)]
+        self._replicas = [_Replica(self.commit) for _ in range(LEADERS)]
         self._rng = random.Random(seed)
         # Its draws leave those of the other faults as they are.
         self._evacuation_rng = random.Random(f"evacuations {seed}")
@@ -314,6 +349,8 @@
         self._replaced: list[_Entry] = []
         self._tasks: set[asyncio.Task] = set()
         self._told: list[_Told] = []
+        # From when on all entries knew of each.
+        self._cold_spells: dict[ColdSpell, float] = {}
         # When a leader changed last or an entry was parted, or came back.
         self._unsettled_at = 0.0
         # When the soak last let each upstream break off answers.
@@ -337,14 +374,16 @@
         end = self._timer.read_clock() + seconds
         injecting = self.spawn(self._inject_forever())
         evacuating = self.spawn(self._evacuate_forever())
+        watching = self.spawn(self._watch_cold_forever())
         series = [self.spawn(self._play_series(n)) for n in range(SERIES)]
         while self._timer.read_clock() < end:
             callers.append(asyncio.create_task(self._call(len(callers))))
             await asyncio.sleep(STREAM_SECONDS)
         await asyncio.gather(*callers)
-        for task in (injecting, evacuating, *series):
+        for task in (injecting, evacuating, watching, *series):
             task.cancel()
         self._check_leaving()
+        self._check_cold()
         self._check_resumptions()
         self._check_series()
         if wrong := self._wrong_refusals:
@@ -368,12 +407,16 @@
                 discovered.stop_run,
                 self._timer,
             )
+            upstreams.on_cold = server.record_cold
             await server.start()
             self.servers.append(server)
             timeline = Timeline("control", self._timer)
             self.hubs.append(WatchHub(replica, machine, timeline, self._timer))
             self._machines.append(machine)
         self._replicas[0].is_leader = True
+        document = json.dumps(DOCUMENT).encode()
+        item = command.PublishNumbered(1, document, b"", 0.0)
+        self.commit(command.REGISTRY.encode(item))
         for _ in range(UPSTREAMS):
             await self._add_upstream()
         for name in ENTRIES:
@@ -409,16 +452,28 @@
         client = _Client(self)
         meter = metric.Meter(name)
         slack = fallback.Slack(20, 0.1, 5.0)
-        placer = Placer(name, "z", client, dict, slack, meter, self._timer)
-        pool = outbound.ConnectionPool(_Dialect())
-        rng = random.Random(self._rng.random())
         timeline = Timeline(name, self._timer)
         mirror = Mirror(name, "seam-entry", client, timeline, self._timer)
+        ceilings = CeilingMonitor(lambda: mirror.ceilings, client.propose, self._timer)
+        placer = Placer(
+            name,
+            "z",
+            client,
+            dict,
+            slack,
+            meter,
+            self._timer,
+            read_cold=ceilings.read_cold,
+            read_services=lambda: mirror.fleet.services,
+        )
+        pool = outbound.ConnectionPool(_Dialect())
+        rng = random.Random(self._rng.random())
         mirror.subscribe(lambda: placer.apply_evacuated(mirror.evacuated))
         gate = QuarantineGate(mirror, client, self._timer)
         detector = crash.CrashDetector(
             mirror, client, timeline, self._timer, self._has_ended
         )
+        detector.on_crash = lambda run: placer.record_crash(run.name)
         forwarder = DirectForwarder(
             placer, pool, meter, self._timer, rng, gate, detector
         )
@@ -447,6 +502,7 @@
         upstream.down_seconds = self._rng.uniform(
             SHORTEST_DOWN_SECONDS, LONGEST_DOWN_SECONDS
         )
+        upstream.cold_seconds = COLD_SECONDS
         await upstream.start()
         self._upstreams.append(upstream)
 
@@ -461,7 +517,8 @@
             each.instance._replace(is_leaving=each.name in self._listed_leaving)
             for each in self._upstreams
         )
-        self.servers[self.leader].update_instances(instances)
+        cold_left = {get_run_name(e.instance): e.cold_left for e in self._upstreams}
+        self.servers[self.leader].update_instances(instances, cold_left)
 
     # Faults.
 
@@ -520,6 +577,9 @@
             if runs:
                 text = f"{runs} requests reached an evacuated failure domain"
                 self.findings.append(text)
+            for upstream in self._upstreams:
+                if upstream.domain == EVACUATED:
+                    upstream.cool(COLD_SECONDS)
             self._set_evacuation(False)
 
     def _set_evacuation(self, is_evacuated: bool) -> None:
@@ -543,6 +603,41 @@
         is_evacuated = self._is_evacuated and upstream.domain == EVACUATED
         return upstream.is_leaving or is_evacuated
 
+    async def _watch_cold_forever(self) -> None:
+        """Record from when on all entries know which upstreams are cold."""
+        clock = asyncio.get_running_loop().time
+        while True:
+            for each in self._upstreams + self._removed:
+                spell = ColdSpell(each, each.born, each.cold_until)
+                if each.cold_left and self._cold_spells.get(spell) is None:
+                    key = make_key(get_run_name(each.instance), True)
+                    mirrors = [entry.mirror for entry in self._entries]
+                    if all(key in mirror.ceilings for mirror in mirrors):
+                        self._cold_spells[spell] = clock()
+            await asyncio.sleep(WATCH_COLD_SECONDS)
+
+    def _check_cold(self) -> None:
+        """Check that no second of a known cold spell holds more than the rate."""
+        bound = COLD_RATE * COLD_OVERAGE + COLD_SLACK
+        for spell, known in self._cold_spells.items():
+            upstream, born, until = spell
+            runs = [
+                (sent, each.at)
+                for each in upstream.runs
+                if each.born == born
+                and (sent := float(each.headers[SENT])) >= known + CROSSING_SECONDS
+                and each.at < until
+            ]
+            most = _count_most(runs)
+            self.counts["cold spells"] += 1
+            self.counts["requests to cold upstreams"] += len(runs)
+            self.counts["most in a cold second"] = max(
+                self.counts["most in a cold second"], most
+            )
+            if most > bound:
+                text = f"{upstream.name} got {most} requests in a second while cold"
+                self.findings.append(text)
+
     async def _change_leader(self) -> None:
         self._unsettled_at = self._timer.read_clock()
         self._replicas[self.leader].is_leader = False
@@ -660,6 +755,7 @@
         oldest = self._timer.read_clock() - SETTLED_SECONDS
         return any(
             not self._is_closed(each)
+            and not _was_cold_lately(each)
             and not each.behaviours
             and self._broken_at.get(each.name, oldest) <= oldest
             for each in self._upstreams
@@ -669,7 +765,10 @@
         """Return how many upstreams serve at the version of an event."""
         version = began.data.split(b"-")[0].decode()
         return sum(
-            each.version == version and not self._is_closed(each) and not each.is_down
+            each.version == version
+            and not self._is_closed(each)
+            and not each.is_down
+            and not _was_cold_lately(each)
             for each in self._upstreams
         )
 
@@ -782,6 +881,24 @@
     )
 
 
+def _was_cold_lately(upstream: FakeUpstream) -> bool:
+    """Return whether an upstream is cold, or may still be taken for cold."""
+    now = asyncio.get_running_loop().time()
+    return now < upstream.cold_until + COLD_LAG_SECONDS
+
+
+def _count_most(runs: list[tuple[float, float]]) -> int:
+    """Return how many requests one second holds at most.
+
+    A request counts if it was sent and arrived in that second.
+    """
+    begins = [sent for sent, _ in runs]
+    return max(
+        (sum(b <= sent and at < b + 1.0 for sent, at in runs) for b in begins),
+        default=0,
+    )
+
+
 def _name_part(number: int) -> str:
     return f"{promptpart.BAD}-{number}"
 
--- a/sapphireseam/tools/streamsoak_test.py
+++ b/sapphireseam/tools/streamsoak_test.py
@@ -24,6 +24,8 @@
         self.assertGreater(result.counts["crashes"], 0)
         self.assertGreater(result.counts["refused parts"], 0)
         self.assertGreater(result.counts["evacuations"], 0)
+        self.assertGreater(result.counts["cold spells"], 0)
+        self.assertGreater(result.counts["requests to cold upstreams"], 0)
 
     async def test_only_the_run_that_said_it_leaves_must_get_nothing_more(self):
         for born, findings in ((1, []), (0, ["u1 got a request from e while it left"])):
@@ -35,6 +37,26 @@
             soak._check_leaving()
             self.assertEqual(soak.findings, findings)
 
+    async def test_a_run_gets_no_more_than_its_rate_while_all_know_that_it_is_cold(
+        self,
+    ):
+        most = round(streamsoak.COLD_RATE * streamsoak.COLD_OVERAGE)
+        most += streamsoak.COLD_SLACK
+        for count, seconds, born, findings in (
+            (most, 0.9, 1, 0),
+            (most + 1, 0.9, 1, 1),
+            (most + 1, 0.9, 0, 0),
+            (most + 1, 1.1, 1, 0),
+        ):
+            soak = streamsoak.StreamSoak(SEED)
+            upstream = fakeupstream.FakeUpstream("u1")
+            soak._cold_spells[streamsoak.ColdSpell(upstream, 1, 9.0)] = 0.0
+            headers = CIMultiDict({streamsoak.SENT: "2.0"})
+            run = fakeupstream.Run("r", "/", headers, b"", 2.0 + seconds, born)
+            upstream.runs += [run] * count
+            soak._check_cold()
+            self.assertEqual(len(soak.findings), findings)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/sapphireseam/utils/fakeupstream.py
+++ b/sapphireseam/utils/fakeupstream.py
@@ -79,12 +79,18 @@
 
 
 class Run(NamedTuple):
-    """A request that an upstream has received."""
+    """A request that an upstream has received.
+
+    It arrived `at` this time, on the clock of the event loop, at the upstream's run
+    `born`.
+    """
 
     id: str
     path: str
     headers: CIMultiDict
     body: bytes
+    at: float = 0.0
+    born: int = 0
 
     @property
     def parts(self) -> list[str]:
@@ -162,6 +168,8 @@
         self.ceiling = ""
         # Until when the upstream is cold, on the clock of the event loop.
         self.cold_until = 0.0
+        # For how many seconds it is cold after it crashed.
+        self.cold_seconds = 0.0
         # The arrival times of all requests, on the clock of the event loop.
         self.arrivals: list[float] = []
         # Delay before each event, in seconds.
@@ -209,6 +217,11 @@
         """For how many seconds the upstream stays cold, as a list would show it."""
         return max(self.cold_until - asyncio.get_running_loop().time(), 0.0)
 
+    def cool(self, seconds: float) -> None:
+        """Be cold for some seconds from now on, or longer if it is already."""
+        end = asyncio.get_running_loop().time() + seconds
+        self.cold_until = max(self.cold_until, end)
+
     @property
     def is_down(self) -> bool:
         """Whether the upstream has crashed and serves nothing."""
@@ -231,6 +244,7 @@
         if self.is_leaving:
             return
         self.born += 1
+        self.cool(self.cold_seconds)
         self._is_down = False
         if not self.has_sidecar:
             await self.start()
@@ -272,11 +286,12 @@
         if self.is_down:
             return False
         if run.path in (HEALTH_PATH, AGENT_HEALTH_PATH):
-            cold = f"{COLD}: {self.cold_left}\r\n" if self.cold_left else ""
+            cold = f"{COLD}: {self.cold_left}\r\n"
             head = f"HTTP/1.1 200 OK\r\n{cold}Content-Length: 0\r\n\r\n"
             writer.write(head.encode())
             return True
         self.arrivals.append(asyncio.get_running_loop().time())
+        run = run._replace(at=self.arrivals[-1], born=self.born)
         behaviour = self.behaviours.pop(0) if self.behaviours else "well"
         if behaviour != "refuse":
             self.runs.append(run)
