Let a crowd connect to the gateway, readiness and the operators' calls

The gateway, its probe and the operators' calls listened with the HTTP library's backlog of 128. While an event loop is busy, the kernel drops the opening packets of further clients, which try again only a second later. They now have the platform's front's 1024.

--- a/sapphireseam/platform/front.py
+++ b/sapphireseam/platform/front.py
@@ -86,7 +86,7 @@
             await runner.setup()
             self._runners.append(runner)
             host, port = probe.split_address(address)
-            await web.TCPSite(runner, host, port, backlog=1024).start()
+            await web.TCPSite(runner, host, port, backlog=probe.BACKLOG).start()
 
     async def stop(self) -> None:
         """Fail the readiness checks, finish or end open requests, then close."""
--- a/sapphireseam/utils/probe.py
+++ b/sapphireseam/utils/probe.py
@@ -13,6 +13,9 @@
 METRICS_PATH = "/metrics"
 # Longest time that a stop waits for an answer, in seconds.
 SHUTDOWN_SECONDS = 0.2
+# Connections that wait to be accepted. The kernel drops the packets of further ones,
+# whose clients try again only a second later.
+BACKLOG = 1024
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -25,7 +28,7 @@
     """Serve a runner that is set up; raise `SettingsError` if it can't listen."""
     host, port = split_address(address)
     try:
-        await web.TCPSite(runner, host, port).start()
+        await web.TCPSite(runner, host, port, backlog=BACKLOG).start()
     except OSError as failure:
         raise error.SettingsError(f"can't listen on {address}: {failure}") from None
 
