Accept several connections in one iteration of the event loop

Cause: uvloop accepts one connection for each listening descriptor and iteration. While there is much to parse an iteration takes 6 to 20 ms, so an ordinary caller behind 300 new connections waited up to 2.5 s in the queue of the kernel. Change: each address is listened on with eight descriptors of the same socket.

--- a/sapphireseam/platform/front.py
+++ b/sapphireseam/platform/front.py
@@ -86,7 +86,7 @@
             await runner.setup()
             self._runners.append(runner)
             host, port = probe.split_address(address)
-            await web.TCPSite(runner, host, port, backlog=probe.BACKLOG).start()
+            await probe.start_site(runner, host, port)
 
     async def stop(self) -> None:
         """Fail the readiness checks, finish or end open requests, then close."""
--- a/sapphireseam/utils/probe.py
+++ b/sapphireseam/utils/probe.py
@@ -1,5 +1,7 @@
 """Serves the health check and the metrics of one program over HTTP."""
 
+import os
+import socket
 from collections.abc import Callable
 from typing import Any
 
@@ -16,6 +18,9 @@
 # Connections that wait to be accepted. The kernel drops the packets of further ones,
 # whose clients try again only a second later.
 BACKLOG = 1024
+# How many connections are accepted in one iteration of the event loop; uvloop accepts
+# one for each listening descriptor.
+ACCEPTORS = 8
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -24,15 +29,25 @@
     return host.strip("[]"), int(port)
 
 
-async def listen(runner: web.AppRunner, address: str) -> None:
+async def listen(runner: web.BaseRunner, address: str) -> None:
     """Serve a runner that is set up; raise `SettingsError` if it can't listen."""
     host, port = split_address(address)
     try:
-        await web.TCPSite(runner, host, port, backlog=BACKLOG).start()
+        await start_site(runner, host, port)
     except OSError as failure:
         raise error.SettingsError(f"can't listen on {address}: {failure}") from None
 
 
+async def start_site(runner: web.BaseRunner, host: str, port: int) -> None:
+    """Serve a runner that is set up; a busy event loop doesn't hold up a crowd."""
+    site = web.TCPSite(runner, host, port, backlog=BACKLOG)
+    await site.start()
+    for listening in site._server.sockets:
+        for _ in range(ACCEPTORS - 1):
+            copy = socket.socket(fileno=os.dup(listening.fileno()))
+            await web.SockSite(runner, copy, backlog=BACKLOG).start()
+
+
 class Probe:
     """Serve `/health` (200 or 503, with details) and `/metrics`."""
 
