Hold no answer for a connection that waits for its next request

Cause: the HTTP library keeps the last answer of a connection until its next request, so each idle connection held a whole answer that no budget counted. 200 clients that asked for 1 MB each and read slowly took an entry from 70 to 274 MB on a VM of 128. Change: an answer's body goes once it is sent. New plays at the front: half-read answers, long polls, bodies that are only announced; at the gateway: unread and half-read answers, announced bodies, short fields, bodies over the limit, slow heads, and single requests inside the limits in calm.

--- a/sapphireseam/entry/door_test.py
+++ b/sapphireseam/entry/door_test.py
@@ -16,6 +16,8 @@
 ANSWER_SECONDS = 2.5
 START_SECONDS = 20.0
 PAUSE_SECONDS = 0.05
+# How often a slow reader reads.
+READ_SECONDS = 0.1
 LENGTH = fakegateway.BODY_BYTES
 PIECE = bytes(64 * 1024)
 SHORT_OF_ITS_END = [PIECE] * 63 + [PIECE[1:]]
@@ -69,16 +71,20 @@
         except (OSError, TimeoutError, asyncio.IncompleteReadError):
             return 0
 
-    async def abuse(self, pieces, port=0):
+    async def abuse(self, pieces, port=0, read_bytes=0):
         try:
-            _, writer = await asyncio.open_connection("127.0.0.1", port or self.port)
+            reader, writer = await asyncio.open_connection(
+                "127.0.0.1", port or self.port
+            )
         except OSError:
             return
         try:
             for piece in pieces:
                 writer.write(piece)
                 await writer.drain()
-                await asyncio.sleep(0.005)
+                if read_bytes:
+                    await reader.read(read_bytes)
+                await asyncio.sleep(READ_SECONDS if read_bytes else 0.005)
             await asyncio.sleep(2 * PLAY_SECONDS)
         except OSError:
             return
@@ -96,6 +102,7 @@
         chunked = {"Transfer_Encoding": "chunked"}
         tiny = [b"1\r\nx\r\n" * 10_000] * 20
         ahead = [its.make_head(method="GET") * 20] * 100
+        large = its.make_head(fakegateway.LARGE_PATH, "GET")
         return {
             "bodies": (its.make_head(**sized), SHORT_OF_ITS_END, 0),
             "tiny chunks": (its.make_head(**chunked), tiny, 0),
@@ -112,11 +119,27 @@
                 its.probe_port,
             ),
             "requests ahead": (b"", ahead, 0),
+            "unread answers": (b"", [large * 10] * 20, 0),
+            "half-read answers": (large, [b""] * 15, 0, 20_000),
+            "a body that is only announced": (
+                its.make_head(**sized, Expect="100-continue"),
+                (),
+                0,
+            ),
+            "short fields": (its.make_head()[:-2], [b"a: b\r\n" * 1000] * 100, 0),
+            "far over the limit": (
+                its.make_head(Content_Length=2**26),
+                [PIECE] * 1024,
+                0,
+            ),
+            "slow heads": (b"", [bytes([byte]) for byte in its.make_head()], 0),
         }
 
-    async def play(self, its, head, pieces, port):
+    async def play(self, its, head, pieces, port, read_bytes=0):
         abusers = [
-            asyncio.create_task(its.abuse(itertools.chain([head], pieces), port))
+            asyncio.create_task(
+                its.abuse(itertools.chain([head], pieces), port, read_bytes)
+            )
             for _ in range(80)
         ]
         statuses = []
@@ -152,6 +175,67 @@
 
         loop.run(run())
 
+    def test_single_requests_inside_the_limits_are_served_in_calm(self):
+        async def run():
+            its = Gateway()
+            await its.start()
+            try:
+                for name, data in self.list_whole(its).items():
+                    with self.subTest(name):
+                        self.assertEqual(await its.ask(data), 200)
+                for name, data in self.list_odd(its).items():
+                    with self.subTest(name):
+                        self.assertIn(await its.ask(data), (400, 413))
+                await self.check_requests_ahead(its)
+                await self.check_slow_reader(its)
+                self.assertLess(its.measure_peak(), MEMORY_MB)
+            finally:
+                await its.stop()
+
+        loop.run(run())
+
+    def list_whole(self, its):
+        fields = {f"X_{number}": "y" for number in range(100)}
+        tiny = its.make_head(Transfer_Encoding="chunked") + b"1\r\nx\r\n" * 200_000
+        extended = its.make_head(Transfer_Encoding="chunked") + b"1;a=b\r\nx\r\n" * 3
+        return {
+            "body of the limit": its.make_head(Content_Length=LENGTH) + bytes(LENGTH),
+            "tiny chunks": tiny + b"0\r\n\r\n",
+            "field of nearly the limit": its.make_head(X_Long="x" * 8000),
+            "a hundred fields": its.make_head(method="GET", **fields),
+            "body after a GET": its.make_head(method="GET", Content_Length=3) + b"abc",
+            "chunk extension": extended + b"0\r\na: b\r\n\r\n",
+        }
+
+    def list_odd(self, its):
+        return {
+            "two lengths": its.make_head(Content_Length=3, content_length=4) + b"abcd",
+            "over the limit": its.make_head(Content_Length=LENGTH + 1),
+        }
+
+    async def check_requests_ahead(self, its):
+        reader, writer = await asyncio.open_connection("127.0.0.1", its.port)
+        writer.write(its.make_head(method="GET") * 20)
+        async with asyncio.timeout(ANSWER_SECONDS):
+            answers = b""
+            while answers.count(b"HTTP/1.1 200") < 20:
+                answers += await reader.read(2**16)
+        writer.transport.abort()
+
+    async def check_slow_reader(self, its):
+        """Read 20 KB a second for a while beside bodies that fill the memory."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", its.port)
+        writer.write(its.make_head(fakegateway.LARGE_PATH, "GET"))
+        bodies = asyncio.create_task(self.play(its, *self.list_abuses(its)["bodies"]))
+        left = fakegateway.LARGE_BYTES
+        for _ in range(20):
+            left -= len(await reader.readexactly(2048))
+            await asyncio.sleep(0.1)
+        async with asyncio.timeout(ANSWER_SECONDS):
+            await reader.readexactly(left)
+        writer.transport.abort()
+        await bodies
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/sapphireseam/entry/fakegateway.py
+++ b/sapphireseam/entry/fakegateway.py
@@ -2,7 +2,7 @@
 
     python -m sapphireseam.entry.fakegateway ADDRESS PROBE MEMORY_MB KEY
 
-Each request gets the length of its body as its answer.
+Each request gets the length of its body as its answer, or a large answer at one path.
 """
 
 import asyncio
@@ -18,6 +18,9 @@
 from sapphireseam.utils.timer import SystemTimer
 
 BODY_BYTES = 4 * 1024 * 1024
+LARGE_PATH = "/safe/large"
+LARGE_BYTES = 1024 * 1024
+PIECE_BYTES = 64 * 1024
 DOCUMENT = {
     "contracts": {"s": {"rate": 1, "burst": 1}},
     "customers": {"c": {"contract": "s"}},
@@ -46,9 +49,15 @@
     """Answers each request itself."""
 
     async def serve(self, request: Any, sink: Any, stopped: Any) -> None:
-        """Answer with the length of the body."""
+        """Answer with the length of the body, or with a large answer."""
         await sink.begin(200, ())
-        await sink.write(b"%d" % len(request.body))
+        if request.target == LARGE_PATH:
+            for _ in range(LARGE_BYTES // PIECE_BYTES):
+                await sink.write(bytes(PIECE_BYTES))
+                # An upstream's answer arrives in pieces.
+                await asyncio.sleep(0)
+        else:
+            await sink.write(b"%d" % len(request.body))
         await sink.finish()
 
 
--- a/sapphireseam/platform/door_test.py
+++ b/sapphireseam/platform/door_test.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import itertools
+import json
 import unittest
 from typing import NamedTuple
 
@@ -74,6 +75,21 @@
     return itertools.repeat(make_head(path, "GET", **many) * 10, count // 10)
 
 
+def send_polls():
+    """Submit a batch job that takes long, and ask for its results all the time."""
+    item = {"id": "i", "path": fakedoor.SLOW_PATH, "tokens": 1}
+    job = json.dumps({"requests": [item]}).encode()
+    head = make_head(f"{fakedoor.BATCH_PATH}x", attempt="lot", Content_Length=len(job))
+    polls = send_ahead("/lots/lot?after=0", 500, **{dialect.WAIT: 1000})
+    return itertools.chain([head + job], polls)
+
+
+def read_half():
+    """Ask for a large answer, and then only read."""
+    head = make_head(fakedoor.LARGE_PATH, "GET")
+    return itertools.chain([head], itertools.repeat(b"", 15))
+
+
 def send_slowly(data):
     return (data[number : number + 1] for number in range(len(data)))
 
@@ -125,9 +141,20 @@
         lambda: send_ahead(fakedoor.LARGE_PATH, 200),
         0,
     ),
+    "half-read answers": (100, FRONT, read_half, 0.1),
+    "a body that is only announced": (
+        300,
+        FRONT,
+        lambda: [make_head(Content_Length=BODY, Expect="100-continue")],
+        0,
+    ),
+    # Last, since its batch job goes on after it.
+    "long polls": (60, FRONT, send_polls, 0),
 }
 # Abuses whose requests are whole.
-WHOLE = ("requests ahead", "unread answers")
+WHOLE = ("requests ahead", "unread answers", "half-read answers", "long polls")
+# Bytes that each connection reads after each piece, if it reads at all.
+READ_BYTES = {"half-read answers": 20_000}
 OPERATOR_ABUSES = {
     "configurations": (
         100,
@@ -164,18 +191,21 @@
         }
         self.answers = []
 
-    async def abuse(self, number, door, pieces, pause):
+    async def abuse(self, number, door, pieces, pause, read_bytes):
         await asyncio.sleep(number * OPEN_SECONDS)
         try:
             reader, writer = await asyncio.open_connection(*self.addresses[door])
         except OSError:
             return
-        # Answers stay unread in small buffers.
-        reader._transport.pause_reading()
+        if not read_bytes:
+            # Answers stay unread in small buffers.
+            reader._transport.pause_reading()
         try:
             for piece in pieces:
                 writer.write(piece)
                 await writer.drain()
+                if read_bytes:
+                    await reader.read(read_bytes)
                 await asyncio.sleep(pause or SHORT_SECONDS)
             await asyncio.sleep(2 * PLAY_SECONDS)
         except OSError:
@@ -210,7 +240,7 @@
                 self.answers.append(await self.ask(door, data))
             await asyncio.sleep(PAUSE_SECONDS)
 
-    async def run(self, count, door, make, pause):
+    async def run(self, count, door, make, pause, read_bytes=0):
         """Play one abuse; return the answers that ordinary callers got."""
         self.answers = []
         body = bytes(2000)
@@ -225,7 +255,7 @@
                 (READY, make_head("/readyz", "GET")),
             ]
         abusers = [
-            asyncio.create_task(self.abuse(number, door, make(), pause))
+            asyncio.create_task(self.abuse(number, door, make(), pause, read_bytes))
             for number in range(count)
         ]
         await self.keep_asking(requests)
@@ -242,7 +272,8 @@
                 for name, abuse in abuses.items():
                     with self.subTest(name):
                         doors.runs.clear()
-                        answers = await Play(doors).run(*abuse)
+                        read_bytes = READ_BYTES.get(name, 0)
+                        answers = await Play(doors).run(*abuse, read_bytes)
                         peak = doors.measure_peak(program)
                         lost = [answer for answer in answers if answer.status != 200]
                         self.assertFalse(doors.has_ended(program))
--- a/sapphireseam/platform/fakedoor.py
+++ b/sapphireseam/platform/fakedoor.py
@@ -33,6 +33,9 @@
 MAX_BODY_BYTES = 4 * 1024 * 1024
 LARGE_PATH = f"{SAFE_PATH}large"
 LARGE_BYTES = 1024 * 1024
+# Items of batch jobs at this path take some seconds.
+SLOW_PATH = f"{BATCH_PATH}slow"
+SLOW_SECONDS = 4.0
 
 
 def _make_configuration() -> dict[str, object]:
@@ -120,6 +123,8 @@
         size = 0
         async for data in request.content.iter_any():
             size += len(data)
+        if request.path == SLOW_PATH:
+            await asyncio.sleep(SLOW_SECONDS)
         body = b"x" * LARGE_BYTES if request.path == LARGE_PATH else b"%d" % size
         headers = {dialect.ATTEMPT: attempt, dialect.SIGNATURE: "s"}
         return web.Response(body=body, headers=headers)
--- a/sapphireseam/utils/door.py
+++ b/sapphireseam/utils/door.py
@@ -247,9 +247,13 @@
 
     async def _handle_request(self, *arguments: Any) -> Any:
         try:
-            return await super()._handle_request(*arguments)
+            response, is_reset = await super()._handle_request(*arguments)
         finally:
             self._connection.finish_request()
+        if isinstance(response, web.Response):
+            # The library keeps the answer until the connection's next request.
+            response.body = None
+        return response, is_reset
 
 
 class Connection(asyncio.BufferedProtocol):
--- a/sapphireseam/utils/door_test.py
+++ b/sapphireseam/utils/door_test.py
@@ -1,6 +1,7 @@
 """Test the bounds of one process's clients with a fake timer and fake transports."""
 
 import asyncio
+import sys
 import unittest
 
 from aiohttp import web
@@ -218,6 +219,16 @@
         await self.timer.settle()
         self.assertEqual(self.count_answers(ordinary), 1)
 
+    async def test_an_idle_connection_holds_no_answer(self):
+        self.answer = bytes(MEBIBYTE)
+        before = sys.getrefcount(self.answer)
+        client = Client(self.server)
+        self.send_body(client, 2000)
+        await self.timer.settle()
+        self.assertEqual(self.count_answers(client), 1)
+        self.assertFalse(client.is_closed)
+        self.assertEqual(sys.getrefcount(self.answer), before)
+
     async def test_time_in_which_the_process_stalled_counts_for_no_client(self):
         client = Client(self.server)
         client.send(make_head()[:-2])
