Let clients misbehave in the soak

The soak played faults of processes and links, and only clients that behave. None of these requests is whole and has a route. What is checked is what the soak checked before.

--- a/sapphireseam/tools/soak.py
+++ b/sapphireseam/tools/soak.py
@@ -12,6 +12,9 @@
 answer one; `tools.promptpart` checks that they stop reaching engines while sound
 requests begin.
 
+Clients that misbehave open connections to the entries and send them requests that never
+become whole (tools/misbehavior.py). The load must go on as without them.
+
 Plain services answer in part without length or chunks, and break off some of these
 answers.
 
@@ -34,7 +37,7 @@
 import aiohttp
 import typer
 
-from sapphireseam.tools import fleet, layout, promptpart, proxy
+from sapphireseam.tools import fleet, layout, misbehavior, promptpart, proxy
 from sapphireseam.utils import loop
 
 CUSTOMERS = ("grower-1", "grower-2")
@@ -50,6 +53,8 @@
 # those are broken off.
 UNFRAMED_EVERY, BROKEN_EVERY = 3, 7
 MODEL = "wording-llm"
+# A path with a route, for clients that misbehave.
+MISUSED_PATH = "/post-app/print"
 # How long a crashed engine is down, in seconds.
 RESTART_SECONDS = 1.0
 # Times of the requests with prompt parts; a verdict must be known after `contact`.
@@ -314,6 +319,8 @@
     chats = promptpart.ChatCaller(
         http, proxied_fleet.plan.entries, proxied_fleet.engines, key, MODEL, rng
     )
+    clients = misbehavior.Client(proxied_fleet.plan.entries, MISUSED_PATH, key, seed)
+    misbehaving = asyncio.create_task(clients.run())
     play = promptpart.Play(chats.send, chats.read_record, PART_TIMES, rng)
     play.is_judged = faults.was_in_touch
     findings: list[str] = []
@@ -326,10 +333,11 @@
             findings += await play.run_until(process.wait)
         finally:
             injecting.cancel()
-            await asyncio.gather(injecting, return_exceptions=True)
+            misbehaving.cancel()
+            await asyncio.gather(injecting, misbehaving, return_exceptions=True)
     report = json.loads(output.read_text()) if output.exists() else {}
     faults_found = (report["faults"] if report else 1) + len(findings)
-    counts = dict(sorted(faults.counts.items()))
+    counts = dict(sorted((faults.counts + clients.counts).items()))
     return SoakResult(seed, faults_found, counts, report, findings, play.describe())
 
 
--- a/sapphireseam/tools/soak_test.py
+++ b/sapphireseam/tools/soak_test.py
@@ -88,6 +88,7 @@
                 result = await soak.soak(Path(folder), PROFILE, RATE, SEED)
             self.assertEqual(result.faults, 0, soak.render(result, Path(folder)))
             self.assertTrue(result.counts)
+            self.assertTrue(any(name.startswith("client ") for name in result.counts))
             self.assertIn(promptpart.QUARANTINED, result.parts)
 
 
