Accept the connections that wait in the kernel before a stop closes their socket

Cause: a graceful stop closed the listening sockets at once. Change: the stop lets the event loop go round 128 times first, which is a whole backlog at eight connections an iteration, unless its grace is used up.

--- a/sapphireseam/utils/drain.py
+++ b/sapphireseam/utils/drain.py
@@ -13,7 +13,7 @@
 
 from aiohttp import web
 
-from sapphireseam.utils import grace
+from sapphireseam.utils import grace, probe
 from sapphireseam.utils.timer import TimerService
 
 logger = logging.getLogger(__name__)
@@ -29,6 +29,8 @@
 LINGER_SECONDS = 0.2
 # Steps of the event loop after which a request that was read has reached its handler.
 SETTLE_STEPS = 5
+# Steps after which all connections that waited in the kernel's queue are accepted.
+ACCEPT_STEPS = probe.BACKLOG // probe.ACCEPTORS
 
 
 class Drain:
@@ -117,11 +119,12 @@
     async def _close(self, runner: web.BaseRunner) -> None:
         """Close the server, idle connections so that clients see their end first.
 
-        Once no connection is accepted any more, requests on the open ones are refused
-        for a moment. Then idle connections aren't read any more. So a request that
-        crosses the end was not read, and its client may send it again.
+        Once those that wait are accepted and no more are, requests on the open ones are
+        refused for a moment. Then idle connections aren't read any more. So a request
+        that crosses the end was not read, and its client may send it again.
         """
         linger = min(LINGER_SECONDS, self._grace.close_step_seconds)
+        await self._accept_waiting()
         for site in list(runner.sites):
             await site.stop()
         if runner.server is not None and runner.server.connections:
@@ -130,6 +133,13 @@
             await self._timer.sleep(linger)
         await runner.cleanup()
 
+    async def _accept_waiting(self) -> None:
+        """Accept what waits in the kernel's queue, which is reset with its socket."""
+        for _ in range(ACCEPT_STEPS):
+            if not self._grace.read_remaining(grace.CLOSE_SHARE):
+                return
+            await asyncio.sleep(0)
+
     async def _end_idle(self, connections: list[Any]) -> None:
         """End the connections without a request, answering what was read before."""
         transports = [
