Report a soak whose clients or faults ended early

Cause: what ended the task of the clients that misbehave, or that of the faults, was dropped at the end of the load, so that a soak without them looked like one with them. Change: it is a finding now, which counts as a fault. Not run: a whole soak.

--- a/sapphireseam/tools/soak.py
+++ b/sapphireseam/tools/soak.py
@@ -266,7 +266,8 @@
     """The result of a soak; `faults` counts the faults of the system.
 
     `counts` is the number of injected faults by program and kind. `findings` describes
-    the faults in the play of a bad prompt part, and `parts` its outcomes.
+    the faults in the play of a bad prompt part and what failed in the soak itself, and
+    `parts` the outcomes of that play.
     """
 
     seed: int
@@ -334,7 +335,9 @@
         finally:
             injecting.cancel()
             misbehaving.cancel()
-            await asyncio.gather(injecting, misbehaving, return_exceptions=True)
+            ended = await asyncio.gather(injecting, misbehaving, return_exceptions=True)
+    # A soak without its faults or clients shows nothing.
+    findings += [f"failed: {each!r}" for each in ended if isinstance(each, Exception)]
     report = json.loads(output.read_text()) if output.exists() else {}
     faults_found = (report["faults"] if report else 1) + len(findings)
     counts = dict(sorted((faults.counts + clients.counts).items()))
--- a/sapphireseam/tools/soak_test.py
+++ b/sapphireseam/tools/soak_test.py
@@ -5,12 +5,13 @@
 """
 
 import asyncio
+import json
 import tempfile
 import unittest
 from pathlib import Path
 from unittest import mock
 
-from sapphireseam.tools import layout, promptpart, soak
+from sapphireseam.tools import layout, misbehavior, promptpart, soak
 
 PROFILE = Path(__file__).parents[2] / "examples" / "load" / "soak.json"
 # Seed of the short run, its requests per second and its time limit, in seconds.
@@ -81,6 +82,33 @@
         self.assertTrue(faults._may_inject("agent-post-app-1"))
 
 
+class LoadTest(unittest.IsolatedAsyncioTestCase):
+    async def run_load(self):
+        """Run a load of no requests; return its result."""
+        with (
+            tempfile.TemporaryDirectory() as folder,
+            mock.patch.object(promptpart, "Play") as play,
+            mock.patch.object(asyncio, "create_subprocess_exec"),
+        ):
+            play.return_value.run_until = lambda wait: asyncio.sleep(0.01, [])
+            plan = layout.lay_out(Path(folder), soak.describe_shape(RATE))
+            keys = Path(folder) / "keys"
+            keys.write_text(json.dumps({soak.CUSTOMERS[0]: "key"}))
+            (plan.folder / "report.json").write_text('{"faults": 0}')
+            proxied_fleet = soak.insert_proxies(plan)
+            return await soak._run_load(
+                proxied_fleet, None, PROFILE, keys, SEED, mock.Mock()
+            )
+
+    async def test_clients_that_misbehave_no_more_are_a_finding(self):
+        self.assertEqual((await self.run_load()).faults, 0)
+        failing = mock.AsyncMock(side_effect=ValueError("no kind"))
+        with mock.patch.object(misbehavior.Client, "run", failing):
+            result = await self.run_load()
+        self.assertEqual(result.faults, 1)
+        self.assertIn("no kind", result.findings[0])
+
+
 class SoakTest(unittest.IsolatedAsyncioTestCase):
     async def test_a_short_soak_finds_no_fault(self):
         with tempfile.TemporaryDirectory() as folder:
