Let no late ceiling of a former run end what is known of the later one

Cause: a report of a ceiling is sent again for up to 10 s, so one of a former run may come after its upstream has restarted. The replicated state lets each run replace all others, so the report, or its end, removed the cold run: entries without a leader gave it requests, and the leader, who had told it already, didn't tell it again. Change: the leader proposes no report of a run that began before the listed one. How a log is applied stays as it is, so members of two versions decide alike. The end of a former cold run is still proposed, as it ends nothing else.

--- a/sapphireseam/control/application.py
+++ b/sapphireseam/control/application.py
@@ -510,6 +510,7 @@
     )
     server.register(shared.server)
     shared.service.list_cold = server.list_cold
+    shared.service.is_late = server.is_late
     integration.upstreams.on_leaving = server.mark_leaving
     integration.upstreams.ceiling_monitor = server.ceiling_monitor
     integration.upstreams.on_cold = server.record_cold
--- a/sapphireseam/control/placement.py
+++ b/sapphireseam/control/placement.py
@@ -22,7 +22,7 @@
 from sapphireseam.control.machine import StateMachine
 from sapphireseam.control.ratelimit import RateLimitService
 from sapphireseam.core import command, error, evacuation, fleet, message, placement
-from sapphireseam.core.instance import Instance, get_run_name
+from sapphireseam.core.instance import Instance, get_run_name, parse_start
 from sapphireseam.policy import allocator, coldstart, origin, outlier, sharing
 from sapphireseam.state.replica import Replica
 from sapphireseam.utils import ceiling, rpc
@@ -245,7 +245,22 @@
             detail = {"services": deserted, "domains": found.domains}
             logger.warning("evacuation leaves services no upstream", extra=detail)
 
+    def is_late(self, item: command.ReportCeiling) -> bool:
+        """Return whether a report is of a run that began before the listed one.
+
+        It would end the ceilings of the listed run. The end of a cold run doesn't.
+        """
+        if item.is_cold and not item.rate:
+            return False
+        start = parse_start(item.run)
+        return any(
+            each.id == item.upstream and start < each.born
+            for each in self.allocator.instances
+        )
+
     async def _propose_ceiling(self, item: command.ReportCeiling) -> None:
+        if self.is_late(item):
+            return
         await self._replica.propose(command.REGISTRY.encode(item))
 
     def _log_ceiling(self, item: command.ReportCeiling) -> None:
--- a/sapphireseam/control/placement_test.py
+++ b/sapphireseam/control/placement_test.py
@@ -334,6 +334,23 @@
         await self.advance(0.1)
         self.assertEqual(set(self.machine.state.ceilings), {"i1/7 cold"})
 
+    async def test_a_late_report_of_a_former_run_is_not_proposed(self):
+        await self.start_cold()
+        again = INSTANCE._replace(born=7)
+        self.server.update_instances((again,), {"i1/7": 4.0})
+        await self.advance(0.1)
+        for is_cold, rate in ((False, 2.5), (False, 0.0), (True, 20.0)):
+            with self.subTest(is_cold=is_cold, rate=rate):
+                late = command.ReportCeiling("i1", "i1/5", rate, 0.0, is_cold, 1.0)
+                self.assertTrue(self.server.is_late(late))
+                await self.server._propose_ceiling(late)
+                self.assertEqual(set(self.machine.state.ceilings), {"i1/7 cold"})
+        for run, rate, is_cold in (("i1/7", 2.5, False), ("i1/9", 2.5, False)):
+            item = command.ReportCeiling("i1", run, rate, 0.0, is_cold)
+            self.assertFalse(self.server.is_late(item))
+        end = command.ReportCeiling("i1", "i1/5", 0.0, 0.0, True)
+        self.assertFalse(self.server.is_late(end))
+
     async def test_an_upstream_that_comes_back_may_be_cold(self):
         await self.start_cold()
         other = INSTANCE._replace(id="i2", domain="y", born=5)
--- a/sapphireseam/control/service.py
+++ b/sapphireseam/control/service.py
@@ -93,6 +93,9 @@
         self._timer = timer
         # Returns the cold runs of upstreams, if this control VM knows them.
         self.list_cold: Callable[[], tuple[message.ColdView, ...]] = tuple
+        # Returns whether a ceiling is of a former run. It isn't proposed, as members of
+        # all software versions would let it end the ceilings of the later run.
+        self.is_late: Callable[[command.ReportCeiling], bool] = lambda item: False
 
     def register(self, server: rpc.Server) -> None:
         """Register the calls that this service answers."""
@@ -132,6 +135,9 @@
             raise error.AccessError(
                 f"the caller's role may not propose {name}", error.Kind.FORBIDDEN
             )
+        if isinstance(item, command.ReportCeiling) and self.is_late(item):
+            answer = outcome.Done(item.upstream)
+            return message.Proposed(outcome.REGISTRY.encode(answer))
         packed = request.command
         if isinstance(item, _TIMED_BY_LEADER):
             item = item._replace(at=self._timer.read_wall_clock())
