Let a tied request have what a cold upstream takes before batch work

Cause: since requests that are tied to some upstreams hold back no batch work, a batch item could take the only token of a cold upstream just before the leader's check of those that wait, every 0.02 s; both need one token there, and the waiting request got none. Change: batch work leaves what a ceiling has room for while a waiting request could be placed with it at once. Without ceilings nothing changes.

--- a/sapphireseam/policy/allocator.py
+++ b/sapphireseam/policy/allocator.py
@@ -419,7 +419,8 @@
         """Place a batch request, unless no slot is free or online requests wait.
 
         Those that only some upstreams may serve don't count: if they could use the
-        slot, they would have it.
+        slot, they would have it. Only what a ceiling has room for by now isn't theirs
+        before the next `retry_waiting`.
         """
         if self._do_requests_wait(request.service):
             return None
@@ -427,9 +428,20 @@
         load = pool.find_free(request, request.arrived, is_batch=True)
         if load is None or load.is_ejected:
             return None
+        if load.ceiling is not None and self._is_retry_due(request):
+            return None
         self._occupy(load, request, True, request.arrived)
         return Grant(request, load.instance)
 
+    def _is_retry_due(self, batch: SlotRequest) -> bool:
+        """Return whether a waiting request can be placed when a batch one arrives."""
+        waitlist = self._waitlists.get(batch.service)
+        return bool(waitlist) and any(
+            self._may_place(each, batch.arrived)
+            and self._get_pool(batch.service).find_free(each, batch.arrived)
+            for each in waitlist.list_firsts()
+        )
+
     def release(self, key: str, now: float) -> list[Grant]:
         """Release a request's slot or remove it from the queue; return new grants."""
         for service, waitlist in self._waitlists.items():
@@ -566,16 +578,21 @@
         return self._get_pool(service).loads.values()
 
     def _try_place(self, request: SlotRequest, now: float) -> Grant | None:
-        pool = self._get_pool(request.service)
-        if request.is_late and not request.is_resumed:
-            if pool.late_count >= self._count_late_slots(request.service, now):
-                return None
-        load = pool.find_free(request, now)
+        if not self._may_place(request, now):
+            return None
+        load = self._get_pool(request.service).find_free(request, now)
         if load is not None:
             self._occupy(load, request, False, now)
             return Grant(request, load.instance)
         return self._evict_for(request, now)
 
+    def _may_place(self, request: SlotRequest, now: float) -> bool:
+        """Return whether a request isn't late, or late ones have slots left."""
+        if not request.is_late or request.is_resumed:
+            return True
+        late_count = self._get_pool(request.service).late_count
+        return late_count < self._count_late_slots(request.service, now)
+
     def _evict_for(self, request: SlotRequest, now: float) -> Grant | None:
         """Place a request in the slot of the batch request that was placed last."""
         pool = self._get_pool(request.service)
--- a/sapphireseam/policy/allocator_test.py
+++ b/sapphireseam/policy/allocator_test.py
@@ -4,7 +4,7 @@
 
 from hypothesis import given, strategies as st
 
-from sapphireseam.core.instance import Instance
+from sapphireseam.core.instance import Instance, get_run_name
 from sapphireseam.policy import allocator, occupancy
 
 
@@ -188,6 +188,19 @@
                 grant = self.allocator.place_batch(make_request("b"))
                 self.assertEqual(grant.instance.id, "i2")
 
+    def test_a_tied_request_gets_what_a_cold_upstream_takes_before_batch_work(self):
+        instance = make_instance("i1", version="v1")
+        self.allocator.update((instance,), 0.0)
+        self.allocator.set_cold({get_run_name(instance): 4.0}, 0.0)
+        waiting = make_request("w", patience=9.0, version="v1", is_resumed=True)
+        self.assertIsNone(self.allocator.place(waiting, 0.0))
+        batch = make_request("b")._replace(arrived=1.0)
+        self.assertIsNone(self.allocator.place_batch(batch))
+        (grant,) = self.allocator.retry_waiting(1.0)
+        self.assertEqual(grant.request.key, "w")
+        grant = self.allocator.place_batch(batch._replace(arrived=2.0))
+        self.assertEqual(grant.instance.id, "i1")
+
     def test_request_that_can_be_on_time_goes_before_a_late_one(self):
         self.fill(4)
         self.allocator.place(make_request("late", patience=1.0, is_late=True), 0.0)
