--- a/sapphireseam/utils/door.py
+++ b/sapphireseam/utils/door.py
@@ -297,7 +297,9 @@
         """Take the connection, or refuse it if there are too many."""
         self._transport = transport
         self._address = str((transport.get_extra_info("peername") or ("",))[0])
-        self._share.progressed = self._guard.read_clock()
+        # Without a request it may go as soon as its first bytes should have been read.
+        now = self._guard.read_clock()
+        self._share.progressed = now + TRIM_SECONDS - eviction.STALL_SECONDS
         self._handler.connection_made(transport)
         self._guard.add(self)
         self._update()
--- a/sapphireseam/utils/door_test.py
+++ b/sapphireseam/utils/door_test.py
@@ -131,6 +131,18 @@
                     await self.timer.settle()
                     self.assertEqual(self.count_answers(client), number)
 
+    async def test_callers_are_served_while_a_crowd_of_silent_connections_opens(self):
+        count = self.guard.budget.max_bytes // door.CONNECTION_BYTES - 1
+        crowd = [Client(self.server) for _ in range(count)]
+        for _ in range(3):
+            await self.timer.advance(2 * door.TRIM_SECONDS)
+            client = Client(self.server)
+            self.send_body(client, 2000)
+            await self.timer.settle()
+            await self.timer.settle()
+            self.assertEqual(self.count_answers(client), 1)
+        self.assertLess(sum(client.is_closed for client in crowd), 10)
+
     async def advance(self, seconds, act=lambda: None):
         for _ in range(int(seconds)):
             act()
