--- a/review/stage/stage.py
+++ b/review/stage/stage.py
@@ -188,7 +188,7 @@
         run = asyncio.create_task(self.play(self, request, writer))
         # The next request on this connection comes after this answer, so all that can
         # be read before is the end of the connection.
-        end = asyncio.create_task(reader.read(1))
+        end = asyncio.create_task(_wait_for_end(reader))
         try:
             await asyncio.wait({run, end}, return_when=asyncio.FIRST_COMPLETED)
             if not run.done():
@@ -207,6 +207,13 @@
         return True
 
 
+async def _wait_for_end(reader: asyncio.StreamReader) -> None:
+    try:
+        await reader.read(1)
+    except OSError:
+        pass
+
+
 class Process:
     """One of the project's programs."""
 
