Show that a request under which replicas go dark is never refused

Cause: only a broken connection counts as a sign of a crash, not silence. Change: a case for review, with replicas whose machine is lost under one request.

--- a/review/stage/stage.py
+++ b/review/stage/stage.py
@@ -214,6 +214,108 @@
         pass
 
 
+class FallibleReplica(Replica):
+    """A replica that may crash and be back after some seconds, as a new incarnation.
+
+    With a reset, its connections are reset and its port refuses new ones. A dark one
+    has lost its machine: open connections say nothing any more, and new ones hang,
+    since the kernel answers nobody once the queue of a socket that accepts none is
+    full.
+    """
+
+    async def start(self) -> None:
+        self.base, self.starts = self.name, 0
+        self.writers: set[asyncio.StreamWriter] = set()
+        self.tasks: set[asyncio.Task] = set()
+        self.is_down = False
+        self.host, self.tcp_port = self.stage.outside, free_ports(self.stage.outside, 1)[0]
+        self.address = f"{self.host}:{self.tcp_port}"
+        self._listen()
+
+    def _listen(self) -> None:
+        self.socket = socket.socket()
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.socket.bind((self.host, self.tcp_port))
+        self.socket.listen(1 if self.is_down else 100)
+        self.socket.setblocking(False)
+        if not self.is_down:
+            self._keep(self._accept(self.socket))
+
+    def _keep(self, work) -> None:
+        task = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _accept(self, own: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        try:
+            while not self.is_down and own is self.socket:
+                connection, _ = await loop.sock_accept(own)
+                reader, writer = await asyncio.open_connection(sock=connection)
+                self.writers.add(writer)
+                self._keep(self._serve_one(reader, writer))
+        except OSError:
+            return
+
+    async def _serve_one(self, reader, writer) -> None:
+        try:
+            await self._serve(reader, writer)
+        finally:
+            self.writers.discard(writer)
+
+    def crash(self, seconds: float, is_dark: bool) -> None:
+        """Crash now; the replica is back after some seconds."""
+        self.is_down = True
+        self.running.clear()
+        former, self.writers = self.writers, set()
+        for task in list(self.tasks):
+            task.cancel()
+        self.socket.close()
+        held = []
+        if is_dark:
+            # The sockets stay open, but nobody reads or writes them any more.
+            for writer in former:
+                sock = writer.get_extra_info("socket")
+                held.append(socket.socket(fileno=os.dup(sock.fileno())))
+            self._listen()
+            for _ in range(3):
+                filler = socket.socket()
+                filler.setblocking(False)
+                filler.connect_ex((self.host, self.tcp_port))
+                held.append(filler)
+        else:
+            for writer in former:
+                _reset(writer.get_extra_info("socket"))
+        asyncio.get_running_loop().create_task(self._return(seconds, held))
+
+    async def _return(self, seconds: float, held: list[socket.socket]) -> None:
+        await asyncio.sleep(seconds)
+        for each in held:
+            _reset(each)
+            each.close()
+        if self.is_down and self.socket.fileno() >= 0:
+            self.socket.close()
+        self.is_down = False
+        self.starts += 1
+        self.name = f"{self.base}-{self.starts}"
+        self.born = int(time.time() * 1000)
+        self._listen()
+        self.stage.record(f"{self.base} is back as {self.name}")
+
+    def stop(self) -> None:
+        self.socket.close()
+        for task in list(self.tasks):
+            task.cancel()
+
+
+def _reset(sock) -> None:
+    """Let the close of a connection reset it."""
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+    except OSError:
+        pass
+
+
 class Process:
     """One of the project's programs."""
 
