--- a/review/stage/crashing.py
+++ b/review/stage/crashing.py
@@ -1,4 +1,4 @@
-"""Plays a request that crashes each replica that begins to run it, beside sound ones."""
+"""Plays a request that crashes each replica which runs it, beside sound ones."""
 
 import asyncio
 import os
@@ -27,14 +27,18 @@
     async def generate(replica, request, writer) -> bool:
         if request.target == BAD_PATH:
             reached.append((record.now(), request.attempt))
-            record(f"{request.attempt} reaches {replica.name} after {len(crashes)} crashes")
+            record(
+                f"{request.attempt} reaches {replica.name} after {len(crashes)} crashes"
+            )
         head = (
             b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
             b"Transfer-Encoding: chunked\r\nX-Response-Signature: s\r\n"
             b"X-Attempt-Id: " + request.attempt.encode() + b"\r\n\r\n"
         )
         is_first = True
-        for number in range(int(request.headers.get("last-event-id", "-1")) + 1, EVENTS):
+        for number in range(
+            int(request.headers.get("last-event-id", "-1")) + 1, EVENTS
+        ):
             if is_troubled and request.target == BAD_PATH and number >= crash_event:
                 crashes.append(record.now())
                 record(f"{request.attempt} crashes {replica.name} at event {number}")
@@ -52,19 +56,37 @@
         stage.FallibleReplica(place, f"i-{n}", "llm", stage.ZONES[n % 3], generate)
         for n in range(9)
     ]
-    route = {"name": "r-advice", "host": stage.HOST, "path_prefix": "/advice/",
-             "route_type": "streaming", "timeout_ms": 5000, "target_latency_ms": 300,
-             "priority": 0, "service": "llm", "max_attempts": 2, "public": False,
-             "sticky": True, "resumable": True, "gap_target_ms": 300}
+    route = {
+        "name": "r-advice",
+        "host": stage.HOST,
+        "path_prefix": "/advice/",
+        "route_type": "streaming",
+        "timeout_ms": 5000,
+        "target_latency_ms": 300,
+        "priority": 0,
+        "service": "llm",
+        "max_attempts": 2,
+        "public": False,
+        "sticky": True,
+        "resumable": True,
+        "gap_target_ms": 300,
+    }
     answers: dict[str, int] = {}
 
     async def send(number: int, path: str, name: str) -> None:
-        headers = {"Authorization": f"Token {stage.KEY}", "X-Attempt-Id": f"{name}{number:08x}",
-                   "X-Deadline-Ms": "5000", "X-Model": "m", "X-Token-Usage": "450,30",
-                   "X-Prompt-Prefix": f"aa01:200,{name}{number % 1 if path == BAD_PATH else number:x}:250"}
+        headers = {
+            "Authorization": f"Token {stage.KEY}",
+            "X-Attempt-Id": f"{name}{number:08x}",
+            "X-Deadline-Ms": "5000",
+            "X-Model": "m",
+            "X-Token-Usage": "450,30",
+            "X-Prompt-Prefix": f"aa01:200,{name}{number % 1 if path == BAD_PATH else number:x}:250",
+        }
         entry = place.entries[number % 2].settings["ip"]
         try:
-            status, _, _ = await stage.ask(entry, place.front_port, "POST", path, headers, b"same", 5.5)
+            status, _, _ = await stage.ask(
+                entry, place.front_port, "POST", path, headers, b"same", 5.5
+            )
         except (OSError, EOFError, TimeoutError, ValueError) as failure:
             status = type(failure).__name__
         key = f"{'bad' if path == BAD_PATH else 'sound'}: {status}"
@@ -87,11 +109,20 @@
         record(f"answers: {answers}")
         if not is_troubled or len(crashes) < 3:
             return []
-        late = sorted({attempt for at, attempt in reached
-                       if at > crashes[2] + stage.CONTACT_SECONDS})
-        record(f"{len(late)} retries reached replicas later than contact_ms after the third crash")
+        late = sorted(
+            {
+                attempt
+                for at, attempt in reached
+                if at > crashes[2] + stage.CONTACT_SECONDS
+            }
+        )
+        record(
+            f"{len(late)} retries reached replicas later than contact_ms after the third crash"
+        )
         if len(late) > MAX_RETRIES:
-            return [f"{len(late)} retries reached replicas, {len(crashes)} crashes in all"]
+            return [
+                f"{len(late)} retries reached replicas, {len(crashes)} crashes in all"
+            ]
         return []
     finally:
         for task in tasks:
--- a/review/stage/stage.py
+++ b/review/stage/stage.py
@@ -17,6 +17,7 @@
 import tempfile
 import time
 import tomllib
+import zlib
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -25,13 +26,14 @@
 HOST = "stage.example"
 ZONES = ("z-a", "z-b", "z-c")
 START_SECONDS = 40.0
+CONTRACTS = "base drain config cost recover batch stream engine tenants quota"
 # Bounds as on the sheet of the small deployment beitsstaal-post.
 CONTACT_SECONDS = 3.0
 ACK_SECONDS = 4.0
 GRACE_SECONDS = 8.0
 
 
-class CannotRun(Exception):
+class CannotRunError(Exception):
     """The case can't run here; this says nothing about the rule."""
 
 
@@ -43,9 +45,11 @@
         self._file = path.open("w", buffering=1)
 
     def now(self) -> float:
+        """Return the seconds since the start."""
         return time.monotonic() - self.began
 
     def __call__(self, text: str) -> None:
+        """Write one line."""
         self._file.write(f"{self.now():8.3f} {text}\n")
 
 
@@ -61,18 +65,24 @@
         found.append(port)
         if len(found) == count:
             return found
-    raise CannotRun("no free ports")
+    raise CannotRunError("no free ports")
 
 
 class Request:
     """One HTTP request as a stand-in has read it."""
 
     def __init__(self, method: str, target: str, headers: dict[str, str], body: bytes):
-        self.method, self.target, self.headers, self.body = method, target, headers, body
+        self.method, self.target, self.headers, self.body = (
+            method,
+            target,
+            headers,
+            body,
+        )
         self.attempt = headers.get("x-attempt-id", "")
 
 
 async def read_request(reader: asyncio.StreamReader) -> Request:
+    """Return the next request on a connection."""
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
     first, *lines = head.split("\r\n")
     method, target, _ = first.split(" ", 2)
@@ -92,6 +102,7 @@
 
 
 def render(status: int, headers: dict[str, str], body: bytes) -> bytes:
+    """Return an answer with a length."""
     lines = [f"HTTP/1.1 {status} X"]
     lines += [f"{name}: {value}" for name, value in headers.items()]
     lines += [f"Content-Length: {len(body)}", "", ""]
@@ -116,16 +127,19 @@
         self._server = None
 
     async def start(self) -> None:
+        """Start to listen."""
         host = self.stage.outside
         port = free_ports(host, 1)[0]
         self._server = await asyncio.start_server(self._serve, host, port)
         self.address = f"{host}:{port}"
 
     def stop(self) -> None:
+        """Stop listening."""
         if self._server is not None:
             self._server.close()
 
     def describe(self) -> dict:
+        """Return the entry in the platform's list."""
         return {
             "id": self.name,
             "service": self.service,
@@ -167,7 +181,11 @@
                 "runs": [[each, 10, 1, 0] for each in self.running],
             }
             writer.write(
-                render(200, {"Content-Type": "application/json"}, json.dumps(report).encode())
+                render(
+                    200,
+                    {"Content-Type": "application/json"},
+                    json.dumps(report).encode(),
+                )
             )
             return True
         if request.target.startswith("/health"):
@@ -192,7 +210,9 @@
         try:
             await asyncio.wait({run, end}, return_when=asyncio.FIRST_COMPLETED)
             if not run.done():
-                self.stage.record(f"{self.name} drops {request.attempt}: connection closed")
+                self.stage.record(
+                    f"{self.name} drops {request.attempt}: connection closed"
+                )
                 return False
             keep = bool(run.result())
             await writer.drain()
@@ -224,11 +244,15 @@
     """
 
     async def start(self) -> None:
+        """Start to listen."""
         self.base, self.starts = self.name, 0
         self.writers: set[asyncio.StreamWriter] = set()
         self.tasks: set[asyncio.Task] = set()
         self.is_down = False
-        self.host, self.tcp_port = self.stage.outside, free_ports(self.stage.outside, 1)[0]
+        self.host, self.tcp_port = (
+            self.stage.outside,
+            free_ports(self.stage.outside, 1)[0],
+        )
         self.address = f"{self.host}:{self.tcp_port}"
         self._listen()
 
@@ -303,6 +327,7 @@
         self.stage.record(f"{self.base} is back as {self.name}")
 
     def stop(self) -> None:
+        """Stop everything."""
         self.socket.close()
         for task in list(self.tasks):
             task.cancel()
@@ -326,13 +351,18 @@
         self.touched = 0.0
 
     async def start(self) -> None:
+        """Write the settings and start the process."""
         if self.process is not None:
             # "true only when the whole system starts for the first time" (DEPLOY.md).
             self.settings["is_first_start"] = False
         self.path.write_text(json.dumps(self.settings))
         words = self.stage.commands[self.role]
         output = (self.stage.folder / f"{self.label}.log").open("ab")
-        kept = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
+        kept = {
+            name: os.environ[name]
+            for name in ("PATH", "HOME", "LANG")
+            if name in os.environ
+        }
         self.process = await asyncio.create_subprocess_exec(
             *words,
             cwd=ROOT,
@@ -350,11 +380,13 @@
         self.touched = time.monotonic()
 
     def send(self, number: signal.Signals) -> None:
+        """Send a signal."""
         self.stage.record(f"{number.name} to {self.label}")
         self.touched = time.monotonic()
         self.process.send_signal(number)
 
     async def kill(self) -> None:
+        """Kill the process and wait for its end."""
         self.send(signal.SIGKILL)
         await self.process.wait()
 
@@ -380,16 +412,22 @@
         self.replicas: list[Replica] = []
         self.version = 0
         self.controls = [
-            Process(self, "control", f"storage-{n}", self._settings(h, n, control_hosts))
+            Process(
+                self, "control", f"storage-{n}", self._settings(h, n, control_hosts)
+            )
             for n, h in enumerate(control_hosts)
         ]
         self.entries = [
-            Process(self, "entry", f"edge-{n}", self._settings(h, n, control_hosts, False))
+            Process(
+                self, "entry", f"edge-{n}", self._settings(h, n, control_hosts, False)
+            )
             for n, h in enumerate(entry_hosts)
         ]
         self._list_server = None
 
-    def _settings(self, host: str, number: int, seeds: list[str], is_control=True) -> dict:
+    def _settings(
+        self, host: str, number: int, seeds: list[str], is_control=True
+    ) -> dict:
         """Return what deploy/settings.json renders for a machine."""
         settings = {
             "label": f"{'storage' if is_control else 'edge'}-{number}",
@@ -410,7 +448,7 @@
             "max_fds": 8200 if is_control else 4100,
             "reads_nearby": True,
             "grants_by_use": True,
-            "contracts": "base drain config cost recover batch stream engine tenants quota".split(),
+            "contracts": CONTRACTS.split(),
             "failure_domains": dict.fromkeys(ZONES, "r"),
         }
         if is_control:
@@ -422,6 +460,7 @@
         return settings
 
     async def start(self, document: dict, seconds: float = START_SECONDS) -> None:
+        """Start everything; return once a configuration is in force at all entries."""
         self._list_server = await asyncio.start_server(
             self._serve_list, self.outside, self.list_port
         )
@@ -432,9 +471,11 @@
         end = time.monotonic() + seconds
         await self.publish(document, seconds)
         for entry in self.entries:
-            while await self.ask_status(entry, self.ready_port, "GET", "/readyz") != 200:
+            while (
+                await self.ask_status(entry, self.ready_port, "GET", "/readyz") != 200
+            ):
                 if time.monotonic() > end:
-                    raise CannotRun(f"{entry.label} isn't ready")
+                    raise CannotRunError(f"{entry.label} isn't ready")
                 await asyncio.sleep(0.1)
         self.record("all programs are ready")
 
@@ -472,16 +513,23 @@
         while time.monotonic() < end:
             target = self.controls[number % len(self.controls)]
             number += 1
-            status = await self.ask_status(target, self.control_port, "POST", "/config/put", body)
+            status = await self.ask_status(
+                target, self.control_port, "POST", "/config/put", body
+            )
             if status == 200:
-                self.record(f"configuration {self.version} acknowledged by {target.label}")
+                self.record(
+                    f"configuration {self.version} acknowledged by {target.label}"
+                )
                 return
             await asyncio.sleep(0.2)
-        raise CannotRun(f"configuration {self.version} wasn't acknowledged")
+        raise CannotRunError(f"configuration {self.version} wasn't acknowledged")
 
     async def ask_status(self, process, port, method, path, body=b"") -> int:
+        """Return the status of an answer, 0 if there is none."""
         try:
-            status, _, _ = await ask(process.settings["ip"], port, method, path, {}, body, 1.0)
+            status, _, _ = await ask(
+                process.settings["ip"], port, method, path, {}, body, 1.0
+            )
             return status
         except (OSError, EOFError, TimeoutError, ValueError):
             return 0
@@ -494,7 +542,9 @@
                 if process.process.returncode is not None:
                     continue
                 try:
-                    _, _, body = await ask(process.settings["ip"], 9464, "GET", "/health", {}, b"", 0.5)
+                    _, _, body = await ask(
+                        process.settings["ip"], 9464, "GET", "/health", {}, b"", 0.5
+                    )
                     leader = json.loads(body).get("leader", "")
                 except (OSError, EOFError, TimeoutError, ValueError):
                     continue
@@ -535,12 +585,18 @@
             writer.close()
 
 
-def make_item(name: str, tokens: int = 700, path: str = "/job/items/x", body: bytes = b"p") -> dict:
+def make_item(
+    name: str, tokens: int = 700, path: str = "/job/items/x", body: bytes = b"p"
+) -> dict:
+    """Return an item of a batch job as a client submits it."""
     return {
         "id": name,
         "path": path,
-        "headers": {"X-Model": "m", "X-Token-Usage": f"350,{tokens - 350}",
-                    "X-Prompt-Prefix": f"aa01:100,{abs(hash(name)) % 2**31:x}:250"},
+        "headers": {
+            "X-Model": "m",
+            "X-Token-Usage": f"350,{tokens - 350}",
+            "X-Prompt-Prefix": f"aa01:100,{zlib.crc32(name.encode()):x}:250",
+        },
         "body": base64.b64encode(body).decode(),
         "tokens": tokens,
     }
@@ -549,16 +605,41 @@
 def make_document(**changes) -> dict:
     """Return a configuration with a batch route, a safe and an unsafe one."""
     engine = {"slots": 8, "kv_cache_tokens": 72_000}
-    batch = {"name": "r-job", "host": HOST, "path_prefix": "/job/", "route_type": "batch",
-             "timeout_ms": 15_000, "target_latency_ms": 400, "priority": 2, "service": "llm",
-             "max_attempts": 3, "completion_target_ms": 18_000, "retention_s": 60,
-             "cap": 1_400_000, "public": False, "sticky": True, "resumable": True}
+    batch = {
+        "name": "r-job",
+        "host": HOST,
+        "path_prefix": "/job/",
+        "route_type": "batch",
+        "timeout_ms": 15_000,
+        "target_latency_ms": 400,
+        "priority": 2,
+        "service": "llm",
+        "max_attempts": 3,
+        "completion_target_ms": 18_000,
+        "retention_s": 60,
+        "cap": 1_400_000,
+        "public": False,
+        "sticky": True,
+        "resumable": True,
+    }
     return {
         "routes": [batch],
-        "services": [{"name": "llm", "health_path": "/healthz", "max_connections": 250,
-                      "protocol": "h1", "tls": False, "engine": engine}],
-        "limits": {"max_header_bytes": 16_384, "max_body_bytes": 4_194_304,
-                   "header_timeout_ms": 3000, "idle_timeout_ms": 15_000},
+        "services": [
+            {
+                "name": "llm",
+                "health_path": "/healthz",
+                "max_connections": 250,
+                "protocol": "h1",
+                "tls": False,
+                "engine": engine,
+            }
+        ],
+        "limits": {
+            "max_header_bytes": 16_384,
+            "max_body_bytes": 4_194_304,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15_000,
+        },
         "tenants": [{"name": TENANT, "api_keys": [KEY], "priority": 1}],
     } | changes
 
@@ -577,7 +658,7 @@
 
     try:
         faults = asyncio.run(limited())
-    except CannotRun as failure:
+    except CannotRunError as failure:
         record(f"can't run: {failure}")
         sys.exit(2)
     except Exception as failure:
