--- a/review/stage/stage.py
+++ b/review/stage/stage.py
@@ -649,7 +649,7 @@
     import sys
 
     record = Record(folder / "record.txt")
-    is_troubled = os.environ.get("TROUBLE", "1") != "0"
+    is_troubled = "--trouble=off" not in sys.argv[1:]
     record(f"trouble: {is_troubled}")
 
     async def limited():
