--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -41,6 +41,7 @@
 START_SECONDS = 30.0
 # Of the storage and the edge machines of beitsstaal-post.
 MEMORY_MB = {"control": 170, "entry": 150}
+MEMORY_CHECK_SECONDS = 0.02
 ZONES = ("zone-a", "zone-b", "zone-c")
 REGION = "region-a"
 HOST = "case.example"
@@ -448,13 +449,16 @@
         self.process.send_signal(number)
 
     def measure(self) -> float:
-        """Return the memory in use, in MB, without the files that are mapped."""
+        """Return the most memory used since the start, in MB, without mapped files."""
         try:
             text = Path(f"/proc/{self.pid}/status").read_text()
         except OSError:
             return 0.0
-        found = re.search(r"RssAnon:\s+(\d+)", text)
-        used = int(found[1]) / 1024 if found else 0.0
+        found = dict(re.findall(r"(VmHWM|RssFile|RssShmem):\s+(\d+)", text))
+        if len(found) < 3:
+            return 0.0
+        files = int(found["RssFile"]) + int(found["RssShmem"])
+        used = (int(found["VmHWM"]) - files) / 1024
         self.peak_mb = max(self.peak_mb, used)
         return used
 
@@ -594,7 +598,7 @@
                     self.record.write(text)
                     process.memory_kills += 1
                     process.process.send_signal(signal.SIGKILL)
-            await asyncio.sleep(0.1)
+            await asyncio.sleep(MEMORY_CHECK_SECONDS)
 
     # What replicas saw.
 
